--- /dev/null
+++ b/cmd/rockcleat-entry/main.go
@@ -0,0 +1,10 @@
+// Command rockcleat-entry runs one entry process of rockcleat.
+package main
+
+import (
+	"os"
+
+	"rockcleat/internal/daemon"
+)
+
+func main() { os.Exit(daemon.Entry(os.Args[1:], os.Stderr)) }
--- /dev/null
+++ b/cmd/rockcleat-standin/main.go
@@ -0,0 +1,106 @@
+// Command rockcleat-standin runs a stand-in for one of the platform's services,
+// for trying rockcleat out and for tests.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"rockcleat/internal/standin"
+)
+
+func main() {
+	root := &ffcli.Command{
+		Name:       "rockcleat-standin",
+		ShortUsage: "rockcleat-standin kv|vms|weights|engine|service [flags]",
+		ShortHelp:  "Run a stand-in for one of the platform's services.",
+		FlagSet:    flag.NewFlagSet("rockcleat-standin", flag.ExitOnError),
+		Subcommands: []*ffcli.Command{
+			kvCommand(), vmsCommand(), weightsCommand(), engineCommand(), serviceCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+// command returns a subcommand that serves what build makes until a signal.
+func command(name, help string, fs *flag.FlagSet, build func() http.Handler) *ffcli.Command {
+	listen := fs.String("listen", "127.0.0.1:0", "address to listen on")
+	return &ffcli.Command{
+		Name: name, ShortUsage: "rockcleat-standin " + name + " [flags]", ShortHelp: help, FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error { return serve(ctx, *listen, build()) },
+	}
+}
+
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	s := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		<-ctx.Done()
+		_ = s.Close()
+	}()
+	if err := s.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+func kvCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("kv", flag.ExitOnError)
+	reads := fs.Float64("reads", 2000, "reads a second; 0 is no limit")
+	writes := fs.Float64("writes", 100, "writes a second; 0 is no limit")
+	return command("kv", "Key-value service.", fs, func() http.Handler {
+		return standin.NewKV(standin.KVOptions{ReadsPerSecond: *reads, WritesPerSecond: *writes})
+	})
+}
+
+func vmsCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("vms", flag.ExitOnError)
+	lag := fs.Duration("lag", time.Second, "how late the list shows changes")
+	return command("vms", "List of VMs.", fs, func() http.Handler { return standin.NewVMs(*lag) })
+}
+
+func weightsCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("weights", flag.ExitOnError)
+	loads := fs.Float64("loads", 1.5, "loads a second; 0 is no limit")
+	full := fs.Int("full-speed", 10, "loads at once that run at full speed")
+	speed := fs.Float64("speed", 20000, "speed of one load in MiB/s")
+	return command("weights", "Weight store.", fs, func() http.Handler {
+		return standin.NewWeights(standin.WeightsOptions{LoadsPerSecond: *loads, FullSpeed: *full, MiBPerSecond: *speed})
+	})
+}
+
+func engineCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("engine", flag.ExitOnError)
+	var o standin.EngineOptions
+	fs.IntVar(&o.Accelerators, "accelerators", 2, "number of accelerators")
+	fs.IntVar(&o.MemoryMiB, "memory", 81920, "memory of each accelerator in MiB")
+	fs.IntVar(&o.Slots, "slots", 8, "sequences that an accelerator batches")
+	fs.DurationVar(&o.Step, "step", 20*time.Millisecond, "time of a decoding step")
+	fs.Float64Var(&o.PrefillPerSecond, "prefill", 20000, "prompt tokens read a second")
+	fs.DurationVar(&o.UnloadTime, "unload", 50*time.Millisecond, "time of an unload")
+	fs.StringVar(&o.Weights, "weights", "", "weight store's base URL")
+	fs.BoolVar(&o.ChecksOrders, "checks-orders", true, "refuse orders with an old fencing token")
+	fs.DurationVar(&o.EventLag, "event-lag", time.Second, "how late cache events are")
+	fs.IntVar(&o.EventGap, "event-gap", 10, "drop each n-th cache event; 0 drops none")
+	return command("engine", "Model engine.", fs, func() http.Handler { return standin.NewEngine(o) })
+}
+
+func serviceCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("service", flag.ExitOnError)
+	delay := fs.Duration("delay", 5*time.Millisecond, "time of a call")
+	return command("service", "Plain service.", fs, func() http.Handler { return standin.NewService(*delay) })
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"rockcleat/clock"
+	"rockcleat/fairqueue"
+	"rockcleat/fleet"
+	"rockcleat/internal/config"
+	"rockcleat/internal/engine"
+	"rockcleat/internal/server"
+	"rockcleat/internal/telemetry"
+	"rockcleat/internal/wire"
+	"rockcleat/kv"
+	"rockcleat/ledger"
+	"rockcleat/placement"
+	"rockcleat/table"
+)
+
+// Intervals of the agent's systems.
+const (
+	statusEvery = 100 * time.Millisecond
+	queueEvery  = 20 * time.Millisecond
+	demandEvery = 250 * time.Millisecond
+	armEvery    = 500 * time.Millisecond
+	unloadEvery = 100 * time.Millisecond
+)
+
+// An Engine is what the agent needs of a model engine.
+type Engine interface {
+	// Status reads the engine's report.
+	Status(ctx context.Context) (engine.Status, error)
+	// Send gives an order.
+	Send(ctx context.Context, o engine.Order) error
+}
+
+// Options are what an Agent is made of.
+type Options struct {
+	Settings config.Agent
+	Store    kv.Store
+	Engine   Engine
+	Clock    clock.Service
+	Log      *zap.Logger
+	Metrics  *telemetry.Metrics
+}
+
+// rowDemand is the account of one row's demand.
+type rowDemand struct {
+	refused  float64
+	estimate placement.Estimator
+}
+
+// An Agent is the process beside one backend server.
+type Agent struct {
+	settings    config.Agent
+	store       kv.Store
+	engine      Engine
+	clock       clock.Service
+	log         *zap.Logger
+	metrics     *telemetry.Metrics
+	incarnation string
+	backend     *http.Client
+	replica     table.Replica
+	traffic     wire.Traffic
+	proxied     wire.Traffic
+	requests    *server.Listener
+	control     *server.Listener
+	record      *record
+	stops       []func()
+	// ordering makes the handling of orders one at a time.
+	ordering sync.Mutex
+
+	mu     sync.Mutex
+	queue  *fairqueue.Queue
+	ledger ledger.Ledger
+	slots  *slotTable
+	demand map[string]*rowDemand
+	grants map[string]int
+	// unloads are orders that wait for their copies to drain.
+	unloads    map[place]placement.Order
+	token      int64
+	leaving    bool
+	reported   bool
+	version    uint64
+	lastRecord fleet.Server
+}
+
+// New returns an Agent that does nothing until Start.
+func New(o Options) *Agent {
+	a := &Agent{
+		settings:    o.Settings,
+		store:       o.Store,
+		engine:      o.Engine,
+		clock:       o.Clock,
+		log:         o.Log,
+		metrics:     o.Metrics,
+		incarnation: uuid.NewString(),
+		demand:      make(map[string]*rowDemand),
+		grants:      make(map[string]int),
+		unloads:     make(map[place]placement.Order),
+	}
+	a.backend = &http.Client{Transport: wire.NewTransport(&a.proxied)}
+	a.slots = newSlotTable()
+	a.queue = fairqueue.New(a.slots, fairqueue.Options{MaxWaiting: o.Settings.MaxWaiting, FirstCome: o.Settings.FirstCome})
+	a.record = newRecord(o.Store, o.Settings.ID, a.incarnation)
+	if a.isService() {
+		a.slots.setServices(o.Settings.Backend.Services, o.Settings.Backend.Slots)
+		a.reported = true
+	}
+	return a
+}
+
+func (a *Agent) isService() bool { return a.settings.Backend.Kind == config.BackendService }
+
+// Start binds the listeners and starts the agent's systems.
+func (a *Agent) Start() error {
+	var err error
+	if a.requests, err = server.Listen(a.settings.Listen, a.requestRouter(), &a.proxied, a.log); err != nil {
+		return err
+	}
+	if a.control, err = server.Listen(a.settings.ControlListen, a.controlRouter(), &a.traffic, a.log); err != nil {
+		return err
+	}
+	a.subscribe(queueEvery, a.stepQueue)
+	a.subscribe(demandEvery, a.stepDemand)
+	if !a.isService() {
+		a.subscribe(statusEvery, a.stepStatus)
+		a.subscribe(armEvery, a.stepArm)
+		a.subscribe(unloadEvery, a.stepUnloads)
+	}
+	go a.requests.Serve()
+	go a.control.Serve()
+	a.log.Info("agent started", zap.String("listen", a.Addr()), zap.String("control", a.ControlAddr()),
+		zap.String("incarnation", a.incarnation))
+	return nil
+}
+
+func (a *Agent) subscribe(every time.Duration, f func(time.Time)) {
+	a.stops = append(a.stops, a.clock.Subscribe(every, f))
+}
+
+// Addr returns the address for requests.
+func (a *Agent) Addr() string { return a.requests.Addr() }
+
+// ControlAddr returns the address for control messages.
+func (a *Agent) ControlAddr() string { return a.control.Addr() }
+
+// Leave makes the agent refuse new work from now on and sends waiting requests
+// elsewhere; what runs goes on.
+func (a *Agent) Leave(reason string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return
+	}
+	a.leaving = true
+	a.queue.RefuseAll(fairqueue.ReasonLeaving)
+	a.log.Info("leaving", zap.String("reason", reason), zap.Int("running", a.queue.Running()))
+}
+
+// Stop leaves, refuses new work for the leave time, lets what runs end until
+// ctx does, and closes.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.Leave("planned stop")
+	server.Pause(ctx, a.settings.LeaveTime.Std())
+	err := a.requests.Shutdown(ctx)
+	for _, stop := range a.stops {
+		stop()
+	}
+	if err != nil {
+		a.log.Error("requests cut by the end of the drain time", zap.Error(err))
+		_ = a.requests.Close()
+	}
+	if cerr := a.control.Close(); cerr != nil {
+		return cerr
+	}
+	return eris.Wrap(err, "agent: stop")
+}
+
+// Close drops everything at once, as a crash would.
+func (a *Agent) Close() {
+	for _, stop := range a.stops {
+		stop()
+	}
+	_ = a.requests.Close()
+	_ = a.control.Close()
+}
+
+// stepQueue refuses what has waited too long and starts what can run.
+func (a *Agent) stepQueue(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, row := range a.queue.Rows() {
+		if a.slots.Total(row) == 0 {
+			a.queue.RefuseRow(row, fairqueue.ReasonNotResident)
+		}
+	}
+	a.queue.Step(now)
+}
+
+// stepStatus takes over the engine's report.
+func (a *Agent) stepStatus(now time.Time) {
+	st, err := a.engine.Status(context.Background())
+	if err != nil {
+		a.log.Warn("no status from the engine", zap.Error(err))
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Settle(ledger.Report{MemoryMiB: st.MemoryMiB, Residents: st.Residents, Finished: st.Finished}, now)
+	a.slots.setResidents(st.Residents, len(st.MemoryMiB), st.Slots)
+	a.reopen()
+	a.reported = true
+}
+
+// reopen gives requests to copies again whose unloading came to nothing; a.mu is held.
+func (a *Agent) reopen() {
+	for p := range a.slots.draining {
+		if _, waits := a.unloads[p]; !waits && !a.ledger.Busy(p.name) {
+			a.slots.undrain(p)
+		}
+	}
+}
+
+// halfLife is how fast the estimate of a demand falls.
+const halfLife = 15 * time.Second
+
+// refusedGain smooths the slots that refused requests would have taken.
+const refusedGain = 0.1
+
+// stepDemand takes in what each row runs, waits for and was refused.
+func (a *Agent) stepDemand(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for row, d := range a.demand {
+		running, waiting := a.queue.Load(row)
+		busy := float64(running+waiting) + d.refused
+		d.refused -= refusedGain * d.refused
+		d.estimate.Observe(busy, halfLife, now)
+		if placement.LevelOf(d.estimate.Value(halfLife, now)) == 0 && running+waiting == 0 {
+			delete(a.demand, row)
+		}
+	}
+}
+
+// demandOf returns the row's account; a.mu is held.
+func (a *Agent) demandOf(row string) *rowDemand {
+	d, ok := a.demand[row]
+	if !ok {
+		d = &rowDemand{}
+		a.demand[row] = d
+	}
+	return d
+}
+
+// serverRecord returns the record for the planner, with a new version if it
+// differs from the last one; a.mu is held.
+func (a *Agent) serverRecord(now time.Time) fleet.Server {
+	s := fleet.Server{
+		ID: a.settings.ID, Addr: a.Addr(), Hall: a.settings.Hall, Incarnation: a.incarnation, Leaving: a.leaving,
+	}
+	if a.isService() {
+		s.Services = a.settings.Backend.Services
+		s.Slots = a.settings.Backend.Slots
+	} else {
+		s.Accelerators = a.ledger.Accelerators()
+		s.Residents = a.slots.visible(a.ledger.Residents())
+		s.Slots = a.slots.perAccelerator
+	}
+	s.Demand = a.demandLevels(now)
+	if a.version == 0 || !s.Same(a.lastRecord) {
+		a.version++
+		a.lastRecord = s
+	}
+	return a.lastRecord
+}
--- /dev/null
+++ b/internal/agent/exchange.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"rockcleat/internal/server"
+	"rockcleat/internal/wire"
+)
+
+func (a *Agent) controlRouter() http.Handler {
+	e := server.NewRouter()
+	server.RegisterHealth(e, a.ready, a.metrics)
+	own := e.Group("", server.RequireSecret(a.settings.Secret, a.metrics))
+	own.POST(wire.PathExchange, a.exchange)
+	own.GET(wire.PathStatus, a.status)
+	return e
+}
+
+// ready reports whether the agent takes requests.
+func (a *Agent) ready() (bool, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.leaving:
+		return false, "leaving"
+	case !a.reported:
+		return false, "no report from the backend server yet"
+	}
+	return true, ""
+}
+
+// exchange takes the planner's message and answers with what has changed here.
+func (a *Agent) exchange(c echo.Context) error {
+	var x wire.Exchange
+	if err := c.Bind(&x); err != nil {
+		return err
+	}
+	if !a.accept(x) {
+		return c.JSON(http.StatusOK, a.answer(x))
+	}
+	if x.Leaving {
+		a.Leave("the platform's list says so")
+	}
+	if x.Incarnation == a.incarnation && x.TableVersion >= a.replica.Current().Version() {
+		a.setGrants(x.Grants)
+		// Orders wait for the key-value service; the exchange does not.
+		go a.carryOut(x.Orders)
+	}
+	return c.JSON(http.StatusOK, a.answer(x))
+}
+
+// accept takes the sender as planner unless a newer one is known.
+func (a *Agent) accept(x wire.Exchange) bool {
+	if a.replica.Merge(x.Table) {
+		a.log.Info("table in force", zap.Uint64("version", a.replica.Current().Version()))
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if x.Token < a.token {
+		a.log.Warn("exchange of a former planner ignored", zap.Int64("token", x.Token), zap.Int64("newest", a.token))
+		return false
+	}
+	a.token = x.Token
+	return true
+}
+
+// setGrants takes over the concurrency that the planner grants; rows that it
+// does not name have none left.
+func (a *Agent) setGrants(grants []wire.ConcurrencyGrant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clear(a.grants)
+	for _, g := range grants {
+		a.grants[g.Row] = g.Max
+	}
+}
+
+func (a *Agent) answer(x wire.Exchange) wire.ExchangeAnswer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.serverRecord(a.clock.Now())
+	ans := wire.ExchangeAnswer{
+		Incarnation: a.incarnation, Token: a.token, TableVersion: a.replica.Current().Version(), RecordSeen: a.version,
+	}
+	if x.Incarnation != a.incarnation || x.Seen != a.version {
+		ans.Server = &s
+	}
+	for _, row := range slices.Sorted(maps.Keys(a.grants)) {
+		running, _ := a.queue.Load(row)
+		ans.Grants = append(ans.Grants, wire.ConcurrencyGrant{Row: row, Max: max(a.grants[row], running)})
+	}
+	return ans
+}
+
+// Status is what an agent tells operators of itself.
+type Status struct {
+	ID           string `json:"id"`
+	Incarnation  string `json:"incarnation"`
+	TableVersion uint64 `json:"table_version"`
+	Waiting      int    `json:"waiting"`
+	Running      int    `json:"running"`
+	Leaving      bool   `json:"leaving"`
+	Armed        bool   `json:"armed"`
+	ControlRead  int64  `json:"control_bytes_read"`
+	ControlSent  int64  `json:"control_bytes_written"`
+}
+
+func (a *Agent) status(c echo.Context) error {
+	a.ordering.Lock()
+	armed := a.record.armed
+	a.ordering.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	read, written := a.traffic.Bytes()
+	return c.JSON(http.StatusOK, Status{
+		ID: a.settings.ID, Incarnation: a.incarnation, TableVersion: a.replica.Current().Version(),
+		Waiting: a.queue.Waiting(), Running: a.queue.Running(), Leaving: a.leaving, Armed: armed,
+		ControlRead: read, ControlSent: written,
+	})
+}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,292 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"rockcleat/fairqueue"
+	"rockcleat/internal/engine"
+	"rockcleat/internal/server"
+	"rockcleat/internal/telemetry"
+	"rockcleat/internal/wire"
+	"rockcleat/table"
+)
+
+// copyBuffer is the size of the pieces in which answers are passed on, in bytes.
+const copyBuffer = 16 << 10
+
+// bytesPerEvent is a rough size of one streamed token's event, in bytes, for
+// counting the tokens that an answer took.
+const bytesPerEvent = 180
+
+func (a *Agent) requestRouter() http.Handler {
+	e := server.NewRouter()
+	e.Use(server.RequireSecret(a.settings.Secret, a.metrics))
+	e.Any("/*", a.serve)
+	return e
+}
+
+// serve queues one request and passes it to the backend server.
+func (a *Agent) serve(c echo.Context) error {
+	req := c.Request()
+	name := req.Header.Get(wire.HeaderRow)
+	row, ok := a.replica.Current().Row(name)
+	if !ok {
+		return a.refuse(c, fairqueue.Refusal{Reason: fairqueue.ReasonNotResident, RetryAfter: time.Second})
+	}
+	body, err := a.readBody(req)
+	if err != nil {
+		return a.bodyFailure(c, err)
+	}
+	alive := startHeartbeat(c, a.settings.Limits.SilentTime.Std()/heartbeats)
+	defer alive.stop()
+	t, grant, refusal := a.wait(req, row)
+	if refusal != nil {
+		alive.stop()
+		return a.refuse(c, *refusal)
+	}
+	if t == nil {
+		return nil
+	}
+	tokens := t.Tokens
+	defer func() { a.done(t, tokens) }()
+	class := telemetry.Class{Tier: string(row.Tier), Customer: row.Customer}
+	a.metrics.Queue(class, grant.Waited.Seconds())
+	written, err := a.pass(c, row, grant, body, alive)
+	if row.Kind != table.KindService && written > 0 {
+		tokens = int(written / bytesPerEvent)
+	}
+	return err
+}
+
+// readBody reads the whole body before the request takes a place in the queue.
+func (a *Agent) readBody(req *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, a.settings.Limits.BodyBytes+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "agent: read body")
+	}
+	if int64(len(body)) > a.settings.Limits.BodyBytes {
+		return nil, errBodyTooLong
+	}
+	return body, nil
+}
+
+var errBodyTooLong = errors.New("agent: body too long")
+
+func (a *Agent) bodyFailure(c echo.Context, err error) error {
+	f := wire.Failure{
+		Status: http.StatusBadRequest, Outcome: wire.OutcomeNotRun, Type: wire.TypeInvalidRequest,
+		Code: "body_unreadable", Message: err.Error(),
+	}
+	if errors.Is(err, errBodyTooLong) {
+		f.Status, f.Code = http.StatusRequestEntityTooLarge, "body_too_long"
+	}
+	return f.Write(c)
+}
+
+// wait queues the request until it is granted or refused; a nil ticket with no
+// refusal tells that the caller has gone.
+func (a *Agent) wait(req *http.Request, row table.Row) (*fairqueue.Ticket, fairqueue.Grant, *fairqueue.Refusal) {
+	tokens, _ := strconv.Atoi(req.Header.Get(wire.HeaderTokens))
+	granted := make(chan fairqueue.Grant, 1)
+	refused := make(chan fairqueue.Refusal, 1)
+	t := &fairqueue.Ticket{
+		Row: row.Name, Tokens: max(tokens, 1),
+		Granted: func(g fairqueue.Grant) { granted <- g },
+		Refused: func(r fairqueue.Refusal) { refused <- r },
+	}
+	if r := a.push(t, row); r != nil {
+		return nil, fairqueue.Grant{}, r
+	}
+	select {
+	case g := <-granted:
+		return t, g, nil
+	case r := <-refused:
+		a.countRefusal(row.Name)
+		return nil, fairqueue.Grant{}, &r
+	case <-req.Context().Done():
+		a.done(t, 0)
+		return nil, fairqueue.Grant{}, nil
+	}
+}
+
+// push sets the ticket's limits and gives it to the queue; it returns a refusal
+// that is known without the queue.
+func (a *Agent) push(t *fairqueue.Ticket, row table.Row) *fairqueue.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demandOf(row.Name)
+	total := a.slots.Total(row.Name)
+	switch {
+	case a.leaving:
+		return &fairqueue.Refusal{Reason: fairqueue.ReasonLeaving}
+	case total == 0:
+		return &fairqueue.Refusal{Reason: fairqueue.ReasonNotResident, RetryAfter: time.Second}
+	}
+	t.Limit = fairqueue.Limit{Weight: row.EffectiveWeight(), QueueTime: row.QueueTime}
+	t.Limit.Running = max(1, total*row.Share/100)
+	if row.Concurrency > 0 {
+		grant := a.grants[row.Name]
+		if grant == 0 {
+			return &fairqueue.Refusal{Reason: reasonConcurrency, RetryAfter: time.Second}
+		}
+		t.Limit.Running = min(t.Limit.Running, grant)
+	}
+	a.queue.Push(t, a.clock.Now())
+	return nil
+}
+
+// reasonConcurrency tells that the row's concurrency is granted to other servers.
+const reasonConcurrency fairqueue.Reason = "concurrency"
+
+func (a *Agent) countRefusal(row string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demandOf(row).refused += refusedGain
+}
+
+func (a *Agent) done(t *fairqueue.Ticket, tokens int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Done(t, tokens, a.clock.Now())
+}
+
+// refuse answers at once that the request was not run.
+func (a *Agent) refuse(c echo.Context, r fairqueue.Refusal) error {
+	a.stamp(c.Response().Header())
+	status := http.StatusServiceUnavailable
+	if r.Reason == fairqueue.ReasonQueueTime || r.Reason == reasonConcurrency {
+		status = http.StatusTooManyRequests
+	}
+	f := wire.Failure{
+		Status: status, Outcome: wire.OutcomeNotRun, Type: wire.TypeOverloaded, Code: string(r.Reason),
+		Message: "the request was not run: " + string(r.Reason), RetryAfter: max(r.RetryAfter, time.Millisecond),
+	}
+	return f.Write(c)
+}
+
+// stamp puts the agent's load and leaving on an answer.
+func (a *Agent) stamp(h http.Header) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.Set(wire.HeaderLoad, strconv.Itoa(a.slots.load(a.queue.Waiting())))
+	h.Set(wire.HeaderTableVersion, strconv.FormatUint(a.replica.Current().Version(), 10))
+	if a.leaving {
+		h.Set(wire.HeaderLeaving, a.incarnation)
+		h.Set("Connection", "close")
+	}
+}
+
+// pass sends the request to the backend server and its answer back, and returns
+// the length of the answer's body.
+func (a *Agent) pass(c echo.Context, row table.Row, g fairqueue.Grant, body []byte, alive *heartbeat) (int64, error) {
+	out, err := a.outgoing(c.Request(), row, g, body)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := a.backend.Do(out)
+	alive.stop()
+	if err != nil {
+		return 0, a.noAnswer(c, err)
+	}
+	defer resp.Body.Close()
+	if row.Kind != table.KindService && resp.StatusCode == http.StatusNotFound {
+		return 0, a.refuse(c, fairqueue.Refusal{Reason: fairqueue.ReasonNotResident, RetryAfter: time.Second})
+	}
+	h := c.Response().Header()
+	copyHeader(h, resp.Header)
+	a.stamp(h)
+	h.Set(wire.HeaderOutcome, string(wire.OutcomeAnswered))
+	h.Set(wire.HeaderWaited, strconv.FormatInt(g.Waited.Milliseconds(), 10))
+	c.Response().WriteHeader(resp.StatusCode)
+	n, err := copyFlushing(c.Response(), resp.Body)
+	if err != nil {
+		a.log.Warn("answer cut", zap.String("request", c.Request().Header.Get(wire.HeaderRequestID)), zap.Error(err))
+		// Dropping the connection is what tells the entry that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return n, nil
+}
+
+// outgoing makes the request to the backend server.
+func (a *Agent) outgoing(in *http.Request, row table.Row, g fairqueue.Grant, body []byte) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(in.Context(), in.Method, a.settings.Backend.URL+in.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "agent: make request")
+	}
+	copyHeader(out.Header, in.Header)
+	out.Header.Del("Authorization")
+	wire.SendOnce(out)
+	a.mu.Lock()
+	acc := a.slots.accelerator(g.Slot)
+	a.mu.Unlock()
+	if row.Kind != table.KindService {
+		out.Header.Set(engine.HeaderAccelerator, strconv.Itoa(acc))
+		out.Header.Set(engine.HeaderPriority, strconv.Itoa(row.EffectiveWeight()))
+	}
+	return out, nil
+}
+
+// noAnswer tells a backend server that could not be reached from one that may
+// have run the request.
+func (a *Agent) noAnswer(c echo.Context, err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	a.stamp(c.Response().Header())
+	f := wire.Failure{
+		Status: http.StatusBadGateway, Outcome: wire.OutcomeUnknown, Type: wire.TypeServer,
+		Code: "backend_lost", Message: "the backend server gave no answer; the request may have run",
+	}
+	if wire.IsNotSent(err) {
+		f.Status, f.Outcome, f.Code = http.StatusServiceUnavailable, wire.OutcomeNotRun, "backend_unreachable"
+		f.Message, f.RetryAfter = "the backend server could not be reached; the request was not run", time.Second
+	}
+	return f.Write(c)
+}
+
+// hopHeaders are the headers that belong to one connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func copyHeader(to, from http.Header) {
+	for k, vs := range from {
+		to[k] = append([]string(nil), vs...)
+	}
+	for _, k := range hopHeaders {
+		to.Del(k)
+	}
+}
+
+// copyFlushing passes each piece of the answer on as soon as it comes.
+func copyFlushing(w *echo.Response, r io.Reader) (int64, error) {
+	buf := make([]byte, copyBuffer)
+	var total int64
+	for {
+		n, err := r.Read(buf)
+		if n > 0 {
+			total += int64(n)
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return total, eris.Wrap(werr, "agent: write answer")
+			}
+			w.Flush()
+		}
+		if err == io.EOF {
+			return total, nil
+		}
+		if err != nil {
+			return total, eris.Wrap(err, "agent: read answer")
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/slots.go
@@ -0,0 +1,163 @@
+package agent
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"rockcleat/fleet"
+	"rockcleat/placement"
+)
+
+// place is one copy of a model or adapter.
+type place struct {
+	name string
+	acc  int
+}
+
+// A slotTable is the agent's account of the places in which requests run; it
+// implements fairqueue.Slots.
+type slotTable struct {
+	perAccelerator int
+	used           []int
+	ready          map[place]bool
+	// draining are the copies that get no more requests, since they are to be unloaded.
+	draining map[place]bool
+	running  map[place]int
+	taken    map[int]place
+	next     int
+}
+
+func newSlotTable() *slotTable {
+	return &slotTable{
+		ready:    make(map[place]bool),
+		draining: make(map[place]bool),
+		running:  make(map[place]int),
+		taken:    make(map[int]place),
+	}
+}
+
+// setServices makes the table that of a plain service, as one accelerator on
+// which every service is ready.
+func (t *slotTable) setServices(names []string, slots int) {
+	t.perAccelerator = slots
+	t.used = make([]int, 1)
+	for _, n := range names {
+		t.ready[place{name: n}] = true
+	}
+}
+
+// setResidents takes over the engine's report.
+func (t *slotTable) setResidents(residents []fleet.Resident, accelerators, slots int) {
+	t.perAccelerator = slots
+	for len(t.used) < accelerators {
+		t.used = append(t.used, 0)
+	}
+	clear(t.ready)
+	present := make(map[place]bool)
+	for _, r := range residents {
+		p := place{name: r.Name, acc: r.Accelerator}
+		present[p] = true
+		if r.State == fleet.StateReady {
+			t.ready[p] = true
+		}
+	}
+	maps.DeleteFunc(t.draining, func(p place, _ bool) bool { return !present[p] })
+}
+
+// Take implements fairqueue.Slots: it chooses the accelerator with most slots free.
+func (t *slotTable) Take(row string) (int, bool) {
+	best := -1
+	for acc := range t.used {
+		p := place{name: row, acc: acc}
+		if !t.ready[p] || t.draining[p] || t.used[acc] >= t.perAccelerator {
+			continue
+		}
+		if best < 0 || t.used[acc] < t.used[best] {
+			best = acc
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	p := place{name: row, acc: best}
+	t.used[best]++
+	t.running[p]++
+	t.next++
+	t.taken[t.next] = p
+	return t.next, true
+}
+
+// Release implements fairqueue.Slots.
+func (t *slotTable) Release(slot int) {
+	p, ok := t.taken[slot]
+	if !ok {
+		return
+	}
+	delete(t.taken, slot)
+	t.used[p.acc]--
+	if t.running[p]--; t.running[p] == 0 {
+		delete(t.running, p)
+	}
+}
+
+// Total implements fairqueue.Slots.
+func (t *slotTable) Total(row string) int {
+	total := 0
+	for acc := range t.used {
+		p := place{name: row, acc: acc}
+		if t.ready[p] && !t.draining[p] {
+			total += t.perAccelerator
+		}
+	}
+	return total
+}
+
+// accelerator returns the accelerator of a taken slot.
+func (t *slotTable) accelerator(slot int) int { return t.taken[slot].acc }
+
+// drain stops new requests to a copy and reports whether none runs on it.
+func (t *slotTable) drain(p place) bool {
+	t.draining[p] = true
+	return t.running[p] == 0
+}
+
+// undrain opens a copy again.
+func (t *slotTable) undrain(p place) { delete(t.draining, p) }
+
+// load returns the busy slots and waiting requests in percent of all slots.
+func (t *slotTable) load(waiting int) int {
+	busy := waiting
+	for _, u := range t.used {
+		busy += u
+	}
+	return 100 * busy / max(len(t.used)*t.perAccelerator, 1)
+}
+
+// visible returns the residents as others should see them: draining copies are
+// already unloading.
+func (t *slotTable) visible(residents []fleet.Resident) []fleet.Resident {
+	out := slices.Clone(residents)
+	for i, r := range out {
+		if t.draining[place{name: r.Name, acc: r.Accelerator}] {
+			out[i].State = fleet.StateUnloading
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.Resident) int {
+		return cmp.Or(cmp.Compare(a.Accelerator, b.Accelerator), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// demandLevels returns the rows' demand in levels; a.mu is held.
+func (a *Agent) demandLevels(now time.Time) []fleet.Demand {
+	var out []fleet.Demand
+	for _, row := range slices.Sorted(maps.Keys(a.demand)) {
+		level := placement.LevelOf(a.demand[row].estimate.Value(halfLife, now))
+		if level > 0 {
+			out = append(out, fleet.Demand{Name: row, Level: level})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,143 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"rockcleat/table"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitInvalid  = 3
+	ExitConflict = 4
+	ExitUnknown  = 5
+)
+
+// exitHelp documents the exit codes in the help.
+const exitHelp = `Exit codes: 0 done; 1 failed, nothing changed; 2 wrong usage; 3 refused by the
+checks, nothing saved; 4 another operator changed the row first, nothing saved;
+5 no answer, the save may have taken effect: run "rockcleat table history" to see.`
+
+// envPrefix is the prefix of environment variables that set flags.
+const envPrefix = "ROCKCLEAT"
+
+// errUsage tells that the command was called wrongly.
+var errUsage = errors.New("wrong usage")
+
+// An app is one run of the command.
+type app struct {
+	in     io.Reader
+	out    io.Writer
+	err    io.Writer
+	entry  string
+	secret string
+	file   string
+	author string
+}
+
+// Run runs the command and returns its exit code.
+func Run(ctx context.Context, args []string, in io.Reader, out, stderr io.Writer) int {
+	a := &app{in: in, out: out, err: stderr}
+	root := a.root()
+	err := root.Parse(args)
+	if err == nil {
+		err = root.Run(ctx)
+	}
+	return a.exit(err)
+}
+
+// exit prints an error and returns its exit code.
+func (a *app) exit(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	fmt.Fprintln(a.err, "rockcleat:", err)
+	var check table.CheckError
+	switch {
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, table.ErrInvalid), errors.As(err, &check):
+		return ExitInvalid
+	case errors.Is(err, table.ErrRowConflict):
+		return ExitConflict
+	case errors.Is(err, table.ErrSaveUnknown):
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// flags returns a flag set with the flags that every command has.
+func (a *app) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.err)
+	fs.StringVar(&a.entry, "entry", "127.0.0.1:8081", "control addresses of entries, separated by commas; tried in turn")
+	fs.StringVar(&a.secret, "secret", "", "shared secret; better set ROCKCLEAT_SECRET or -secret-file")
+	fs.StringVar(&a.file, "secret-file", "", "file that holds the shared secret")
+	fs.StringVar(&a.author, "author", os.Getenv("USER"), "name kept with saved edits")
+	return fs
+}
+
+// A run is what a command does with its arguments.
+type run func(ctx context.Context, args []string) error
+
+// command returns a subcommand with the common flags.
+func (a *app) command(name, usage, short, example string, fs *flag.FlagSet, f run) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "rockcleat " + usage,
+		ShortHelp:  short,
+		LongHelp:   short + "\n\nExample:\n  " + example + "\n\n" + exitHelp,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec:       f,
+	}
+}
+
+// group returns a command that only has subcommands.
+func (a *app) group(name, usage, short string, subs ...*ffcli.Command) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.err)
+	return &ffcli.Command{
+		Name: name, ShortUsage: usage, ShortHelp: short, LongHelp: short + "\n\n" + exitHelp,
+		FlagSet: fs, Subcommands: subs,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return fmt.Errorf("%w: no command %q; see rockcleat -h", errUsage, strings.Join(args, " "))
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+func (a *app) root() *ffcli.Command {
+	return a.group("rockcleat", "rockcleat COMMAND [flags] [arguments]",
+		"Show and edit the table of models, and see what the system does with it.",
+		a.group("table", "rockcleat table COMMAND", "Show and edit the table.", a.tableCommands()...),
+		a.statusCommand(), a.whyCommand(),
+		a.group("config", "rockcleat config COMMAND", "Check settings files.", a.configCheck()),
+		a.completion(),
+	)
+}
+
+// need returns an error unless there are from low to high arguments.
+func need(args []string, low, high int, what string) error {
+	if len(args) < low || high >= 0 && len(args) > high {
+		return fmt.Errorf("%w: expected %s", errUsage, what)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,260 @@
+package config
+
+import (
+	"net"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Log are the settings of a process's log.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `yaml:"level"`
+	// Format is json or console.
+	Format string `yaml:"format"`
+}
+
+// Process are the settings that every daemon has.
+type Process struct {
+	// ID names the VM as the platform's list does.
+	ID string `yaml:"id"`
+	// Hall is the data hall that the VM is in.
+	Hall string `yaml:"hall"`
+	// Listen is the address for requests; ControlListen the one for the system's
+	// own messages, operators, health and metrics.
+	Listen        string `yaml:"listen"`
+	ControlListen string `yaml:"control_listen"`
+	// Secret is shared by all processes and operators.
+	Secret string `yaml:"secret"`
+	// KV is the base URL of the platform's key-value service.
+	KV  string `yaml:"kv"`
+	Log Log    `yaml:"log"`
+	// LeaveTime is how long a process that stops still answers new requests, so
+	// that those who send them learn of it.
+	LeaveTime Duration `yaml:"leave_time"`
+	// DrainTime bounds the wait for requests in progress after that.
+	DrainTime Duration `yaml:"drain_time"`
+}
+
+// Planner are the settings of the planner role.
+type Planner struct {
+	// CellSize is the greatest number of backend servers in a cell.
+	CellSize int `yaml:"cell_size"`
+	// ExchangeEvery is the time between two exchanges with one agent.
+	ExchangeEvery Duration `yaml:"exchange_every"`
+	// Headroom is the part of an accelerator's slots that a copy is planned to fill.
+	Headroom float64 `yaml:"headroom"`
+	// Hold is how long a copy stays after demand no longer justifies it.
+	Hold Duration `yaml:"hold"`
+	// MaxLoads is the number of loads that the weight store bears at once.
+	MaxLoads int `yaml:"max_loads"`
+	// LoadsPerSecond is the weight store's rate.
+	LoadsPerSecond float64 `yaml:"loads_per_second"`
+	// LeaseTTL is the time after which another entry may take over a cell.
+	LeaseTTL Duration `yaml:"lease_ttl"`
+}
+
+// Claims are the settings of the records of requests that may not be repeated.
+type Claims struct {
+	Shards    int      `yaml:"shards"`
+	Retention Duration `yaml:"retention"`
+	// WritesPerSecond is the part of the platform's write rate that all shards share.
+	WritesPerSecond float64  `yaml:"writes_per_second"`
+	LeaseTTL        Duration `yaml:"lease_ttl"`
+}
+
+// Limits bound what one process holds.
+type Limits struct {
+	// BodyBytes is the longest request body.
+	BodyBytes int64 `yaml:"body_bytes"`
+	// InFlight is the greatest number of requests at once.
+	InFlight int `yaml:"in_flight"`
+	// BodyTime bounds the reading of a request body.
+	BodyTime Duration `yaml:"body_time"`
+	// SilentTime is how long an agent may be silent before it counts as lost; an
+	// agent gives a sign of life four times in it. It is the same on all processes.
+	SilentTime Duration `yaml:"silent_time"`
+}
+
+// Targets are the times to the first token that each tier is measured against.
+type Targets struct {
+	Premium  Duration `yaml:"premium"`
+	Standard Duration `yaml:"standard"`
+	Economy  Duration `yaml:"economy"`
+}
+
+// Entry are the settings of an entry daemon.
+type Entry struct {
+	Process `yaml:",inline"`
+	// VMs and Weights are the base URLs of the platform's list and weight store.
+	VMs     string `yaml:"vms"`
+	Weights string `yaml:"weights"`
+	// SyncEvery is the time between two exchanges of state with another entry.
+	SyncEvery Duration `yaml:"sync_every"`
+	Planner   Planner  `yaml:"planner"`
+	Claims    Claims   `yaml:"claims"`
+	Limits    Limits   `yaml:"limits"`
+	Targets   Targets  `yaml:"targets"`
+	// Policy is empty, or names a baseline for measurements: round-robin.
+	Policy string `yaml:"policy"`
+}
+
+// Backend are the settings of the backend server that an agent stands beside.
+type Backend struct {
+	// URL is the backend server's base.
+	URL string `yaml:"url"`
+	// Kind is engine or service.
+	Kind string `yaml:"kind"`
+	// Services are the table rows that a plain service answers.
+	Services []string `yaml:"services"`
+	// ChecksOrders tells that the engine refuses orders with an old fencing token.
+	ChecksOrders bool `yaml:"checks_orders"`
+	// OrderLifetime is how long an order may be on its way before it can no longer
+	// take effect.
+	OrderLifetime Duration `yaml:"order_lifetime"`
+	// Slots is the number of calls that a plain service takes at once.
+	Slots int `yaml:"slots"`
+}
+
+// Agent are the settings of an agent daemon.
+type Agent struct {
+	Process `yaml:",inline"`
+	Backend Backend `yaml:"backend"`
+	// MaxWaiting bounds the waiting requests.
+	MaxWaiting int `yaml:"max_waiting"`
+	// FirstCome serves requests in the order of arrival; for measurements only.
+	FirstCome bool   `yaml:"first_come"`
+	Limits    Limits `yaml:"limits"`
+}
+
+// Kinds of backend servers.
+const (
+	BackendEngine  = "engine"
+	BackendService = "service"
+)
+
+func (p *Process) setDefaults() {
+	p.Log = Log{Level: "info", Format: "json"}
+	p.LeaveTime = Duration(3 * time.Second)
+	p.DrainTime = Duration(2 * time.Minute)
+}
+
+func (l *Limits) setDefaults() {
+	l.BodyBytes = 8 << 20
+	l.InFlight = 4096
+	l.BodyTime = Duration(20 * time.Second)
+	l.SilentTime = Duration(10 * time.Second)
+}
+
+func (e *Entry) setDefaults() {
+	e.Process.setDefaults()
+	e.Limits.setDefaults()
+	e.SyncEvery = Duration(time.Second)
+	e.Planner = Planner{
+		CellSize: 24, ExchangeEvery: Duration(5 * time.Second), Headroom: 0.7,
+		Hold: Duration(time.Minute), MaxLoads: 10, LoadsPerSecond: 1.5, LeaseTTL: Duration(9 * time.Second),
+	}
+	e.Claims = Claims{
+		Shards: 4, Retention: Duration(10 * time.Minute), WritesPerSecond: 50, LeaseTTL: Duration(9 * time.Second),
+	}
+	e.Targets = Targets{
+		Premium: Duration(340 * time.Millisecond), Standard: Duration(time.Second), Economy: Duration(5 * time.Second),
+	}
+}
+
+func (a *Agent) setDefaults() {
+	a.Process.setDefaults()
+	a.Limits.setDefaults()
+	a.MaxWaiting = 1024
+	a.Backend = Backend{Kind: BackendEngine, OrderLifetime: Duration(30 * time.Second), Slots: 16}
+}
+
+// minSecret is the shortest secret, in bytes.
+const minSecret = 16
+
+func (p *Process) check(c *checker) {
+	c.require(p.ID != "", "id", "is required: the VM's name in the platform's list")
+	c.require(p.Hall != "", "hall", "is required: the data hall that the VM is in")
+	c.require(isAddr(p.Listen), "listen", "must be IP:port, such as 10.0.0.5:8080")
+	c.require(isAddr(p.ControlListen), "control_listen", "must be IP:port, such as 10.0.0.5:8081")
+	c.require(p.Listen != p.ControlListen || p.Listen == "", "control_listen", "must differ from listen")
+	c.require(len(p.Secret) >= minSecret, "secret", "must have at least 16 characters")
+	c.require(isURL(p.KV), "kv", "must be a URL, such as http://10.0.0.2:7000")
+	levels := []string{"debug", "info", "warn", "error"}
+	c.require(slices.Contains(levels, p.Log.Level), "log.level", "must be debug, info, warn or error")
+	c.require(p.Log.Format == "json" || p.Log.Format == "console", "log.format", "must be json or console")
+	c.between(p.LeaveTime, 0, time.Minute, "leave_time")
+	c.between(p.DrainTime, time.Second, time.Hour, "drain_time")
+}
+
+func (c *checker) between(d Duration, low, high time.Duration, key string) {
+	c.require(d.Std() >= low && d.Std() <= high, key, "must be from "+low.String()+" to "+high.String())
+}
+
+func (l *Limits) check(c *checker) {
+	c.require(l.BodyBytes >= 1024 && l.BodyBytes <= 1<<30, "limits.body_bytes", "must be from 1024 to 1073741824")
+	c.require(l.InFlight >= 1 && l.InFlight <= 1000000, "limits.in_flight", "must be from 1 to 1000000")
+	c.between(l.BodyTime, 100*time.Millisecond, 10*time.Minute, "limits.body_time")
+	c.between(l.SilentTime, 100*time.Millisecond, 10*time.Minute, "limits.silent_time")
+}
+
+func (e *Entry) check(c *checker) {
+	e.Process.check(c)
+	e.Limits.check(c)
+	c.require(isURL(e.VMs), "vms", "must be a URL, such as http://10.0.0.2:7001")
+	c.require(isURL(e.Weights), "weights", "must be a URL, such as http://10.0.0.2:7002")
+	c.between(e.SyncEvery, 50*time.Millisecond, 10*time.Second, "sync_every")
+	e.Planner.check(c)
+	c.require(e.Policy == "" || e.Policy == "round-robin", "policy", "must be absent or round-robin")
+	e.Claims.check(c)
+	c.between(e.Targets.Premium, time.Millisecond, time.Hour, "targets.premium")
+	c.between(e.Targets.Standard, time.Millisecond, time.Hour, "targets.standard")
+	c.between(e.Targets.Economy, time.Millisecond, time.Hour, "targets.economy")
+}
+
+func (p *Planner) check(c *checker) {
+	c.require(p.CellSize >= 1 && p.CellSize <= 48, "planner.cell_size", "must be from 1 to 48")
+	c.between(p.ExchangeEvery, 50*time.Millisecond, 10*time.Second, "planner.exchange_every")
+	c.require(p.Headroom > 0 && p.Headroom <= 1, "planner.headroom", "must be above 0 and at most 1")
+	c.between(p.Hold, 0, time.Hour, "planner.hold")
+	c.require(p.MaxLoads >= 1 && p.MaxLoads <= 1000, "planner.max_loads", "must be from 1 to 1000")
+	c.require(p.LoadsPerSecond > 0, "planner.loads_per_second", "must be above 0")
+	c.between(p.LeaseTTL, 500*time.Millisecond, time.Minute, "planner.lease_ttl")
+}
+
+func (l *Claims) check(c *checker) {
+	c.require(l.Shards >= 1 && l.Shards <= 256, "claims.shards", "must be from 1 to 256")
+	c.between(l.Retention, time.Second, 24*time.Hour, "claims.retention")
+	c.require(l.WritesPerSecond > 0, "claims.writes_per_second", "must be above 0")
+	c.between(l.LeaseTTL, 500*time.Millisecond, time.Minute, "claims.lease_ttl")
+}
+
+func (a *Agent) check(c *checker) {
+	a.Process.check(c)
+	a.Limits.check(c)
+	c.require(isURL(a.Backend.URL), "backend.url", "must be a URL, such as http://127.0.0.1:9000")
+	known := a.Backend.Kind == BackendEngine || a.Backend.Kind == BackendService
+	c.require(known, "backend.kind", "must be engine or service")
+	named := a.Backend.Kind != BackendService || len(a.Backend.Services) > 0
+	c.require(named, "backend.services", "must name the table rows that the service answers")
+	c.between(a.Backend.OrderLifetime, 100*time.Millisecond, 10*time.Minute, "backend.order_lifetime")
+	c.require(a.Backend.Slots >= 1, "backend.slots", "must be at least 1")
+	c.require(a.MaxWaiting >= 1 && a.MaxWaiting <= 100000, "max_waiting", "must be from 1 to 100000")
+}
+
+// isAddr reports whether s is an IP number and a port.
+func isAddr(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n >= 0 && n <= 65535
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && u.Scheme == "http" && u.Host != ""
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/fleet"
+	"rockcleat/ledger"
+)
+
+// Paths of an engine's own interface.
+const (
+	PathStatus = "/v1/engine"
+	PathOrders = "/v1/engine/orders"
+)
+
+// Headers of a request to an engine.
+const (
+	HeaderAccelerator = "X-Accelerator"
+	HeaderPriority    = "X-Priority"
+	HeaderRequestID   = "X-Request-Id"
+	// HeaderResume is the number of tokens after which the answer is to go on.
+	HeaderResume = "Rockcleat-Resume"
+)
+
+// Status is what an engine reports of itself.
+type Status struct {
+	Fence     int64            `json:"fence"`
+	Slots     int              `json:"slots"`
+	MemoryMiB []int            `json:"memory_mib"`
+	Residents []fleet.Resident `json:"residents"`
+	Finished  []string         `json:"finished"`
+	Running   int              `json:"running"`
+}
+
+// An Order tells an engine to load or unload.
+type Order struct {
+	ID          string    `json:"id"`
+	Fence       int64     `json:"fence"`
+	Op          ledger.Op `json:"op"`
+	Name        string    `json:"name"`
+	Base        string    `json:"base,omitempty"`
+	Accelerator int       `json:"accelerator"`
+	MemoryMiB   int       `json:"memory_mib"`
+}
+
+// ErrFenced tells that the engine has seen a higher fencing token.
+var ErrFenced = errors.New("engine: order fenced off")
+
+// callTimeout bounds a status call or an order.
+const callTimeout = 2 * time.Second
+
+// maxStatus bounds a status answer, in bytes.
+const maxStatus = 4 << 20
+
+// A Client gives orders to one engine and reads its status.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client of the engine at the base URL.
+func NewClient(base string, c *http.Client) *Client { return &Client{base: base, http: c} }
+
+// Status reads the engine's report.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathStatus, nil)
+	if err != nil {
+		return s, eris.Wrap(err, "engine: make request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return s, eris.Wrap(err, "engine: status")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, eris.Errorf("engine: status answered %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s)
+	return s, eris.Wrap(err, "engine: decode status")
+}
+
+// Send gives an order; an error other than ErrFenced leaves open whether the
+// engine has it.
+func (c *Client) Send(ctx context.Context, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return eris.Wrap(err, "engine: encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "engine: make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "engine: send order")
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusAccepted:
+		return nil
+	case http.StatusConflict:
+		return ErrFenced
+	}
+	return eris.Errorf("engine: order answered %d", resp.StatusCode)
+}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/fleet"
+	"rockcleat/internal/openai"
+	"rockcleat/internal/wire"
+)
+
+// heldAnswer is the longest answer that is read whole before any of it is passed
+// on, so that one cut before its end can be had elsewhere; in bytes.
+const heldAnswer = 1 << 20
+
+// maxEvent is the longest event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// Marks of a stream's events.
+var (
+	dataPrefix = []byte("data:")
+	doneMark   = []byte("[DONE]")
+)
+
+// Errors of a stream that does not end as it should.
+var (
+	errCut      = errors.New("entry: stream ended before its end mark")
+	errTooLarge = errors.New("entry: event too long")
+)
+
+// pass gives an answer to the caller and reports whether the call is over.
+func (d *delivery) pass(s fleet.Server, resp *http.Response, w *silence) bool {
+	if d.x.stream && isStream(resp.Header) {
+		return d.passStream(s, resp, w)
+	}
+	if d.begun {
+		// A resumed stream that is answered by something else cannot go on.
+		return d.lost(s, eris.Errorf("entry: stream resumed with status %d", resp.StatusCode))
+	}
+	return d.passWhole(s, resp, w)
+}
+
+func isStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+// passWhole gives an answer that is not a stream of events. One that is short
+// is read whole first; its outcome is recorded before the caller has it.
+func (d *delivery) passWhole(s fleet.Server, resp *http.Response, w *silence) bool {
+	r := &heardReader{r: resp.Body, w: w}
+	held, err := io.ReadAll(io.LimitReader(r, heldAnswer))
+	if err != nil {
+		return d.failed(s, err)
+	}
+	d.collect(resp, held)
+	whole := len(held) < heldAnswer
+	if whole {
+		d.end(wire.OutcomeAnswered)
+	}
+	d.begin(resp)
+	d.write(held)
+	if whole {
+		return true
+	}
+	if _, err := io.Copy(writerFunc(d.write), r); err != nil {
+		return d.lost(s, err)
+	}
+	d.end(wire.OutcomeAnswered)
+	return true
+}
+
+// collect keeps the start of the answer for the record of a request with a key.
+func (d *delivery) collect(resp *http.Response, b []byte) {
+	if d.x.answer == nil {
+		return
+	}
+	d.x.answer.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+	d.x.answer.write(b)
+}
+
+// begin sends the answer's header to the caller.
+func (d *delivery) begin(resp *http.Response) {
+	if d.begun {
+		return
+	}
+	d.begun = true
+	h := d.c.Response().Header()
+	id := h.Get(wire.HeaderRequestID)
+	for k, v := range resp.Header {
+		h[k] = v
+	}
+	for _, k := range []string{
+		wire.HeaderLoad, wire.HeaderLeaving, wire.HeaderTableVersion, "Connection", "Transfer-Encoding", "Date",
+	} {
+		h.Del(k)
+	}
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", resp.Header.Get("Content-Length"))
+	}
+	h.Set(wire.HeaderRequestID, id)
+	d.e.metrics.FirstToken(d.x.class(), d.e.clock.Now().Sub(d.x.arrived).Seconds())
+	d.c.Response().WriteHeader(resp.StatusCode)
+}
+
+// write gives a piece of the answer to the caller; a caller that has gone shows
+// in the request's context.
+func (d *delivery) write(b []byte) {
+	_, _ = d.c.Response().Write(b)
+	d.c.Response().Flush()
+}
+
+type writerFunc func([]byte)
+
+// Write implements io.Writer.
+func (f writerFunc) Write(b []byte) (int, error) {
+	f(b)
+	return len(b), nil
+}
+
+// A heardReader counts each read as a sign of life.
+type heardReader struct {
+	r io.Reader
+	w *silence
+}
+
+// Read implements io.Reader.
+func (h *heardReader) Read(b []byte) (int, error) {
+	n, err := h.r.Read(b)
+	if n > 0 {
+		h.w.heard()
+	}
+	return n, err
+}
+
+// passStream gives the events of a stream to the caller. Only an event that is
+// whole is passed on, so a stream cut anywhere can go on elsewhere from the
+// token after the last one given.
+func (d *delivery) passStream(s fleet.Server, resp *http.Response, w *silence) bool {
+	r := bufio.NewReader(&heardReader{r: resp.Body, w: w})
+	for {
+		event, err := readEvent(r)
+		if err != nil {
+			return d.streamBroken(s, err)
+		}
+		d.begin(resp)
+		d.collect(resp, event)
+		if isDone(event) {
+			d.end(wire.OutcomeAnswered)
+			d.write(event)
+			return true
+		}
+		d.write(event)
+		if carriesToken(event) {
+			d.tokens++
+		}
+	}
+}
+
+// streamBroken handles a stream without its end mark and reports whether the
+// call is over.
+func (d *delivery) streamBroken(s fleet.Server, err error) bool {
+	if d.c.Request().Context().Err() != nil {
+		return d.abandoned()
+	}
+	if !d.x.repeatable && d.begun {
+		d.e.routes.Avoid(s.ID, d.e.clock.Now())
+		d.cutStream()
+		return true
+	}
+	return d.lost(s, err)
+}
+
+// cutStream tells the caller by an error event, and by dropping the connection
+// without an end mark, that the answer is not whole.
+func (d *delivery) cutStream() {
+	d.end(wire.OutcomeUnknown)
+	f := d.unknown()
+	f.Message = "the stream was cut; what came before is not the whole answer"
+	data, err := json.Marshal(f.Body())
+	if err == nil {
+		d.write([]byte("data: " + string(data) + "\n\n"))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// readEvent reads one event with the empty line after it.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEvent {
+			return nil, errTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err == io.EOF {
+			return nil, errCut
+		}
+		if err != nil {
+			return nil, eris.Wrap(err, "entry: read stream")
+		}
+		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) || len(bytes.TrimSpace(event)) == 0 {
+			return event, nil
+		}
+	}
+}
+
+// dataOf returns an event's data, nil if it has none.
+func dataOf(event []byte) []byte {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataPrefix) {
+			return bytes.TrimSpace(line[len(dataPrefix):])
+		}
+	}
+	return nil
+}
+
+func isDone(event []byte) bool { return bytes.Equal(dataOf(event), doneMark) }
+
+// carriesToken reports whether an event carries text of the answer.
+func carriesToken(event []byte) bool {
+	data := dataOf(event)
+	if data == nil {
+		return false
+	}
+	var c openai.Completion
+	if json.Unmarshal(data, &c) != nil {
+		return false
+	}
+	for _, choice := range c.Choices {
+		if choice.Text != "" || choice.Delta != nil && choice.Delta.Content != "" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/call.go
@@ -0,0 +1,139 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/internal/openai"
+	"rockcleat/internal/wire"
+)
+
+// An Answer is what a caller saw of one request.
+type Answer struct {
+	Status     int
+	Outcome    wire.Outcome
+	Replayed   bool
+	RetryAfter time.Duration
+	Reason     string
+	Body       string
+	// Text is the answer's text and Tokens the number of its events.
+	Text   string
+	Tokens int
+	// Whole tells that a stream had its end mark, or another answer its full length.
+	Whole      bool
+	FirstToken time.Duration
+	Total      time.Duration
+	// Err is the transport's error, if the answer was cut.
+	Err error
+}
+
+// ChatBody returns the body of a chat request.
+func ChatBody(model, prompt string, tokens int, stream bool) []byte {
+	content, err := json.Marshal(prompt)
+	if err != nil {
+		return nil
+	}
+	b, err := json.Marshal(openai.Request{
+		Model: model, Stream: stream, MaxTokens: tokens,
+		Messages: []openai.Message{{Role: "user", Content: content}},
+	})
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// A Caller sends requests as the system's callers do.
+type Caller struct {
+	HTTP *http.Client
+}
+
+// NewCaller returns a Caller with connections of its own.
+func NewCaller() *Caller {
+	return &Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
+}
+
+// Chat sends a chat request to an entry's address.
+func (c *Caller) Chat(ctx context.Context, addr string, body []byte, key string) Answer {
+	return c.Send(ctx, http.MethodPost, addr, "/v1/chat/completions", body, key)
+}
+
+// Send sends any request; key, if not empty, is its Idempotency-Key.
+func (c *Caller) Send(ctx context.Context, method, addr, path string, body []byte, key string) Answer {
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, key)
+	}
+	wire.SendOnce(req)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return Answer{Err: err, Total: time.Since(began)}
+	}
+	defer resp.Body.Close()
+	a := Answer{
+		Status: resp.StatusCode, Outcome: wire.Outcome(resp.Header.Get(wire.HeaderOutcome)),
+		Replayed: resp.Header.Get(wire.HeaderReplayed) != "", RetryAfter: wire.RetryAfter(resp.Header),
+		Reason: resp.Header.Get(wire.HeaderReason),
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		a.readStream(resp.Body, began)
+	} else {
+		a.readWhole(resp.Body, began)
+	}
+	a.Total = time.Since(began)
+	return a
+}
+
+func (a *Answer) readWhole(r io.Reader, began time.Time) {
+	data, err := io.ReadAll(r)
+	a.FirstToken = time.Since(began)
+	a.Body, a.Err, a.Whole = string(data), err, err == nil
+	var c openai.Completion
+	if json.Unmarshal(data, &c) == nil && len(c.Choices) > 0 && c.Choices[0].Message != nil {
+		a.Text = c.Choices[0].Message.Content
+	}
+}
+
+func (a *Answer) readStream(r io.Reader, began time.Time) {
+	s := bufio.NewScanner(r)
+	var text strings.Builder
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if a.FirstToken == 0 {
+			a.FirstToken = time.Since(began)
+		}
+		if data == "[DONE]" {
+			a.Whole = true
+			continue
+		}
+		var c openai.Completion
+		if json.Unmarshal([]byte(data), &c) != nil || len(c.Choices) == 0 {
+			a.Err = eris.Errorf("lab: event %q", data)
+			continue
+		}
+		if d := c.Choices[0].Delta; d != nil && d.Content != "" {
+			text.WriteString(d.Content)
+			a.Tokens++
+		}
+	}
+	a.Text = text.String()
+	if s.Err() != nil {
+		a.Err = s.Err()
+	}
+}
--- /dev/null
+++ b/internal/planner/cells.go
@@ -0,0 +1,120 @@
+package planner
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/internal/platform"
+	"rockcleat/kv"
+)
+
+// cellsKey is where the division into cells stands.
+const cellsKey = "cells"
+
+// A Cell is one cell and the backend servers that belong to it.
+type Cell struct {
+	ID      string   `json:"id"`
+	Servers []string `json:"servers"`
+}
+
+// cellList is the value of cellsKey.
+type cellList struct {
+	// Next numbers the next new cell, so that no id is used twice.
+	Next  int    `json:"next"`
+	Cells []Cell `json:"cells"`
+}
+
+func decodeCells(value []byte) (cellList, error) {
+	var l cellList
+	err := json.Unmarshal(value, &l)
+	return l, eris.Wrap(err, "planner: decode cells")
+}
+
+// fit returns the list with every listed backend server in one cell and no
+// other; changed tells whether it differs from l.
+func (l cellList) fit(vms []platform.VM, size int) (next cellList, changed bool) {
+	present := make(map[string]bool)
+	for _, vm := range vms {
+		present[vm.ID] = true
+	}
+	next.Next = l.Next
+	placed := make(map[string]bool)
+	for _, c := range l.Cells {
+		kept := Cell{ID: c.ID}
+		for _, id := range c.Servers {
+			if present[id] {
+				kept.Servers = append(kept.Servers, id)
+				placed[id] = true
+			}
+		}
+		changed = changed || len(kept.Servers) != len(c.Servers)
+		if len(kept.Servers) > 0 {
+			next.Cells = append(next.Cells, kept)
+		}
+	}
+	for _, vm := range inHalls(vms) {
+		if !placed[vm.ID] {
+			next.add(vm.ID, size)
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// inHalls returns the VMs hall by hall, so that new cells keep to one hall
+// where they can.
+func inHalls(vms []platform.VM) []platform.VM {
+	return slices.SortedFunc(slices.Values(vms), func(a, b platform.VM) int {
+		return cmp.Or(cmp.Compare(a.Hall, b.Hall), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// add puts a server into the emptiest cell with room, or into a new one.
+func (l *cellList) add(id string, size int) {
+	best := -1
+	for i, c := range l.Cells {
+		if len(c.Servers) < size && (best < 0 || len(c.Servers) < len(l.Cells[best].Servers)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		l.Cells = append(l.Cells, Cell{ID: fmt.Sprintf("cell-%d", l.Next)})
+		l.Next++
+		best = len(l.Cells) - 1
+	}
+	l.Cells[best].Servers = append(l.Cells[best].Servers, id)
+}
+
+// updateCells makes the recorded division fit the VMs; losing a race against
+// another entry is no error.
+func updateCells(ctx context.Context, store kv.Store, vms []platform.VM, size int) error {
+	e, err := store.Get(ctx, cellsKey)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return err
+	}
+	var l cellList
+	if err == nil {
+		if l, err = decodeCells(e.Value); err != nil {
+			return err
+		}
+	}
+	next, changed := l.fit(vms, size)
+	if !changed {
+		return nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return eris.Wrap(err, "planner: encode cells")
+	}
+	_, err = store.Put(ctx, kv.Write{Key: cellsKey, Value: value, Expect: e.Revision})
+	if errors.Is(err, kv.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,347 @@
+package planner
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/clock"
+	"rockcleat/fleet"
+	"rockcleat/internal/config"
+	"rockcleat/internal/platform"
+	"rockcleat/internal/wire"
+	"rockcleat/kv"
+	"rockcleat/lease"
+	"rockcleat/placement"
+	"rockcleat/route"
+	"rockcleat/table"
+)
+
+// contenders is the number of entries that contend for one cell.
+const contenders = 3
+
+// Intervals of the planner's systems.
+const (
+	leaseDivisor = 3
+	cellsWait    = 20 * time.Second
+	sizesEvery   = 30 * time.Second
+	callTimeout  = 2 * time.Second
+	backlogWait  = 500 * time.Millisecond
+)
+
+// Members tells which VMs there are.
+type Members interface {
+	// Entries returns the ids of the live entries, this one included.
+	Entries() []string
+	// Backends returns the backend servers' VMs that are not gone.
+	Backends() []platform.VM
+}
+
+// Catalogue tells how large models and adapters are.
+type Catalogue interface {
+	Sizes(ctx context.Context) (map[string]placement.Size, error)
+}
+
+// An Agents sends messages to agents.
+type Agents interface {
+	Call(ctx context.Context, method, addr, path string, in, out any) error
+}
+
+// A Recorder keeps decisions for operators.
+type Recorder interface {
+	Record(d wire.Decision)
+}
+
+// Options are what a Planner is made of.
+type Options struct {
+	ID        string
+	Addr      string
+	Settings  config.Planner
+	Store     kv.Store
+	Clock     clock.Service
+	Members   Members
+	Catalogue Catalogue
+	Agents    Agents
+	View      *fleet.View
+	Replica   *table.Replica
+	Recorder  Recorder
+	Log       *zap.Logger
+}
+
+// A Planner plays the planner role for the cells that an entry holds.
+type Planner struct {
+	Options
+	stops []func()
+	done  context.CancelFunc
+	ctx   context.Context
+	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	cells   []Cell
+	sizes   map[string]placement.Size
+	holders map[string]*lease.Holder
+	active  map[string]*cellPlanner
+	misfit  time.Time
+}
+
+// New returns a Planner that holds nothing until Start.
+func New(o Options) *Planner {
+	p := &Planner{Options: o, holders: make(map[string]*lease.Holder), active: make(map[string]*cellPlanner)}
+	p.ctx, p.done = context.WithCancel(context.Background())
+	return p
+}
+
+// Start starts the planner's systems.
+func (p *Planner) Start() {
+	p.wg.Add(2)
+	go p.watchCells()
+	go p.readSizes()
+	every := p.Settings.LeaseTTL.Std() / leaseDivisor
+	p.stops = append(p.stops,
+		p.Clock.Subscribe(every, func(time.Time) { p.stepLeases() }),
+		p.Clock.Subscribe(min(every, time.Second), func(time.Time) { p.stepCells() }),
+		p.Clock.Subscribe(p.tick(), p.stepPlans),
+	)
+	p.stepLeases()
+}
+
+// tick is how often each held cell looks for work.
+func (p *Planner) tick() time.Duration {
+	return min(p.Settings.ExchangeEvery.Std()/4, 250*time.Millisecond)
+}
+
+// Stop ends the systems and gives the leases back, so that others take over at once.
+func (p *Planner) Stop(ctx context.Context) {
+	p.Halt()
+	p.mu.Lock()
+	holders := slices.Collect(maps.Values(p.holders))
+	p.mu.Unlock()
+	for _, h := range holders {
+		if err := h.Release(ctx); err != nil {
+			p.Log.Warn("lease not given back", zap.String("lease", h.Name()), zap.Error(err))
+		}
+	}
+}
+
+// Halt ends the systems without giving anything back, as a crash would.
+func (p *Planner) Halt() {
+	p.done()
+	for _, stop := range p.stops {
+		stop()
+	}
+	p.wg.Wait()
+}
+
+// Held returns the ids of the cells planned here.
+func (p *Planner) Held() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.active))
+}
+
+// Sizes returns the weight store's catalogue as last read.
+func (p *Planner) Sizes() map[string]placement.Size {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sizes
+}
+
+// watchCells follows the division into cells.
+func (p *Planner) watchCells() {
+	defer p.wg.Done()
+	var revision kv.Revision
+	for p.ctx.Err() == nil {
+		e, err := p.Store.Watch(p.ctx, cellsKey, revision, cellsWait)
+		if err != nil {
+			if !errors.Is(err, kv.ErrNotFound) {
+				p.wait(backlogWait)
+			}
+			continue
+		}
+		if e.Revision == revision {
+			continue
+		}
+		l, err := decodeCells(e.Value)
+		if err != nil {
+			p.Log.Error("cells unreadable", zap.Error(err))
+			p.wait(cellsWait)
+			continue
+		}
+		revision = e.Revision
+		p.mu.Lock()
+		p.cells = l.Cells
+		p.mu.Unlock()
+		p.stepLeases()
+	}
+}
+
+// readSizes follows the weight store's catalogue.
+func (p *Planner) readSizes() {
+	defer p.wg.Done()
+	for p.ctx.Err() == nil {
+		sizes, err := p.Catalogue.Sizes(p.ctx)
+		if err != nil {
+			p.wait(backlogWait)
+			continue
+		}
+		p.mu.Lock()
+		p.sizes = sizes
+		p.mu.Unlock()
+		p.wait(sizesEvery)
+	}
+}
+
+func (p *Planner) wait(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-p.ctx.Done():
+	}
+}
+
+// Rank returns how many of the entries come before this one for a key.
+func Rank(self string, entries []string, key string) int {
+	h := route.Hash(key)
+	own := route.Rendezvous(self, h)
+	rank := 0
+	for _, e := range entries {
+		if e != self && route.Rendezvous(e, h) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// stepCells makes the division fit the VMs, if this entry is the one to do it:
+// the entry ranked n-th waits n seconds for those before it.
+func (p *Planner) stepCells() {
+	vms := p.Members.Backends()
+	p.mu.Lock()
+	_, misfits := cellList{Cells: p.cells}.fit(vms, p.Settings.CellSize)
+	now := p.Clock.Now()
+	if !misfits {
+		p.misfit = time.Time{}
+	} else if p.misfit.IsZero() {
+		p.misfit = now
+	}
+	since := p.misfit
+	p.mu.Unlock()
+	patience := time.Duration(Rank(p.ID, p.Members.Entries(), cellsKey)) * time.Second
+	if !misfits || len(vms) == 0 || now.Sub(since) < patience {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	if err := updateCells(ctx, p.Store, vms, p.Settings.CellSize); err != nil {
+		p.Log.Warn("cells not updated", zap.Error(err))
+	}
+}
+
+// stepLeases renews the leases held and contends for those that this entry is
+// ranked for.
+func (p *Planner) stepLeases() {
+	entries := p.Members.Entries()
+	p.mu.Lock()
+	cells := slices.Clone(p.cells)
+	p.mu.Unlock()
+	listed := make(map[string]bool)
+	for _, c := range cells {
+		listed[c.ID] = true
+		if h := p.holder(c.ID, Rank(p.ID, entries, c.ID) < contenders); h != nil {
+			p.stepLease(c.ID, h)
+		}
+	}
+	p.dropUnlisted(listed)
+}
+
+// holder returns the cell's lease holder, a new one if this entry should contend.
+func (p *Planner) holder(cell string, contend bool) *lease.Holder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.holders[cell]
+	if ok {
+		if _, held := h.Held(); held || contend {
+			return h
+		}
+		delete(p.holders, cell)
+		return nil
+	}
+	if !contend {
+		return nil
+	}
+	h = lease.New(p.Store, p.Clock, lease.Options{
+		Name: "cell/" + cell, Holder: p.ID, Addr: p.Addr, TTL: p.Settings.LeaseTTL.Std(),
+	})
+	p.holders[cell] = h
+	return h
+}
+
+func (p *Planner) stepLease(cell string, h *lease.Holder) {
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	if err := h.Step(ctx); err != nil {
+		p.Log.Debug("lease not renewed", zap.String("cell", cell), zap.Error(err))
+	}
+	token, held := h.Held()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.active[cell]
+	switch {
+	case held && !ok:
+		p.active[cell] = newCellPlanner(p, cell, h, token)
+		p.Log.Info("planning cell", zap.String("cell", cell), zap.Int64("token", int64(token)))
+	case held && c.token != token:
+		p.active[cell] = newCellPlanner(p, cell, h, token)
+	case !held && ok:
+		delete(p.active, cell)
+		p.Log.Info("no longer planning cell", zap.String("cell", cell))
+	}
+}
+
+// dropUnlisted gives up cells that are no longer in the division.
+func (p *Planner) dropUnlisted(listed map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.holders {
+		if !listed[id] {
+			delete(p.holders, id)
+			delete(p.active, id)
+		}
+	}
+}
+
+// stepPlans lets each held cell exchange messages and plan.
+func (p *Planner) stepPlans(now time.Time) {
+	p.mu.Lock()
+	active := slices.Collect(maps.Values(p.active))
+	cells := slices.Clone(p.cells)
+	p.mu.Unlock()
+	vms := make(map[string]platform.VM)
+	for _, vm := range p.Members.Backends() {
+		vms[vm.ID] = vm
+	}
+	for _, c := range active {
+		i := slices.IndexFunc(cells, func(x Cell) bool { return x.ID == c.id })
+		if i < 0 {
+			continue
+		}
+		c.step(now, cells[i].Servers, vms)
+	}
+}
+
+// cellIDs returns the ids of all cells.
+func (p *Planner) cellIDs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ids := make([]string, len(p.cells))
+	for i, c := range p.cells {
+		ids[i] = c.ID
+	}
+	slices.SortFunc(ids, cmp.Compare[string])
+	return ids
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/placement"
+)
+
+// A Role tells what runs on a VM.
+type Role string
+
+// The roles of VMs.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// A VMState is a VM's state in the platform's list.
+type VMState string
+
+// The states of VMs.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+	VMGone    VMState = "gone"
+)
+
+// A VM is one VM in the platform's list.
+type VM struct {
+	ID   string `json:"id"`
+	Role Role   `json:"role"`
+	Hall string `json:"hall"`
+	// Addr is the address for requests, Control the one for the system's messages.
+	Addr    string  `json:"addr"`
+	Control string  `json:"control"`
+	State   VMState `json:"state"`
+}
+
+// A VMList is the platform's list, or what changed in it since a version.
+type VMList struct {
+	Version uint64 `json:"version"`
+	VMs     []VM   `json:"vms"`
+}
+
+// A Catalogue lists what the weight store holds.
+type Catalogue struct {
+	Sizes map[string]placement.Size `json:"sizes"`
+}
+
+// callTimeout bounds one call to the platform.
+const callTimeout = 3 * time.Second
+
+// maxAnswer bounds an answer of the platform, in bytes.
+const maxAnswer = 16 << 20
+
+// A Client reads the list of VMs and the weight store's catalogue over HTTP.
+type Client struct {
+	http    *http.Client
+	vms     string
+	weights string
+}
+
+// NewClient returns a Client of the services at the two base URLs.
+func NewClient(c *http.Client, vms, weights string) *Client {
+	return &Client{http: c, vms: vms, weights: weights}
+}
+
+// Changes returns the VMs that changed in the list after the version.
+func (c *Client) Changes(ctx context.Context, since uint64) (VMList, error) {
+	var l VMList
+	err := c.get(ctx, c.vms+"/v1/vms?since="+strconv.FormatUint(since, 10), &l)
+	return l, err
+}
+
+// Sizes returns the memory that each model and adapter takes.
+func (c *Client) Sizes(ctx context.Context) (map[string]placement.Size, error) {
+	var a Catalogue
+	err := c.get(ctx, c.weights+"/v1/weights", &a)
+	return a.Sizes, err
+}
+
+func (c *Client) get(ctx context.Context, url string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "platform: make request")
+	}
+	req.Header["User-Agent"] = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "platform: call")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("platform: status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out)
+	return eris.Wrap(err, "platform: decode answer")
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,113 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"rockcleat/internal/telemetry"
+	"rockcleat/internal/wire"
+)
+
+// headerTime bounds the reading of a request's header.
+const headerTime = 10 * time.Second
+
+// keepTime is how long an idle connection is kept.
+const keepTime = 2 * time.Minute
+
+// NewRouter returns a quiet router.
+func NewRouter() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	return e
+}
+
+// A Listener is one HTTP server on one address.
+type Listener struct {
+	http *http.Server
+	net  net.Listener
+	log  *zap.Logger
+}
+
+// Listen binds the address; Serve starts answering. Bytes are counted by t.
+func Listen(addr string, h http.Handler, t *wire.Traffic, log *zap.Logger) (*Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "server: listen on %s", addr)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       keepTime,
+		ErrorLog:          zap.NewStdLog(log),
+	}
+	return &Listener{http: s, net: t.Listen(l), log: log}, nil
+}
+
+// Addr returns the bound address.
+func (l *Listener) Addr() string { return l.net.Addr().String() }
+
+// Serve answers requests until Shutdown or Close.
+func (l *Listener) Serve() {
+	if err := l.http.Serve(l.net); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		l.log.Error("listener failed", zap.String("addr", l.Addr()), zap.Error(err))
+	}
+}
+
+// Shutdown stops accepting and waits, until ctx ends, for the requests in progress.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	return eris.Wrap(l.http.Shutdown(ctx), "server: shutdown")
+}
+
+// Close drops all connections.
+func (l *Listener) Close() error { return eris.Wrap(l.http.Close(), "server: close") }
+
+// RequireSecret returns middleware that refuses and counts requests without the secret.
+func RequireSecret(secret string, m *telemetry.Metrics) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if wire.Authorized(c.Request(), secret) {
+				return next(c)
+			}
+			m.Denied(c.Path())
+			f := wire.Failure{
+				Status: http.StatusUnauthorized, Outcome: wire.OutcomeNotRun, Type: wire.TypeInvalidRequest,
+				Code: "unauthorized", Message: "the shared secret is missing or wrong",
+			}
+			return f.Write(c)
+		}
+	}
+}
+
+// A Readiness tells whether a process should get requests; reason says why not.
+type Readiness func() (ready bool, reason string)
+
+// RegisterHealth adds the paths for health, readiness and metrics.
+func RegisterHealth(e *echo.Echo, ready Readiness, m *telemetry.Metrics) {
+	e.GET(wire.PathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET(wire.PathReady, ready.answer)
+	e.GET(wire.PathMetrics, echo.WrapHandler(m.Handler()))
+}
+
+func (r Readiness) answer(c echo.Context) error {
+	ok, reason := r()
+	if !ok {
+		return c.String(http.StatusServiceUnavailable, reason+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// Pause waits for d or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/generate.go
@@ -0,0 +1,276 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"rockcleat/fleet"
+	"rockcleat/internal/engine"
+	"rockcleat/internal/openai"
+	"rockcleat/route"
+)
+
+// A sequence is one request inside the engine.
+type sequence struct {
+	priority int
+	model    string
+	acc      int
+	start    chan bool
+}
+
+// defaultTokens is the length of an answer whose request sets none.
+const defaultTokens = 16
+
+// batchSlowdown is by how much a full batch slows each step.
+const batchSlowdown = 0.5
+
+// prefixBytes is how much of a prompt counts as its prefix.
+const prefixBytes = 256
+
+// cacheLimit is the number of prefixes that the engine keeps.
+const cacheLimit = 64
+
+// A cacheEvent tells that a prefix was cached.
+type cacheEvent struct {
+	Seq    uint64    `json:"seq"`
+	Model  string    `json:"model"`
+	Prefix uint64    `json:"prefix"`
+	At     time.Time `json:"at"`
+}
+
+// generate answers a completion with tokens that follow from the prompt alone.
+func (s *Engine) generate(c echo.Context) error {
+	data, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return err
+	}
+	req, err := openai.ParseRequest(data)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	acc, _ := strconv.Atoi(c.Request().Header.Get(engine.HeaderAccelerator))
+	priority, _ := strconv.Atoi(c.Request().Header.Get(engine.HeaderPriority))
+	from, _ := strconv.Atoi(c.Request().Header.Get(engine.HeaderResume))
+	q := &sequence{priority: priority, model: req.Model, acc: acc, start: make(chan bool, 1)}
+	if !s.admit(q, c.Request().Header.Get(engine.HeaderRequestID)) {
+		return c.JSON(http.StatusNotFound, map[string]string{"error": "model not resident"})
+	}
+	select {
+	case <-q.start:
+	case <-c.Request().Context().Done():
+		s.withdraw(q)
+		return nil
+	}
+	defer s.leave(q)
+	total := req.MaxTokens
+	if total <= 0 {
+		total = defaultTokens
+	}
+	if !pause(c, s.prefill(req)) {
+		return nil
+	}
+	if req.Stream {
+		return s.stream(c, q, req, from, total)
+	}
+	return s.whole(c, q, req, total)
+}
+
+// admit puts the sequence into its accelerator's batch or its queue.
+func (s *Engine) admit(q *sequence, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.find(q.model, q.acc)
+	if r == nil || r.State != fleet.StateReady {
+		return false
+	}
+	r.running++
+	s.seen[id]++
+	if s.running[q.acc] < s.opts.Slots {
+		s.running[q.acc]++
+		q.start <- true
+		return true
+	}
+	s.waiters = append(s.waiters, q)
+	return true
+}
+
+// withdraw takes back a sequence that waits or was just started.
+func (s *Engine) withdraw(q *sequence) {
+	s.mu.Lock()
+	i := slices.Index(s.waiters, q)
+	if i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
+		if r := s.find(q.model, q.acc); r != nil {
+			r.running--
+		}
+	}
+	s.mu.Unlock()
+	if i < 0 {
+		s.leave(q)
+	}
+}
+
+// leave ends a sequence and starts the waiting one of the highest priority.
+func (s *Engine) leave(q *sequence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.find(q.model, q.acc); r != nil {
+		r.running--
+	}
+	next := -1
+	for i, w := range s.waiters {
+		if w.acc == q.acc && (next < 0 || w.priority > s.waiters[next].priority) {
+			next = i
+		}
+	}
+	if next < 0 {
+		s.running[q.acc]--
+		return
+	}
+	w := s.waiters[next]
+	s.waiters = slices.Delete(s.waiters, next, next+1)
+	w.start <- true
+}
+
+// prefill returns the time to read the prompt, little if its prefix is cached.
+func (s *Engine) prefill(req openai.Request) time.Duration {
+	prompt := req.Prompt()
+	tokens := float64(len(prompt))/4 + 1
+	prefix := route.Hash(req.Model + "\x00" + prompt[:min(len(prompt), prefixBytes)])
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.cached[prefix]; ok {
+		tokens = max(tokens-prefixBytes/4, 1)
+	} else {
+		s.publish(req.Model, prefix)
+	}
+	s.cached[prefix] = time.Now()
+	s.evict()
+	if s.opts.PrefillPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(tokens / s.opts.PrefillPerSecond * float64(time.Second))
+}
+
+// evict drops the prefix used longest ago; s.mu is held.
+func (s *Engine) evict() {
+	if len(s.cached) <= cacheLimit {
+		return
+	}
+	var oldest uint64
+	first := true
+	for p, at := range s.cached {
+		if first || at.Before(s.cached[oldest]) {
+			oldest, first = p, false
+		}
+	}
+	delete(s.cached, oldest)
+}
+
+// publish adds a cache event, or a gap; s.mu is held.
+func (s *Engine) publish(model string, prefix uint64) {
+	s.eventSeq++
+	if s.opts.EventGap > 0 && s.eventSeq%uint64(s.opts.EventGap) == 0 {
+		return
+	}
+	s.events = append(s.events, cacheEvent{Seq: s.eventSeq, Model: model, Prefix: prefix, At: time.Now()})
+	if extra := len(s.events) - finishedKept; extra > 0 {
+		s.events = slices.Clone(s.events[extra:])
+	}
+}
+
+func (s *Engine) cacheEvents(c echo.Context) error {
+	after, _ := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	visible := time.Now().Add(-s.opts.EventLag)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []cacheEvent{}
+	for _, e := range s.events {
+		if e.Seq > after && e.At.Before(visible) {
+			out = append(out, e)
+		}
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+// token returns the i-th token of the answer to a prompt.
+func token(req openai.Request, i int) string {
+	return fmt.Sprintf("w%d-%04x ", i, route.Hash(req.Model+req.Prompt()+strconv.Itoa(i))&0xffff)
+}
+
+// Text returns the first n tokens of the answer to a request, as any engine gives them.
+func Text(req openai.Request, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(token(req, i))
+	}
+	return b.String()
+}
+
+// step waits for one decoding step and reports whether the sequence goes on.
+func (s *Engine) step(c echo.Context, q *sequence) bool {
+	s.mu.Lock()
+	part := float64(s.running[q.acc]) / float64(s.opts.Slots)
+	s.reported = s.running[q.acc]
+	resident := s.find(q.model, q.acc) != nil
+	s.stats.Tokens++
+	s.mu.Unlock()
+	return pause(c, time.Duration(float64(s.opts.Step)*(1+batchSlowdown*part))) && resident
+}
+
+func (s *Engine) stream(c echo.Context, q *sequence, req openai.Request, from, total int) error {
+	w := c.Response()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	for i := from; i < total; i++ {
+		if !s.step(c, q) {
+			return abort()
+		}
+		if err := writeEvent(w, openai.Chunk(req, token(req, i), "")); err != nil {
+			return nil
+		}
+	}
+	if err := writeEvent(w, openai.Chunk(req, "", "length")); err != nil {
+		return nil
+	}
+	s.completed()
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	w.Flush()
+	return nil
+}
+
+func (s *Engine) completed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Completed++
+}
+
+func writeEvent(w *echo.Response, chunk openai.Completion) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	w.Flush()
+	return nil
+}
+
+func (s *Engine) whole(c echo.Context, q *sequence, req openai.Request, total int) error {
+	for range total {
+		if !s.step(c, q) {
+			return abort()
+		}
+	}
+	s.completed()
+	return c.JSON(http.StatusOK, openai.Whole(req, Text(req, total), total))
+}
--- /dev/null
+++ b/internal/standin/kv.go
@@ -0,0 +1,308 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
+
+	"rockcleat/kv"
+)
+
+// maxValue is the longest value that the service holds, in bytes.
+const maxValue = 1 << 20
+
+// KVOptions configure a KV.
+type KVOptions struct {
+	// ReadsPerSecond and WritesPerSecond are the service's rates; zero is no limit.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+}
+
+// KVStats counts the calls that the service took.
+type KVStats struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Limited int64 `json:"limited"`
+}
+
+// kvLease is one lease with its keys.
+type kvLease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]bool
+}
+
+// A KV stands in for the platform's key-value service.
+type KV struct {
+	faultBox
+	echo   *echo.Echo
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu       sync.Mutex
+	entries  map[string]kv.Entry
+	leaseOf  map[string]kv.LeaseID
+	leases   map[kv.LeaseID]*kvLease
+	revision kv.Revision
+	changed  chan struct{}
+	stats    KVStats
+}
+
+// NewKV returns an empty service.
+func NewKV(o KVOptions) *KV {
+	s := &KV{
+		echo:    newEcho(),
+		reads:   limiter(o.ReadsPerSecond),
+		writes:  limiter(o.WritesPerSecond),
+		entries: make(map[string]kv.Entry),
+		leaseOf: make(map[string]kv.LeaseID),
+		leases:  make(map[kv.LeaseID]*kvLease),
+		changed: make(chan struct{}),
+	}
+	s.register(s.echo)
+	s.echo.GET("/v1/kv", s.read(s.get))
+	s.echo.GET("/v1/list", s.read(s.list))
+	s.echo.GET("/v1/watch", s.read(s.watch))
+	s.echo.PUT("/v1/kv", s.write(s.put))
+	s.echo.DELETE("/v1/kv", s.write(s.delete))
+	s.echo.POST("/v1/lease", s.write(s.grant))
+	s.echo.POST("/v1/lease/keepalive", s.write(s.keepAlive))
+	s.echo.POST("/v1/lease/revoke", s.write(s.revoke))
+	s.echo.GET("/stats", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Stats()) })
+	return s
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
+
+// ServeHTTP makes KV an http.Handler.
+func (s *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+// Stats returns the calls so far.
+func (s *KV) Stats() KVStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *KV) read(f echo.HandlerFunc) echo.HandlerFunc {
+	return s.counted(s.reads, func() { s.stats.Reads++ }, f)
+}
+
+// write applies the rate and, if so told, loses the answer after the effect.
+func (s *KV) write(f echo.HandlerFunc) echo.HandlerFunc {
+	return s.counted(s.writes, func() { s.stats.Writes++ }, func(c echo.Context) error {
+		if !s.loseAnswer() {
+			return f(c)
+		}
+		c.Response().Writer = discard{c.Response().Writer}
+		if err := f(c); err != nil {
+			return err
+		}
+		return abort()
+	})
+}
+
+func (s *KV) counted(l *rate.Limiter, count func(), f echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		allowed := l.Allow()
+		s.mu.Lock()
+		if allowed {
+			count()
+		} else {
+			s.stats.Limited++
+		}
+		s.expire(time.Now())
+		s.mu.Unlock()
+		if !allowed {
+			return c.NoContent(http.StatusTooManyRequests)
+		}
+		return f(c)
+	}
+}
+
+// discard is a ResponseWriter that throws the body away.
+type discard struct{ http.ResponseWriter }
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+// expire ends the leases whose time is over; s.mu is held.
+func (s *KV) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.end(id)
+		}
+	}
+}
+
+// end removes a lease and its keys; s.mu is held.
+func (s *KV) end(id kv.LeaseID) {
+	for key := range s.leases[id].keys {
+		delete(s.entries, key)
+		delete(s.leaseOf, key)
+		s.bump()
+	}
+	delete(s.leases, id)
+}
+
+// bump takes the next revision and wakes the watches; s.mu is held.
+func (s *KV) bump() {
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *KV) get(c echo.Context) error {
+	s.mu.Lock()
+	e, ok := s.entries[c.QueryParam("key")]
+	s.mu.Unlock()
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.JSON(http.StatusOK, e)
+}
+
+func (s *KV) list(c echo.Context) error {
+	prefix := c.QueryParam("prefix")
+	var a kv.ListAnswer
+	s.mu.Lock()
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			a.Entries = append(a.Entries, e)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(a.Entries, func(x, y kv.Entry) int { return strings.Compare(x.Key, y.Key) })
+	return c.JSON(http.StatusOK, a)
+}
+
+func (s *KV) watch(c echo.Context) error {
+	key := c.QueryParam("key")
+	after, _ := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+	wait, _ := strconv.Atoi(c.QueryParam("wait_ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		e, ok := s.entries[key]
+		changed := s.changed
+		s.mu.Unlock()
+		if ok && int64(e.Revision) > after {
+			return c.JSON(http.StatusOK, e)
+		}
+		select {
+		case <-changed:
+		case <-c.Request().Context().Done():
+			return nil
+		case <-deadline:
+			if !ok {
+				return c.NoContent(http.StatusNotFound)
+			}
+			return c.JSON(http.StatusOK, e)
+		}
+	}
+}
+
+func (s *KV) put(c echo.Context) error {
+	var w kv.Write
+	if err := c.Bind(&w); err != nil {
+		return err
+	}
+	if len(w.Value) > maxValue {
+		return c.NoContent(http.StatusRequestEntityTooLarge)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.Expect != kv.Any && s.entries[w.Key].Revision != w.Expect {
+		return c.NoContent(http.StatusConflict)
+	}
+	if w.Lease != 0 && s.leases[w.Lease] == nil {
+		return c.NoContent(http.StatusGone)
+	}
+	s.bump()
+	e := kv.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+	s.entries[w.Key] = e
+	s.attach(w.Key, w.Lease)
+	return c.JSON(http.StatusOK, kv.Entry{Key: w.Key, Revision: s.revision})
+}
+
+// attach binds the key to the lease and to no other; s.mu is held.
+func (s *KV) attach(key string, id kv.LeaseID) {
+	if old, ok := s.leaseOf[key]; ok {
+		delete(s.leases[old].keys, key)
+		delete(s.leaseOf, key)
+	}
+	if id != 0 {
+		s.leases[id].keys[key] = true
+		s.leaseOf[key] = id
+	}
+}
+
+func (s *KV) delete(c echo.Context) error {
+	key := c.QueryParam("key")
+	expect, err := strconv.ParseInt(c.QueryParam("expect"), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	if kv.Revision(expect) != kv.Any && e.Revision != kv.Revision(expect) {
+		return c.NoContent(http.StatusConflict)
+	}
+	s.attach(key, 0)
+	delete(s.entries, key)
+	s.bump()
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *KV) grant(c echo.Context) error {
+	var m kv.LeaseMessage
+	if err := c.Bind(&m); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := kv.LeaseID(s.revision)
+	ttl := time.Duration(m.TTL) * time.Millisecond
+	s.leases[id] = &kvLease{ttl: ttl, expires: time.Now().Add(ttl), keys: make(map[string]bool)}
+	return c.JSON(http.StatusOK, kv.LeaseMessage{ID: id})
+}
+
+func (s *KV) keepAlive(c echo.Context) error {
+	return s.withLease(c, func(l *kvLease) { l.expires = time.Now().Add(l.ttl) })
+}
+
+func (s *KV) revoke(c echo.Context) error {
+	return s.withLease(c, func(l *kvLease) { l.expires = time.Time{} })
+}
+
+func (s *KV) withLease(c echo.Context, f func(*kvLease)) error {
+	var m kv.LeaseMessage
+	if err := c.Bind(&m); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[m.ID]
+	if !ok {
+		return c.NoContent(http.StatusGone)
+	}
+	f(l)
+	s.expire(time.Now())
+	return c.JSON(http.StatusOK, m)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,164 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.uber.org/zap"
+
+	"rockcleat/internal/config"
+)
+
+// NewLogger returns the log that the settings describe.
+func NewLogger(l config.Log, role, id string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	if l.Format == "console" {
+		c = zap.NewDevelopmentConfig()
+		c.DisableStacktrace = true
+	}
+	level, err := zap.ParseAtomicLevel(l.Level)
+	if err != nil {
+		return nil, eris.Wrap(err, "telemetry: log level")
+	}
+	c.Level = level
+	c.DisableCaller = true
+	log, err := c.Build()
+	if err != nil {
+		return nil, eris.Wrap(err, "telemetry: build log")
+	}
+	return log.With(zap.String("role", role), zap.String("vm", id)), nil
+}
+
+// Metrics are a process's instruments; docs/METRICS.md lists them.
+type Metrics struct {
+	handler  http.Handler
+	provider *sdk.MeterProvider
+
+	requests   metric.Int64Counter
+	firstToken metric.Float64Histogram
+	duration   metric.Float64Histogram
+	queue      metric.Float64Histogram
+	retries    metric.Int64Counter
+	denied     metric.Int64Counter
+	orders     metric.Int64Counter
+	kvCalls    metric.Int64Counter
+}
+
+// secondsBuckets are the bounds of the latency histograms, in seconds.
+var secondsBuckets = []float64{
+	0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.34, 0.5, 1, 2, 5, 10, 30, 60, 300,
+}
+
+// NewMetrics returns instruments whose values Handler shows.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, eris.Wrap(err, "telemetry: prometheus exporter")
+	}
+	m := &Metrics{
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
+	}
+	return m, m.makeInstruments()
+}
+
+func (m *Metrics) makeInstruments() error {
+	b := &builder{meter: m.provider.Meter("rockcleat")}
+	m.requests = b.counter("rockcleat.requests", "Requests by outcome, tier and customer.")
+	m.firstToken = b.seconds("rockcleat.first_token", "Time from a request's arrival to the first byte of its answer.")
+	m.duration = b.seconds("rockcleat.request_duration", "Time from a request's arrival to the end of its answer.")
+	m.queue = b.seconds("rockcleat.queue_time", "Time that a request waited at its agent before it ran.")
+	m.retries = b.counter("rockcleat.retries", "Requests sent to a further backend server.")
+	m.denied = b.counter("rockcleat.unauthorized", "Messages refused for a wrong or missing secret.")
+	m.orders = b.counter("rockcleat.orders", "Orders to the backend server by kind and result.")
+	m.kvCalls = b.counter("rockcleat.kv_calls", "Calls to the platform's key-value service by kind.")
+	return b.err
+}
+
+// A builder makes instruments and keeps the first error.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) counter(name, text string) metric.Int64Counter {
+	c, err := b.meter.Int64Counter(name, metric.WithDescription(text))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) seconds(name, text string) metric.Float64Histogram {
+	h, err := b.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(secondsBuckets...))
+	b.keep(err)
+	return h
+}
+
+func (b *builder) keep(err error) {
+	if b.err == nil && err != nil {
+		b.err = eris.Wrap(err, "telemetry: make instrument")
+	}
+}
+
+// Handler returns the handler that Prometheus reads.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// A Class names whose request a measurement belongs to.
+type Class struct {
+	Tier     string
+	Customer string
+}
+
+func (c Class) attributes(more ...attribute.KeyValue) metric.MeasurementOption {
+	all := append(more, attribute.String("tier", c.Tier), attribute.String("customer", c.Customer))
+	return metric.WithAttributes(all...)
+}
+
+// Request counts a request by its outcome.
+func (m *Metrics) Request(c Class, outcome string) {
+	m.requests.Add(context.Background(), 1, c.attributes(attribute.String("outcome", outcome)))
+}
+
+// FirstToken records the time to the first byte of an answer, in seconds.
+func (m *Metrics) FirstToken(c Class, seconds float64) {
+	m.firstToken.Record(context.Background(), seconds, c.attributes())
+}
+
+// Duration records the time to the end of an answer, in seconds.
+func (m *Metrics) Duration(c Class, seconds float64) {
+	m.duration.Record(context.Background(), seconds, c.attributes())
+}
+
+// Queue records the time that a request waited, in seconds.
+func (m *Metrics) Queue(c Class, seconds float64) {
+	m.queue.Record(context.Background(), seconds, c.attributes())
+}
+
+// Retry counts a request sent to a further backend server.
+func (m *Metrics) Retry(c Class) { m.retries.Add(context.Background(), 1, c.attributes()) }
+
+// Denied counts a message refused for its secret.
+func (m *Metrics) Denied(path string) {
+	m.denied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("path", path)))
+}
+
+// Order counts an order to the backend server.
+func (m *Metrics) Order(op, result string) {
+	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("op", op), attribute.String("result", result)))
+}
+
+// KVCall counts a call to the platform's key-value service.
+func (m *Metrics) KVCall(kind string) {
+	m.kvCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,135 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxMessage bounds a message between the system's processes, in bytes.
+const maxMessage = 16 << 20
+
+// Dialing and keeping of connections.
+const (
+	dialTimeout = time.Second
+	idleTimeout = 90 * time.Second
+)
+
+// ErrNotSent tells that a message did not leave the process.
+var ErrNotSent = errors.New("wire: not sent")
+
+// A StatusError is an answer with a status other than 200.
+type StatusError struct {
+	Status int
+	Body   []byte
+}
+
+// Error returns the status with the start of the body.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("wire: status %d: %.200s", e.Status, strings.TrimSpace(string(e.Body)))
+}
+
+// A Client sends messages between the system's processes with the shared secret.
+type Client struct {
+	http   *http.Client
+	secret string
+}
+
+// NewClient returns a Client whose connections are counted by t.
+func NewClient(secret string, t *Traffic) *Client {
+	return &Client{http: &http.Client{Transport: NewTransport(t)}, secret: secret}
+}
+
+// NewTransport returns the transport used towards other processes.
+func NewTransport(t *Traffic) *http.Transport {
+	return &http.Transport{
+		DialContext:         t.Dial(&net.Dialer{Timeout: dialTimeout}),
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Call sends in as JSON to http://addr/path and decodes the answer into out.
+func (c *Client) Call(ctx context.Context, method, addr, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrap(err, "wire: encode")
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	if err != nil {
+		return eris.Wrap(err, "wire: make request")
+	}
+	// An absent User-Agent spares some 25 bytes of each control message.
+	req.Header["User-Agent"] = nil
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.secret != "" {
+		req.Header.Set("Authorization", "Bearer "+c.secret)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return sendError(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	if err != nil {
+		return eris.Wrap(err, "wire: read answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{Status: resp.StatusCode, Body: data}
+	}
+	if out == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(data, out), "wire: decode answer")
+}
+
+func sendError(err error) error {
+	if IsNotSent(err) {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	return eris.Wrap(err, "wire: call")
+}
+
+// IsNotSent reports whether an error of an HTTP client tells that no
+// connection could be made, so that nothing was sent.
+func IsNotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Authorized reports whether a request carries the shared secret.
+func Authorized(r *http.Request, secret string) bool {
+	got := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return subtle.ConstantTimeCompare([]byte(got), []byte(secret)) == 1
+}
+
+// SendOnce makes a request one that the transport never sends twice by itself.
+//
+// The transport of net/http repeats a request on a new connection when a kept
+// one breaks, if the body can be had again and the method or a header named
+// Idempotency-Key in its canonical spelling says that it may. That header means
+// the opposite here, so it is sent in lower case, which is the same to HTTP.
+func SendOnce(r *http.Request) {
+	r.GetBody = nil
+	if v, ok := r.Header[HeaderIdempotencyKey]; ok {
+		delete(r.Header, HeaderIdempotencyKey)
+		r.Header[strings.ToLower(HeaderIdempotencyKey)] = v
+	}
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,166 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"rockcleat/clock"
+	"rockcleat/kv"
+)
+
+// keyPrefix is where lease records stand in the service.
+const keyPrefix = "lease/"
+
+// safetyDivisor sets the part of the ttl that a holder gives up to clock drift.
+const safetyDivisor = 5
+
+// A Token is a fencing token: a later holder's token is always higher.
+type Token int64
+
+// A Record is the value of a lease's key.
+type Record struct {
+	Holder string `json:"holder"`
+	Addr   string `json:"addr"`
+}
+
+// Options configure a Holder.
+type Options struct {
+	// Name is the lease to contend for.
+	Name string
+	// Holder and Addr are written into the record for others to read.
+	Holder string
+	Addr   string
+	// TTL is the time after which the service ends a lease that is not renewed.
+	TTL time.Duration
+}
+
+// A Holder contends for one lease; it is safe for concurrent use.
+type Holder struct {
+	store kv.Store
+	clock clock.Service
+	opts  Options
+
+	mu     sync.Mutex
+	id     kv.LeaseID
+	token  Token
+	expiry time.Time
+	other  Record
+}
+
+// New returns a Holder that holds nothing until Step succeeds.
+func New(store kv.Store, c clock.Service, o Options) *Holder {
+	return &Holder{store: store, clock: c, opts: o}
+}
+
+// Name returns the lease's name.
+func (h *Holder) Name() string { return h.opts.Name }
+
+// Held returns the fencing token and whether the lease is surely still held.
+func (h *Holder) Held() (Token, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.token, h.token != 0 && h.clock.Now().Before(h.expiry)
+}
+
+// Other returns the record of the holder seen last when the lease was not free.
+func (h *Holder) Other() Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.other
+}
+
+// Step renews the lease if it is held and tries to acquire it otherwise.
+//
+// It is to be called about three times per TTL. A lease held by another is no error.
+func (h *Holder) Step(ctx context.Context) error {
+	if _, held := h.Held(); held {
+		return h.renew(ctx)
+	}
+	return h.acquire(ctx)
+}
+
+// Release gives the lease back, so that another can take it at once.
+func (h *Holder) Release(ctx context.Context) error {
+	h.mu.Lock()
+	id := h.id
+	h.id, h.token = 0, 0
+	h.mu.Unlock()
+	if id == 0 {
+		return nil
+	}
+	return h.store.Revoke(ctx, id)
+}
+
+func (h *Holder) renew(ctx context.Context) error {
+	sent := h.clock.Now()
+	h.mu.Lock()
+	id := h.id
+	h.mu.Unlock()
+	err := h.store.KeepAlive(ctx, id)
+	if errors.Is(err, kv.ErrLeaseGone) {
+		h.mu.Lock()
+		h.id, h.token = 0, 0
+		h.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	h.extend(sent)
+	return nil
+}
+
+// extend counts the ttl from when the call was sent, never from its answer.
+func (h *Holder) extend(sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expiry = sent.Add(h.opts.TTL - h.opts.TTL/safetyDivisor)
+}
+
+func (h *Holder) acquire(ctx context.Context) error {
+	key := keyPrefix + h.opts.Name
+	e, err := h.store.Get(ctx, key)
+	if err == nil {
+		h.setOther(e.Value)
+		return nil
+	}
+	if !errors.Is(err, kv.ErrNotFound) {
+		return err
+	}
+	sent := h.clock.Now()
+	id, err := h.store.Grant(ctx, h.opts.TTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(Record{Holder: h.opts.Holder, Addr: h.opts.Addr})
+	if err != nil {
+		return err
+	}
+	rev, err := h.store.Put(ctx, kv.Write{Key: key, Value: value, Expect: kv.Absent, Lease: id})
+	if errors.Is(err, kv.ErrConflict) {
+		return h.store.Revoke(ctx, id)
+	}
+	if err != nil {
+		// The write may have taken effect: ending the lease undoes it, and if
+		// that fails too the ttl does.
+		return errors.Join(err, h.store.Revoke(ctx, id))
+	}
+	h.mu.Lock()
+	h.id, h.token = id, Token(rev)
+	h.mu.Unlock()
+	h.extend(sent)
+	return nil
+}
+
+func (h *Holder) setOther(value []byte) {
+	var r Record
+	if json.Unmarshal(value, &r) != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.other = r
+}
--- /dev/null
+++ b/table/diff.go
@@ -0,0 +1,29 @@
+package table
+
+// Diff returns the changes that make a table of the old rows hold the new ones;
+// with replace it removes the rows that the new ones do not name.
+func Diff(old, next []Row, replace bool) []Change {
+	byName := make(map[string]Row, len(old))
+	for _, r := range old {
+		byName[r.Name] = r
+	}
+	var changes []Change
+	named := make(map[string]bool, len(next))
+	for _, r := range next {
+		named[r.Name] = true
+		was, ok := byName[r.Name]
+		if ok && was.sameSettings(r) {
+			continue
+		}
+		changes = append(changes, Change{Name: r.Name, Seen: was.Version, Row: &r})
+	}
+	if !replace {
+		return changes
+	}
+	for _, r := range old {
+		if !named[r.Name] {
+			changes = append(changes, Change{Name: r.Name, Seen: r.Version})
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/tools/lab/smoke.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/internal/lab"
+	"rockcleat/internal/openai"
+	"rockcleat/internal/platform"
+	"rockcleat/internal/standin"
+	"rockcleat/internal/wire"
+	"rockcleat/table"
+)
+
+// smokeTime bounds the whole smoke test.
+const smokeTime = 2 * time.Minute
+
+// Lengths of the smoke test's streams, in tokens.
+const (
+	shortStream = 20
+	longStream  = 300
+)
+
+// A smokeTest is one run through every part of the system.
+type smokeTest struct {
+	*lab.System
+	caller *lab.Caller
+	notes  []string
+}
+
+func smoke(ctx context.Context, bin, dir string) error {
+	ctx, cancel := context.WithTimeout(ctx, smokeTime)
+	defer cancel()
+	began := time.Now()
+	s, err := lab.Start(ctx, lab.Small(bin, dir))
+	if err != nil {
+		return eris.Wrapf(err, "logs in %s", dir)
+	}
+	defer s.Stop()
+	t := &smokeTest{System: s, caller: lab.NewCaller()}
+	t.note("placed %.1fs", time.Since(began).Seconds())
+	for _, step := range []func(context.Context) error{t.stream, t.adapter, t.plainTwice, t.edit, t.stopEntry, t.stopRest} {
+		if err := step(ctx); err != nil {
+			return eris.Wrapf(err, "logs in %s", dir)
+		}
+	}
+	fmt.Print("smoke: ok")
+	for _, n := range t.notes {
+		fmt.Print("; ", n)
+	}
+	fmt.Println()
+	return nil
+}
+
+func (t *smokeTest) note(format string, args ...any) {
+	t.notes = append(t.notes, fmt.Sprintf(format, args...))
+}
+
+// chat sends a streamed chat request and checks that the answer is whole and its own.
+func (t *smokeTest) chat(ctx context.Context, addr, model, prompt string, tokens int) (lab.Answer, error) {
+	body := lab.ChatBody(model, prompt, tokens, true)
+	a := t.caller.Chat(ctx, addr, body, "")
+	req, err := openai.ParseRequest(body)
+	if err != nil {
+		return a, err
+	}
+	if !a.Whole || a.Outcome != wire.OutcomeAnswered || a.Text != standin.Text(req, tokens) {
+		return a, eris.Errorf("smoke: %s: not the whole answer: status %d, outcome %q, %d of %d tokens, error %v",
+			model, a.Status, a.Outcome, a.Tokens, tokens, a.Err)
+	}
+	return a, nil
+}
+
+func (t *smokeTest) stream(ctx context.Context) error {
+	a, err := t.chat(ctx, t.Entries[0].Addr, lab.SmallModel, "four letters, a river", shortStream)
+	t.note("first token %s", a.FirstToken.Round(time.Millisecond))
+	return err
+}
+
+func (t *smokeTest) adapter(ctx context.Context) error {
+	_, err := t.chat(ctx, t.Entries[1].Addr, lab.SmallAdapter, "five letters, a bridge", shortStream)
+	return err
+}
+
+// plainTwice sends a call that may not be repeated through both entries.
+func (t *smokeTest) plainTwice(ctx context.Context) error {
+	const key = "household-7"
+	path := lab.SmallPath + "/7"
+	first := t.caller.Send(ctx, http.MethodPost, t.Entries[0].Addr, path, []byte("year"), key)
+	second := t.caller.Send(ctx, http.MethodPost, t.Entries[1].Addr, path, []byte("year"), key)
+	if first.Outcome != wire.OutcomeAnswered || !second.Replayed || first.Body != second.Body {
+		return eris.Errorf("smoke: plain call: first %+v, second %+v", first, second)
+	}
+	var e standin.EffectsAnswer
+	i := slices.IndexFunc(t.Backends, func(b *lab.Backend) bool { return b.Service })
+	if err := lab.Fetch(ctx, t.Backends[i].URL+"/effects", &e); err != nil {
+		return err
+	}
+	if e.Total != 1 || e.Effects[key] != 1 {
+		return eris.Errorf("smoke: plain call sent twice had effects %+v", e)
+	}
+	t.note("two calls with one key, %d effect", e.Total)
+	return nil
+}
+
+// edit saves a row and waits until the new version is in force on every process.
+func (t *smokeTest) edit(ctx context.Context) error {
+	st, err := t.Status(ctx, t.Entries[0], false)
+	if err != nil {
+		return err
+	}
+	row := table.NewRow("hint")
+	row.Weight, row.Customer = 7, "guild"
+	began := time.Now()
+	version, err := t.Save(ctx, []table.Change{{Name: row.Name, Seen: st.TableVersion, Row: &row}})
+	if err != nil {
+		return err
+	}
+	if err := t.AwaitVersion(ctx, version); err != nil {
+		return err
+	}
+	t.note("edit in force everywhere in %s", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// stopEntry stops an entry in order while it passes on a long stream.
+func (t *smokeTest) stopEntry(ctx context.Context) error {
+	n := t.Entries[1]
+	result := make(chan error, 1)
+	go func() {
+		_, err := t.chat(ctx, n.Addr, lab.SmallModel, "a long one", longStream)
+		result <- err
+	}()
+	inProgress := func() bool {
+		st, err := t.Status(ctx, n, false)
+		return err == nil && st.Waiting > 0
+	}
+	if err := lab.Until(ctx, "the stream runs", inProgress); err != nil {
+		return err
+	}
+	if err := t.SetVM(ctx, n, platform.RoleEntry, platform.VMLeaving); err != nil {
+		return err
+	}
+	n.Terminate()
+	if err := <-result; err != nil {
+		return err
+	}
+	code, err := n.Wait(ctx)
+	if err != nil || code != 0 {
+		return eris.Errorf("smoke: stopped entry ended with code %d: %v", code, err)
+	}
+	t.note("stream of %d tokens whole under a stopping entry", longStream)
+	return nil
+}
+
+// stopRest stops everything in order and checks that nothing is left.
+func (t *smokeTest) stopRest(ctx context.Context) error {
+	nodes := []*lab.Node{t.Entries[0]}
+	for _, b := range t.Backends {
+		nodes = append(nodes, b.Agent)
+	}
+	for _, n := range nodes {
+		n.Terminate()
+	}
+	for _, n := range nodes {
+		if code, err := n.Wait(ctx); err != nil || code != 0 {
+			return eris.Errorf("smoke: %s ended with code %d: %v", n.ID, code, err)
+		}
+	}
+	t.Stop()
+	if left := t.Left(); len(left) > 0 {
+		return eris.Errorf("smoke: processes left: %v", left)
+	}
+	t.note("no process left")
+	return nil
+}
