--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,195 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/claim"
+	"rockcleat/clock"
+	"rockcleat/internal/standin"
+	"rockcleat/internal/standin/standintest"
+	"rockcleat/kv"
+)
+
+// owner is a shard with a goroutine that writes.
+type owner struct {
+	*claim.Shard
+	held bool
+}
+
+func newOwner(t *testing.T, store kv.Store, name string) *owner {
+	t.Helper()
+	o := &owner{held: true}
+	o.Shard = claim.NewShard(store, clock.Real{}, claim.Options{
+		Owner: name, Retention: time.Minute, Held: func() bool { return o.held },
+	})
+	return o
+}
+
+// run opens the shard and writes until the test ends.
+func (o *owner) run(t *testing.T) *owner {
+	t.Helper()
+	assert.NilError(t, o.Open(context.Background()))
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := clock.Real{}.Subscribe(time.Millisecond, func(time.Time) { _ = o.Step(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		stop()
+	})
+	return o
+}
+
+func mustClaim(t *testing.T, s *claim.Shard, key, attempt string, fresh bool) claim.Record {
+	t.Helper()
+	r, got, err := s.Claim(context.Background(), key, 1, attempt)
+	assert.NilError(t, err)
+	assert.Equal(t, got, fresh)
+	return r
+}
+
+func TestClaimStates(t *testing.T) {
+	tests := map[string]struct {
+		between func(*claim.Shard)
+		fresh   bool
+		state   claim.State
+	}{
+		"in progress": {func(*claim.Shard) {}, false, claim.StateClaimed},
+		"answered": {func(s *claim.Shard) {
+			s.Finish("k", "one", claim.Answer{Status: 200, Body: []byte("x"), Whole: true})
+		}, false, claim.StateDone},
+		"not run":                 {func(s *claim.Shard) { s.Release("k", "one") }, true, claim.StateClaimed},
+		"released by another":     {func(s *claim.Shard) { s.Release("k", "other") }, false, claim.StateClaimed},
+		"released after answered": {func(s *claim.Shard) { s.Finish("k", "one", claim.Answer{}); s.Release("k", "one") }, false, claim.StateDone},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, store := standintest.KV(t)
+			o := newOwner(t, store, "a").run(t)
+			mustClaim(t, o.Shard, "k", "one", true)
+			tc.between(o.Shard)
+			r := mustClaim(t, o.Shard, "k", "two", tc.fresh)
+			assert.Equal(t, r.State, tc.state)
+		})
+	}
+}
+
+// TestNextOwner lets another process take the shard over: it knows every claim,
+// and the former owner, which has not noticed, can claim nothing any more.
+func TestNextOwner(t *testing.T) {
+	_, store := standintest.KV(t)
+	a := newOwner(t, store, "a").run(t)
+	mustClaim(t, a.Shard, "claimed", "one", true)
+	mustClaim(t, a.Shard, "done", "one", true)
+	a.Finish("done", "one", claim.Answer{Status: 201, Body: []byte("paid"), Whole: true})
+	mustClaim(t, a.Shard, "flush", "one", true)
+	b := newOwner(t, store, "b").run(t)
+	assert.Equal(t, mustClaim(t, b.Shard, "claimed", "two", false).State, claim.StateClaimed)
+	r := mustClaim(t, b.Shard, "done", "two", false)
+	assert.Equal(t, string(r.Answer.Body), "paid")
+	_, fresh, err := a.Claim(context.Background(), "new", 1, "one")
+	assert.ErrorIs(t, err, claim.ErrNotOwner)
+	assert.Assert(t, !fresh)
+	mustClaim(t, b.Shard, "new", "two", true)
+}
+
+// TestLapsedOwner checks that an owner whose lease has lapsed writes nothing.
+func TestLapsedOwner(t *testing.T) {
+	_, store := standintest.KV(t)
+	a := newOwner(t, store, "a")
+	assert.NilError(t, a.Open(context.Background()))
+	a.held = false
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := a.Claim(context.Background(), "k", 1, "one")
+		result <- err
+	}()
+	for len(result) == 0 {
+		_ = a.Step(context.Background())
+	}
+	assert.ErrorIs(t, <-result, claim.ErrNotOwner)
+}
+
+// TestLostAnswers loses answers of writes that took effect: every key is claimed once.
+func TestLostAnswers(t *testing.T) {
+	s, store := standintest.KV(t)
+	o := newOwner(t, store, "a").run(t)
+	s.SetFaults(standin.Faults{LoseAnswers: 3})
+	for i := range 10 {
+		mustClaim(t, o.Shard, fmt.Sprint(i), "one", true)
+		mustClaim(t, o.Shard, fmt.Sprint(i), "two", false)
+	}
+}
+
+func TestOutageRefuses(t *testing.T) {
+	s, store := standintest.KV(t)
+	o := newOwner(t, store, "a").run(t)
+	s.SetFaults(standin.Faults{Outage: true})
+	_, fresh, err := o.Claim(context.Background(), "k", 1, "one")
+	assert.ErrorIs(t, err, claim.ErrNotRecorded)
+	assert.Assert(t, !fresh)
+	s.SetFaults(standin.Faults{})
+	mustClaim(t, o.Shard, "k", "two", true)
+}
+
+// TestRace lets many attempts claim the same keys: each key has one winner.
+func TestRace(t *testing.T) {
+	_, store := standintest.KV(t)
+	o := newOwner(t, store, "a").run(t)
+	var mu sync.Mutex
+	wins := make(map[string]int)
+	var wg sync.WaitGroup
+	for attempt := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := range 20 {
+				key := fmt.Sprint(k)
+				_, fresh, err := o.Claim(context.Background(), key, 1, fmt.Sprint(attempt))
+				if err == nil && fresh {
+					mu.Lock()
+					wins[key]++
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	assert.Equal(t, len(wins), 20)
+	for key, n := range wins {
+		assert.Equal(t, n, 1, key)
+	}
+}
+
+// TestWritesAreShared counts the writes of many claims at once.
+func TestWritesAreShared(t *testing.T) {
+	s, store := standintest.KV(t)
+	o := newOwner(t, store, "a")
+	assert.NilError(t, o.Open(context.Background()))
+	before := s.Stats().Writes
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, _, err := o.Claim(context.Background(), fmt.Sprint(i), 1, "one")
+			assert.Check(t, err)
+		}()
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	for waiting := true; waiting; {
+		select {
+		case <-done:
+			waiting = false
+		case <-time.After(5 * time.Millisecond):
+			assert.NilError(t, o.Step(context.Background()))
+		}
+	}
+	writes := s.Stats().Writes - before
+	assert.Assert(t, writes <= 50, "100 claims took %d writes", writes)
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,81 @@
+package lease_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock"
+	"rockcleat/internal/standin"
+	"rockcleat/internal/standin/standintest"
+	"rockcleat/kv"
+	"rockcleat/lease"
+)
+
+const ttl = 10 * time.Second
+
+func holder(store kv.Store, c clock.Service, name string) *lease.Holder {
+	return lease.New(store, c, lease.Options{Name: "role", Holder: name, Addr: name, TTL: ttl})
+}
+
+func held(h *lease.Holder) bool {
+	_, ok := h.Held()
+	return ok
+}
+
+func TestOneHolder(t *testing.T) {
+	ctx := context.Background()
+	_, store := standintest.KV(t)
+	c := clock.NewManual(time.Now())
+	a, b := holder(store, c, "a"), holder(store, c, "b")
+	assert.NilError(t, a.Step(ctx))
+	assert.NilError(t, b.Step(ctx))
+	assert.Assert(t, held(a) && !held(b))
+	assert.Equal(t, b.Other().Holder, "a")
+	first, _ := a.Held()
+	assert.NilError(t, a.Release(ctx))
+	assert.NilError(t, b.Step(ctx))
+	second, ok := b.Held()
+	assert.Assert(t, ok && second > first)
+}
+
+// TestPausedHolder lets a holder's clock pass its ttl: it must not believe to
+// hold the lease any more, whatever the service says.
+func TestPausedHolder(t *testing.T) {
+	_, store := standintest.KV(t)
+	c := clock.NewManual(time.Now())
+	a := holder(store, c, "a")
+	assert.NilError(t, a.Step(context.Background()))
+	c.Advance(ttl)
+	assert.Assert(t, !held(a))
+}
+
+// TestLostAnswers loses the answers of the grant, the write or the renewal: at
+// no time do two hold the lease, and someone gets it in the end.
+func TestLostAnswers(t *testing.T) {
+	for lost := 1; lost <= 3; lost++ {
+		ctx := context.Background()
+		s, store := standintest.KV(t)
+		c := clock.NewManual(time.Now())
+		a, b := holder(store, c, "a"), holder(store, c, "b")
+		s.SetFaults(standin.Faults{LoseAnswers: lost})
+		for range 4 {
+			_ = a.Step(ctx)
+			_ = b.Step(ctx)
+			assert.Assert(t, !held(a) || !held(b))
+		}
+		assert.Assert(t, held(a) || held(b), "%d lost answers", lost)
+	}
+}
+
+func TestOutage(t *testing.T) {
+	s, store := standintest.KV(t)
+	c := clock.NewManual(time.Now())
+	a := holder(store, c, "a")
+	assert.NilError(t, a.Step(context.Background()))
+	s.SetFaults(standin.Faults{Outage: true})
+	assert.ErrorIs(t, a.Step(context.Background()), kv.ErrUnavailable)
+	assert.Assert(t, held(a))
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,23 @@
+package retry_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/retry"
+)
+
+// TestBound fails every request and counts how many are sent in all.
+func TestBound(t *testing.T) {
+	b := retry.Budget{Ratio: 0.1, Burst: 5}
+	retries := 0
+	for range 1000 {
+		b.First()
+		for b.Allow() {
+			retries++
+		}
+	}
+	assert.Assert(t, retries <= 106, "1000 requests made %d retries", retries)
+	assert.Assert(t, retries >= 95)
+}
