--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,9 +84,17 @@
 	demand map[string]*rowDemand
 	grants map[string]int
 	// unloads are orders that wait for their copies to drain.
-	unloads    map[place]placement.Order
-	token      int64
-	leaving    bool
+	unloads map[place]placement.Order
+	token   int64
+	leaving bool
+	// lastTick is when the queue's system last ran, and mistrust until when the
+	// agent, having been paused, takes no new work unless a planner speaks to it.
+	lastTick time.Time
+	mistrust time.Time
+	// pauses counts the pauses; a planner that names the count has spoken since.
+	pauses int
+	// failures is the number of reports that the engine has missed in a row.
+	failures   int
 	reported   bool
 	version    uint64
 	lastRecord fleet.Server
@@ -197,6 +205,8 @@
 func (a *Agent) stepQueue(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noticePause(now)
+	a.lastTick = now
 	for _, row := range a.queue.Rows() {
 		if a.slots.Total(row) == 0 {
 			a.queue.RefuseRow(row, fairqueue.ReasonNotResident)
@@ -205,21 +215,62 @@
 	a.queue.Step(now)
 }
 
+// Times of an agent that was paused.
+const (
+	// pauseNoticed is the gap between two ticks that tells of a pause.
+	pauseNoticed = 2 * time.Second
+	// mistrustTime is how long new work is refused after a pause while no planner
+	// has told whether the server is leaving.
+	mistrustTime = 5 * time.Second
+)
+
+// noticePause makes an agent that was paused refuse new work until a planner has
+// spoken to it: what it knows may be old, and so may be the requests that have
+// been waiting for it. a.mu is held.
+func (a *Agent) noticePause(now time.Time) {
+	if a.lastTick.IsZero() || now.Sub(a.lastTick) < pauseNoticed {
+		return
+	}
+	a.log.Warn("this process was paused", zap.Duration("for", now.Sub(a.lastTick)))
+	a.lastTick = now
+	a.mistrust = now.Add(mistrustTime)
+	a.pauses++
+	a.queue.RefuseAll(reasonPaused)
+}
+
 // stepStatus takes over the engine's report.
 func (a *Agent) stepStatus(now time.Time) {
 	st, err := a.engine.Status(context.Background())
 	if err != nil {
-		a.log.Warn("no status from the engine", zap.Error(err))
+		a.noStatus(err)
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.failures = 0
 	a.ledger.Settle(ledger.Report{MemoryMiB: st.MemoryMiB, Residents: st.Residents, Finished: st.Finished}, now)
 	a.slots.setResidents(st.Residents, len(st.MemoryMiB), st.Slots)
 	a.reopen()
 	a.reported = true
 }
 
+// maxFailures is the number of reports in a row that an engine may miss before
+// its models count as not there.
+const maxFailures = 5
+
+// noStatus counts a missed report; an engine that misses several serves nothing.
+func (a *Agent) noStatus(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failures++
+	if a.failures != maxFailures {
+		return
+	}
+	a.log.Warn("the engine does not answer", zap.Error(err))
+	a.reported = false
+	a.slots.setResidents(nil, 0, a.slots.perAccelerator)
+}
+
 // reopen gives requests to copies again whose unloading came to nothing; a.mu is held.
 func (a *Agent) reopen() {
 	for p := range a.slots.draining {
@@ -269,7 +320,7 @@
 	if a.isService() {
 		s.Services = a.settings.Backend.Services
 		s.Slots = a.settings.Backend.Slots
-	} else {
+	} else if a.reported {
 		s.Accelerators = a.ledger.Accelerators()
 		s.Residents = a.slots.visible(a.ledger.Residents())
 		s.Slots = a.slots.perAccelerator
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
@@ -66,6 +67,9 @@
 		return false
 	}
 	a.token = x.Token
+	if x.Pauses == a.pauses {
+		a.mistrust = time.Time{}
+	}
 	return true
 }
 
@@ -86,6 +90,7 @@
 	s := a.serverRecord(a.clock.Now())
 	ans := wire.ExchangeAnswer{
 		Incarnation: a.incarnation, Token: a.token, TableVersion: a.replica.Current().Version(), RecordSeen: a.version,
+		Pauses: a.pauses,
 	}
 	if x.Incarnation != a.incarnation || x.Seen != a.version {
 		ans.Server = &s
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -124,11 +124,14 @@
 func (a *Agent) push(t *fairqueue.Ticket, row table.Row) *fairqueue.Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noticePause(a.clock.Now())
 	a.demandOf(row.Name)
 	total := a.slots.Total(row.Name)
 	switch {
 	case a.leaving:
 		return &fairqueue.Refusal{Reason: fairqueue.ReasonLeaving}
+	case a.clock.Now().Before(a.mistrust):
+		return &fairqueue.Refusal{Reason: reasonPaused, RetryAfter: time.Second}
 	case total == 0:
 		return &fairqueue.Refusal{Reason: fairqueue.ReasonNotResident, RetryAfter: time.Second}
 	}
@@ -145,6 +148,9 @@
 	return nil
 }
 
+// reasonPaused tells that the agent was paused and waits for a planner's word.
+const reasonPaused fairqueue.Reason = "paused"
+
 // reasonConcurrency tells that the row's concurrency is granted to other servers.
 const reasonConcurrency fairqueue.Reason = "concurrency"
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,7 +41,8 @@
 	tokens int
 	// refusal is the best refusal so far.
 	refusal *wire.Failure
-	tried   map[string]bool
+	// tried holds the incarnation of each server that was tried.
+	tried map[string]string
 	// mayHaveRun tells that a server was lost that may have run the request.
 	mayHaveRun bool
 	finish     func(wire.Outcome)
@@ -55,7 +56,7 @@
 // forwardThen answers a call and tells finish its outcome before the caller has
 // the end of the answer.
 func (e *Entry) forwardThen(c echo.Context, x *call, finish func(wire.Outcome)) {
-	d := &delivery{e: e, c: c, x: x, tried: make(map[string]bool), finish: finish}
+	d := &delivery{e: e, c: c, x: x, tried: make(map[string]string), finish: finish}
 	e.budget.First()
 	for try := 0; try < maxTries; try++ {
 		s, ok := d.next()
@@ -69,7 +70,7 @@
 		if try > 0 {
 			e.metrics.Retry(x.class())
 		}
-		d.tried[s.ID] = true
+		d.tried[s.ID] = s.Incarnation
 		if d.attempt(s) {
 			return
 		}
@@ -77,14 +78,20 @@
 	d.giveUp()
 }
 
-// next chooses the server to try, waiting for one if the model is on its way.
+// next chooses the server to try. It waits for one, within the row's queue time,
+// if the model is on its way or if a server was lost under the request: then its
+// place is being made elsewhere.
 func (d *delivery) next() (fleet.Server, bool) {
-	deadline := d.x.arrived.Add(min(d.x.row.QueueTime, maxArrival))
+	since := d.x.arrived
+	if d.mayHaveRun {
+		since = d.e.clock.Now()
+	}
+	deadline := since.Add(min(d.x.row.QueueTime, maxArrival))
 	for {
 		if s, ok := d.choose(); ok {
 			return s, true
 		}
-		onItsWay := len(d.tried) == 0 && d.e.arriving(d.x.row.Name)
+		onItsWay := d.mayHaveRun || len(d.tried) == 0 && d.e.arriving(d.x.row.Name)
 		if !onItsWay || !d.e.clock.Now().Before(deadline) {
 			return fleet.Server{}, false
 		}
@@ -99,7 +106,7 @@
 // choose returns the best server not yet tried.
 func (d *delivery) choose() (fleet.Server, bool) {
 	servers := slices.DeleteFunc(slices.Clone(d.e.view.Serving(d.x.row.Name)), func(s fleet.Server) bool {
-		return d.tried[s.ID] || s.Leaving || d.e.members.isLeaving(s.ID) || d.e.routes.Leaving(s.ID, s.Incarnation)
+		return d.tried[s.ID] == s.Incarnation || s.Leaving || d.e.members.isLeaving(s.ID) || d.e.routes.Leaving(s.ID, s.Incarnation)
 	})
 	if len(servers) == 0 {
 		return fleet.Server{}, false
--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -61,21 +61,37 @@
 	return &Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
 }
 
-// Chat sends a chat request to an entry's address.
-func (c *Caller) Chat(ctx context.Context, addr string, body []byte, key string) Answer {
-	return c.Send(ctx, http.MethodPost, addr, "/v1/chat/completions", body, key)
+// A Request is one request of a caller.
+type Request struct {
+	// Method is POST if empty, Path that of chat completions.
+	Method string
+	Addr   string
+	Path   string
+	Body   []byte
+	// Key, if not empty, is the Idempotency-Key, and ID the request id.
+	Key string
+	ID  string
 }
 
-// Send sends any request; key, if not empty, is its Idempotency-Key.
-func (c *Caller) Send(ctx context.Context, method, addr, path string, body []byte, key string) Answer {
+// Send sends a request and reads its answer to the end.
+func (c *Caller) Send(ctx context.Context, r Request) Answer {
 	began := time.Now()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if r.Method == "" {
+		r.Method = http.MethodPost
+	}
+	if r.Path == "" {
+		r.Path = "/v1/chat/completions"
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Addr+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return Answer{Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
-	if key != "" {
-		req.Header.Set(wire.HeaderIdempotencyKey, key)
+	if r.Key != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, r.Key)
+	}
+	if r.ID != "" {
+		req.Header.Set(wire.HeaderRequestID, r.ID)
 	}
 	wire.SendOnce(req)
 	resp, err := c.HTTP.Do(req)
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -44,6 +44,7 @@
 	record   fleet.Server
 	known    bool
 	seen     uint64
+	pauses   int
 	table    uint64
 	lastSent time.Time
 	lastOK   time.Time
@@ -212,6 +213,7 @@
 	x := wire.Exchange{
 		Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
 		TableVersion: t.Version(), Leaving: p.vm.State == platform.VMLeaving, Orders: p.orders,
+		Pauses: p.pauses,
 	}
 	if p.known {
 		x.Table = t.Since(p.table)
@@ -259,6 +261,8 @@
 // take takes an agent's answer over; c.mu is held.
 func (c *cellPlanner) take(p *peer, a wire.ExchangeAnswer, now time.Time) {
 	first := !p.known
+	p.urgent = p.urgent || p.pauses != a.Pauses
+	p.pauses = a.Pauses
 	p.lastOK, p.known, p.table = now, true, a.TableVersion
 	c.grants.report(p.id, a.Grants)
 	if a.Server == nil {
@@ -272,6 +276,8 @@
 	p.urgent = p.urgent || first || a.Incarnation != p.record.Incarnation
 	p.seen = a.RecordSeen
 	p.record = *a.Server
+	// The platform's list says where the server is reached.
+	p.record.Addr = p.vm.Addr
 	c.publish(p.record)
 	c.dropSeen(p)
 }
--- /dev/null
+++ b/internal/proofs/harness_test.go
@@ -0,0 +1,397 @@
+package proofs
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"rockcleat/internal/config"
+	"rockcleat/internal/lab"
+	"rockcleat/internal/openai"
+	"rockcleat/internal/standin"
+	"rockcleat/internal/wire"
+)
+
+var (
+	seedFlag   = flag.Uint64("proofs.seed", 1, "seed that chooses the faults")
+	reportFlag = flag.Bool("proofs.report", false, "print a row for each promise")
+)
+
+// trialTime bounds one proof; its conditions are met long before.
+const trialTime = 90 * time.Second
+
+// binDir is where TestMain has built the programs.
+var binDir string
+
+// A row is one promise's line in the report.
+type row struct {
+	promise    int
+	name       string
+	faults     []string
+	requests   int
+	violations []string
+	worst      string
+	passed     bool
+}
+
+var (
+	rowsMu sync.Mutex
+	rows   = make(map[int]*row)
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := lab.TempDir()
+	if err == nil {
+		binDir = filepath.Join(dir, "bin")
+		err = lab.Build(context.Background(), filepath.Join("..", ".."), binDir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	if *reportFlag {
+		printReport()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const promises = 8
+
+func printReport() {
+	fmt.Printf("seed %d\n", *seedFlag)
+	proved := 0
+	for i := 1; i <= promises; i++ {
+		r, ok := rows[i]
+		if !ok {
+			fmt.Printf("%d  not run\n", i)
+			continue
+		}
+		verdict := "FAILED"
+		if r.passed {
+			verdict = "proved"
+			proved++
+		}
+		fmt.Printf("%d  %-34s %s  requests %-5d violations %d  worst %s  faults: %s\n",
+			r.promise, r.name, verdict, r.requests, len(r.violations), r.worst, strings.Join(r.faults, ", "))
+	}
+	fmt.Printf("promises proved: %d/%d\n", proved, promises)
+}
+
+// A sent is one request with its answer.
+type sent struct {
+	lab.Request
+	lab.Answer
+	began  time.Time
+	tokens int
+}
+
+// A trial is one proof's system with its load and its record.
+type trial struct {
+	*lab.System
+	t      *testing.T
+	ctx    context.Context
+	rng    *rand.Rand
+	caller *lab.Caller
+	row    *row
+	swaps  int
+
+	mu   sync.Mutex
+	sent []sent
+}
+
+// settings make the daemons quick to notice, so that proofs are short.
+func quick(o *lab.Options) {
+	entry, agent := o.Entry, o.Agent
+	o.Entry = func(e *config.Entry) {
+		e.Planner.ExchangeEvery = config.Duration(500 * time.Millisecond)
+		e.Planner.LeaseTTL = config.Duration(2 * time.Second)
+		e.Planner.Hold = config.Duration(time.Second)
+		e.Claims.LeaseTTL = config.Duration(2 * time.Second)
+		e.Claims.WritesPerSecond = 200
+		e.SyncEvery = config.Duration(200 * time.Millisecond)
+		e.Limits.SilentTime = config.Duration(2 * time.Second)
+		e.LeaveTime = config.Duration(1500 * time.Millisecond)
+		if entry != nil {
+			entry(e)
+		}
+	}
+	o.Agent = func(a *config.Agent) {
+		a.Limits.SilentTime = config.Duration(2 * time.Second)
+		a.LeaveTime = config.Duration(1500 * time.Millisecond)
+		a.Backend.OrderLifetime = config.Duration(3 * time.Second)
+		if agent != nil {
+			agent(a)
+		}
+	}
+}
+
+// start starts a small system for the proof of a promise.
+func start(t *testing.T, promise int, name string, change func(*lab.Options)) *trial {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), trialTime)
+	dir := t.TempDir()
+	o := lab.Small(binDir, dir)
+	o.VMLag = 200 * time.Millisecond
+	o.Engine.Step = 5 * time.Millisecond
+	o.KVReads, o.KVWrites = 0, 0
+	if change != nil {
+		change(&o)
+	}
+	quick(&o)
+	s, err := lab.Start(ctx, o)
+	assert.NilError(t, err)
+	tr := &trial{
+		System: s, t: t, ctx: ctx, caller: lab.NewCaller(),
+		rng: rand.New(rand.NewPCG(*seedFlag, uint64(promise))),
+	}
+	rowsMu.Lock()
+	tr.row = rows[promise]
+	if tr.row == nil {
+		tr.row = &row{promise: promise, name: name, worst: "-", passed: true}
+		rows[promise] = tr.row
+	}
+	rowsMu.Unlock()
+	t.Cleanup(func() {
+		tr.finish()
+		s.Stop()
+		cancel()
+	})
+	return tr
+}
+
+// finish closes the promise's row.
+func (tr *trial) finish() {
+	rowsMu.Lock()
+	defer rowsMu.Unlock()
+	tr.row.requests += len(tr.all())
+	for _, v := range tr.row.violations {
+		tr.t.Error(v)
+	}
+	if tr.t.Failed() {
+		tr.row.passed = false
+	}
+	tr.t.Logf("seed %d, faults: %s; worst %s", *seedFlag, strings.Join(tr.row.faults, ", "), tr.row.worst)
+}
+
+func (tr *trial) fault(format string, args ...any) {
+	tr.row.faults = append(tr.row.faults, fmt.Sprintf(format, args...))
+}
+
+func (tr *trial) violation(format string, args ...any) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.row.violations = append(tr.row.violations, fmt.Sprintf(format, args...))
+}
+
+func (tr *trial) must(err error) {
+	tr.t.Helper()
+	assert.NilError(tr.t, err)
+}
+
+func (tr *trial) until(what string, ok func() bool) {
+	tr.t.Helper()
+	tr.must(lab.Until(tr.ctx, what, ok))
+}
+
+// send sends a request, keeps its answer and returns it.
+func (tr *trial) send(r lab.Request, tokens int) lab.Answer {
+	if r.ID == "" {
+		r.ID = uuid.NewString()
+	}
+	began := time.Now()
+	a := tr.caller.Send(tr.ctx, r)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.sent = append(tr.sent, sent{Request: r, Answer: a, began: began, tokens: tokens})
+	return a
+}
+
+func (tr *trial) all() []sent {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return append([]sent(nil), tr.sent...)
+}
+
+// load sends what make gives from several goroutines until stop is called.
+func (tr *trial) load(workers int, makeRequest func(worker, i int) (lab.Request, int)) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				r, tokens := makeRequest(w, i)
+				a := tr.send(r, tokens)
+				if a.Outcome != wire.OutcomeAnswered {
+					pause(done, 20*time.Millisecond)
+				}
+			}
+		}()
+	}
+	var once sync.Once
+	return func() {
+		once.Do(func() { close(done) })
+		wg.Wait()
+	}
+}
+
+// pause keeps a load's goroutine from spinning on refusals.
+func pause(done <-chan struct{}, d time.Duration) {
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
+}
+
+// liveEntry returns an entry that runs, another one for each i.
+func (tr *trial) liveEntry(i int) *lab.Node {
+	n := len(tr.Entries)
+	for k := range n {
+		if e := tr.Entries[(i+k)%n]; !e.Exited() {
+			return e
+		}
+	}
+	return tr.Entries[0]
+}
+
+// chat returns a streamed chat request that no other has the prompt of.
+func (tr *trial) chat(addr, model string, tokens int) (lab.Request, int) {
+	return lab.Request{Addr: addr, Body: lab.ChatBody(model, uuid.NewString(), tokens, true)}, tokens
+}
+
+// checkChats checks that no answer passed on as whole is another than its own.
+func (tr *trial) checkChats() (whole, cut int) {
+	for _, s := range tr.all() {
+		req, err := openai.ParseRequest(s.Request.Body)
+		if err != nil {
+			continue
+		}
+		want := standin.Text(req, s.tokens)
+		switch {
+		case s.Whole && s.Outcome == wire.OutcomeAnswered && s.Text != want:
+			tr.violation("request %s: whole answer is not its own: %d tokens of %d", s.ID, s.Tokens, s.tokens)
+		case s.Whole && s.Outcome == wire.OutcomeAnswered:
+			whole++
+		case !strings.HasPrefix(want, s.Text):
+			tr.violation("request %s: tokens doubled, skipped or of another answer", s.ID)
+		default:
+			cut++
+		}
+	}
+	return whole, cut
+}
+
+// seen returns how often each request id started on the engines and services
+// that answer.
+func (tr *trial) seen() map[string]int {
+	total := make(map[string]int)
+	for _, b := range tr.Backends {
+		if b.Server.Exited() {
+			continue
+		}
+		if b.Service {
+			var e standin.EffectsAnswer
+			tr.must(lab.Fetch(tr.ctx, b.URL+"/effects", &e))
+			for id, n := range e.Requests {
+				total[id] += n
+			}
+			continue
+		}
+		var e standin.SeenAnswer
+		tr.must(lab.Fetch(tr.ctx, b.URL+"/seen", &e))
+		for id, n := range e.Seen {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// checkNotRun checks that what was refused as not run never started, and that
+// each refusal says when to come back.
+func (tr *trial) checkNotRun() (refused int) {
+	ran := tr.seen()
+	for _, s := range tr.all() {
+		if s.Outcome != wire.OutcomeNotRun {
+			continue
+		}
+		refused++
+		if ran[s.ID] > 0 {
+			tr.violation("request %s was refused as not run (%s) and ran %d times", s.ID, s.Reason, ran[s.ID])
+		}
+		if s.Status >= 429 && s.RetryAfter <= 0 {
+			tr.violation("refusal of %s (%s) does not say when to come back", s.ID, s.Reason)
+		}
+	}
+	return refused
+}
+
+// effects returns how often each idempotency key took effect, over all services.
+func (tr *trial) effects() map[string]int {
+	total := make(map[string]int)
+	for _, b := range tr.Backends {
+		if !b.Service {
+			continue
+		}
+		var e standin.EffectsAnswer
+		tr.must(lab.Fetch(tr.ctx, b.URL+"/effects", &e))
+		for k, n := range e.Effects {
+			total[k] += n
+		}
+	}
+	return total
+}
+
+// engines returns the backends that are model engines.
+func (tr *trial) engines() []*lab.Backend {
+	var out []*lab.Backend
+	for _, b := range tr.Backends {
+		if !b.Service {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// shuffled returns the steps in an order that the seed chooses.
+func shuffled[T any](tr *trial, steps []T) []T {
+	out := append([]T(nil), steps...)
+	tr.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// A step is one named fault.
+type step struct {
+	name string
+	do   func()
+}
+
+// runSteps does every step twice in an order that the seed chooses, so that
+// each meets others before it, and at times itself.
+func (tr *trial) runSteps(steps []step) {
+	for _, s := range shuffled(tr, append(append([]step(nil), steps...), steps...)) {
+		tr.t.Log("fault:", s.name)
+		s.do()
+	}
+	for _, s := range steps {
+		tr.fault("%s x2", s.name)
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -49,6 +49,13 @@
 	Cut         int `json:"cut"`
 	Completed   int `json:"completed"`
 	Tokens      int `json:"tokens"`
+	// LastStartMs is when the last request started, as Unix time.
+	LastStartMs int64 `json:"last_start_ms"`
+}
+
+// SeenAnswer counts the starts of each request id.
+type SeenAnswer struct {
+	Seen map[string]int `json:"seen"`
 }
 
 // resident is a model or adapter with its running sequences.
@@ -89,9 +96,16 @@
 	s.echo.POST("/v1/chat/completions", s.generate)
 	s.echo.POST("/v1/completions", s.generate)
 	s.echo.GET("/stats", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Stats()) })
+	s.echo.GET("/seen", s.listSeen)
 	return s
 }
 
+func (s *Engine) listSeen(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.JSON(http.StatusOK, SeenAnswer{Seen: s.seen})
+}
+
 // ServeHTTP makes Engine an http.Handler.
 func (s *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -93,6 +93,7 @@
 	}
 	r.running++
 	s.seen[id]++
+	s.stats.LastStartMs = time.Now().UnixMilli()
 	if s.running[q.acc] < s.opts.Slots {
 		s.running[q.acc]++
 		q.start <- true
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 type EffectsAnswer struct {
 	Total   int            `json:"total"`
 	Effects map[string]int `json:"effects"`
+	// Requests counts the effects of each request id.
+	Requests map[string]int `json:"requests"`
 }
 
 // A Service stands in for a plain service; each call other than GET has an effect.
@@ -24,11 +27,12 @@
 	mu      sync.Mutex
 	total   int
 	effects map[string]int
+	byID    map[string]int
 }
 
 // NewService returns a service whose calls take the given time.
 func NewService(delay time.Duration) *Service {
-	s := &Service{echo: newEcho(), delay: delay, effects: make(map[string]int)}
+	s := &Service{echo: newEcho(), delay: delay, effects: make(map[string]int), byID: make(map[string]int)}
 	s.register(s.echo)
 	s.echo.GET("/effects", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Effects()) })
 	s.echo.Any("/*", s.serve)
@@ -42,11 +46,7 @@
 func (s *Service) Effects() EffectsAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := EffectsAnswer{Total: s.total, Effects: make(map[string]int)}
-	for k, n := range s.effects {
-		a.Effects[k] = n
-	}
-	return a
+	return EffectsAnswer{Total: s.total, Effects: maps.Clone(s.effects), Requests: maps.Clone(s.byID)}
 }
 
 // serviceAnswer is what a call answers.
@@ -69,6 +69,7 @@
 		s.mu.Lock()
 		s.total++
 		s.effects[c.Request().Header.Get("Idempotency-Key")]++
+		s.byID[c.Request().Header.Get("X-Request-Id")]++
 		a.Effect = s.total
 		s.mu.Unlock()
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -39,11 +39,13 @@
 	// Seen is the agent's record version that the planner has.
 	Seen uint64 `json:"seen,omitempty"`
 	// TableVersion is the planner's; an agent with a newer table ignores the orders.
-	TableVersion uint64             `json:"version"`
-	Table        *table.Delta       `json:"table,omitempty"`
-	Leaving      bool               `json:"leaving,omitempty"`
-	Orders       []placement.Order  `json:"orders,omitempty"`
-	Grants       []ConcurrencyGrant `json:"grants,omitempty"`
+	TableVersion uint64       `json:"version"`
+	Table        *table.Delta `json:"table,omitempty"`
+	Leaving      bool         `json:"leaving,omitempty"`
+	// Pauses is the count of the agent\'s pauses that the planner knows.
+	Pauses int                `json:"pauses,omitempty"`
+	Orders []placement.Order  `json:"orders,omitempty"`
+	Grants []ConcurrencyGrant `json:"grants,omitempty"`
 }
 
 // An ExchangeAnswer is the agent's answer to an Exchange.
@@ -54,6 +56,8 @@
 	Token        int64  `json:"token"`
 	TableVersion uint64 `json:"table"`
 	RecordSeen   uint64 `json:"seen"`
+	// Pauses counts how often the agent's process was paused.
+	Pauses int `json:"pauses,omitempty"`
 	// Server is the agent's record; absent if the planner has seen it.
 	Server *fleet.Server      `json:"server,omitempty"`
 	Grants []ConcurrencyGrant `json:"grants,omitempty"`
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -341,7 +341,10 @@
 			s.load(x, r, "no copy")
 			continue
 		}
-		s.makeRoom(r, "room for "+r.Name+", which has no copy", 0)
+		reason := "room for " + r.Name + ", which has no copy"
+		if !s.makeRoom(r, reason, 0) {
+			s.relocate(r, reason)
+		}
 	}
 }
 
@@ -398,8 +401,9 @@
 }
 
 // makeRoom unloads copies that are not needed from one accelerator until the
-// row would fit there; held says how long a copy must have been surplus.
-func (s *plan) makeRoom(r table.Row, reason string, held time.Duration) {
+// row would fit there and reports whether there are such copies; held says how
+// long a copy must have been surplus.
+func (s *plan) makeRoom(r table.Row, reason string, held time.Duration) bool {
 	need := s.in.Sizes[r.Name].TotalMiB()
 	var best *acc
 	var bestVictims []string
@@ -415,6 +419,7 @@
 	for _, name := range bestVictims {
 		s.unload(best, name, reason)
 	}
+	return best != nil
 }
 
 // victims returns copies whose unloading frees the memory, or nil.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -200,7 +200,7 @@
 	return n
 }
 
-func (w *world) carryOut(t *rapid.T, o placement.Order) {
+func (w *world) carryOut(t assert.TestingT, o placement.Order) {
 	i := slices.IndexFunc(w.servers, func(s fleet.Server) bool { return s.ID == o.Server })
 	s := &w.servers[i]
 	a := &s.Accelerators[o.Accelerator]
@@ -217,6 +217,28 @@
 	assert.Assert(t, a.FreeMiB() >= 0, "%s overcommits %s/%d", o.Name, o.Server, o.Accelerator)
 }
 
+// TestFreePieces starts with memory that is free only in pieces: a model that
+// fits none of them gets a place all the same, and no last copy goes.
+func TestFreePieces(t *testing.T) {
+	w := &world{
+		rows:  []table.Row{model("clue"), model("hint"), model("headline"), model("summary")},
+		sizes: map[string]placement.Size{"clue": size(62), "hint": size(42), "headline": size(31), "summary": size(83)},
+		servers: []fleet.Server{
+			server("a", 1, ready("clue", 0, 62)), server("b", 1, ready("hint", 0, 42)), server("c", 1, ready("headline", 0, 31)),
+		},
+	}
+	p := placement.NewPlanner(placement.Options{})
+	var got []string
+	for round := range 5 {
+		orders := p.Plan(w.input(start.Add(time.Duration(round) * time.Second)))
+		got = append(got, brief(orders)...)
+		for _, o := range orders {
+			w.carryOut(t, o)
+		}
+	}
+	assert.DeepEqual(t, got, []string{"load headline a/0", "unload headline c/0", "load summary c/0"})
+}
+
 // TestCellsAgree lets each cell plan from the same records: every model is
 // placed by exactly one of them.
 func TestCellsAgree(t *testing.T) {
--- a/tools/lab/smoke.go
+++ b/tools/lab/smoke.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
@@ -64,7 +63,7 @@
 // chat sends a streamed chat request and checks that the answer is whole and its own.
 func (t *smokeTest) chat(ctx context.Context, addr, model, prompt string, tokens int) (lab.Answer, error) {
 	body := lab.ChatBody(model, prompt, tokens, true)
-	a := t.caller.Chat(ctx, addr, body, "")
+	a := t.caller.Send(ctx, lab.Request{Addr: addr, Body: body})
 	req, err := openai.ParseRequest(body)
 	if err != nil {
 		return a, err
@@ -91,8 +90,8 @@
 func (t *smokeTest) plainTwice(ctx context.Context) error {
 	const key = "household-7"
 	path := lab.SmallPath + "/7"
-	first := t.caller.Send(ctx, http.MethodPost, t.Entries[0].Addr, path, []byte("year"), key)
-	second := t.caller.Send(ctx, http.MethodPost, t.Entries[1].Addr, path, []byte("year"), key)
+	first := t.caller.Send(ctx, lab.Request{Addr: t.Entries[0].Addr, Path: path, Body: []byte("year"), Key: key})
+	second := t.caller.Send(ctx, lab.Request{Addr: t.Entries[1].Addr, Path: path, Body: []byte("year"), Key: key})
 	if first.Outcome != wire.OutcomeAnswered || !second.Replayed || first.Body != second.Body {
 		return eris.Errorf("smoke: plain call: first %+v, second %+v", first, second)
 	}
