Model of orders, claims and table versions; an old report no longer counts

Cause: writing the model of orders showed that an agent which takes over its server could plan with a report asked for before it did. A former agent may have loaded meanwhile, settled that order and dropped its intent from the record, so neither the report nor the record would tell of the memory.

Ruled out: the fencing token, which does not help where the engine checks none.

Change: spec/ holds three specifications in Promela with a variant for each mechanism; 'make model' checks them. An agent gives orders only with a report that it asked for after taking over.

Before: the variant OLD_REPORT, the code as it was, overcommits memory (spin's assertion, 186768 states). After: holds, 1421318 states with unchecked orders, 2268283 with checked ones. Claims hold (3583 states), also without the slot that the next owner writes on opening, which is thus not needed for safety; table versions hold (4204697 states). Variants without intents, without the record, with overwritten slots, with requests sent on an unsure claim, without edit ids, without the swap and without comparing versions fail.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 STATICCHECK_VERSION = v0.8.2
 
-.PHONY: run test smoke slopes lint build
+.PHONY: run test smoke slopes lint build model promises
 
 run:
 	$(GO) run ./tools/lab run
@@ -13,6 +13,15 @@
 smoke:
 	$(GO) run ./tools/lab smoke
 
+# Needs spin (Debian: apt-get install spin) and a C compiler.
+model:
+	spec/check
+
+# SEED chooses the faults.
+SEED ?= 1
+promises:
+	@$(GO) test -count=1 ./internal/proofs -args -proofs.report -proofs.seed=$(SEED) | grep -vE '^(ok|PASS)'
+
 slopes:
 	$(GO) run ./tools/lab slopes
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,7 +94,12 @@
 	// pauses counts the pauses; a planner that names the count has spoken since.
 	pauses int
 	// failures is the number of reports that the engine has missed in a row.
-	failures   int
+	failures int
+	// armedAt is when the agent took over the record of its server, and current
+	// tells that the last report was asked for after that: an older one may lack
+	// what a former agent has done meanwhile.
+	armedAt    time.Time
+	current    bool
 	reported   bool
 	version    uint64
 	lastRecord fleet.Server
@@ -240,6 +245,7 @@
 
 // stepStatus takes over the engine's report.
 func (a *Agent) stepStatus(now time.Time) {
+	asked := a.clock.Now()
 	st, err := a.engine.Status(context.Background())
 	if err != nil {
 		a.noStatus(err)
@@ -252,6 +258,7 @@
 	a.slots.setResidents(st.Residents, len(st.MemoryMiB), st.Slots)
 	a.reopen()
 	a.reported = true
+	a.current = asked.After(a.armedAt)
 }
 
 // maxFailures is the number of reports in a row that an engine may miss before
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -32,6 +32,7 @@
 	}
 	a.mu.Lock()
 	a.ledger.Restore(intents)
+	a.armedAt, a.current = a.clock.Now(), false
 	a.mu.Unlock()
 	a.log.Info("took over the backend server", zap.Int64("fence", a.record.value.Fence), zap.Int("open_intents", len(intents)))
 }
@@ -67,7 +68,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var intents []ledger.Intent
-	if !a.reported {
+	if !a.reported || !a.current {
 		return nil
 	}
 	for _, o := range orders {
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -147,6 +147,10 @@
 		}
 		p.urgent = p.urgent || vm.State != p.vm.State && p.vm.ID != ""
 		p.vm = vm
+		if p.known && p.record.Addr != vm.Addr {
+			p.record.Addr = vm.Addr
+			c.publish(p.record)
+		}
 		c.judge(p, now)
 	}
 	for id, p := range c.peers {
