Leaving without a gap, table without a planner, a benchmark with baselines

Cause: (1) the proof of promise 7 refused 387 requests while agents stopped: an agent that leaves refused at once what no other server had, and its planner heard of it only with the next exchange. (2) the proof of promise 8 with the key-value service out could not end: an agent restarted in the outage never got the table, since planners stop when their leases lapse. (3) that proof hung by itself too: an operator waited without limit for a frozen entry.

Change: a leaving agent tells its planner at once and for the leave time still takes what has nowhere else to go; entries choose a leaver only then. A planner whose lease has lapsed because the service is out goes on spreading the table and the records, without orders or grants. An agent takes a newer table from the entry whose request tells of one. Operators in the proof go on to the next entry.

TestPlannedStop has not run since the change.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 STATICCHECK_VERSION = v0.8.2
 
-.PHONY: run test smoke slopes lint build model promises
+.PHONY: run test smoke slopes bench lint build model promises
 
 run:
 	$(GO) run ./tools/lab run
@@ -32,3 +32,7 @@
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo 'gofmt would change the files above'; exit 1; }
 	$(GO) vet ./...
 	$(GO) run honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION) -checks all ./...
+
+# BENCH passes flags, such as -loads puzzle -seeds 1.
+bench:
+	$(GO) run ./tools/lab bench $(BENCH)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -49,6 +50,8 @@
 	Clock    clock.Service
 	Log      *zap.Logger
 	Metrics  *telemetry.Metrics
+	// Traffic counts the bytes of control; the clients of the platform share it.
+	Traffic *wire.Traffic
 }
 
 // rowDemand is the account of one row's demand.
@@ -67,8 +70,9 @@
 	metrics     *telemetry.Metrics
 	incarnation string
 	backend     *http.Client
+	peers       *wire.Client
 	replica     table.Replica
-	traffic     wire.Traffic
+	traffic     *wire.Traffic
 	proxied     wire.Traffic
 	requests    *server.Listener
 	control     *server.Listener
@@ -76,6 +80,8 @@
 	stops       []func()
 	// ordering makes the handling of orders one at a time.
 	ordering sync.Mutex
+	// catching tells that the table is being asked of an entry.
+	catching atomic.Bool
 
 	mu     sync.Mutex
 	queue  *fairqueue.Queue
@@ -87,6 +93,10 @@
 	unloads map[place]placement.Order
 	token   int64
 	leaving bool
+	// closeAt is when a leaving agent takes no new work any more.
+	closeAt time.Time
+	// planner is the control address of the planner that spoke last.
+	planner string
 	// lastTick is when the queue's system last ran, and mistrust until when the
 	// agent, having been paused, takes no new work unless a planner speaks to it.
 	lastTick time.Time
@@ -114,6 +124,7 @@
 		clock:       o.Clock,
 		log:         o.Log,
 		metrics:     o.Metrics,
+		traffic:     o.Traffic,
 		incarnation: uuid.NewString(),
 		demand:      make(map[string]*rowDemand),
 		grants:      make(map[string]int),
@@ -121,6 +132,7 @@
 	}
 	a.backend = &http.Client{Transport: wire.NewTransport(&a.proxied)}
 	a.slots = newSlotTable()
+	a.peers = wire.NewClient(o.Settings.Secret, o.Traffic)
 	a.queue = fairqueue.New(a.slots, fairqueue.Options{MaxWaiting: o.Settings.MaxWaiting, FirstCome: o.Settings.FirstCome})
 	a.record = newRecord(o.Store, o.Settings.ID, a.incarnation)
 	if a.isService() {
@@ -138,7 +150,7 @@
 	if a.requests, err = server.Listen(a.settings.Listen, a.requestRouter(), &a.proxied, a.log); err != nil {
 		return err
 	}
-	if a.control, err = server.Listen(a.settings.ControlListen, a.controlRouter(), &a.traffic, a.log); err != nil {
+	if a.control, err = server.Listen(a.settings.ControlListen, a.controlRouter(), a.traffic, a.log); err != nil {
 		return err
 	}
 	a.subscribe(queueEvery, a.stepQueue)
@@ -165,8 +177,9 @@
 // ControlAddr returns the address for control messages.
 func (a *Agent) ControlAddr() string { return a.control.Addr() }
 
-// Leave makes the agent refuse new work from now on and sends waiting requests
-// elsewhere; what runs goes on.
+// Leave begins the leaving: entries and the planner learn of it at once, and for
+// the leave time the agent still takes requests that have nowhere else to go.
+// After that it takes no new work and sends waiting requests elsewhere.
 func (a *Agent) Leave(reason string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -174,15 +187,40 @@
 		return
 	}
 	a.leaving = true
-	a.queue.RefuseAll(fairqueue.ReasonLeaving)
+	a.closeAt = a.clock.Now().Add(a.settings.LeaveTime.Std())
 	a.log.Info("leaving", zap.String("reason", reason), zap.Int("running", a.queue.Running()))
+	a.nudgePlanner()
 }
 
-// Stop leaves, refuses new work for the leave time, lets what runs end until
-// ctx does, and closes.
+// closed reports whether the agent takes no new work any more; a.mu is held.
+func (a *Agent) closed() bool { return a.leaving && !a.clock.Now().Before(a.closeAt) }
+
+// nudgePlanner asks the planner to exchange messages now; a.mu is held.
+func (a *Agent) nudgePlanner() {
+	addr := a.planner
+	if addr == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), nudgeTimeout)
+		defer cancel()
+		err := a.peers.Call(ctx, http.MethodPost, addr, wire.PathNudge, wire.Nudge{Server: a.settings.ID}, nil)
+		if err != nil {
+			a.log.Debug("planner not nudged", zap.Error(err))
+		}
+	}()
+}
+
+// nudgeTimeout bounds a message to the planner.
+const nudgeTimeout = time.Second
+
+// Stop leaves, answers requests for the leave time, lets what runs end until ctx
+// does, and closes.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.Leave("planned stop")
-	server.Pause(ctx, a.settings.LeaveTime.Std())
+	// One leave time to take what has nowhere else to go, one to refuse the rest
+	// with an answer.
+	server.Pause(ctx, 2*a.settings.LeaveTime.Std())
 	err := a.requests.Shutdown(ctx)
 	for _, stop := range a.stops {
 		stop()
@@ -212,6 +250,9 @@
 	defer a.mu.Unlock()
 	a.noticePause(now)
 	a.lastTick = now
+	if a.closed() {
+		a.queue.RefuseAll(fairqueue.ReasonLeaving)
+	}
 	for _, row := range a.queue.Rows() {
 		if a.slots.Total(row) == 0 {
 			a.queue.RefuseRow(row, fairqueue.ReasonNotResident)
@@ -275,6 +316,7 @@
 	}
 	a.log.Warn("the engine does not answer", zap.Error(err))
 	a.reported = false
+	a.nudgePlanner()
 	a.slots.setResidents(nil, 0, a.slots.perAccelerator)
 }
 
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -47,7 +47,7 @@
 	if x.Leaving {
 		a.Leave("the platform's list says so")
 	}
-	if x.Incarnation == a.incarnation && x.TableVersion >= a.replica.Current().Version() {
+	if !x.Lapsed && x.Incarnation == a.incarnation && x.TableVersion >= a.replica.Current().Version() {
 		a.setGrants(x.Grants)
 		// Orders wait for the key-value service; the exchange does not.
 		go a.carryOut(x.Orders)
@@ -67,6 +67,7 @@
 		return false
 	}
 	a.token = x.Token
+	a.planner = x.From
 	if x.Pauses == a.pauses {
 		a.mistrust = time.Time{}
 	}
@@ -111,8 +112,7 @@
 	Running      int    `json:"running"`
 	Leaving      bool   `json:"leaving"`
 	Armed        bool   `json:"armed"`
-	ControlRead  int64  `json:"control_bytes_read"`
-	ControlSent  int64  `json:"control_bytes_written"`
+	ControlBytes int64  `json:"control_bytes"`
 }
 
 func (a *Agent) status(c echo.Context) error {
@@ -121,10 +121,9 @@
 	a.ordering.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	read, written := a.traffic.Bytes()
 	return c.JSON(http.StatusOK, Status{
 		ID: a.settings.ID, Incarnation: a.incarnation, TableVersion: a.replica.Current().Version(),
 		Waiting: a.queue.Waiting(), Running: a.queue.Running(), Leaving: a.leaving, Armed: armed,
-		ControlRead: read, ControlSent: written,
+		ControlBytes: a.traffic.WireBytes(),
 	})
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -39,6 +39,7 @@
 func (a *Agent) serve(c echo.Context) error {
 	req := c.Request()
 	name := req.Header.Get(wire.HeaderRow)
+	a.catchUp(req)
 	row, ok := a.replica.Current().Row(name)
 	if !ok {
 		return a.refuse(c, fairqueue.Refusal{Reason: fairqueue.ReasonNotResident, RetryAfter: time.Second})
@@ -128,7 +129,7 @@
 	a.demandOf(row.Name)
 	total := a.slots.Total(row.Name)
 	switch {
-	case a.leaving:
+	case a.closed():
 		return &fairqueue.Refusal{Reason: fairqueue.ReasonLeaving}
 	case a.clock.Now().Before(a.mistrust):
 		return &fairqueue.Refusal{Reason: reasonPaused, RetryAfter: time.Second}
@@ -231,6 +232,7 @@
 	}
 	copyHeader(out.Header, in.Header)
 	out.Header.Del("Authorization")
+	out.Header.Del(wire.HeaderEntry)
 	wire.SendOnce(out)
 	a.mu.Lock()
 	acc := a.slots.accelerator(g.Slot)
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,109 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/internal/cli"
+	"rockcleat/internal/standin/standintest"
+	"rockcleat/internal/wire"
+	"rockcleat/table"
+)
+
+const secret = "test-secret-0123456789"
+
+// operators answers like an entry's interface for operators.
+func operators(t *testing.T) (addr string) {
+	t.Helper()
+	_, store := standintest.KV(t)
+	l := table.NewLog(store, nil)
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+wire.PathTable, func(w http.ResponseWriter, r *http.Request) {
+		tab, _, err := l.Load(r.Context(), &table.Table{})
+		assert.Check(t, err)
+		_ = json.NewEncoder(w).Encode(wire.TableAnswer{Version: tab.Version(), Rows: tab.Rows()})
+	})
+	m.HandleFunc("POST "+wire.PathTable, func(w http.ResponseWriter, r *http.Request) {
+		var s wire.SaveRequest
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&s))
+		tab, err := l.Save(r.Context(), s.Edit)
+		if err != nil {
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			_ = json.NewEncoder(w).Encode(wire.SaveAnswer{Errors: []table.CheckError{{Row: "x", Column: "weight"}}})
+			return
+		}
+		_ = json.NewEncoder(w).Encode(wire.SaveAnswer{Version: tab.Version()})
+	})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !wire.Authorized(r, secret) {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		m.ServeHTTP(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func run(t *testing.T, args ...string) (code int, out, stderr string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = cli.Run(context.Background(), args, strings.NewReader(""), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	addr := operators(t)
+	file := filepath.Join(t.TempDir(), "t.csv")
+	bad := filepath.Join(t.TempDir(), "bad.csv")
+	assert.NilError(t, os.WriteFile(file, []byte("name,weight\nm,3\n"), 0o600))
+	assert.NilError(t, os.WriteFile(bad, []byte("name,weight\nm,heavy\n"), 0o600))
+	common := []string{"-entry", addr, "-secret", secret}
+	command := func(words ...string) []string {
+		n := 2
+		if words[0] == "status" || words[0] == "why" {
+			n = 1
+		}
+		return append(append(append([]string{}, words[:n]...), common...), words[n:]...)
+	}
+	tests := []struct {
+		name string
+		args []string
+		code int
+		text string
+	}{
+		{"help", []string{"-h"}, cli.ExitUsage, "COMMAND"},
+		{"help has an example", []string{"table", "set", "-h"}, cli.ExitUsage, "Example:"},
+		{"no such command", []string{"tabel"}, cli.ExitUsage, "no command"},
+		{"import", command("table", "import", file), cli.ExitOK, "saved 1 rows; version 1"},
+		{"import again", command("table", "import", file), cli.ExitOK, "nothing to change"},
+		{"show", command("table", "show"), cli.ExitOK, "version 1, 1 rows"},
+		{"set", command("table", "set", "m", "weight=4"), cli.ExitOK, "version 2"},
+		{"export", command("table", "export"), cli.ExitOK, "m,model,,,standard,4,100,0,10s,"},
+		{"diff", command("table", "diff", file), cli.ExitOK, "+ m,model,,,standard,3"},
+		{"set unknown column", command("table", "set", "m", "colour=red"), cli.ExitInvalid, "one of the columns"},
+		{"set word as weight", command("table", "set", "m", "weight=heavy"), cli.ExitInvalid, `row "m", column weight: "heavy"`},
+		{"import bad file", command("table", "import", bad), cli.ExitInvalid, `row "m", column weight`},
+		{"refused by the checks", command("table", "set", "m", "weight=0"), cli.ExitInvalid, "column weight"},
+		{"remove", command("table", "remove", "m"), cli.ExitOK, "version 3"},
+		{"wrong secret", []string{"table", "set", "-entry", addr, "-secret", "no", "m", "weight=1"}, cli.ExitFailed, ""},
+		{"no entry", []string{"table", "show", "-entry", "127.0.0.1:1", "-secret", secret}, cli.ExitFailed, "refused"},
+		{"settings checked", []string{"config", "check", filepath.Join("..", "..", "examples", "entry.yaml")}, cli.ExitOK, "ok"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			code, out, stderr := run(t, tc.args...)
+			assert.Equal(t, code, tc.code, "%s%s", out, stderr)
+			assert.Assert(t, strings.Contains(out+stderr, tc.text), "%s%s", out, stderr)
+		})
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -54,6 +54,8 @@
 	LoadsPerSecond float64 `yaml:"loads_per_second"`
 	// LeaseTTL is the time after which another entry may take over a cell.
 	LeaseTTL Duration `yaml:"lease_ttl"`
+	// Policy is empty, or names a baseline for measurements: static or lru.
+	Policy string `yaml:"policy"`
 }
 
 // Claims are the settings of the records of requests that may not be repeated.
@@ -91,13 +93,16 @@
 	// VMs and Weights are the base URLs of the platform's list and weight store.
 	VMs     string `yaml:"vms"`
 	Weights string `yaml:"weights"`
+	// VMsEvery is the time between two looks at the platform's list of VMs.
+	VMsEvery Duration `yaml:"vms_every"`
 	// SyncEvery is the time between two exchanges of state with another entry.
 	SyncEvery Duration `yaml:"sync_every"`
 	Planner   Planner  `yaml:"planner"`
 	Claims    Claims   `yaml:"claims"`
 	Limits    Limits   `yaml:"limits"`
 	Targets   Targets  `yaml:"targets"`
-	// Policy is empty, or names a baseline for measurements: round-robin.
+	// Policy is empty, or names a baseline for measurements: round-robin or
+	// least-outstanding.
 	Policy string `yaml:"policy"`
 }
 
@@ -151,6 +156,7 @@
 func (e *Entry) setDefaults() {
 	e.Process.setDefaults()
 	e.Limits.setDefaults()
+	e.VMsEvery = Duration(2 * time.Second)
 	e.SyncEvery = Duration(time.Second)
 	e.Planner = Planner{
 		CellSize: 24, ExchangeEvery: Duration(5 * time.Second), Headroom: 0.7,
@@ -205,9 +211,11 @@
 	e.Limits.check(c)
 	c.require(isURL(e.VMs), "vms", "must be a URL, such as http://10.0.0.2:7001")
 	c.require(isURL(e.Weights), "weights", "must be a URL, such as http://10.0.0.2:7002")
+	c.between(e.VMsEvery, 50*time.Millisecond, time.Minute, "vms_every")
 	c.between(e.SyncEvery, 50*time.Millisecond, 10*time.Second, "sync_every")
 	e.Planner.check(c)
-	c.require(e.Policy == "" || e.Policy == "round-robin", "policy", "must be absent or round-robin")
+	known := []string{"", "round-robin", "least-outstanding"}
+	c.require(slices.Contains(known, e.Policy), "policy", "must be absent, round-robin or least-outstanding")
 	e.Claims.check(c)
 	c.between(e.Targets.Premium, time.Millisecond, time.Hour, "targets.premium")
 	c.between(e.Targets.Standard, time.Millisecond, time.Hour, "targets.standard")
@@ -220,6 +228,7 @@
 	c.require(p.Headroom > 0 && p.Headroom <= 1, "planner.headroom", "must be above 0 and at most 1")
 	c.between(p.Hold, 0, time.Hour, "planner.hold")
 	c.require(p.MaxLoads >= 1 && p.MaxLoads <= 1000, "planner.max_loads", "must be from 1 to 1000")
+	c.require(slices.Contains([]string{"", "static", "lru"}, p.Policy), "planner.policy", "must be absent, static or lru")
 	c.require(p.LoadsPerSecond > 0, "planner.loads_per_second", "must be above 0")
 	c.between(p.LeaseTTL, 500*time.Millisecond, time.Minute, "planner.lease_ttl")
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,7 +85,7 @@
 		return ExitFailed
 	}
 	<-ctx.Done()
-	limit := settings.LeaveTime.Std() + settings.DrainTime.Std()
+	limit := 2*settings.LeaveTime.Std() + settings.DrainTime.Std()
 	drain, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if err := p.Stop(drain); err != nil {
@@ -105,7 +105,8 @@
 	if err != nil {
 		return nil, s.Process, nil, err
 	}
-	client := &http.Client{Transport: wire.NewTransport(&wire.Traffic{})}
+	traffic := &wire.Traffic{}
+	client := &http.Client{Transport: wire.NewTransport(traffic)}
 	e := entry.New(entry.Options{
 		Settings: s,
 		Store:    store(s.Process, client, metrics),
@@ -113,6 +114,7 @@
 		Clock:    clock.Real{},
 		Log:      log,
 		Metrics:  metrics,
+		Traffic:  traffic,
 		Policy:   entry.Policy(s.Policy),
 	})
 	return e, s.Process, log, nil
@@ -127,14 +129,18 @@
 	if err != nil {
 		return nil, s.Process, nil, err
 	}
-	client := &http.Client{Transport: wire.NewTransport(&wire.Traffic{})}
+	traffic := &wire.Traffic{}
+	client := &http.Client{Transport: wire.NewTransport(traffic)}
+	// The backend server is on the same VM and counts for no traffic.
+	beside := &http.Client{Transport: wire.NewTransport(&wire.Traffic{})}
 	a := agent.New(agent.Options{
 		Settings: s,
 		Store:    store(s.Process, client, metrics),
-		Engine:   engine.NewClient(s.Backend.URL, client),
+		Engine:   engine.NewClient(s.Backend.URL, beside),
 		Clock:    clock.Real{},
 		Log:      log,
 		Metrics:  metrics,
+		Traffic:  traffic,
 	})
 	return a, s.Process, log, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,8 @@
 	Clock    clock.Service
 	Log      *zap.Logger
 	Metrics  *telemetry.Metrics
+	// Traffic counts the bytes of control; the clients of the platform share it.
+	Traffic *wire.Traffic
 	// Policy changes how servers are chosen, for measurements; empty is the normal way.
 	Policy Policy
 }
@@ -42,6 +44,8 @@
 const (
 	PolicyDefault    Policy = ""
 	PolicyRoundRobin Policy = "round-robin"
+	// PolicyLeastOutstanding looks only at what this entry has sent.
+	PolicyLeastOutstanding Policy = "least-outstanding"
 )
 
 // An Entry is the process that callers and operators speak to.
@@ -63,7 +67,7 @@
 	tableLog  *table.Log
 	peers     *wire.Client
 	agents    *http.Client
-	traffic   wire.Traffic
+	traffic   *wire.Traffic
 	proxied   wire.Traffic
 	requests  *server.Listener
 	control   *server.Listener
@@ -84,11 +88,12 @@
 		clock:    o.Clock,
 		log:      o.Log,
 		metrics:  o.Metrics,
+		traffic:  o.Traffic,
 		policy:   o.Policy,
 	}
 	e.ctx, e.done = context.WithCancel(context.Background())
 	e.routes.Hall = o.Settings.Hall
-	e.peers = wire.NewClient(o.Settings.Secret, &e.traffic)
+	e.peers = wire.NewClient(o.Settings.Secret, e.traffic)
 	e.agents = &http.Client{Transport: wire.NewTransport(&e.proxied)}
 	e.members = newMembers(o.Settings.ID, o.Platform, o.Log)
 	e.tableLog = table.NewLog(o.Store, e.validate)
@@ -108,11 +113,11 @@
 	if e.requests, err = server.Listen(e.settings.Listen, e.requestRouter(), &e.proxied, e.log); err != nil {
 		return err
 	}
-	if e.control, err = server.Listen(e.settings.ControlListen, e.controlRouter(), &e.traffic, e.log); err != nil {
+	if e.control, err = server.Listen(e.settings.ControlListen, e.controlRouter(), e.traffic, e.log); err != nil {
 		return err
 	}
 	e.members.step(e.ctx)
-	e.subscribe(membersEvery, func(time.Time) { e.stepMembers() })
+	e.subscribe(e.settings.VMsEvery.Std(), func(time.Time) { e.stepMembers() })
 	e.subscribe(e.settings.SyncEvery.Std(), func(time.Time) { e.sync.step() })
 	e.claims.start()
 	e.planner.Start()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -45,7 +45,9 @@
 	tried map[string]string
 	// mayHaveRun tells that a server was lost that may have run the request.
 	mayHaveRun bool
-	finish     func(wire.Outcome)
+	// refusedByLeaver tells that a server refused because it is leaving.
+	refusedByLeaver bool
+	finish          func(wire.Outcome)
 }
 
 // forward answers a call that needs no claim.
@@ -91,7 +93,7 @@
 		if s, ok := d.choose(); ok {
 			return s, true
 		}
-		onItsWay := d.mayHaveRun || len(d.tried) == 0 && d.e.arriving(d.x.row.Name)
+		onItsWay := d.mayHaveRun || d.e.arriving(d.x.row.Name) && (len(d.tried) == 0 || d.refusedByLeaver)
 		if !onItsWay || !d.e.clock.Now().Before(deadline) {
 			return fleet.Server{}, false
 		}
@@ -103,11 +105,17 @@
 	}
 }
 
-// choose returns the best server not yet tried.
+// choose returns the best server not yet tried. One that is leaving is chosen
+// only when no other has the model or adapter; it decides itself whether it
+// still takes the request.
 func (d *delivery) choose() (fleet.Server, bool) {
 	servers := slices.DeleteFunc(slices.Clone(d.e.view.Serving(d.x.row.Name)), func(s fleet.Server) bool {
-		return d.tried[s.ID] == s.Incarnation || s.Leaving || d.e.members.isLeaving(s.ID) || d.e.routes.Leaving(s.ID, s.Incarnation)
+		return d.tried[s.ID] == s.Incarnation
 	})
+	staying := slices.DeleteFunc(slices.Clone(servers), d.leaving)
+	if len(staying) > 0 {
+		servers = staying
+	}
 	if len(servers) == 0 {
 		return fleet.Server{}, false
 	}
@@ -118,11 +126,22 @@
 	for i, s := range servers {
 		cands[i] = route.Candidate{ID: s.ID, Hall: s.Hall}
 	}
-	best := d.e.routes.Order(cands, d.x.prefix, d.e.clock.Now())[0]
+	best := d.first(cands)
 	i := slices.IndexFunc(servers, func(s fleet.Server) bool { return s.ID == best.ID })
 	return servers[i], true
 }
 
+func (d *delivery) first(cands []route.Candidate) route.Candidate {
+	if d.e.policy == PolicyLeastOutstanding {
+		return d.e.routes.Least(cands)
+	}
+	return d.e.routes.Order(cands, d.x.prefix, d.e.clock.Now())[0]
+}
+
+func (d *delivery) leaving(s fleet.Server) bool {
+	return s.Leaving || d.e.members.isLeaving(s.ID) || d.e.routes.Leaving(s.ID, s.Incarnation)
+}
+
 // arriving reports whether a server is loading the model or adapter.
 func (e *Entry) arriving(name string) bool {
 	return slices.ContainsFunc(e.view.Servers(), func(s fleet.Server) bool {
@@ -177,6 +196,7 @@
 	h.Set(wire.HeaderRow, d.x.row.Name)
 	h.Set(wire.HeaderTokens, strconv.Itoa(d.x.tokens))
 	h.Set(wire.HeaderTableVersion, strconv.FormatUint(d.e.replica.Current().Version(), 10))
+	h.Set(wire.HeaderEntry, d.e.ControlAddr())
 	h.Del(wire.HeaderResume)
 	if d.tokens > 0 {
 		h.Set(wire.HeaderResume, strconv.Itoa(d.tokens))
@@ -204,6 +224,7 @@
 		Code: resp.Header.Get(wire.HeaderReason), RetryAfter: wire.RetryAfter(resp.Header),
 	}
 	f.Message = "the request was not run: " + f.Code
+	d.refusedByLeaver = d.refusedByLeaver || resp.Header.Get(wire.HeaderLeaving) != ""
 	if d.refusal == nil || f.RetryAfter < d.refusal.RetryAfter {
 		d.refusal = f
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -5,16 +5,12 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
 	"rockcleat/internal/platform"
 )
 
-// membersEvery is the time between two looks at the platform's list.
-const membersEvery = 2 * time.Second
-
 // A vmLister reads the platform's list of VMs.
 type vmLister interface {
 	Changes(ctx context.Context, since uint64) (platform.VMList, error)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -29,6 +29,7 @@
 	server.RegisterHealth(r, e.ready, e.metrics)
 	own := r.Group("", server.RequireSecret(e.settings.Secret, e.metrics))
 	own.POST(wire.PathSync, e.sync.answer)
+	own.POST(wire.PathNudge, e.nudge)
 	own.POST(wire.PathClaim, e.claims.serveClaim)
 	own.POST(wire.PathClaimFinish, e.claims.serveFinish)
 	own.GET(wire.PathTable, e.showTable)
@@ -43,6 +44,15 @@
 	return r
 }
 
+func (e *Entry) nudge(c echo.Context) error {
+	var n wire.Nudge
+	if err := c.Bind(&n); err != nil {
+		return err
+	}
+	e.planner.Nudge(n.Server)
+	return c.NoContent(http.StatusOK)
+}
+
 // validate refuses tables whose models do not all fit the accelerators known.
 func (e *Entry) validate(next *table.Table) []table.CheckError {
 	sizes := e.planner.Sizes()
@@ -131,7 +141,7 @@
 		Entry: e.settings.ID, TableVersion: e.replica.Current().Version(), Cells: e.planner.Held(),
 		Servers: e.view.Servers(), Waiting: int(e.inFlight.Load()),
 	}
-	a.ControlRead, a.ControlSent = e.traffic.Bytes()
+	a.ControlBytes = e.traffic.WireBytes()
 	for _, vm := range e.members.all() {
 		a.VMs = append(a.VMs, wire.VMStatus{
 			ID: vm.ID, Role: string(vm.Role), Hall: vm.Hall, Addr: vm.Addr, State: string(vm.State),
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -103,9 +103,11 @@
 		return err
 	}
 	t := s.e.replica.Current()
-	return c.JSON(http.StatusOK, wire.SyncAnswer{
-		Table: t.Since(r.Table), Cells: s.e.view.Since(r.Cells), TableVersion: t.Version(),
-	})
+	a := wire.SyncAnswer{Table: t.Since(r.Table), TableVersion: t.Version()}
+	if !r.TableOnly {
+		a.Cells = s.e.view.Since(r.Cells)
+	}
+	return c.JSON(http.StatusOK, a)
 }
 
 // watchTable follows the table in the platform's service, if this entry is one
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,6 +70,9 @@
 	plan   *placement.Planner
 	loads  *rate.Limiter
 
+	// superseded tells that an agent knows a newer planner.
+	superseded atomic.Bool
+
 	mu       sync.Mutex
 	peers    map[string]*peer
 	pending  []pendingOrder
@@ -85,7 +89,7 @@
 	}
 	n := max(len(p.cells), 1)
 	c.plan = placement.NewPlanner(placement.Options{
-		Headroom: p.Settings.Headroom, Hold: p.Settings.Hold.Std(), MaxLoads: max(p.Settings.MaxLoads/n, 1),
+		Policy: placement.Policy(p.Settings.Policy), Headroom: p.Settings.Headroom, Hold: p.Settings.Hold.Std(), MaxLoads: max(p.Settings.MaxLoads/n, 1),
 	})
 	c.loads = rate.NewLimiter(rate.Limit(p.Settings.LoadsPerSecond/float64(n)), max(p.Settings.MaxLoads/n, 1))
 	old, _ := p.View.Cell(id)
@@ -98,25 +102,37 @@
 	return c
 }
 
-// step starts the exchanges that are due and makes a plan when it is time.
+// step starts the exchanges that are due and makes a plan when it is time. While
+// the lease has lapsed, because the service is out, it gives no orders and no
+// grants, but the table and the records go on travelling.
 func (c *cellPlanner) step(now time.Time, servers []string, vms map[string]platform.VM) {
-	if _, held := c.holder.Held(); !held {
+	if c.superseded.Load() {
 		return
 	}
+	_, held := c.holder.Held()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.follow(now, servers, vms)
-	if now.Sub(c.lastPlan) >= planEvery {
+	if held && now.Sub(c.lastPlan) >= planEvery {
 		c.lastPlan = now
 		c.makePlan(now)
 	}
 	for _, p := range c.peers {
 		if !p.inFlight && now.Sub(p.lastSent) >= c.interval(p) {
-			c.send(p, now)
+			c.send(p, held, now)
 		}
 	}
 }
 
+// nudge makes the next exchange with the server due, if it is of the cell.
+func (c *cellPlanner) nudge(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[server]; ok {
+		p.urgent = true
+	}
+}
+
 // interval returns the time between two exchanges with the agent.
 func (c *cellPlanner) interval(p *peer) time.Duration {
 	switch {
@@ -211,22 +227,26 @@
 	return true
 }
 
-// send starts one exchange; c.mu is held.
-func (c *cellPlanner) send(p *peer, now time.Time) {
+// send starts one exchange, with orders and grants only if the lease is held;
+// c.mu is held.
+func (c *cellPlanner) send(p *peer, held bool, now time.Time) {
 	t := c.Replica.Current()
 	x := wire.Exchange{
-		Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
-		TableVersion: t.Version(), Leaving: p.vm.State == platform.VMLeaving, Orders: p.orders,
-		Pauses: p.pauses,
+		From: c.Addr, Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
+		TableVersion: t.Version(), Leaving: p.vm.State == platform.VMLeaving,
+		Lapsed: !held, Pauses: p.pauses,
 	}
 	if p.known {
 		x.Table = t.Since(p.table)
 	}
-	if c.grants.knows(p.id) {
+	if held {
+		x.Orders, p.orders = p.orders, nil
+	}
+	if held && c.grants.knows(p.id) {
 		x.Grants = c.grants.next(p.id, t.Rows(), c.servers(), cellPart(c.id, c.cellIDs()), c.complete())
 		c.grants.sending(p.id, x.Grants)
 	}
-	p.orders, p.urgent, p.inFlight, p.lastSent = nil, false, true, now
+	p.urgent, p.inFlight, p.lastSent = false, true, now
 	go c.exchange(p, x)
 }
 
@@ -256,6 +276,7 @@
 		return
 	}
 	if a.Token > int64(c.token) {
+		c.superseded.Store(true)
 		c.Log.Warn("agent knows a newer planner", zap.String("server", p.id), zap.Int64("token", a.Token))
 		return
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -284,7 +284,8 @@
 func (p *Planner) stepLease(cell string, h *lease.Holder) {
 	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	defer cancel()
-	if err := h.Step(ctx); err != nil {
+	err := h.Step(ctx)
+	if err != nil {
 		p.Log.Debug("lease not renewed", zap.String("cell", cell), zap.Error(err))
 	}
 	token, held := h.Held()
@@ -297,7 +298,9 @@
 		p.Log.Info("planning cell", zap.String("cell", cell), zap.Int64("token", int64(token)))
 	case held && c.token != token:
 		p.active[cell] = newCellPlanner(p, cell, h, token)
-	case !held && ok:
+	case !held && ok && (err == nil || c.superseded.Load()):
+		// Without a word from the service the cell stays: nobody else can hold it
+		// either, and the table and the records still have to travel.
 		delete(p.active, cell)
 		p.Log.Info("no longer planning cell", zap.String("cell", cell))
 	}
@@ -315,6 +318,16 @@
 	}
 }
 
+// Nudge makes the next exchange with a backend server due.
+func (p *Planner) Nudge(server string) {
+	p.mu.Lock()
+	active := slices.Collect(maps.Values(p.active))
+	p.mu.Unlock()
+	for _, c := range active {
+		c.nudge(server)
+	}
+}
+
 // stepPlans lets each held cell exchange messages and plan.
 func (p *Planner) stepPlans(now time.Time) {
 	p.mu.Lock()
--- a/internal/proofs/harness_test.go
+++ b/internal/proofs/harness_test.go
@@ -122,6 +122,7 @@
 		e.Claims.LeaseTTL = config.Duration(2 * time.Second)
 		e.Claims.WritesPerSecond = 200
 		e.SyncEvery = config.Duration(200 * time.Millisecond)
+		e.VMsEvery = config.Duration(200 * time.Millisecond)
 		e.Limits.SilentTime = config.Duration(2 * time.Second)
 		e.LeaveTime = config.Duration(1500 * time.Millisecond)
 		if entry != nil {
@@ -388,8 +389,9 @@
 // each meets others before it, and at times itself.
 func (tr *trial) runSteps(steps []step) {
 	for _, s := range shuffled(tr, append(append([]step(nil), steps...), steps...)) {
-		tr.t.Log("fault:", s.name)
+		began := time.Now()
 		s.do()
+		tr.t.Logf("fault: %s (%.1fs)", s.name, time.Since(began).Seconds())
 	}
 	for _, s := range steps {
 		tr.fault("%s x2", s.name)
--- a/internal/proofs/once_test.go
+++ b/internal/proofs/once_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -387,6 +388,9 @@
 	}
 }
 
+// operatorPatience is how long an operator waits for one entry.
+const operatorPatience = time.Second
+
 // operator saves three edits, each under one id until its outcome is known.
 func (tr *trial) operator(o int, saved func(id string, v uint64)) {
 	for i := range 3 {
@@ -396,8 +400,11 @@
 		}
 		id := uuid.NewString()
 		var e table.Edit
+		tries := 0
 		tr.until("an edit's outcome is known", func() bool {
-			n := tr.liveEntry(o)
+			// A silent entry is left for the next one, as the command line does.
+			n := tr.liveEntry(o + tries)
+			tries++
 			if e.ID == "" {
 				r, ok := tr.rowNow(n, name)
 				if !ok {
@@ -406,19 +413,26 @@
 				r.Weight = r.Weight%1000 + 1
 				e = table.Edit{ID: id, Changes: []table.Change{{Name: name, Seen: r.Version, Row: &r}}}
 			}
-			v, err := tr.SaveEdit(tr.ctx, n, e)
+			ctx, cancel := context.WithTimeout(tr.ctx, operatorPatience)
+			defer cancel()
+			v, err := tr.SaveEdit(ctx, n, e)
 			if err == nil {
 				saved(id, v)
 				return true
 			}
+			if !isConflict(err) {
+				tr.t.Logf("edit %s of %s not saved yet: %v", id, name, err)
+			}
 			return isConflict(err)
 		})
 	}
 }
 
 func (tr *trial) rowNow(n *lab.Node, name string) (table.Row, bool) {
+	ctx, cancel := context.WithTimeout(tr.ctx, operatorPatience)
+	defer cancel()
 	var t wire.TableAnswer
-	if err := lab.Client().Call(tr.ctx, http.MethodGet, n.Control, wire.PathTable, nil, &t); err != nil {
+	if err := lab.Client().Call(ctx, http.MethodGet, n.Control, wire.PathTable, nil, &t); err != nil {
 		return table.Row{}, false
 	}
 	for _, r := range t.Rows {
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -28,6 +28,8 @@
 	HeaderLeaving = "Rockcleat-Leaving"
 	// HeaderTableVersion is the sender's table version.
 	HeaderTableVersion = "Rockcleat-Table"
+	// HeaderEntry is the control address of the entry that sent a request.
+	HeaderEntry = "Rockcleat-Entry"
 	// HeaderResume is the number of tokens that a resumed stream has already given.
 	HeaderResume = "Rockcleat-Resume"
 	// HeaderPriority is the priority given to an engine, higher first.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -11,6 +11,7 @@
 const (
 	PathExchange    = "/rockcleat/v1/exchange"
 	PathSync        = "/rockcleat/v1/sync"
+	PathNudge       = "/rockcleat/v1/nudge"
 	PathClaim       = "/rockcleat/v1/claim"
 	PathClaimFinish = "/rockcleat/v1/claim/finish"
 	PathTable       = "/rockcleat/v1/table"
@@ -29,8 +30,16 @@
 	Max int    `json:"max"`
 }
 
+// A Nudge asks a planner to exchange messages with a backend server's agent at
+// once, because something has changed there that cannot wait.
+type Nudge struct {
+	Server string `json:"server"`
+}
+
 // An Exchange is what a cell's planner sends to one of the cell's agents.
 type Exchange struct {
+	// From is the planner's control address.
+	From  string `json:"from"`
 	Cell  string `json:"cell"`
 	Token int64  `json:"token"`
 	// Incarnation is the agent's incarnation that the planner knows, empty at first;
@@ -42,7 +51,10 @@
 	TableVersion uint64       `json:"version"`
 	Table        *table.Delta `json:"table,omitempty"`
 	Leaving      bool         `json:"leaving,omitempty"`
-	// Pauses is the count of the agent\'s pauses that the planner knows.
+	// Lapsed tells that the planner's lease has lapsed: it has no orders, and the
+	// grants stay as they are.
+	Lapsed bool `json:"lapsed,omitempty"`
+	// Pauses is the count of the agent's pauses that the planner knows.
 	Pauses int                `json:"pauses,omitempty"`
 	Orders []placement.Order  `json:"orders,omitempty"`
 	Grants []ConcurrencyGrant `json:"grants,omitempty"`
@@ -67,7 +79,9 @@
 type SyncRequest struct {
 	From  string              `json:"from"`
 	Table uint64              `json:"table"`
-	Cells []fleet.CellVersion `json:"cells"`
+	Cells []fleet.CellVersion `json:"cells,omitempty"`
+	// TableOnly tells that the sender needs no servers' records.
+	TableOnly bool `json:"table_only,omitempty"`
 }
 
 // A SyncAnswer is the answer to a SyncRequest.
@@ -134,6 +148,7 @@
 	TableVersion uint64 `json:"table_version"`
 	Waiting      int    `json:"waiting"`
 	Running      int    `json:"running"`
+	ControlBytes int64  `json:"control_bytes"`
 }
 
 // A StatusAnswer is an entry's view of the whole system.
@@ -144,8 +159,8 @@
 	VMs          []VMStatus     `json:"vms"`
 	Servers      []fleet.Server `json:"servers"`
 	Waiting      int            `json:"requests_in_progress"`
-	ControlRead  int64          `json:"control_bytes_read"`
-	ControlSent  int64          `json:"control_bytes_written"`
+	// ControlBytes is what control has sent and received so far, headers included.
+	ControlBytes int64 `json:"control_bytes"`
 }
 
 // A Decision is one decision with its reason, for operators to ask for.
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -6,17 +6,28 @@
 	"sync/atomic"
 )
 
-// A Traffic counts the bytes that connections carry, HTTP headers included and
-// TCP and IP headers not.
+// A Traffic counts the bytes that connections carry, HTTP headers included.
 //
 // Its zero value is ready to use.
 type Traffic struct {
-	read    atomic.Int64
-	written atomic.Int64
+	bytes    atomic.Int64
+	segments atomic.Int64
 }
 
-// Bytes returns the bytes read and written so far.
-func (t *Traffic) Bytes() (read, written int64) { return t.read.Load(), t.written.Load() }
+// segmentOverhead is what each read or write of a connection adds on the wire, in
+// bytes: the TCP and IP headers of a segment and of its acknowledgement.
+const segmentOverhead = 2 * 52
+
+// WireBytes returns the bytes sent and received so far, with an allowance for TCP
+// and IP headers and acknowledgements.
+func (t *Traffic) WireBytes() int64 { return t.bytes.Load() + segmentOverhead*t.segments.Load() }
+
+func (t *Traffic) count(n int) {
+	t.bytes.Add(int64(n))
+	if n > 0 {
+		t.segments.Add(1)
+	}
+}
 
 // Dial is a dial function whose connections are counted.
 func (t *Traffic) Dial(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -54,12 +65,12 @@
 
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.traffic.read.Add(int64(n))
+	c.traffic.count(n)
 	return n, err
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.traffic.written.Add(int64(n))
+	c.traffic.count(n)
 	return n, err
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,8 +35,25 @@
 	Reason      string    `json:"reason"`
 }
 
+// A Policy names a way of deciding.
+type Policy string
+
+// The policies; all but the first are baselines for measurements.
+const (
+	// PolicyDemand is the normal way.
+	PolicyDemand Policy = ""
+	// PolicyStatic fills the memory with equally many copies of each row, whatever
+	// the demand, and moves nothing.
+	PolicyStatic Policy = "static"
+	// PolicyLRU adds a copy as soon as the ones there are busy and drops those
+	// asked for least recently, with no regard to what they cost.
+	PolicyLRU Policy = "lru"
+)
+
 // Options are the settings of a Planner.
 type Options struct {
+	// Policy is the way of deciding.
+	Policy Policy
 	// Headroom is the part of an accelerator's slots that a copy is planned to fill.
 	Headroom float64
 	// Hold is how long a copy stays after demand no longer justifies it; a longer
@@ -223,6 +240,9 @@
 		}
 		perCopy := s.opts.Headroom * float64(slots)
 		n := max(1, int(math.Ceil(total[r.Name]/perCopy)))
+		if s.opts.Policy == PolicyStatic {
+			n = s.evenCopies()
+		}
 		s.wanted[r.Name] = s.ownPart(r.Name, n)
 	}
 	for _, r := range s.in.Rows {
@@ -239,6 +259,22 @@
 	}
 }
 
+// evenCopies returns the copies of each row that the memory of all cells holds.
+func (s *plan) evenCopies() int {
+	need, have := 0, 0
+	for _, r := range s.in.Rows {
+		need += s.in.Sizes[r.Name].TotalMiB()
+	}
+	for _, c := range s.in.Cells {
+		for _, srv := range c.Servers {
+			for _, a := range srv.Accelerators {
+				have += a.MemoryMiB
+			}
+		}
+	}
+	return max(1, have/max(need, 1))
+}
+
 // totalDemand returns the demand by name, that of adapters counted for their
 // bases too.
 func (s *plan) totalDemand() map[string]float64 {
@@ -360,7 +396,9 @@
 			s.load(x, r, reason)
 			continue
 		}
-		s.makeRoom(r, "room for "+r.Name+": "+reason, s.opts.Hold)
+		if s.opts.Policy != PolicyStatic {
+			s.makeRoom(r, "room for "+r.Name+": "+reason, s.opts.Hold)
+		}
 	}
 }
 
@@ -446,7 +484,7 @@
 	if s.copies[name] <= 1 {
 		return false
 	}
-	if held == 0 {
+	if held == 0 || s.opts.Policy == PolicyLRU {
 		return true
 	}
 	since, ok := s.surplus[name]
