An agent that no planner speaks to asks for the table itself

Nobody could take the planner's lease, and no request came by that could have told the agent.

Ruled out: planners whose leases lapse (they go on spreading the table; this one was dead), and the catching up by requests (there were none in this proof).

Change: after 8 s without a planner an agent reads the platform's list and asks an entry for a newer table.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"rockcleat/fleet"
 	"rockcleat/internal/config"
 	"rockcleat/internal/engine"
+	"rockcleat/internal/platform"
 	"rockcleat/internal/server"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
@@ -42,14 +43,23 @@
 	Send(ctx context.Context, o engine.Order) error
 }
 
+// A VMLister reads the platform's list of VMs.
+type VMLister interface {
+	// Changes returns the VMs that changed in the list after the version.
+	Changes(ctx context.Context, since uint64) (platform.VMList, error)
+}
+
 // Options are what an Agent is made of.
 type Options struct {
 	Settings config.Agent
 	Store    kv.Store
 	Engine   Engine
-	Clock    clock.Service
-	Log      *zap.Logger
-	Metrics  *telemetry.Metrics
+	// VMs reads the platform's list; nil is none. An agent needs it only when no
+	// planner speaks to it.
+	VMs     VMLister
+	Clock   clock.Service
+	Log     *zap.Logger
+	Metrics *telemetry.Metrics
 	// Traffic counts the bytes of control; the clients of the platform share it.
 	Traffic *wire.Traffic
 }
@@ -65,6 +75,7 @@
 	settings    config.Agent
 	store       kv.Store
 	engine      Engine
+	vms         VMLister
 	clock       clock.Service
 	log         *zap.Logger
 	metrics     *telemetry.Metrics
@@ -95,6 +106,8 @@
 	leaving bool
 	// closeAt is when a leaving agent takes no new work any more.
 	closeAt time.Time
+	// exchanged is when a planner spoke last.
+	exchanged time.Time
 	// planner is the control address of the planner that spoke last.
 	planner string
 	// lastTick is when the queue's system last ran, and mistrust until when the
@@ -121,6 +134,7 @@
 		settings:    o.Settings,
 		store:       o.Store,
 		engine:      o.Engine,
+		vms:         o.VMs,
 		clock:       o.Clock,
 		log:         o.Log,
 		metrics:     o.Metrics,
@@ -155,6 +169,7 @@
 	}
 	a.subscribe(queueEvery, a.stepQueue)
 	a.subscribe(demandEvery, a.stepDemand)
+	a.subscribe(orphanEvery, a.stepOrphan)
 	if !a.isService() {
 		a.subscribe(statusEvery, a.stepStatus)
 		a.subscribe(armEvery, a.stepArm)
--- a/internal/agent/catchup.go
+++ b/internal/agent/catchup.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
+	"rockcleat/internal/platform"
 	"rockcleat/internal/wire"
 )
 
@@ -32,6 +35,41 @@
 	a.askTable(addr)
 }
 
+// Times of an agent that no planner speaks to.
+const (
+	orphanEvery = time.Second
+	// orphanAfter is the silence after which it asks an entry for the table by
+	// itself, so that an edit is in force here within the time promised.
+	orphanAfter = 8 * time.Second
+)
+
+// stepOrphan keeps the table new while no planner speaks to the agent, as when
+// its planner has died while the platform's key-value service is out.
+func (a *Agent) stepOrphan(now time.Time) {
+	a.mu.Lock()
+	silence := now.Sub(a.exchanged)
+	a.mu.Unlock()
+	if a.vms == nil || silence < orphanAfter || !a.catching.CompareAndSwap(false, true) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
+	defer cancel()
+	l, err := a.vms.Changes(ctx, 0)
+	if err != nil {
+		a.catching.Store(false)
+		a.log.Debug("list of VMs not read", zap.Error(err))
+		return
+	}
+	entries := slices.DeleteFunc(l.VMs, func(vm platform.VM) bool {
+		return vm.Role != platform.RoleEntry || vm.State != platform.VMLive
+	})
+	if len(entries) == 0 {
+		a.catching.Store(false)
+		return
+	}
+	a.askTable(entries[rand.IntN(len(entries))].Control)
+}
+
 func (a *Agent) askTable(addr string) {
 	defer a.catching.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -68,6 +68,7 @@
 	}
 	a.token = x.Token
 	a.planner = x.From
+	a.exchanged = a.clock.Now()
 	if x.Pauses == a.pauses {
 		a.mistrust = time.Time{}
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -127,6 +127,9 @@
 type Agent struct {
 	Process `yaml:",inline"`
 	Backend Backend `yaml:"backend"`
+	// VMs is the base URL of the platform's list, which the agent reads only when no
+	// planner speaks to it; it may be absent.
+	VMs string `yaml:"vms"`
 	// MaxWaiting bounds the waiting requests.
 	MaxWaiting int `yaml:"max_waiting"`
 	// FirstCome serves requests in the order of arrival; for measurements only.
@@ -243,6 +246,7 @@
 func (a *Agent) check(c *checker) {
 	a.Process.check(c)
 	a.Limits.check(c)
+	c.require(a.VMs == "" || isURL(a.VMs), "vms", "must be a URL, such as http://10.0.0.2:7001")
 	c.require(isURL(a.Backend.URL), "backend.url", "must be a URL, such as http://127.0.0.1:9000")
 	known := a.Backend.Kind == BackendEngine || a.Backend.Kind == BackendService
 	c.require(known, "backend.kind", "must be engine or service")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,8 +133,13 @@
 	client := &http.Client{Transport: wire.NewTransport(traffic)}
 	// The backend server is on the same VM and counts for no traffic.
 	beside := &http.Client{Transport: wire.NewTransport(&wire.Traffic{})}
+	var vms agent.VMLister
+	if s.VMs != "" {
+		vms = platform.NewClient(client, s.VMs, "")
+	}
 	a := agent.New(agent.Options{
 		Settings: s,
+		VMs:      vms,
 		Store:    store(s.Process, client, metrics),
 		Engine:   engine.NewClient(s.Backend.URL, beside),
 		Clock:    clock.Real{},
--- /dev/null
+++ b/internal/entry/relay_test.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/table"
+)
+
+func TestReadEvent(t *testing.T) {
+	tests := map[string]struct {
+		text   string
+		events []string
+		err    error
+	}{
+		"two events":        {"data: a\n\ndata: b\n\n", []string{"data: a\n\n", "data: b\n\n"}, errCut},
+		"carriage returns":  {"data: a\r\n\r\n", []string{"data: a\r\n\r\n"}, errCut},
+		"cut in an event":   {"data: a\n\ndata: b", []string{"data: a\n\n"}, errCut},
+		"cut before a line": {"data: a\n", nil, errCut},
+		"too long":          {"data: " + strings.Repeat("x", maxEvent+1) + "\n\n", nil, errTooLarge},
+		"comment":           {": hello\n\n", []string{": hello\n\n"}, errCut},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := bufio.NewReader(strings.NewReader(tc.text))
+			var events []string
+			for {
+				e, err := readEvent(r)
+				if err != nil {
+					assert.ErrorIs(t, err, tc.err)
+					break
+				}
+				events = append(events, string(e))
+			}
+			assert.DeepEqual(t, events, tc.events)
+		})
+	}
+}
+
+// FuzzReadEvent checks that the events read are the stream, in order, up to
+// where it was cut, and that none of them can be taken for the end mark falsely.
+func FuzzReadEvent(f *testing.F) {
+	f.Add([]byte("data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("\n\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReader(bytes.NewReader(data))
+		var all []byte
+		for {
+			e, err := readEvent(r)
+			if err != nil {
+				break
+			}
+			assert.Assert(t, len(e) > 0)
+			assert.Assert(t, !isDone(e) || !carriesToken(e))
+			all = append(all, e...)
+		}
+		assert.Assert(t, bytes.HasPrefix(data, all))
+	})
+}
+
+func TestServiceFor(t *testing.T) {
+	service := func(name, path string) table.Change {
+		r := table.NewRow(name)
+		r.Kind, r.Path = table.KindService, path
+		return table.Change{Name: name, Row: &r}
+	}
+	tab := (&table.Table{}).Apply(table.Edit{Changes: []table.Change{
+		service("renewals", "/renewals"), service("gifts", "/renewals/gifts"),
+	}}, 1)
+	tests := map[string]string{
+		"/renewals": "renewals", "/renewals/7": "renewals", "/renewals/gifts/1": "gifts", "/renewalsx": "", "/": "",
+	}
+	for path, want := range tests {
+		t.Run(path, func(t *testing.T) {
+			r, ok := serviceFor(tab, path)
+			assert.Equal(t, ok, want != "")
+			assert.Equal(t, r.Name, want)
+		})
+	}
+}
--- a/internal/lab/system.go
+++ b/internal/lab/system.go
@@ -239,7 +239,7 @@
 	if err := s.process(&a.Process, id, hall); err != nil {
 		return err
 	}
-	a.Backend.URL = b.URL
+	a.Backend.URL, a.VMs = b.URL, s.VMsURL
 	set(&a)
 	if s.opts.Agent != nil {
 		s.opts.Agent(&a)
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,124 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rockcleat/fleet"
+	"rockcleat/internal/platform"
+	"rockcleat/internal/standin/standintest"
+	"rockcleat/internal/wire"
+	"rockcleat/table"
+)
+
+// TestGrants moves grants about while messages and answers are lost, agents are
+// slow to give back what they use, and planners follow each other: the sum of
+// what agents believe never exceeds the row's limit.
+func TestGrants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 10
+		row := table.NewRow("m")
+		row.Concurrency = limit
+		ids := []string{"a", "b", "c"}
+		has := make(map[string]int)
+		running := make(map[string]int)
+		book := newGrantBook()
+		for range 60 {
+			if rapid.IntRange(0, 15).Draw(t, "planner dies") == 0 {
+				book = newGrantBook()
+			}
+			id := rapid.SampledFrom(ids).Draw(t, "agent")
+			running[id] = rapid.IntRange(0, has[id]).Draw(t, "running")
+			if book.knows(id) {
+				complete := book.knows("a") && book.knows("b") && book.knows("c")
+				g := book.next(id, []table.Row{row}, servers(t, ids), cellPart("c", []string{"c"}), complete)
+				book.sending(id, g)
+				if rapid.Bool().Draw(t, "arrives") {
+					has[id] = 0
+					for _, x := range g {
+						has[id] = x.Max
+					}
+				}
+			}
+			if rapid.Bool().Draw(t, "answer arrives") {
+				book.report(id, []wire.ConcurrencyGrant{{Row: "m", Max: max(has[id], running[id])}})
+			}
+			sum := 0
+			for _, id := range ids {
+				sum += max(has[id], running[id])
+			}
+			assert.Assert(t, sum <= limit, "the agents may run %d at once", sum)
+		}
+	})
+}
+
+// servers returns the agents' servers, of which some have the row ready.
+func servers(t *rapid.T, ids []string) []fleet.Server {
+	var all []fleet.Server
+	for _, id := range ids {
+		s := fleet.Server{ID: id}
+		if rapid.Bool().Draw(t, "ready") {
+			s.Residents = []fleet.Resident{{Name: "m", State: fleet.StateReady}}
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func vms(n int) []platform.VM {
+	var all []platform.VM
+	for i := range n {
+		all = append(all, platform.VM{ID: fmt.Sprintf("w%03d", i), Hall: fmt.Sprint(i % 5)})
+	}
+	return all
+}
+
+func TestCells(t *testing.T) {
+	const size = 24
+	tests := map[string]struct {
+		before, after, cells int
+	}{
+		"today":           {0, 21, 1},
+		"the letter":      {0, 730, 31},
+		"one more":        {24, 25, 2},
+		"some leave":      {48, 30, 2},
+		"all leave":       {30, 0, 0},
+		"nothing changes": {30, 30, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, _ := cellList{}.fit(vms(tc.before), size)
+			next, changed := l.fit(vms(tc.after), size)
+			assert.Equal(t, changed, tc.before != tc.after)
+			assert.Equal(t, len(next.Cells), tc.cells)
+			seen := make(map[string]bool)
+			for _, c := range next.Cells {
+				assert.Assert(t, len(c.Servers) <= size)
+				for _, s := range c.Servers {
+					assert.Assert(t, !seen[s])
+					seen[s] = true
+				}
+			}
+			assert.Equal(t, len(seen), tc.after)
+		})
+	}
+}
+
+// TestUpdateCellsRace lets two entries divide different lists: the second sees
+// the first one's division and no cell id is used twice.
+func TestUpdateCellsRace(t *testing.T) {
+	_, store := standintest.KV(t)
+	ctx := context.Background()
+	assert.NilError(t, updateCells(ctx, store, vms(30), 24))
+	assert.NilError(t, updateCells(ctx, store, vms(0), 24))
+	assert.NilError(t, updateCells(ctx, store, vms(30), 24))
+	e, err := store.Get(ctx, cellsKey)
+	assert.NilError(t, err)
+	l, err := decodeCells(e.Value)
+	assert.NilError(t, err)
+	assert.Equal(t, l.Cells[0].ID, "cell-2")
+}
--- a/internal/proofs/once_test.go
+++ b/internal/proofs/once_test.go
@@ -309,14 +309,17 @@
 	whole, _ := tr.checkChats()
 	tr.checkEffects()
 	refused := 0
+	reasons := make(map[string]int)
 	for _, s := range tr.all() {
 		switch {
 		case s.Outcome == wire.OutcomeNotRun:
 			refused++
+			reasons[s.Reason]++
 		case s.Outcome != wire.OutcomeAnswered || !s.Whole:
 			tr.violation("request %s was cut: status %d, outcome %q, %d of %d tokens, %v", s.ID, s.Status, s.Outcome, s.Tokens, s.tokens, s.Err)
 		}
 	}
+	tr.t.Logf("refused: %v", reasons)
 	tr.row.worst = fmt.Sprintf("%d whole streams, %d refused, longest stop %.1fs", whole, refused, worst.Seconds())
 }
 
