An agent that was told to leave by an old list stays when a later one says so

The logs of the three agents show each 'agent started' followed within 0.3 s by 'leaving: the platform's list says so': the list, which lags, still spoke of the VM's former life, and the agent left for good. All three did so in the end.

Ruled out: placement (no server was there to place on), the planner's lease.

Change: an exchange names the version of the list; a later version that does not say so takes the leaving back, under a new incarnation since entries mark the old one as leaving. An agent that stops by itself, or was superseded, leaves for good.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -104,6 +104,10 @@
 	unloads map[place]placement.Order
 	token   int64
 	leaving bool
+	// stopping tells that the agent leaves by its own stop, or because another has
+	// taken over, and listed which version of the list last said that it leaves.
+	stopping bool
+	listed   uint64
 	// closeAt is when a leaving agent takes no new work any more.
 	closeAt time.Time
 	// exchanged is when a planner spoke last.
@@ -207,6 +211,14 @@
 	a.nudgePlanner()
 }
 
+// LeaveForGood leaves whatever the platform's list says.
+func (a *Agent) LeaveForGood(reason string) {
+	a.Leave(reason)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopping = true
+}
+
 // closed reports whether the agent takes no new work any more; a.mu is held.
 func (a *Agent) closed() bool { return a.leaving && !a.clock.Now().Before(a.closeAt) }
 
@@ -232,7 +244,7 @@
 // Stop leaves, answers requests for the leave time, lets what runs end until ctx
 // does, and closes.
 func (a *Agent) Stop(ctx context.Context) error {
-	a.Leave("planned stop")
+	a.LeaveForGood("planned stop")
 	// One leave time to take what has nowhere else to go, one to refuse the rest
 	// with an answer.
 	server.Pause(ctx, 2*a.settings.LeaveTime.Std())
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -228,6 +228,38 @@
 	assert.DeepEqual(t, a.Grants, grants)
 }
 
+// TestListChangesItsMind tells an agent by an old list that it leaves, as when its
+// VM was replaced under the same name: a later list keeps it, its own stop does not.
+func TestListChangesItsMind(t *testing.T) {
+	tests := map[string]struct {
+		later   wire.Exchange
+		stop    bool
+		leaving bool
+	}{
+		"later list":             {later: wire.Exchange{List: 6}},
+		"same list":              {later: wire.Exchange{List: 5}, leaving: true},
+		"older list":             {later: wire.Exchange{List: 4}, leaving: true},
+		"later list says so too": {later: wire.Exchange{List: 6, Leaving: true}, leaving: true},
+		"own stop":               {later: wire.Exchange{List: 6}, stop: true, leaving: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			h := listenFor(t, f)
+			_, a := post(t, h, secret, wire.Exchange{Token: 1, List: 5, Leaving: true})
+			if tc.stop {
+				f.LeaveForGood("test")
+			}
+			tc.later.Token = 1
+			_, b := post(t, h, secret, tc.later)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			assert.Equal(t, f.leaving, tc.leaving)
+			assert.Equal(t, a.Incarnation != b.Incarnation, !tc.leaving)
+		})
+	}
+}
+
 // TestPausedAgent checks that an agent that was paused takes new work only when
 // a planner that knows of the pause has spoken to it.
 func TestPausedAgent(t *testing.T) {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -54,7 +54,7 @@
 		a.cancel(intents)
 		a.log.Warn("orders not given: intents not recorded", zap.Error(err))
 		if errors.Is(err, errSuperseded) {
-			a.Leave("superseded by another agent")
+			a.LeaveForGood("superseded by another agent")
 		}
 		return
 	}
@@ -148,7 +148,7 @@
 		result = "fenced"
 		a.cancel([]ledger.Intent{i})
 		a.record.superseded = true
-		a.Leave("the engine has seen a newer agent")
+		a.LeaveForGood("the engine has seen a newer agent")
 	case err != nil:
 		result = "unknown"
 		a.log.Warn("no answer to an order", zap.String("order", i.ID), zap.Error(err))
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -53,10 +53,13 @@
 	}
 }
 
-func (m *members) known() bool {
+func (m *members) known() bool { return m.Version() > 0 }
+
+// Version returns the version of the list as last read.
+func (m *members) Version() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.version > 0
+	return m.version
 }
 
 // all returns every listed VM.
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -234,7 +234,7 @@
 	x := wire.Exchange{
 		From: c.Addr, Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
 		TableVersion: t.Version(), Leaving: p.vm.State == platform.VMLeaving,
-		Lapsed: !held, Pauses: p.pauses,
+		List: c.Members.Version(), Lapsed: !held, Pauses: p.pauses,
 	}
 	if p.known {
 		x.Table = t.Since(p.table)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -41,6 +41,8 @@
 	Entries() []string
 	// Backends returns the backend servers' VMs that are not gone.
 	Backends() []platform.VM
+	// Version returns the version of the platform's list that this is.
+	Version() uint64
 }
 
 // Catalogue tells how large models and adapters are.
--- a/internal/proofs/harness_test.go
+++ b/internal/proofs/harness_test.go
@@ -145,7 +145,15 @@
 	t.Helper()
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), trialTime)
-	dir := t.TempDir()
+	dir, err := lab.TempDir()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("logs are kept in", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
 	o := lab.Small(binDir, dir)
 	o.VMLag = 200 * time.Millisecond
 	o.Engine.Step = 5 * time.Millisecond
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -50,7 +50,9 @@
 	// TableVersion is the planner's; an agent with a newer table ignores the orders.
 	TableVersion uint64       `json:"version"`
 	Table        *table.Delta `json:"table,omitempty"`
-	Leaving      bool         `json:"leaving,omitempty"`
+	// Leaving is what the platform's list of VMs says of the server in version List.
+	Leaving bool   `json:"leaving,omitempty"`
+	List    uint64 `json:"list,omitempty"`
 	// Lapsed tells that the planner's lease has lapsed: it has no orders, and the
 	// grants stay as they are.
 	Lapsed bool `json:"lapsed,omitempty"`
