--- a/claim/claim.go
+++ b/claim/claim.go
@@ -99,6 +99,7 @@
 	waiters []chan error
 	next    uint64
 	flushed time.Time
+	wake    chan struct{}
 
 	leaseID kv.LeaseID
 	granted time.Time
@@ -106,7 +107,17 @@
 
 // NewShard returns a Shard that is closed until Open succeeds.
 func NewShard(store kv.Store, c clock.Service, o Options) *Shard {
-	return &Shard{store: store, clock: c, opts: o}
+	return &Shard{store: store, clock: c, opts: o, wake: make(chan struct{}, 1)}
+}
+
+// Wake returns a channel that has a value when records wait to be written.
+func (s *Shard) Wake() <-chan struct{} { return s.wake }
+
+// Due returns how long to wait until Step may write again.
+func (s *Shard) Due() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.opts.FlushEvery-s.clock.Now().Sub(s.flushed), 0)
 }
 
 func (s *Shard) prefix() string { return fmt.Sprintf("claim/%04d/", s.opts.Index) }
@@ -239,6 +250,10 @@
 	s.pending = append(s.pending, r)
 	w := make(chan error, 1)
 	s.waiters = append(s.waiters, w)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 	return w
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -35,12 +36,14 @@
 // FreeMiB returns the memory that a new order may use.
 func (a Accelerator) FreeMiB() int { return a.MemoryMiB - a.ReservedMiB }
 
-// A Demand is a model's demand as seen by one backend server.
+// A Demand is a row's demand, as seen by one backend server or one cell.
 type Demand struct {
 	Name string `json:"name"`
 	// Level is the demand in steps of a factor, so that small changes are not sent;
-	// see placement.LevelOf.
+	// see placement.LevelOf. Level 0 is none.
 	Level int `json:"lvl"`
+	// Version is the cell's version that last changed a cell's demand.
+	Version uint64 `json:"v,omitempty"`
 }
 
 // A Server is the record of one backend server.
@@ -53,8 +56,10 @@
 	Slots        int           `json:"slots,omitempty"`
 	Accelerators []Accelerator `json:"accs,omitempty"`
 	Residents    []Resident    `json:"res,omitempty"`
-	Demand       []Demand      `json:"dem,omitempty"`
-	Leaving      bool          `json:"leaving,omitempty"`
+	// Demand is told by a server's agent to its planner only; a cell's demand
+	// travels by itself, since it changes far more often than what is resident.
+	Demand  []Demand `json:"dem,omitempty"`
+	Leaving bool     `json:"leaving,omitempty"`
 	// Gone tells that the server's VM has left the platform's list.
 	Gone bool `json:"gone,omitempty"`
 	// Version is the cell's version that last changed the record.
@@ -83,12 +88,42 @@
 	Version uint64 `json:"v"`
 }
 
+// A Digest tells how much of every cell a process knows.
+type Digest []CellVersion
+
+// MarshalJSON writes each version as [cell, epoch, version], which is short: a
+// digest goes with every request for news.
+func (d Digest) MarshalJSON() ([]byte, error) {
+	short := make([][]any, len(d))
+	for i, v := range d {
+		short[i] = []any{v.Cell, v.Epoch, v.Version}
+	}
+	return json.Marshal(short)
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (d *Digest) UnmarshalJSON(data []byte) error {
+	var short []json.RawMessage
+	if err := json.Unmarshal(data, &short); err != nil {
+		return err
+	}
+	*d = make(Digest, len(short))
+	for i, x := range short {
+		v := &(*d)[i]
+		if err := json.Unmarshal(x, &[]any{&v.Cell, &v.Epoch, &v.Version}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // A CellDelta carries the records of a cell that changed after a version.
 type CellDelta struct {
 	CellVersion
 	// Full tells that records not in Servers are no longer of the cell.
 	Full    bool     `json:"full,omitempty"`
-	Servers []Server `json:"servers"`
+	Servers []Server `json:"servers,omitempty"`
+	Demand  []Demand `json:"demand,omitempty"`
 }
 
 // A cell is one cell's records.
@@ -96,6 +131,7 @@
 	epoch   int64
 	version uint64
 	servers map[string]Server
+	demand  map[string]Demand
 }
 
 // A View is a process's knowledge of all cells; it is safe for concurrent use.
@@ -108,10 +144,10 @@
 }
 
 // Digest returns how much of each cell the view knows, in the order of cells.
-func (v *View) Digest() []CellVersion {
+func (v *View) Digest() Digest {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	digest := make([]CellVersion, 0, len(v.cells))
+	digest := make(Digest, 0, len(v.cells))
 	for id, c := range v.cells {
 		digest = append(digest, CellVersion{Cell: id, Epoch: c.epoch, Version: c.version})
 	}
@@ -120,7 +156,7 @@
 }
 
 // Since returns what a process with the given digest lacks of the view.
-func (v *View) Since(digest []CellVersion) []CellDelta {
+func (v *View) Since(digest Digest) []CellDelta {
 	known := make(map[string]CellVersion, len(digest))
 	for _, d := range digest {
 		known[d.Cell] = d
@@ -140,6 +176,11 @@
 				d.Servers = append(d.Servers, s)
 			}
 		}
+		for _, x := range c.demand {
+			if full || x.Version > k.Version {
+				d.Demand = append(d.Demand, x)
+			}
+		}
 		deltas = append(deltas, d)
 	}
 	return deltas
@@ -170,9 +211,13 @@
 	if !d.Full && (!ok || d.Epoch != c.epoch) {
 		return false
 	}
-	next := &cell{epoch: d.Epoch, version: d.Version, servers: make(map[string]Server)}
+	next := &cell{epoch: d.Epoch, version: d.Version, servers: make(map[string]Server), demand: make(map[string]Demand)}
 	if !d.Full {
 		maps.Copy(next.servers, c.servers)
+		maps.Copy(next.demand, c.demand)
+	}
+	for _, x := range d.Demand {
+		next.demand[x.Name] = x
 	}
 	for _, s := range d.Servers {
 		next.servers[s.ID] = s
@@ -232,6 +277,17 @@
 	return all
 }
 
+// Demand returns the demand of one cell.
+func (v *View) Demand(id string) []Demand {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	c, ok := v.cells[id]
+	if !ok {
+		return nil
+	}
+	return slices.Collect(maps.Values(c.demand))
+}
+
 // Cell returns the records of one cell, gone ones included, and its version.
 func (v *View) Cell(id string) ([]Server, CellVersion) {
 	v.mu.RLock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -46,6 +47,25 @@
 	}
 }
 
+// TestOnTheWire checks that digests and deltas are read as they were written.
+func TestOnTheWire(t *testing.T) {
+	var v fleet.View
+	d := delta(2, 5, true, srv("a", 4))
+	d.Demand = []fleet.Demand{{Name: "m", Level: 3, Version: 5}}
+	v.Merge([]fleet.CellDelta{d})
+	data, err := json.Marshal(v.Digest())
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), `[["c",2,5]]`)
+	var digest fleet.Digest
+	assert.NilError(t, json.Unmarshal(data, &digest))
+	assert.DeepEqual(t, digest, v.Digest())
+	data, err = json.Marshal(v.Since(nil))
+	assert.NilError(t, err)
+	var deltas []fleet.CellDelta
+	assert.NilError(t, json.Unmarshal(data, &deltas))
+	assert.DeepEqual(t, deltas, []fleet.CellDelta{d})
+}
+
 // TestViewsConverge lets views that each saw a part of a planner's deltas ask
 // each other in random order: they end equal.
 func TestViewsConverge(t *testing.T) {
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -15,6 +15,7 @@
 
 	"rockcleat/claim"
 	"rockcleat/internal/planner"
+	"rockcleat/internal/server"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
@@ -26,7 +27,6 @@
 // Times of claims.
 const (
 	claimTimeout   = 2 * time.Second
-	claimStep      = 5 * time.Millisecond
 	ownerMemory    = 500 * time.Millisecond
 	claimLeasePart = 3
 )
@@ -84,17 +84,18 @@
 	go c.stepLeases()
 }
 
+// run writes the shard's records when there are some, no more often than the
+// shard's part of the write rate allows.
 func (c *claims) run(i int) {
 	defer c.wg.Done()
-	tick := time.NewTicker(claimStep)
-	defer tick.Stop()
 	for {
 		select {
-		case <-tick.C:
-			c.flush(i)
+		case <-c.shards[i].Wake():
 		case <-c.e.ctx.Done():
 			return
 		}
+		server.Pause(c.e.ctx, c.shards[i].Due())
+		c.flush(i)
 	}
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -139,9 +139,12 @@
 func (e *Entry) status(c echo.Context) error {
 	a := wire.StatusAnswer{
 		Entry: e.settings.ID, TableVersion: e.replica.Current().Version(), Cells: e.planner.Held(),
-		Servers: e.view.Servers(), Waiting: int(e.inFlight.Load()),
+		Waiting: int(e.inFlight.Load()), ControlBytes: e.traffic.WireBytes(),
 	}
-	a.ControlBytes = e.traffic.WireBytes()
+	if c.QueryParam("brief") != "" {
+		return c.JSON(http.StatusOK, a)
+	}
+	a.Servers = e.view.Servers()
 	for _, vm := range e.members.all() {
 		a.VMs = append(a.VMs, wire.VMStatus{
 			ID: vm.ID, Role: string(vm.Role), Hall: vm.Hall, Addr: vm.Addr, State: string(vm.State),
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -24,8 +24,10 @@
 
 // Times of a cell's planning.
 const (
-	// planEvery is the time between two plans.
-	planEvery = 500 * time.Millisecond
+	// planEvery is the time between two plans after the cell's own records have
+	// changed, idlePlanEvery the time between others.
+	planEvery     = 500 * time.Millisecond
+	idlePlanEvery = 2 * time.Second
 	// busyEvery is the time between two exchanges with an agent that is loading,
 	// unloading or has been given an order.
 	busyEvery = 500 * time.Millisecond
@@ -43,6 +45,7 @@
 	id       string
 	vm       platform.VM
 	record   fleet.Server
+	demand   []fleet.Demand
 	known    bool
 	seen     uint64
 	pauses   int
@@ -79,6 +82,8 @@
 	grants   *grantBook
 	version  uint64
 	lastPlan time.Time
+	// planned is the cell's version at the last plan.
+	planned uint64
 }
 
 // newCellPlanner takes the cell over with the records that its last planner
@@ -113,9 +118,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.follow(now, servers, vms)
-	if held && now.Sub(c.lastPlan) >= planEvery {
-		c.lastPlan = now
+	if held && now.Sub(c.lastPlan) >= c.planInterval() {
 		c.makePlan(now)
+		c.lastPlan, c.planned = now, c.version
 	}
 	for _, p := range c.peers {
 		if !p.inFlight && now.Sub(p.lastSent) >= c.interval(p) {
@@ -124,6 +129,14 @@
 	}
 }
 
+// planInterval returns the time between two plans; c.mu is held.
+func (c *cellPlanner) planInterval() time.Duration {
+	if c.planned != c.version || len(c.pending) > 0 {
+		return planEvery
+	}
+	return min(idlePlanEvery, c.Settings.ExchangeEvery.Std())
+}
+
 // nudge makes the next exchange with the server due, if it is of the cell.
 func (c *cellPlanner) nudge(server string) {
 	c.mu.Lock()
@@ -300,10 +313,14 @@
 	// A table that the agent lacks and orders for a new incarnation are sent at once.
 	p.urgent = p.urgent || first || a.Incarnation != p.record.Incarnation
 	p.seen = a.RecordSeen
-	p.record = *a.Server
+	next := *a.Server
+	p.demand, next.Demand = next.Demand, nil
 	// The platform's list says where the server is reached.
-	p.record.Addr = p.vm.Addr
-	c.publish(p.record)
+	next.Addr = p.vm.Addr
+	if !next.Same(p.record) {
+		p.record = next
+		c.publish(p.record)
+	}
 	c.dropSeen(p)
 }
 
@@ -332,13 +349,17 @@
 		return
 	}
 	c.pending = slices.DeleteFunc(c.pending, func(o pendingOrder) bool { return now.Sub(o.at) > orderMemory })
+	own := c.publishDemand()
 	in := placement.Input{Cell: c.id, Rows: placeable(c.Replica.Current(), sizes), Sizes: sizes, Now: now}
 	for _, id := range c.cellIDs() {
 		servers, _ := c.View.Cell(id)
+		x := placement.Cell{ID: id, Servers: servers, Demand: own}
 		if id == c.id {
-			servers = c.withPending(servers)
+			x.Servers = c.withPending(servers)
+		} else {
+			x.Demand = slotsOf(c.View.Demand(id))
 		}
-		in.Cells = append(in.Cells, placement.Cell{ID: id, Servers: servers})
+		in.Cells = append(in.Cells, x)
 	}
 	for _, o := range c.plan.Plan(in) {
 		if o.Op == ledger.OpLoad && !c.loads.AllowN(now, 1) {
@@ -348,6 +369,55 @@
 	}
 }
 
+// slotsOf returns demands in busy slots by row.
+func slotsOf(demand []fleet.Demand) map[string]float64 {
+	slots := make(map[string]float64)
+	for _, d := range demand {
+		slots[d.Name] += placement.DemandOf(d.Level)
+	}
+	return slots
+}
+
+// demandStep is by how many levels a row's demand must change to be published.
+const demandStep = 2
+
+// publishDemand adds up the agents' demand, publishes what has changed much, and
+// returns the sums; c.mu is held.
+func (c *cellPlanner) publishDemand() map[string]float64 {
+	own := make(map[string]float64)
+	for _, p := range c.peers {
+		if p.record.Gone {
+			continue
+		}
+		for name, slots := range slotsOf(p.demand) {
+			own[name] += slots
+		}
+	}
+	before := make(map[string]int)
+	for _, d := range c.View.Demand(c.id) {
+		before[d.Name] = d.Level
+	}
+	var changed []fleet.Demand
+	for name, slots := range own {
+		level := placement.LevelOf(slots)
+		if diff := level - before[name]; diff >= demandStep || -diff >= demandStep || before[name] == 0 && level > 0 {
+			changed = append(changed, fleet.Demand{Name: name, Level: level, Version: c.version + 1})
+		}
+	}
+	for name, level := range before {
+		if _, has := own[name]; !has && level > 0 {
+			changed = append(changed, fleet.Demand{Name: name, Version: c.version + 1})
+		}
+	}
+	if len(changed) > 0 {
+		c.version++
+		c.View.Merge([]fleet.CellDelta{{
+			CellVersion: fleet.CellVersion{Cell: c.id, Epoch: int64(c.token), Version: c.version}, Demand: changed,
+		}})
+	}
+	return own
+}
+
 // placeable returns the rows that the weight store holds.
 func placeable(t *table.Table, sizes map[string]placement.Size) []table.Row {
 	return slices.DeleteFunc(t.Rows(), func(r table.Row) bool {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -79,9 +79,9 @@
 
 // A SyncRequest asks an entry for what the sender lacks.
 type SyncRequest struct {
-	From  string              `json:"from"`
-	Table uint64              `json:"table"`
-	Cells []fleet.CellVersion `json:"cells,omitempty"`
+	From  string       `json:"from"`
+	Table uint64       `json:"table"`
+	Cells fleet.Digest `json:"cells,omitempty"`
 	// TableOnly tells that the sender needs no servers' records.
 	TableOnly bool `json:"table_only,omitempty"`
 }
@@ -158,8 +158,8 @@
 	Entry        string         `json:"entry"`
 	TableVersion uint64         `json:"table_version"`
 	Cells        []string       `json:"cells_planned_here"`
-	VMs          []VMStatus     `json:"vms"`
-	Servers      []fleet.Server `json:"servers"`
+	VMs          []VMStatus     `json:"vms,omitempty"`
+	Servers      []fleet.Server `json:"servers,omitempty"`
 	Waiting      int            `json:"requests_in_progress"`
 	// ControlBytes is what control has sent and received so far, headers included.
 	ControlBytes int64 `json:"control_bytes"`
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,33 +87,37 @@
 type Cell struct {
 	ID      string
 	Servers []fleet.Server
+	// Demand is the cell's demand by row, in busy slots.
+	Demand map[string]float64
 }
 
-// copies returns how many copies of the name the cell holds.
-func (c Cell) copies(name string) int {
-	n := 0
+// A census is what a plan counts of one cell, once for all rows.
+type census struct {
+	id string
+	// copies holds the copies of each name that are there to stay.
+	copies map[string]int
+	// largest is the largest memory free on one accelerator, in MiB.
+	largest int
+}
+
+func (c Cell) census() census {
+	n := census{id: c.ID, copies: make(map[string]int)}
 	for _, s := range c.Servers {
 		if s.Gone || s.Leaving {
 			continue
 		}
 		for _, r := range s.Residents {
-			if r.Name == name && r.State != fleet.StateUnloading {
-				n++
+			if r.State != fleet.StateUnloading {
+				n.copies[r.Name]++
 			}
 		}
+		for _, a := range s.Accelerators {
+			n.largest = max(n.largest, a.FreeMiB())
+		}
 	}
 	return n
 }
 
-// roomy reports whether an accelerator of the cell has the memory free.
-func (c Cell) roomy(mib int) bool {
-	return slices.ContainsFunc(c.Servers, func(s fleet.Server) bool {
-		return !s.Gone && !s.Leaving && slices.ContainsFunc(s.Accelerators, func(a fleet.Accelerator) bool {
-			return a.FreeMiB() >= mib
-		})
-	})
-}
-
 // A Planner makes plans for one cell and remembers what hysteresis needs; it is
 // not safe for concurrent use.
 type Planner struct {
@@ -155,7 +159,10 @@
 	accs   []*acc
 	demand map[string]float64
 	copies map[string]int
-	loads  int
+	// adapters lists the adapters of each model.
+	adapters map[string][]string
+	census   []census
+	loads    int
 	// stale marks rows that the table no longer holds.
 	wanted map[string]int
 	orders []Order
@@ -163,7 +170,10 @@
 
 // Plan returns the orders to give now, the most urgent first.
 func (p *Planner) Plan(in Input) []Order {
-	s := &plan{Planner: p, in: in, demand: make(map[string]float64), copies: make(map[string]int)}
+	s := &plan{
+		Planner: p, in: in, demand: make(map[string]float64), copies: make(map[string]int),
+		adapters: make(map[string][]string),
+	}
 	s.survey()
 	s.decideWanted()
 	s.dropUnlisted()
@@ -175,10 +185,16 @@
 
 // survey counts copies and demand from the servers' records.
 func (s *plan) survey() {
+	for _, r := range s.in.Rows {
+		if r.Kind == table.KindAdapter {
+			s.adapters[r.Base] = append(s.adapters[r.Base], r.Name)
+		}
+	}
 	for _, c := range s.in.Cells {
-		for i := range c.Servers {
-			s.addDemand(c.Servers[i])
+		for name, slots := range c.Demand {
+			s.demand[name] += slots
 		}
+		s.census = append(s.census, c.census())
 		if c.ID == s.in.Cell {
 			s.surveyOwn(c)
 		}
@@ -201,15 +217,6 @@
 	}
 }
 
-func (s *plan) addDemand(srv fleet.Server) {
-	if srv.Gone {
-		return
-	}
-	for _, d := range srv.Demand {
-		s.demand[d.Name] += DemandOf(d.Level)
-	}
-}
-
 func (s *plan) addAccelerators(srv *fleet.Server) {
 	for i, a := range srv.Accelerators {
 		x := &acc{server: srv, index: i, free: a.FreeMiB(), slots: srv.Slots, members: make(map[string]fleet.State)}
@@ -293,20 +300,20 @@
 // same records agree without asking each other.
 func (s *plan) ownPart(name string, n int) int {
 	key := route.Hash(name)
-	cells := slices.SortedFunc(slices.Values(s.in.Cells), func(a, b Cell) int {
-		return cmp.Compare(route.Rendezvous(b.ID, key), route.Rendezvous(a.ID, key))
+	cells := slices.SortedFunc(slices.Values(s.census), func(a, b census) int {
+		return cmp.Compare(route.Rendezvous(b.id, key), route.Rendezvous(a.id, key))
 	})
 	own := 0
 	for _, c := range cells {
-		part := min(c.copies(name), n)
+		part := min(c.copies[name], n)
 		n -= part
-		if c.ID == s.in.Cell {
+		if c.id == s.in.Cell {
 			own += part
 		}
 	}
 	takers := s.takers(cells, name)
 	for i := range n {
-		if takers[i%len(takers)].ID == s.in.Cell {
+		if takers[i%len(takers)].id == s.in.Cell {
 			own++
 		}
 	}
@@ -314,9 +321,9 @@
 }
 
 // takers returns the cells with room for the name, or all if none has.
-func (s *plan) takers(cells []Cell, name string) []Cell {
+func (s *plan) takers(cells []census, name string) []census {
 	mib := s.in.Sizes[name].TotalMiB()
-	roomy := slices.DeleteFunc(slices.Clone(cells), func(c Cell) bool { return !c.roomy(mib) })
+	roomy := slices.DeleteFunc(slices.Clone(cells), func(c census) bool { return c.largest < mib })
 	if len(roomy) == 0 {
 		return cells
 	}
@@ -493,15 +500,10 @@
 
 // carries reports whether an adapter on the accelerator needs the model there.
 func (s *plan) carries(x *acc, name string) bool {
-	for _, r := range s.in.Rows {
-		if r.Kind != table.KindAdapter || r.Base != name {
-			continue
-		}
-		if _, has := x.members[r.Name]; has {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.adapters[name], func(adapter string) bool {
+		_, has := x.members[adapter]
+		return has
+	})
 }
 
 // trackSurplus remembers since when each name has had more copies than wanted.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -49,8 +49,14 @@
 }
 
 func input(rows []table.Row, sizes map[string]placement.Size, servers ...fleet.Server) placement.Input {
+	demand := make(map[string]float64)
+	for _, s := range servers {
+		for _, d := range s.Demand {
+			demand[d.Name] += placement.DemandOf(d.Level)
+		}
+	}
 	return placement.Input{
-		Cell: "c", Cells: []placement.Cell{{ID: "c", Servers: servers}}, Rows: rows, Sizes: sizes, Now: start,
+		Cell: "c", Cells: []placement.Cell{{ID: "c", Servers: servers, Demand: demand}}, Rows: rows, Sizes: sizes, Now: start,
 	}
 }
 
--- a/table/table.go
+++ b/table/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 )
 
 // maxRemovals bounds the removals that a table remembers for deltas.
@@ -22,6 +23,8 @@
 	floor    uint64
 	rows     map[string]Row
 	removals []Removal
+	sort     sync.Once
+	sorted   []Row
 }
 
 // Version returns the table's version.
@@ -38,7 +41,8 @@
 
 // Rows returns all rows in the order of their names.
 func (t *Table) Rows() []Row {
-	return slices.SortedFunc(maps.Values(t.rows), compareNames)
+	t.sort.Do(func() { t.sorted = slices.SortedFunc(maps.Values(t.rows), compareNames) })
+	return slices.Clone(t.sorted)
 }
 
 // A Change sets or removes one row.
--- a/tools/lab/slopes.go
+++ b/tools/lab/slopes.go
@@ -26,10 +26,17 @@
 
 // Times of one measurement.
 const (
-	settleTime  = 6 * time.Second
-	windowTime  = 15 * time.Second
+	settleTime  = 8 * time.Second
+	windowTime  = 12 * time.Second
 	clockTicks  = 100.0 // jiffies a second, as Linux reports them
-	requestRate = 50    // requests a second where requests are the variable
+	startLimit  = time.Minute
+	requestRate = 50 // requests a second where requests are the variable
+)
+
+// Intervals at the letter's size, longer than the defaults, which suit today's.
+const (
+	sizeExchange = 10 * time.Second
+	sizeSync     = 1500 * time.Millisecond
 )
 
 // A setup is one system whose control is measured.
@@ -134,6 +141,7 @@
 		config.Defaults(&fresh)
 		e.Planner, e.Claims, e.Log = fresh.Planner, fresh.Claims, fresh.Log
 		e.Planner.CellSize = s.cell
+		e.Planner.ExchangeEvery, e.SyncEvery = config.Duration(sizeExchange), config.Duration(sizeSync)
 		e.Planner.MaxLoads, e.Planner.LoadsPerSecond = 100, 200
 	}
 	o.Agent = func(a *config.Agent) { a.Log.Level = "info" }
@@ -141,14 +149,20 @@
 }
 
 func measure(ctx context.Context, bin, dir string, s setup) (sample, error) {
-	sys, err := lab.Start(ctx, s.options(bin, dir))
+	startCtx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	sys, err := lab.Start(startCtx, s.options(bin, dir))
 	if err != nil {
 		return sample{}, err
 	}
 	defer sys.Stop()
 	m := sample{setup: s}
+	ed, err := newEditor(ctx, sys)
+	if err != nil {
+		return m, err
+	}
 	wait(ctx, settleTime)
-	stop := s.work(ctx, sys, &m)
+	stop := s.work(ctx, sys, ed)
 	before, err := takeReadings(ctx, sys)
 	if err != nil {
 		return m, err
@@ -165,7 +179,10 @@
 	seconds := after.at.Sub(before.at).Seconds()
 	m.reads = float64(after.kv.Reads-before.kv.Reads) / seconds
 	m.writes = float64(after.kv.Writes-before.kv.Writes) / seconds
-	return m, nil
+	if s.editEvery > 0 {
+		m.spread, err = ed.timeSpread(ctx)
+	}
+	return m, err
 }
 
 func wait(ctx context.Context, d time.Duration) {
@@ -176,7 +193,7 @@
 }
 
 // work makes the edits or requests that a setup measures until stop is called.
-func (s setup) work(ctx context.Context, sys *lab.System, m *sample) (stop func()) {
+func (s setup) work(ctx context.Context, sys *lab.System, ed *editor) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	run := func(every time.Duration, f func(i int)) {
@@ -196,7 +213,11 @@
 		}()
 	}
 	if s.editEvery > 0 {
-		run(s.editEvery, func(i int) { m.spread = max(m.spread, editOnce(ctx, sys, i)) })
+		run(s.editEvery, func(i int) {
+			if _, err := ed.save(ctx, i); err != nil && ctx.Err() == nil {
+				fmt.Println("slopes: edit not saved:", err)
+			}
+		})
 	}
 	if s.requests {
 		caller := lab.NewCaller()
@@ -215,21 +236,50 @@
 	}
 }
 
-// editOnce saves one edit and returns how long it took to be in force everywhere.
-func editOnce(ctx context.Context, sys *lab.System, i int) time.Duration {
+// An editor saves edits and remembers the rows' versions, so that it reads
+// nothing while the costs are measured.
+type editor struct {
+	sys  *lab.System
+	rows []table.Row
+}
+
+func newEditor(ctx context.Context, sys *lab.System) (*editor, error) {
 	var t wire.TableAnswer
-	n := sys.Entries[0]
-	if lab.Client().Call(ctx, http.MethodGet, n.Control, wire.PathTable, nil, &t) != nil {
-		return 0
-	}
-	r := t.Rows[i%len(t.Rows)]
+	err := lab.Client().Call(ctx, http.MethodGet, sys.Entries[0].Control, wire.PathTable, nil, &t)
+	return &editor{sys: sys, rows: t.Rows}, err
+}
+
+// save saves the i-th edit and returns the version that holds it.
+func (e *editor) save(ctx context.Context, i int) (uint64, error) {
+	r := &e.rows[i%len(e.rows)]
 	r.Weight = r.Weight%1000 + 1
-	began := time.Now()
-	v, err := sys.Save(ctx, []table.Change{{Name: r.Name, Seen: r.Version, Row: &r}})
-	if err != nil || sys.AwaitVersion(ctx, v) != nil {
-		return 0
+	next := *r
+	v, err := e.sys.Save(ctx, []table.Change{{Name: r.Name, Seen: r.Version, Row: &next}})
+	if err == nil {
+		r.Version = v
+	}
+	return v, err
+}
+
+// spreadEdits is the number of edits whose spread is timed.
+const spreadEdits = 10
+
+// timeSpread returns the longest time from an edit's saving until it is in force
+// on every VM.
+func (e *editor) timeSpread(ctx context.Context) (time.Duration, error) {
+	var worst time.Duration
+	for i := range spreadEdits {
+		v, err := e.save(ctx, i)
+		if err != nil {
+			return 0, err
+		}
+		began := time.Now()
+		if err := e.sys.AwaitVersion(ctx, v); err != nil {
+			return 0, err
+		}
+		worst = max(worst, time.Since(began))
 	}
-	return time.Since(began)
+	return worst, nil
 }
 
 // A reading is what one process has spent so far.
@@ -250,7 +300,8 @@
 func takeReadings(ctx context.Context, sys *lab.System) (readings, error) {
 	r := readings{all: make(map[string]reading)}
 	for _, e := range sys.Entries {
-		st, err := sys.Status(ctx, e, false)
+		var st wire.StatusAnswer
+		err := lab.Client().Call(ctx, http.MethodGet, e.Control, wire.PathStatus+"?brief=1", nil, &st)
 		if err != nil {
 			return r, err
 		}
