Agents ask for the table by themselves only after a missed exchange

Change: after 12 s. Placement is split into its survey, its moves and relocation, with no change in what it does.

--- a/internal/agent/catchup.go
+++ b/internal/agent/catchup.go
@@ -39,8 +39,9 @@
 const (
 	orphanEvery = time.Second
 	// orphanAfter is the silence after which it asks an entry for the table by
-	// itself, so that an edit is in force here within the time promised.
-	orphanAfter = 8 * time.Second
+	// itself. It is longer than the longest time between two exchanges, and short
+	// enough for an edit to be in force here within the 14 s promised.
+	orphanAfter = 12 * time.Second
 )
 
 // stepOrphan keeps the table new while no planner speaks to the agent, as when
--- /dev/null
+++ b/placement/survey.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"rockcleat/fleet"
+	"rockcleat/route"
+	"rockcleat/table"
+)
+
+// A census is what a plan counts of one cell, once for all rows.
+type census struct {
+	id string
+	// copies holds the copies of each name that are there to stay.
+	copies map[string]int
+	// largest is the largest memory free on one accelerator, in MiB.
+	largest int
+}
+
+func (c Cell) census() census {
+	n := census{id: c.ID, copies: make(map[string]int)}
+	for _, s := range c.Servers {
+		if s.Gone || s.Leaving {
+			continue
+		}
+		for _, r := range s.Residents {
+			if r.State != fleet.StateUnloading {
+				n.copies[r.Name]++
+			}
+		}
+		for _, a := range s.Accelerators {
+			n.largest = max(n.largest, a.FreeMiB())
+		}
+	}
+	return n
+}
+
+// survey counts copies and demand from the servers' records.
+func (s *plan) survey() {
+	for _, r := range s.in.Rows {
+		if r.Kind == table.KindAdapter {
+			s.adapters[r.Base] = append(s.adapters[r.Base], r.Name)
+		}
+	}
+	for _, c := range s.in.Cells {
+		for name, slots := range c.Demand {
+			s.demand[name] += slots
+		}
+		s.census = append(s.census, c.census())
+		if c.ID == s.in.Cell {
+			s.surveyOwn(c)
+		}
+	}
+}
+
+// surveyOwn counts the copies and the room of the planner's own cell.
+func (s *plan) surveyOwn(c Cell) {
+	for i := range c.Servers {
+		srv := &c.Servers[i]
+		for _, r := range srv.Residents {
+			if r.State == fleet.StateLoading {
+				s.loads++
+			}
+		}
+		if srv.Gone || srv.Leaving {
+			continue
+		}
+		s.addAccelerators(srv)
+	}
+}
+
+func (s *plan) addAccelerators(srv *fleet.Server) {
+	for i, a := range srv.Accelerators {
+		x := &acc{server: srv, index: i, free: a.FreeMiB(), slots: srv.Slots, members: make(map[string]fleet.State)}
+		for _, r := range srv.Residents {
+			if r.Accelerator != i {
+				continue
+			}
+			x.members[r.Name] = r.State
+			if r.State != fleet.StateUnloading {
+				s.copies[r.Name]++
+			}
+		}
+		s.accs = append(s.accs, x)
+	}
+}
+
+// decideWanted sets how many copies of each name the cell should hold.
+func (s *plan) decideWanted() {
+	s.wanted = make(map[string]int)
+	total := s.totalDemand()
+	slots := 1
+	for _, a := range s.accs {
+		slots = max(slots, a.slots)
+	}
+	for _, r := range s.in.Rows {
+		if r.Kind == table.KindService {
+			continue
+		}
+		perCopy := s.opts.Headroom * float64(slots)
+		n := max(1, int(math.Ceil(total[r.Name]/perCopy)))
+		if s.opts.Policy == PolicyStatic {
+			n = s.evenCopies()
+		}
+		s.wanted[r.Name] = s.ownPart(r.Name, n)
+	}
+	for _, r := range s.in.Rows {
+		if r.Kind == table.KindAdapter && s.wanted[r.Name] > 0 {
+			s.wanted[r.Base] = max(s.wanted[r.Base], 1)
+		}
+	}
+	for _, x := range s.accs {
+		share := 0.0
+		for name := range x.members {
+			share += s.demand[name] / float64(max(s.copies[name], 1))
+		}
+		x.demand = share
+	}
+}
+
+// evenCopies returns the copies of each row that the memory of all cells holds.
+func (s *plan) evenCopies() int {
+	need, have := 0, 0
+	for _, r := range s.in.Rows {
+		need += s.in.Sizes[r.Name].TotalMiB()
+	}
+	for _, c := range s.in.Cells {
+		for _, srv := range c.Servers {
+			for _, a := range srv.Accelerators {
+				have += a.MemoryMiB
+			}
+		}
+	}
+	return max(1, have/max(need, 1))
+}
+
+// totalDemand returns the demand by name, that of adapters counted for their
+// bases too.
+func (s *plan) totalDemand() map[string]float64 {
+	total := maps.Clone(s.demand)
+	for _, r := range s.in.Rows {
+		if r.Kind == table.KindAdapter {
+			total[r.Base] += s.demand[r.Name]
+		}
+	}
+	return total
+}
+
+// ownPart returns how many of a name's n copies fall to the cell. Copies that
+// cells hold already count where they are; the rest go round the cells with
+// room in the order of their rendezvous weights, so that cells which see the
+// same records agree without asking each other.
+func (s *plan) ownPart(name string, n int) int {
+	key := route.Hash(name)
+	cells := slices.SortedFunc(slices.Values(s.census), func(a, b census) int {
+		return cmp.Compare(route.Rendezvous(b.id, key), route.Rendezvous(a.id, key))
+	})
+	own := 0
+	for _, c := range cells {
+		part := min(c.copies[name], n)
+		n -= part
+		if c.id == s.in.Cell {
+			own += part
+		}
+	}
+	takers := s.takers(cells, name)
+	for i := range n {
+		if takers[i%len(takers)].id == s.in.Cell {
+			own++
+		}
+	}
+	return own
+}
+
+// takers returns the cells with room for the name, or all if none has.
+func (s *plan) takers(cells []census, name string) []census {
+	mib := s.in.Sizes[name].TotalMiB()
+	roomy := slices.DeleteFunc(slices.Clone(cells), func(c census) bool { return c.largest < mib })
+	if len(roomy) == 0 {
+		return cells
+	}
+	return roomy
+}
