--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,8 @@
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo 'gofmt would change the files above'; exit 1; }
 	$(GO) vet ./...
+	@! $(GO) list -deps ./cmd/rockcleat ./cmd/rockcleat-entry ./cmd/rockcleat-agent | \
+		grep -E 'toxiproxy|internal/(lab|standin|proofs)' || { echo 'a product program imports test code'; exit 1; }
 	$(GO) run honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION) -checks all ./...
 
 # BENCH passes flags, such as -loads puzzle -seeds 1.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,12 +64,6 @@
 	Traffic *wire.Traffic
 }
 
-// rowDemand is the account of one row's demand.
-type rowDemand struct {
-	refused  float64
-	estimate placement.Estimator
-}
-
 // An Agent is the process beside one backend server.
 type Agent struct {
 	settings    config.Agent
@@ -196,51 +190,6 @@
 // ControlAddr returns the address for control messages.
 func (a *Agent) ControlAddr() string { return a.control.Addr() }
 
-// Leave begins the leaving: entries and the planner learn of it at once, and for
-// the leave time the agent still takes requests that have nowhere else to go.
-// After that it takes no new work and sends waiting requests elsewhere.
-func (a *Agent) Leave(reason string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.leaving {
-		return
-	}
-	a.leaving = true
-	a.closeAt = a.clock.Now().Add(a.settings.LeaveTime.Std())
-	a.log.Info("leaving", zap.String("reason", reason), zap.Int("running", a.queue.Running()))
-	a.nudgePlanner()
-}
-
-// LeaveForGood leaves whatever the platform's list says.
-func (a *Agent) LeaveForGood(reason string) {
-	a.Leave(reason)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.stopping = true
-}
-
-// closed reports whether the agent takes no new work any more; a.mu is held.
-func (a *Agent) closed() bool { return a.leaving && !a.clock.Now().Before(a.closeAt) }
-
-// nudgePlanner asks the planner to exchange messages now; a.mu is held.
-func (a *Agent) nudgePlanner() {
-	addr := a.planner
-	if addr == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), nudgeTimeout)
-		defer cancel()
-		err := a.peers.Call(ctx, http.MethodPost, addr, wire.PathNudge, wire.Nudge{Server: a.settings.ID}, nil)
-		if err != nil {
-			a.log.Debug("planner not nudged", zap.Error(err))
-		}
-	}()
-}
-
-// nudgeTimeout bounds a message to the planner.
-const nudgeTimeout = time.Second
-
 // Stop leaves, answers requests for the leave time, lets what runs end until ctx
 // does, and closes.
 func (a *Agent) Stop(ctx context.Context) error {
@@ -288,29 +237,6 @@
 	a.queue.Step(now)
 }
 
-// Times of an agent that was paused.
-const (
-	// pauseNoticed is the gap between two ticks that tells of a pause.
-	pauseNoticed = 2 * time.Second
-	// mistrustTime is how long new work is refused after a pause while no planner
-	// has told whether the server is leaving.
-	mistrustTime = 5 * time.Second
-)
-
-// noticePause makes an agent that was paused refuse new work until a planner has
-// spoken to it: what it knows may be old, and so may be the requests that have
-// been waiting for it. a.mu is held.
-func (a *Agent) noticePause(now time.Time) {
-	if a.lastTick.IsZero() || now.Sub(a.lastTick) < pauseNoticed {
-		return
-	}
-	a.log.Warn("this process was paused", zap.Duration("for", now.Sub(a.lastTick)))
-	a.lastTick = now
-	a.mistrust = now.Add(mistrustTime)
-	a.pauses++
-	a.queue.RefuseAll(reasonPaused)
-}
-
 // stepStatus takes over the engine's report.
 func (a *Agent) stepStatus(now time.Time) {
 	asked := a.clock.Now()
@@ -356,37 +282,6 @@
 	}
 }
 
-// halfLife is how fast the estimate of a demand falls.
-const halfLife = 15 * time.Second
-
-// refusedGain smooths the slots that refused requests would have taken.
-const refusedGain = 0.1
-
-// stepDemand takes in what each row runs, waits for and was refused.
-func (a *Agent) stepDemand(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for row, d := range a.demand {
-		running, waiting := a.queue.Load(row)
-		busy := float64(running+waiting) + d.refused
-		d.refused -= refusedGain * d.refused
-		d.estimate.Observe(busy, halfLife, now)
-		if placement.LevelOf(d.estimate.Value(halfLife, now)) == 0 && running+waiting == 0 {
-			delete(a.demand, row)
-		}
-	}
-}
-
-// demandOf returns the row's account; a.mu is held.
-func (a *Agent) demandOf(row string) *rowDemand {
-	d, ok := a.demand[row]
-	if !ok {
-		d = &rowDemand{}
-		a.demand[row] = d
-	}
-	return d
-}
-
 // serverRecord returns the record for the planner, with a new version if it
 // differs from the last one; a.mu is held.
 func (a *Agent) serverRecord(now time.Time) fleet.Server {
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
@@ -81,27 +80,6 @@
 	return x.Incarnation == a.incarnation
 }
 
-// heed leaves when the platform's list says so. Should a later version of the list
-// say otherwise, the agent stays: what made it leave was about its VM's former
-// life. It does so under a new incarnation, since others have marked the old one.
-func (a *Agent) heed(x wire.Exchange) {
-	if x.Leaving {
-		a.Leave("the platform's list says so")
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if x.Leaving {
-		a.listed = max(a.listed, x.List)
-		return
-	}
-	if a.stopping || !a.leaving || a.listed == 0 || x.List <= a.listed {
-		return
-	}
-	a.leaving, a.listed = false, 0
-	a.incarnation = uuid.NewString()
-	a.log.Info("not leaving after all: a later list says so", zap.Uint64("list", x.List))
-}
-
 // setGrants takes over the concurrency that the planner grants; rows that it
 // does not name have none left.
 func (a *Agent) setGrants(grants []wire.ConcurrencyGrant) {
--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -4,10 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"rockcleat/fleet"
-	"rockcleat/placement"
 )
 
 // place is one copy of a model or adapter.
@@ -149,15 +147,3 @@
 	})
 	return out
 }
-
-// demandLevels returns the rows' demand in levels; a.mu is held.
-func (a *Agent) demandLevels(now time.Time) []fleet.Demand {
-	var out []fleet.Demand
-	for _, row := range slices.Sorted(maps.Keys(a.demand)) {
-		level := placement.LevelOf(a.demand[row].estimate.Value(halfLife, now))
-		if level > 0 {
-			out = append(out, fleet.Demand{Name: row, Level: level})
-		}
-	}
-	return out
-}
