--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,6 +32,8 @@
 	Weights string
 	// ChecksOrders makes the engine refuse orders with an old fencing token.
 	ChecksOrders bool
+	// ReportLag is by how much the load in a status may be out of date.
+	ReportLag time.Duration
 	// EventLag and EventGap make cache events late and drop each EventGap-th.
 	EventLag time.Duration
 	EventGap int
@@ -81,8 +83,10 @@
 	events    []cacheEvent
 	eventSeq  uint64
 	reported  int
-	stats     EngineStats
-	seen      map[string]int
+	// reportedAt is when the load in the status was taken.
+	reportedAt time.Time
+	stats      EngineStats
+	seen       map[string]int
 }
 
 // NewEngine returns an engine with nothing resident.
@@ -118,6 +122,9 @@
 
 func (s *Engine) status(c echo.Context) error {
 	s.mu.Lock()
+	if now := time.Now(); now.Sub(s.reportedAt) >= s.opts.ReportLag {
+		s.reported, s.reportedAt = s.busy(), now
+	}
 	st := engine.Status{Fence: s.fence, Slots: s.opts.Slots, Finished: slices.Clone(s.finished), Running: s.reported}
 	for range s.opts.Accelerators {
 		st.MemoryMiB = append(st.MemoryMiB, s.opts.MemoryMiB)
@@ -129,6 +136,15 @@
 	return c.JSON(http.StatusOK, st)
 }
 
+// busy returns the running sequences of all accelerators; s.mu is held.
+func (s *Engine) busy() int {
+	n := 0
+	for _, r := range s.running {
+		n += r
+	}
+	return n
+}
+
 // order takes an order and carries it out after the acknowledgement.
 func (s *Engine) order(c echo.Context) error {
 	var o engine.Order
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -220,7 +220,6 @@
 func (s *Engine) step(c echo.Context, q *sequence) bool {
 	s.mu.Lock()
 	part := float64(s.running[q.acc]) / float64(s.opts.Slots)
-	s.reported = s.running[q.acc]
 	resident := s.find(q.model, q.acc) != nil
 	s.stats.Tokens++
 	s.mu.Unlock()
