--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 # SEED chooses the faults.
 SEED ?= 1
 promises:
-	@$(GO) test -count=1 -parallel=3 ./internal/proofs -args -proofs.report -proofs.seed=$(SEED) | grep -vE '^(ok|PASS)'
+	@bash -o pipefail -c "cd internal/proofs && $(GO) test -count=1 -parallel=3 -timeout=20m $(PROOFS) \
+		-args -proofs.report -proofs.seed=$(SEED) | grep -vE '^(ok|PASS)'"
 
 slopes:
 	$(GO) run ./tools/lab slopes
