--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -51,13 +51,7 @@
 
 func (e *Entry) requestRouter() http.Handler {
 	r := server.NewRouter()
-	r.GET(wire.PathReady, func(c echo.Context) error {
-		ok, reason := e.ready()
-		if !ok {
-			return c.String(http.StatusServiceUnavailable, reason+"\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
-	})
+	r.GET(wire.PathReady, server.Readiness(e.ready).Answer)
 	r.GET("/v1/models", e.listModels)
 	r.POST("/v1/chat/completions", e.limited(e.serveModel))
 	r.POST("/v1/completions", e.limited(e.serveModel))
--- a/internal/proofs/harness_test.go
+++ b/internal/proofs/harness_test.go
@@ -244,6 +244,16 @@
 
 // load sends what make gives from several goroutines until stop is called.
 func (tr *trial) load(workers int, makeRequest func(worker, i int) (lab.Request, int)) (stop func()) {
+	return repeat(workers, func(w, i int, done <-chan struct{}) {
+		r, tokens := makeRequest(w, i)
+		if a := tr.send(r, tokens); a.Outcome != wire.OutcomeAnswered {
+			pause(done, 20*time.Millisecond)
+		}
+	})
+}
+
+// repeat calls f again and again from several goroutines until stop is called.
+func repeat(workers int, f func(worker, i int, done <-chan struct{})) (stop func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for w := range workers {
@@ -255,11 +265,7 @@
 				case <-done:
 					return
 				default:
-				}
-				r, tokens := makeRequest(w, i)
-				a := tr.send(r, tokens)
-				if a.Outcome != wire.OutcomeAnswered {
-					pause(done, 20*time.Millisecond)
+					f(w, i, done)
 				}
 			}
 		}()
--- a/internal/proofs/once_test.go
+++ b/internal/proofs/once_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,32 +22,15 @@
 // keyed sends calls that may not be repeated, each again and again through
 // changing entries until it is answered or given up, as eager callers do.
 func (tr *trial) keyed(workers int) (stop func() (answered int)) {
-	done := make(chan struct{})
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	answered := 0
-	for w := range workers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for i := 0; ; i++ {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				if tr.oneKey(w, fmt.Sprintf("key-%d-%d", w, i), done) {
-					mu.Lock()
-					answered++
-					mu.Unlock()
-				}
-			}
-		}()
-	}
+	var answered atomic.Int64
+	end := repeat(workers, func(w, i int, done <-chan struct{}) {
+		if tr.oneKey(w, fmt.Sprintf("key-%d-%d", w, i), done) {
+			answered.Add(1)
+		}
+	})
 	return func() int {
-		close(done)
-		wg.Wait()
-		return answered
+		end()
+		return int(answered.Load())
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -92,11 +92,12 @@
 // RegisterHealth adds the paths for health, readiness and metrics.
 func RegisterHealth(e *echo.Echo, ready Readiness, m *telemetry.Metrics) {
 	e.GET(wire.PathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET(wire.PathReady, ready.answer)
+	e.GET(wire.PathReady, ready.Answer)
 	e.GET(wire.PathMetrics, echo.WrapHandler(m.Handler()))
 }
 
-func (r Readiness) answer(c echo.Context) error {
+// Answer tells the balancer whether to send requests.
+func (r Readiness) Answer(c echo.Context) error {
 	ok, reason := r()
 	if !ok {
 		return c.String(http.StatusServiceUnavailable, reason+"\n")
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -32,8 +32,6 @@
 	HeaderEntry = "Rockcleat-Entry"
 	// HeaderResume is the number of tokens that a resumed stream has already given.
 	HeaderResume = "Rockcleat-Resume"
-	// HeaderPriority is the priority given to an engine, higher first.
-	HeaderPriority = "X-Priority"
 	// HeaderWaited is how long a request waited at the agent, in milliseconds.
 	HeaderWaited = "Rockcleat-Waited-Ms"
 	// HeaderRetryAfterMs is when to come back, in milliseconds, beside the standard Retry-After.
