--- /dev/null
+++ b/cmd/rockcleat-gateway/main.go
@@ -0,0 +1,40 @@
+// Command rockcleat-gateway runs one entry process of rockcleat on the users'
+// platform.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/clock"
+	"rockcleat/internal/config"
+	"rockcleat/internal/daemon"
+	"rockcleat/internal/gateway"
+	"rockcleat/internal/wire"
+	"rockcleat/platform"
+)
+
+func main() { os.Exit(daemon.Gateway(os.Args[1:], os.Stderr, build)) }
+
+// build joins the product's gateway and the platform's adapter.
+func build(s config.Gateway, log *zap.Logger) *gateway.Gateway {
+	client := &http.Client{Transport: wire.NewDirectTransport(s.IdleTime.Std())}
+	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), &http.Client{Transport: wire.NewDirectTransport(storeIdle)})
+	return gateway.New(gateway.Options{
+		Settings:  s,
+		Names:     platform.Names(),
+		ReadyPath: platform.PathReady,
+		Store:     store,
+		Prefixes:  store,
+		Decoder:   platform.Decoder{},
+		Engines:   platform.NewEngines(s.ID, s.EngineTimeout.Std(), client),
+		Clock:     clock.Real{},
+		Log:       log,
+	})
+}
+
+// storeIdle is how long a connection to the store is kept unused.
+const storeIdle = 10 * time.Second
--- /dev/null
+++ b/dispatch/cost.go
@@ -0,0 +1,97 @@
+package dispatch
+
+// Weights of the expected cost of a server, in milliseconds.
+const (
+	// msPerToken is the time to read one prompt token.
+	msPerToken = 0.052
+	// msPerRun is what one running request adds to the others' steps.
+	msPerRun = 1.5
+	// msOtherHall is the cost of leaving the own data hall.
+	msOtherHall = 25.0
+	// msSuspect is the cost of a server that failed or was silent lately.
+	msSuspect = 2000.0
+	// msPlainRun is what one running request adds at a plain service.
+	msPlainRun = 10.0
+)
+
+// A Candidate is a server as a choice sees it.
+type Candidate struct {
+	// Running is the number of requests there, from all processes.
+	Running int
+	// Reading is the number of prompt tokens sent there whose first event has not come.
+	Reading int
+	// Used is the engine's memory in use, in tokens; Memory is what it has, 0 for a plain service.
+	Used, Memory int
+	// Slots is the number of requests it works on at once.
+	Slots int
+	// Unkept is the part of the request's prompt that the server must read, in tokens.
+	Unkept int
+	// Need is the memory that the request takes at most, in tokens.
+	Need int
+	// Near tells that the server is in the own data hall.
+	Near bool
+	// Failure is the server's recent share of failures, 0 to 1.
+	Failure float64
+	// Silent tells that the server owes answers and has said nothing for long.
+	Silent bool
+}
+
+// Limits bound what is sent to one engine.
+type Limits struct {
+	// Reading is the greatest number of prompt tokens on their way to one engine.
+	Reading int
+	// Fill is the part of slots and memory that may be taken.
+	Fill float64
+}
+
+// fits reports whether the server can take the request now.
+func (c Candidate) fits(l Limits) bool {
+	if c.Memory == 0 {
+		return true
+	}
+	if float64(c.Running+1) > l.Fill*float64(c.Slots) {
+		return false
+	}
+	if c.Running > 0 && float64(c.Used+c.Need) > l.Fill*float64(c.Memory) {
+		return false
+	}
+	return c.Reading == 0 || c.Reading+c.Unkept <= l.Reading
+}
+
+// cost returns the expected time to the first answer, in milliseconds.
+func (c Candidate) cost() float64 {
+	ms := 0.0
+	if c.Memory > 0 {
+		ms = float64(c.Reading+c.Unkept)*msPerToken + float64(c.Running)*msPerRun
+	} else {
+		ms = float64(c.Running) * msPlainRun
+		if c.Slots > 0 && c.Running >= c.Slots {
+			ms += float64(c.Running-c.Slots+1) * msPlainRun
+		}
+	}
+	if !c.Near {
+		ms += msOtherHall
+		if c.Memory == 0 {
+			ms -= msOtherHall - msPlainRun
+		}
+	}
+	if c.Silent {
+		ms += msSuspect
+	}
+	return ms + c.Failure*msSuspect
+}
+
+// Choose returns the index of the best candidate that fits, or -1.
+func Choose(list []Candidate, l Limits) int {
+	best := -1
+	bestCost := 0.0
+	for i, c := range list {
+		if !c.fits(l) {
+			continue
+		}
+		if cost := c.cost(); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,330 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+)
+
+// Outcomes of Acquire.
+var (
+	// ErrNoServer tells that the service has no server left to try.
+	ErrNoServer = errors.New("dispatch: no server")
+	// ErrWaited tells that the request waited as long as it may.
+	ErrWaited = errors.New("dispatch: waited too long")
+)
+
+// A Request is what a choice needs to know of a request.
+type Request struct {
+	Service string
+	// Model and Adapter are empty for a plain service.
+	Model, Adapter string
+	// Prompt and Output are the tokens to read and the most to generate.
+	Prompt, Output int
+	Parts          []Part
+	// Priority orders waiting requests; 0 goes first.
+	Priority int
+	// Until is when the request stops waiting.
+	Until time.Time
+	// Avoid names servers that are not to be chosen.
+	Avoid []string
+}
+
+func (r *Request) name() string {
+	if r.Adapter == "" {
+		return r.Model
+	}
+	return r.Model + "/" + r.Adapter
+}
+
+// A Load is what one process has at one server.
+type Load struct {
+	Running int `json:"n"`
+	Reading int `json:"r,omitempty"`
+	Used    int `json:"u,omitempty"`
+}
+
+// Options configure a Dispatcher.
+type Options struct {
+	Hall   string
+	Clock  clock.Service
+	Limits Limits
+	// Memory returns the memory of a service's engines in tokens, 0 for a plain service.
+	Memory func(service string) int
+	// Missing, if not nil, is called when a request waits for a model or adapter
+	// that no server holds. It is called with the Dispatcher locked and must not block.
+	Missing func()
+}
+
+// A Dispatcher gives requests their servers; it is safe for concurrent use.
+type Dispatcher struct {
+	opts Options
+
+	mu      sync.Mutex
+	servers *backend.Snapshot
+	loads   map[string]*load
+	remote  map[string]Load
+	waiting []*waiter
+	demand  map[string]*Demand
+}
+
+// A Demand is what was asked of one model or adapter.
+type Demand struct {
+	// Arrived counts requests since the start, Tokens their prompt tokens and
+	// ten times the tokens they may generate.
+	Arrived int `json:"a"`
+	Tokens  int `json:"t"`
+	// Waiting is the number of requests that wait for it now.
+	Waiting int `json:"w,omitempty"`
+	// Running is the number of requests that run with it now.
+	Running int `json:"n,omitempty"`
+	// Service is the service asked.
+	Service string `json:"s"`
+}
+
+// load is what this process has at one server and has seen of it.
+type load struct {
+	Load
+	kept     keptParts
+	failure  failureShare
+	heard    time.Time
+	sent     []*Ticket
+	adapters map[string]int
+}
+
+type waiter struct {
+	req    *Request
+	ticket *Ticket
+	ready  chan struct{}
+}
+
+// New returns a Dispatcher that knows no server.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{
+		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*load),
+		remote: make(map[string]Load), demand: make(map[string]*Demand),
+	}
+}
+
+// SetServers takes a new view of the servers and lets waiting requests go to them.
+func (d *Dispatcher) SetServers(s *backend.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = s
+	for id, l := range d.loads {
+		if _, ok := s.Server(id); !ok && l.Running == 0 {
+			delete(d.loads, id)
+		}
+	}
+	d.serve()
+}
+
+// SetRemote takes what other processes have at the servers.
+func (d *Dispatcher) SetRemote(remote map[string]Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.remote = remote
+	d.serve()
+}
+
+// Loads returns what this process has at each server.
+func (d *Dispatcher) Loads() map[string]Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]Load, len(d.loads))
+	for id, l := range d.loads {
+		if l.Running > 0 {
+			out[id] = l.Load
+		}
+	}
+	return out
+}
+
+// Demands returns what was asked of each model and adapter.
+func (d *Dispatcher) Demands() map[string]Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]Demand, len(d.demand))
+	for name, x := range d.demand {
+		out[name] = *x
+	}
+	return out
+}
+
+// Count counts the arrival of a request for a model.
+func (d *Dispatcher) Count(r *Request) {
+	if r.Model == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.demandOf(r)
+	x.Arrived++
+	x.Tokens += r.Prompt + outputWeight*r.Output
+}
+
+// outputWeight is how many prompt tokens one generated token counts as.
+const outputWeight = 10
+
+func (d *Dispatcher) demandOf(r *Request) *Demand {
+	x := d.demand[r.name()]
+	if x == nil {
+		x = &Demand{Service: r.Service}
+		d.demand[r.name()] = x
+	}
+	return x
+}
+
+// Acquire returns a ticket for a server, waiting for one until the request's limit.
+func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Ticket, error) {
+	d.mu.Lock()
+	if t := d.choose(r); t != nil {
+		d.mu.Unlock()
+		return t, nil
+	}
+	if r.Model == "" || !d.opts.Clock.Now().Before(r.Until) {
+		d.mu.Unlock()
+		return nil, ErrNoServer
+	}
+	w := &waiter{req: r, ready: make(chan struct{})}
+	d.enqueue(w)
+	d.mu.Unlock()
+	return d.wait(ctx, w)
+}
+
+func (d *Dispatcher) enqueue(w *waiter) {
+	i := len(d.waiting)
+	for i > 0 && d.waiting[i-1].req.Priority > w.req.Priority {
+		i--
+	}
+	d.waiting = slices.Insert(d.waiting, i, w)
+	d.demandOf(w.req).Waiting++
+	if d.opts.Missing != nil && !d.held(w.req) {
+		d.opts.Missing()
+	}
+}
+
+// held reports whether any server has the model and adapter ready.
+func (d *Dispatcher) held(r *Request) bool {
+	return slices.ContainsFunc(d.servers.Service(r.Service), func(s *backend.Server) bool {
+		return !s.Leaving && s.Holds(r.Model, r.Adapter)
+	})
+}
+
+func (d *Dispatcher) wait(ctx context.Context, w *waiter) (*Ticket, error) {
+	timer := time.NewTimer(w.req.Until.Sub(d.opts.Clock.Now()))
+	defer timer.Stop()
+	err := ErrWaited
+	select {
+	case <-w.ready:
+		return w.ticket, nil
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-timer.C:
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.ticket != nil {
+		if ctx.Err() == nil {
+			return w.ticket, nil
+		}
+		w.ticket.release()
+		d.serve()
+		return nil, err
+	}
+	d.waiting = slices.DeleteFunc(d.waiting, func(x *waiter) bool { return x == w })
+	d.demandOf(w.req).Waiting--
+	return nil, err
+}
+
+// serve gives servers to waiting requests, the most urgent first.
+func (d *Dispatcher) serve() {
+	kept := d.waiting[:0]
+	for _, w := range d.waiting {
+		t := d.choose(w.req)
+		if t == nil {
+			kept = append(kept, w)
+			continue
+		}
+		d.demandOf(w.req).Waiting--
+		w.ticket = t
+		close(w.ready)
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+// choose takes a place at the best server, or returns nil.
+func (d *Dispatcher) choose(r *Request) *Ticket {
+	var servers []*backend.Server
+	var list []Candidate
+	memory := d.opts.Memory(r.Service)
+	now := d.opts.Clock.Now()
+	for _, s := range d.servers.Service(r.Service) {
+		if s.Leaving || slices.Contains(r.Avoid, s.ID) || r.Model != "" && !s.Holds(r.Model, r.Adapter) {
+			continue
+		}
+		servers = append(servers, s)
+		list = append(list, d.candidate(r, s, memory, now))
+	}
+	i := Choose(list, d.opts.Limits)
+	if i < 0 {
+		return nil
+	}
+	return d.take(r, servers[i], list[i])
+}
+
+// silentAfter is how long a server may owe a first answer and say nothing at all.
+const silentAfter = 1500 * time.Millisecond
+
+func (d *Dispatcher) candidate(r *Request, s *backend.Server, memory int, now time.Time) Candidate {
+	l := d.load(s.ID)
+	other := d.remote[s.ID]
+	c := Candidate{
+		Running: l.Running + other.Running, Reading: l.Reading + other.Reading, Used: l.Used + other.Used,
+		Memory: memory, Slots: s.Slots, Near: s.Hall == d.opts.Hall, Failure: l.failure.at(now),
+		Need: r.Prompt + r.Output, Unkept: r.Prompt,
+	}
+	if r.Model != "" {
+		c.Unkept = max(r.Prompt-l.kept.kept(r.name(), r.Parts), 0)
+	}
+	if len(l.sent) > 0 {
+		since := l.sent[0].sent
+		if l.heard.After(since) {
+			since = l.heard
+		}
+		c.Silent = now.Sub(since) > silentAfter
+	}
+	return c
+}
+
+func (d *Dispatcher) load(id string) *load {
+	l := d.loads[id]
+	if l == nil {
+		l = &load{adapters: make(map[string]int)}
+		d.loads[id] = l
+	}
+	return l
+}
+
+func (d *Dispatcher) take(r *Request, s *backend.Server, c Candidate) *Ticket {
+	l := d.load(s.ID)
+	t := &Ticket{d: d, req: r, server: s, load: l, reading: c.Unkept, used: c.Need, sent: d.opts.Clock.Now()}
+	if r.Model == "" {
+		t.reading, t.used = 0, 0
+	}
+	l.Running++
+	l.Reading += t.reading
+	l.Used += t.used
+	l.sent = append(l.sent, t)
+	if r.Model != "" {
+		l.kept.add(r.name(), r.Parts)
+		d.demandOf(r).Running++
+	}
+	return t
+}
--- /dev/null
+++ b/internal/config/gateway.go
@@ -0,0 +1,87 @@
+package config
+
+import "time"
+
+// Retry are the settings of the budget of repeats that all gateways share.
+type Retry struct {
+	// Window is the span that repeats are counted over.
+	Window Duration `yaml:"window"`
+	// Ratio is the number of repeats for each request, Fixed those beside them.
+	Ratio float64 `yaml:"ratio"`
+	Fixed float64 `yaml:"fixed"`
+}
+
+// Gateway are the settings of a gateway.
+type Gateway struct {
+	// ID names the VM, Hall is the data hall that it is in.
+	ID   string `yaml:"id"`
+	Hall string `yaml:"hall"`
+	// Listen is the address for callers, ReadyListen the one for the balancer,
+	// PeerListen the one for other gateways, MetricsListen the one for metrics.
+	Listen        string `yaml:"listen"`
+	ReadyListen   string `yaml:"ready_listen"`
+	PeerListen    string `yaml:"peer_listen"`
+	MetricsListen string `yaml:"metrics_listen"`
+	// Store is the address of the platform's store.
+	Store string `yaml:"store"`
+	Log   Log    `yaml:"log"`
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool `yaml:"first_start"`
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace Duration `yaml:"grace"`
+	// LeaseTTL is the time after which another gateway may give the orders.
+	LeaseTTL Duration `yaml:"lease_ttl"`
+	// WatchTime bounds one watch of the store, so that a dead one is noticed.
+	WatchTime Duration `yaml:"watch_time"`
+	// StoreTimeout bounds one other call to the store, EngineTimeout one to an engine.
+	StoreTimeout  Duration `yaml:"store_timeout"`
+	EngineTimeout Duration `yaml:"engine_timeout"`
+	// IdleTime is how long connections to backend servers are kept unused.
+	IdleTime Duration `yaml:"idle_time"`
+	// Gateways is the number of gateways to assume until they have been counted.
+	Gateways int   `yaml:"gateways"`
+	Retry    Retry `yaml:"retry"`
+}
+
+// Defaults of the gateway's settings.
+const (
+	defaultGrace         = 8 * time.Second
+	defaultGatewayLease  = 3 * time.Second
+	defaultWatchTime     = 2 * time.Second
+	defaultStoreTimeout  = 900 * time.Millisecond
+	defaultEngineTimeout = 700 * time.Millisecond
+	defaultIdleTime      = 1500 * time.Millisecond
+	defaultGateways      = 6
+	defaultRetryWindow   = 10 * time.Second
+	defaultRetryRatio    = 0.1
+	defaultRetryFixed    = 10
+)
+
+func (g *Gateway) setDefaults() {
+	*g = Gateway{
+		Log:   Log{Level: "info", Format: "json"},
+		Grace: Duration(defaultGrace), LeaseTTL: Duration(defaultGatewayLease), WatchTime: Duration(defaultWatchTime),
+		StoreTimeout: Duration(defaultStoreTimeout), EngineTimeout: Duration(defaultEngineTimeout),
+		IdleTime: Duration(defaultIdleTime), Gateways: defaultGateways,
+		Retry: Retry{Window: Duration(defaultRetryWindow), Ratio: defaultRetryRatio, Fixed: defaultRetryFixed},
+	}
+}
+
+func (g *Gateway) check(c *checker) {
+	c.require(g.ID != "", "id", "must name the VM")
+	c.require(g.Hall != "", "hall", "must name the data hall")
+	c.require(isAddr(g.Listen), "listen", "must be IP:PORT")
+	c.require(isAddr(g.ReadyListen), "ready_listen", "must be IP:PORT")
+	c.require(isAddr(g.PeerListen), "peer_listen", "must be IP:PORT")
+	c.require(g.MetricsListen == "" || isAddr(g.MetricsListen), "metrics_listen", "must be IP:PORT or empty")
+	c.require(isAddr(g.Store), "store", "must be IP:PORT")
+	for key, d := range map[string]Duration{
+		"grace": g.Grace, "lease_ttl": g.LeaseTTL, "watch_time": g.WatchTime, "store_timeout": g.StoreTimeout,
+		"engine_timeout": g.EngineTimeout, "idle_time": g.IdleTime, "retry.window": g.Retry.Window,
+	} {
+		c.require(d > 0, key, "must be longer than 0s")
+	}
+	c.require(g.Gateways > 0, "gateways", "must be at least 1")
+	c.require(g.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
+	c.require(g.Retry.Fixed >= 0, "retry.fixed", "must not be negative")
+}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/zap"
+
+	"rockcleat/internal/config"
+	"rockcleat/internal/gateway"
+	"rockcleat/internal/telemetry"
+)
+
+// A GatewayBuilder makes a gateway with a platform's adapter.
+type GatewayBuilder func(s config.Gateway, log *zap.Logger) *gateway.Gateway
+
+// Gateway runs the gateway daemon until a signal and returns its exit code.
+func Gateway(args []string, stderr io.Writer, build GatewayBuilder) int {
+	const name = "rockcleat-gateway"
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	file := fs.String("config", "", "settings file (YAML); required")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix)); err != nil || *file == "" {
+		fmt.Fprintf(stderr, "%s: flag -config or variable %s_CONFIG is required\n", name, envPrefix)
+		return ExitSettings
+	}
+	var s config.Gateway
+	if err := config.Read(*file, &s); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	sink := telemetry.NewSink(os.Stdout)
+	defer sink.Close()
+	log, err := telemetry.NewSinkLogger(s.Log, sink, "gateway", s.ID)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	return serveGateway(build(s, log), *file, log)
+}
+
+// serveGateway runs the gateway until it is told to stop; a signal to reload is
+// answered by reading the settings again.
+func serveGateway(g *gateway.Gateway, file string, log *zap.Logger) int {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := g.Start(); err != nil {
+		log.Error("not started", zap.Error(err))
+		return ExitFailed
+	}
+	for {
+		select {
+		case <-reload:
+			reloadGateway(g, file, log)
+		case <-stop:
+			ctx, cancel := context.WithTimeout(context.Background(), g.Grace())
+			defer cancel()
+			if err := g.Stop(ctx); err != nil {
+				return ExitFailed
+			}
+			return ExitOK
+		}
+	}
+}
+
+// reloadGateway reads the settings again; wrong ones change nothing.
+func reloadGateway(g *gateway.Gateway, file string, log *zap.Logger) {
+	var s config.Gateway
+	if err := config.Read(file, &s); err != nil {
+		log.Error("settings not reloaded", zap.Error(err))
+		return
+	}
+	g.Reload(s)
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"rockcleat/backend"
+	"rockcleat/kv"
+)
+
+// A configFollower takes in configurations.
+type configFollower struct{ g *Gateway }
+
+// Replace implements kv.Follower.
+func (f *configFollower) Replace(entries []kv.Entry) {
+	for _, e := range entries {
+		f.Apply(kv.Event{Entry: e})
+	}
+}
+
+// Apply implements kv.Follower.
+func (f *configFollower) Apply(e kv.Event) {
+	if e.Deleted || e.Entry.Key != f.g.decoder.ConfigKey() {
+		return
+	}
+	f.g.offerConfig(e.Entry.Value, "store")
+}
+
+// Lost implements kv.Follower.
+func (f *configFollower) Lost(err error) { f.g.storeLost(err) }
+
+// Heard implements kv.Follower.
+func (f *configFollower) Heard() { f.g.storeHeard() }
+
+// offerConfig puts a configuration in force if it is newer than the one that is.
+func (g *Gateway) offerConfig(value []byte, from string) {
+	r, err := g.decoder.Routing(value)
+	if err != nil {
+		g.log.Error("configuration not understood", zap.String("from", from), zap.Error(err))
+		return
+	}
+	for {
+		old := g.routing.Load()
+		if old != nil && old.Version() >= r.Version() {
+			return
+		}
+		if g.routing.CompareAndSwap(old, r) {
+			break
+		}
+	}
+	g.config.Store(&value)
+	g.log.Info("configuration in force", zap.Uint64("version", r.Version()), zap.Int("routes", r.Len()), zap.String("from", from))
+	g.dispatcher.SetServers(g.registry.Snapshot())
+}
+
+// A serverFollower takes in the list of backend servers.
+type serverFollower struct{ g *Gateway }
+
+// Replace implements kv.Follower.
+func (f *serverFollower) Replace(entries []kv.Entry) {
+	list := make([]backend.Server, 0, len(entries))
+	for _, e := range entries {
+		s, err := f.g.decoder.Server(e.Key, e.Value)
+		if err != nil {
+			f.g.log.Error("server not understood", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		list = append(list, s)
+	}
+	f.g.registry.Replace(list)
+	f.g.listed.Store(true)
+	f.g.log.Info("servers listed", zap.Int("count", len(list)))
+	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
+}
+
+// Apply implements kv.Follower.
+func (f *serverFollower) Apply(e kv.Event) {
+	id := f.g.decoder.ServerID(e.Entry.Key)
+	if e.Deleted {
+		f.g.registry.Remove(id)
+		f.g.log.Info("server gone", zap.String("server", id))
+		f.g.dispatcher.SetServers(f.g.registry.Snapshot())
+		return
+	}
+	s, err := f.g.decoder.Server(e.Entry.Key, e.Entry.Value)
+	if err != nil {
+		f.g.log.Error("server not understood", zap.String("key", e.Entry.Key), zap.Error(err))
+		return
+	}
+	old, known := f.g.registry.Snapshot().Server(id)
+	if !known || old.Leaving != s.Leaving {
+		f.g.log.Info("server seen", zap.String("server", id), zap.String("service", s.Service),
+			zap.String("addr", s.Addr), zap.Bool("leaving", s.Leaving))
+	}
+	f.g.registry.Update(s)
+	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
+}
+
+// Lost implements kv.Follower.
+func (f *serverFollower) Lost(err error) { f.g.storeLost(err) }
+
+// Heard implements kv.Follower.
+func (f *serverFollower) Heard() { f.g.storeHeard() }
+
+func (g *Gateway) storeLost(err error) {
+	if !g.storeDown.Swap(true) {
+		g.log.Warn("store lost", zap.Error(err))
+	}
+}
+
+func (g *Gateway) storeHeard() {
+	if g.storeDown.Swap(false) {
+		g.log.Info("store heard again")
+	}
+}
+
+// serverList returns the known servers, for gateways that cannot hear the store.
+func (g *Gateway) serverIDs() []string {
+	s := g.registry.Snapshot()
+	ids := make([]string, 0, s.Len())
+	if r := g.routing.Load(); r != nil {
+		for _, service := range r.Services() {
+			for _, srv := range s.Service(service.Name) {
+				ids = append(ids, srv.ID)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+	"rockcleat/dispatch"
+	"rockcleat/internal/config"
+	"rockcleat/internal/placer"
+	"rockcleat/internal/wire"
+	"rockcleat/kv"
+	"rockcleat/lease"
+	"rockcleat/retry"
+	"rockcleat/table"
+)
+
+// A Decoder turns what stands in the platform's store into the product's records.
+type Decoder interface {
+	// ConfigKey is where the configuration stands, ServerPrefix what stands before
+	// the backend servers' keys.
+	ConfigKey() string
+	ServerPrefix() string
+	// Routing decodes a configuration, Server a backend server's record.
+	Routing(value []byte) (*table.Routing, error)
+	Server(key string, value []byte) (backend.Server, error)
+	// ServerID returns the id in a backend server's key.
+	ServerID(key string) string
+}
+
+// Options are what a Gateway is made of.
+type Options struct {
+	Settings config.Gateway
+	Names    wire.Names
+	// ReadyPath is where the balancer asks whether the process is ready.
+	ReadyPath string
+	Store     kv.Store
+	Prefixes  kv.PrefixStore
+	Decoder   Decoder
+	Engines   backend.Engines
+	Clock     clock.Service
+	Log       *zap.Logger
+	Metrics   Metrics
+}
+
+// A Gateway is the entry process in front of servers that speak to it directly.
+type Gateway struct {
+	settings   config.Gateway
+	names      wire.Names
+	readyPath  string
+	prefixes   kv.PrefixStore
+	decoder    Decoder
+	clock      clock.Service
+	log        *zap.Logger
+	metrics    Metrics
+	routing    atomic.Pointer[table.Routing]
+	config     atomic.Pointer[[]byte]
+	registry   backend.Registry
+	listed     atomic.Bool
+	dispatcher *dispatch.Dispatcher
+	placer     *placer.Placer
+	peers      *peers
+	servers    *http.Transport
+	conns      *conns
+	listeners  listeners
+	budgets    sync.Map
+	gateways   atomic.Int64
+	leaving    atomic.Bool
+	leavingAt  atomic.Int64
+	inFlight   atomic.Int64
+	done       atomic.Uint64
+	storeDown  atomic.Bool
+	stops      []func()
+	ctx        context.Context
+	cancel     context.CancelFunc
+}
+
+// Limits of what is on its way to one engine.
+const (
+	// readingTokens bounds the prompt tokens that one engine is given to read at a time.
+	readingTokens = 6000
+	// fill is the part of an engine's slots and memory that is used.
+	fill = 0.92
+)
+
+// New returns a Gateway that does nothing until Start.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		settings: o.Settings, names: o.Names, readyPath: o.ReadyPath, prefixes: o.Prefixes, decoder: o.Decoder,
+		clock: o.Clock, log: o.Log, metrics: o.Metrics, conns: newConns(),
+		servers: wire.NewDirectTransport(o.Settings.IdleTime.Std()),
+	}
+	if g.metrics == nil {
+		g.metrics = noMetrics{}
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.gateways.Store(int64(o.Settings.Gateways))
+	g.dispatcher = dispatch.New(dispatch.Options{
+		Hall: o.Settings.Hall, Clock: o.Clock, Limits: dispatch.Limits{Reading: readingTokens, Fill: fill},
+		Memory: g.memory, Missing: g.wakePeers,
+	})
+	g.placer = placer.New(placer.Options{
+		Lease: lease.New(o.Store, o.Clock, lease.Options{
+			Name: "placer", Holder: o.Settings.ID, Addr: o.Settings.PeerListen, TTL: o.Settings.LeaseTTL.Std(),
+		}),
+		Engines: o.Engines, Registry: &g.registry, Routing: g.routing.Load, Clock: o.Clock, Log: o.Log,
+		Settle: o.Settings.LeaseTTL.Std(), First: o.Settings.FirstStart,
+	})
+	g.peers = newPeers(g)
+	return g
+}
+
+func (g *Gateway) wakePeers() { g.peers.wakeUp() }
+
+// memory returns the memory of a service's engines in tokens.
+func (g *Gateway) memory(service string) int {
+	r := g.routing.Load()
+	if r == nil {
+		return 0
+	}
+	s, ok := r.Service(service)
+	if !ok || s.Engine == nil {
+		return 0
+	}
+	return s.Engine.CacheTokens
+}
+
+// Start binds the listeners and starts the gateway's systems.
+func (g *Gateway) Start() error {
+	if err := g.listen(); err != nil {
+		return err
+	}
+	go kv.Follow(g.ctx, g.prefixes, g.decoder.ConfigKey(), g.settings.WatchTime.Std(), &configFollower{g: g})
+	go kv.Follow(g.ctx, g.prefixes, g.decoder.ServerPrefix(), g.settings.WatchTime.Std(), &serverFollower{g: g})
+	g.placer.Start()
+	go g.peers.run()
+	g.subscribe(time.Second, g.conns.sweep)
+	g.subscribe(time.Second, g.registry.Expire)
+	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
+	return nil
+}
+
+func (g *Gateway) subscribe(every time.Duration, f func(time.Time)) {
+	g.stops = append(g.stops, g.clock.Subscribe(every, f))
+}
+
+// Times of a stop.
+const (
+	// noticeTime is how long a stopping gateway still takes new connections, so
+	// that the balancer learns of the stop first.
+	noticeTime = 2500 * time.Millisecond
+	// lastMoment is left of the grace for the process's own end.
+	lastMoment = 300 * time.Millisecond
+)
+
+// Stop turns readiness off, answers what comes while the balancer learns of it,
+// lets requests end until ctx does, and closes.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.leavingAt.Store(g.clock.Now().UnixNano())
+	g.leaving.Store(true)
+	g.log.Info("leaving", zap.Int64("requests", g.inFlight.Load()))
+	g.placer.Stop(ctx)
+	wait(ctx, noticeTime)
+	err := g.listeners.front.Shutdown(ctx)
+	g.cancel()
+	for _, stop := range g.stops {
+		stop()
+	}
+	if err != nil {
+		g.log.Warn("requests cut by the end of the grace", zap.Int64("requests", g.inFlight.Load()))
+	}
+	g.listeners.close()
+	g.log.Info("stopped")
+	return eris.Wrap(err, "gateway: stop")
+}
+
+// Grace returns how long Stop may take.
+func (g *Gateway) Grace() time.Duration { return g.settings.Grace.Std() - lastMoment }
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// ready reports whether the gateway should get new connections.
+func (g *Gateway) ready() (bool, string) {
+	switch {
+	case g.leaving.Load():
+		return false, "leaving"
+	case g.routing.Load() == nil:
+		return false, "no configuration yet"
+	case !g.listed.Load():
+		return false, "no servers known yet"
+	}
+	return true, ""
+}
+
+// budgetOf returns the budget of repeats of a service.
+func (g *Gateway) budgetOf(service string) *retry.Window {
+	if b, ok := g.budgets.Load(service); ok {
+		return b.(*retry.Window)
+	}
+	b, _ := g.budgets.LoadOrStore(service, &retry.Window{
+		Length: g.settings.Retry.Window.Std(),
+		Ratio:  g.settings.Retry.Ratio * retryReserve,
+		Fixed:  g.settings.Retry.Fixed * retryReserve,
+	})
+	return b.(*retry.Window)
+}
+
+// retryReserve is the part of the budget of repeats that is used.
+const retryReserve = 0.8
+
+// ownShare returns this gateway's part of what all gateways share.
+func (g *Gateway) ownShare() float64 { return 1 / float64(max(g.gateways.Load(), 1)) }
+
+// inFlightOf counts a request while it lasts.
+func (g *Gateway) begin() func() {
+	g.inFlight.Add(1)
+	return func() { g.inFlight.Add(-1) }
+}
+
+// ServeHTTP answers one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer g.begin()()
+	x, f := g.accept(w, r)
+	if f != nil {
+		f.close = f.close || g.leaving.Load()
+		f.write(w)
+		g.logRefusedEarly(r, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.end)
+	defer cancel()
+	x.ctx = ctx
+	defer g.ended(x)
+	x.run()
+}
+
+// Reload takes new settings; what cannot change while the gateway runs is told
+// in the log and stays.
+func (g *Gateway) Reload(s config.Gateway) {
+	budget := s.Retry != g.settings.Retry
+	if budget {
+		g.settings.Retry = s.Retry
+		g.budgets.Clear()
+	}
+	g.log.Info("settings reloaded", zap.Bool("retry_changed", budget),
+		zap.Bool("restart_needed", s.Listen != g.settings.Listen || s.Store != g.settings.Store))
+}
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"rockcleat/internal/server"
+	"rockcleat/internal/wire"
+)
+
+// listeners are the servers of a gateway.
+type listeners struct {
+	front, ready, peers, metrics *http.Server
+}
+
+// Bounds of callers' connections that net/http sets before the configuration is known.
+const (
+	// headerTime bounds the reading of a header.
+	headerTime = 10 * time.Second
+	// maxHeader bounds a header; the configuration's own bound is checked after it.
+	maxHeader = 128 << 10
+)
+
+func (g *Gateway) listen() error {
+	quiet := zap.NewStdLog(zap.NewNop())
+	g.listeners.front = &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ErrorLog: quiet,
+		ConnState: g.conns.note, ConnContext: nil,
+	}
+	g.conns.limit = g.idleTime
+	g.listeners.ready = &http.Server{Handler: g.readyRouter(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
+	g.listeners.peers = &http.Server{Handler: g.peerRouter(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
+	for _, l := range []struct {
+		addr string
+		s    *http.Server
+	}{
+		{g.settings.Listen, g.listeners.front},
+		{g.settings.ReadyListen, g.listeners.ready},
+		{g.settings.PeerListen, g.listeners.peers},
+	} {
+		if err := g.serve(l.addr, l.s); err != nil {
+			return err
+		}
+	}
+	if g.settings.MetricsListen == "" {
+		return nil
+	}
+	g.listeners.metrics = &http.Server{Handler: g.metrics.Handler(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
+	return g.serve(g.settings.MetricsListen, g.listeners.metrics)
+}
+
+func (g *Gateway) serve(addr string, s *http.Server) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "gateway: listen on %s", addr)
+	}
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("listener failed", zap.String("addr", addr), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, s := range []*http.Server{l.front, l.ready, l.peers, l.metrics} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+func (g *Gateway) readyRouter() http.Handler {
+	e := server.NewRouter()
+	e.GET(g.readyPath, server.Readiness(g.ready).Answer)
+	e.GET(wire.PathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	return e
+}
+
+// idleTime returns how long a caller's connection may rest.
+func (g *Gateway) idleTime() time.Duration {
+	r := g.routing.Load()
+	if r == nil {
+		return 0
+	}
+	return r.Limits().IdleTime
+}
+
+// A conns closes callers' connections that have rested for too long. The bound
+// may change while they rest, which http.Server's own setting cannot.
+type conns struct {
+	limit func() time.Duration
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+func newConns() *conns { return &conns{idle: make(map[net.Conn]time.Time)} }
+
+// note follows the state of connections.
+func (c *conns) note(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s == http.StateIdle {
+		c.idle[conn] = time.Now()
+		return
+	}
+	delete(c.idle, conn)
+}
+
+// sweep closes connections that have rested for longer than the bound.
+func (c *conns) sweep(now time.Time) {
+	limit := c.limit()
+	if limit <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.idle {
+		if now.Sub(since) > limit {
+			delete(c.idle, conn)
+			_ = conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"rockcleat/internal/placer"
+	"rockcleat/internal/server"
+	"rockcleat/internal/wire"
+)
+
+// pathExchange is where gateways report to each other.
+const pathExchange = "/v1/gateway"
+
+// Pace of exchanges with the holder of orders.
+const (
+	exchangeEvery = 250 * time.Millisecond
+	// exchangeSoon is the pace while a request waits for a model that nobody holds.
+	exchangeSoon = 60 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 700 * time.Millisecond
+	// gatewaysPerHolder is the number of gateways up to which the pace is kept; with
+	// more of them each reports less often, so that the holder's load stays bounded.
+	gatewaysPerHolder = 12
+)
+
+// A peerRequest is what a gateway sends to another one.
+type peerRequest struct {
+	placer.Report
+	// Config is the version of the configuration in force.
+	Config uint64 `json:"config"`
+}
+
+// A peerAnswer is what it gets back.
+type peerAnswer struct {
+	placer.Answer
+	// Holder is where the holder of orders takes messages, if the answerer is not it.
+	Holder string `json:"holder,omitempty"`
+	// Config is the configuration, if it is newer than the asker's.
+	Config []byte `json:"config,omitempty"`
+}
+
+// peers exchanges state with the other gateways.
+type peers struct {
+	g    *Gateway
+	http *wire.Client
+	wake chan struct{}
+
+	mu        sync.Mutex
+	holder    string
+	known     []string
+	residency int64
+}
+
+func newPeers(g *Gateway) *peers {
+	return &peers{g: g, http: wire.NewClient("", &wire.Traffic{}), wake: make(chan struct{}, 1)}
+}
+
+// wakeUp makes the next exchange come soon; it never blocks.
+func (p *peers) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run exchanges with the holder of orders until the gateway ends.
+func (p *peers) run() {
+	for p.g.ctx.Err() == nil {
+		started := time.Now()
+		p.exchange()
+		p.rest(started)
+	}
+}
+
+// rest waits for the next exchange.
+func (p *peers) rest(started time.Time) {
+	pace := exchangeEvery * time.Duration(max(1, p.g.gateways.Load()/gatewaysPerHolder))
+	timer := time.NewTimer(max(pace-time.Since(started), exchangeSoon))
+	defer timer.Stop()
+	soon := time.NewTimer(exchangeSoon)
+	defer soon.Stop()
+	select {
+	case <-timer.C:
+		return
+	case <-p.g.ctx.Done():
+		return
+	case <-soon.C:
+	}
+	select {
+	case <-timer.C:
+	case <-p.wake:
+	case <-p.g.ctx.Done():
+	}
+}
+
+func (p *peers) report() placer.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return placer.Report{
+		From: p.g.settings.ID, Addr: p.g.settings.PeerListen, Residency: p.residency,
+		Loads: p.g.dispatcher.Loads(), Demands: p.g.dispatcher.Demands(),
+	}
+}
+
+// exchange tells the holder of orders what this gateway has and takes its answer.
+func (p *peers) exchange() {
+	addr, own := p.g.placer.Holder()
+	if own {
+		r := p.report()
+		p.take(p.g.placer.Report(r))
+		p.g.placer.Wake()
+		return
+	}
+	if addr = p.target(addr); addr == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.g.ctx, exchangeTimeout)
+	defer cancel()
+	req := peerRequest{Report: p.report()}
+	if r := p.g.routing.Load(); r != nil {
+		req.Config = r.Version()
+	}
+	var a peerAnswer
+	if err := p.http.Call(ctx, http.MethodPost, addr, pathExchange, req, &a); err != nil {
+		p.failed(addr, err)
+		return
+	}
+	if len(a.Config) > 0 {
+		p.g.offerConfig(a.Config, "peer")
+	}
+	p.setHolder(a.Holder)
+	p.take(a.Answer)
+}
+
+// target returns whom to ask: the holder, as the store or the last peer told,
+// or any known gateway.
+func (p *peers) target(addr string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holder != "" {
+		return p.holder
+	}
+	if addr != "" && addr != p.g.settings.PeerListen {
+		return addr
+	}
+	if len(p.known) > 0 {
+		return p.known[rand.IntN(len(p.known))]
+	}
+	return ""
+}
+
+// setHolder remembers a holder that another gateway told of.
+func (p *peers) setHolder(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr != p.g.settings.PeerListen {
+		p.holder = addr
+	}
+}
+
+// failed forgets a holder that did not answer and asks another gateway next.
+func (p *peers) failed(addr string, err error) {
+	p.g.log.Debug("no answer from gateway", zap.String("addr", addr), zap.Error(err))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder = ""
+	if others := slices.DeleteFunc(slices.Clone(p.known), func(a string) bool { return a == addr }); len(others) > 0 && rand.IntN(2) == 0 {
+		p.holder = others[rand.IntN(len(others))]
+	}
+}
+
+// take takes in the answer of the holder of orders.
+func (p *peers) take(a placer.Answer) {
+	if !a.Held {
+		return
+	}
+	now := p.g.clock.Now()
+	if a.Residency != nil {
+		p.g.registry.SetResidency(a.Residency, now)
+	} else {
+		p.g.registry.Heard(now)
+	}
+	p.mu.Lock()
+	p.residency = a.Version
+	p.known = slices.DeleteFunc(a.Gateways, func(addr string) bool { return addr == p.g.settings.PeerListen })
+	p.mu.Unlock()
+	p.g.gateways.Store(int64(max(len(a.Gateways), 1)))
+	p.g.dispatcher.SetServers(p.g.registry.Snapshot())
+	p.g.dispatcher.SetRemote(a.Loads)
+}
+
+// peerRouter answers the other gateways.
+func (g *Gateway) peerRouter() http.Handler {
+	e := server.NewRouter()
+	e.POST(pathExchange, g.answerPeer)
+	return e
+}
+
+func (g *Gateway) answerPeer(c echo.Context) error {
+	var r peerRequest
+	if err := c.Bind(&r); err != nil {
+		return err
+	}
+	a := peerAnswer{Answer: g.placer.Report(r.Report)}
+	if !a.Held {
+		a.Holder, _ = g.placer.Holder()
+	} else if waits(r.Report) {
+		g.placer.Wake()
+	}
+	if own := g.routing.Load(); own != nil && own.Version() > r.Config {
+		if value := g.config.Load(); value != nil {
+			a.Config = *value
+		}
+	}
+	return c.JSON(http.StatusOK, a)
+}
+
+// waits reports whether a gateway has requests that wait for a model.
+func waits(r placer.Report) bool {
+	for _, d := range r.Demands {
+		if d.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placer/demand.go
@@ -0,0 +1,157 @@
+package placer
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"rockcleat/backend"
+	"rockcleat/dispatch"
+	"rockcleat/residency"
+)
+
+// Following of demand: it rises at once and falls slowly, so that copies stay
+// through a lull.
+const (
+	riseTime = 1500 * time.Millisecond
+	fallTime = 8 * time.Second
+)
+
+// A gateway is what the holder of orders knows of one gateway.
+type gateway struct {
+	report Report
+	heard  time.Time
+}
+
+// A rate follows the work asked of one model, in tokens per second.
+type rate struct {
+	fast, slow float64
+}
+
+func (r *rate) follow(tokens float64, step time.Duration) {
+	now := tokens / step.Seconds()
+	r.fast += (now - r.fast) * (1 - math.Exp(-step.Seconds()/riseTime.Seconds()))
+	r.slow = max(r.fast, r.slow*math.Exp(-step.Seconds()/fallTime.Seconds()))
+}
+
+// A demand sums up what gateways ask for.
+type demand struct {
+	gateways map[string]*gateway
+	// tokens is the work asked for since the last step, by model.
+	tokens map[string]float64
+	rates  map[string]*rate
+	used   map[backend.Adapter]time.Time
+}
+
+func newDemand() *demand {
+	return &demand{
+		gateways: make(map[string]*gateway), tokens: make(map[string]float64),
+		rates: make(map[string]*rate), used: make(map[backend.Adapter]time.Time),
+	}
+}
+
+// take counts what is new in a report.
+func (d *demand) take(r Report, now time.Time) {
+	g := d.gateways[r.From]
+	if g == nil {
+		d.gateways[r.From] = &gateway{report: r, heard: now}
+		return
+	}
+	for name, x := range r.Demands {
+		before := g.report.Demands[name]
+		if x.Arrived < before.Arrived {
+			before = dispatch.Demand{}
+		}
+		if x.Arrived == before.Arrived {
+			continue
+		}
+		a := adapterOf(name)
+		d.tokens[a.Model] += float64(x.Tokens - before.Tokens)
+		if a.Name != "" {
+			d.used[a] = now
+		}
+	}
+	g.report, g.heard = r, now
+}
+
+// adapterOf returns the model and adapter of a name such as model/adapter.
+func adapterOf(name string) backend.Adapter {
+	model, adapter, _ := strings.Cut(name, "/")
+	return backend.Adapter{Model: model, Name: adapter}
+}
+
+// step moves the rates on by a time.
+func (d *demand) step(by time.Duration) {
+	for model := range d.tokens {
+		if d.rates[model] == nil {
+			d.rates[model] = &rate{}
+		}
+	}
+	for model, r := range d.rates {
+		r.follow(d.tokens[model], by)
+	}
+	clear(d.tokens)
+}
+
+// forget drops gateways that have been silent.
+func (d *demand) forget(now time.Time, after time.Duration) {
+	for id, g := range d.gateways {
+		if now.Sub(g.heard) > after {
+			delete(d.gateways, id)
+		}
+	}
+}
+
+// wants returns what is asked of each model.
+func (d *demand) wants() map[string]residency.Want {
+	out := make(map[string]residency.Want)
+	for model, r := range d.rates {
+		out[model] = residency.Want{Weight: r.slow}
+	}
+	for _, g := range d.gateways {
+		for name, x := range g.report.Demands {
+			w := out[adapterOf(name).Model]
+			w.Waiting += x.Waiting
+			out[adapterOf(name).Model] = w
+		}
+	}
+	return out
+}
+
+// loads returns what all gateways but one have at each server.
+func (d *demand) loads(but string) map[string]dispatch.Load {
+	out := make(map[string]dispatch.Load)
+	for id, g := range d.gateways {
+		if id == but {
+			continue
+		}
+		for server, l := range g.report.Loads {
+			sum := out[server]
+			sum.Running += l.Running
+			sum.Reading += l.Reading
+			sum.Used += l.Used
+			out[server] = sum
+		}
+	}
+	return out
+}
+
+// adapters returns the adapters waited for, and how many requests use each.
+func (d *demand) adapters(service string) (waited []backend.Adapter, running map[backend.Adapter]int) {
+	seen := make(map[backend.Adapter]bool)
+	running = make(map[backend.Adapter]int)
+	for _, g := range d.gateways {
+		for name, x := range g.report.Demands {
+			a := adapterOf(name)
+			if a.Name == "" || x.Service != service {
+				continue
+			}
+			running[a] += x.Running
+			if x.Waiting > 0 && !seen[a] {
+				seen[a] = true
+				waited = append(waited, a)
+			}
+		}
+	}
+	return waited, running
+}
--- /dev/null
+++ b/internal/placer/messages.go
@@ -0,0 +1,32 @@
+package placer
+
+import (
+	"rockcleat/backend"
+	"rockcleat/dispatch"
+)
+
+// A Report is what one gateway tells the holder of orders.
+type Report struct {
+	// From names the gateway, Addr is where it takes messages.
+	From string `json:"from"`
+	Addr string `json:"addr"`
+	// Loads is what it has at each server.
+	Loads map[string]dispatch.Load `json:"loads,omitempty"`
+	// Demands is what was asked of it since its start.
+	Demands map[string]dispatch.Demand `json:"demands,omitempty"`
+	// Residency is the version of the residency that it knows.
+	Residency int64 `json:"residency"`
+}
+
+// An Answer is what the holder of orders tells a gateway.
+type Answer struct {
+	// Held tells that the answerer holds the orders; all else is empty otherwise.
+	Held bool `json:"held"`
+	// Gateways lists the addresses of the gateways that reported lately.
+	Gateways []string `json:"gateways,omitempty"`
+	// Loads is what the other gateways have at each server.
+	Loads map[string]dispatch.Load `json:"loads,omitempty"`
+	// Version and Residency tell what engines hold, if that is newer than reported.
+	Version   int64                        `json:"version"`
+	Residency map[string]backend.Residency `json:"residency,omitempty"`
+}
--- /dev/null
+++ b/internal/placer/orders.go
@@ -0,0 +1,185 @@
+package placer
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/backend"
+	"rockcleat/lease"
+	"rockcleat/residency"
+	"rockcleat/table"
+)
+
+// act makes the call to an engine that is due, if there is one.
+func (p *Placer) act(e *engine, spec *table.EngineSpec, now time.Time) {
+	switch {
+	case e.calling:
+	case !e.known && !now.Before(e.nextReport):
+		p.askReport(e, spec)
+	case !e.nextReport.IsZero() && !now.Before(e.nextReport):
+		p.askReport(e, spec)
+	case e.known && len(e.pending) > 0 && !e.given && !now.Before(e.earliest):
+		p.give(e, spec)
+	}
+}
+
+// askReport reads an engine's report and takes it in.
+func (p *Placer) askReport(e *engine, spec *table.EngineSpec) {
+	e.calling = true
+	server := e.server
+	go func() {
+		r, err := p.opts.Engines.Report(p.ctx, server)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := p.opts.Clock.Now()
+		e.calling = false
+		if err != nil {
+			p.opts.Log.Warn("no report", zap.String("server", server.ID), zap.Error(err))
+			e.nextReport = now.Add(2 * pollEvery)
+			return
+		}
+		p.reported(e, r, now)
+	}()
+}
+
+// reported takes in a report that has come.
+func (p *Placer) reported(e *engine, r backend.Report, now time.Time) {
+	if !e.take(r, now) {
+		e.nextReport = now.Add(pollEvery / 2)
+		return
+	}
+	e.nextReport = now.Add(refreshEvery)
+	if r.Busy {
+		e.nextReport = now.Add(pollEvery)
+		if len(e.pending) == 0 {
+			// Another holder's order is under way; wait for its end.
+			e.known = false
+		}
+		return
+	}
+	if len(e.pending) > 0 && e.given {
+		if model := e.settle(now); model != "" {
+			p.opts.Log.Info("model loaded", zap.String("server", e.server.ID), zap.String("model", model))
+		}
+	}
+	p.tell(now)
+}
+
+// give gives the first pending order.
+func (p *Placer) give(e *engine, spec *table.EngineSpec) {
+	o := e.pending[0]
+	o.Sequence, o.Fence = e.sequence, int64(p.token)
+	takes := e.expected(spec)
+	if !o.Unload && residency.Free(spec, e.residents) < weight(spec, o) {
+		e.pending = nil
+		return
+	}
+	e.calling = true
+	server := e.server
+	go func() {
+		out, err := p.order(server, o)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.ordered(e, o, out, err, takes)
+	}()
+}
+
+func weight(spec *table.EngineSpec, o backend.Order) float64 {
+	m, ok := spec.Model(o.Model)
+	if !ok {
+		return spec.WeightsMB
+	}
+	if o.Adapter != "" {
+		return m.AdapterMB
+	}
+	return m.WeightsMB
+}
+
+// order gives an order if the lease is still surely held.
+func (p *Placer) order(s *backend.Server, o backend.Order) (backend.Outcome, error) {
+	if token, held := p.opts.Lease.Held(); !held || int64(token) != o.Fence {
+		return backend.OutcomeFenced, nil
+	}
+	return p.opts.Engines.Order(p.ctx, s, o)
+}
+
+// ordered takes in an engine's answer to an order.
+func (p *Placer) ordered(e *engine, o backend.Order, out backend.Outcome, err error, takes time.Duration) {
+	now := p.opts.Clock.Now()
+	e.calling = false
+	p.opts.Log.Info("order given", zap.String("server", e.server.ID), zap.Bool("unload", o.Unload),
+		zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.Int("sequence", o.Sequence),
+		zap.Int64("fence", o.Fence), zap.Stringer("outcome", out), zap.Error(err))
+	switch out {
+	case backend.OutcomeTaken:
+		e.sequence++
+		e.ordered = now
+		e.given = true
+		e.nextReport = now.Add(takes)
+	case backend.OutcomeFenced:
+		p.fenced = lease.Token(o.Fence)
+		e.pending = nil
+	case backend.OutcomeUnknown:
+		e.known = false
+		e.nextReport = now.Add(retryOrder)
+	default:
+		e.known = false
+		e.pending = nil
+		e.nextReport = now.Add(pollEvery)
+	}
+}
+
+// moveAdapter brings an adapter to an engine, after its victim has gone.
+func (p *Placer) moveAdapter(e *engine, m residency.AdapterMove) {
+	e.calling = true
+	server := e.server
+	load := backend.Order{Model: m.Model, Adapter: m.Name, Sequence: e.sequence, Fence: int64(p.token)}
+	go func() {
+		if m.Victim.Name != "" {
+			drop := backend.Order{Unload: true, Model: m.Victim.Model, Adapter: m.Victim.Name, Sequence: load.Sequence, Fence: load.Fence}
+			out, err := p.order(server, drop)
+			if !p.adapterOrdered(e, drop, out, err) {
+				return
+			}
+			load.Sequence++
+		}
+		out, err := p.order(server, load)
+		p.adapterOrdered(e, load, out, err)
+	}()
+}
+
+// adapterOrdered takes in the answer to an order for an adapter and reports
+// whether it was carried out.
+func (p *Placer) adapterOrdered(e *engine, o backend.Order, out backend.Outcome, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	p.opts.Log.Info("order given", zap.String("server", e.server.ID), zap.Bool("unload", o.Unload),
+		zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.Int("sequence", o.Sequence),
+		zap.Int64("fence", o.Fence), zap.Stringer("outcome", out), zap.Error(err))
+	a := backend.Adapter{Model: o.Model, Name: o.Adapter}
+	if out != backend.OutcomeTaken && out != backend.OutcomeDone {
+		e.calling, e.known = false, false
+		e.nextReport = now.Add(pollEvery)
+		if out == backend.OutcomeFenced {
+			p.fenced = lease.Token(o.Fence)
+		}
+		return false
+	}
+	e.sequence++
+	e.ordered = now
+	if o.Unload {
+		e.dropAdapter(a)
+		return true
+	}
+	e.calling = false
+	e.addAdapter(a, now)
+	if out == backend.OutcomeDone {
+		// Whether this moved the sequence is for the next report to tell.
+		e.known = false
+		e.nextReport = now.Add(pollEvery)
+	}
+	p.tell(now)
+	return true
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,314 @@
+package placer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+	"rockcleat/lease"
+	"rockcleat/residency"
+	"rockcleat/table"
+)
+
+// Times of the placer.
+const (
+	tick = 100 * time.Millisecond
+	// gatewaySilence is after how long a gateway's report no longer counts.
+	gatewaySilence = 2 * time.Second
+	// refreshEvery is how often an engine without orders is asked for a report.
+	refreshEvery = 6 * time.Second
+)
+
+// The weight store's budget.
+const (
+	// budgetShare is the part of the store's rate that is used.
+	budgetShare = 0.9
+	// budgetBurst is the number of loads that may begin together.
+	budgetBurst = 2.5
+)
+
+// Options are what a Placer is made of.
+type Options struct {
+	Lease    *lease.Holder
+	Engines  backend.Engines
+	Registry *backend.Registry
+	// Routing returns the configuration in force, or nil.
+	Routing func() *table.Routing
+	// Settle is how long a new holder waits before its first order, so that the
+	// last one's orders are over.
+	Settle time.Duration
+	// First tells that the whole system starts for the first time, so that there
+	// was no holder before.
+	First bool
+	Clock clock.Service
+	Log   *zap.Logger
+}
+
+// A Placer gives the orders while it holds the lease.
+type Placer struct {
+	opts Options
+
+	mu      sync.Mutex
+	token   lease.Token
+	since   time.Time
+	fenced  lease.Token
+	engines map[string]*engine
+	demand  *demand
+	budget  float64
+	stepped time.Time
+	version int64
+	told    map[string]backend.Residency
+	stop    func()
+	ctx     context.Context
+	done    context.CancelFunc
+}
+
+// New returns a Placer that does nothing until Start.
+func New(o Options) *Placer {
+	p := &Placer{opts: o, engines: make(map[string]*engine), demand: newDemand()}
+	p.ctx, p.done = context.WithCancel(context.Background())
+	return p
+}
+
+// Start contends for the lease and begins to tick.
+func (p *Placer) Start() {
+	go p.opts.Lease.Campaign(p.ctx)
+	p.stop = p.opts.Clock.Subscribe(tick, p.step)
+}
+
+// Stop gives the lease back and ends the placer.
+func (p *Placer) Stop(ctx context.Context) {
+	p.done()
+	p.stop()
+	if err := p.opts.Lease.Release(ctx); err != nil {
+		p.opts.Log.Warn("lease not given back", zap.Error(err))
+	}
+}
+
+// Holder returns where the holder of orders takes messages and whether it is this process.
+func (p *Placer) Holder() (addr string, own bool) {
+	if _, held := p.opts.Lease.Held(); held {
+		return "", true
+	}
+	return p.opts.Lease.Other().Addr, false
+}
+
+// Report takes in what a gateway tells and returns the answer to it.
+func (p *Placer) Report(r Report) Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, held := p.opts.Lease.Held(); !held {
+		return Answer{}
+	}
+	now := p.opts.Clock.Now()
+	p.demand.take(r, now)
+	p.tell(now)
+	a := Answer{Held: true, Loads: p.demand.loads(r.From), Version: p.version}
+	for _, g := range p.demand.gateways {
+		a.Gateways = append(a.Gateways, g.report.Addr)
+	}
+	slices.Sort(a.Gateways)
+	if r.Residency != p.version {
+		a.Residency = p.told
+	}
+	return a
+}
+
+// Wake makes the placer look at once at what has been reported.
+func (p *Placer) Wake() { p.step(p.opts.Clock.Now()) }
+
+// step does whatever is due.
+func (p *Placer) step(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	token, held := p.opts.Lease.Held()
+	if !held {
+		p.lose()
+		return
+	}
+	if token != p.token {
+		p.gain(token, now)
+	}
+	by := now.Sub(p.stepped)
+	if by >= tick {
+		p.stepped = now
+		p.demand.step(by)
+		p.demand.forget(now, gatewaySilence)
+	}
+	routing := p.opts.Routing()
+	if routing == nil || token == p.fenced || now.Sub(p.since) < p.settle() {
+		return
+	}
+	p.follow(p.opts.Registry.Snapshot(), routing)
+	for _, s := range routing.Services() {
+		if s.Engine != nil {
+			p.serve(s, by, now)
+		}
+	}
+	p.tell(now)
+}
+
+func (p *Placer) settle() time.Duration {
+	if p.opts.First {
+		return 0
+	}
+	return p.opts.Settle
+}
+
+// lose forgets what only a holder may act on.
+func (p *Placer) lose() {
+	if p.token == 0 {
+		return
+	}
+	p.opts.Log.Info("orders lost", zap.Int64("token", int64(p.token)))
+	p.token = 0
+	p.engines = make(map[string]*engine)
+	p.demand = newDemand()
+	p.told = nil
+	p.opts.First = false
+}
+
+func (p *Placer) gain(token lease.Token, now time.Time) {
+	p.opts.Log.Info("orders gained", zap.Int64("token", int64(token)), zap.Duration("settle", p.settle()))
+	p.token, p.since, p.stepped = token, now, now
+	p.budget = 0
+	if p.opts.First {
+		p.budget = budgetBurst
+	}
+	p.version = int64(token) << versionBits
+}
+
+// versionBits is the part of a residency's version that counts changes; the
+// rest is the holder's token, so that versions of two holders differ.
+const versionBits = 20
+
+// follow adds the engines that have come and drops those that have gone.
+func (p *Placer) follow(s *backend.Snapshot, routing *table.Routing) {
+	for id := range p.engines {
+		if _, ok := s.Server(id); !ok {
+			delete(p.engines, id)
+		}
+	}
+	for _, service := range routing.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		for _, srv := range s.Service(service.Name) {
+			if e := p.engines[srv.ID]; e != nil {
+				e.server = srv
+				continue
+			}
+			p.engines[srv.ID] = newEngine(srv)
+		}
+	}
+}
+
+// serve plans for one service and does what is due at its engines.
+func (p *Placer) serve(s table.Service, by time.Duration, now time.Time) {
+	p.budget = min(p.budget+budgetShare*s.Engine.LoadsPerSecond*by.Seconds(), budgetBurst)
+	list := p.enginesOf(s.Name)
+	p.planAdapters(s, list, now)
+	p.planModels(s, list, now)
+	for _, e := range list {
+		p.act(e, s.Engine, now)
+	}
+}
+
+func (p *Placer) enginesOf(service string) []*engine {
+	var list []*engine
+	for _, e := range p.engines {
+		if e.server.Service == service {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *engine) int {
+		if a.server.ID < b.server.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func views(list []*engine, now time.Time) []residency.Engine {
+	out := make([]residency.Engine, len(list))
+	for i, e := range list {
+		out[i] = e.view(now)
+	}
+	return out
+}
+
+func (p *Placer) planModels(s table.Service, list []*engine, now time.Time) {
+	moves := residency.Plan(residency.Input{
+		Spec: s.Engine, Engines: views(list, now), Wants: p.demand.wants(), StoreLoads: int(p.budget),
+	})
+	for _, m := range moves {
+		if m.Source == residency.FromStore {
+			p.budget--
+		}
+		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
+			zap.Strings("victims", m.Victims), zap.Int("source", int(m.Source)))
+		p.engines[m.Engine].start(m, now)
+	}
+}
+
+func (p *Placer) planAdapters(s table.Service, list []*engine, now time.Time) {
+	waited, running := p.demand.adapters(s.Name)
+	missing := slices.DeleteFunc(waited, func(a backend.Adapter) bool {
+		return slices.ContainsFunc(list, func(e *engine) bool {
+			return slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
+		})
+	})
+	if len(missing) == 0 {
+		return
+	}
+	idle := slices.DeleteFunc(views(list, now), func(e residency.Engine) bool { return !e.Idle })
+	load := make(map[string]int)
+	for id, l := range p.demand.loads("") {
+		load[id] = l.Running
+	}
+	moves := residency.PlanAdapters(residency.AdapterInput{
+		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing,
+		Used: p.demand.used, Running: running, Load: load,
+	})
+	for _, m := range moves {
+		p.moveAdapter(p.engines[m.Engine], m)
+	}
+}
+
+// tell makes a new version of what gateways are told, if it differs.
+func (p *Placer) tell(now time.Time) {
+	told := make(map[string]backend.Residency, len(p.engines))
+	for id, e := range p.engines {
+		if e.known {
+			told[id] = backend.Residency{Residents: e.ready(now)}
+		}
+	}
+	if equal(told, p.told) {
+		return
+	}
+	p.told = told
+	p.version++
+}
+
+func equal(a, b map[string]backend.Residency) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, x := range a {
+		y, ok := b[id]
+		if !ok || !slices.EqualFunc(x.Residents, y.Residents, sameResident) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameResident(a, b backend.Resident) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
--- /dev/null
+++ b/internal/telemetry/sink.go
@@ -0,0 +1,134 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"rockcleat/internal/config"
+)
+
+// Bounds of a Sink.
+const (
+	// sinkBytes is what a Sink holds at most.
+	sinkBytes = 256 << 10
+	// sinkEvery is how long a line waits to be written with others.
+	sinkEvery = 200 * time.Millisecond
+)
+
+// A Sink takes log lines, holds a bounded number of bytes and writes them from
+// one goroutine, so that a writer that blocks never blocks who logs. Lines that
+// find no room are dropped and counted, and the count is written when there is room.
+type Sink struct {
+	out io.Writer
+
+	mu      sync.Mutex
+	buf     []byte
+	dropped int
+	closed  bool
+	wake    chan struct{}
+	ended   chan struct{}
+}
+
+// NewSink returns a Sink that writes to out until Close.
+func NewSink(out io.Writer) *Sink {
+	s := &Sink{out: out, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+// Write takes a line or drops it; it never blocks on the output and never fails.
+func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.buf)+len(line) > sinkBytes {
+		s.dropped++
+		return len(line), nil
+	}
+	if len(s.buf) == 0 {
+		s.signal()
+	}
+	s.buf = append(s.buf, line...)
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer; lines are written by and by.
+func (s *Sink) Sync() error { return nil }
+
+// Dropped returns the number of lines dropped since the last count was written.
+func (s *Sink) Dropped() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropped
+}
+
+// sinkCloseTime bounds the last writing.
+const sinkCloseTime = 200 * time.Millisecond
+
+// Close writes what is held, if the output takes it in time.
+func (s *Sink) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.signal()
+	s.mu.Unlock()
+	select {
+	case <-s.ended:
+	case <-time.After(sinkCloseTime):
+	}
+}
+
+func (s *Sink) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Sink) run() {
+	defer close(s.ended)
+	for range s.wake {
+		if !s.isClosed() {
+			time.Sleep(sinkEvery)
+		}
+		_, _ = s.out.Write(s.take())
+		if s.isClosed() {
+			return
+		}
+	}
+}
+
+func (s *Sink) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// take returns what is held, with the count of dropped lines.
+func (s *Sink) take() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.buf
+	s.buf = nil
+	if s.dropped > 0 {
+		b = fmt.Appendf(b, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", s.dropped)
+		s.dropped = 0
+	}
+	return b
+}
+
+// NewSinkLogger returns a logger of JSON lines into a sink.
+func NewSinkLogger(l config.Log, s *Sink, role, id string) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(l.Level)
+	if err != nil {
+		return nil, eris.Wrap(err, "telemetry: log level")
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.EpochMillisTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level)
+	return zap.New(core).With(zap.String("role", role), zap.String("vm", id)), nil
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -48,6 +48,8 @@
 	token  Token
 	expiry time.Time
 	other  Record
+	// seen is the revision of the other holder's record.
+	seen kv.Revision
 }
 
 // New returns a Holder that holds nothing until Step succeeds.
@@ -124,7 +126,7 @@
 	key := keyPrefix + h.opts.Name
 	e, err := h.store.Get(ctx, key)
 	if err == nil {
-		h.setOther(e.Value)
+		h.setOther(e)
 		return nil
 	}
 	if !errors.Is(err, kv.ErrNotFound) {
@@ -155,12 +157,12 @@
 	return nil
 }
 
-func (h *Holder) setOther(value []byte) {
-	var r Record
-	if json.Unmarshal(value, &r) != nil {
-		return
-	}
+func (h *Holder) setOther(e kv.Entry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.other = r
+	h.seen = e.Revision
+	var r Record
+	if json.Unmarshal(e.Value, &r) == nil {
+		h.other = r
+	}
 }
--- /dev/null
+++ b/residency/adapters.go
@@ -0,0 +1,103 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rockcleat/backend"
+)
+
+// An AdapterMove brings an adapter to an engine.
+type AdapterMove struct {
+	Engine string
+	backend.Adapter
+	// Victim is an adapter to unload first, if its name is not empty.
+	Victim backend.Adapter
+}
+
+// An AdapterInput is what a plan for adapters is made from.
+type AdapterInput struct {
+	// Slots is the number of adapters that an engine holds.
+	Slots   int
+	Engines []Engine
+	// Missing lists adapters that are waited for.
+	Missing []backend.Adapter
+	// Used tells when each adapter was last asked for; Running how many requests use it.
+	Used    map[backend.Adapter]time.Time
+	Running map[backend.Adapter]int
+	// Load is the number of requests at each engine.
+	Load map[string]int
+}
+
+// PlanAdapters returns the moves to start now, at most one an engine.
+func PlanAdapters(in AdapterInput) []AdapterMove {
+	var moves []AdapterMove
+	taken := make(map[string]bool)
+	for _, a := range in.Missing {
+		m, ok := in.best(a, taken)
+		if !ok {
+			continue
+		}
+		taken[m.Engine] = true
+		moves = append(moves, m)
+	}
+	return moves
+}
+
+// best returns the least loaded engine that holds the base and has room.
+func (in *AdapterInput) best(a backend.Adapter, taken map[string]bool) (AdapterMove, bool) {
+	var best AdapterMove
+	found := false
+	bestCost := 0
+	for i := range in.Engines {
+		e := &in.Engines[i]
+		if e.Leaving || taken[e.ID] || !holds(e, a.Model) {
+			continue
+		}
+		move := AdapterMove{Engine: e.ID, Adapter: a}
+		cost := in.Load[e.ID] + adapters(e)
+		if adapters(e) >= in.Slots {
+			victim, ok := in.victim(e)
+			if !ok {
+				continue
+			}
+			move.Victim = victim
+			cost += fullPenalty
+		}
+		if !found || cost < bestCost {
+			best, bestCost, found = move, cost, true
+		}
+	}
+	return best, found
+}
+
+// fullPenalty is what an engine with no free place costs, in requests.
+const fullPenalty = 64
+
+func adapters(e *Engine) int {
+	n := 0
+	for _, r := range e.Residents {
+		n += len(r.Adapters)
+	}
+	return n
+}
+
+// victim returns the adapter that was asked for least recently and that no request uses.
+func (in *AdapterInput) victim(e *Engine) (backend.Adapter, bool) {
+	var list []backend.Adapter
+	for _, r := range e.Residents {
+		for _, name := range r.Adapters {
+			a := backend.Adapter{Model: r.Model, Name: name}
+			if in.Running[a] == 0 && !slices.Contains(in.Missing, a) {
+				list = append(list, a)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return backend.Adapter{}, false
+	}
+	return slices.MinFunc(list, func(a, b backend.Adapter) int {
+		return cmp.Compare(in.Used[a].UnixNano(), in.Used[b].UnixNano())
+	}), true
+}
--- /dev/null
+++ b/residency/plan.go
@@ -0,0 +1,294 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+
+	"rockcleat/backend"
+	"rockcleat/table"
+)
+
+// An Engine is one engine as a plan sees it.
+type Engine struct {
+	ID   string
+	Hall string
+	// Residents are the models that are ready or on their way.
+	Residents []backend.Resident
+	// Idle tells that no order is under way.
+	Idle bool
+	// Leaving tells that the engine is about to go; its copies do not count.
+	Leaving bool
+	// InMemory and OnDisk name the models whose weights are at hand.
+	InMemory, OnDisk []string
+	// Fresh names the models that came too recently to go again.
+	Fresh map[string]bool
+}
+
+// A Want is what is asked of one model.
+type Want struct {
+	// Weight is the work asked for per second, in tokens.
+	Weight float64
+	// Waiting is the number of requests that wait for it.
+	Waiting int
+}
+
+// An Input is what a plan is made from.
+type Input struct {
+	Spec    *table.EngineSpec
+	Engines []Engine
+	Wants   map[string]Want
+	// StoreLoads is the number of loads that the weight store bears now.
+	StoreLoads int
+}
+
+// A Source tells where weights are loaded from.
+type Source int
+
+// The sources of weights.
+const (
+	FromStore Source = iota
+	FromDisk
+	FromMemory
+)
+
+// A Move brings one model to one engine.
+type Move struct {
+	Engine string
+	Model  string
+	// Victims are the models to unload first.
+	Victims []string
+	Source  Source
+}
+
+// plan is the working state of one call of Plan.
+type plan struct {
+	in      Input
+	copies  map[string]int
+	desired map[string]int
+	engines []*Engine
+}
+
+// Plan returns the moves to start now, the most urgent first; at most one an engine.
+func Plan(in Input) []Move {
+	p := &plan{in: in, copies: make(map[string]int)}
+	for i := range in.Engines {
+		e := &in.Engines[i]
+		if e.Leaving {
+			continue
+		}
+		p.engines = append(p.engines, e)
+		for _, r := range e.Residents {
+			p.copies[r.Model]++
+		}
+	}
+	p.desired = Copies(in.Spec, in.Wants, len(p.engines))
+	return p.moves()
+}
+
+// halfCopy favours models with few copies when memory is divided.
+const halfCopy = 0.5
+
+// Copies divides the memory of a number of engines among the models: one copy
+// each, and the rest in proportion to their weights.
+func Copies(spec *table.EngineSpec, wants map[string]Want, engines int) map[string]int {
+	copies := make(map[string]int, len(spec.Models))
+	room := spec.WeightsMB * float64(engines)
+	for _, m := range spec.Models {
+		copies[m.Name] = 1
+		room -= m.WeightsMB
+	}
+	for {
+		best := -1
+		bestShare := 0.0
+		for i, m := range spec.Models {
+			n := copies[m.Name]
+			share := wants[m.Name].Weight / (float64(n) + halfCopy)
+			if n < engines && m.WeightsMB <= room && share > bestShare {
+				best, bestShare = i, share
+			}
+		}
+		if best < 0 {
+			return copies
+		}
+		copies[spec.Models[best].Name]++
+		room -= spec.Models[best].WeightsMB
+	}
+}
+
+// moves looks for a move for each model that has too few copies.
+func (p *plan) moves() []Move {
+	var moves []Move
+	stores := p.in.StoreLoads
+	for _, m := range p.short() {
+		move, ok := p.best(m, stores > 0)
+		if !ok {
+			continue
+		}
+		moves = append(moves, move)
+		if move.Source == FromStore {
+			stores--
+		}
+		p.apply(move)
+	}
+	return moves
+}
+
+// short returns the models with fewer copies than desired, the most urgent first.
+func (p *plan) short() []table.ModelSpec {
+	var list []table.ModelSpec
+	for _, m := range p.in.Spec.Models {
+		if p.copies[m.Name] < p.desired[m.Name] {
+			list = append(list, m)
+		}
+	}
+	urgency := func(m table.ModelSpec) float64 {
+		w := p.in.Wants[m.Name]
+		if p.copies[m.Name] == 0 {
+			return w.Weight*1e6 + float64(w.Waiting)*1e6 + 1e6
+		}
+		return w.Weight / (float64(p.copies[m.Name]) + halfCopy)
+	}
+	slices.SortStableFunc(list, func(a, b table.ModelSpec) int { return cmp.Compare(urgency(b), urgency(a)) })
+	return list
+}
+
+// best returns the cheapest move that brings a model to an engine.
+func (p *plan) best(m table.ModelSpec, stores bool) (Move, bool) {
+	var best Move
+	found := false
+	bestCost := 0.0
+	halls := p.halls(m.Name)
+	for _, e := range p.engines {
+		if !e.Idle || holds(e, m.Name) {
+			continue
+		}
+		source := sourceOf(e, m.Name)
+		if source == FromStore && !stores {
+			continue
+		}
+		victims, loss, ok := p.victims(e, m)
+		if !ok {
+			continue
+		}
+		cost := loadSeconds(m, source) + loss + hallPenalty*float64(halls[e.Hall])
+		if !found || cost < bestCost {
+			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Victims: victims, Source: source}, cost, true
+		}
+	}
+	return best, found
+}
+
+// hallPenalty is what a further copy in the same data hall costs, in seconds of loading.
+const hallPenalty = 1.5
+
+func (p *plan) halls(model string) map[string]int {
+	halls := make(map[string]int)
+	for _, e := range p.engines {
+		if holds(e, model) {
+			halls[e.Hall]++
+		}
+	}
+	return halls
+}
+
+func loadSeconds(m table.ModelSpec, s Source) float64 {
+	switch s {
+	case FromMemory:
+		return m.WarmTime.Seconds()
+	case FromDisk:
+		return m.DiskTime.Seconds()
+	}
+	return m.LoadTime.Seconds()
+}
+
+func sourceOf(e *Engine, model string) Source {
+	if slices.Contains(e.InMemory, model) {
+		return FromMemory
+	}
+	if slices.Contains(e.OnDisk, model) {
+		return FromDisk
+	}
+	return FromStore
+}
+
+func holds(e *Engine, model string) bool {
+	return slices.ContainsFunc(e.Residents, func(r backend.Resident) bool { return r.Model == model })
+}
+
+// weightOf returns the memory of a model with its adapters, in MB.
+func weightOf(spec *table.EngineSpec, r backend.Resident) float64 {
+	m, ok := spec.Model(r.Model)
+	if !ok {
+		return 0
+	}
+	return m.WeightsMB + float64(len(r.Adapters))*m.AdapterMB
+}
+
+// Free returns the memory that an engine has left, in MB.
+func Free(spec *table.EngineSpec, residents []backend.Resident) float64 {
+	free := spec.WeightsMB
+	for _, r := range residents {
+		free -= weightOf(spec, r)
+	}
+	return free
+}
+
+// adapterReserve is the part of an engine's memory left for adapters.
+const adapterReserve = 0.004
+
+// victims returns what to unload so that the model fits, and what that loses.
+func (p *plan) victims(e *Engine, m table.ModelSpec) (victims []string, loss float64, ok bool) {
+	spec := p.in.Spec
+	need := m.WeightsMB + adapterReserve*spec.WeightsMB - Free(spec, e.Residents)
+	if need <= 0 {
+		return nil, 0, true
+	}
+	list := slices.Clone(e.Residents)
+	slices.SortStableFunc(list, func(a, b backend.Resident) int {
+		return cmp.Compare(p.value(a.Model), p.value(b.Model))
+	})
+	urgent := p.copies[m.Name] == 0
+	for _, r := range list {
+		if !p.spare(e, r.Model, urgent) {
+			continue
+		}
+		victims = append(victims, r.Model)
+		loss += p.value(r.Model) / (p.value(m.Name) + p.value(r.Model) + 1)
+		need -= weightOf(spec, r)
+		if need <= 0 {
+			return victims, loss, true
+		}
+	}
+	return nil, 0, false
+}
+
+// value is what one copy of a model carries.
+func (p *plan) value(model string) float64 {
+	return p.in.Wants[model].Weight / float64(max(p.copies[model], 1))
+}
+
+// spare reports whether a copy of the model may go: never the last one, and
+// otherwise one too many, or any for a model that has none.
+func (p *plan) spare(e *Engine, model string, urgent bool) bool {
+	if p.copies[model] <= 1 {
+		_, listed := p.in.Spec.Model(model)
+		return !listed
+	}
+	if e.Fresh[model] && !urgent {
+		return false
+	}
+	return urgent || p.copies[model] > p.desired[model]
+}
+
+// apply counts a move as made.
+func (p *plan) apply(m Move) {
+	for _, e := range p.engines {
+		if e.ID == m.Engine {
+			e.Idle = false
+		}
+	}
+	p.copies[m.Model]++
+	for _, v := range m.Victims {
+		p.copies[v]--
+	}
+}
--- /dev/null
+++ b/table/routing.go
@@ -0,0 +1,199 @@
+package table
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// A Repeat tells what may happen to a request whose first send failed.
+type Repeat string
+
+// The kinds of requests by what may be repeated.
+const (
+	// RepeatNever is a request that runs at most once.
+	RepeatNever Repeat = "never"
+	// RepeatWhole is a request that may run any number of times.
+	RepeatWhole Repeat = "whole"
+	// RepeatResume is a stream that may go on at another server after its last event.
+	RepeatResume Repeat = "resume"
+)
+
+// A Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	// Weight is the part, without a unit; it counts against the route's other shares.
+	Weight int
+}
+
+// A Route sends the requests of a host and a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Shares lists the services; one for most routes.
+	Shares []Share
+	Repeat Repeat
+	// Stream tells that answers are server-sent events.
+	Stream bool
+	// Timeout is the longest time that a request may be held.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to a stream's first event, that callers are promised.
+	Objective time.Duration
+	// PauseObjective is the longest pause between events that callers are promised.
+	PauseObjective time.Duration
+	// Attempts is the greatest number of backend servers that may run one request.
+	Attempts int
+	// Priority is the route's rank; 0 is the most urgent.
+	Priority int
+}
+
+// A ModelSpec is a model that an engine may hold.
+type ModelSpec struct {
+	Name string
+	// WeightsMB is its memory on an engine.
+	WeightsMB float64
+	// LoadTime is how long it takes from the weight store, WarmTime from the
+	// server's memory and DiskTime from its disk.
+	LoadTime, WarmTime, DiskTime time.Duration
+	// Adapters is the number of its adapters, named a1 and so on.
+	Adapters  int
+	AdapterMB float64
+}
+
+// An EngineSpec tells what the engines of a service can hold.
+type EngineSpec struct {
+	Slots int
+	// CacheTokens is the memory for running requests and kept prompts, in tokens.
+	CacheTokens int
+	// EventTokens is the number of tokens that one event of a stream carries.
+	EventTokens int
+	// WeightsMB is the memory for models and adapters of one engine.
+	WeightsMB    float64
+	AdapterSlots int
+	// LoadsPerSecond is the weight store's rate for all engines together.
+	LoadsPerSecond float64
+	Models         []ModelSpec
+}
+
+// Model returns the specification of a model by name.
+func (e *EngineSpec) Model(name string) (ModelSpec, bool) {
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return ModelSpec{}, false
+}
+
+// A Service is a set of like backend servers.
+type Service struct {
+	Name string
+	// MaxConnections is what one server accepts from all callers together.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *EngineSpec
+}
+
+// RequestLimits bound what callers may send and how long they may take.
+type RequestLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// A Routing is one version of the operators' routes, services and limits.
+//
+// It is not to be changed after NewRouting.
+type Routing struct {
+	version  uint64
+	services map[string]Service
+	limits   RequestLimits
+	hosts    map[string][]Route
+	routes   int
+}
+
+// NewRouting returns the routing of one version.
+func NewRouting(version uint64, routes []Route, services []Service, limits RequestLimits) *Routing {
+	r := &Routing{
+		version:  version,
+		services: make(map[string]Service, len(services)),
+		limits:   limits,
+		hosts:    make(map[string][]Route),
+		routes:   len(routes),
+	}
+	for _, s := range services {
+		r.services[s.Name] = s
+	}
+	for _, route := range routes {
+		host := strings.ToLower(route.Host)
+		r.hosts[host] = append(r.hosts[host], route)
+	}
+	for _, list := range r.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return r
+}
+
+// Version returns the routing's version.
+func (r *Routing) Version() uint64 { return r.version }
+
+// Limits returns what callers may send.
+func (r *Routing) Limits() RequestLimits { return r.limits }
+
+// Len returns the number of routes.
+func (r *Routing) Len() int { return r.routes }
+
+// Service returns a service by name.
+func (r *Routing) Service(name string) (Service, bool) {
+	s, ok := r.services[name]
+	return s, ok
+}
+
+// Services returns all services, in no order.
+func (r *Routing) Services() []Service {
+	list := make([]Service, 0, len(r.services))
+	for _, s := range r.services {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Match returns the route of the host whose prefix begins the path and is longest.
+func (r *Routing) Match(host, path string) (Route, bool) {
+	list := r.hosts[strings.ToLower(host)]
+	if list == nil {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			list = r.hosts[strings.ToLower(host[:i])]
+		}
+	}
+	for _, route := range list {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Pick returns the service that a request with the given random number goes to.
+func (r Route) Pick(random uint64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Shares) == 0 {
+			return ""
+		}
+		return r.Shares[0].Service
+	}
+	at := int(random % uint64(total))
+	for _, s := range r.Shares {
+		at -= max(s.Weight, 0)
+		if at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
