Lease followed from a moving revision; first orders wait for the servers

A second holder took itself for the first one of the first start and gave orders without settling. The first holder planned before all servers were listed and loaded models that were only not yet seen.

Ruled out: watches of servers and configuration (128 and 32 calls in 48 s).

Change: kv.Follow lists anew when history is gone and moves its revision on; the lease is followed by it. Settling is skipped only where no other holder was ever seen; the first holder waits 4 s.

--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -29,6 +29,7 @@
 		ReadyPath: platform.PathReady,
 		Store:     store,
 		Prefixes:  store,
+		OwnKeys:   store.Own(),
 		Decoder:   platform.Decoder{},
 		Engines:   platform.NewEngines(s.ID, s.EngineTimeout.Std(), client),
 		Clock:     clock.Real{},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,12 +42,14 @@
 	// ReadyPath is where the balancer asks whether the process is ready.
 	ReadyPath string
 	Store     kv.Store
-	Prefixes  kv.PrefixStore
-	Decoder   Decoder
-	Engines   backend.Engines
-	Clock     clock.Service
-	Log       *zap.Logger
-	Metrics   Metrics
+	// Prefixes are all keys of the store, OwnKeys those that the product writes.
+	Prefixes kv.PrefixStore
+	OwnKeys  kv.PrefixStore
+	Decoder  Decoder
+	Engines  backend.Engines
+	Clock    clock.Service
+	Log      *zap.Logger
+	Metrics  Metrics
 }
 
 // A Gateway is the entry process in front of servers that speak to it directly.
@@ -110,7 +112,7 @@
 		Lease: lease.New(o.Store, o.Clock, lease.Options{
 			Name: "placer", Holder: o.Settings.ID, Addr: o.Settings.PeerListen, TTL: o.Settings.LeaseTTL.Std(),
 		}),
-		Engines: o.Engines, Registry: &g.registry, Routing: g.routing.Load, Clock: o.Clock, Log: o.Log,
+		Keys: o.OwnKeys, Engines: o.Engines, Registry: &g.registry, Routing: g.routing.Load, Clock: o.Clock, Log: o.Log,
 		Settle: o.Settings.LeaseTTL.Std(), First: o.Settings.FirstStart,
 	})
 	g.peers = newPeers(g)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -10,6 +10,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/kv"
 	"rockcleat/lease"
 	"rockcleat/residency"
 	"rockcleat/table"
@@ -24,6 +25,10 @@
 	refreshEvery = 6 * time.Second
 )
 
+// firstSettle is how long the first holder waits, so that the servers have told
+// of themselves and their models are not taken to be missing.
+const firstSettle = 4 * time.Second
+
 // The weight store's budget.
 const (
 	// budgetShare is the part of the store's rate that is used.
@@ -34,7 +39,9 @@
 
 // Options are what a Placer is made of.
 type Options struct {
-	Lease    *lease.Holder
+	Lease *lease.Holder
+	// Keys is where the lease's key is watched.
+	Keys     kv.PrefixStore
 	Engines  backend.Engines
 	Registry *backend.Registry
 	// Routing returns the configuration in force, or nil.
@@ -77,7 +84,7 @@
 
 // Start contends for the lease and begins to tick.
 func (p *Placer) Start() {
-	go p.opts.Lease.Campaign(p.ctx)
+	go p.opts.Lease.Campaign(p.ctx, p.opts.Keys)
 	p.stop = p.opts.Clock.Subscribe(tick, p.step)
 }
 
@@ -153,9 +160,12 @@
 	p.tell(now)
 }
 
+// isFirst reports whether there was no holder before this one.
+func (p *Placer) isFirst() bool { return p.opts.First && !p.opts.Lease.HasSeenOther() }
+
 func (p *Placer) settle() time.Duration {
-	if p.opts.First {
-		return 0
+	if p.isFirst() {
+		return firstSettle
 	}
 	return p.opts.Settle
 }
@@ -170,14 +180,13 @@
 	p.engines = make(map[string]*engine)
 	p.demand = newDemand()
 	p.told = nil
-	p.opts.First = false
 }
 
 func (p *Placer) gain(token lease.Token, now time.Time) {
 	p.opts.Log.Info("orders gained", zap.Int64("token", int64(token)), zap.Duration("settle", p.settle()))
 	p.token, p.since, p.stepped = token, now, now
 	p.budget = 0
-	if p.opts.First {
+	if p.isFirst() {
 		p.budget = budgetBurst
 	}
 	p.version = int64(token) << versionBits
--- a/kv/follow.go
+++ b/kv/follow.go
@@ -24,6 +24,10 @@
 	lastPause  = 500 * time.Millisecond
 )
 
+// gatherTime is the pause after changes, so that changes which come close
+// together cost one call.
+const gatherTime = 300 * time.Millisecond
+
 // Follow keeps a follower up to date with a prefix until ctx ends. Each watch
 // waits for at most wait, so that a connection which has silently died is noticed.
 func Follow(ctx context.Context, s PrefixStore, prefix string, wait time.Duration, f Follower) {
@@ -61,16 +65,23 @@
 		for _, e := range events {
 			f.Apply(e)
 		}
+		if len(events) > 0 {
+			sleep(ctx, gatherTime)
+		}
 	}
 }
 
 // backOff waits for a pause with jitter and returns the next, longer one.
 func backOff(ctx context.Context, pause time.Duration) time.Duration {
-	timer := time.NewTimer(pause/2 + rand.N(pause))
+	sleep(ctx, pause/2+rand.N(pause))
+	return min(2*pause, lastPause)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return min(2*pause, lastPause)
 }
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"rockcleat/kv"
 )
 
 // Pace of a campaign.
@@ -18,35 +20,78 @@
 
 // Campaign renews the lease while it is held and otherwise waits for it to come
 // free, until ctx ends. While another holds it, it costs one watch each few seconds.
-func (h *Holder) Campaign(ctx context.Context) {
+func (h *Holder) Campaign(ctx context.Context, s kv.PrefixStore) {
+	w := &watcher{holder: h, free: make(chan struct{}, 1)}
+	go kv.Follow(ctx, s, keyPrefix+h.opts.Name, watchWait, w)
 	for ctx.Err() == nil {
-		err := h.Step(ctx)
-		if err != nil {
+		if _, held := h.Held(); !held && !w.await(ctx) {
+			return
+		}
+		if err := h.Step(ctx); err != nil {
 			pause(ctx, retryPause/2+rand.N(retryPause))
+			w.signal()
 			continue
 		}
 		if _, held := h.Held(); held {
 			pause(ctx, h.opts.TTL/renewalsPerTTL)
-			continue
+			w.signal()
 		}
-		h.await(ctx)
 	}
 }
 
-// await waits until the lease's key changes or a while has passed.
-func (h *Holder) await(ctx context.Context) {
-	h.mu.Lock()
-	rev := h.seen
-	h.mu.Unlock()
-	if rev == 0 {
-		pause(ctx, rand.N(retryPause))
+// A watcher follows a lease's key and tells when it is free.
+type watcher struct {
+	holder *Holder
+	free   chan struct{}
+}
+
+// await waits until the lease may be free and reports whether ctx still goes on.
+func (w *watcher) await(ctx context.Context) bool {
+	select {
+	case <-w.free:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// signal makes the next await return at once.
+func (w *watcher) signal() {
+	select {
+	case w.free <- struct{}{}:
+	default:
+	}
+}
+
+// Replace implements kv.Follower.
+func (w *watcher) Replace(entries []kv.Entry) {
+	for _, e := range entries {
+		if e.Key == keyPrefix+w.holder.opts.Name {
+			w.holder.setOther(e)
+			return
+		}
+	}
+	w.signal()
+}
+
+// Apply implements kv.Follower.
+func (w *watcher) Apply(e kv.Event) {
+	if e.Entry.Key != keyPrefix+w.holder.opts.Name {
 		return
 	}
-	if _, err := h.store.Watch(ctx, keyPrefix+h.opts.Name, rev, watchWait); err != nil {
-		pause(ctx, rand.N(retryPause))
+	if e.Deleted {
+		w.signal()
+		return
 	}
+	w.holder.setOther(e.Entry)
 }
 
+// Lost implements kv.Follower.
+func (w *watcher) Lost(error) {}
+
+// Heard implements kv.Follower.
+func (w *watcher) Heard() {}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -48,8 +48,8 @@
 	token  Token
 	expiry time.Time
 	other  Record
-	// seen is the revision of the other holder's record.
-	seen kv.Revision
+	// others tells that another holder's record has been seen.
+	others bool
 }
 
 // New returns a Holder that holds nothing until Step succeeds.
@@ -74,6 +74,13 @@
 	return h.other
 }
 
+// HasSeenOther reports whether another holder's record was ever seen.
+func (h *Holder) HasSeenOther() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.others
+}
+
 // Step renews the lease if it is held and tries to acquire it otherwise.
 //
 // It is to be called about three times per TTL. A lease held by another is no error.
@@ -160,9 +167,10 @@
 func (h *Holder) setOther(e kv.Entry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.seen = e.Revision
 	var r Record
-	if json.Unmarshal(e.Value, &r) == nil {
-		h.other = r
+	if json.Unmarshal(e.Value, &r) != nil {
+		return
 	}
+	h.other = r
+	h.others = h.others || r.Holder != h.opts.Holder
 }
