--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -55,7 +55,7 @@
 
 // begin copies an answer's header to the caller.
 func (x *exchange) begin(resp *http.Response) {
-	x.begun = true
+	x.begun.Store(true)
 	x.firstByte = x.g.clock.Now()
 	h := x.w.Header()
 	for name, values := range resp.Header {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,7 +36,7 @@
 	// sends counts requests to servers, runs those that may have run.
 	sends, runs, unsent int
 	// begun tells that the caller has the header of an answer.
-	begun bool
+	begun atomic.Bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	outcome   string
@@ -258,7 +259,7 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.outcome = outcomeGone
-	case x.begun:
+	case x.begun.Load():
 		x.cut(eris.Wrap(err, "gateway: no server to go on with"))
 	case x.runs > 0:
 		x.refuse(outcomeUnknown, &refusal{status: http.StatusBadGateway, reason: "the request may have run"})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,8 @@
 	budgets    sync.Map
 	gateways   atomic.Int64
 	leaving    atomic.Bool
-	leavingAt  atomic.Int64
+	last       context.Context
+	lastCall   context.CancelFunc
 	inFlight   atomic.Int64
 	done       atomic.Uint64
 	storeDown  atomic.Bool
@@ -103,6 +104,7 @@
 		g.metrics = noMetrics{}
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.last, g.lastCall = context.WithCancel(context.Background())
 	g.gateways.Store(int64(o.Settings.Gateways))
 	g.dispatcher = dispatch.New(dispatch.Options{
 		Hall: o.Settings.Hall, Clock: o.Clock, Limits: dispatch.Limits{Reading: readingTokens, Fill: fill},
@@ -158,6 +160,8 @@
 	// noticeTime is how long a stopping gateway still takes new connections, so
 	// that the balancer learns of the stop first.
 	noticeTime = 2500 * time.Millisecond
+	// lastAnswers is left of the time to stop for answers to those still waiting.
+	lastAnswers = 400 * time.Millisecond
 	// lastMoment is left of the grace for the process's own end.
 	lastMoment = 300 * time.Millisecond
 )
@@ -165,10 +169,11 @@
 // Stop turns readiness off, answers what comes while the balancer learns of it,
 // lets requests end until ctx does, and closes.
 func (g *Gateway) Stop(ctx context.Context) error {
-	g.leavingAt.Store(g.clock.Now().UnixNano())
 	g.leaving.Store(true)
 	g.log.Info("leaving", zap.Int64("requests", g.inFlight.Load()))
 	g.placer.Stop(ctx)
+	stopLast := time.AfterFunc(g.untilLastAnswers(ctx), g.lastCall)
+	defer stopLast.Stop()
 	wait(ctx, noticeTime)
 	err := g.listeners.front.Shutdown(ctx)
 	g.cancel()
@@ -183,6 +188,16 @@
 	return eris.Wrap(err, "gateway: stop")
 }
 
+// untilLastAnswers returns when requests without an answer are to be given up, so
+// that each still gets one before the process ends.
+func (g *Gateway) untilLastAnswers(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return g.Grace()
+	}
+	return max(time.Until(end)-lastAnswers, 0)
+}
+
 // Grace returns how long Stop may take.
 func (g *Gateway) Grace() time.Duration { return g.settings.Grace.Std() - lastMoment }
 
@@ -247,6 +262,11 @@
 	defer cancel()
 	x.ctx = ctx
 	defer g.ended(x)
+	defer context.AfterFunc(g.last, func() {
+		if !x.begun.Load() {
+			cancel()
+		}
+	})()
 	x.run()
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,6 +55,9 @@
 	if err := x.check(resp); err != nil {
 		return x.lost(t, err)
 	}
+	if x.begun.Load() && resp.StatusCode != http.StatusOK {
+		return x.lost(t, eris.Errorf("gateway: status %d in the middle of a stream", resp.StatusCode))
+	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
 		return x.passStream(t, resp, silence, ctx)
 	}
@@ -176,7 +179,7 @@
 		x.req.Until = x.end.Add(-holdReserve)
 		return false
 	}
-	if x.begun {
+	if x.begun.Load() {
 		x.cut(err)
 	}
 	x.refuse(outcomeUnknown, &refusal{status: http.StatusBadGateway, reason: "the server was lost; the request may have run"})
@@ -189,7 +192,7 @@
 		x.outcome = outcomeGone
 		return true
 	}
-	if x.begun {
+	if x.begun.Load() {
 		x.cut(context.DeadlineExceeded)
 	}
 	x.refuse(outcomeTimeout, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"})
@@ -203,7 +206,7 @@
 	}
 	switch x.route.Repeat {
 	case table.RepeatWhole:
-		return !x.begun
+		return !x.begun.Load()
 	case table.RepeatResume:
 		return true
 	}
@@ -226,7 +229,7 @@
 	t.Done(dispatch.Refused)
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
 	x.g.logFailed(x, t, "refused", eris.Errorf("status %d", resp.StatusCode))
-	if x.begun {
+	if x.begun.Load() {
 		x.cut(eris.New("gateway: refused in the middle of a stream"))
 	}
 	if x.runs > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,7 +72,7 @@
 		}
 		t.Begun()
 		silence.heard()
-		if !x.begun {
+		if !x.begun.Load() {
 			x.begin(resp)
 			x.w.Header().Del("Content-Length")
 			x.w.WriteHeader(resp.StatusCode)
@@ -87,7 +87,7 @@
 			x.lastEvent = id
 		}
 	}
-	if !x.begun {
+	if !x.begun.Load() {
 		x.begin(resp)
 		x.w.WriteHeader(resp.StatusCode)
 	}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -131,6 +131,9 @@
 	}
 	e.sequence = r.Sequence
 	e.residents = r.Residents
+	for _, a := range r.Coming {
+		e.addAdapter(a, now)
+	}
 	e.inMemory, e.onDisk = r.InMemory, r.OnDisk
 	maps.DeleteFunc(e.coming, func(_ backend.Adapter, at time.Time) bool { return !now.Before(at) })
 	e.known = true
@@ -155,6 +158,12 @@
 	return o.Model
 }
 
+// fromStore reports whether the first pending order loads from the weight store.
+func (e *engine) fromStore() bool {
+	o := e.pending[0]
+	return !o.Unload && !slices.Contains(e.inMemory, o.Model) && !slices.Contains(e.onDisk, o.Model)
+}
+
 // expected returns how long the engine's first pending order should take.
 func (e *engine) expected(spec *table.EngineSpec) time.Duration {
 	o := e.pending[0]
@@ -182,7 +191,6 @@
 		}
 	}
 	e.coming[a] = now.Add(adapterTime)
-	e.nextReport = now.Add(adapterCheck)
 }
 
 func (e *engine) dropAdapter(a backend.Adapter) {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -71,6 +71,12 @@
 	o := e.pending[0]
 	o.Sequence, o.Fence = e.sequence, int64(p.token)
 	takes := e.expected(spec)
+	if e.fromStore() {
+		if p.budget < 1 {
+			return
+		}
+		p.budget--
+	}
 	if !o.Unload && residency.Free(spec, e.residents) < weight(spec, o) {
 		e.pending = nil
 		return
@@ -175,6 +181,7 @@
 	}
 	e.calling = false
 	e.addAdapter(a, now)
+	e.nextReport = now.Add(adapterCheck)
 	if out == backend.OutcomeDone {
 		// Whether this moved the sequence is for the next report to tell.
 		e.known = false
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -32,7 +32,7 @@
 // The weight store's budget.
 const (
 	// budgetShare is the part of the store's rate that is used.
-	budgetShare = 0.9
+	budgetShare = 0.85
 	// budgetBurst is the number of loads that may begin together.
 	budgetBurst = 2.5
 )
@@ -254,18 +254,32 @@
 
 func (p *Placer) planModels(s table.Service, list []*engine, now time.Time) {
 	moves := residency.Plan(residency.Input{
-		Spec: s.Engine, Engines: views(list, now), Wants: p.demand.wants(), StoreLoads: int(p.budget),
+		Spec: s.Engine, Engines: views(list, now), Wants: p.demand.wants(),
+		StoreLoads: int(p.budget) - storeLoadsPending(list),
 	})
 	for _, m := range moves {
-		if m.Source == residency.FromStore {
-			p.budget--
-		}
 		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
 			zap.Strings("victims", m.Victims), zap.Int("source", int(m.Source)))
 		p.engines[m.Engine].start(m, now)
 	}
 }
 
+// storeLoadsPending counts the loads from the weight store that are planned and
+// not yet ordered; the budget pays for them when they are.
+func storeLoadsPending(list []*engine) int {
+	n := 0
+	for _, e := range list {
+		if len(e.pending) == 0 || e.given && len(e.pending) == 1 {
+			continue
+		}
+		last := e.pending[len(e.pending)-1]
+		if !slices.Contains(e.inMemory, last.Model) && !slices.Contains(e.onDisk, last.Model) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Placer) planAdapters(s table.Service, list []*engine, now time.Time) {
 	waited, running := p.demand.adapters(s.Name)
 	missing := slices.DeleteFunc(waited, func(a backend.Adapter) bool {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -233,13 +233,31 @@
 	return free
 }
 
-// adapterReserve is the part of an engine's memory left for adapters.
-const adapterReserve = 0.004
+// adapterReserve returns the memory that an engine's places for adapters may
+// take, in MB.
+func adapterReserve(spec *table.EngineSpec) float64 {
+	largest := 0.0
+	for _, m := range spec.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return largest * float64(spec.AdapterSlots)
+}
+
+// withoutAdapters returns the models alone.
+func withoutAdapters(residents []backend.Resident) []backend.Resident {
+	out := make([]backend.Resident, len(residents))
+	for i, r := range residents {
+		out[i] = backend.Resident{Model: r.Model}
+	}
+	return out
+}
 
 // victims returns what to unload so that the model fits, and what that loses.
 func (p *plan) victims(e *Engine, m table.ModelSpec) (victims []string, loss float64, ok bool) {
 	spec := p.in.Spec
-	need := m.WeightsMB + adapterReserve*spec.WeightsMB - Free(spec, e.Residents)
+	need := m.WeightsMB + adapterReserve(spec) - Free(spec, withoutAdapters(e.Residents))
 	if need <= 0 {
 		return nil, 0, true
 	}
@@ -254,7 +272,7 @@
 		}
 		victims = append(victims, r.Model)
 		loss += p.value(r.Model) / (p.value(m.Name) + p.value(r.Model) + 1)
-		need -= weightOf(spec, r)
+		need -= weightOf(spec, backend.Resident{Model: r.Model})
 		if need <= 0 {
 			return victims, loss, true
 		}
