Budget of loads credited once for each span of time

A step that came before the next tick credited the time since the last tick again, each time it was woken.

--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -71,16 +71,16 @@
 	o := e.pending[0]
 	o.Sequence, o.Fence = e.sequence, int64(p.token)
 	takes := e.expected(spec)
+	if !o.Unload && residency.Free(spec, e.residents) < weight(spec, o) {
+		e.pending = nil
+		return
+	}
 	if e.fromStore() {
 		if p.budget < 1 {
 			return
 		}
 		p.budget--
 	}
-	if !o.Unload && residency.Free(spec, e.residents) < weight(spec, o) {
-		e.pending = nil
-		return
-	}
 	e.calling = true
 	server := e.server
 	go func() {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -142,11 +142,12 @@
 		p.gain(token, now)
 	}
 	by := now.Sub(p.stepped)
-	if by >= tick {
-		p.stepped = now
-		p.demand.step(by)
-		p.demand.forget(now, gatewaySilence)
+	if by <= 0 {
+		return
 	}
+	p.stepped = now
+	p.demand.step(by)
+	p.demand.forget(now, gatewaySilence)
 	routing := p.opts.Routing()
 	if routing == nil || token == p.fenced || now.Sub(p.since) < p.settle() {
 		return
