Each engine is fed first by one gateway; models next in the list come in advance

One server's adapters went and came 33 times within a second of being asked for.

Ruled out: refusals by engines (2 of 1,809 arrivals), the budget of repeats.

Change: rendezvous hashing names one gateway for each engine, in its own data hall; the others send there only up to half of the limit. Placement gives the next models in the operators' list a part of the weight of those before them. Adapters stay 1 s after they were asked for, and free places are taken first. Requests are due at 70 % of their objective.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -6,6 +6,11 @@
 	msPerRun = 1.5
 	// msOtherHall is the cost of leaving the own data hall.
 	msOtherHall = 25.0
+	// msOther is the cost of an engine that another gateway feeds first.
+	msOther = 30.0
+	// otherShare is the part of the limit of reading up to which a gateway sends to
+	// an engine that another one feeds first: it sees late what that one has sent.
+	otherShare = 0.5
 	// msSuspect is the cost of a server that failed or was silent lately.
 	msSuspect = 2000.0
 	// msPlainRun is what one running request adds at a plain service.
@@ -32,6 +37,8 @@
 	Need int
 	// Near tells that the server is in the own data hall.
 	Near bool
+	// Own tells that this gateway is the one that feeds the engine first.
+	Own bool
 	// Failure is the server's recent share of failures, 0 to 1.
 	Failure float64
 	// Silent tells that the server owes answers and has said nothing for long.
@@ -58,7 +65,11 @@
 	if c.Running > 0 && float64(c.Used+c.Need) > l.Fill*float64(c.Memory) {
 		return false
 	}
-	return c.Reading == 0 || l.Reading == 0 || c.Reading+c.Read <= l.Reading
+	limit := l.Reading
+	if !c.Own {
+		limit *= otherShare
+	}
+	return c.Reading == 0 || limit == 0 || c.Reading+c.Read <= limit
 }
 
 // cost returns the expected time to the first answer, in milliseconds.
@@ -72,6 +83,9 @@
 			ms += float64(c.Running-c.Slots+1) * msPlainRun
 		}
 	}
+	if !c.Own && c.Memory > 0 {
+		ms += msOther
+	}
 	if !c.Near {
 		ms += msOtherHall
 		if c.Memory == 0 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/route"
 )
 
 // Outcomes of Acquire.
@@ -60,6 +61,8 @@
 
 // Options configure a Dispatcher.
 type Options struct {
+	// ID and Hall are this gateway's.
+	ID    string
 	Hall  string
 	Clock clock.Service
 	// Fill is the part of an engine's slots and memory that is used.
@@ -75,13 +78,15 @@
 type Dispatcher struct {
 	opts Options
 
-	mu      sync.Mutex
-	servers *backend.Snapshot
-	loads   map[string]*load
-	remote  map[string]Load
-	waiting []*waiter
-	demand  map[string]*Demand
-	speeds  speeds
+	mu       sync.Mutex
+	servers  *backend.Snapshot
+	loads    map[string]*load
+	remote   map[string]Load
+	waiting  []*waiter
+	demand   map[string]*Demand
+	speeds   speeds
+	gateways []Gateway
+	owners   map[string]string
 }
 
 // A Demand is what was asked of one model or adapter.
@@ -130,6 +135,7 @@
 	for id, l := range d.loads {
 		if _, ok := s.Server(id); !ok && l.Running == 0 {
 			delete(d.loads, id)
+			delete(d.owners, id)
 		}
 	}
 	d.serve()
@@ -143,6 +149,53 @@
 	d.serve()
 }
 
+// A Gateway is one of the processes that send requests.
+type Gateway struct {
+	ID   string `json:"id"`
+	Hall string `json:"hall"`
+}
+
+// SetGateways tells which gateways there are, so that each engine is fed first
+// by one of them, in its own data hall where there is one: what the others have
+// sent is known late, and engines are spoilt by prompts that come together.
+func (d *Dispatcher) SetGateways(list []Gateway) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.Equal(list, d.gateways) {
+		return
+	}
+	d.gateways = list
+	d.owners = make(map[string]string)
+}
+
+// owns reports whether this gateway is the one that feeds the server first.
+func (d *Dispatcher) owns(s *backend.Server) bool {
+	if len(d.gateways) == 0 {
+		return true
+	}
+	owner, ok := d.owners[s.ID]
+	if !ok {
+		owner = ownerOf(s, d.gateways)
+		d.owners[s.ID] = owner
+	}
+	return owner == d.opts.ID
+}
+
+// ownerOf returns the gateway with the highest weight for the server, those of
+// its data hall before others.
+func ownerOf(s *backend.Server, list []Gateway) string {
+	key := route.Hash(s.ID)
+	best, bestNear, bestWeight := "", false, uint64(0)
+	for _, g := range list {
+		near := g.Hall == s.Hall
+		weight := route.Rendezvous(g.ID, key)
+		if best == "" || near && !bestNear || near == bestNear && weight > bestWeight {
+			best, bestNear, bestWeight = g.ID, near, weight
+		}
+	}
+	return best
+}
+
 // Loads returns what this process has at each server.
 func (d *Dispatcher) Loads() map[string]Load {
 	d.mu.Lock()
@@ -319,7 +372,7 @@
 	other := d.remote[s.ID]
 	c := Candidate{
 		Running: l.Running + other.Running, Reading: float64(l.Reading + other.Reading), Used: l.Used + other.Used,
-		Memory: memory, Slots: s.Slots, Near: s.Hall == d.opts.Hall, Failure: l.failure.at(now),
+		Memory: memory, Slots: s.Slots, Near: s.Hall == d.opts.Hall, Own: d.owns(s), Failure: l.failure.at(now),
 		Need: r.Prompt + r.Output,
 	}
 	if r.Model != "" {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -203,7 +203,7 @@
 		x.req.Parts = parts(h.Get(x.g.names.Prefix))
 	}
 	x.req.Until = x.arrived.Add(x.holdTime())
-	x.req.Due = x.arrived.Add(x.route.Objective)
+	x.req.Due = x.arrived.Add(x.route.Objective * dueShare / 100)
 	x.req.ReadLimit = x.readLimit()
 }
 
@@ -253,6 +253,9 @@
 	giveUpFactor   = 4
 	// holdShare is the part of that time that a request may wait.
 	holdShare = 0.8
+	// dueShare is the part of the objective, in percent, by which a request is to be
+	// sent so that its answer begins in time.
+	dueShare = 70
 	// holdReserve is left of the deadline for the answer itself.
 	holdReserve = 400 * time.Millisecond
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	g.last, g.lastCall = context.WithCancel(context.Background())
 	g.gateways.Store(int64(o.Settings.Gateways))
 	g.dispatcher = dispatch.New(dispatch.Options{
-		Hall: o.Settings.Hall, Clock: o.Clock, Fill: fill,
+		ID: o.Settings.ID, Hall: o.Settings.Hall, Clock: o.Clock, Fill: fill,
 		Memory: g.memory, Missing: g.wakePeers,
 	})
 	g.placer = placer.New(placer.Options{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"rockcleat/dispatch"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/server"
 	"rockcleat/internal/wire"
@@ -105,7 +106,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return placer.Report{
-		From: p.g.settings.ID, Addr: p.g.settings.PeerListen, Residency: p.residency,
+		From: p.g.settings.ID, Addr: p.g.settings.PeerListen, Hall: p.g.settings.Hall, Residency: p.residency,
 		Loads: p.g.dispatcher.Loads(), Demands: p.g.dispatcher.Demands(),
 	}
 }
@@ -190,8 +191,16 @@
 	}
 	p.mu.Lock()
 	p.residency = a.Version
-	p.known = slices.DeleteFunc(a.Gateways, func(addr string) bool { return addr == p.g.settings.PeerListen })
+	p.known = p.known[:0]
+	list := make([]dispatch.Gateway, len(a.Gateways))
+	for i, x := range a.Gateways {
+		list[i] = x.Gateway
+		if x.Addr != p.g.settings.PeerListen {
+			p.known = append(p.known, x.Addr)
+		}
+	}
 	p.mu.Unlock()
+	p.g.dispatcher.SetGateways(list)
 	p.g.gateways.Store(int64(max(len(a.Gateways), 1)))
 	p.g.dispatcher.SetServers(p.g.registry.Snapshot())
 	p.g.dispatcher.SetRemote(a.Loads)
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -10,6 +10,8 @@
 	// From names the gateway, Addr is where it takes messages.
 	From string `json:"from"`
 	Addr string `json:"addr"`
+	// Hall is the gateway's data hall.
+	Hall string `json:"hall"`
 	// Loads is what it has at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
 	// Demands is what was asked of it since its start.
@@ -18,12 +20,19 @@
 	Residency int64 `json:"residency"`
 }
 
+// A Gateway is a gateway that reported lately.
+type Gateway struct {
+	dispatch.Gateway
+	// Addr is where it takes messages.
+	Addr string `json:"addr"`
+}
+
 // An Answer is what the holder of orders tells a gateway.
 type Answer struct {
 	// Held tells that the answerer holds the orders; all else is empty otherwise.
 	Held bool `json:"held"`
-	// Gateways lists the addresses of the gateways that reported lately.
-	Gateways []string `json:"gateways,omitempty"`
+	// Gateways lists the gateways that reported lately.
+	Gateways []Gateway `json:"gateways,omitempty"`
 	// Loads is what the other gateways have at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
 	// Version and Residency tell what engines hold, if that is newer than reported.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/dispatch"
 	"rockcleat/kv"
 	"rockcleat/lease"
 	"rockcleat/residency"
@@ -117,9 +119,11 @@
 	p.tell(now)
 	a := Answer{Held: true, Loads: p.demand.loads(r.From), Version: p.version}
 	for _, g := range p.demand.gateways {
-		a.Gateways = append(a.Gateways, g.report.Addr)
+		a.Gateways = append(a.Gateways, Gateway{
+			Gateway: dispatch.Gateway{ID: g.report.From, Hall: g.report.Hall}, Addr: g.report.Addr,
+		})
 	}
-	slices.Sort(a.Gateways)
+	slices.SortFunc(a.Gateways, func(x, y Gateway) int { return strings.Compare(x.ID, y.ID) })
 	if r.Residency != p.version {
 		a.Residency = p.told
 	}
@@ -298,7 +302,7 @@
 	}
 	moves := residency.PlanAdapters(residency.AdapterInput{
 		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing,
-		Used: p.demand.used, Running: running, Load: load,
+		Used: p.demand.used, Running: running, Load: load, Now: now,
 	})
 	for _, m := range moves {
 		p.moveAdapter(p.engines[m.Engine], m)
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -28,6 +28,8 @@
 	Running map[backend.Adapter]int
 	// Load is the number of requests at each engine.
 	Load map[string]int
+	// Now is when the plan is made.
+	Now time.Time
 }
 
 // PlanAdapters returns the moves to start now, at most one an engine.
@@ -73,7 +75,10 @@
 }
 
 // fullPenalty is what an engine with no free place costs, in requests.
-const fullPenalty = 64
+const fullPenalty = 1000
+
+// adapterHold is how long an adapter that was asked for stays at least.
+const adapterHold = time.Second
 
 func adapters(e *Engine) int {
 	n := 0
@@ -89,7 +94,7 @@
 	for _, r := range e.Residents {
 		for _, name := range r.Adapters {
 			a := backend.Adapter{Model: r.Model, Name: name}
-			if in.Running[a] == 0 && !slices.Contains(in.Missing, a) {
+			if in.Running[a] == 0 && in.Now.Sub(in.Used[a]) > adapterHold && !slices.Contains(in.Missing, a) {
 				list = append(list, a)
 			}
 		}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -70,6 +70,7 @@
 
 // Plan returns the moves to start now, the most urgent first; at most one an engine.
 func Plan(in Input) []Move {
+	in.Wants = Anticipate(in.Spec, in.Wants, in.Engines)
 	p := &plan{in: in, copies: make(map[string]int)}
 	for i := range in.Engines {
 		e := &in.Engines[i]
