--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -13,6 +13,7 @@
 	"rockcleat/internal/config"
 	"rockcleat/internal/daemon"
 	"rockcleat/internal/gateway"
+	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 	"rockcleat/platform"
 )
@@ -20,9 +21,13 @@
 func main() { os.Exit(daemon.Gateway(os.Args[1:], os.Stderr, build)) }
 
 // build joins the product's gateway and the platform's adapter.
-func build(s config.Gateway, log *zap.Logger) *gateway.Gateway {
+func build(s config.Gateway, log *zap.Logger) (*gateway.Gateway, error) {
+	metrics, err := telemetry.NewGatewayMetrics()
+	if err != nil {
+		return nil, err
+	}
 	client := &http.Client{Transport: wire.NewDirectTransport(s.IdleTime.Std())}
-	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), &http.Client{Transport: wire.NewDirectTransport(storeIdle)})
+	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), &http.Client{Transport: wire.NewDirectTransport(storeIdle)}, metrics.StoreCall)
 	return gateway.New(gateway.Options{
 		Settings:  s,
 		Names:     platform.Names(),
@@ -34,7 +39,8 @@
 		Engines:   platform.NewEngines(s.ID, s.EngineTimeout.Std(), client),
 		Clock:     clock.Real{},
 		Log:       log,
-	})
+		Metrics:   metrics,
+	}), nil
 }
 
 // storeIdle is how long a connection to the store is kept unused.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -361,7 +361,9 @@
 	if i < 0 {
 		return nil
 	}
-	return d.take(r, servers[i], list[i])
+	t := d.take(r, servers[i], list[i])
+	t.among = len(list)
+	return t
 }
 
 // silentAfter is how long a server may owe a first answer and say nothing at all.
@@ -400,7 +402,7 @@
 
 func (d *Dispatcher) take(r *Request, s *backend.Server, c Candidate) *Ticket {
 	l := d.load(s.ID)
-	t := &Ticket{d: d, req: r, server: s, load: l, tokens: c.Tokens, reading: int(c.Read + 0.5), used: c.Need, sent: d.opts.Clock.Now()}
+	t := &Ticket{d: d, req: r, server: s, load: l, tokens: c.Tokens, choice: c, reading: int(c.Read + 0.5), used: c.Need, sent: d.opts.Clock.Now()}
 	if r.Model == "" {
 		t.used = 0
 	}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -47,6 +47,8 @@
 	reading int
 	used    int
 	sent    time.Time
+	choice  Candidate
+	among   int
 	begun   bool
 	over    bool
 }
@@ -54,6 +56,10 @@
 // Server returns the server that the request goes to.
 func (t *Ticket) Server() *backend.Server { return t.server }
 
+// Choice returns what the choice of the server was made from and the number of
+// servers that it was made among.
+func (t *Ticket) Choice() (c Candidate, among int) { return t.choice, t.among }
+
 // Begun tells that the first part of the answer has come.
 func (t *Ticket) Begun() {
 	t.d.mu.Lock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,7 +18,7 @@
 )
 
 // A GatewayBuilder makes a gateway with a platform's adapter.
-type GatewayBuilder func(s config.Gateway, log *zap.Logger) *gateway.Gateway
+type GatewayBuilder func(s config.Gateway, log *zap.Logger) (*gateway.Gateway, error)
 
 // Gateway runs the gateway daemon until a signal and returns its exit code.
 func Gateway(args []string, stderr io.Writer, build GatewayBuilder) int {
@@ -26,6 +26,12 @@
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	file := fs.String("config", "", "settings file (YAML); required")
+	fs.Usage = func() {
+		fmt.Fprintf(stderr, "%s runs one entry process of rockcleat on the users' platform until SIGTERM or SIGINT;\n", name)
+		fmt.Fprintf(stderr, "SIGHUP reads the settings again.\n\nExample:\n  %s -config /etc/rockcleat/gateway.yaml\n\nFlags (or %s_CONFIG):\n", name, envPrefix)
+		fs.PrintDefaults()
+		fmt.Fprintf(stderr, "\nExit codes: 0 stopped as asked, 1 failed, 2 settings or flags wrong.\n")
+	}
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix)); err != nil || *file == "" {
 		fmt.Fprintf(stderr, "%s: flag -config or variable %s_CONFIG is required\n", name, envPrefix)
 		return ExitSettings
@@ -44,7 +50,12 @@
 	}
 	// The standard library's own lines, such as those on stray answers.
 	defer zap.RedirectStdLog(log)()
-	return serveGateway(build(s, log), *file, log)
+	g, err := build(s, log)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return serveGateway(g, *file, log)
 }
 
 // serveGateway runs the gateway until it is told to stop; a signal to reload is
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -44,6 +44,7 @@
 }
 
 func (x *exchange) finish(t *dispatch.Ticket, status int) {
+	x.status = status
 	if status >= http.StatusInternalServerError {
 		t.Done(dispatch.Failed)
 		x.outcome = outcomeFailed
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,7 +40,12 @@
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	outcome   string
+	status    int
 	firstByte time.Time
+	// ticket is the last place at a server; nil if there was none.
+	ticket *dispatch.Ticket
+	// version is that of the configuration that the request was matched with.
+	version uint64
 	// waited is the time to the first send, longestPause the longest between two events.
 	waited, longestPause time.Duration
 }
@@ -95,7 +100,7 @@
 	if len(ids) != 1 || ids[0] == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "one request id is needed"}
 	}
-	x := &exchange{g: g, w: w, r: r, route: route, id: ids[0], arrived: now}
+	x := &exchange{g: g, w: w, r: r, route: route, id: ids[0], arrived: now, version: routing.Version()}
 	if f := x.readBody(routing.Limits()); f != nil {
 		return nil, f
 	}
@@ -274,6 +279,7 @@
 			x.giveUp(err)
 			return
 		}
+		x.ticket = t
 		if over := x.send(t); over {
 			return
 		}
@@ -303,7 +309,7 @@
 }
 
 func (x *exchange) refuse(outcome string, f *refusal) {
-	x.outcome = outcome
+	x.outcome, x.status = outcome, f.status
 	f.close = f.close || x.g.leaving.Load()
 	f.write(x.w)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"rockcleat/backend"
 	"rockcleat/clock"
@@ -78,11 +79,13 @@
 	last       context.Context
 	lastCall   context.CancelFunc
 	inFlight   atomic.Int64
-	done       atomic.Uint64
-	storeDown  atomic.Bool
-	stops      []func()
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// answeredLines bounds the lines on answered requests, leftOut counts the others.
+	answeredLines *rate.Limiter
+	leftOut       atomic.Uint64
+	storeDown     atomic.Bool
+	stops         []func()
+	ctx           context.Context
+	cancel        context.CancelFunc
 }
 
 // fill is the part of an engine's slots and memory that is used.
@@ -93,7 +96,8 @@
 	g := &Gateway{
 		settings: o.Settings, names: o.Names, readyPath: o.ReadyPath, prefixes: o.Prefixes, decoder: o.Decoder,
 		clock: o.Clock, log: o.Log, metrics: o.Metrics, conns: newConns(),
-		servers: wire.NewDirectTransport(o.Settings.IdleTime.Std()),
+		answeredLines: rate.NewLimiter(answeredRate, answeredBurst),
+		servers:       wire.NewDirectTransport(o.Settings.IdleTime.Std()),
 	}
 	if g.metrics == nil {
 		g.metrics = noMetrics{}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -20,8 +20,11 @@
 	outcomeGone     = "caller_gone"
 )
 
-// sampleAnswered is how many answered requests one line stands for.
-const sampleAnswered = 1
+// Rates of lines on answered requests, per second and together.
+const (
+	answeredRate  = 20
+	answeredBurst = 40
+)
 
 // Metrics counts what becomes of requests.
 type Metrics interface {
@@ -40,7 +43,8 @@
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
 
-// ended records what became of a request.
+// ended records what became of a request. Answered ones are logged up to a rate;
+// those left out are counted in the next line.
 func (g *Gateway) ended(x *exchange) {
 	now := g.clock.Now()
 	first := 0.0
@@ -48,15 +52,41 @@
 		first = x.firstByte.Sub(x.arrived).Seconds()
 	}
 	g.metrics.Ended(x.route.Name, x.outcome, first, now.Sub(x.arrived).Seconds())
-	if x.outcome == outcomeAnswered && g.done.Add(1)%sampleAnswered != 0 {
+	if x.outcome == outcomeAnswered && !g.answeredLines.Allow() {
+		g.leftOut.Add(1)
 		return
 	}
-	g.log.Info("request ended", zap.String("request", x.id), zap.String("route", x.route.Name),
-		zap.String("service", x.service.Name), zap.String("model", x.r.Header.Get(g.names.Model)),
-		zap.String("outcome", x.outcome), zap.Int("sends", x.sends), zap.Int("unsent", x.unsent),
-		zap.Float64("first_s", first), zap.Float64("waited_s", x.waited.Seconds()),
-		zap.Float64("pause_s", x.longestPause.Seconds()), zap.Float64("total_s", now.Sub(x.arrived).Seconds()),
-		zap.Float64("limit_s", x.end.Sub(x.arrived).Seconds()))
+	fields := append(x.fields(now, first), x.choiceFields()...)
+	if n := g.leftOut.Swap(0); n > 0 {
+		fields = append(fields, zap.Uint64(fieldLeftOut, n))
+	}
+	g.log.Info(msgEnded, fields...)
+}
+
+// fields are what the line on a request's end tells of the request.
+func (x *exchange) fields(now time.Time, first float64) []zap.Field {
+	return []zap.Field{
+		zap.String(fieldRequest, x.id), zap.String(fieldRoute, x.route.Name), zap.String(fieldService, x.service.Name),
+		zap.String(fieldModel, x.r.Header.Get(x.g.names.Model)), zap.String(fieldOutcome, x.outcome),
+		zap.Int(fieldStatus, x.status), zap.Uint64(fieldConfig, x.version),
+		zap.Int(fieldSends, x.sends), zap.Int(fieldUnsent, x.unsent),
+		zap.Float64(fieldWaited, x.waited.Seconds()), zap.Float64(fieldFirst, first),
+		zap.Float64(fieldPause, x.longestPause.Seconds()), zap.Float64(fieldTotal, now.Sub(x.arrived).Seconds()),
+		zap.Float64(fieldLimit, x.end.Sub(x.arrived).Seconds()),
+	}
+}
+
+// choiceFields tell the last choice of a server and what it was made from.
+func (x *exchange) choiceFields() []zap.Field {
+	if x.ticket == nil {
+		return nil
+	}
+	c, among := x.ticket.Choice()
+	return []zap.Field{
+		zap.String(fieldServer, x.ticket.Server().ID), zap.Int(fieldAmong, among), zap.Int(fieldRunning, c.Running),
+		zap.Float64(fieldReading, c.Reading), zap.Float64(fieldRead, c.Read), zap.Bool(fieldOwn, c.Own),
+		zap.Bool(fieldNear, c.Near),
+	}
 }
 
 func (g *Gateway) logSend(x *exchange, t *dispatch.Ticket) {
@@ -66,22 +96,22 @@
 		x.waited = g.clock.Now().Sub(x.arrived)
 	}
 	if repeat {
-		g.log.Info("sent again", zap.String("request", x.id), zap.String("server", t.Server().ID),
-			zap.String("last_event", x.lastEvent))
+		g.log.Info(msgSentAgain, zap.String(fieldRequest, x.id), zap.String(fieldServer, t.Server().ID),
+			zap.String(fieldLastEvent, x.lastEvent))
 	}
 }
 
 func (g *Gateway) logFailed(x *exchange, t *dispatch.Ticket, what string, err error) {
-	g.log.Info("send failed", zap.String("request", x.id), zap.String("server", t.Server().ID),
-		zap.String("addr", t.Server().Addr), zap.String("what", what), zap.Int("runs", x.runs), zap.Error(err),
-		zap.Duration("age", g.clock.Now().Sub(x.arrived).Round(time.Millisecond)))
+	g.log.Info(msgSendFailed, zap.String(fieldRequest, x.id), zap.String(fieldServer, t.Server().ID),
+		zap.String(fieldAddr, t.Server().Addr), zap.String(fieldReason, what), zap.Int(fieldRuns, x.runs),
+		zap.Float64(fieldAge, g.clock.Now().Sub(x.arrived).Seconds()), zap.Error(err))
 }
 
 func (g *Gateway) logCut(x *exchange, err error) {
-	g.log.Info("answer cut", zap.String("request", x.id), zap.String("last_event", x.lastEvent), zap.Error(err))
+	g.log.Info(msgCut, zap.String(fieldRequest, x.id), zap.String(fieldLastEvent, x.lastEvent), zap.Error(err))
 }
 
 func (g *Gateway) logRefusedEarly(r *http.Request, f *refusal) {
-	g.log.Info("request refused", zap.String("request", r.Header.Get(g.names.RequestID)),
-		zap.String("host", r.Host), zap.String("target", r.RequestURI), zap.Int("status", f.status), zap.String("reason", f.reason))
+	g.log.Info(msgRefused, zap.String(fieldRequest, r.Header.Get(g.names.RequestID)), zap.String(fieldHost, r.Host),
+		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, f.status), zap.String(fieldReason, f.reason))
 }
--- /dev/null
+++ b/internal/telemetry/gateway.go
@@ -0,0 +1,130 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// maxRoutes bounds the routes that figures are kept for; the rest count as "other".
+const maxRoutes = 64
+
+// otherRoute is the route of figures beyond maxRoutes.
+const otherRoute = "other"
+
+// gatewayBuckets are the bounds of the gateway's histograms, in seconds: fewer
+// than elsewhere, since the process has little memory.
+var gatewayBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15}
+
+// GatewayMetrics are a gateway's instruments; docs/METRICS.md lists them.
+type GatewayMetrics struct {
+	handler  http.Handler
+	requests metric.Int64Counter
+	first    metric.Float64Histogram
+	total    metric.Float64Histogram
+	sends    metric.Int64Counter
+	calls    metric.Int64Counter
+
+	mu     sync.Mutex
+	routes map[string]bool
+	sets   map[attributeKey]metric.MeasurementOption
+}
+
+// attributeKey names a set of attributes that is made once.
+type attributeKey struct{ a, b string }
+
+// NewGatewayMetrics returns instruments whose values Handler shows.
+func NewGatewayMetrics() (*GatewayMetrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, eris.Wrap(err, "telemetry: prometheus exporter")
+	}
+	m := &GatewayMetrics{
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true}),
+		routes:  make(map[string]bool), sets: make(map[attributeKey]metric.MeasurementOption),
+	}
+	b := &builder{meter: sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("rockcleat")}
+	m.requests = b.counter("rockcleat.gateway.requests", "Requests by route and outcome.")
+	m.first = m.histogram(b, "rockcleat.gateway.first_byte", "Time from a request's arrival to the first byte of its answer.")
+	m.total = m.histogram(b, "rockcleat.gateway.duration", "Time from a request's arrival to the end of its answer.")
+	m.sends = b.counter("rockcleat.gateway.sends", "Requests sent to backend servers.")
+	m.calls = b.counter("rockcleat.gateway.store_calls", "Calls to the platform's store by kind.")
+	return m, b.err
+}
+
+func (m *GatewayMetrics) histogram(b *builder, name, text string) metric.Float64Histogram {
+	h, err := b.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(gatewayBuckets...))
+	b.keep(err)
+	return h
+}
+
+// Handler returns the handler that shows the figures as text.
+func (m *GatewayMetrics) Handler() http.Handler { return m.handler }
+
+// Ended counts a request of a route by its outcome, with the times to its first
+// byte and its end in seconds; first is 0 if there was no byte.
+func (m *GatewayMetrics) Ended(route, outcome string, first, total float64) {
+	ctx := context.Background()
+	route = m.bounded(route)
+	byOutcome := m.set("route", route, "outcome", outcome)
+	m.requests.Add(ctx, 1, byOutcome)
+	m.total.Record(ctx, total, byOutcome)
+	if first > 0 {
+		m.first.Record(ctx, first, m.set("route", route, "", ""))
+	}
+}
+
+// Sent counts a send to a backend server; repeat tells that it was not the first.
+func (m *GatewayMetrics) Sent(service string, repeat bool) {
+	kind := "first"
+	if repeat {
+		kind = "repeat"
+	}
+	m.sends.Add(context.Background(), 1, m.set("service", service, "kind", kind))
+}
+
+// StoreCall counts a call to the platform's store.
+func (m *GatewayMetrics) StoreCall(kind string) {
+	m.calls.Add(context.Background(), 1, m.set("kind", kind, "", ""))
+}
+
+// bounded returns the route, or otherRoute if there are too many.
+func (m *GatewayMetrics) bounded(route string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.routes[route] {
+		return route
+	}
+	if len(m.routes) >= maxRoutes {
+		return otherRoute
+	}
+	m.routes[route] = true
+	return route
+}
+
+// set returns one or two attributes, made once.
+func (m *GatewayMetrics) set(name, value, name2, value2 string) metric.MeasurementOption {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := attributeKey{a: name + "=" + value, b: name2 + "=" + value2}
+	if s, ok := m.sets[key]; ok {
+		return s
+	}
+	list := []attribute.KeyValue{attribute.String(name, value)}
+	if name2 != "" {
+		list = append(list, attribute.String(name2, value2))
+	}
+	s := metric.WithAttributeSet(attribute.NewSet(list...))
+	m.sets[key] = s
+	return s
+}
--- /dev/null
+++ b/internal/telemetry/gateway_test.go
@@ -0,0 +1,38 @@
+package telemetry_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/internal/telemetry"
+)
+
+func TestGatewayMetrics(t *testing.T) {
+	m, err := telemetry.NewGatewayMetrics()
+	assert.NilError(t, err)
+	for i := range 200 {
+		m.Ended(fmt.Sprint("r", i), "answered", 0.03, 0.3)
+	}
+	m.Ended("r1", "refused", 0, 0.1)
+	m.Sent("llm", false)
+	m.Sent("llm", true)
+	m.StoreCall("read")
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	text := w.Body.String()
+	for _, want := range []string{
+		`rockcleat_gateway_requests_total{outcome="answered",route="r1"} 1`,
+		`rockcleat_gateway_requests_total{outcome="refused",route="r1"} 1`,
+		`rockcleat_gateway_requests_total{outcome="answered",route="other"} 136`,
+		`rockcleat_gateway_sends_total{kind="repeat",service="llm"} 1`,
+		`rockcleat_gateway_store_calls_total{kind="read"} 1`,
+		`rockcleat_gateway_first_byte_seconds_bucket{route="r2",le="0.05"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(text, want), "%s is not in\n%s", want, text)
+	}
+	assert.Assert(t, !strings.Contains(text, `route="r150"`), "the number of routes is bounded")
+}
