A process that stood still says so; errors without stacks in lines

Change: a tick that comes 1.5 s or more after the one before is told with its length and the requests in hand.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -66,7 +66,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	if err := g.Start(); err != nil {
-		log.Error("not started", zap.Error(err))
+		log.Error("not started", telemetry.Error(err))
 		return ExitFailed
 	}
 	for {
@@ -88,7 +88,7 @@
 func reloadGateway(g *gateway.Gateway, file string, log *zap.Logger) {
 	var s config.Gateway
 	if err := config.Read(file, &s); err != nil {
-		log.Error("settings not reloaded", zap.Error(err))
+		log.Error("settings not reloaded", telemetry.Error(err))
 		return
 	}
 	g.Reload(s)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"rockcleat/backend"
+	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 )
 
@@ -35,7 +36,7 @@
 func (g *Gateway) offerConfig(value []byte, from string) {
 	r, err := g.decoder.Routing(value)
 	if err != nil {
-		g.log.Error("configuration not understood", zap.String("from", from), zap.Error(err))
+		g.log.Error("configuration not understood", zap.String("from", from), telemetry.Error(err))
 		return
 	}
 	for {
@@ -61,7 +62,7 @@
 	for _, e := range entries {
 		s, err := f.g.decoder.Server(e.Key, e.Value)
 		if err != nil {
-			f.g.log.Error("server not understood", zap.String("key", e.Key), zap.Error(err))
+			f.g.log.Error("server not understood", zap.String("key", e.Key), telemetry.Error(err))
 			continue
 		}
 		list = append(list, s)
@@ -83,7 +84,7 @@
 	}
 	s, err := f.g.decoder.Server(e.Entry.Key, e.Entry.Value)
 	if err != nil {
-		f.g.log.Error("server not understood", zap.String("key", e.Entry.Key), zap.Error(err))
+		f.g.log.Error("server not understood", zap.String("key", e.Entry.Key), telemetry.Error(err))
 		return
 	}
 	old, known := f.g.registry.Snapshot().Server(id)
@@ -102,8 +103,8 @@
 func (f *serverFollower) Heard() { f.g.storeHeard() }
 
 func (g *Gateway) storeLost(err error) {
-	if !g.storeDown.Swap(true) {
-		g.log.Warn("store lost", zap.Error(err))
+	if g.ctx.Err() == nil && !g.storeDown.Swap(true) {
+		g.log.Warn("store lost", telemetry.Error(err))
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,9 +83,11 @@
 	answeredLines *rate.Limiter
 	leftOut       atomic.Uint64
 	storeDown     atomic.Bool
-	stops         []func()
-	ctx           context.Context
-	cancel        context.CancelFunc
+	// lastTick is the time of the last look for pauses.
+	lastTick time.Time
+	stops    []func()
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // fill is the part of an engine's slots and memory that is used.
@@ -146,10 +148,28 @@
 	go g.peers.run()
 	g.subscribe(time.Second, g.conns.sweep)
 	g.subscribe(time.Second, g.registry.Expire)
+	g.subscribe(pauseTick, g.watchPause)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
 }
 
+// Noticing that the process stood still.
+const (
+	pauseTick = 500 * time.Millisecond
+	// longestTick is the time between two ticks beyond which the process stood still.
+	longestTick = 1500 * time.Millisecond
+)
+
+// watchPause tells when the process stood still: what it knew is as old as that,
+// and requests that it held have waited for as long.
+func (g *Gateway) watchPause(now time.Time) {
+	last := g.lastTick
+	g.lastTick = now
+	if !last.IsZero() && now.Sub(last) > longestTick {
+		g.log.Warn("process stood still", zap.Duration("for", now.Sub(last)), zap.Int64("requests", g.inFlight.Load()))
+	}
+}
+
 func (g *Gateway) subscribe(every time.Duration, f func(time.Time)) {
 	g.stops = append(g.stops, g.clock.Subscribe(every, f))
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"rockcleat/internal/server"
+	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 )
 
@@ -63,7 +64,7 @@
 	}
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			g.log.Error("listener failed", zap.String("addr", addr), zap.Error(err))
+			g.log.Error("listener failed", zap.String("addr", addr), telemetry.Error(err))
 		}
 	}()
 	return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 	"rockcleat/dispatch"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/server"
+	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 )
 
@@ -169,7 +170,7 @@
 
 // failed forgets a holder that did not answer and asks another gateway next.
 func (p *peers) failed(addr string, err error) {
-	p.g.log.Debug("no answer from gateway", zap.String("addr", addr), zap.Error(err))
+	p.g.log.Debug("no answer from gateway", zap.String("addr", addr), telemetry.Error(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holder = ""
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"rockcleat/dispatch"
+	"rockcleat/internal/telemetry"
 )
 
 // Outcomes of requests, as logs and metrics name them.
@@ -104,11 +105,11 @@
 func (g *Gateway) logFailed(x *exchange, t *dispatch.Ticket, what string, err error) {
 	g.log.Info(msgSendFailed, zap.String(fieldRequest, x.id), zap.String(fieldServer, t.Server().ID),
 		zap.String(fieldAddr, t.Server().Addr), zap.String(fieldReason, what), zap.Int(fieldRuns, x.runs),
-		zap.Float64(fieldAge, g.clock.Now().Sub(x.arrived).Seconds()), zap.Error(err))
+		zap.Float64(fieldAge, g.clock.Now().Sub(x.arrived).Seconds()), telemetry.Error(err))
 }
 
 func (g *Gateway) logCut(x *exchange, err error) {
-	g.log.Info(msgCut, zap.String(fieldRequest, x.id), zap.String(fieldLastEvent, x.lastEvent), zap.Error(err))
+	g.log.Info(msgCut, zap.String(fieldRequest, x.id), zap.String(fieldLastEvent, x.lastEvent), telemetry.Error(err))
 }
 
 func (g *Gateway) logRefusedEarly(r *http.Request, f *refusal) {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"rockcleat/backend"
+	"rockcleat/internal/telemetry"
 	"rockcleat/lease"
 	"rockcleat/residency"
 	"rockcleat/table"
@@ -35,7 +36,7 @@
 		now := p.opts.Clock.Now()
 		e.calling = false
 		if err != nil {
-			p.opts.Log.Warn("no report", zap.String("server", server.ID), zap.Error(err))
+			p.opts.Log.Warn("no report", zap.String("server", server.ID), telemetry.Error(err))
 			e.nextReport = now.Add(2 * pollEvery)
 			return
 		}
@@ -114,7 +115,7 @@
 	e.calling = false
 	p.opts.Log.Info("order given", zap.String("server", e.server.ID), zap.Bool("unload", o.Unload),
 		zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.Int("sequence", o.Sequence),
-		zap.Int64("fence", o.Fence), zap.Stringer("outcome", out), zap.Error(err))
+		zap.Int64("fence", o.Fence), zap.Stringer("outcome", out), telemetry.Error(err))
 	switch out {
 	case backend.OutcomeTaken:
 		e.sequence++
@@ -161,7 +162,7 @@
 	now := p.opts.Clock.Now()
 	p.opts.Log.Info("order given", zap.String("server", e.server.ID), zap.Bool("unload", o.Unload),
 		zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.Int("sequence", o.Sequence),
-		zap.Int64("fence", o.Fence), zap.Stringer("outcome", out), zap.Error(err))
+		zap.Int64("fence", o.Fence), zap.Stringer("outcome", out), telemetry.Error(err))
 	a := backend.Adapter{Model: o.Model, Name: o.Adapter}
 	if out != backend.OutcomeTaken && out != backend.OutcomeDone {
 		e.calling, e.known = false, false
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -12,6 +12,7 @@
 	"rockcleat/backend"
 	"rockcleat/clock"
 	"rockcleat/dispatch"
+	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 	"rockcleat/lease"
 	"rockcleat/residency"
@@ -108,7 +109,7 @@
 	p.done()
 	p.stop()
 	if err := p.opts.Lease.Release(ctx); err != nil {
-		p.opts.Log.Warn("lease not given back", zap.Error(err))
+		p.opts.Log.Warn("lease not given back", telemetry.Error(err))
 	}
 }
 
