--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -270,6 +270,7 @@
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.begin()()
+	g.conns.read(r.Context())
 	x, f := g.accept(w, r)
 	if f != nil {
 		f.close = f.close || g.leaving.Load()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -33,9 +34,9 @@
 	quiet := zap.NewStdLog(zap.NewNop())
 	g.listeners.front = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ErrorLog: quiet,
-		ConnState: g.conns.note, ConnContext: nil,
+		ConnState: g.conns.note, ConnContext: withConn,
 	}
-	g.conns.limit = g.idleTime
+	g.conns.limits = g.connLimits
 	g.listeners.ready = &http.Server{Handler: g.readyRouter(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
 	g.listeners.peers = &http.Server{Handler: g.peerRouter(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
 	for _, l := range []struct {
@@ -85,48 +86,80 @@
 	return e
 }
 
-// idleTime returns how long a caller's connection may rest.
-func (g *Gateway) idleTime() time.Duration {
+// connLimits returns how long a caller's connection may rest and how long a
+// header may take; 0 is no limit.
+func (g *Gateway) connLimits() (idle, header time.Duration) {
 	r := g.routing.Load()
 	if r == nil {
-		return 0
+		return 0, 0
 	}
-	return r.Limits().IdleTime
+	return r.Limits().IdleTime, r.Limits().HeaderTime
 }
 
-// A conns closes callers' connections that have rested for too long. The bound
-// may change while they rest, which http.Server's own setting cannot.
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// A conns closes callers' connections that have rested for too long or whose
+// header takes too long. The bounds may change while they last, which the
+// settings of http.Server cannot.
 type conns struct {
-	limit func() time.Duration
+	limits func() (idle, header time.Duration)
 
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
+	// reading holds connections on which a header has begun.
+	reading map[net.Conn]time.Time
 }
 
-func newConns() *conns { return &conns{idle: make(map[net.Conn]time.Time)} }
+func newConns() *conns {
+	return &conns{idle: make(map[net.Conn]time.Time), reading: make(map[net.Conn]time.Time)}
+}
 
 // note follows the state of connections.
 func (c *conns) note(conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s == http.StateIdle {
+	delete(c.idle, conn)
+	delete(c.reading, conn)
+	switch s {
+	case http.StateIdle:
 		c.idle[conn] = time.Now()
+	case http.StateActive:
+		c.reading[conn] = time.Now()
+	}
+}
+
+// read tells that a request's header has been read whole.
+func (c *conns) read(ctx context.Context) {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
 		return
 	}
-	delete(c.idle, conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.reading, conn)
 }
 
-// sweep closes connections that have rested for longer than the bound.
+// sweep closes connections that are over their bounds.
 func (c *conns) sweep(now time.Time) {
-	limit := c.limit()
+	idle, header := c.limits()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closeOlder(c.idle, idle, now)
+	closeOlder(c.reading, header, now)
+}
+
+func closeOlder(list map[net.Conn]time.Time, limit time.Duration, now time.Time) {
 	if limit <= 0 {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
+	for conn, since := range list {
 		if now.Sub(since) > limit {
-			delete(c.idle, conn)
+			delete(list, conn)
 			_ = conn.Close()
 		}
 	}
--- a/kv/follow.go
+++ b/kv/follow.go
@@ -25,8 +25,9 @@
 )
 
 // gatherTime is the pause after changes, so that changes which come close
-// together cost one call.
-const gatherTime = 300 * time.Millisecond
+// together cost one call. Together with a second in which the service tells
+// nothing it stays under the two seconds in which a leaving server must be known.
+const gatherTime = 500 * time.Millisecond
 
 // Follow keeps a follower up to date with a prefix until ctx ends. Each watch
 // waits for at most wait, so that a connection which has silently died is noticed.
