Engines that others feed get requests only when they look idle

Ruled out: copies (waits of 0.2 s), memory (no preemptions to speak of). Change: a gateway that has engines of its own for a request sends it to another's only if that one shows nothing to read and the prompt is short (60 % of the limit).

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "slices"
+
 // Weights of the expected cost of a server, in milliseconds.
 const (
 	// msPerRun is what one running request adds to the others' steps.
@@ -8,9 +10,10 @@
 	msOtherHall = 25.0
 	// msOther is the cost of an engine that another gateway feeds first.
 	msOther = 30.0
-	// otherShare is the part of the limit of reading up to which a gateway sends to
-	// an engine that another one feeds first: it sees late what that one has sent.
-	otherShare = 0.5
+	// otherShare is the part of the limit of reading up to which a gateway that has
+	// engines of its own for a request sends it to one that another gateway feeds
+	// first: it sees late what that one has sent.
+	otherShare = 0.6
 	// msSuspect is the cost of a server that failed or was silent lately.
 	msSuspect = 2000.0
 	// msPlainRun is what one running request adds at a plain service.
@@ -54,8 +57,9 @@
 	Fill float64
 }
 
-// fits reports whether the server can take the request now.
-func (c Candidate) fits(l Limits) bool {
+// fits reports whether the server can take the request now; fed tells that an
+// engine which this gateway feeds first could take it too, now or soon.
+func (c Candidate) fits(l Limits, fed bool) bool {
 	if c.Memory == 0 {
 		return true
 	}
@@ -65,11 +69,13 @@
 	if c.Running > 0 && float64(c.Used+c.Need) > l.Fill*float64(c.Memory) {
 		return false
 	}
-	limit := l.Reading
-	if !c.Own {
-		limit *= otherShare
+	if l.Reading == 0 {
+		return true
+	}
+	if !c.Own && fed {
+		return c.Reading == 0 && c.Read <= l.Reading*otherShare
 	}
-	return c.Reading == 0 || limit == 0 || c.Reading+c.Read <= limit
+	return c.Reading == 0 || c.Reading+c.Read <= l.Reading
 }
 
 // cost returns the expected time to the first answer, in milliseconds.
@@ -102,8 +108,9 @@
 func Choose(list []Candidate, l Limits) int {
 	best := -1
 	bestCost := 0.0
+	fed := slices.ContainsFunc(list, func(c Candidate) bool { return c.Own && !c.Silent })
 	for i, c := range list {
-		if !c.fits(l) {
+		if !c.fits(l, fed) {
 			continue
 		}
 		if cost := c.cost(); best < 0 || cost < bestCost {
