--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -274,10 +274,25 @@
 }
 
 // held reports whether any server has the model and adapter ready.
-func (d *Dispatcher) held(r *Request) bool {
-	return slices.ContainsFunc(d.servers.Service(r.Service), func(s *backend.Server) bool {
-		return !s.Leaving && s.Holds(r.Model, r.Adapter)
-	})
+func (d *Dispatcher) held(r *Request) bool { return d.holders(r) > 0 }
+
+// holders returns how many servers that stay have the model and adapter ready.
+func (d *Dispatcher) holders(r *Request) int {
+	n := 0
+	for _, s := range d.servers.Service(r.Service) {
+		if !s.Leaving && (r.Model == "" || s.Holds(r.Model, r.Adapter)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Holders returns how many servers that stay could serve the request now, were
+// they not full: 0 tells that it was refused for want of a server or a model.
+func (d *Dispatcher) Holders(r *Request) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holders(r)
 }
 
 func (d *Dispatcher) wait(ctx context.Context, w *waiter) (*Ticket, error) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -173,6 +173,9 @@
 	r.Adapter = "a2"
 	_, err = d.Acquire(now(), r)
 	assert.Assert(t, err != nil)
+	assert.Equal(t, d.Holders(r), 0)
+	r.Adapter = ""
+	assert.Equal(t, d.Holders(r), 2)
 	assert.Equal(t, missing, 1, "the wait for an adapter that nobody holds is told")
 }
 
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -33,6 +33,7 @@
 	fieldHost      = "host"
 	fieldTarget    = "target"
 	fieldAmong     = "among"
+	fieldHolders   = "holders"
 	fieldRunning   = "running"
 	fieldReading   = "reading_ms"
 	fieldRead      = "read_ms"
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -58,6 +58,9 @@
 		return
 	}
 	fields := append(x.fields(now, first), x.choiceFields()...)
+	if x.outcome == outcomeRefused {
+		fields = append(fields, zap.Int(fieldHolders, g.dispatcher.Holders(&x.req)))
+	}
 	if n := g.leftOut.Swap(0); n > 0 {
 		fields = append(fields, zap.Uint64(fieldLeftOut, n))
 	}
