--- a/internal/cli/other.go
+++ b/internal/cli/other.go
@@ -98,8 +98,8 @@
 
 func (a *app) configCheck() *ffcli.Command {
 	fs := a.flags("check")
-	role := fs.String("role", "entry", "entry or agent")
-	return a.command("check", "config check [-role entry|agent] FILE", "Check a settings file as the daemon would.",
+	role := fs.String("role", "entry", "entry, agent or gateway")
+	return a.command("check", "config check [-role entry|agent|gateway] FILE", "Check a settings file as the daemon would.",
 		"rockcleat config check -role agent agent.yaml", fs,
 		func(_ context.Context, args []string) error { return a.checkConfig(args, *role) })
 }
@@ -114,8 +114,10 @@
 		into = &config.Entry{}
 	case "agent":
 		into = &config.Agent{}
+	case "gateway":
+		into = &config.Gateway{}
 	default:
-		return fmt.Errorf("%w: role %q is not entry or agent", errUsage, role)
+		return fmt.Errorf("%w: role %q is not entry, agent or gateway", errUsage, role)
 	}
 	if err := config.Read(args[0], into); err != nil {
 		return err
@@ -128,7 +130,7 @@
 const completionScript = `_rockcleat() {
   local words="${COMP_WORDS[*]:1:COMP_CWORD-1}"
   case "$words" in
-    "") COMPREPLY=($(compgen -W "table status why config completion" -- "${COMP_WORDS[COMP_CWORD]}")) ;;
+    "") COMPREPLY=($(compgen -W "table status why trace config completion" -- "${COMP_WORDS[COMP_CWORD]}")) ;;
     table) COMPREPLY=($(compgen -W "show export import set remove diff check history" -- "${COMP_WORDS[COMP_CWORD]}")) ;;
     config) COMPREPLY=($(compgen -W "check" -- "${COMP_WORDS[COMP_CWORD]}")) ;;
     *) COMPREPLY=($(compgen -f -- "${COMP_WORDS[COMP_CWORD]}")) ;;
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -14,7 +14,7 @@
 
 // TestExamples checks that the commented examples are valid.
 func TestExamples(t *testing.T) {
-	tests := map[string]config.Settings{"entry.yaml": &config.Entry{}, "agent.yaml": &config.Agent{}, "agent-service.yaml": &config.Agent{}}
+	tests := map[string]config.Settings{"entry.yaml": &config.Entry{}, "agent.yaml": &config.Agent{}, "agent-service.yaml": &config.Agent{}, "gateway.yaml": &config.Gateway{}}
 	for name, into := range tests {
 		t.Run(name, func(t *testing.T) {
 			assert.NilError(t, config.Read(filepath.Join("..", "..", "examples", name), into))
@@ -22,6 +22,50 @@
 	}
 }
 
+// TestTemplate fills the platform's template as the platform does.
+func TestTemplate(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("..", "..", "deploy", "gateway.yaml"))
+	assert.NilError(t, err)
+	values := map[string]string{
+		"Node": "front-1", "Zone": "z", "Ip": "10.0.0.1", "Listen.Front": "10.0.0.1:80", "Listen.Ready": "10.0.0.1:81",
+		"Listen.Control": "10.0.0.1:82", "Provider.Addr": "10.0.0.2:80", "Bootstrap|json": "true", "Bounds.GraceS": "8",
+		"Bounds.LeaseMs": "3000", "Bounds.RetryWindowS": "10", "Bounds.RetryRatio": "0.2", "Bounds.RetrySlack": "58",
+	}
+	text := string(data)
+	for name, value := range values {
+		assert.Assert(t, strings.Contains(text, "{{"+name+"}}"), "%s is not used", name)
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	assert.Assert(t, !strings.Contains(text, "{{"))
+	var g config.Gateway
+	assert.NilError(t, config.Parse("gateway.yaml", []byte(text), &g))
+	assert.Equal(t, g.Retry.Fixed, 58.0)
+	assert.Assert(t, g.FirstStart)
+}
+
+// TestGatewayErrors checks that each error names file, line and key.
+func TestGatewayErrors(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("..", "..", "examples", "gateway.yaml"))
+	assert.NilError(t, err)
+	tests := map[string]struct{ old, new, want string }{
+		"unknown key":    {"grace: 8s", "grass: 8s", "grass: unknown key"},
+		"no unit":        {"grace: 8s", "grace: 8", "is not a duration with a unit"},
+		"not an address": {"store: 127.0.0.1:7000", "store: here", "store: must be IP:PORT"},
+		"negative ratio": {"ratio: 0.1", "ratio: -1", "retry.ratio: must not be negative"},
+		"no gateways":    {"gateways: 6", "gateways: 0", "gateways: must be at least 1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(string(data), test.old))
+			text := strings.Replace(string(data), test.old, test.new, 1)
+			err := config.Parse("f.yaml", []byte(text), &config.Gateway{})
+			assert.ErrorIs(t, err, config.ErrInvalid)
+			assert.ErrorContains(t, err, test.want)
+			assert.ErrorContains(t, err, "f.yaml:")
+		})
+	}
+}
+
 func TestErrors(t *testing.T) {
 	data, err := os.ReadFile(filepath.Join("..", "..", "examples", "entry.yaml"))
 	assert.NilError(t, err)
