A fault soak of our own; adapters of leaving engines; adapters that starved

Change: engines that leave do not count; doubled adapters go first, and after 1 s of waiting also one asked for just now. Tests: TestAdapterOfALeavingEngineComesElsewhere (failed before), TestPlanAdapters' new cases.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 STATICCHECK_VERSION = v0.8.2
 
-.PHONY: run test smoke slopes bench lint build model promises
+.PHONY: run test smoke slopes bench lint build model promises soak
 
 run:
 	$(GO) run ./tools/lab run
@@ -23,6 +23,12 @@
 	@bash -o pipefail -c "cd internal/proofs && $(GO) test -count=1 -parallel=3 -timeout=20m $(PROOFS) \
 		-args -proofs.report -proofs.seed=$(SEED) | grep -vE '^(ok|PASS)'"
 
+# Real gateways under faults from outside: SEEDS of them from SEED on, TIME of faults each.
+SEEDS ?= 50
+TIME ?= 8s
+soak:
+	$(GO) test -count=1 -timeout=60m ./platform/soak -args -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.time=$(TIME)
+
 slopes:
 	$(GO) run ./tools/lab slopes
 
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -24,8 +24,8 @@
 	err  error
 }
 
-// start starts a program whose output goes to a file in dir.
-func start(dir, name, program string, args ...string) (*Process, error) {
+// Launch starts a program whose output goes to a file in dir.
+func Launch(dir, name, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, eris.Wrap(err, "lab: open log")
--- a/internal/lab/system.go
+++ b/internal/lab/system.go
@@ -157,7 +157,7 @@
 	}
 	again := func() (*Process, error) {
 		all := append(append([]string{}, args...), "-listen", addr)
-		p, err := start(s.opts.Dir, name, filepath.Join(s.opts.Bin, "rockcleat-standin"), all...)
+		p, err := Launch(s.opts.Dir, name, filepath.Join(s.opts.Bin, "rockcleat-standin"), all...)
 		if err != nil {
 			return nil, err
 		}
@@ -296,7 +296,7 @@
 
 // StartNode starts a daemon, anew if it has ended.
 func (s *System) StartNode(ctx context.Context, n *Node) error {
-	p, err := start(s.opts.Dir, n.ID, filepath.Join(s.opts.Bin, n.program), "-config", n.config)
+	p, err := Launch(s.opts.Dir, n.ID, filepath.Join(s.opts.Bin, n.program), "-config", n.config)
 	if err != nil {
 		return err
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -82,6 +82,8 @@
 	fenced  lease.Token
 	engines map[string]*engine
 	demand  *demand
+	// missing tells since when adapters that no engine holds have been waited for.
+	missing map[backend.Adapter]time.Time
 	budget  float64
 	stepped time.Time
 	version int64
@@ -303,9 +305,10 @@
 	waited, running := p.demand.adapters(s.Name)
 	missing := slices.DeleteFunc(waited, func(a backend.Adapter) bool {
 		return slices.ContainsFunc(list, func(e *engine) bool {
-			return slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
+			return !e.server.Leaving && slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
 		})
 	})
+	p.noteMissing(missing, now)
 	if len(missing) == 0 {
 		return
 	}
@@ -316,13 +319,25 @@
 	}
 	moves := residency.PlanAdapters(residency.AdapterInput{
 		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing,
-		Used: p.demand.used, Running: running, Load: load, Now: now,
+		Used: p.demand.used, Running: running, Load: load, Since: p.missing, Now: now,
 	})
 	for _, m := range moves {
 		p.moveAdapter(p.engines[m.Engine], m)
 	}
 }
 
+// noteMissing remembers since when each adapter has been waited for.
+func (p *Placer) noteMissing(missing []backend.Adapter, now time.Time) {
+	since := make(map[backend.Adapter]time.Time, len(missing))
+	for _, a := range missing {
+		since[a] = now
+		if before, ok := p.missing[a]; ok {
+			since[a] = before
+		}
+	}
+	p.missing = since
+}
+
 // tell makes a new version of what gateways are told, if it differs.
 func (p *Placer) tell(now time.Time) {
 	told := make(map[string]backend.Residency, len(p.engines))
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -337,6 +337,24 @@
 	})
 }
 
+// TestAdapterOfALeavingEngineComesElsewhere lists an engine that is leaving and has
+// the adapter: requests do not go there, so another engine must get it.
+func TestAdapterOfALeavingEngineComesElsewhere(t *testing.T) {
+	w := newWorld(t, 1, []string{"m0"}, []string{"m0"})
+	w.engines.engines["e0"].residents[0].Adapters = []string{"a1"}
+	w.registry.Update(backend.Server{
+		ID: "e0", Service: service, Hall: "h", Leaving: true,
+		Residents: []backend.Resident{{Model: "m0", Adapters: []string{"a1"}}},
+	})
+	p := w.start(true)
+	w.pass(5 * time.Second)
+	w.ask("m0/a1", 0, 0)
+	w.ask("m0/a1", 1, 1)
+	p.Wake()
+	w.run("adapter", w.ordered(1))
+	assert.Equal(t, w.engines.orders()[0].server, "e1")
+}
+
 func TestAdaptersOnTheirWayTakeTheirPlaces(t *testing.T) {
 	w := newWorld(t, 1, []string{"m0"})
 	w.engines.engines["e0"].coming = []backend.Adapter{{Model: "m0", Name: "a1"}, {Model: "m0", Name: "a2"}}
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -28,6 +28,8 @@
 	Running map[backend.Adapter]int
 	// Load is the number of requests at each engine.
 	Load map[string]int
+	// Since tells since when each missing adapter has been waited for.
+	Since map[backend.Adapter]time.Time
 	// Now is when the plan is made.
 	Now time.Time
 }
@@ -60,7 +62,7 @@
 		move := AdapterMove{Engine: e.ID, Adapter: a}
 		cost := in.Load[e.ID] + adapters(e)
 		if adapters(e) >= in.Slots {
-			victim, ok := in.victim(e)
+			victim, ok := in.victim(e, a)
 			if !ok {
 				continue
 			}
@@ -88,17 +90,28 @@
 	return n
 }
 
-// victim returns the adapter that was asked for least recently and that no request uses.
-func (in *AdapterInput) victim(e *Engine) (backend.Adapter, bool) {
-	var list []backend.Adapter
+// victim returns the adapter to unload for another: one that a further engine
+// holds too, or else the one asked for least recently that no request uses. One
+// asked for just now goes only for an adapter that has been waited for as long.
+func (in *AdapterInput) victim(e *Engine, wanted backend.Adapter) (backend.Adapter, bool) {
+	var list, doubled []backend.Adapter
+	patient := in.Now.Sub(in.Since[wanted]) > adapterHold && !in.Since[wanted].IsZero()
 	for _, r := range e.Residents {
 		for _, name := range r.Adapters {
 			a := backend.Adapter{Model: r.Model, Name: name}
-			if in.Running[a] == 0 && in.Now.Sub(in.Used[a]) > adapterHold && !slices.Contains(in.Missing, a) {
+			rested := patient || in.Now.Sub(in.Used[a]) > adapterHold
+			switch {
+			case slices.Contains(in.Missing, a):
+			case in.copies(a) > 1:
+				doubled = append(doubled, a)
+			case in.Running[a] == 0 && rested:
 				list = append(list, a)
 			}
 		}
 	}
+	if len(doubled) > 0 {
+		list = doubled
+	}
 	if len(list) == 0 {
 		return backend.Adapter{}, false
 	}
@@ -106,3 +119,16 @@
 		return cmp.Compare(in.Used[a].UnixNano(), in.Used[b].UnixNano())
 	}), true
 }
+
+// copies returns how many engines that stay hold the adapter.
+func (in *AdapterInput) copies(a backend.Adapter) int {
+	n := 0
+	for i := range in.Engines {
+		for _, r := range in.Engines[i].Residents {
+			if !in.Engines[i].Leaving && r.Model == a.Model && r.Has(a.Name) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/tools/names/main.go
+++ b/tools/names/main.go
@@ -55,6 +55,9 @@
 	if filepath.Dir(path) == adapter {
 		return checkImports(path)
 	}
+	if strings.HasPrefix(path, adapter+string(filepath.Separator)) {
+		return 0
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		fmt.Println(err)
