Reports between gateways tell only what has changed

Change: demand since the last answered report, the list of gateways by version; a holder that is new asks for everything and takes it for no new demand (TestOldDemandIsNoNewDemand). Doubled adapters go only for one that has been waited for 1 s.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -59,6 +59,11 @@
 	holder    string
 	known     []string
 	residency int64
+	// term is the holder's fencing token, listed the version of its list of gateways.
+	term   int64
+	listed uint64
+	// told is what the holder has been told of demand.
+	told map[string]dispatch.Demand
 }
 
 func newPeers(g *Gateway) *peers {
@@ -103,21 +108,29 @@
 	}
 }
 
-func (p *peers) report() placer.Report {
+// report returns what to tell the holder, and all demand as it stands with it.
+func (p *peers) report() (placer.Report, map[string]dispatch.Demand) {
+	all := p.g.dispatcher.Demands()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	changed := make(map[string]dispatch.Demand)
+	for name, x := range all {
+		if p.told[name] != x {
+			changed[name] = x
+		}
+	}
 	return placer.Report{
 		From: p.g.settings.ID, Addr: p.g.settings.PeerListen, Hall: p.g.settings.Hall, Residency: p.residency,
-		Loads: p.g.dispatcher.Loads(), Demands: p.g.dispatcher.Demands(),
-	}
+		Known: p.listed, Loads: p.g.dispatcher.Loads(), Demands: changed, Full: p.told == nil,
+	}, all
 }
 
 // exchange tells the holder of orders what this gateway has and takes its answer.
 func (p *peers) exchange() {
 	addr, own := p.g.placer.Holder()
 	if own {
-		r := p.report()
-		p.take(p.g.placer.Report(r))
+		r, all := p.report()
+		p.take(p.g.placer.Report(r), all)
 		p.g.placer.Wake()
 		return
 	}
@@ -126,9 +139,10 @@
 	}
 	ctx, cancel := context.WithTimeout(p.g.ctx, exchangeTimeout)
 	defer cancel()
-	req := peerRequest{Report: p.report()}
-	if r := p.g.routing.Load(); r != nil {
-		req.Config = r.Version()
+	r, all := p.report()
+	req := peerRequest{Report: r}
+	if routing := p.g.routing.Load(); routing != nil {
+		req.Config = routing.Version()
 	}
 	var a peerAnswer
 	if err := p.http.Call(ctx, http.MethodPost, addr, pathExchange, req, &a); err != nil {
@@ -139,7 +153,7 @@
 		p.g.offerConfig(a.Config, "peer")
 	}
 	p.setHolder(a.Holder)
-	p.take(a.Answer)
+	p.take(a.Answer, all)
 }
 
 // target returns whom to ask: the holder, as the store or the last peer told,
@@ -179,8 +193,9 @@
 	}
 }
 
-// take takes in the answer of the holder of orders.
-func (p *peers) take(a placer.Answer) {
+// take takes in the answer of the holder of orders to a report that was made when
+// demand stood at all.
+func (p *peers) take(a placer.Answer, all map[string]dispatch.Demand) {
 	if !a.Held {
 		return
 	}
@@ -190,21 +205,42 @@
 	} else {
 		p.g.registry.Heard(now)
 	}
+	p.remember(a, all)
+	if a.Gateways != nil {
+		p.takeGateways(a.Gateways)
+	}
+	p.g.dispatcher.SetServers(p.g.registry.Snapshot())
+	p.g.dispatcher.SetRemote(a.Loads)
+}
+
+// remember keeps what the holder knows now. A new holder was told only what has
+// changed since the last one's answer, so it is told everything next.
+func (p *peers) remember(a placer.Answer, all map[string]dispatch.Demand) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.residency = a.Version
-	p.known = p.known[:0]
-	list := make([]dispatch.Gateway, len(a.Gateways))
-	for i, x := range a.Gateways {
+	p.listed = a.Known
+	p.told = all
+	if a.Term != p.term {
+		p.term, p.told = a.Term, nil
+	}
+}
+
+// takeGateways takes a new list of the gateways.
+func (p *peers) takeGateways(gateways []placer.Gateway) {
+	list := make([]dispatch.Gateway, len(gateways))
+	var others []string
+	for i, x := range gateways {
 		list[i] = x.Gateway
 		if x.Addr != p.g.settings.PeerListen {
-			p.known = append(p.known, x.Addr)
+			others = append(others, x.Addr)
 		}
 	}
+	p.mu.Lock()
+	p.known = others
 	p.mu.Unlock()
+	p.g.gateways.Store(int64(max(len(gateways), 1)))
 	p.g.dispatcher.SetGateways(list)
-	p.g.gateways.Store(int64(max(len(a.Gateways), 1)))
-	p.g.dispatcher.SetServers(p.g.registry.Snapshot())
-	p.g.dispatcher.SetRemote(a.Loads)
 }
 
 // peerRouter answers the other gateways.
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -1,7 +1,11 @@
 package placer
 
 import (
+	"hash/fnv"
+	"io"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,8 +23,9 @@
 
 // A gateway is what the holder of orders knows of one gateway.
 type gateway struct {
-	report Report
-	heard  time.Time
+	report  Report
+	demands map[string]dispatch.Demand
+	heard   time.Time
 }
 
 // A rate follows the work asked of one model, in tokens per second.
@@ -50,15 +55,18 @@
 	}
 }
 
-// take counts what is new in a report.
+// take counts what is new in a report. The first report of a gateway, and a full
+// one, only tell where its counts stand.
 func (d *demand) take(r Report, now time.Time) {
 	g := d.gateways[r.From]
-	if g == nil {
-		d.gateways[r.From] = &gateway{report: r, heard: now}
+	if g == nil || r.Full {
+		g = &gateway{demands: make(map[string]dispatch.Demand)}
+		d.gateways[r.From] = g
+		g.take(r, now)
 		return
 	}
 	for name, x := range r.Demands {
-		before := g.report.Demands[name]
+		before := g.demands[name]
 		if x.Arrived < before.Arrived {
 			before = dispatch.Demand{}
 		}
@@ -71,7 +79,31 @@
 			d.used[a] = now
 		}
 	}
+	g.take(r, now)
+}
+
+// take keeps what a report tells; demands that it leaves out are as they were.
+func (g *gateway) take(r Report, now time.Time) {
+	maps.Copy(g.demands, r.Demands)
 	g.report, g.heard = r, now
+	g.report.Demands = nil
+}
+
+// list returns the gateways in the order of their names, and a version that is
+// the same for the same gateways.
+func (d *demand) list() ([]Gateway, uint64) {
+	list := make([]Gateway, 0, len(d.gateways))
+	for _, g := range d.gateways {
+		list = append(list, Gateway{
+			Gateway: dispatch.Gateway{ID: g.report.From, Hall: g.report.Hall}, Addr: g.report.Addr,
+		})
+	}
+	slices.SortFunc(list, func(x, y Gateway) int { return strings.Compare(x.ID, y.ID) })
+	h := fnv.New64a()
+	for _, g := range list {
+		_, _ = io.WriteString(h, g.ID+"\x00"+g.Addr+"\x00")
+	}
+	return list, h.Sum64()
 }
 
 // adapterOf returns the model and adapter of a name such as model/adapter.
@@ -109,7 +141,7 @@
 		out[model] = residency.Want{Weight: r.slow}
 	}
 	for _, g := range d.gateways {
-		for name, x := range g.report.Demands {
+		for name, x := range g.demands {
 			w := out[adapterOf(name).Model]
 			w.Waiting += x.Waiting
 			out[adapterOf(name).Model] = w
@@ -141,7 +173,7 @@
 	seen := make(map[backend.Adapter]bool)
 	running = make(map[backend.Adapter]int)
 	for _, g := range d.gateways {
-		for name, x := range g.report.Demands {
+		for name, x := range g.demands {
 			a := adapterOf(name)
 			if a.Name == "" || x.Service != service {
 				continue
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -14,8 +14,13 @@
 	Hall string `json:"hall"`
 	// Loads is what it has at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
-	// Demands is what was asked of it since its start.
+	// Demands is what was asked of it since its start, for the models and adapters
+	// for which that has changed since the last report that was answered.
 	Demands map[string]dispatch.Demand `json:"demands,omitempty"`
+	// Full tells that Demands is all that was asked, for a holder that knows nothing yet.
+	Full bool `json:"full,omitempty"`
+	// Known is the version of the list of gateways that it has.
+	Known uint64 `json:"known,omitempty"`
 	// Residency is the version of the residency that it knows.
 	Residency int64 `json:"residency"`
 }
@@ -31,7 +36,11 @@
 type Answer struct {
 	// Held tells that the answerer holds the orders; all else is empty otherwise.
 	Held bool `json:"held"`
-	// Gateways lists the gateways that reported lately.
+	// Term is the holder's fencing token.
+	Term int64 `json:"term,omitempty"`
+	// Known and Gateways are the version and the list of the gateways that reported
+	// lately; the list only if its version differs from the one reported.
+	Known    uint64    `json:"known,omitempty"`
 	Gateways []Gateway `json:"gateways,omitempty"`
 	// Loads is what the other gateways have at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
-	"rockcleat/dispatch"
 	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 	"rockcleat/lease"
@@ -133,13 +131,12 @@
 	now := p.opts.Clock.Now()
 	p.demand.take(r, now)
 	p.tell(now)
-	a := Answer{Held: true, Loads: p.demand.loads(r.From), Version: p.version}
-	for _, g := range p.demand.gateways {
-		a.Gateways = append(a.Gateways, Gateway{
-			Gateway: dispatch.Gateway{ID: g.report.From, Hall: g.report.Hall}, Addr: g.report.Addr,
-		})
+	a := Answer{Held: true, Term: int64(p.token), Loads: p.demand.loads(r.From), Version: p.version}
+	list, known := p.demand.list()
+	a.Known = known
+	if r.Known != known {
+		a.Gateways = list
 	}
-	slices.SortFunc(a.Gateways, func(x, y Gateway) int { return strings.Compare(x.ID, y.ID) })
 	if r.Residency != p.version {
 		a.Residency = p.told
 	}
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -90,9 +90,9 @@
 	return n
 }
 
-// victim returns the adapter to unload for another: one that a further engine
-// holds too, or else the one asked for least recently that no request uses. One
-// asked for just now goes only for an adapter that has been waited for as long.
+// victim returns the adapter to unload for another: the one asked for least
+// recently that no request uses. For an adapter that has been waited for long, one
+// goes first that a further engine holds too, or one asked for just now.
 func (in *AdapterInput) victim(e *Engine, wanted backend.Adapter) (backend.Adapter, bool) {
 	var list, doubled []backend.Adapter
 	patient := in.Now.Sub(in.Since[wanted]) > adapterHold && !in.Since[wanted].IsZero()
@@ -102,7 +102,7 @@
 			rested := patient || in.Now.Sub(in.Used[a]) > adapterHold
 			switch {
 			case slices.Contains(in.Missing, a):
-			case in.copies(a) > 1:
+			case in.copies(a) > 1 && patient:
 				doubled = append(doubled, a)
 			case in.Running[a] == 0 && rested:
 				list = append(list, a)
