Servers that vanish together are kept a moment; a new holder counts what the last one said

Change: a service that loses more than half of its servers at about the same time keeps them for 1.3 s; settling counts the time in which the last holder has answered, without a break, that it gives no orders. Tests: TestVanishedServers, TestSettlingCountsWhatTheLastHolderSaid.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -78,10 +78,26 @@
 // platform's list when no further word comes.
 const residencyTrust = 3 * time.Second
 
+// vanishTime is how long servers that vanished from the list together are kept:
+// long enough for the heartbeats of those that live, and with the time in which
+// changes are noticed short enough for those that left.
+const vanishTime = 1300 * time.Millisecond
+
+// A vanished server is no longer listed and never said that it leaves.
+type vanished struct {
+	Server
+	when time.Time
+}
+
 // A Registry holds the known servers; its zero value is empty and ready to use.
+//
+// When more than half of a service's servers vanish from the list at about the
+// same time, the platform has lost its list, not the servers: they are kept for a
+// moment, in which those that live are listed again.
 type Registry struct {
 	mu        sync.Mutex
 	listed    map[string]Server
+	vanished  map[string]vanished
 	residency map[string]Residency
 	heard     time.Time
 	snapshot  atomic.Pointer[Snapshot]
@@ -95,34 +111,56 @@
 	return &Snapshot{}
 }
 
-// Replace sets the whole list.
-func (r *Registry) Replace(list []Server) {
+// Replace sets the whole list as it is at a time.
+func (r *Registry) Replace(list []Server, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := r.listed
 	r.listed = make(map[string]Server, len(list))
 	for _, s := range list {
 		r.listed[s.ID] = s
+		delete(r.vanished, s.ID)
+	}
+	for id, s := range before {
+		if _, ok := r.listed[id]; !ok {
+			r.vanish(s, now)
+		}
+	}
+	r.rebuild(now)
+}
+
+// vanish remembers a server that is no longer listed.
+func (r *Registry) vanish(s Server, now time.Time) {
+	if s.Leaving {
+		return
 	}
-	r.rebuild()
+	if r.vanished == nil {
+		r.vanished = make(map[string]vanished)
+	}
+	r.vanished[s.ID] = vanished{Server: s, when: now}
 }
 
-// Update sets one server.
-func (r *Registry) Update(s Server) {
+// Update sets one server at a time.
+func (r *Registry) Update(s Server, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.listed == nil {
 		r.listed = make(map[string]Server)
 	}
 	r.listed[s.ID] = s
-	r.rebuild()
+	delete(r.vanished, s.ID)
+	r.rebuild(now)
 }
 
-// Remove forgets one server.
-func (r *Registry) Remove(id string) {
+// Remove tells that a server is no longer listed at a time.
+func (r *Registry) Remove(id string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s, ok := r.listed[id]; ok {
+		r.vanish(s, now)
+	}
 	delete(r.listed, id)
-	r.rebuild()
+	r.rebuild(now)
 }
 
 // SetResidency takes the word of the holder of orders at a time.
@@ -130,7 +168,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.residency, r.heard = all, now
-	r.rebuild()
+	r.rebuild(now)
 }
 
 // Heard tells that the holder's word still stands at a time.
@@ -140,25 +178,61 @@
 	r.heard = now
 }
 
-// Expire goes back to the platform's list if the holder has been silent for long.
-func (r *Registry) Expire(now time.Time) {
+// Expire forgets what is too old: the word of a holder that has been silent for
+// long, and vanished servers. It reports whether anything has changed.
+func (r *Registry) Expire(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.residency == nil || now.Sub(r.heard) < residencyTrust {
-		return
+	changed := false
+	if r.residency != nil && now.Sub(r.heard) >= residencyTrust {
+		r.residency = nil
+		changed = true
 	}
-	r.residency = nil
-	r.rebuild()
+	for id, v := range r.vanished {
+		if now.Sub(v.when) >= vanishTime {
+			delete(r.vanished, id)
+			changed = true
+		}
+	}
+	if changed {
+		r.rebuild(now)
+	}
+	return changed
 }
 
-func (r *Registry) rebuild() {
-	s := &Snapshot{servers: make(map[string]*Server, len(r.listed)), byService: make(map[string][]*Server)}
-	for id, listed := range r.listed {
-		srv := listed
-		if word, ok := r.residency[id]; ok {
+// kept returns the vanished servers of services that have lost more than half of
+// their servers.
+func (r *Registry) kept(now time.Time) []Server {
+	if len(r.vanished) == 0 {
+		return nil
+	}
+	balance := make(map[string]int)
+	for _, s := range r.listed {
+		balance[s.Service]--
+	}
+	for _, v := range r.vanished {
+		balance[v.Service]++
+	}
+	var list []Server
+	for _, v := range r.vanished {
+		if balance[v.Service] > 0 && now.Sub(v.when) < vanishTime {
+			list = append(list, v.Server)
+		}
+	}
+	return list
+}
+
+func (r *Registry) rebuild(now time.Time) {
+	all := r.kept(now)
+	for _, s := range r.listed {
+		all = append(all, s)
+	}
+	s := &Snapshot{servers: make(map[string]*Server, len(all)), byService: make(map[string][]*Server)}
+	for _, srv := range all {
+		if word, ok := r.residency[srv.ID]; ok {
 			srv.Residents = word.Residents
 		}
-		s.servers[id] = &srv
+		s.servers[srv.ID] = &srv
 		s.byService[srv.Service] = append(s.byService[srv.Service], &srv)
 	}
 	for _, list := range s.byService {
--- /dev/null
+++ b/backend/backend_test.go
@@ -0,0 +1,91 @@
+package backend_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/backend"
+)
+
+func servers(n int) []backend.Server {
+	var list []backend.Server
+	for i := range n {
+		list = append(list, backend.Server{ID: fmt.Sprint("s", i), Service: "app"})
+	}
+	return list
+}
+
+func TestVanishedServers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	tests := map[string]struct {
+		do   func(r *backend.Registry)
+		want int
+	}{
+		"one leaves": {do: func(r *backend.Registry) { r.Remove("s0", at(0)) }, want: 5},
+		"half of them leave": {do: func(r *backend.Registry) {
+			for i := range 3 {
+				r.Remove(fmt.Sprint("s", i), at(i))
+			}
+		}, want: 3},
+		"all vanish together": {do: func(r *backend.Registry) {
+			for i := range 6 {
+				r.Remove(fmt.Sprint("s", i), at(i))
+			}
+			r.Expire(at(1000))
+		}, want: 6},
+		"all are missing from a new list": {do: func(r *backend.Registry) { r.Replace(nil, at(0)) }, want: 6},
+		"all vanish and stay away": {do: func(r *backend.Registry) {
+			r.Replace(nil, at(0))
+			r.Expire(at(1400))
+		}, want: 0},
+		"all vanish and some are back": {do: func(r *backend.Registry) {
+			r.Replace(nil, at(0))
+			for i := range 4 {
+				r.Update(servers(6)[i], at(900))
+			}
+			r.Expire(at(1400))
+		}, want: 4},
+		"one after the other within minutes": {do: func(r *backend.Registry) {
+			for i := range 6 {
+				r.Remove(fmt.Sprint("s", i), at(i*60_000))
+				r.Expire(at(i*60_000 + 30_000))
+			}
+		}, want: 0},
+		"all leave as they said": {do: func(r *backend.Registry) {
+			for _, s := range servers(6) {
+				s.Leaving = true
+				r.Update(s, at(0))
+			}
+			r.Replace(nil, at(1))
+		}, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r backend.Registry
+			r.Replace(servers(6), start)
+			test.do(&r)
+			assert.Equal(t, r.Snapshot().Len(), test.want)
+			assert.Equal(t, len(r.Snapshot().Service("app")), test.want)
+		})
+	}
+}
+
+func TestResidency(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r backend.Registry
+	s := servers(1)[0]
+	s.Residents = []backend.Resident{{Model: "listed"}}
+	r.Replace([]backend.Server{s}, now)
+	r.SetResidency(map[string]backend.Residency{"s0": {Residents: []backend.Resident{{Model: "told", Adapters: []string{"a1"}}}}}, now)
+	srv, _ := r.Snapshot().Server("s0")
+	assert.Assert(t, srv.Holds("told", "a1") && !srv.Holds("listed", ""), "the holder's word goes first")
+	r.Heard(now.Add(2 * time.Second))
+	assert.Assert(t, !r.Expire(now.Add(4*time.Second)))
+	assert.Assert(t, r.Expire(now.Add(6*time.Second)))
+	srv, _ = r.Snapshot().Server("s0")
+	assert.Assert(t, srv.Holds("listed", ""), "a holder that is silent is not believed for long")
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -31,7 +31,7 @@
 
 func snapshot(servers ...backend.Server) *backend.Snapshot {
 	var r backend.Registry
-	r.Replace(servers)
+	r.Replace(servers, time.Now())
 	return r.Snapshot()
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -67,7 +67,7 @@
 		}
 		list = append(list, s)
 	}
-	f.g.registry.Replace(list)
+	f.g.registry.Replace(list, f.g.clock.Now())
 	f.g.listed.Store(true)
 	f.g.log.Info("servers listed", zap.Int("count", len(list)))
 	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
@@ -77,7 +77,7 @@
 func (f *serverFollower) Apply(e kv.Event) {
 	id := f.g.decoder.ServerID(e.Entry.Key)
 	if e.Deleted {
-		f.g.registry.Remove(id)
+		f.g.registry.Remove(id, f.g.clock.Now())
 		f.g.log.Info("server gone", zap.String("server", id))
 		f.g.dispatcher.SetServers(f.g.registry.Snapshot())
 		return
@@ -92,7 +92,7 @@
 		f.g.log.Info("server seen", zap.String("server", id), zap.String("service", s.Service),
 			zap.String("addr", s.Addr), zap.Bool("leaving", s.Leaving))
 	}
-	f.g.registry.Update(s)
+	f.g.registry.Update(s, f.g.clock.Now())
 	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,12 +147,22 @@
 	g.placer.Start()
 	go g.peers.run()
 	g.subscribe(time.Second, g.conns.sweep)
-	g.subscribe(time.Second, g.registry.Expire)
+	g.subscribe(expireTick, g.expire)
 	g.subscribe(pauseTick, g.watchPause)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
 }
 
+// expireTick is the time between two looks for what is too old.
+const expireTick = 200 * time.Millisecond
+
+// expire forgets what is too old of the servers.
+func (g *Gateway) expire(now time.Time) {
+	if g.registry.Expire(now) {
+		g.dispatcher.SetServers(g.registry.Snapshot())
+	}
+}
+
 // Noticing that the process stood still.
 const (
 	pauseTick = 500 * time.Millisecond
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -147,8 +147,10 @@
 	var a peerAnswer
 	if err := p.http.Call(ctx, http.MethodPost, addr, pathExchange, req, &a); err != nil {
 		p.failed(addr, err)
+		p.g.placer.Answered(addr, false)
 		return
 	}
+	p.g.placer.Answered(addr, !a.Held)
 	if len(a.Config) > 0 {
 		p.g.offerConfig(a.Config, "peer")
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -74,10 +74,13 @@
 type Placer struct {
 	opts Options
 
-	mu      sync.Mutex
-	token   lease.Token
-	since   time.Time
-	fenced  lease.Token
+	mu     sync.Mutex
+	token  lease.Token
+	since  time.Time
+	fenced lease.Token
+	// denial is what the last holder says, denied its length when the lease was gained.
+	denial  denial
+	denied  time.Duration
 	engines map[string]*engine
 	demand  *demand
 	// missing tells since when adapters that no engine holds have been waited for.
@@ -181,11 +184,48 @@
 // isFirst reports whether there was no holder before this one.
 func (p *Placer) isFirst() bool { return p.opts.First && !p.opts.Lease.HasSeenOther() }
 
+// settle returns how long this holder waits before its first order. The time in
+// which the last holder has said that it gives none counts.
 func (p *Placer) settle() time.Duration {
 	if p.isFirst() {
 		return firstSettle
 	}
-	return p.opts.Settle
+	return max(p.opts.Settle-p.denied, 0)
+}
+
+// deniedLately is how old the last holder's word may be that it gives no orders.
+const deniedLately = 500 * time.Millisecond
+
+// A denial is the time in which the last holder has said, without a break, that it
+// gives no orders.
+type denial struct {
+	addr        string
+	first, last time.Time
+}
+
+// Answered tells what the process at an address said of holding the orders, or
+// that it did not answer.
+func (p *Placer) Answered(addr string, denied bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	switch {
+	case !denied:
+		p.denial = denial{}
+	case p.denial.addr == addr:
+		p.denial.last = now
+	default:
+		p.denial = denial{addr: addr, first: now, last: now}
+	}
+}
+
+// deniedFor returns how long the last holder has said that it gives no orders.
+func (p *Placer) deniedFor(now time.Time) time.Duration {
+	last := p.opts.Lease.Other().Addr
+	if last == "" || p.denial.addr != last || now.Sub(p.denial.last) > deniedLately {
+		return 0
+	}
+	return p.denial.last.Sub(p.denial.first)
 }
 
 // lose forgets what only a holder may act on.
@@ -201,6 +241,7 @@
 }
 
 func (p *Placer) gain(token lease.Token, now time.Time) {
+	p.denied = p.deniedFor(now)
 	p.opts.Log.Info("orders gained", zap.Int64("token", int64(token)), zap.Duration("settle", p.settle()))
 	p.token, p.since, p.stepped = token, now, now
 	p.budget = 0
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -129,7 +129,7 @@
 	return l.token, l.token != 0
 }
 
-func (l *fakeLease) Other() lease.Record { return lease.Record{} }
+func (l *fakeLease) Other() lease.Record { return lease.Record{Addr: "last"} }
 
 func (l *fakeLease) HasSeenOther() bool { return l.other }
 
@@ -173,7 +173,7 @@
 		w.engines.engines[id] = e
 		list = append(list, backend.Server{ID: id, Service: service, Hall: "h", Residents: e.residents})
 	}
-	w.registry.Replace(list)
+	w.registry.Replace(list, c.Now())
 	return w
 }
 
@@ -269,13 +269,63 @@
 	assert.Assert(t, w.engines.orders()[0].at.Sub(start) >= ttl)
 }
 
+// TestSettlingCountsWhatTheLastHolderSaid checks from when a new holder may give
+// orders, by what the last one said before.
+func TestSettlingCountsWhatTheLastHolderSaid(t *testing.T) {
+	tests := map[string]struct {
+		say   func(w *world, p *placer.Placer)
+		waits bool
+	}{
+		"said for long that it gives none": {say: func(w *world, p *placer.Placer) {
+			for range 40 {
+				p.Answered("last", true)
+				w.pass(100 * time.Millisecond)
+			}
+		}},
+		"said so once": {waits: true, say: func(_ *world, p *placer.Placer) { p.Answered("last", true) }},
+		"did not answer in between": {waits: true, say: func(w *world, p *placer.Placer) {
+			for i := range 40 {
+				p.Answered("last", i != 38)
+				w.pass(100 * time.Millisecond)
+			}
+		}},
+		"another said so": {waits: true, say: func(w *world, p *placer.Placer) {
+			for range 40 {
+				p.Answered("other", true)
+				w.pass(100 * time.Millisecond)
+			}
+		}},
+		"said so long ago": {waits: true, say: func(w *world, p *placer.Placer) {
+			for range 40 {
+				p.Answered("last", true)
+				w.pass(100 * time.Millisecond)
+			}
+			w.pass(2 * time.Second)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, []string{"m0"})
+			w.lease.other = true
+			w.lease.set(0)
+			p := w.start(true)
+			test.say(w, p)
+			start := w.clock.Now()
+			w.lease.set(7)
+			w.run("load", w.ordered(1))
+			waited := w.engines.orders()[0].at.Sub(start) >= ttl
+			assert.Equal(t, waited, test.waits)
+		})
+	}
+}
+
 func TestNoOrderWithoutTheLease(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0", "m1"})
 	w.start(true)
 	w.pass(6 * time.Second)
 	assert.Equal(t, len(w.engines.orders()), 0)
 	w.lease.set(0)
-	w.registry.Update(backend.Server{ID: "e0", Service: service})
+	w.registry.Update(backend.Server{ID: "e0", Service: service}, w.clock.Now())
 	w.engines.mu.Lock()
 	w.engines.engines["e0"].residents = nil
 	w.engines.mu.Unlock()
@@ -345,7 +395,7 @@
 	w.registry.Update(backend.Server{
 		ID: "e0", Service: service, Hall: "h", Leaving: true,
 		Residents: []backend.Resident{{Model: "m0", Adapters: []string{"a1"}}},
-	})
+	}, w.clock.Now())
 	p := w.start(true)
 	w.pass(5 * time.Second)
 	w.ask("m0/a1", 0, 0)
