TestStreamGoesOn waits for its own request

The test killed the first engine that had seen any request, which from the second of its three rounds on was one of an earlier round; its log shows no line of the new request before the kill. The refusal was right: nothing had run. Ruled out: the entry's going on (the round before shows a stream lost after 1 token that went on). Change: the request has an id, and the engine that has seen this id is killed; the check of the answer is as it was.

--- a/internal/proofs/promises_test.go
+++ b/internal/proofs/promises_test.go
@@ -393,19 +393,15 @@
 	for range 3 {
 		tr.must(tr.AwaitPlaced(tr.ctx))
 		r, tokens := tr.chat(tr.liveEntry(0).Addr, "hint", 400)
+		r.ID = uuid.NewString()
 		result := make(chan lab.Answer, 1)
 		go func() { result <- tr.send(r, tokens) }()
 		var on *lab.Backend
 		tr.until("the stream runs", func() bool {
 			for _, b := range tr.engines() {
 				var s standin.SeenAnswer
-				if lab.Fetch(tr.ctx, b.URL+"/seen", &s) == nil {
-					for id := range s.Seen {
-						on = b
-						_ = id
-					}
-				}
-				if on != nil {
+				if lab.Fetch(tr.ctx, b.URL+"/seen", &s) == nil && s.Seen[r.ID] > 0 {
+					on = b
 					return true
 				}
 			}
