Residency is told by changes

Change: a version for each engine; answers carry what has changed since the version known, and all of it to a gateway that knows another holder or has forgotten (TestResidencyIsToldInParts, TestResidency).

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -171,11 +172,27 @@
 	r.rebuild(now)
 }
 
-// Heard tells that the holder's word still stands at a time.
-func (r *Registry) Heard(now time.Time) {
+// MergeResidency takes what has changed in the word of the holder of orders at a time.
+func (r *Registry) MergeResidency(changed map[string]Residency, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heard = now
+	if len(changed) == 0 {
+		return
+	}
+	all := make(map[string]Residency, len(r.residency)+len(changed))
+	maps.Copy(all, r.residency)
+	maps.Copy(all, changed)
+	r.residency = all
+	r.rebuild(now)
+}
+
+// Told reports whether a holder's word is known; after it was forgotten all of it
+// must be asked for again.
+func (r *Registry) Told() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.residency != nil
 }
 
 // Expire forgets what is too old: the word of a holder that has been silent for
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -113,6 +113,9 @@
 	all := p.g.dispatcher.Demands()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.g.registry.Told() {
+		p.residency = 0
+	}
 	changed := make(map[string]dispatch.Demand)
 	for name, x := range all {
 		if p.told[name] != x {
@@ -202,10 +205,10 @@
 		return
 	}
 	now := p.g.clock.Now()
-	if a.Residency != nil {
+	if a.Full {
 		p.g.registry.SetResidency(a.Residency, now)
 	} else {
-		p.g.registry.Heard(now)
+		p.g.registry.MergeResidency(a.Residency, now)
 	}
 	p.remember(a, all)
 	if a.Gateways != nil {
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -44,7 +44,9 @@
 	Gateways []Gateway `json:"gateways,omitempty"`
 	// Loads is what the other gateways have at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
-	// Version and Residency tell what engines hold, if that is newer than reported.
+	// Version is that of what engines hold; Residency is what has changed of it since
+	// the version reported, or all of it with Full.
 	Version   int64                        `json:"version"`
+	Full      bool                         `json:"full,omitempty"`
 	Residency map[string]backend.Residency `json:"residency,omitempty"`
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -88,7 +88,10 @@
 	budget  float64
 	stepped time.Time
 	version int64
+	// told is what gateways are told that engines hold, changed the version in which
+	// that changed last.
 	told    map[string]backend.Residency
+	changed map[string]int64
 	stop    func()
 	ctx     context.Context
 	done    context.CancelFunc
@@ -140,12 +143,22 @@
 	if r.Known != known {
 		a.Gateways = list
 	}
-	if r.Residency != p.version {
-		a.Residency = p.told
-	}
+	a.Full = r.Residency>>versionBits != int64(p.token)
+	a.Residency = p.changedSince(r.Residency, a.Full)
 	return a
 }
 
+// changedSince returns what of the residency has changed since a version, or all.
+func (p *Placer) changedSince(version int64, all bool) map[string]backend.Residency {
+	out := make(map[string]backend.Residency)
+	for id, word := range p.told {
+		if all || p.changed[id] > version {
+			out[id] = word
+		}
+	}
+	return out
+}
+
 // Wake makes the placer look at once at what has been reported.
 func (p *Placer) Wake() { p.step(p.opts.Clock.Now()) }
 
@@ -249,6 +262,7 @@
 		p.budget = budgetBurst
 	}
 	p.version = int64(token) << versionBits
+	p.changed = make(map[string]int64)
 }
 
 // versionBits is the part of a residency's version that counts changes; the
@@ -379,29 +393,21 @@
 // tell makes a new version of what gateways are told, if it differs.
 func (p *Placer) tell(now time.Time) {
 	told := make(map[string]backend.Residency, len(p.engines))
+	next := p.version + 1
 	for id, e := range p.engines {
-		if e.known {
-			told[id] = backend.Residency{Residents: e.ready(now)}
+		if !e.known {
+			if word, ok := p.told[id]; ok {
+				told[id] = word
+			}
+			continue
 		}
-	}
-	if equal(told, p.told) {
-		return
-	}
-	p.told = told
-	p.version++
-}
-
-func equal(a, b map[string]backend.Residency) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id, x := range a {
-		y, ok := b[id]
-		if !ok || !slices.EqualFunc(x.Residents, y.Residents, sameResident) {
-			return false
+		told[id] = backend.Residency{Residents: e.ready(now)}
+		if before, ok := p.told[id]; !ok || !slices.EqualFunc(before.Residents, told[id].Residents, sameResident) {
+			p.changed[id] = next
+			p.version = next
 		}
 	}
-	return true
+	p.told = told
 }
 
 func sameResident(a, b backend.Resident) bool {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -433,6 +433,29 @@
 	assert.Equal(t, len(a.Gateways), 1, "a gateway that was silent no longer counts")
 }
 
+// TestResidencyIsToldInParts checks that a gateway is told what has changed since
+// the version that it knows, and everything by a holder that it does not know.
+func TestResidencyIsToldInParts(t *testing.T) {
+	w := newWorld(t, 2, []string{"m0"}, []string{"m0", "m1"})
+	p := w.start(true)
+	w.pass(5 * time.Second)
+	a := p.Report(placer.Report{From: "g"})
+	assert.Assert(t, a.Full && len(a.Residency) == 2, "%+v", a)
+	w.ask("m1/a1", 0, 0)
+	w.ask("m1/a1", 1, 1)
+	p.Wake()
+	w.run("adapter told", func() bool {
+		a = p.Report(placer.Report{From: "g", Residency: a.Version})
+		r := a.Residency["e1"].Residents
+		return len(r) == 2 && r[1].Has("a1")
+	})
+	assert.Assert(t, !a.Full && len(a.Residency) == 1, "%+v", a)
+	w.lease.set(9)
+	w.pass(5 * time.Second)
+	a = p.Report(placer.Report{From: "g", Residency: a.Version})
+	assert.Assert(t, a.Full && len(a.Residency) == 2, "%+v", a)
+}
+
 // TestOldDemandIsNoNewDemand tells a new holder, in parts, of demand that is long
 // over: it must not be taken for demand of now and move models about.
 func TestOldDemandIsNoNewDemand(t *testing.T) {
