--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -14,7 +14,7 @@
 const maxHeldAnswer = 256 << 10
 
 // passWhole passes an answer on that is no stream.
-func (x *exchange) passWhole(t *dispatch.Ticket, resp *http.Response, ctx context.Context) bool {
+func (x *exchange) passWhole(ctx context.Context, t *dispatch.Ticket, resp *http.Response) bool {
 	t.Begun()
 	if resp.StatusCode >= http.StatusInternalServerError && x.mayRepeat() && x.allowed() {
 		t.Done(dispatch.Failed)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -271,7 +271,7 @@
 // ownShare returns this gateway's part of what all gateways share.
 func (g *Gateway) ownShare() float64 { return 1 / float64(max(g.gateways.Load(), 1)) }
 
-// inFlightOf counts a request while it lasts.
+// begin counts a request in hand and returns what ends it.
 func (g *Gateway) begin() func() {
 	g.inFlight.Add(1)
 	return func() { g.inFlight.Add(-1) }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,9 +59,9 @@
 		return x.lost(t, eris.Errorf("gateway: status %d in the middle of a stream", resp.StatusCode))
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
-		return x.passStream(t, resp, silence, ctx)
+		return x.passStream(ctx, t, resp, silence)
 	}
-	return x.passWhole(t, resp, ctx)
+	return x.passWhole(ctx, t, resp)
 }
 
 // cause prefers the reason for which a send was cancelled to what the transport says.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,7 +53,7 @@
 }
 
 // passStream passes a stream on, event by event.
-func (x *exchange) passStream(t *dispatch.Ticket, resp *http.Response, silence *silence, ctx context.Context) bool {
+func (x *exchange) passStream(ctx context.Context, t *dispatch.Ticket, resp *http.Response, silence *silence) bool {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(resp.Body)
 	defer func() {
@@ -62,7 +62,6 @@
 	}()
 	var buf bytes.Buffer
 	var last time.Time
-	rc := http.NewResponseController(x.w)
 	for {
 		id, err := readEvent(r, &buf)
 		if err == io.EOF {
@@ -78,15 +77,7 @@
 			x.longestPause = max(x.longestPause, now.Sub(last))
 		}
 		last = now
-		if !x.begun.Load() {
-			x.begin(resp)
-			x.w.Header().Del("Content-Length")
-			x.w.WriteHeader(resp.StatusCode)
-		}
-		if _, err := x.w.Write(buf.Bytes()); err != nil {
-			return x.callerLost(t)
-		}
-		if err := rc.Flush(); err != nil {
+		if err := x.passEvent(resp, buf.Bytes()); err != nil {
 			return x.callerLost(t)
 		}
 		if id != "" {
@@ -101,6 +92,19 @@
 	return true
 }
 
+// passEvent sends one event to the caller, after the header if it is the first.
+func (x *exchange) passEvent(resp *http.Response, event []byte) error {
+	if !x.begun.Load() {
+		x.begin(resp)
+		x.w.Header().Del("Content-Length")
+		x.w.WriteHeader(resp.StatusCode)
+	}
+	if _, err := x.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
 // callerLost ends a request whose caller no longer reads.
 func (x *exchange) callerLost(t *dispatch.Ticket) bool {
 	t.Done(dispatch.Abandoned)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 	"rockcleat/lease"
-	"rockcleat/residency"
 	"rockcleat/table"
 )
 
@@ -148,17 +146,6 @@
 	return a
 }
 
-// changedSince returns what of the residency has changed since a version, or all.
-func (p *Placer) changedSince(version int64, all bool) map[string]backend.Residency {
-	out := make(map[string]backend.Residency)
-	for id, word := range p.told {
-		if all || p.changed[id] > version {
-			out[id] = word
-		}
-	}
-	return out
-}
-
 // Wake makes the placer look at once at what has been reported.
 func (p *Placer) Wake() { p.step(p.opts.Clock.Now()) }
 
@@ -186,9 +173,11 @@
 		return
 	}
 	p.follow(p.opts.Registry.Snapshot(), routing)
-	for _, s := range routing.Services() {
+	services := routing.Services()
+	p.credit(services, by)
+	for _, s := range services {
 		if s.Engine != nil {
-			p.serve(s, by, now)
+			p.serve(s, now)
 		}
 	}
 	p.tell(now)
@@ -289,127 +278,3 @@
 		}
 	}
 }
-
-// serve plans for one service and does what is due at its engines.
-func (p *Placer) serve(s table.Service, by time.Duration, now time.Time) {
-	p.budget = min(p.budget+budgetShare*s.Engine.LoadsPerSecond*by.Seconds(), budgetBurst)
-	list := p.enginesOf(s.Name)
-	p.planAdapters(s, list, now)
-	p.planModels(s, list, now)
-	for _, e := range list {
-		p.act(e, s.Engine, now)
-	}
-}
-
-func (p *Placer) enginesOf(service string) []*engine {
-	var list []*engine
-	for _, e := range p.engines {
-		if e.server.Service == service {
-			list = append(list, e)
-		}
-	}
-	slices.SortFunc(list, func(a, b *engine) int {
-		if a.server.ID < b.server.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
-func views(list []*engine, now time.Time) []residency.Engine {
-	out := make([]residency.Engine, len(list))
-	for i, e := range list {
-		out[i] = e.view(now)
-	}
-	return out
-}
-
-func (p *Placer) planModels(s table.Service, list []*engine, now time.Time) {
-	moves := residency.Plan(residency.Input{
-		Spec: s.Engine, Engines: views(list, now), Wants: p.demand.wants(),
-		StoreLoads: int(p.budget) - storeLoadsPending(list),
-	})
-	for _, m := range moves {
-		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
-			zap.Strings("victims", m.Victims), zap.Int("source", int(m.Source)))
-		p.engines[m.Engine].start(m, now)
-	}
-}
-
-// storeLoadsPending counts the loads from the weight store that are planned and
-// not yet ordered; the budget pays for them when they are.
-func storeLoadsPending(list []*engine) int {
-	n := 0
-	for _, e := range list {
-		if len(e.pending) == 0 || e.given && len(e.pending) == 1 {
-			continue
-		}
-		last := e.pending[len(e.pending)-1]
-		if !slices.Contains(e.inMemory, last.Model) && !slices.Contains(e.onDisk, last.Model) {
-			n++
-		}
-	}
-	return n
-}
-
-func (p *Placer) planAdapters(s table.Service, list []*engine, now time.Time) {
-	waited, running := p.demand.adapters(s.Name)
-	missing := slices.DeleteFunc(waited, func(a backend.Adapter) bool {
-		return slices.ContainsFunc(list, func(e *engine) bool {
-			return !e.server.Leaving && slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
-		})
-	})
-	p.noteMissing(missing, now)
-	if len(missing) == 0 {
-		return
-	}
-	idle := slices.DeleteFunc(views(list, now), func(e residency.Engine) bool { return !e.Idle })
-	load := make(map[string]int)
-	for id, l := range p.demand.loads("") {
-		load[id] = l.Running
-	}
-	moves := residency.PlanAdapters(residency.AdapterInput{
-		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing,
-		Used: p.demand.used, Running: running, Load: load, Since: p.missing, Now: now,
-	})
-	for _, m := range moves {
-		p.moveAdapter(p.engines[m.Engine], m)
-	}
-}
-
-// noteMissing remembers since when each adapter has been waited for.
-func (p *Placer) noteMissing(missing []backend.Adapter, now time.Time) {
-	since := make(map[backend.Adapter]time.Time, len(missing))
-	for _, a := range missing {
-		since[a] = now
-		if before, ok := p.missing[a]; ok {
-			since[a] = before
-		}
-	}
-	p.missing = since
-}
-
-// tell makes a new version of what gateways are told, if it differs.
-func (p *Placer) tell(now time.Time) {
-	told := make(map[string]backend.Residency, len(p.engines))
-	next := p.version + 1
-	for id, e := range p.engines {
-		if !e.known {
-			if word, ok := p.told[id]; ok {
-				told[id] = word
-			}
-			continue
-		}
-		told[id] = backend.Residency{Residents: e.ready(now)}
-		if before, ok := p.told[id]; !ok || !slices.EqualFunc(before.Residents, told[id].Residents, sameResident) {
-			p.changed[id] = next
-			p.version = next
-		}
-	}
-	p.told = told
-}
-
-func sameResident(a, b backend.Resident) bool {
-	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
-}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -149,6 +149,8 @@
 	registry backend.Registry
 	spec     *table.EngineSpec
 	placer   *placer.Placer
+	// second adds a second service of engines, which shares the weight store.
+	second bool
 }
 
 // newWorld returns a world of models of 60 GB and engines of 200 GB that hold the
@@ -178,7 +180,11 @@
 }
 
 func (w *world) start(first bool) *placer.Placer {
-	routing := table.NewRouting(1, nil, []table.Service{{Name: service, Engine: w.spec}}, table.RequestLimits{})
+	services := []table.Service{{Name: service, Engine: w.spec}, {Name: "plain"}}
+	if w.second {
+		services = append(services, table.Service{Name: "second", Engine: w.spec})
+	}
+	routing := table.NewRouting(1, nil, services, table.RequestLimits{})
 	p := placer.New(placer.Options{
 		Lease: w.lease, Engines: w.engines, Registry: &w.registry,
 		Routing: func() *table.Routing { return routing },
@@ -346,10 +352,16 @@
 // TestLoadsStayWithinTheBudget brings many empty engines and checks that in no
 // five seconds more loads begin than the store's rate and a small burst allow.
 func TestLoadsStayWithinTheBudget(t *testing.T) {
+	t.Run("one service", func(t *testing.T) { loadsStayWithinTheBudget(t, false) })
+	t.Run("two services", func(t *testing.T) { loadsStayWithinTheBudget(t, true) })
+}
+
+func loadsStayWithinTheBudget(t *testing.T, second bool) {
 	held := make([][]string, 12)
 	held[0] = []string{"m0", "m1", "m2"}
 	w := newWorld(t, 3, held...)
 	w.spec.LoadsPerSecond = 2
+	w.second = second
 	p := w.start(true)
 	arrived := 0
 	for range 200 {
--- /dev/null
+++ b/internal/placer/plan.go
@@ -0,0 +1,124 @@
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/backend"
+	"rockcleat/residency"
+	"rockcleat/table"
+)
+
+// credit adds to the weight store's budget what a span of time allows. There is
+// one store for all services; the lowest rate that they name holds.
+func (p *Placer) credit(services []table.Service, by time.Duration) {
+	rate := math.Inf(1)
+	for _, s := range services {
+		if s.Engine != nil {
+			rate = min(rate, s.Engine.LoadsPerSecond)
+		}
+	}
+	p.budget = min(p.budget+budgetShare*rate*by.Seconds(), budgetBurst)
+}
+
+// serve plans for one service and does what is due at its engines.
+func (p *Placer) serve(s table.Service, now time.Time) {
+	list := p.enginesOf(s.Name)
+	p.planAdapters(s, list, now)
+	p.planModels(s, list, now)
+	for _, e := range list {
+		p.act(e, s.Engine, now)
+	}
+}
+
+func (p *Placer) enginesOf(service string) []*engine {
+	var list []*engine
+	for _, e := range p.engines {
+		if e.server.Service == service {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *engine) int {
+		if a.server.ID < b.server.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func views(list []*engine, now time.Time) []residency.Engine {
+	out := make([]residency.Engine, len(list))
+	for i, e := range list {
+		out[i] = e.view(now)
+	}
+	return out
+}
+
+func (p *Placer) planModels(s table.Service, list []*engine, now time.Time) {
+	moves := residency.Plan(residency.Input{
+		Spec: s.Engine, Engines: views(list, now), Wants: p.demand.wants(),
+		StoreLoads: int(p.budget) - storeLoadsPending(list),
+	})
+	for _, m := range moves {
+		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
+			zap.Strings("victims", m.Victims), zap.Int("source", int(m.Source)))
+		p.engines[m.Engine].start(m, now)
+	}
+}
+
+// storeLoadsPending counts the loads from the weight store that are planned and
+// not yet ordered; the budget pays for them when they are.
+func storeLoadsPending(list []*engine) int {
+	n := 0
+	for _, e := range list {
+		if len(e.pending) == 0 || e.given && len(e.pending) == 1 {
+			continue
+		}
+		last := e.pending[len(e.pending)-1]
+		if !slices.Contains(e.inMemory, last.Model) && !slices.Contains(e.onDisk, last.Model) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Placer) planAdapters(s table.Service, list []*engine, now time.Time) {
+	waited, running := p.demand.adapters(s.Name)
+	missing := slices.DeleteFunc(waited, func(a backend.Adapter) bool {
+		return slices.ContainsFunc(list, func(e *engine) bool {
+			return !e.server.Leaving && slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
+		})
+	})
+	p.noteMissing(missing, now)
+	if len(missing) == 0 {
+		return
+	}
+	idle := slices.DeleteFunc(views(list, now), func(e residency.Engine) bool { return !e.Idle })
+	load := make(map[string]int)
+	for id, l := range p.demand.loads("") {
+		load[id] = l.Running
+	}
+	moves := residency.PlanAdapters(residency.AdapterInput{
+		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing,
+		Used: p.demand.used, Running: running, Load: load, Since: p.missing, Now: now,
+	})
+	for _, m := range moves {
+		p.moveAdapter(p.engines[m.Engine], m)
+	}
+}
+
+// noteMissing remembers since when each adapter has been waited for.
+func (p *Placer) noteMissing(missing []backend.Adapter, now time.Time) {
+	since := make(map[backend.Adapter]time.Time, len(missing))
+	for _, a := range missing {
+		since[a] = now
+		if before, ok := p.missing[a]; ok {
+			since[a] = before
+		}
+	}
+	p.missing = since
+}
