Weights at hand are doubted after a load; a wider margin of the budget

Read: a report right after a load still names weights that the load has pushed out of the server's disk, so loads of them were not paid. Ruled out: the credit (the budget in that log), a change of holder (one, 3.7 s before). Change: after a load, weights count as at hand only by a report 0.7 s later; 0.8 of the store's rate and 2 at once, where it was 0.85 and 2.5. The test's bound is tighter with it (11 in five seconds for 13).

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -25,6 +25,8 @@
 	freshTime = 4 * time.Second
 	// reportLag bounds how much older than an order a report may be that comes after it.
 	reportLag = 1500 * time.Millisecond
+	// doubtTime is how long after a load reports may be older than what it pushed out.
+	doubtTime = 700 * time.Millisecond
 	// retryOrder is the pause after an order without an answer.
 	retryOrder = 300 * time.Millisecond
 )
@@ -38,6 +40,9 @@
 	residents []backend.Resident
 	inMemory  []string
 	onDisk    []string
+	// doubtUntil is until when reports may still tell of weights at hand that a load
+	// has just pushed out.
+	doubtUntil time.Time
 	// pending are the orders still to be given or carried out, the first one first.
 	pending []backend.Order
 	// given tells that the engine has taken the first pending order.
@@ -135,6 +140,9 @@
 		e.addAdapter(a, now)
 	}
 	e.inMemory, e.onDisk = r.InMemory, r.OnDisk
+	if now.Before(e.doubtUntil) {
+		e.inMemory, e.onDisk = nil, nil
+	}
 	maps.DeleteFunc(e.coming, func(_ backend.Adapter, at time.Time) bool { return !now.Before(at) })
 	e.known = true
 	return true
@@ -154,6 +162,7 @@
 		if !o.Unload {
 			e.fresh[o.Model] = now
 			loaded = o.Model
+			e.doubt(now)
 		}
 	}
 	if e.given {
@@ -163,6 +172,14 @@
 	return loaded
 }
 
+// doubt forgets which weights are at hand until a report that is surely newer than
+// the load that has ended: a load from the weight store may have pushed some out.
+func (e *engine) doubt(now time.Time) {
+	e.inMemory, e.onDisk = nil, nil
+	e.doubtUntil = now.Add(doubtTime)
+	e.nextReport = e.doubtUntil
+}
+
 // fromStore reports whether the first pending order loads from the weight store.
 func (e *engine) fromStore() bool {
 	o := e.pending[0]
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -31,9 +31,9 @@
 // The weight store's budget.
 const (
 	// budgetShare is the part of the store's rate that is used.
-	budgetShare = 0.85
+	budgetShare = 0.8
 	// budgetBurst is the number of loads that may begin together.
-	budgetBurst = 2.5
+	budgetBurst = 2
 )
 
 // A Lease decides who gives the orders; lease.Holder is one.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -380,7 +380,7 @@
 				n++
 			}
 		}
-		assert.Assert(t, n <= 13, "%d loads in five seconds", n)
+		assert.Assert(t, n <= 11, "%d loads in five seconds", n)
 	}
 }
 
