placement: room freed for a first copy is kept for it

Room that makeRoom frees becomes free a plan later; until then placeExtra gave what was free there to copies for demand, the next plan dropped those again, for ever. Change: an accelerator's account holds what is promised and what is being freed; a row waits for memory that is being freed instead of freeing more; a copy that is on its way no longer counts when the last one that serves is looked for (read in the same place). Tests: TestFreedRoomIsKept and two rows of TestPlan failed before.

--- a/placement/moves.go
+++ b/placement/moves.go
@@ -128,8 +128,8 @@
 }
 
 // makeRoom unloads copies that are not needed from one accelerator until the
-// row would fit there and reports whether there are such copies; held says how
-// long a copy must have been surplus.
+// row would fit there, keeps the room for it and reports whether there is such an
+// accelerator; held says how long a copy must have been surplus.
 func (s *plan) makeRoom(r table.Row, reason string, held time.Duration) bool {
 	need := s.in.Sizes[r.Name].TotalMiB()
 	var best *acc
@@ -138,19 +138,27 @@
 		if !s.suits(x, r) {
 			continue
 		}
-		victims := s.victims(x, need-x.free, held)
-		if victims != nil && (best == nil || len(victims) < len(bestVictims)) {
+		victims, ok := s.victims(x, need-x.free-x.freeing, held)
+		if ok && (best == nil || len(victims) < len(bestVictims)) {
 			best, bestVictims = x, victims
 		}
 	}
+	if best == nil {
+		return false
+	}
 	for _, name := range bestVictims {
 		s.unload(best, name, reason)
 	}
-	return best != nil
+	best.free -= need
+	return true
 }
 
-// victims returns copies whose unloading frees the memory, or nil.
-func (s *plan) victims(x *acc, need int, held time.Duration) []string {
+// victims returns copies whose unloading frees the memory, and whether there are
+// enough; none are needed for memory that is being freed already.
+func (s *plan) victims(x *acc, need int, held time.Duration) ([]string, bool) {
+	if need <= 0 {
+		return nil, true
+	}
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(x.members)) {
 		if x.members[name] == fleet.StateReady && s.spare(name, held) && !s.carries(x, name) {
@@ -161,16 +169,17 @@
 	for i, name := range names {
 		need -= s.in.Sizes[name].TotalMiB()
 		if need <= 0 {
-			return names[:i+1]
+			return names[:i+1], true
 		}
 	}
-	return nil
+	return nil, false
 }
 
-// spare reports whether a copy of the name may go. A first copy of another name
+// spare reports whether a copy of the name may go: never the last one that
+// serves, whatever is on its way. A first copy of another name
 // (held 0) may take any copy but the last; demand may take surplus ones only.
 func (s *plan) spare(name string, held time.Duration) bool {
-	if s.copies[name] <= 1 {
+	if s.ready[name] <= 1 {
 		return false
 	}
 	if held == 0 || s.opts.Policy == PolicyLRU {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -111,9 +111,13 @@
 
 // acc is a plan's account of one accelerator.
 type acc struct {
-	server  *fleet.Server
-	index   int
-	free    int
+	server *fleet.Server
+	index  int
+	// free is the memory that nothing takes or is to take, in MiB; less than 0 where
+	// more is promised than is free yet.
+	free int
+	// freeing is the memory of copies that are being unloaded, in MiB.
+	freeing int
 	demand  float64
 	slots   int
 	members map[string]fleet.State
@@ -126,11 +130,13 @@
 	accs   []*acc
 	demand map[string]float64
 	copies map[string]int
+	// ready counts those of the copies that serve.
+	ready map[string]int
 	// adapters lists the adapters of each model.
 	adapters map[string][]string
 	census   []census
 	loads    int
-	// stale marks rows that the table no longer holds.
+	// wanted is how many copies of each name the cell should hold.
 	wanted map[string]int
 	orders []Order
 }
@@ -139,7 +145,7 @@
 func (p *Planner) Plan(in Input) []Order {
 	s := &plan{
 		Planner: p, in: in, demand: make(map[string]float64), copies: make(map[string]int),
-		adapters: make(map[string][]string),
+		ready: make(map[string]int), adapters: make(map[string][]string),
 	}
 	s.survey()
 	s.decideWanted()
@@ -174,7 +180,9 @@
 
 func (s *plan) unload(x *acc, name, reason string) {
 	x.members[name] = fleet.StateUnloading
+	x.freeing += s.in.Sizes[name].TotalMiB()
 	s.copies[name]--
+	s.ready[name]--
 	s.add(ledger.OpUnload, x, name, "", reason)
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -31,6 +31,14 @@
 	return fleet.Resident{Name: name, Accelerator: acc, State: fleet.StateReady, MemoryMiB: mib}
 }
 
+func coming(name string, acc, mib int) fleet.Resident {
+	return fleet.Resident{Name: name, Accelerator: acc, State: fleet.StateLoading, MemoryMiB: mib}
+}
+
+func going(name string, acc, mib int) fleet.Resident {
+	return fleet.Resident{Name: name, Accelerator: acc, State: fleet.StateUnloading, MemoryMiB: mib}
+}
+
 // server returns a server with accelerators of 100 MiB that hold the residents.
 func server(id string, accelerators int, residents ...fleet.Resident) fleet.Server {
 	s := fleet.Server{ID: id, Slots: 10, Residents: residents}
@@ -99,6 +107,16 @@
 			[]fleet.Server{server("s", 1, ready("a", 0, 60)), server("t", 1, ready("a", 0, 60))},
 			[]string{"unload a s/0"},
 		},
+		"copy on its way is not yet one that another may go for": {
+			[]table.Row{model("a"), model("b")},
+			[]fleet.Server{server("s", 1, ready("a", 0, 60)), server("t", 1, coming("a", 0, 60))}, nil,
+		},
+		"room that is being freed is waited for": {
+			[]table.Row{model("a"), model("b")},
+			[]fleet.Server{
+				server("s", 1, ready("a", 0, 60)), server("t", 1, ready("a", 0, 60)), server("u", 1, going("a", 0, 60)),
+			}, nil,
+		},
 		"last copy stays though another has none": {
 			[]table.Row{model("a"), model("b")}, []fleet.Server{server("s", 1, ready("a", 0, 60))}, nil,
 		},
@@ -148,6 +166,29 @@
 	assert.DeepEqual(t, brief(p.Plan(in)), []string{"unload a s/0"})
 }
 
+// TestFreedRoomIsKept frees room for a model without a copy while demand asks for
+// more copies of others: the room goes to the model that it was freed for.
+func TestFreedRoomIsKept(t *testing.T) {
+	w := &world{
+		rows:  []table.Row{model("hint"), model("summary"), model("busy")},
+		sizes: map[string]placement.Size{"hint": size(40), "summary": size(90), "busy": size(20)},
+		servers: []fleet.Server{
+			server("a", 1, ready("hint", 0, 40)), server("b", 1, ready("hint", 0, 40), ready("busy", 0, 20)),
+		},
+	}
+	w.servers[1] = demand(w.servers[1], "busy", 20)
+	p := placement.NewPlanner(placement.Options{})
+	var got []string
+	for round := range 6 {
+		orders := p.Plan(w.input(start.Add(time.Duration(round) * time.Second)))
+		got = append(got, brief(orders)...)
+		for _, o := range orders {
+			w.carryOut(t, o)
+		}
+	}
+	assert.DeepEqual(t, got, []string{"unload hint a/0", "load summary a/0"})
+}
+
 // TestPlanKeepsPromises plans for random systems and carries the orders out: no
 // accelerator is overcommitted, no last copy is dropped, and the plans end.
 func TestPlanKeepsPromises(t *testing.T) {
--- a/placement/survey.go
+++ b/placement/survey.go
@@ -80,14 +80,23 @@
 				continue
 			}
 			x.members[r.Name] = r.State
-			if r.State != fleet.StateUnloading {
-				s.copies[r.Name]++
-			}
+			s.countCopy(x, r)
 		}
 		s.accs = append(s.accs, x)
 	}
 }
 
+func (s *plan) countCopy(x *acc, r fleet.Resident) {
+	switch r.State {
+	case fleet.StateUnloading:
+		x.freeing += r.MemoryMiB
+		return
+	case fleet.StateReady:
+		s.ready[r.Name]++
+	}
+	s.copies[r.Name]++
+}
+
 // decideWanted sets how many copies of each name the cell should hold.
 func (s *plan) decideWanted() {
 	s.wanted = make(map[string]int)
