Places of an engine are granted by the gateway that owns it

With 25 gateways 85 of 100 requests are sent by a gateway that does not own the engine and sees the others' prompts 80 to 300 ms late, so prompts collide in one step. Change: a gateway asks the owner of the engine for a place before it sends (POST /v1/place, one exchange); the owner knows all prompts sent to its engines and what they keep, grants or says when to ask again. Tests: dispatch/places_test.go (collisions, denial, silent owner, counting).

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -42,6 +42,9 @@
 	Near bool
 	// Own tells that this gateway is the one that feeds the engine first.
 	Own bool
+	// Asked tells that the engine's owner is another gateway, which is asked for the
+	// place before the request is sent.
+	Asked bool
 	// Failure is the server's recent share of failures, 0 to 1.
 	Failure float64
 	// Silent tells that the server owes answers and has said nothing for long.
@@ -58,7 +61,8 @@
 }
 
 // fits reports whether the server can take the request now; fed tells that an
-// engine which this gateway feeds first could take it too, now or soon.
+// engine for whose places it asks or which it feeds first could take it too, now or
+// soon.
 func (c Candidate) fits(l Limits, fed bool) bool {
 	if c.Memory == 0 {
 		return true
@@ -72,7 +76,7 @@
 	if l.Reading == 0 {
 		return true
 	}
-	if !c.Own && fed {
+	if !c.Own && !c.Asked && fed {
 		return c.Reading == 0 && c.Read <= l.Reading*otherShare
 	}
 	return c.Reading == 0 || c.Reading+c.Read <= l.Reading
@@ -108,7 +112,7 @@
 func Choose(list []Candidate, l Limits) int {
 	best := -1
 	bestCost := 0.0
-	fed := slices.ContainsFunc(list, func(c Candidate) bool { return c.Own && !c.Silent })
+	fed := slices.ContainsFunc(list, func(c Candidate) bool { return (c.Own || c.Asked) && !c.Silent })
 	for i, c := range list {
 		if !c.fits(l, fed) {
 			continue
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"sync"
@@ -9,7 +8,6 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
-	"rockcleat/route"
 )
 
 // Outcomes of Acquire.
@@ -40,6 +38,8 @@
 	ReadLimit float64
 	// Avoid names servers that are not to be chosen.
 	Avoid []string
+	// order is the request's place in the order of arrival; 0 before it has one.
+	order uint64
 }
 
 func (r *Request) name() string {
@@ -59,6 +59,19 @@
 	Used int `json:"u,omitempty"`
 }
 
+// A remoteLoad is what other processes had at one server at a time.
+type remoteLoad struct {
+	Load
+	at time.Time
+}
+
+// now returns the load as it should be now: prompts are read as time passes.
+func (l remoteLoad) now(now time.Time) Load {
+	out := l.Load
+	out.Reading = max(out.Reading-int(now.Sub(l.at)/time.Millisecond), 0)
+	return out
+}
+
 // Options configure a Dispatcher.
 type Options struct {
 	// ID and Hall are this gateway's.
@@ -69,6 +82,8 @@
 	Fill float64
 	// Memory returns the memory of a service's engines in tokens, 0 for a plain service.
 	Memory func(service string) int
+	// Places, if not nil, asks other gateways for places at the engines that they own.
+	Places Places
 	// Missing, if not nil, is called when a request waits for a model or adapter
 	// that no server holds. It is called with the Dispatcher locked and must not block.
 	Missing func()
@@ -81,12 +96,18 @@
 	mu       sync.Mutex
 	servers  *backend.Snapshot
 	loads    map[string]*load
-	remote   map[string]Load
+	remote   map[string]remoteLoad
 	waiting  []*waiter
 	demand   map[string]*Demand
 	speeds   speeds
 	gateways []Gateway
 	owners   map[string]string
+	// silent tells until when owners that did not answer are not asked.
+	silent map[string]time.Time
+	// wakeAt is when waiting requests are looked at next; zero if that is not set.
+	wakeAt time.Time
+	// arrivals counts requests, so that those that wait again keep their order.
+	arrivals uint64
 }
 
 // A Demand is what was asked of one model or adapter.
@@ -106,11 +127,16 @@
 // load is what this process has at one server and has seen of it.
 type load struct {
 	Load
-	kept     keptParts
-	failure  failureShare
-	heard    time.Time
-	sent     []*Ticket
-	adapters map[string]int
+	kept    keptParts
+	failure failureShare
+	heard   time.Time
+	sent    []*Ticket
+	// grants are the places given to other gateways' requests lately, readUntil is
+	// when the engine has read their prompts.
+	grants    []grant
+	readUntil time.Time
+	// deniedUntil is until when the engine's owner grants no place.
+	deniedUntil time.Time
 }
 
 type waiter struct {
@@ -123,7 +149,8 @@
 func New(o Options) *Dispatcher {
 	return &Dispatcher{
 		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*load),
-		remote: make(map[string]Load), demand: make(map[string]*Demand),
+		remote: make(map[string]remoteLoad), demand: make(map[string]*Demand),
+		silent: make(map[string]time.Time),
 	}
 }
 
@@ -145,55 +172,12 @@
 func (d *Dispatcher) SetRemote(remote map[string]Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.remote = remote
-	d.serve()
-}
-
-// A Gateway is one of the processes that send requests.
-type Gateway struct {
-	ID   string `json:"id"`
-	Hall string `json:"hall"`
-}
-
-// SetGateways tells which gateways there are, so that each engine is fed first
-// by one of them, in its own data hall where there is one: what the others have
-// sent is known late, and engines are spoilt by prompts that come together.
-func (d *Dispatcher) SetGateways(list []Gateway) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if slices.Equal(list, d.gateways) {
-		return
-	}
-	d.gateways = list
-	d.owners = make(map[string]string)
-}
-
-// owns reports whether this gateway is the one that feeds the server first.
-func (d *Dispatcher) owns(s *backend.Server) bool {
-	if len(d.gateways) == 0 {
-		return true
-	}
-	owner, ok := d.owners[s.ID]
-	if !ok {
-		owner = ownerOf(s, d.gateways)
-		d.owners[s.ID] = owner
-	}
-	return owner == d.opts.ID
-}
-
-// ownerOf returns the gateway with the highest weight for the server, those of
-// its data hall before others.
-func ownerOf(s *backend.Server, list []Gateway) string {
-	key := route.Hash(s.ID)
-	best, bestNear, bestWeight := "", false, uint64(0)
-	for _, g := range list {
-		near := g.Hall == s.Hall
-		weight := route.Rendezvous(g.ID, key)
-		if best == "" || near && !bestNear || near == bestNear && weight > bestWeight {
-			best, bestNear, bestWeight = g.ID, near, weight
-		}
+	now := d.opts.Clock.Now()
+	d.remote = make(map[string]remoteLoad, len(remote))
+	for id, l := range remote {
+		d.remote[id] = remoteLoad{Load: l, at: now}
 	}
-	return best
+	d.serve()
 }
 
 // Loads returns what this process has at each server.
@@ -244,136 +228,28 @@
 	return x
 }
 
-// Acquire returns a ticket for a server, waiting for one until the request's limit.
-func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Ticket, error) {
-	d.mu.Lock()
-	if t := d.choose(r); t != nil {
-		d.mu.Unlock()
-		return t, nil
-	}
-	if r.Model == "" || !d.opts.Clock.Now().Before(r.Until) {
-		d.mu.Unlock()
-		return nil, ErrNoServer
-	}
-	w := &waiter{req: r, ready: make(chan struct{})}
-	d.enqueue(w)
-	d.mu.Unlock()
-	return d.wait(ctx, w)
-}
-
-func (d *Dispatcher) enqueue(w *waiter) {
-	i := len(d.waiting)
-	for i > 0 && d.waiting[i-1].req.Priority > w.req.Priority {
-		i--
-	}
-	d.waiting = slices.Insert(d.waiting, i, w)
-	d.demandOf(w.req).Waiting++
-	if d.opts.Missing != nil && !d.held(w.req) {
-		d.opts.Missing()
-	}
-}
-
-// held reports whether any server has the model and adapter ready.
-func (d *Dispatcher) held(r *Request) bool { return d.holders(r) > 0 }
-
-// holders returns how many servers that stay have the model and adapter ready.
-func (d *Dispatcher) holders(r *Request) int {
-	n := 0
-	for _, s := range d.servers.Service(r.Service) {
-		if !s.Leaving && (r.Model == "" || s.Holds(r.Model, r.Adapter)) {
-			n++
-		}
-	}
-	return n
-}
-
-// Holders returns how many servers that stay could serve the request now, were
-// they not full: 0 tells that it was refused for want of a server or a model.
-func (d *Dispatcher) Holders(r *Request) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.holders(r)
-}
-
-func (d *Dispatcher) wait(ctx context.Context, w *waiter) (*Ticket, error) {
-	timer := time.NewTimer(w.req.Until.Sub(d.opts.Clock.Now()))
-	defer timer.Stop()
-	err := ErrWaited
-	select {
-	case <-w.ready:
-		return w.ticket, nil
-	case <-ctx.Done():
-		err = ctx.Err()
-	case <-timer.C:
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if w.ticket != nil {
-		if ctx.Err() == nil {
-			return w.ticket, nil
-		}
-		w.ticket.release()
-		d.serve()
-		return nil, err
-	}
-	d.waiting = slices.DeleteFunc(d.waiting, func(x *waiter) bool { return x == w })
-	d.demandOf(w.req).Waiting--
-	return nil, err
-}
-
-// serve gives servers to waiting requests: first to those that can still be in
-// time, the most urgent first, then to the others.
-func (d *Dispatcher) serve() {
-	if len(d.waiting) == 0 {
-		return
-	}
-	now := d.opts.Clock.Now()
-	full := make(map[string]bool)
-	for _, w := range d.waiting {
-		if now.Before(w.req.Due) {
-			d.offer(w, full)
-		}
-	}
-	for _, w := range d.waiting {
-		if w.ticket == nil {
-			d.offer(w, full)
-		}
-	}
-	d.waiting = slices.DeleteFunc(d.waiting, func(w *waiter) bool { return w.ticket != nil })
-}
-
-// offer gives a waiting request a server if one can take it; full remembers the
-// models for which there was none.
-func (d *Dispatcher) offer(w *waiter, full map[string]bool) {
-	name := w.req.name()
-	if full[name] {
-		return
-	}
-	t := d.choose(w.req)
-	if t == nil {
-		full[name] = len(w.req.Avoid) == 0
-		return
-	}
-	d.demandOf(w.req).Waiting--
-	w.ticket = t
-	close(w.ready)
-}
-
-// choose takes a place at the best server, or returns nil.
+// choose takes a place at the best server, or returns nil. Waiting requests are
+// looked at again when it is known that a place may come free by time alone.
 func (d *Dispatcher) choose(r *Request) *Ticket {
 	var servers []*backend.Server
 	var list []Candidate
 	memory := d.opts.Memory(r.Service)
+	limits := Limits{Reading: r.ReadLimit, Fill: d.opts.Fill}
 	now := d.opts.Clock.Now()
 	for _, s := range d.servers.Service(r.Service) {
 		if s.Leaving || slices.Contains(r.Avoid, s.ID) || r.Model != "" && !s.Holds(r.Model, r.Adapter) {
 			continue
 		}
+		if l := d.load(s.ID); now.Before(l.deniedUntil) {
+			d.serveAt(l.deniedUntil)
+			continue
+		}
 		servers = append(servers, s)
 		list = append(list, d.candidate(r, s, memory, now))
 	}
-	i := Choose(list, Limits{Reading: r.ReadLimit, Fill: d.opts.Fill})
+	i := Choose(list, limits)
 	if i < 0 {
+		d.serveAfterReading(list, limits, now)
 		return nil
 	}
 	t := d.take(r, servers[i], list[i])
@@ -386,12 +262,12 @@
 
 func (d *Dispatcher) candidate(r *Request, s *backend.Server, memory int, now time.Time) Candidate {
 	l := d.load(s.ID)
-	other := d.remote[s.ID]
 	c := Candidate{
-		Running: l.Running + other.Running, Reading: float64(l.Reading + other.Reading), Used: l.Used + other.Used,
 		Memory: memory, Slots: s.Slots, Near: s.Hall == d.opts.Hall, Own: d.owns(s), Failure: l.failure.at(now),
 		Need: r.Prompt + r.Output,
 	}
+	c.Asked = !c.Own && r.Model != "" && d.asks(d.ownerOf(s), now)
+	d.addLoads(&c, l, s.ID, now)
 	if r.Model != "" {
 		c.Tokens = max(r.Prompt-l.kept.kept(r.name(), r.Parts), 0)
 		c.Read = d.speeds.reading(r.Model, c.Tokens)
@@ -406,10 +282,26 @@
 	return c
 }
 
+// addLoads adds up what is at a server: the own requests, those that other
+// gateways report and, for an engine of its own, the places granted. There the
+// prompts being read are known from the grants, and better than from reports.
+func (d *Dispatcher) addLoads(c *Candidate, l *load, id string, now time.Time) {
+	others := d.remote[id].now(now)
+	if c.Own && d.opts.Places != nil {
+		granted := l.granted(now)
+		others.Reading = granted.Reading
+		others.Running += granted.Running
+		others.Used += granted.Used
+	}
+	c.Running = l.Running + others.Running
+	c.Reading = float64(l.Reading + others.Reading)
+	c.Used = l.Used + others.Used
+}
+
 func (d *Dispatcher) load(id string) *load {
 	l := d.loads[id]
 	if l == nil {
-		l = &load{adapters: make(map[string]int)}
+		l = &load{}
 		d.loads[id] = l
 	}
 	return l
@@ -421,6 +313,9 @@
 	if r.Model == "" {
 		t.used = 0
 	}
+	if c.Asked {
+		t.owner = d.ownerOf(s)
+	}
 	l.Running++
 	l.Reading += t.reading
 	l.Used += t.used
--- /dev/null
+++ b/dispatch/places_test.go
@@ -0,0 +1,185 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+	"rockcleat/dispatch"
+)
+
+// A gatewayGroup is a number of dispatchers that ask each other for places.
+type gatewayGroup struct {
+	mu          sync.Mutex
+	dispatchers map[string]*dispatch.Dispatcher
+	// silent names gateways that do not answer.
+	silent map[string]bool
+	asked  int
+}
+
+// Ask implements dispatch.Places.
+func (g *gatewayGroup) Ask(_ context.Context, owner string, r dispatch.PlaceRequest) (dispatch.PlaceAnswer, error) {
+	g.mu.Lock()
+	g.asked++
+	d, silent := g.dispatchers[owner], g.silent[owner]
+	g.mu.Unlock()
+	if silent {
+		return dispatch.PlaceAnswer{}, errors.New("no answer")
+	}
+	return d.Grant(r), nil
+}
+
+func (g *gatewayGroup) askedTimes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.asked
+}
+
+// newGroup returns a number of dispatchers that know the same servers.
+func newGroup(c clock.Service, n int, servers ...backend.Server) *gatewayGroup {
+	g := &gatewayGroup{dispatchers: make(map[string]*dispatch.Dispatcher), silent: make(map[string]bool)}
+	var list []dispatch.Gateway
+	for i := range n {
+		list = append(list, dispatch.Gateway{ID: fmt.Sprint("g", i), Hall: "h"})
+	}
+	for _, x := range list {
+		d := dispatch.New(dispatch.Options{
+			ID: x.ID, Hall: x.Hall, Clock: c, Fill: 1, Memory: func(string) int { return memory }, Places: g,
+		})
+		d.SetServers(snapshot(servers...))
+		d.SetGateways(list)
+		g.dispatchers[x.ID] = d
+	}
+	return g
+}
+
+// reading returns a request whose prompt is about all that an engine may read at once.
+func reading(c clock.Service) *dispatch.Request {
+	r := request(c)
+	r.ReadLimit = 60
+	return r
+}
+
+// TestPlacesAreGrantedOnce has many gateways send at the same moment, before any has
+// heard of the others' requests: each engine gets one prompt.
+func TestPlacesAreGrantedOnce(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	g := newGroup(c, 6, engine("a"), engine("b"), engine("d"))
+	taken := make(map[string]int)
+	for _, d := range g.dispatchers {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		ticket, err := d.Acquire(ctx, reading(c))
+		cancel()
+		if err == nil {
+			taken[ticket.Server().ID]++
+		}
+	}
+	assert.DeepEqual(t, taken, map[string]int{"a": 1, "b": 1, "d": 1})
+}
+
+// TestDeniedPlaceIsAskedForAgain checks that a request which found every place
+// taken waits and gets one when the prompt before it has been read, both at the
+// owner of the engine and at the other gateway.
+func TestDeniedPlaceIsAskedForAgain(t *testing.T) {
+	tests := map[string]struct{ first, second string }{
+		"one first":       {first: "g0", second: "g1"},
+		"the other first": {first: "g1", second: "g0"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clock.NewManual(time.Unix(1000, 0))
+			g := newGroup(c, 2, engine("a"))
+			before, err := g.dispatchers[test.first].Acquire(context.Background(), reading(c))
+			assert.NilError(t, err)
+			second := g.dispatchers[test.second]
+			got := acquire(second, reading(c))
+			poll.WaitOn(t, waiting(second, 1))
+			before.Begun()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				c.Advance(10 * time.Millisecond)
+				select {
+				case <-got:
+					return poll.Success()
+				default:
+					return poll.Continue("no place")
+				}
+			}, poll.WithDelay(time.Millisecond))
+		})
+	}
+}
+
+// TestSilentOwnerIsPassedOver checks that requests go on when the owner of the
+// only engine does not answer, and that it is not asked for each of them.
+func TestSilentOwnerIsPassedOver(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	g := newGroup(c, 2, engine("a"))
+	g.silent["g0"], g.silent["g1"] = true, true
+	for range 5 {
+		for _, d := range g.dispatchers {
+			ticket, err := d.Acquire(context.Background(), reading(c))
+			assert.NilError(t, err)
+			ticket.Begun()
+			ticket.Done(dispatch.Answered)
+		}
+	}
+	assert.Equal(t, g.askedTimes(), 1)
+	c.Advance(time.Second)
+	for _, d := range g.dispatchers {
+		_, err := d.Acquire(context.Background(), reading(c))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, g.askedTimes(), 2, "asked again after a while")
+}
+
+// TestGrantCountsUntilItIsReported checks that a granted place takes slots and
+// memory of the engine until gateways' reports tell of it.
+func TestGrantCountsUntilItIsReported(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	g := newGroup(c, 1, engine("a"))
+	d := g.dispatchers["g0"]
+	ask := dispatch.PlaceRequest{Server: "a", Model: model, Prompt: 100, Output: 100}
+	for range 8 {
+		assert.Assert(t, d.Grant(ask).Granted)
+	}
+	full := d.Grant(ask)
+	assert.Assert(t, full.Owned && !full.Granted && full.After > 0, "%+v", full)
+	assert.Equal(t, full.Load.Running, 8)
+	assert.Equal(t, full.Load.Used, 8*200)
+	c.Advance(time.Second)
+	assert.Assert(t, d.Grant(ask).Granted)
+}
+
+func TestGrantOfAnotherGatewaysEngine(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	g := newGroup(c, 2, engine("a"))
+	owned := 0
+	for _, d := range g.dispatchers {
+		if d.Grant(dispatch.PlaceRequest{Server: "a", Model: model}).Owned {
+			owned++
+		}
+		assert.Assert(t, !d.Grant(dispatch.PlaceRequest{Server: "unknown", Model: model}).Owned)
+	}
+	assert.Equal(t, owned, 1)
+}
+
+// TestGrantKnowsKeptPrompts checks that the owner remembers the prompts of all
+// gateways: the second one with the same parts needs less reading.
+func TestGrantKnowsKeptPrompts(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	d := newGroup(c, 1, engine("a")).dispatchers["g0"]
+	ask := dispatch.PlaceRequest{
+		Server: "a", Model: model, Prompt: 1000, Output: 10, ReadLimit: 60, Parts: []dispatch.Part{{ID: "p", Tokens: 950}},
+	}
+	assert.Assert(t, d.Grant(ask).Granted)
+	assert.Assert(t, d.Grant(ask).Granted, "the prompt is kept, so that both fit")
+	ask.Parts = nil
+	assert.Assert(t, !d.Grant(ask).Granted)
+}
--- a/dispatch/prefix.go
+++ b/dispatch/prefix.go
@@ -4,8 +4,8 @@
 
 // A Part is one part of a prompt; parts are shared between requests.
 type Part struct {
-	ID     string
-	Tokens int
+	ID     string `json:"i"`
+	Tokens int    `json:"t"`
 }
 
 // maxKept bounds the parts remembered for one server.
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -48,9 +48,11 @@
 	used    int
 	sent    time.Time
 	choice  Candidate
-	among   int
-	begun   bool
-	over    bool
+	// owner is the gateway that must grant the place; empty if none must.
+	owner string
+	among int
+	begun bool
+	over  bool
 }
 
 // Server returns the server that the request goes to.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,7 +109,7 @@
 	g.gateways.Store(int64(o.Settings.Gateways))
 	g.dispatcher = dispatch.New(dispatch.Options{
 		ID: o.Settings.ID, Hall: o.Settings.Hall, Clock: o.Clock, Fill: fill,
-		Memory: g.memory, Missing: g.wakePeers,
+		Memory: g.memory, Missing: g.wakePeers, Places: placesOf{g},
 	})
 	g.placer = placer.New(placer.Options{
 		Lease: lease.New(o.Store, o.Clock, lease.Options{
@@ -122,6 +122,14 @@
 	return g
 }
 
+// placesOf asks for places through the gateway's peers.
+type placesOf struct{ g *Gateway }
+
+// Ask implements dispatch.Places.
+func (p placesOf) Ask(ctx context.Context, owner string, r dispatch.PlaceRequest) (dispatch.PlaceAnswer, error) {
+	return p.g.peers.Ask(ctx, owner, r)
+}
+
 func (g *Gateway) wakePeers() { g.peers.wakeUp() }
 
 // memory returns the memory of a service's engines in tokens.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"rockcleat/dispatch"
@@ -55,9 +56,11 @@
 	http *wire.Client
 	wake chan struct{}
 
-	mu        sync.Mutex
-	holder    string
-	known     []string
+	mu     sync.Mutex
+	holder string
+	known  []string
+	// addrs tells where each gateway takes messages.
+	addrs     map[string]string
 	residency int64
 	// term is the holder's fencing token, listed the version of its list of gateways.
 	term   int64
@@ -234,24 +237,56 @@
 // takeGateways takes a new list of the gateways.
 func (p *peers) takeGateways(gateways []placer.Gateway) {
 	list := make([]dispatch.Gateway, len(gateways))
+	addrs := make(map[string]string, len(gateways))
 	var others []string
 	for i, x := range gateways {
 		list[i] = x.Gateway
+		addrs[x.ID] = x.Addr
 		if x.Addr != p.g.settings.PeerListen {
 			others = append(others, x.Addr)
 		}
 	}
 	p.mu.Lock()
-	p.known = others
+	p.known, p.addrs = others, addrs
 	p.mu.Unlock()
 	p.g.gateways.Store(int64(max(len(gateways), 1)))
 	p.g.dispatcher.SetGateways(list)
 }
 
+// pathPlace is where a gateway is asked for places at the engines that it owns.
+const pathPlace = "/v1/place"
+
+// placeTimeout bounds a question for a place.
+const placeTimeout = 150 * time.Millisecond
+
+// Ask implements dispatch.Places.
+func (p *peers) Ask(ctx context.Context, owner string, r dispatch.PlaceRequest) (dispatch.PlaceAnswer, error) {
+	var a dispatch.PlaceAnswer
+	p.mu.Lock()
+	addr := p.addrs[owner]
+	p.mu.Unlock()
+	if addr == "" {
+		return a, eris.Errorf("gateway: where %q takes messages is not known", owner)
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	err := p.http.Call(ctx, http.MethodPost, addr, pathPlace, r, &a)
+	return a, err
+}
+
+func (g *Gateway) answerPlace(c echo.Context) error {
+	var r dispatch.PlaceRequest
+	if err := c.Bind(&r); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, g.dispatcher.Grant(r))
+}
+
 // peerRouter answers the other gateways.
 func (g *Gateway) peerRouter() http.Handler {
 	e := server.NewRouter()
 	e.POST(pathExchange, g.answerPeer)
+	e.POST(pathPlace, g.answerPlace)
 	return e
 }
 
