Changes of the store are watched by the holder of orders and handed on

Change: kv.Relay keeps the latest changes of each prefix; the exchange with the holder of orders carries what is new and how old the holder's view is. A gateway watches the store itself once that view is older than a second (half of watch_time), or the holder says that it is none.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,8 @@
 	listed     atomic.Bool
 	dispatcher *dispatch.Dispatcher
 	placer     *placer.Placer
+	lease      *lease.Holder
+	relay      *kv.Relay
 	peers      *peers
 	servers    *http.Transport
 	conns      *conns
@@ -96,7 +98,7 @@
 // New returns a Gateway that does nothing until Start.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		settings: o.Settings, names: o.Names, readyPath: o.ReadyPath, prefixes: o.Prefixes, decoder: o.Decoder,
+		settings: o.Settings, names: o.Names, readyPath: o.ReadyPath, decoder: o.Decoder,
 		clock: o.Clock, log: o.Log, metrics: o.Metrics, conns: newConns(),
 		answeredLines: rate.NewLimiter(answeredRate, answeredBurst),
 		servers:       wire.NewDirectTransport(o.Settings.IdleTime.Std()),
@@ -111,17 +113,27 @@
 		ID: o.Settings.ID, Hall: o.Settings.Hall, Clock: o.Clock, Fill: fill,
 		Memory: g.memory, Missing: g.wakePeers, Places: placesOf{g},
 	})
+	g.lease = lease.New(o.Store, o.Clock, lease.Options{
+		Name: "placer", Holder: o.Settings.ID, Addr: o.Settings.PeerListen, TTL: o.Settings.LeaseTTL.Std(),
+	})
+	g.relay = kv.NewRelay(kv.RelayOptions{
+		Clock: o.Clock, Trust: o.Settings.WatchTime.Std() / 2, IsSource: g.holdsOrders,
+	})
+	g.prefixes = g.relay.For(o.Prefixes, false)
 	g.placer = placer.New(placer.Options{
-		Lease: lease.New(o.Store, o.Clock, lease.Options{
-			Name: "placer", Holder: o.Settings.ID, Addr: o.Settings.PeerListen, TTL: o.Settings.LeaseTTL.Std(),
-		}),
-		Keys: o.OwnKeys, Engines: o.Engines, Registry: &g.registry, Routing: g.routing.Load, Clock: o.Clock, Log: o.Log,
+		Lease: g.lease, Keys: g.relay.For(o.OwnKeys, true), Engines: o.Engines, Registry: &g.registry, Routing: g.routing.Load, Clock: o.Clock, Log: o.Log,
 		Settle: o.Settings.LeaseTTL.Std(), First: o.Settings.FirstStart,
 	})
 	g.peers = newPeers(g)
 	return g
 }
 
+// holdsOrders reports whether this gateway gives the orders.
+func (g *Gateway) holdsOrders() bool {
+	_, held := g.lease.Held()
+	return held
+}
+
 // placesOf asks for places through the gateway's peers.
 type placesOf struct{ g *Gateway }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -25,6 +25,7 @@
 	"rockcleat/internal/gateway"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/wire"
+	"rockcleat/kv"
 	"rockcleat/table"
 )
 
@@ -294,26 +295,38 @@
 	for _, x := range workers {
 		w.putServer(x, false)
 	}
+	s := gatewaySettings(t, "g")
+	w.front, w.ready = s.Listen, s.ReadyListen
+	w.gateway = w.startGateway(s, w.store)
+	return w
+}
+
+// gatewaySettings returns settings with addresses that are free.
+func gatewaySettings(t *testing.T, id string) config.Gateway {
 	var s config.Gateway
 	config.Defaults(&s)
-	s.ID, s.Hall = "g", "h"
+	s.ID, s.Hall = id, "h"
 	s.Listen, s.ReadyListen, s.PeerListen, s.Store = freeAddr(t), freeAddr(t), freeAddr(t), "127.0.0.1:1"
 	s.Grace = config.Duration(4 * time.Second)
 	s.BodyTime = config.Duration(150 * time.Millisecond)
 	s.Gateways, s.Retry.Fixed = 1, 100
-	w.front, w.ready = s.Listen, s.ReadyListen
-	w.gateway = gateway.New(gateway.Options{
-		Settings: s, Names: names, ReadyPath: readyPath, Store: w.store, Prefixes: w.store, OwnKeys: w.store,
+	return s
+}
+
+// startGateway starts a gateway that reads the store through prefixes.
+func (w *world) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
+	g := gateway.New(gateway.Options{
+		Settings: s, Names: names, ReadyPath: readyPath, Store: w.store, Prefixes: prefixes, OwnKeys: prefixes,
 		Decoder: decoder{}, Engines: noEngines{}, Clock: clock.Real{}, Log: zap.NewNop(),
 	})
-	assert.NilError(t, w.gateway.Start())
-	t.Cleanup(func() {
+	assert.NilError(w.t, g.Start())
+	w.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		_ = w.gateway.Stop(ctx)
+		_ = g.Stop(ctx)
 		w.client.CloseIdleConnections()
 	})
-	return w
+	return g
 }
 
 func (w *world) putConfig() {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"rockcleat/internal/server"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
+	"rockcleat/kv"
 )
 
 // pathExchange is where gateways report to each other.
@@ -39,6 +40,8 @@
 	placer.Report
 	// Config is the version of the configuration in force.
 	Config uint64 `json:"config"`
+	// Seen tells up to which revision it knows what it follows in the store.
+	Seen map[string]kv.Revision `json:"seen,omitempty"`
 }
 
 // A peerAnswer is what it gets back.
@@ -48,6 +51,9 @@
 	Holder string `json:"holder,omitempty"`
 	// Config is the configuration, if it is newer than the asker's.
 	Config []byte `json:"config,omitempty"`
+	// Changes is what has come in the store since what the asker has seen, if the
+	// answerer holds the orders.
+	Changes map[string]kv.Batch `json:"changes,omitempty"`
 }
 
 // peers exchanges state with the other gateways.
@@ -55,6 +61,8 @@
 	g    *Gateway
 	http *wire.Client
 	wake chan struct{}
+	// source tells that this gateway held the orders at the last exchange.
+	source bool
 
 	mu     sync.Mutex
 	holder string
@@ -134,6 +142,10 @@
 // exchange tells the holder of orders what this gateway has and takes its answer.
 func (p *peers) exchange() {
 	addr, own := p.g.placer.Holder()
+	if own != p.source {
+		p.source = own
+		p.g.relay.Wake()
+	}
 	if own {
 		r, all := p.report()
 		p.take(p.g.placer.Report(r), all)
@@ -146,11 +158,12 @@
 	ctx, cancel := context.WithTimeout(p.g.ctx, exchangeTimeout)
 	defer cancel()
 	r, all := p.report()
-	req := peerRequest{Report: r}
+	req := peerRequest{Report: r, Seen: p.g.relay.Seen()}
 	if routing := p.g.routing.Load(); routing != nil {
 		req.Config = routing.Version()
 	}
 	var a peerAnswer
+	sent := p.g.clock.Now()
 	if err := p.http.Call(ctx, http.MethodPost, addr, pathExchange, req, &a); err != nil {
 		p.failed(addr, err)
 		p.g.placer.Answered(addr, false)
@@ -160,6 +173,11 @@
 	if len(a.Config) > 0 {
 		p.g.offerConfig(a.Config, "peer")
 	}
+	if a.Held {
+		p.g.relay.Take(a.Changes, sent)
+	} else {
+		p.g.relay.Doubt()
+	}
 	p.setHolder(a.Holder)
 	p.take(a.Answer, all)
 }
@@ -298,10 +316,15 @@
 	a := peerAnswer{Answer: g.placer.Report(r.Report)}
 	if !a.Held {
 		a.Holder, _ = g.placer.Holder()
-	} else if waits(r.Report) {
-		g.placer.Wake()
+	} else {
+		g.relay.Affirm(g.lease.Key())
+		a.Changes = g.relay.Since(r.Seen)
+		if waits(r.Report) {
+			g.placer.Wake()
+		}
 	}
-	if own := g.routing.Load(); own != nil && own.Version() > r.Config {
+	told := len(a.Changes[g.decoder.ConfigKey()].Events) > 0
+	if own := g.routing.Load(); own != nil && own.Version() > r.Config && !told {
 		if value := g.config.Load(); value != nil {
 			a.Config = *value
 		}
--- a/kv/follow.go
+++ b/kv/follow.go
@@ -24,11 +24,6 @@
 	lastPause  = 500 * time.Millisecond
 )
 
-// gatherTime is the pause after changes, so that changes which come close
-// together cost one call. Together with a second in which the service tells
-// nothing it stays under the two seconds in which a leaving server must be known.
-const gatherTime = 500 * time.Millisecond
-
 // Follow keeps a follower up to date with a prefix until ctx ends. Each watch
 // waits for at most wait, so that a connection which has silently died is noticed.
 func Follow(ctx context.Context, s PrefixStore, prefix string, wait time.Duration, f Follower) {
@@ -66,9 +61,6 @@
 		for _, e := range events {
 			f.Apply(e)
 		}
-		if len(events) > 0 {
-			sleep(ctx, gatherTime)
-		}
 	}
 }
 
@@ -79,6 +71,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/kv/relay_test.go
@@ -0,0 +1,152 @@
+package kv_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/clock"
+	"rockcleat/internal/standin"
+	"rockcleat/kv"
+)
+
+// A relayPair is a process that watches the service and one that is handed what
+// the first one sees.
+type relayPair struct {
+	store *standin.MemoryStore
+	// direct is the service as the second process reaches it.
+	direct *watchCounter
+	// cut tells that nothing is handed on.
+	cut            atomic.Bool
+	source, other  *kv.Relay
+	sourceSees     *mirror
+	otherSees      *mirror
+	sourceIsSource atomic.Bool
+}
+
+// watchCounter counts the watches that reach the service.
+type watchCounter struct {
+	kv.PrefixStore
+	watches atomic.Int64
+}
+
+// WatchPrefix implements kv.PrefixStore.
+func (c *watchCounter) WatchPrefix(
+	ctx context.Context, prefix string, after kv.Revision, wait time.Duration,
+) ([]kv.Event, kv.Revision, error) {
+	c.watches.Add(1)
+	return c.PrefixStore.WatchPrefix(ctx, prefix, after, wait)
+}
+
+// Times of trust: so long that it does not lapse in a test, and short.
+const (
+	longTrust  = time.Minute
+	shortTrust = 300 * time.Millisecond
+)
+
+func newRelayPair(ctx context.Context, t *testing.T, trust time.Duration) *relayPair {
+	t.Helper()
+	p := &relayPair{store: standin.NewMemoryStore(clock.Real{}), sourceSees: &mirror{}, otherSees: &mirror{}}
+	p.sourceIsSource.Store(true)
+	p.source = kv.NewRelay(kv.RelayOptions{Clock: clock.Real{}, Trust: trust, IsSource: p.sourceIsSource.Load})
+	p.other = kv.NewRelay(kv.RelayOptions{Clock: clock.Real{}, Trust: trust, IsSource: func() bool { return false }})
+	p.store.Set("a/1", []byte("1"))
+	go kv.Follow(ctx, p.source.For(p.store, false), "a/", time.Second, p.sourceSees)
+	p.direct = &watchCounter{PrefixStore: p.store}
+	go kv.Follow(ctx, p.other.For(p.direct, false), "a/", time.Second, p.otherSees)
+	poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "1"}))
+	poll.WaitOn(t, p.sourceSees.shows(map[string]string{"a/1": "1"}))
+	stop := clock.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { p.handOn() })
+	t.Cleanup(stop)
+	return p
+}
+
+func (p *relayPair) handOn() {
+	if p.cut.Load() {
+		return
+	}
+	sent := time.Now()
+	p.other.Take(p.source.Since(p.other.Seen()), sent)
+}
+
+// TestRelaySparesTheService checks that the second process sees each change without
+// watching the service itself.
+func TestRelaySparesTheService(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := newRelayPair(ctx, t, longTrust)
+	want := map[string]string{"a/1": "1"}
+	for i := range 8 {
+		key := fmt.Sprint("a/n", i)
+		p.store.Set(key, []byte("x"))
+		want[key] = "x"
+		poll.WaitOn(t, p.otherSees.shows(want))
+	}
+	p.store.Remove("a/1")
+	delete(want, "a/1")
+	poll.WaitOn(t, p.otherSees.shows(want))
+	assert.Equal(t, p.direct.watches.Load(), int64(0))
+}
+
+// TestRelayCutOff checks that a process which is handed nothing any more, or
+// something too old, watches the service itself.
+func TestRelayCutOff(t *testing.T) {
+	tests := map[string]func(p *relayPair){
+		"nothing is handed on":             func(p *relayPair) { p.cut.Store(true) },
+		"the source sees nothing any more": func(p *relayPair) { p.source.Doubt(); p.sourceIsSource.Store(false) },
+		"the source is no longer one":      func(p *relayPair) { p.cut.Store(true); p.other.Doubt() },
+	}
+	for name, cut := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			p := newRelayPair(ctx, t, shortTrust)
+			cut(p)
+			p.store.Set("a/2", []byte("2"))
+			poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "1", "a/2": "2"}))
+		})
+	}
+}
+
+// TestRelayGap checks that changes which the source no longer has are not passed
+// over: the process asks the service.
+func TestRelayGap(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := newRelayPair(ctx, t, shortTrust)
+	p.cut.Store(true)
+	want := map[string]string{"a/1": "1"}
+	big := make([]byte, 400<<10)
+	for i := range 5 {
+		key := fmt.Sprint("a/big", i)
+		p.store.Set(key, big)
+		want[key] = string(big)
+		poll.WaitOn(t, p.sourceSees.shows(want))
+	}
+	seen := map[string]kv.Revision{"a/": 1}
+	assert.Equal(t, len(p.source.Since(seen)), 0, "the log is bounded: what was dropped is not told as nothing")
+	p.cut.Store(false)
+	poll.WaitOn(t, p.otherSees.shows(want))
+}
+
+// TestRelayNeverGoesBack hands on what is older than what is known.
+func TestRelayNeverGoesBack(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := newRelayPair(ctx, t, shortTrust)
+	p.store.Set("a/1", []byte("2"))
+	poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "2"}))
+	p.cut.Store(true)
+	at := p.other.Seen()["a/"]
+	p.other.Take(map[string]kv.Batch{"a/": {
+		From: 0, At: at - 1, Events: []kv.Event{{Entry: kv.Entry{Key: "a/1", Value: []byte("1"), Revision: at - 1}}},
+	}}, time.Now())
+	p.store.Set("a/3", []byte("3"))
+	poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "2", "a/3": "3"}))
+	assert.Assert(t, p.other.Seen()["a/"] > at)
+}
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -22,7 +22,7 @@
 // free, until ctx ends. While another holds it, it costs one watch each few seconds.
 func (h *Holder) Campaign(ctx context.Context, s kv.PrefixStore) {
 	w := &watcher{holder: h, free: make(chan struct{}, 1)}
-	go kv.Follow(ctx, s, keyPrefix+h.opts.Name, watchWait, w)
+	go kv.Follow(ctx, s, h.Key(), watchWait, w)
 	for ctx.Err() == nil {
 		if _, held := h.Held(); !held && !w.await(ctx) {
 			return
@@ -66,7 +66,7 @@
 // Replace implements kv.Follower.
 func (w *watcher) Replace(entries []kv.Entry) {
 	for _, e := range entries {
-		if e.Key == keyPrefix+w.holder.opts.Name {
+		if e.Key == w.holder.Key() {
 			w.holder.setOther(e)
 			return
 		}
@@ -76,7 +76,7 @@
 
 // Apply implements kv.Follower.
 func (w *watcher) Apply(e kv.Event) {
-	if e.Entry.Key != keyPrefix+w.holder.opts.Name {
+	if e.Entry.Key != w.holder.Key() {
 		return
 	}
 	if e.Deleted {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -60,6 +60,9 @@
 // Name returns the lease's name.
 func (h *Holder) Name() string { return h.opts.Name }
 
+// Key returns the key of the lease's record in the service.
+func (h *Holder) Key() string { return keyPrefix + h.opts.Name }
+
 // Held returns the fencing token and whether the lease is surely still held.
 func (h *Holder) Held() (Token, bool) {
 	h.mu.Lock()
@@ -130,7 +133,7 @@
 }
 
 func (h *Holder) acquire(ctx context.Context) error {
-	key := keyPrefix + h.opts.Name
+	key := h.Key()
 	e, err := h.store.Get(ctx, key)
 	if err == nil {
 		h.setOther(e)
