--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,6 +39,8 @@
 	begun atomic.Bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
+	// events counts the events of a stream that were passed on.
+	events    int
 	outcome   string
 	status    int
 	firstByte time.Time
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -24,6 +24,7 @@
 	fieldWaited    = "waited_s"
 	fieldFirst     = "first_s"
 	fieldPause     = "pause_s"
+	fieldEvents    = "events"
 	fieldTotal     = "total_s"
 	fieldLimit     = "limit_s"
 	fieldAge       = "age_s"
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -75,7 +75,8 @@
 		zap.Int(fieldStatus, x.status), zap.Uint64(fieldConfig, x.version),
 		zap.Int(fieldSends, x.sends), zap.Int(fieldUnsent, x.unsent),
 		zap.Float64(fieldWaited, x.waited.Seconds()), zap.Float64(fieldFirst, first),
-		zap.Float64(fieldPause, x.longestPause.Seconds()), zap.Float64(fieldTotal, now.Sub(x.arrived).Seconds()),
+		zap.Float64(fieldPause, x.longestPause.Seconds()), zap.Int(fieldEvents, x.events),
+		zap.Float64(fieldTotal, now.Sub(x.arrived).Seconds()),
 		zap.Float64(fieldLimit, x.end.Sub(x.arrived).Seconds()),
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,7 @@
 	if _, err := x.w.Write(event); err != nil {
 		return err
 	}
+	x.events++
 	return http.NewResponseController(x.w).Flush()
 }
 
