Prompts sent to an engine are bounded over the time of one pause

Ruled out: speeds (idle engines' first events are 16 ms over the prediction in the median). Change: the owner of an engine keeps the line of prompts that it reads and grants a place only if within any time as long as a pause no more is read than the pause less the event's steps, which grow with running requests. First events of its own requests correct the line. The numbers moved from the gateway to dispatch.Pace. Tests: TestReadingLine*, TestPace; the limits of TestChoose are the same ones.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -27,6 +27,9 @@
 	// Reading is the time to read the prompts sent there whose first event has not
 	// come, in milliseconds.
 	Reading float64
+	// Lately is how long an own engine reads other prompts in the time of one pause
+	// that ends when this prompt is read, in milliseconds.
+	Lately float64
 	// Used is the engine's memory in use, in tokens; Memory is what it has, 0 for a plain service.
 	Used, Memory int
 	// Slots is the number of requests it works on at once.
@@ -53,9 +56,8 @@
 
 // Limits bound what is sent to one engine.
 type Limits struct {
-	// Reading is the longest time to read the prompts that are on their way to one
-	// engine, in milliseconds; 0 is no limit. Running streams pause for that long.
-	Reading float64
+	// Pace is what pauses running streams bear: they pause while an engine reads.
+	Pace Pace
 	// Fill is the part of slots and memory that may be taken.
 	Fill float64
 }
@@ -73,13 +75,18 @@
 	if c.Running > 0 && float64(c.Used+c.Need) > l.Fill*float64(c.Memory) {
 		return false
 	}
-	if l.Reading == 0 {
+	if l.Pace.Pause == 0 {
 		return true
 	}
-	if !c.Own && !c.Asked && fed {
-		return c.Reading == 0 && c.Read <= l.Reading*otherShare
+	limit := l.Pace.perStep(c.Running)
+	switch {
+	case c.Own, c.Asked:
+		limit = l.Pace.reading(c.Running)
+	case fed:
+		return c.Reading == 0 && c.Read <= limit*otherShare
 	}
-	return c.Reading == 0 || c.Reading+c.Read <= l.Reading
+	reading := max(c.Reading, c.Lately)
+	return reading == 0 || reading+c.Read <= limit
 }
 
 // cost returns the expected time to the first answer, in milliseconds.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,9 +33,8 @@
 	// Due is when the answer should have begun; a request for which that is past
 	// gives way to those that can still be in time.
 	Due time.Time
-	// ReadLimit is the longest reading that running streams of its kind bear, in
-	// milliseconds; 0 is no limit.
-	ReadLimit float64
+	// Pace is what pauses running streams of its kind bear.
+	Pace Pace
 	// Avoid names servers that are not to be chosen.
 	Avoid []string
 	// order is the request's place in the order of arrival; 0 before it has one.
@@ -131,10 +130,10 @@
 	failure failureShare
 	heard   time.Time
 	sent    []*Ticket
-	// grants are the places given to other gateways' requests lately, readUntil is
-	// when the engine has read their prompts.
-	grants    []grant
-	readUntil time.Time
+	// grants are the places given to other gateways' requests lately.
+	grants []grant
+	// reading is what an own engine reads.
+	reading readingLine
 	// deniedUntil is until when the engine's owner grants no place.
 	deniedUntil time.Time
 }
@@ -234,7 +233,7 @@
 	var servers []*backend.Server
 	var list []Candidate
 	memory := d.opts.Memory(r.Service)
-	limits := Limits{Reading: r.ReadLimit, Fill: d.opts.Fill}
+	limits := Limits{Pace: r.Pace, Fill: d.opts.Fill}
 	now := d.opts.Clock.Now()
 	for _, s := range d.servers.Service(r.Service) {
 		if s.Leaving || slices.Contains(r.Avoid, s.ID) || r.Model != "" && !s.Holds(r.Model, r.Adapter) {
@@ -249,7 +248,7 @@
 	}
 	i := Choose(list, limits)
 	if i < 0 {
-		d.serveAfterReading(list, limits, now)
+		d.serveAfterReading(servers, list, limits, now)
 		return nil
 	}
 	t := d.take(r, servers[i], list[i])
@@ -272,6 +271,9 @@
 		c.Tokens = max(r.Prompt-l.kept.kept(r.name(), r.Parts), 0)
 		c.Read = d.speeds.reading(r.Model, c.Tokens)
 	}
+	if c.Own && r.Pace.Pause > 0 {
+		c.Lately = inMilliseconds(l.reading.busy(milliseconds(c.Read), milliseconds(r.Pace.Pause), now))
+	}
 	if len(l.sent) > 0 {
 		since := l.sent[0].sent
 		if l.heard.After(since) {
@@ -287,15 +289,15 @@
 // prompts being read are known from the grants, and better than from reports.
 func (d *Dispatcher) addLoads(c *Candidate, l *load, id string, now time.Time) {
 	others := d.remote[id].now(now)
+	c.Running = l.Running + others.Running
+	c.Used = l.Used + others.Used
+	c.Reading = float64(l.Reading + others.Reading)
 	if c.Own && d.opts.Places != nil {
 		granted := l.granted(now)
-		others.Reading = granted.Reading
-		others.Running += granted.Running
-		others.Used += granted.Used
+		c.Running += granted.Running
+		c.Used += granted.Used
+		c.Reading = max(inMilliseconds(l.reading.end(now).Sub(now)), float64(l.Reading))
 	}
-	c.Running = l.Running + others.Running
-	c.Reading = float64(l.Reading + others.Reading)
-	c.Used = l.Used + others.Used
 }
 
 func (d *Dispatcher) load(id string) *load {
@@ -320,6 +322,9 @@
 	l.Reading += t.reading
 	l.Used += t.used
 	l.sent = append(l.sent, t)
+	if c.Own {
+		t.read = l.reading.add(milliseconds(c.Read), t.sent)
+	}
 	if r.Model != "" {
 		l.kept.add(r.name(), r.Parts)
 		d.demandOf(r).Running++
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -57,6 +57,13 @@
 	return ctx
 }
 
+// reads returns the pace of streams that bear a reading of some milliseconds on an
+// engine where nothing runs.
+func reads(ms float64) dispatch.Pace {
+	const step, share = 10.5, 0.93
+	return dispatch.Pace{Pause: (ms + step) / share, Steps: 1}
+}
+
 func TestChoose(t *testing.T) {
 	idle := dispatch.Candidate{Memory: memory, Slots: 8, Need: 1000, Read: 50, Near: true, Own: true}
 	with := func(change func(c *dispatch.Candidate)) dispatch.Candidate {
@@ -84,36 +91,36 @@
 		},
 		"reading limit": {
 			list:   []dispatch.Candidate{with(func(c *dispatch.Candidate) { c.Reading = 80 })},
-			limits: dispatch.Limits{Reading: 100}, want: -1,
+			limits: dispatch.Limits{Pace: reads(100)}, want: -1,
 		},
 		"reading limit, nothing on its way": {
 			list:   []dispatch.Candidate{with(func(c *dispatch.Candidate) { c.Read = 400 })},
-			limits: dispatch.Limits{Reading: 100}, want: 0,
+			limits: dispatch.Limits{Pace: reads(100)}, want: 0,
 		},
 		"another's engine that reads, while an own one is full": {
 			list: []dispatch.Candidate{
 				with(func(c *dispatch.Candidate) { c.Reading = 80 }),
 				with(func(c *dispatch.Candidate) { c.Reading, c.Read, c.Own = 1, 30, false }),
 			},
-			limits: dispatch.Limits{Reading: 100}, want: -1,
+			limits: dispatch.Limits{Pace: reads(100)}, want: -1,
 		},
 		"another's engine that is idle, for a long prompt": {
 			list: []dispatch.Candidate{
 				with(func(c *dispatch.Candidate) { c.Reading = 80 }),
 				with(func(c *dispatch.Candidate) { c.Read, c.Own = 90, false }),
 			},
-			limits: dispatch.Limits{Reading: 100}, want: -1,
+			limits: dispatch.Limits{Pace: reads(100)}, want: -1,
 		},
 		"another's engine that is idle": {
 			list: []dispatch.Candidate{
 				with(func(c *dispatch.Candidate) { c.Reading = 80 }),
 				with(func(c *dispatch.Candidate) { c.Read, c.Own = 30, false }),
 			},
-			limits: dispatch.Limits{Reading: 100}, want: 1,
+			limits: dispatch.Limits{Pace: reads(100)}, want: 1,
 		},
 		"another's engine, where no own one has the model": {
 			list:   []dispatch.Candidate{with(func(c *dispatch.Candidate) { c.Reading, c.Read, c.Own = 30, 30, false })},
-			limits: dispatch.Limits{Reading: 100}, want: 0,
+			limits: dispatch.Limits{Pace: reads(100)}, want: 0,
 		},
 		"plain service: fewest requests": {
 			list: []dispatch.Candidate{{Slots: 6, Running: 4, Near: true}, {Slots: 6, Running: 1, Near: true}}, want: 1,
@@ -352,7 +359,7 @@
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
 				r := request(c)
-				r.ReadLimit = float64(rapid.IntRange(0, 200).Draw(t, "limit"))
+				r.Pace = reads(float64(rapid.IntRange(0, 200).Draw(t, "limit")))
 				if ticket, err := d.Acquire(now(), r); err == nil {
 					open = append(open, ticket)
 				}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -17,8 +17,8 @@
 	Parts   []Part `json:"k,omitempty"`
 	Prompt  int    `json:"p"`
 	Output  int    `json:"o"`
-	// ReadLimit is the longest reading that running streams bear, in milliseconds.
-	ReadLimit float64 `json:"l,omitempty"`
+	// Pace is what pauses running streams of the request's kind bear.
+	Pace Pace `json:"l"`
 }
 
 // A PlaceAnswer is the answer of the gateway that was asked.
@@ -67,14 +67,14 @@
 	}
 	req := &Request{
 		Service: s.Service, Model: r.Model, Adapter: r.Adapter, Parts: r.Parts, Prompt: r.Prompt, Output: r.Output,
-		ReadLimit: r.ReadLimit,
+		Pace: r.Pace,
 	}
 	now := d.opts.Clock.Now()
 	c := d.candidate(req, s, d.opts.Memory(s.Service), now)
 	answer := PlaceAnswer{Owned: true, Load: c.load()}
-	limits := Limits{Reading: r.ReadLimit, Fill: d.opts.Fill}
+	limits := Limits{Pace: r.Pace, Fill: d.opts.Fill}
 	if !c.fits(limits, true) {
-		answer.After = int(c.after(limits) / time.Millisecond)
+		answer.After = int(d.freeAfter(s, c, limits, now) / time.Millisecond)
 		return answer
 	}
 	d.grant(req, s, c, now)
@@ -86,10 +86,7 @@
 func (d *Dispatcher) grant(r *Request, s *backend.Server, c Candidate, now time.Time) {
 	l := d.load(s.ID)
 	l.grants = append(l.grants, grant{at: now, need: c.Need})
-	if l.readUntil.Before(now) {
-		l.readUntil = now
-	}
-	l.readUntil = l.readUntil.Add(time.Duration(c.Read * float64(time.Millisecond)))
+	l.reading.add(milliseconds(c.Read), now)
 	l.kept.add(r.name(), r.Parts)
 }
 
@@ -106,7 +103,6 @@
 	for _, g := range fresh {
 		sum.Used += g.need
 	}
-	sum.Reading = int(max(l.readUntil.Sub(now), 0) / time.Millisecond)
 	return sum
 }
 
@@ -115,15 +111,18 @@
 	return Load{Running: c.Running, Reading: int(c.Reading), Used: c.Used}
 }
 
-// after returns when a place that is not free now may be.
-func (c Candidate) after(l Limits) time.Duration {
+// freeAfter returns when a place that is not free now may be.
+func (d *Dispatcher) freeAfter(s *backend.Server, c Candidate, l Limits, now time.Time) time.Duration {
 	unread := c
-	unread.Reading = 0
+	unread.Reading, unread.Lately = 0, 0
 	if !unread.fits(l, true) {
 		return fullAfter
 	}
-	ms := c.Reading + min(c.Read, l.Reading) - l.Reading
-	return max(time.Duration(ms*float64(time.Millisecond)), leastAfter)
+	limit := l.Pace.reading(c.Running)
+	if c.Own {
+		return d.load(s.ID).reading.freeAfter(milliseconds(c.Read), milliseconds(limit), milliseconds(l.Pace.Pause), now)
+	}
+	return max(milliseconds(c.Reading+min(c.Read, limit)-limit), leastAfter)
 }
 
 // confirm asks the engine's owner for the ticket's place, if it has to be asked,
@@ -135,7 +134,7 @@
 	r := t.req
 	a, err := d.opts.Places.Ask(ctx, t.owner, PlaceRequest{
 		Server: t.server.ID, Model: r.Model, Adapter: r.Adapter, Parts: r.Parts, Prompt: r.Prompt, Output: r.Output,
-		ReadLimit: r.ReadLimit,
+		Pace: r.Pace,
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -169,11 +168,11 @@
 }
 
 // serveAfterReading looks at waiting requests again when an engine should have read
-// the prompts of other gateways: nobody tells of that.
-func (d *Dispatcher) serveAfterReading(list []Candidate, limits Limits, now time.Time) {
-	for _, c := range list {
-		if c.Reading > 0 && (c.Own || c.Asked) {
-			d.serveAt(now.Add(c.after(limits)))
+// enough: nobody tells of that.
+func (d *Dispatcher) serveAfterReading(servers []*backend.Server, list []Candidate, limits Limits, now time.Time) {
+	for i, c := range list {
+		if c.Own && c.Lately > 0 || c.Asked && c.Reading > 0 {
+			d.serveAt(now.Add(d.freeAfter(servers[i], c, limits, now)))
 		}
 	}
 }
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -64,7 +64,7 @@
 // reading returns a request whose prompt is about all that an engine may read at once.
 func reading(c clock.Service) *dispatch.Request {
 	r := request(c)
-	r.ReadLimit = 60
+	r.Pace = reads(60)
 	return r
 }
 
@@ -176,7 +176,7 @@
 	c := clock.NewManual(time.Unix(1000, 0))
 	d := newGroup(c, 1, engine("a")).dispatchers["g0"]
 	ask := dispatch.PlaceRequest{
-		Server: "a", Model: model, Prompt: 1000, Output: 10, ReadLimit: 60, Parts: []dispatch.Part{{ID: "p", Tokens: 950}},
+		Server: "a", Model: model, Prompt: 1000, Output: 10, Pace: reads(60), Parts: []dispatch.Part{{ID: "p", Tokens: 950}},
 	}
 	assert.Assert(t, d.Grant(ask).Granted)
 	assert.Assert(t, d.Grant(ask).Granted, "the prompt is kept, so that both fit")
--- /dev/null
+++ b/dispatch/reading_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestReadingLine(t *testing.T) {
+	const window = 300 * time.Millisecond
+	type prompt struct {
+		at, read int
+	}
+	tests := map[string]struct {
+		line []prompt
+		// at and read are the next prompt's; busy is what is read beside it within the window.
+		at, read, busy int
+	}{
+		"nothing":                     {read: 50},
+		"in line":                     {line: []prompt{{0, 50}, {0, 60}}, read: 40, busy: 110},
+		"just read":                   {line: []prompt{{0, 80}}, at: 100, read: 50, busy: 80},
+		"read before":                 {line: []prompt{{0, 80}}, at: 400, read: 50, busy: 0},
+		"partly read before":          {line: []prompt{{0, 80}}, at: 300, read: 50, busy: 30},
+		"a prompt as long as a pause": {line: []prompt{{0, 80}}, at: 100, read: 300, busy: 0},
+		"line longer than a pause":    {line: []prompt{{0, 200}, {0, 200}}, read: 50, busy: 250},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			at := func(n int) time.Time { return start.Add(ms(n)) }
+			var l readingLine
+			for _, p := range test.line {
+				l.add(ms(p.read), at(p.at))
+			}
+			assert.Equal(t, l.busy(ms(test.read), window, at(test.at)), ms(test.busy))
+		})
+	}
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// TestReadingLineKeepsPauses sends prompts as soon as the line lets them and checks
+// that in no time as long as a pause more than the limit is read.
+func TestReadingLineKeepsPauses(t *testing.T) {
+	const window, limit = 300 * time.Millisecond, 200 * time.Millisecond
+	now := time.Unix(1000, 0)
+	var l readingLine
+	var all []span
+	for i := range 40 {
+		read := ms(20 + i*37%120)
+		if busy := l.busy(read, window, now); busy > 0 && busy+read > limit {
+			wait := l.freeAfter(read, limit, window, now)
+			assert.Assert(t, wait > 0 && wait <= window)
+			now = now.Add(wait)
+		}
+		l.add(read, now)
+		all = append(all, l.spans[len(l.spans)-1])
+	}
+	for _, last := range all {
+		sum := time.Duration(0)
+		for _, s := range all {
+			from, to := later(s.from, last.to.Add(-window)), earlier(s.to, last.to)
+			sum += max(to.Sub(from), 0)
+		}
+		assert.Assert(t, sum <= limit, "%v read in %v", sum, window)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func TestReadingLineFollowsTheEngine(t *testing.T) {
+	tests := map[string]struct {
+		// took is what the first of two prompts of 100 ms took, end when both are read.
+		took, end int
+	}{
+		"as expected": {took: 100, end: 200},
+		"faster":      {took: 40, end: 140},
+		"slower":      {took: 150, end: 250},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			var l readingLine
+			first := l.add(ms(100), start)
+			l.add(ms(100), start)
+			l.done(first, start.Add(ms(test.took)))
+			assert.Equal(t, l.end(start).Sub(start), ms(test.end))
+			assert.Equal(t, l.busy(0, time.Second, start), ms(test.took+100))
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	tests := map[string]struct {
+		pace    Pace
+		running int
+		want    float64
+	}{
+		"idle engine":            {pace: Pace{Pause: 300, Steps: 3}, want: 247.5},
+		"full engine":            {pace: Pace{Pause: 300, Steps: 3}, running: 40, want: 223.5},
+		"pause of a few steps":   {pace: Pace{Pause: 60, Steps: 3}, want: 150},
+		"steps that are not set": {pace: Pace{Pause: 300}, want: 268.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := test.pace.reading(test.running)
+			assert.Assert(t, got > test.want-0.01 && got < test.want+0.01, "%v", got)
+		})
+	}
+}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -47,7 +47,9 @@
 	reading int
 	used    int
 	sent    time.Time
-	choice  Candidate
+	// read is when an own engine should have read the prompt; zero for another's.
+	read   time.Time
+	choice Candidate
 	// owner is the gateway that must grant the place; empty if none must.
 	owner string
 	among int
@@ -71,6 +73,9 @@
 		return
 	}
 	t.begin()
+	if !t.read.IsZero() {
+		t.load.reading.done(t.read, t.load.heard.Add(-milliseconds(stepTime)))
+	}
 	if t.tokens > 0 {
 		t.d.speeds.note(t.req.Model, t.tokens, float64(t.load.heard.Sub(t.sent))/float64(time.Millisecond))
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -208,29 +208,11 @@
 	}
 	x.req.Until = x.arrived.Add(x.holdTime())
 	x.req.Due = x.arrived.Add(x.route.Objective * dueShare / 100)
-	x.req.ReadLimit = x.readLimit()
-}
-
-// Parts of the longest pause between two events.
-const (
-	// pauseShare is the part of the objective that is used.
-	pauseShare = 0.93
-	// stepTime is what a step of an engine takes without reading.
-	stepTime = 12 * time.Millisecond
-	// leastReading is the shortest limit, below which engines would stand idle.
-	leastReading = 60 * time.Millisecond
-)
-
-// readLimit returns how long an engine may read other prompts in one step without
-// making a running stream of this route late, in milliseconds: an event takes as
-// many steps as it has tokens.
-func (x *exchange) readLimit() float64 {
-	if x.service.Engine == nil || x.route.PauseObjective <= 0 {
-		return 0
+	if x.service.Engine != nil {
+		x.req.Pace = dispatch.Pace{
+			Pause: float64(x.route.PauseObjective) / float64(time.Millisecond), Steps: x.service.Engine.EventTokens,
+		}
 	}
-	pause := time.Duration(float64(x.route.PauseObjective) * pauseShare)
-	step := max(pause/time.Duration(x.service.Engine.EventTokens)-stepTime, leastReading)
-	return float64(step) / float64(time.Millisecond)
 }
 
 // parts decodes a list of prompt parts; what is not one is passed over.
