Dead settings and fields removed, internal/platform renamed to inventory

The entry's targets and the agent's backend.checks_orders were read, checked and changed nothing; table.Service.MaxConnections bounded nothing. internal/platform is not the users' platform: it holds the clients of the list of VMs and the weight catalogue, and is called inventory now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,7 +16,7 @@
 	"rockcleat/fleet"
 	"rockcleat/internal/config"
 	"rockcleat/internal/engine"
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/server"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
@@ -46,7 +46,7 @@
 // A VMLister reads the platform's list of VMs.
 type VMLister interface {
 	// Changes returns the VMs that changed in the list after the version.
-	Changes(ctx context.Context, since uint64) (platform.VMList, error)
+	Changes(ctx context.Context, since uint64) (inventory.VMList, error)
 }
 
 // Options are what an Agent is made of.
--- a/internal/agent/catchup.go
+++ b/internal/agent/catchup.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/wire"
 )
 
@@ -61,8 +61,8 @@
 		a.log.Debug("list of VMs not read", zap.Error(err))
 		return
 	}
-	entries := slices.DeleteFunc(l.VMs, func(vm platform.VM) bool {
-		return vm.Role != platform.RoleEntry || vm.State != platform.VMLive
+	entries := slices.DeleteFunc(l.VMs, func(vm inventory.VM) bool {
+		return vm.Role != inventory.RoleEntry || vm.State != inventory.VMLive
 	})
 	if len(entries) == 0 {
 		a.catching.Store(false)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -80,13 +80,6 @@
 	SilentTime Duration `yaml:"silent_time"`
 }
 
-// Targets are the times to the first token that each tier is measured against.
-type Targets struct {
-	Premium  Duration `yaml:"premium"`
-	Standard Duration `yaml:"standard"`
-	Economy  Duration `yaml:"economy"`
-}
-
 // Entry are the settings of an entry daemon.
 type Entry struct {
 	Process `yaml:",inline"`
@@ -100,7 +93,6 @@
 	Planner   Planner  `yaml:"planner"`
 	Claims    Claims   `yaml:"claims"`
 	Limits    Limits   `yaml:"limits"`
-	Targets   Targets  `yaml:"targets"`
 	// Policy is empty, or names a baseline for measurements: round-robin or
 	// least-outstanding.
 	Policy string `yaml:"policy"`
@@ -114,8 +106,6 @@
 	Kind string `yaml:"kind"`
 	// Services are the table rows that a plain service answers.
 	Services []string `yaml:"services"`
-	// ChecksOrders tells that the engine refuses orders with an old fencing token.
-	ChecksOrders bool `yaml:"checks_orders"`
 	// OrderLifetime is how long an order may be on its way before it can no longer
 	// take effect.
 	OrderLifetime Duration `yaml:"order_lifetime"`
@@ -168,9 +158,6 @@
 	e.Claims = Claims{
 		Shards: 4, Retention: Duration(10 * time.Minute), WritesPerSecond: 50, LeaseTTL: Duration(9 * time.Second),
 	}
-	e.Targets = Targets{
-		Premium: Duration(340 * time.Millisecond), Standard: Duration(time.Second), Economy: Duration(5 * time.Second),
-	}
 }
 
 func (a *Agent) setDefaults() {
@@ -220,9 +207,6 @@
 	known := []string{"", "round-robin", "least-outstanding"}
 	c.require(slices.Contains(known, e.Policy), "policy", "must be absent, round-robin or least-outstanding")
 	e.Claims.check(c)
-	c.between(e.Targets.Premium, time.Millisecond, time.Hour, "targets.premium")
-	c.between(e.Targets.Standard, time.Millisecond, time.Hour, "targets.standard")
-	c.between(e.Targets.Economy, time.Millisecond, time.Hour, "targets.economy")
 }
 
 func (p *Planner) check(c *checker) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,7 @@
 	"rockcleat/internal/config"
 	"rockcleat/internal/engine"
 	"rockcleat/internal/entry"
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
@@ -110,7 +110,7 @@
 	e := entry.New(entry.Options{
 		Settings: s,
 		Store:    store(s.Process, client, metrics),
-		Platform: platform.NewClient(client, s.VMs, s.Weights),
+		Platform: inventory.NewClient(client, s.VMs, s.Weights),
 		Clock:    clock.Real{},
 		Log:      log,
 		Metrics:  metrics,
@@ -135,7 +135,7 @@
 	beside := &http.Client{Transport: wire.NewTransport(&wire.Traffic{})}
 	var vms agent.VMLister
 	if s.VMs != "" {
-		vms = platform.NewClient(client, s.VMs, "")
+		vms = inventory.NewClient(client, s.VMs, "")
 	}
 	a := agent.New(agent.Options{
 		Settings: s,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,8 @@
 	"rockcleat/clock"
 	"rockcleat/fleet"
 	"rockcleat/internal/config"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/planner"
-	"rockcleat/internal/platform"
 	"rockcleat/internal/server"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
@@ -27,7 +27,7 @@
 type Options struct {
 	Settings config.Entry
 	Store    kv.Store
-	Platform *platform.Client
+	Platform *inventory.Client
 	Clock    clock.Service
 	Log      *zap.Logger
 	Metrics  *telemetry.Metrics
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -8,12 +8,12 @@
 
 	"go.uber.org/zap"
 
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 )
 
 // A vmLister reads the platform's list of VMs.
 type vmLister interface {
-	Changes(ctx context.Context, since uint64) (platform.VMList, error)
+	Changes(ctx context.Context, since uint64) (inventory.VMList, error)
 }
 
 // members follows the platform's list of VMs.
@@ -24,11 +24,11 @@
 
 	mu      sync.Mutex
 	version uint64
-	vms     map[string]platform.VM
+	vms     map[string]inventory.VM
 }
 
 func newMembers(self string, l vmLister, log *zap.Logger) *members {
-	return &members{self: self, lister: l, log: log, vms: make(map[string]platform.VM)}
+	return &members{self: self, lister: l, log: log, vms: make(map[string]inventory.VM)}
 }
 
 // step takes over what has changed; a list that cannot be read stays as it was.
@@ -45,7 +45,7 @@
 	defer m.mu.Unlock()
 	m.version = max(m.version, l.Version)
 	for _, vm := range l.VMs {
-		if vm.State == platform.VMGone {
+		if vm.State == inventory.VMGone {
 			delete(m.vms, vm.ID)
 			continue
 		}
@@ -63,14 +63,14 @@
 }
 
 // all returns every listed VM.
-func (m *members) all() []platform.VM {
+func (m *members) all() []inventory.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	vms := make([]platform.VM, 0, len(m.vms))
+	vms := make([]inventory.VM, 0, len(m.vms))
 	for _, vm := range m.vms {
 		vms = append(vms, vm)
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(vms, func(a, b inventory.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return vms
 }
 
@@ -84,20 +84,20 @@
 }
 
 // peers returns the other live entries.
-func (m *members) peers() []platform.VM {
-	return slices.DeleteFunc(m.all(), func(vm platform.VM) bool {
-		return vm.Role != platform.RoleEntry || vm.State != platform.VMLive || vm.ID == m.self
+func (m *members) peers() []inventory.VM {
+	return slices.DeleteFunc(m.all(), func(vm inventory.VM) bool {
+		return vm.Role != inventory.RoleEntry || vm.State != inventory.VMLive || vm.ID == m.self
 	})
 }
 
 // Backends returns the backend servers' VMs, leaving ones included.
-func (m *members) Backends() []platform.VM {
-	return slices.DeleteFunc(m.all(), func(vm platform.VM) bool { return vm.Role != platform.RoleBackend })
+func (m *members) Backends() []inventory.VM {
+	return slices.DeleteFunc(m.all(), func(vm inventory.VM) bool { return vm.Role != inventory.RoleBackend })
 }
 
 // isLeaving reports whether the list says that a VM is leaving.
 func (m *members) isLeaving(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.vms[id].State == platform.VMLeaving
+	return m.vms[id].State == inventory.VMLeaving
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -10,7 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/server"
 	"rockcleat/internal/wire"
 	"rockcleat/placement"
@@ -158,7 +158,7 @@
 
 // askVersions asks every VM for its table version, a few at once; one that does
 // not answer keeps version 0.
-func (e *Entry) askVersions(ctx context.Context, out []wire.VMStatus, vms []platform.VM) {
+func (e *Entry) askVersions(ctx context.Context, out []wire.VMStatus, vms []inventory.VM) {
 	slots := make(chan struct{}, statusAtOnce)
 	var wg sync.WaitGroup
 	for i, vm := range vms {
@@ -171,7 +171,7 @@
 			defer cancel()
 			var v wire.VersionAnswer
 			if err := e.peers.Call(ctx, http.MethodGet, vm.Control, wire.PathStatus, nil, &v); err != nil {
-				out[i].State = string(platform.VMState("silent"))
+				out[i].State = string(inventory.VMState("silent"))
 				return
 			}
 			out[i].TableVersion = v.TableVersion
--- a/internal/platform/platform.go
+++ b/internal/inventory/inventory.go
@@ -1,4 +1,4 @@
-package platform
+package inventory
 
 import (
 	"context"
@@ -91,17 +91,17 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return eris.Wrap(err, "platform: make request")
+		return eris.Wrap(err, "inventory: make request")
 	}
 	req.Header["User-Agent"] = nil
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "platform: call")
+		return eris.Wrap(err, "inventory: call")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("platform: status %d", resp.StatusCode)
+		return eris.Errorf("inventory: status %d", resp.StatusCode)
 	}
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out)
-	return eris.Wrap(err, "platform: decode answer")
+	return eris.Wrap(err, "inventory: decode answer")
 }
--- a/internal/lab/system.go
+++ b/internal/lab/system.go
@@ -16,7 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"rockcleat/internal/config"
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/wire"
 	"rockcleat/placement"
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	return send(ctx, http.MethodPut, s.WURL+"/v1/weights", platform.Catalogue{Sizes: o.Sizes}, nil)
+	return send(ctx, http.MethodPut, s.WURL+"/v1/weights", inventory.Catalogue{Sizes: o.Sizes}, nil)
 }
 
 func (s *System) hall(i int) string { return s.opts.Halls[i%len(s.opts.Halls)] }
@@ -204,7 +204,7 @@
 	}
 	b := &Backend{Server: p, URL: url, start: again}
 	return s.addBackend(ctx, b, fmt.Sprintf("worker-%d", i), s.hall(i), func(a *config.Agent) {
-		a.Backend.Kind, a.Backend.ChecksOrders = config.BackendEngine, !o.NoFence
+		a.Backend.Kind = config.BackendEngine
 	})
 }
 
@@ -256,7 +256,7 @@
 	if err := s.StartNode(ctx, n); err != nil {
 		return err
 	}
-	return s.SetVM(ctx, n, platform.RoleBackend, platform.VMLive)
+	return s.SetVM(ctx, n, inventory.RoleBackend, inventory.VMLive)
 }
 
 // AddEntry starts one more entry and puts it into the list of VMs.
@@ -288,7 +288,7 @@
 	s.mu.Lock()
 	s.Entries = append(s.Entries, n)
 	s.mu.Unlock()
-	if err := s.SetVM(ctx, n, platform.RoleEntry, platform.VMLive); err != nil {
+	if err := s.SetVM(ctx, n, inventory.RoleEntry, inventory.VMLive); err != nil {
 		return nil, err
 	}
 	return n, s.StartNode(ctx, n)
@@ -339,15 +339,15 @@
 }
 
 // SetVM changes a VM in the platform's list.
-func (s *System) SetVM(ctx context.Context, n *Node, role platform.Role, state platform.VMState) error {
+func (s *System) SetVM(ctx context.Context, n *Node, role inventory.Role, state inventory.VMState) error {
 	return s.SetVMAt(ctx, n, role, state, n.Addr, n.Control)
 }
 
 // SetVMAt changes a VM in the platform's list and gives it other addresses, such
 // as those of proxies.
-func (s *System) SetVMAt(ctx context.Context, n *Node, role platform.Role, state platform.VMState, addr, control string) error {
-	vm := platform.VM{ID: n.ID, Role: role, Hall: n.Hall, Addr: addr, Control: control, State: state}
-	return send(ctx, http.MethodPost, s.VMsURL+"/v1/vms", platform.VMList{VMs: []platform.VM{vm}}, nil)
+func (s *System) SetVMAt(ctx context.Context, n *Node, role inventory.Role, state inventory.VMState, addr, control string) error {
+	vm := inventory.VM{ID: n.ID, Role: role, Hall: n.Hall, Addr: addr, Control: control, State: state}
+	return send(ctx, http.MethodPost, s.VMsURL+"/v1/vms", inventory.VMList{VMs: []inventory.VM{vm}}, nil)
 }
 
 // Fault gives faults to a stand-in.
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -14,7 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"rockcleat/fleet"
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/wire"
 	"rockcleat/lease"
 	"rockcleat/ledger"
@@ -43,7 +43,7 @@
 // A peer is the planner's account of one agent.
 type peer struct {
 	id       string
-	vm       platform.VM
+	vm       inventory.VM
 	record   fleet.Server
 	demand   []fleet.Demand
 	known    bool
@@ -110,7 +110,7 @@
 // step starts the exchanges that are due and makes a plan when it is time. While
 // the lease has lapsed, because the service is out, it gives no orders and no
 // grants, but the table and the records go on travelling.
-func (c *cellPlanner) step(now time.Time, servers []string, vms map[string]platform.VM) {
+func (c *cellPlanner) step(now time.Time, servers []string, vms map[string]inventory.VM) {
 	if c.superseded.Load() {
 		return
 	}
@@ -163,7 +163,7 @@
 }
 
 // follow makes the peers those of the cell; c.mu is held.
-func (c *cellPlanner) follow(now time.Time, servers []string, vms map[string]platform.VM) {
+func (c *cellPlanner) follow(now time.Time, servers []string, vms map[string]inventory.VM) {
 	for _, id := range servers {
 		vm, listed := vms[id]
 		if !listed {
@@ -246,7 +246,7 @@
 	t := c.Replica.Current()
 	x := wire.Exchange{
 		From: c.Addr, Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
-		TableVersion: t.Version(), Leaving: p.vm.State == platform.VMLeaving,
+		TableVersion: t.Version(), Leaving: p.vm.State == inventory.VMLeaving,
 		List: c.Members.Version(), Lapsed: !held, Pauses: p.pauses,
 	}
 	if p.known {
--- a/internal/planner/cells.go
+++ b/internal/planner/cells.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/kv"
 )
 
@@ -38,7 +38,7 @@
 
 // fit returns the list with every listed backend server in one cell and no
 // other; changed tells whether it differs from l.
-func (l cellList) fit(vms []platform.VM, size int) (next cellList, changed bool) {
+func (l cellList) fit(vms []inventory.VM, size int) (next cellList, changed bool) {
 	present := make(map[string]bool)
 	for _, vm := range vms {
 		present[vm.ID] = true
@@ -69,8 +69,8 @@
 
 // inHalls returns the VMs hall by hall, so that new cells keep to one hall
 // where they can.
-func inHalls(vms []platform.VM) []platform.VM {
-	return slices.SortedFunc(slices.Values(vms), func(a, b platform.VM) int {
+func inHalls(vms []inventory.VM) []inventory.VM {
+	return slices.SortedFunc(slices.Values(vms), func(a, b inventory.VM) int {
 		return cmp.Or(cmp.Compare(a.Hall, b.Hall), cmp.Compare(a.ID, b.ID))
 	})
 }
@@ -93,7 +93,7 @@
 
 // updateCells makes the recorded division fit the VMs; losing a race against
 // another entry is no error.
-func updateCells(ctx context.Context, store kv.Store, vms []platform.VM, size int) error {
+func updateCells(ctx context.Context, store kv.Store, vms []inventory.VM, size int) error {
 	e, err := store.Get(ctx, cellsKey)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return err
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -14,7 +14,7 @@
 	"rockcleat/clock"
 	"rockcleat/fleet"
 	"rockcleat/internal/config"
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
@@ -40,7 +40,7 @@
 	// Entries returns the ids of the live entries, this one included.
 	Entries() []string
 	// Backends returns the backend servers' VMs that are not gone.
-	Backends() []platform.VM
+	Backends() []inventory.VM
 	// Version returns the version of the platform's list that this is.
 	Version() uint64
 }
@@ -336,7 +336,7 @@
 	active := slices.Collect(maps.Values(p.active))
 	cells := slices.Clone(p.cells)
 	p.mu.Unlock()
-	vms := make(map[string]platform.VM)
+	vms := make(map[string]inventory.VM)
 	for _, vm := range p.Members.Backends() {
 		vms[vm.ID] = vm
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"rockcleat/fleet"
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/standin/standintest"
 	"rockcleat/internal/wire"
 	"rockcleat/table"
@@ -69,10 +69,10 @@
 	return all
 }
 
-func vms(n int) []platform.VM {
-	var all []platform.VM
+func vms(n int) []inventory.VM {
+	var all []inventory.VM
 	for i := range n {
-		all = append(all, platform.VM{ID: fmt.Sprintf("w%03d", i), Hall: fmt.Sprint(i % 5)})
+		all = append(all, inventory.VM{ID: fmt.Sprintf("w%03d", i), Hall: fmt.Sprint(i % 5)})
 	}
 	return all
 }
--- a/internal/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform holds the clients of the platform's other services: the
-// list of VMs and the catalogue of the weight store.
-package platform
--- a/internal/proofs/once_test.go
+++ b/internal/proofs/once_test.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/lab"
-	"rockcleat/internal/platform"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/wire"
 	"rockcleat/table"
@@ -173,11 +173,11 @@
 	}
 	back := func(b *lab.Backend) {
 		tr.restart(b.Agent)
-		tr.must(tr.SetVM(tr.ctx, b.Agent, platform.RoleBackend, platform.VMLive))
+		tr.must(tr.SetVM(tr.ctx, b.Agent, inventory.RoleBackend, inventory.VMLive))
 		tr.must(tr.AwaitPlaced(tr.ctx))
 	}
 	pick := func() *lab.Backend { return tr.engines()[tr.rng.IntN(len(tr.engines()))] }
-	list := func(b *lab.Backend) { tr.must(tr.SetVM(tr.ctx, b.Agent, platform.RoleBackend, platform.VMLeaving)) }
+	list := func(b *lab.Backend) { tr.must(tr.SetVM(tr.ctx, b.Agent, inventory.RoleBackend, inventory.VMLeaving)) }
 	tr.runSteps([]step{
 		{"the list says leaving", func() {
 			b, began := pick(), time.Now()
@@ -259,9 +259,9 @@
 		return lab.Request{Addr: ready(w + i).Addr, Path: lab.SmallPath, Body: []byte(key), Key: key}, 0
 	})
 	var worst time.Duration
-	roll := func(n *lab.Node, role platform.Role) {
+	roll := func(n *lab.Node, role inventory.Role) {
 		began := time.Now()
-		tr.must(tr.SetVM(tr.ctx, n, role, platform.VMLeaving))
+		tr.must(tr.SetVM(tr.ctx, n, role, inventory.VMLeaving))
 		n.Terminate()
 		code, err := n.Wait(tr.ctx)
 		tr.must(err)
@@ -270,13 +270,13 @@
 		}
 		worst = max(worst, time.Since(began))
 		tr.must(tr.StartNode(tr.ctx, n))
-		tr.must(tr.SetVM(tr.ctx, n, role, platform.VMLive))
+		tr.must(tr.SetVM(tr.ctx, n, role, inventory.VMLive))
 		tr.must(tr.AwaitPlaced(tr.ctx))
 	}
 	tr.runSteps([]step{
-		{"entry stopped", func() { roll(tr.Entries[tr.rng.IntN(3)], platform.RoleEntry) }},
-		{"planning entry stopped", func() { roll(tr.awaitPlanner(), platform.RoleEntry) }},
-		{"agent stopped", func() { roll(tr.engines()[tr.rng.IntN(3)].Agent, platform.RoleBackend) }},
+		{"entry stopped", func() { roll(tr.Entries[tr.rng.IntN(3)], inventory.RoleEntry) }},
+		{"planning entry stopped", func() { roll(tr.awaitPlanner(), inventory.RoleEntry) }},
+		{"agent stopped", func() { roll(tr.engines()[tr.rng.IntN(3)].Agent, inventory.RoleBackend) }},
 		{"agent stopped while the key-value service is out", func() {
 			tr.kvOutage(func() {
 				b := tr.engines()[tr.rng.IntN(3)]
--- a/internal/proofs/promises_test.go
+++ b/internal/proofs/promises_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/internal/engine"
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/lab"
-	"rockcleat/internal/platform"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/wire"
 	"rockcleat/table"
@@ -208,7 +208,7 @@
 	first.Freeze()
 	second, err := tr.SecondAgent(tr.ctx, b)
 	tr.must(err)
-	tr.must(tr.SetVM(tr.ctx, second, platform.RoleBackend, platform.VMLive))
+	tr.must(tr.SetVM(tr.ctx, second, inventory.RoleBackend, inventory.VMLive))
 	tr.until("the second agent is known", func() bool {
 		st, err := tr.Status(tr.ctx, tr.awaitPlanner(), false)
 		return err == nil && knows(st, second.ID, second.Addr)
@@ -217,7 +217,7 @@
 	tr.churn()
 	second.Kill()
 	tr.restart(first)
-	tr.must(tr.SetVM(tr.ctx, first, platform.RoleBackend, platform.VMLive))
+	tr.must(tr.SetVM(tr.ctx, first, inventory.RoleBackend, inventory.VMLive))
 	tr.until("the first agent is known again", func() bool {
 		st, err := tr.Status(tr.ctx, tr.awaitPlanner(), false)
 		return err == nil && knows(st, first.ID, first.Addr)
@@ -286,10 +286,10 @@
 		}},
 		{"server leaves", func() {
 			b := tr.engines()[tr.rng.IntN(len(tr.engines()))]
-			tr.must(tr.SetVM(tr.ctx, b.Agent, platform.RoleBackend, platform.VMLeaving))
+			tr.must(tr.SetVM(tr.ctx, b.Agent, inventory.RoleBackend, inventory.VMLeaving))
 			tr.until("every model has a place off the leaver", func() bool { return tr.placedWithout(b, names) })
 			tr.restart(b.Agent)
-			tr.must(tr.SetVM(tr.ctx, b.Agent, platform.RoleBackend, platform.VMLive))
+			tr.must(tr.SetVM(tr.ctx, b.Agent, inventory.RoleBackend, inventory.VMLive))
 			tr.must(tr.AwaitPlaced(tr.ctx))
 		}},
 	})
--- a/internal/proofs/proxy_test.go
+++ b/internal/proofs/proxy_test.go
@@ -9,8 +9,8 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/lab"
-	"rockcleat/internal/platform"
 )
 
 // A faultProxy stands between others and one address.
@@ -49,7 +49,7 @@
 // control, and tells the platform's list of them.
 func (tr *trial) proxied(b *lab.Backend) (requests, control *faultProxy) {
 	requests, control = tr.proxy(b.Agent.Addr), tr.proxy(b.Agent.Control)
-	tr.must(tr.SetVMAt(tr.ctx, b.Agent, platform.RoleBackend, platform.VMLive, requests.Listen, control.Listen))
+	tr.must(tr.SetVMAt(tr.ctx, b.Agent, inventory.RoleBackend, inventory.VMLive, requests.Listen, control.Listen))
 	tr.until("requests go through the proxy of "+b.Agent.ID, func() bool {
 		for i := range tr.Entries {
 			st, err := tr.Status(tr.ctx, tr.liveEntry(i), false)
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -8,12 +8,12 @@
 
 	"github.com/labstack/echo/v4"
 
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 )
 
 // vmRecord is a VM with when and in which version it changed.
 type vmRecord struct {
-	vm      platform.VM
+	vm      inventory.VM
 	version uint64
 	at      time.Time
 }
@@ -42,7 +42,7 @@
 func (s *VMs) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
 // Set adds a VM to the list or changes it.
-func (s *VMs) Set(vm platform.VM) {
+func (s *VMs) Set(vm inventory.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -50,7 +50,7 @@
 }
 
 func (s *VMs) change(c echo.Context) error {
-	var l platform.VMList
+	var l inventory.VMList
 	if err := c.Bind(&l); err != nil {
 		return err
 	}
@@ -66,8 +66,8 @@
 	visible := time.Now().Add(-s.lag)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.VMList{Version: since}
-	last := make(map[string]platform.VM)
+	l := inventory.VMList{Version: since}
+	last := make(map[string]inventory.VM)
 	for _, r := range s.log {
 		if r.version <= since || r.at.After(visible) {
 			continue
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -8,7 +8,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"rockcleat/internal/platform"
+	"rockcleat/internal/inventory"
 	"rockcleat/placement"
 )
 
@@ -57,11 +57,11 @@
 func (s *Weights) catalogue(c echo.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return c.JSON(http.StatusOK, platform.Catalogue{Sizes: s.sizes})
+	return c.JSON(http.StatusOK, inventory.Catalogue{Sizes: s.sizes})
 }
 
 func (s *Weights) add(c echo.Context) error {
-	var a platform.Catalogue
+	var a inventory.Catalogue
 	if err := c.Bind(&a); err != nil {
 		return err
 	}
--- a/table/routing.go
+++ b/table/routing.go
@@ -89,8 +89,6 @@
 // A Service is a set of like backend servers.
 type Service struct {
 	Name string
-	// MaxConnections is what one server accepts from all callers together.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *EngineSpec
 }
--- a/tools/lab/smoke.go
+++ b/tools/lab/smoke.go
@@ -8,9 +8,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"rockcleat/internal/inventory"
 	"rockcleat/internal/lab"
 	"rockcleat/internal/openai"
-	"rockcleat/internal/platform"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/wire"
 	"rockcleat/table"
@@ -142,7 +142,7 @@
 	if err := lab.Until(ctx, "the stream runs", inProgress); err != nil {
 		return err
 	}
-	if err := t.SetVM(ctx, n, platform.RoleEntry, platform.VMLeaving); err != nil {
+	if err := t.SetVM(ctx, n, inventory.RoleEntry, inventory.VMLeaving); err != nil {
 		return err
 	}
 	n.Terminate()
