Memory is divided among models by a heap; reports wake the placer less often

Ruled out by reading only: loads() and tell(), below 1 ms at that size. Change: the next copy comes from a heap; reports wake the placer every 25 ms at most.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -18,6 +18,8 @@
 // Times of the placer.
 const (
 	tick = 100 * time.Millisecond
+	// wakeEvery is the least time between two steps that reports cause.
+	wakeEvery = 25 * time.Millisecond
 	// gatewaySilence is after how long a gateway's report no longer counts.
 	gatewaySilence = 2 * time.Second
 	// refreshEvery is how often an engine without orders is asked for a report.
@@ -146,8 +148,21 @@
 	return a
 }
 
-// Wake makes the placer look at once at what has been reported.
-func (p *Placer) Wake() { p.step(p.opts.Clock.Now()) }
+// Wake makes the placer look soon at what has been reported; calls that come
+// close together cost one look.
+func (p *Placer) Wake() {
+	now := p.opts.Clock.Now()
+	if p.steppedLately(now) {
+		return
+	}
+	p.step(now)
+}
+
+func (p *Placer) steppedLately(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.stepped) < wakeEvery
+}
 
 // step does whatever is due.
 func (p *Placer) step(now time.Time) {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 
 	"rockcleat/backend"
@@ -92,28 +93,70 @@
 // Copies divides the memory of a number of engines among the models: one copy
 // each, and the rest in proportion to their weights.
 func Copies(spec *table.EngineSpec, wants map[string]Want, engines int) map[string]int {
-	copies := make(map[string]int, len(spec.Models))
 	room := spec.WeightsMB * float64(engines)
+	var next nextCopies
+	for i, m := range spec.Models {
+		room -= m.WeightsMB
+		c := nextCopy{index: i, copies: 1, weight: wants[m.Name].Weight}
+		if c.weight > 0 {
+			next = append(next, c)
+		}
+	}
+	heap.Init(&next)
+	copies := make(map[string]int, len(spec.Models))
 	for _, m := range spec.Models {
 		copies[m.Name] = 1
-		room -= m.WeightsMB
 	}
-	for {
-		best := -1
-		bestShare := 0.0
-		for i, m := range spec.Models {
-			n := copies[m.Name]
-			share := wants[m.Name].Weight / (float64(n) + halfCopy)
-			if n < engines && m.WeightsMB <= room && share > bestShare {
-				best, bestShare = i, share
-			}
-		}
-		if best < 0 {
-			return copies
+	for len(next) > 0 {
+		c := &next[0]
+		m := &spec.Models[c.index]
+		if c.copies >= engines || m.WeightsMB > room {
+			// Room only shrinks, so the model gets no further copy.
+			heap.Pop(&next)
+			continue
 		}
-		copies[spec.Models[best].Name]++
-		room -= spec.Models[best].WeightsMB
+		room -= m.WeightsMB
+		c.copies++
+		copies[m.Name] = c.copies
+		heap.Fix(&next, 0)
 	}
+	return copies
+}
+
+// A nextCopy is what speaks for a further copy of one model.
+type nextCopy struct {
+	index  int
+	copies int
+	weight float64
+}
+
+func (c nextCopy) share() float64 { return c.weight / (float64(c.copies) + halfCopy) }
+
+// nextCopies is a heap of them, the greatest share first.
+type nextCopies []nextCopy
+
+// Len implements heap.Interface.
+func (c nextCopies) Len() int { return len(c) }
+
+// Less implements heap.Interface.
+func (c nextCopies) Less(i, j int) bool {
+	if a, b := c[i].share(), c[j].share(); a != b {
+		return a > b
+	}
+	return c[i].index < c[j].index
+}
+
+// Swap implements heap.Interface.
+func (c nextCopies) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Push implements heap.Interface.
+func (c *nextCopies) Push(x any) { *c = append(*c, x.(nextCopy)) }
+
+// Pop implements heap.Interface.
+func (c *nextCopies) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
 }
 
 // moves looks for a move for each model that has too few copies.
