Places asked for, silent owners and the way the store is watched are told in lines

Cause: with places and relay a late request could not be told by logs alone. TestSilentOwnerIsPassedOver and TestRelayCutOff check that they are told once.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,9 @@
 	Pace Pace
 	// Avoid names servers that are not to be chosen.
 	Avoid []string
+	// Asked counts the places that other gateways were asked for, Denied those that
+	// they did not grant.
+	Asked, Denied int
 	// order is the request's place in the order of arrival; 0 before it has one.
 	order uint64
 }
@@ -83,6 +86,9 @@
 	Memory func(service string) int
 	// Places, if not nil, asks other gateways for places at the engines that they own.
 	Places Places
+	// OwnerSilent, if not nil, is called with the owner that did not answer and is not
+	// asked for a while. It is called with the Dispatcher locked and must not block.
+	OwnerSilent func(owner string, err error)
 	// Missing, if not nil, is called when a request waits for a model or adapter
 	// that no server holds. It is called with the Dispatcher locked and must not block.
 	Missing func()
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -132,6 +132,7 @@
 		return true
 	}
 	r := t.req
+	r.Asked++
 	a, err := d.opts.Places.Ask(ctx, t.owner, PlaceRequest{
 		Server: t.server.ID, Model: r.Model, Adapter: r.Adapter, Parts: r.Parts, Prompt: r.Prompt, Output: r.Output,
 		Pace: r.Pace,
@@ -141,7 +142,7 @@
 	now := d.opts.Clock.Now()
 	if err != nil || !a.Owned {
 		if ctx.Err() == nil {
-			d.silent[t.owner] = now.Add(ownerSilence)
+			d.passOver(t.owner, now, err)
 		}
 		t.release()
 		return false
@@ -152,12 +153,24 @@
 		d.remote[t.server.ID] = remoteLoad{Load: a.Load.less(own), at: now}
 		return true
 	}
+	r.Denied++
 	t.release()
 	d.remote[t.server.ID] = remoteLoad{Load: a.Load.less(t.load.Load), at: now}
 	t.load.deniedUntil = now.Add(time.Duration(a.After) * time.Millisecond)
 	return false
 }
 
+// passOver stops asking an owner for a while.
+func (d *Dispatcher) passOver(owner string, now time.Time, err error) {
+	if now.Before(d.silent[owner]) {
+		return
+	}
+	d.silent[owner] = now.Add(ownerSilence)
+	if d.opts.OwnerSilent != nil {
+		d.opts.OwnerSilent(owner, err)
+	}
+}
+
 // less returns the load without a part of it.
 func (l Load) less(part Load) Load {
 	return Load{
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -23,6 +23,8 @@
 	// silent names gateways that do not answer.
 	silent map[string]bool
 	asked  int
+	// told lists the owners that were told to be silent.
+	told []string
 }
 
 // Ask implements dispatch.Places.
@@ -53,6 +55,7 @@
 	for _, x := range list {
 		d := dispatch.New(dispatch.Options{
 			ID: x.ID, Hall: x.Hall, Clock: c, Fill: 1, Memory: func(string) int { return memory }, Places: g,
+			OwnerSilent: func(owner string, _ error) { g.told = append(g.told, owner) },
 		})
 		d.SetServers(snapshot(servers...))
 		d.SetGateways(list)
@@ -100,7 +103,8 @@
 			before, err := g.dispatchers[test.first].Acquire(context.Background(), reading(c))
 			assert.NilError(t, err)
 			second := g.dispatchers[test.second]
-			got := acquire(second, reading(c))
+			req := reading(c)
+			got := acquire(second, req)
 			poll.WaitOn(t, waiting(second, 1))
 			before.Begun()
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -112,6 +116,7 @@
 					return poll.Continue("no place")
 				}
 			}, poll.WithDelay(time.Millisecond))
+			assert.Assert(t, req.Asked == 0 || req.Asked > req.Denied, "asked %d, denied %d", req.Asked, req.Denied)
 		})
 	}
 }
@@ -131,6 +136,7 @@
 		}
 	}
 	assert.Equal(t, g.askedTimes(), 1)
+	assert.Equal(t, len(g.told), 1)
 	c.Advance(time.Second)
 	for _, d := range g.dispatchers {
 		_, err := d.Acquire(context.Background(), reading(c))
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -7,6 +7,9 @@
 	msgSendFailed = "send failed"
 	msgSentAgain  = "sent again"
 	msgCut        = "answer cut"
+	msgSilent     = "owner silent"
+	msgAlone      = "store watched here"
+	msgHandedOn   = "changes handed on"
 )
 
 // Names of the fields of these lines; docs/OPERATIONS.md lists them with units.
@@ -25,6 +28,8 @@
 	fieldFirst     = "first_s"
 	fieldPause     = "pause_s"
 	fieldEvents    = "events"
+	fieldAsked     = "asked"
+	fieldDenied    = "denied"
 	fieldTotal     = "total_s"
 	fieldLimit     = "limit_s"
 	fieldAge       = "age_s"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,13 +111,13 @@
 	g.gateways.Store(int64(o.Settings.Gateways))
 	g.dispatcher = dispatch.New(dispatch.Options{
 		ID: o.Settings.ID, Hall: o.Settings.Hall, Clock: o.Clock, Fill: fill,
-		Memory: g.memory, Missing: g.wakePeers, Places: placesOf{g},
+		Memory: g.memory, Missing: g.wakePeers, Places: placesOf{g}, OwnerSilent: g.logSilent,
 	})
 	g.lease = lease.New(o.Store, o.Clock, lease.Options{
 		Name: "placer", Holder: o.Settings.ID, Addr: o.Settings.PeerListen, TTL: o.Settings.LeaseTTL.Std(),
 	})
 	g.relay = kv.NewRelay(kv.RelayOptions{
-		Clock: o.Clock, Trust: o.Settings.WatchTime.Std() / 2, IsSource: g.holdsOrders,
+		Clock: o.Clock, Trust: o.Settings.WatchTime.Std() / 2, IsSource: g.holdsOrders, Told: g.logWatch,
 	})
 	g.prefixes = g.relay.For(o.Prefixes, false)
 	g.placer = placer.New(placer.Options{
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -76,6 +76,7 @@
 		zap.Int(fieldSends, x.sends), zap.Int(fieldUnsent, x.unsent),
 		zap.Float64(fieldWaited, x.waited.Seconds()), zap.Float64(fieldFirst, first),
 		zap.Float64(fieldPause, x.longestPause.Seconds()), zap.Int(fieldEvents, x.events),
+		zap.Int(fieldAsked, x.req.Asked), zap.Int(fieldDenied, x.req.Denied),
 		zap.Float64(fieldTotal, now.Sub(x.arrived).Seconds()),
 		zap.Float64(fieldLimit, x.end.Sub(x.arrived).Seconds()),
 	}
@@ -116,6 +117,21 @@
 	g.log.Info(msgCut, zap.String(fieldRequest, x.id), zap.String(fieldLastEvent, x.lastEvent), telemetry.Error(err))
 }
 
+// logSilent tells of a gateway that did not answer when it was asked for a place.
+func (g *Gateway) logSilent(owner string, err error) {
+	g.log.Warn(msgSilent, zap.String("owner", owner), telemetry.Error(err))
+}
+
+// logWatch tells whether changes under a prefix are read from the store or handed
+// on by the holder of orders.
+func (g *Gateway) logWatch(prefix string, direct bool) {
+	msg := msgHandedOn
+	if direct {
+		msg = msgAlone
+	}
+	g.log.Info(msg, zap.String("prefix", prefix))
+}
+
 func (g *Gateway) logRefusedEarly(r *http.Request, f *refusal) {
 	g.log.Info(msgRefused, zap.String(fieldRequest, r.Header.Get(g.names.RequestID)), zap.String(fieldHost, r.Host),
 		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, f.status), zap.String(fieldReason, f.reason))
--- a/kv/relay.go
+++ b/kv/relay.go
@@ -16,6 +16,9 @@
 	// IsSource reports whether this process watches the service for others; it must
 	// be safe for concurrent use.
 	IsSource func() bool
+	// Told, if not nil, is called when watches of a prefix begin to go to the service,
+	// or begin to be answered from what was handed on.
+	Told func(prefix string, direct bool)
 }
 
 // Pace of watches of the service itself.
@@ -55,6 +58,8 @@
 	asOf time.Time
 	// busy is when the service last told changes.
 	busy time.Time
+	// handedOn tells that watches are answered from what was handed on.
+	handedOn bool
 	// changed is closed when any of this changes.
 	changed chan struct{}
 }
@@ -247,6 +252,7 @@
 		if len(events) > 0 {
 			return events, at, nil
 		}
+		v.relay.note(prefix, left > 0)
 		if left <= 0 {
 			return v.watch(ctx, prefix, after, wait)
 		}
@@ -259,6 +265,20 @@
 	return nil, after, ctx.Err()
 }
 
+// note tells when the way in which a prefix is watched changes.
+func (r *Relay) note(prefix string, handedOn bool) {
+	r.mu.Lock()
+	t := r.topics[prefix]
+	differs := t != nil && t.handedOn != handedOn
+	if differs {
+		t.handedOn = handedOn
+	}
+	r.mu.Unlock()
+	if differs && r.opts.Told != nil {
+		r.opts.Told(prefix, !handedOn)
+	}
+}
+
 // look returns the changes known after a revision and for how long watches from
 // there may be answered without the service.
 func (r *Relay) look(prefix string, after Revision) (events []Event, at Revision, left time.Duration, changed chan struct{}) {
--- a/kv/relay_test.go
+++ b/kv/relay_test.go
@@ -27,6 +27,8 @@
 	sourceSees     *mirror
 	otherSees      *mirror
 	sourceIsSource atomic.Bool
+	// alone is whether the second process was last told to watch by itself.
+	alone atomic.Bool
 }
 
 // watchCounter counts the watches that reach the service.
@@ -54,7 +56,9 @@
 	p := &relayPair{store: standin.NewMemoryStore(clock.Real{}), sourceSees: &mirror{}, otherSees: &mirror{}}
 	p.sourceIsSource.Store(true)
 	p.source = kv.NewRelay(kv.RelayOptions{Clock: clock.Real{}, Trust: trust, IsSource: p.sourceIsSource.Load})
-	p.other = kv.NewRelay(kv.RelayOptions{Clock: clock.Real{}, Trust: trust, IsSource: func() bool { return false }})
+	p.other = kv.NewRelay(kv.RelayOptions{Clock: clock.Real{}, Trust: trust, IsSource: func() bool { return false },
+		Told: func(_ string, direct bool) { p.alone.Store(direct) },
+	})
 	p.store.Set("a/1", []byte("1"))
 	go kv.Follow(ctx, p.source.For(p.store, false), "a/", time.Second, p.sourceSees)
 	p.direct = &watchCounter{PrefixStore: p.store}
@@ -109,6 +113,12 @@
 			cut(p)
 			p.store.Set("a/2", []byte("2"))
 			poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "1", "a/2": "2"}))
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if !p.alone.Load() {
+					return poll.Continue("not told")
+				}
+				return poll.Success()
+			})
 		})
 	}
 }
