--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -36,6 +36,8 @@
 	Ended(route, outcome string, first, total float64)
 	// Sent counts a send to a backend server; repeat tells that it was not the first.
 	Sent(service string, repeat bool)
+	// Places counts places asked of other gateways, and those not granted.
+	Places(asked, denied int)
 }
 
 type noMetrics struct{}
@@ -43,6 +45,7 @@
 func (noMetrics) Handler() http.Handler                  { return http.NotFoundHandler() }
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
+func (noMetrics) Places(int, int)                        {}
 
 // ended records what became of a request. Answered ones are logged up to a rate;
 // those left out are counted in the next line.
@@ -53,6 +56,9 @@
 		first = x.firstByte.Sub(x.arrived).Seconds()
 	}
 	g.metrics.Ended(x.route.Name, x.outcome, first, now.Sub(x.arrived).Seconds())
+	if x.req.Asked > 0 {
+		g.metrics.Places(x.req.Asked, x.req.Denied)
+	}
 	if x.outcome == outcomeAnswered && !g.answeredLines.Allow() {
 		g.leftOut.Add(1)
 		return
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -32,6 +32,7 @@
 	total    metric.Float64Histogram
 	sends    metric.Int64Counter
 	calls    metric.Int64Counter
+	places   metric.Int64Counter
 
 	mu     sync.Mutex
 	routes map[string]bool
@@ -58,6 +59,7 @@
 	m.total = m.histogram(b, "rockcleat.gateway.duration", "Time from a request's arrival to the end of its answer.")
 	m.sends = b.counter("rockcleat.gateway.sends", "Requests sent to backend servers.")
 	m.calls = b.counter("rockcleat.gateway.store_calls", "Calls to the platform's store by kind.")
+	m.places = b.counter("rockcleat.gateway.places", "Places at engines asked of other gateways, by result.")
 	return m, b.err
 }
 
@@ -93,6 +95,14 @@
 	m.sends.Add(context.Background(), 1, m.set("service", service, "kind", kind))
 }
 
+// Places counts the places that other gateways were asked for, and those of them
+// that they did not grant.
+func (m *GatewayMetrics) Places(asked, denied int) {
+	ctx := context.Background()
+	m.places.Add(ctx, int64(asked-denied), m.set("result", "other", "", ""))
+	m.places.Add(ctx, int64(denied), m.set("result", "denied", "", ""))
+}
+
 // StoreCall counts a call to the platform's store.
 func (m *GatewayMetrics) StoreCall(kind string) {
 	m.calls.Add(context.Background(), 1, m.set("kind", kind, "", ""))
