--- a/backend/backend.go
+++ b/backend/backend.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,8 +62,12 @@
 type Snapshot struct {
 	servers   map[string]*Server
 	byService map[string][]*Server
+	byModel   map[modelKey][]*Server
 }
 
+// A modelKey names a model of one service.
+type modelKey struct{ service, model string }
+
 // Server returns a server by its id.
 func (s *Snapshot) Server(id string) (*Server, bool) {
 	srv, ok := s.servers[id]
@@ -72,6 +77,15 @@
 // Service returns the servers of a service in the order of their ids.
 func (s *Snapshot) Service(name string) []*Server { return s.byService[name] }
 
+// Holding returns the servers of a service that hold a model, in the order of their
+// ids; all of them for the empty name.
+func (s *Snapshot) Holding(service, model string) []*Server {
+	if model == "" {
+		return s.byService[service]
+	}
+	return s.byModel[modelKey{service: service, model: model}]
+}
+
 // Len returns the number of servers.
 func (s *Snapshot) Len() int { return len(s.servers) }
 
@@ -141,27 +155,55 @@
 	r.vanished[s.ID] = vanished{Server: s, when: now}
 }
 
-// Update sets one server at a time.
-func (r *Registry) Update(s Server, now time.Time) {
+// A Change is a server that came or changed, or one that is no longer listed.
+type Change struct {
+	Server
+	// Gone tells that the server is no longer listed; only its ID counts then.
+	Gone bool
+}
+
+// Apply takes changes of the list at a time, in their order.
+func (r *Registry) Apply(changes []Change, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.listed == nil {
 		r.listed = make(map[string]Server)
 	}
-	r.listed[s.ID] = s
-	delete(r.vanished, s.ID)
-	r.rebuild(now)
+	differs := false
+	for _, c := range changes {
+		old, known := r.listed[c.ID]
+		differs = differs || c.Gone || !known || r.matters(old, c.Server)
+		if c.Gone {
+			if known {
+				r.vanish(old, now)
+			}
+			delete(r.listed, c.ID)
+			continue
+		}
+		r.listed[c.ID] = c.Server
+		delete(r.vanished, c.ID)
+	}
+	if differs {
+		r.rebuild(now)
+	}
 }
 
+// matters reports whether a server's new record shows in a snapshot: what it holds
+// does not while the holder of orders tells that.
+func (r *Registry) matters(old, s Server) bool {
+	if _, told := r.residency[s.ID]; !told {
+		return true
+	}
+	return old.Service != s.Service || old.Addr != s.Addr || old.Hall != s.Hall || old.Slots != s.Slots ||
+		old.Leaving != s.Leaving
+}
+
+// Update sets one server at a time.
+func (r *Registry) Update(s Server, now time.Time) { r.Apply([]Change{{Server: s}}, now) }
+
 // Remove tells that a server is no longer listed at a time.
 func (r *Registry) Remove(id string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s, ok := r.listed[id]; ok {
-		r.vanish(s, now)
-	}
-	delete(r.listed, id)
-	r.rebuild(now)
+	r.Apply([]Change{{Server: Server{ID: id}, Gone: true}}, now)
 }
 
 // SetResidency takes the word of the holder of orders at a time.
@@ -244,21 +286,22 @@
 	for _, s := range r.listed {
 		all = append(all, s)
 	}
-	s := &Snapshot{servers: make(map[string]*Server, len(all)), byService: make(map[string][]*Server)}
-	for _, srv := range all {
+	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	s := &Snapshot{
+		servers: make(map[string]*Server, len(all)), byService: make(map[string][]*Server),
+		byModel: make(map[modelKey][]*Server),
+	}
+	for i := range all {
+		srv := &all[i]
 		if word, ok := r.residency[srv.ID]; ok {
 			srv.Residents = word.Residents
 		}
-		s.servers[srv.ID] = &srv
-		s.byService[srv.Service] = append(s.byService[srv.Service], &srv)
-	}
-	for _, list := range s.byService {
-		slices.SortFunc(list, func(a, b *Server) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		s.servers[srv.ID] = srv
+		s.byService[srv.Service] = append(s.byService[srv.Service], srv)
+		for _, m := range srv.Residents {
+			key := modelKey{service: srv.Service, model: m.Model}
+			s.byModel[key] = append(s.byModel[key], srv)
+		}
 	}
 	r.snapshot.Store(s)
 }
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -94,3 +94,52 @@
 	srv, _ = r.Snapshot().Server("s0")
 	assert.Assert(t, srv.Holds("listed", ""), "a holder that is silent is not believed for long")
 }
+
+// TestChangesThatDoNotShow checks that what the list says a server holds does not
+// make a new snapshot while the holder of orders tells it, and that it is not lost.
+func TestChangesThatDoNotShow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r backend.Registry
+	list := servers(2)
+	r.Replace(list, now)
+	r.SetResidency(map[string]backend.Residency{"s0": {Residents: []backend.Resident{{Model: "told"}}}}, now)
+	before := r.Snapshot()
+	s := list[0]
+	s.Residents = []backend.Resident{{Model: "listed"}}
+	r.Apply([]backend.Change{{Server: s}}, now)
+	assert.Assert(t, r.Snapshot() == before)
+	s.Leaving = true
+	r.Apply([]backend.Change{{Server: s}}, now)
+	srv, _ := r.Snapshot().Server("s0")
+	assert.Assert(t, srv.Leaving && srv.Holds("told", ""))
+	r.Expire(now.Add(time.Minute))
+	srv, _ = r.Snapshot().Server("s0")
+	assert.Assert(t, srv.Holds("listed", ""))
+}
+
+func TestHolding(t *testing.T) {
+	var r backend.Registry
+	list := servers(3)
+	list[0].Residents = []backend.Resident{{Model: "a"}, {Model: "b"}}
+	list[2].Residents = []backend.Resident{{Model: "a"}}
+	r.Replace(list, time.Unix(1000, 0))
+	tests := map[string]struct {
+		service, model string
+		want           []string
+	}{
+		"two hold it":     {service: "app", model: "a", want: []string{"s0", "s2"}},
+		"one holds it":    {service: "app", model: "b", want: []string{"s0"}},
+		"nobody holds it": {service: "app", model: "c"},
+		"another service": {service: "x", model: "a"},
+		"no model":        {service: "app", want: []string{"s0", "s1", "s2"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			for _, s := range r.Snapshot().Holding(test.service, test.model) {
+				got = append(got, s.ID)
+			}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -241,7 +241,7 @@
 	memory := d.opts.Memory(r.Service)
 	limits := Limits{Pace: r.Pace, Fill: d.opts.Fill}
 	now := d.opts.Clock.Now()
-	for _, s := range d.servers.Service(r.Service) {
+	for _, s := range d.servers.Holding(r.Service, r.Model) {
 		if s.Leaving || slices.Contains(r.Avoid, s.ID) || r.Model != "" && !s.Holds(r.Model, r.Adapter) {
 			continue
 		}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -70,7 +70,7 @@
 // holders returns how many servers that stay have the model and adapter ready.
 func (d *Dispatcher) holders(r *Request) int {
 	n := 0
-	for _, s := range d.servers.Service(r.Service) {
+	for _, s := range d.servers.Holding(r.Service, r.Model) {
 		if !s.Leaving && (r.Model == "" || s.Holds(r.Model, r.Adapter)) {
 			n++
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -14,16 +14,23 @@
 // Replace implements kv.Follower.
 func (f *configFollower) Replace(entries []kv.Entry) {
 	for _, e := range entries {
-		f.Apply(kv.Event{Entry: e})
+		f.take(e)
 	}
 }
 
 // Apply implements kv.Follower.
-func (f *configFollower) Apply(e kv.Event) {
-	if e.Deleted || e.Entry.Key != f.g.decoder.ConfigKey() {
-		return
+func (f *configFollower) Apply(events []kv.Event) {
+	for _, e := range events {
+		if !e.Deleted {
+			f.take(e.Entry)
+		}
+	}
+}
+
+func (f *configFollower) take(e kv.Entry) {
+	if e.Key == f.g.decoder.ConfigKey() {
+		f.g.offerConfig(e.Value, "store")
 	}
-	f.g.offerConfig(e.Entry.Value, "store")
 }
 
 // Lost implements kv.Follower.
@@ -74,26 +81,35 @@
 }
 
 // Apply implements kv.Follower.
-func (f *serverFollower) Apply(e kv.Event) {
+func (f *serverFollower) Apply(events []kv.Event) {
+	changes := make([]backend.Change, 0, len(events))
+	for _, e := range events {
+		if c, ok := f.change(e); ok {
+			changes = append(changes, c)
+		}
+	}
+	f.g.registry.Apply(changes, f.g.clock.Now())
+	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
+}
+
+// change decodes a change of one server and tells of it.
+func (f *serverFollower) change(e kv.Event) (backend.Change, bool) {
 	id := f.g.decoder.ServerID(e.Entry.Key)
 	if e.Deleted {
-		f.g.registry.Remove(id, f.g.clock.Now())
 		f.g.log.Info("server gone", zap.String("server", id))
-		f.g.dispatcher.SetServers(f.g.registry.Snapshot())
-		return
+		return backend.Change{Server: backend.Server{ID: id}, Gone: true}, true
 	}
 	s, err := f.g.decoder.Server(e.Entry.Key, e.Entry.Value)
 	if err != nil {
 		f.g.log.Error("server not understood", zap.String("key", e.Entry.Key), telemetry.Error(err))
-		return
+		return backend.Change{}, false
 	}
 	old, known := f.g.registry.Snapshot().Server(id)
 	if !known || old.Leaving != s.Leaving {
 		f.g.log.Info("server seen", zap.String("server", id), zap.String("service", s.Service),
 			zap.String("addr", s.Addr), zap.Bool("leaving", s.Leaving))
 	}
-	f.g.registry.Update(s, f.g.clock.Now())
-	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
+	return backend.Change{Server: s}, true
 }
 
 // Lost implements kv.Follower.
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -16,10 +16,11 @@
 func (p *Placer) act(e *engine, spec *table.EngineSpec, now time.Time) {
 	switch {
 	case e.calling:
-	case !e.known && !now.Before(e.nextReport):
-		p.askReport(e, spec)
-	case !e.nextReport.IsZero() && !now.Before(e.nextReport):
-		p.askReport(e, spec)
+	case (!e.known || !e.nextReport.IsZero()) && !now.Before(e.nextReport):
+		if p.asked < maxAsked {
+			p.asked++
+			p.askReport(e, spec)
+		}
 	case e.known && len(e.pending) > 0 && !e.given && !now.Before(e.earliest):
 		p.give(e, spec)
 	}
@@ -50,7 +51,7 @@
 		e.nextReport = now.Add(pollEvery / 2)
 		return
 	}
-	e.nextReport = now.Add(refreshEvery)
+	e.nextReport = now.Add(p.refreshTime())
 	if r.Busy {
 		e.nextReport = now.Add(pollEvery)
 		if len(e.pending) == 0 {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -22,8 +22,16 @@
 	wakeEvery = 25 * time.Millisecond
 	// gatewaySilence is after how long a gateway's report no longer counts.
 	gatewaySilence = 2 * time.Second
-	// refreshEvery is how often an engine without orders is asked for a report.
+	// refreshEvery is how often an engine without orders is asked for a report, with
+	// up to paceEngines of them; with more of them it is done less often.
 	refreshEvery = 6 * time.Second
+	// paceEngines is the number of engines up to which all of them are looked at at
+	// the full pace.
+	paceEngines = 100
+	// maxAsked bounds the reports asked for in one step.
+	maxAsked = 30
+	// tellEvery is the least time between two looks at what engines hold, for gateways.
+	tellEvery = 25 * time.Millisecond
 )
 
 // firstSettle is how long the first holder waits, so that the servers have told
@@ -82,7 +90,16 @@
 	denial  denial
 	denied  time.Duration
 	engines map[string]*engine
-	demand  *demand
+	// followed is the snapshot that engines and services were last taken from.
+	followed *backend.Snapshot
+	routed   uint64
+	// services holds the engines of each service in the order of their ids.
+	services map[string][]*engine
+	// planned is when each service's models were last planned.
+	planned map[string]time.Time
+	// asked counts the reports asked for in this step.
+	asked  int
+	demand *demand
 	// missing tells since when adapters that no engine holds have been waited for.
 	missing map[backend.Adapter]time.Time
 	budget  float64
@@ -92,6 +109,7 @@
 	// that changed last.
 	told    map[string]backend.Residency
 	changed map[string]int64
+	toldAt  time.Time
 	stop    func()
 	ctx     context.Context
 	done    context.CancelFunc
@@ -136,7 +154,9 @@
 	}
 	now := p.opts.Clock.Now()
 	p.demand.take(r, now)
-	p.tell(now)
+	if now.Sub(p.toldAt) >= tellEvery {
+		p.tell(now)
+	}
 	a := Answer{Held: true, Term: int64(p.token), Loads: p.demand.loads(r.From), Version: p.version}
 	list, known := p.demand.list()
 	a.Known = known
@@ -181,6 +201,7 @@
 		return
 	}
 	p.stepped = now
+	p.asked = 0
 	p.demand.step(by)
 	p.demand.forget(now, gatewaySilence)
 	routing := p.opts.Routing()
@@ -253,6 +274,7 @@
 	p.opts.Log.Info("orders lost", zap.Int64("token", int64(p.token)))
 	p.token = 0
 	p.engines = make(map[string]*engine)
+	p.followed = nil
 	p.demand = newDemand()
 	p.told = nil
 }
@@ -267,6 +289,7 @@
 	}
 	p.version = int64(token) << versionBits
 	p.changed = make(map[string]int64)
+	p.planned = make(map[string]time.Time)
 }
 
 // versionBits is the part of a residency's version that counts changes; the
@@ -275,6 +298,11 @@
 
 // follow adds the engines that have come and drops those that have gone.
 func (p *Placer) follow(s *backend.Snapshot, routing *table.Routing) {
+	if s == p.followed && routing.Version() == p.routed {
+		return
+	}
+	p.followed, p.routed = s, routing.Version()
+	p.services = make(map[string][]*engine)
 	for id := range p.engines {
 		if _, ok := s.Server(id); !ok {
 			delete(p.engines, id)
@@ -285,11 +313,13 @@
 			continue
 		}
 		for _, srv := range s.Service(service.Name) {
-			if e := p.engines[srv.ID]; e != nil {
-				e.server = srv
-				continue
+			e := p.engines[srv.ID]
+			if e == nil {
+				e = newEngine(srv)
+				p.engines[srv.ID] = e
 			}
-			p.engines[srv.ID] = newEngine(srv)
+			e.server = srv
+			p.services[service.Name] = append(p.services[service.Name], e)
 		}
 	}
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -26,28 +26,32 @@
 
 // serve plans for one service and does what is due at its engines.
 func (p *Placer) serve(s table.Service, now time.Time) {
-	list := p.enginesOf(s.Name)
+	list := p.services[s.Name]
 	p.planAdapters(s, list, now)
-	p.planModels(s, list, now)
+	if now.Sub(p.planned[s.Name]) >= planEvery(len(list)) {
+		p.planned[s.Name] = now
+		p.planModels(s, list, now)
+	}
 	for _, e := range list {
 		p.act(e, s.Engine, now)
 	}
 }
 
-func (p *Placer) enginesOf(service string) []*engine {
-	var list []*engine
-	for _, e := range p.engines {
-		if e.server.Service == service {
-			list = append(list, e)
-		}
+// slowPlan is the longest time between two plans of a service.
+const slowPlan = time.Second
+
+// planEvery returns the time between two plans for a number of engines: a plan
+// costs as much more as there are engines.
+func planEvery(engines int) time.Duration {
+	if engines <= paceEngines {
+		return 0
 	}
-	slices.SortFunc(list, func(a, b *engine) int {
-		if a.server.ID < b.server.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return min(tick*time.Duration(engines/paceEngines), slowPlan)
+}
+
+// refreshTime returns the time between two reports of an engine without orders.
+func (p *Placer) refreshTime() time.Duration {
+	return refreshEvery * time.Duration(max(1, len(p.engines)/paceEngines))
 }
 
 func views(list []*engine, now time.Time) []residency.Engine {
--- a/internal/placer/tell.go
+++ b/internal/placer/tell.go
@@ -9,6 +9,7 @@
 
 // tell makes a new version of what gateways are told, if it differs.
 func (p *Placer) tell(now time.Time) {
+	p.toldAt = now
 	told := make(map[string]backend.Residency, len(p.engines))
 	next := p.version + 1
 	for id, e := range p.engines {
--- a/kv/follow.go
+++ b/kv/follow.go
@@ -11,8 +11,8 @@
 type Follower interface {
 	// Replace takes all entries; whatever is not among them is gone.
 	Replace(entries []Entry)
-	// Apply takes one change.
-	Apply(e Event)
+	// Apply takes changes in their order.
+	Apply(events []Event)
 	// Lost tells that the service cannot be heard, Heard that it was.
 	Lost(err error)
 	Heard()
@@ -58,8 +58,8 @@
 		pause = firstPause
 		at = next
 		f.Heard()
-		for _, e := range events {
-			f.Apply(e)
+		if len(events) > 0 {
+			f.Apply(events)
 		}
 	}
 }
--- a/kv/follow_test.go
+++ b/kv/follow_test.go
@@ -33,14 +33,16 @@
 	}
 }
 
-func (m *mirror) Apply(e kv.Event) {
+func (m *mirror) Apply(events []kv.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if e.Deleted {
-		delete(m.keys, e.Entry.Key)
-		return
+	for _, e := range events {
+		if e.Deleted {
+			delete(m.keys, e.Entry.Key)
+			continue
+		}
+		m.keys[e.Entry.Key] = string(e.Entry.Value)
 	}
-	m.keys[e.Entry.Key] = string(e.Entry.Value)
 }
 
 func (m *mirror) Lost(error) {
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -75,15 +75,16 @@
 }
 
 // Apply implements kv.Follower.
-func (w *watcher) Apply(e kv.Event) {
-	if e.Entry.Key != w.holder.Key() {
-		return
-	}
-	if e.Deleted {
-		w.signal()
-		return
+func (w *watcher) Apply(events []kv.Event) {
+	for _, e := range events {
+		switch {
+		case e.Entry.Key != w.holder.Key():
+		case e.Deleted:
+			w.signal()
+		default:
+			w.holder.setOther(e.Entry)
+		}
 	}
-	w.holder.setOther(e.Entry)
 }
 
 // Lost implements kv.Follower.
