What does not matter to others is not handed on; gateways hear of the busiest servers only

Change: a relay leaves out changes that leave an entry's digest as it was (of a server all but what it holds, which the holder of orders tells); whoever watches the store again lists it first. With more than 64 loaded servers gateways are told of the 64 busiest; a cost of their own spreads their choices among the others, whose owners tell them more. Sums of loads are kept, not made for each report. Tests: TestRelayLeavesOutWhatDoesNotMatter, TestLoadsAddUp, TestOnlyTheBusiestAreTold.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -16,6 +16,8 @@
 	otherShare = 0.6
 	// msSuspect is the cost of a server that failed or was silent lately.
 	msSuspect = 2000.0
+	// msSpread bounds the cost by which gateways' choices differ.
+	msSpread = 20.0
 	// msPlainRun is what one running request adds at a plain service.
 	msPlainRun = 10.0
 )
@@ -48,6 +50,9 @@
 	// Asked tells that the engine's owner is another gateway, which is asked for the
 	// place before the request is sent.
 	Asked bool
+	// Spread is a cost that differs from gateway to gateway, in milliseconds, so that
+	// they do not all send to the same one of many servers whose loads they do not know.
+	Spread float64
 	// Failure is the server's recent share of failures, 0 to 1.
 	Failure float64
 	// Silent tells that the server owes answers and has said nothing for long.
@@ -112,7 +117,7 @@
 	if c.Silent {
 		ms += msSuspect
 	}
-	return ms + c.Failure*msSuspect
+	return ms + c.Spread + c.Failure*msSuspect
 }
 
 // Choose returns the index of the best candidate that fits, or -1.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,10 +98,12 @@
 type Dispatcher struct {
 	opts Options
 
-	mu       sync.Mutex
-	servers  *backend.Snapshot
-	loads    map[string]*load
-	remote   map[string]remoteLoad
+	mu      sync.Mutex
+	servers *backend.Snapshot
+	loads   map[string]*load
+	remote  map[string]remoteLoad
+	// partial tells that remote holds the busiest servers only.
+	partial  bool
 	waiting  []*waiter
 	demand   map[string]*Demand
 	speeds   speeds
@@ -173,11 +175,13 @@
 	d.serve()
 }
 
-// SetRemote takes what other processes have at the servers.
-func (d *Dispatcher) SetRemote(remote map[string]Load) {
+// SetRemote takes what other processes have at the servers; partial tells that it
+// is told of the busiest servers only.
+func (d *Dispatcher) SetRemote(remote map[string]Load, partial bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Now()
+	d.partial = partial
 	d.remote = make(map[string]remoteLoad, len(remote))
 	for id, l := range remote {
 		d.remote[id] = remoteLoad{Load: l, at: now}
@@ -273,6 +277,9 @@
 	}
 	c.Asked = !c.Own && r.Model != "" && d.asks(d.ownerOf(s), now)
 	d.addLoads(&c, l, s.ID, now)
+	if _, known := d.remote[s.ID]; d.partial && !known && !c.Own {
+		c.Spread = d.spread(s.ID)
+	}
 	if r.Model != "" {
 		c.Tokens = max(r.Prompt-l.kept.kept(r.name(), r.Parts), 0)
 		c.Read = d.speeds.reading(r.Model, c.Tokens)
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -42,6 +43,12 @@
 	return owner
 }
 
+// spread returns this gateway's own part of a server's cost, in milliseconds.
+func (d *Dispatcher) spread(server string) float64 {
+	weight := route.Rendezvous(d.opts.ID, route.Hash(server))
+	return msSpread * float64(weight) / math.MaxUint64
+}
+
 // asks reports whether a gateway is to be asked for places now.
 func (d *Dispatcher) asks(owner string, now time.Time) bool {
 	return d.opts.Places != nil && len(d.gateways) > 0 && !now.Before(d.silent[owner])
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+	"hash/fnv"
+
 	"go.uber.org/zap"
 
 	"rockcleat/backend"
@@ -118,6 +121,21 @@
 // Heard implements kv.Follower.
 func (f *serverFollower) Heard() { f.g.storeHeard() }
 
+// digest returns a digest of what other gateways need to know of an entry: of a
+// server all but what it holds, since the holder of orders tells that.
+func (g *Gateway) digest(prefix string, e kv.Entry) uint64 {
+	if prefix != g.decoder.ServerPrefix() {
+		return uint64(e.Revision)
+	}
+	s, err := g.decoder.Server(e.Key, e.Value)
+	if err != nil {
+		return uint64(e.Revision)
+	}
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%s\x00%d\x00%t", s.Service, s.Addr, s.Hall, s.Slots, s.Leaving)
+	return h.Sum64()
+}
+
 func (g *Gateway) storeLost(err error) {
 	if g.ctx.Err() == nil && !g.storeDown.Swap(true) {
 		g.log.Warn("store lost", telemetry.Error(err))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,7 @@
 	})
 	g.relay = kv.NewRelay(kv.RelayOptions{
 		Clock: o.Clock, Trust: o.Settings.WatchTime.Std() / 2, IsSource: g.holdsOrders, Told: g.logWatch,
+		Digest: g.digest,
 	})
 	g.prefixes = g.relay.For(o.Prefixes, false)
 	g.placer = placer.New(placer.Options{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -236,7 +236,7 @@
 		p.takeGateways(a.Gateways)
 	}
 	p.g.dispatcher.SetServers(p.g.registry.Snapshot())
-	p.g.dispatcher.SetRemote(a.Loads)
+	p.g.dispatcher.SetRemote(a.Loads, a.Partial)
 }
 
 // remember keeps what the holder knows now. A new holder was told only what has
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -46,12 +46,14 @@
 	tokens map[string]float64
 	rates  map[string]*rate
 	used   map[backend.Adapter]time.Time
+	// loads sums up what gateways have at servers.
+	loads loads
 }
 
 func newDemand() *demand {
 	return &demand{
 		gateways: make(map[string]*gateway), tokens: make(map[string]float64),
-		rates: make(map[string]*rate), used: make(map[backend.Adapter]time.Time),
+		rates: make(map[string]*rate), used: make(map[backend.Adapter]time.Time), loads: newLoads(),
 	}
 }
 
@@ -60,11 +62,16 @@
 func (d *demand) take(r Report, now time.Time) {
 	g := d.gateways[r.From]
 	if g == nil || r.Full {
+		if g != nil {
+			d.loads.replace(g.report.Loads, nil)
+		}
 		g = &gateway{demands: make(map[string]dispatch.Demand)}
 		d.gateways[r.From] = g
+		d.loads.replace(nil, r.Loads)
 		g.take(r, now)
 		return
 	}
+	d.loads.replace(g.report.Loads, r.Loads)
 	for name, x := range r.Demands {
 		before := g.demands[name]
 		if x.Arrived < before.Arrived {
@@ -129,6 +136,7 @@
 func (d *demand) forget(now time.Time, after time.Duration) {
 	for id, g := range d.gateways {
 		if now.Sub(g.heard) > after {
+			d.loads.replace(g.report.Loads, nil)
 			delete(d.gateways, id)
 		}
 	}
@@ -150,24 +158,6 @@
 	return out
 }
 
-// loads returns what all gateways but one have at each server.
-func (d *demand) loads(but string) map[string]dispatch.Load {
-	out := make(map[string]dispatch.Load)
-	for id, g := range d.gateways {
-		if id == but {
-			continue
-		}
-		for server, l := range g.report.Loads {
-			sum := out[server]
-			sum.Running += l.Running
-			sum.Reading += l.Reading
-			sum.Used += l.Used
-			out[server] = sum
-		}
-	}
-	return out
-}
-
 // adapters returns the adapters waited for, and how many requests use each.
 func (d *demand) adapters(service string) (waited []backend.Adapter, running map[backend.Adapter]int) {
 	seen := make(map[backend.Adapter]bool)
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -105,11 +105,16 @@
 
 // view returns the engine as a plan sees it.
 func (e *engine) view(now time.Time) residency.Engine {
-	fresh := make(map[string]bool, len(e.fresh))
+	var fresh map[string]bool
 	for model, since := range e.fresh {
-		if now.Sub(since) < freshTime {
-			fresh[model] = true
+		if now.Sub(since) >= freshTime {
+			delete(e.fresh, model)
+			continue
+		}
+		if fresh == nil {
+			fresh = make(map[string]bool)
 		}
+		fresh[model] = true
 	}
 	return residency.Engine{
 		ID: e.server.ID, Hall: e.server.Hall, Residents: e.planned(), Idle: e.idle(), Leaving: e.server.Leaving,
--- /dev/null
+++ b/internal/placer/loads.go
@@ -0,0 +1,92 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"rockcleat/dispatch"
+)
+
+// maxTold bounds the servers whose load is told to a gateway: with more of them it
+// hears of the busiest, and learns of the others when it asks for places.
+const maxTold = 64
+
+// busiestEvery is how often the busiest servers are looked for.
+const busiestEvery = 100 * time.Millisecond
+
+// A loads sums up what gateways have at servers.
+type loads struct {
+	total map[string]dispatch.Load
+	// busiest are the servers that are told of when there are more than maxTold.
+	busiest []string
+	ranked  time.Time
+}
+
+func newLoads() loads { return loads{total: make(map[string]dispatch.Load)} }
+
+// replace takes out what a gateway had and adds what it has now.
+func (l *loads) replace(before, now map[string]dispatch.Load) {
+	for id, x := range before {
+		sum := l.total[id]
+		sum.Running -= x.Running
+		sum.Reading -= x.Reading
+		sum.Used -= x.Used
+		if sum == (dispatch.Load{}) {
+			delete(l.total, id)
+			continue
+		}
+		l.total[id] = sum
+	}
+	for id, x := range now {
+		sum := l.total[id]
+		sum.Running += x.Running
+		sum.Reading += x.Reading
+		sum.Used += x.Used
+		l.total[id] = sum
+	}
+}
+
+// but returns what others than the gateway with these loads have at the servers,
+// and whether only the busiest are told.
+func (l *loads) but(own map[string]dispatch.Load, now time.Time) (others map[string]dispatch.Load, partial bool) {
+	others = make(map[string]dispatch.Load, min(len(l.total), maxTold))
+	if len(l.total) <= maxTold {
+		for id := range l.total {
+			l.addOthers(others, id, own[id])
+		}
+		return others, false
+	}
+	l.rank(now)
+	for _, id := range l.busiest {
+		l.addOthers(others, id, own[id])
+	}
+	return others, true
+}
+
+func (l *loads) addOthers(others map[string]dispatch.Load, id string, own dispatch.Load) {
+	sum := l.total[id]
+	sum.Running -= own.Running
+	sum.Reading -= own.Reading
+	sum.Used -= own.Used
+	if sum != (dispatch.Load{}) {
+		others[id] = sum
+	}
+}
+
+// rank finds the servers with the most running requests.
+func (l *loads) rank(now time.Time) {
+	if now.Sub(l.ranked) < busiestEvery {
+		return
+	}
+	l.ranked = now
+	l.busiest = l.busiest[:0]
+	for id := range l.total {
+		l.busiest = append(l.busiest, id)
+	}
+	slices.SortFunc(l.busiest, func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.total[b].Running, l.total[a].Running), strings.Compare(a, b))
+	})
+	l.busiest = l.busiest[:min(len(l.busiest), maxTold)]
+}
--- /dev/null
+++ b/internal/placer/loads_test.go
@@ -0,0 +1,61 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rockcleat/dispatch"
+)
+
+// TestLoadsAddUp replaces gateways' loads in any order and compares with their sum.
+func TestLoadsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLoads()
+		had := make(map[int]map[string]dispatch.Load)
+		for range rapid.IntRange(1, 30).Draw(t, "reports") {
+			g := rapid.IntRange(0, 3).Draw(t, "gateway")
+			now := make(map[string]dispatch.Load)
+			for range rapid.IntRange(0, 4).Draw(t, "servers") {
+				id := fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "server"))
+				now[id] = dispatch.Load{Running: rapid.IntRange(1, 9).Draw(t, "running"), Used: 10}
+			}
+			l.replace(had[g], now)
+			had[g] = now
+		}
+		others, partial := l.but(had[0], time.Unix(1000, 0))
+		assert.Assert(t, !partial)
+		want := make(map[string]dispatch.Load)
+		for g, x := range had {
+			for id, load := range x {
+				if g != 0 {
+					sum := want[id]
+					sum.Running += load.Running
+					sum.Used += load.Used
+					want[id] = sum
+				}
+			}
+		}
+		assert.DeepEqual(t, others, want)
+	})
+}
+
+// TestOnlyTheBusiestAreTold checks what is told of more servers than maxTold.
+func TestOnlyTheBusiestAreTold(t *testing.T) {
+	l := newLoads()
+	all := make(map[string]dispatch.Load)
+	for i := range 3 * maxTold {
+		all[fmt.Sprint("s", i)] = dispatch.Load{Running: i + 1}
+	}
+	l.replace(nil, all)
+	others, partial := l.but(map[string]dispatch.Load{"s191": {Running: 100}}, time.Unix(1000, 0))
+	assert.Assert(t, partial)
+	assert.Equal(t, len(others), maxTold)
+	assert.Equal(t, others["s191"].Running, 92)
+	assert.Equal(t, others["s190"].Running, 191)
+	_, told := others["s0"]
+	assert.Assert(t, !told)
+}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -44,6 +44,8 @@
 	Gateways []Gateway `json:"gateways,omitempty"`
 	// Loads is what the other gateways have at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
+	// Partial tells that there are so many servers that Loads holds the busiest only.
+	Partial bool `json:"partial,omitempty"`
 	// Version is that of what engines hold; Residency is what has changed of it since
 	// the version reported, or all of it with Full.
 	Version   int64                        `json:"version"`
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -157,7 +157,8 @@
 	if now.Sub(p.toldAt) >= tellEvery {
 		p.tell(now)
 	}
-	a := Answer{Held: true, Term: int64(p.token), Loads: p.demand.loads(r.From), Version: p.version}
+	a := Answer{Held: true, Term: int64(p.token), Version: p.version}
+	a.Loads, a.Partial = p.demand.loads.but(r.Loads, now)
 	list, known := p.demand.list()
 	a.Known = known
 	if r.Known != known {
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -92,18 +92,14 @@
 
 func (p *Placer) planAdapters(s table.Service, list []*engine, now time.Time) {
 	waited, running := p.demand.adapters(s.Name)
-	missing := slices.DeleteFunc(waited, func(a backend.Adapter) bool {
-		return slices.ContainsFunc(list, func(e *engine) bool {
-			return !e.server.Leaving && slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
-		})
-	})
+	missing := withoutHeld(waited, list)
 	p.noteMissing(missing, now)
 	if len(missing) == 0 {
 		return
 	}
 	idle := slices.DeleteFunc(views(list, now), func(e residency.Engine) bool { return !e.Idle })
 	load := make(map[string]int)
-	for id, l := range p.demand.loads("") {
+	for id, l := range p.demand.loads.total {
 		load[id] = l.Running
 	}
 	moves := residency.PlanAdapters(residency.AdapterInput{
@@ -115,6 +111,25 @@
 	}
 }
 
+// withoutHeld returns the adapters that no engine which stays holds.
+func withoutHeld(adapters []backend.Adapter, list []*engine) []backend.Adapter {
+	if len(adapters) == 0 {
+		return nil
+	}
+	held := make(map[backend.Adapter]bool)
+	for _, e := range list {
+		if e.server.Leaving {
+			continue
+		}
+		for _, r := range e.residents {
+			for _, name := range r.Adapters {
+				held[backend.Adapter{Model: r.Model, Name: name}] = true
+			}
+		}
+	}
+	return slices.DeleteFunc(adapters, func(a backend.Adapter) bool { return held[a] })
+}
+
 // noteMissing remembers since when each adapter has been waited for.
 func (p *Placer) noteMissing(missing []backend.Adapter, now time.Time) {
 	since := make(map[backend.Adapter]time.Time, len(missing))
--- a/kv/relay.go
+++ b/kv/relay.go
@@ -16,6 +16,9 @@
 	// IsSource reports whether this process watches the service for others; it must
 	// be safe for concurrent use.
 	IsSource func() bool
+	// Digest, if not nil, returns a digest of what matters to others of an entry:
+	// changes that leave it as it was are not handed on.
+	Digest func(prefix string, e Entry) uint64
 	// Told, if not nil, is called when watches of a prefix begin to go to the service,
 	// or begin to be answered from what was handed on.
 	Told func(prefix string, direct bool)
@@ -56,6 +59,11 @@
 	log       []Event
 	// asOf is when this was surely all there was.
 	asOf time.Time
+	// digests are those of the entries, if there is a Digest.
+	digests map[string]uint64
+	// left tells that changes after floor are left out of the log, or were by who
+	// handed it on: whoever watches the service again has to list it first.
+	left bool
 	// busy is when the service last told changes.
 	busy time.Time
 	// handedOn tells that watches are answered from what was handed on.
@@ -70,6 +78,8 @@
 	From   Revision `json:"from"`
 	At     Revision `json:"at"`
 	Events []Event  `json:"events,omitempty"`
+	// Left tells that changes which do not matter to others are left out.
+	Left bool `json:"left,omitempty"`
 	// Age is how long ago this was surely all there was, in milliseconds.
 	Age int64 `json:"age"`
 }
@@ -109,7 +119,8 @@
 			continue
 		}
 		out[prefix] = Batch{
-			From: after, At: max(t.at, after), Events: t.after(after), Age: int64(now.Sub(t.asOf) / time.Millisecond),
+			From: after, At: max(t.at, after), Events: t.after(after), Left: t.left,
+			Age: int64(now.Sub(t.asOf) / time.Millisecond),
 		}
 	}
 	return out
@@ -151,7 +162,7 @@
 }
 
 // list takes in a whole list as of a time.
-func (r *Relay) list(prefix string, at Revision, asOf time.Time) {
+func (r *Relay) list(prefix string, entries []Entry, at Revision, asOf time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.topics[prefix]
@@ -160,7 +171,11 @@
 		r.topics[prefix] = t
 	}
 	if at >= t.at {
-		t.floor, t.at, t.log, t.asOf = at, at, nil, asOf
+		t.floor, t.at, t.log, t.asOf, t.left = at, at, nil, asOf, false
+		t.digests = make(map[string]uint64)
+		for _, e := range entries {
+			r.differs(prefix, t, Event{Entry: e})
+		}
 		t.tell()
 	}
 }
@@ -176,10 +191,16 @@
 	if b.From > t.at {
 		t.floor, t.log = b.From, nil
 	}
+	t.left = t.left || b.Left
 	for _, e := range b.Events {
-		if e.Entry.Revision > t.at {
-			t.log = append(t.log, e)
+		if e.Entry.Revision <= t.at {
+			continue
+		}
+		if !r.differs(prefix, t, e) {
+			t.left = true
+			continue
 		}
+		t.log = append(t.log, e)
 	}
 	t.at = b.At
 	t.trim()
@@ -189,6 +210,21 @@
 	t.tell()
 }
 
+// differs keeps an entry's digest and reports whether the change matters to others.
+func (r *Relay) differs(prefix string, t *topic, e Event) bool {
+	if r.opts.Digest == nil {
+		return true
+	}
+	before, known := t.digests[e.Entry.Key]
+	if e.Deleted {
+		delete(t.digests, e.Entry.Key)
+		return true
+	}
+	now := r.opts.Digest(prefix, e.Entry)
+	t.digests[e.Entry.Key] = now
+	return !known || before != now
+}
+
 // trim drops the oldest changes of a log that is too long, always all of one
 // revision.
 func (t *topic) trim() {
@@ -237,7 +273,7 @@
 	began := v.relay.opts.Clock.Now()
 	entries, at, err := v.store.ListPrefix(ctx, prefix)
 	if err == nil {
-		v.relay.list(prefix, at, began)
+		v.relay.list(prefix, entries, at, began)
 	}
 	return entries, at, err
 }
@@ -250,9 +286,12 @@
 	for ctx.Err() == nil {
 		events, at, left, changed := v.relay.look(prefix, after)
 		if len(events) > 0 {
+			v.relay.note(prefix, !v.relay.opts.IsSource())
 			return events, at, nil
 		}
-		v.relay.note(prefix, left > 0)
+		if begins := v.relay.note(prefix, left > 0); begins {
+			return nil, after, ErrCompacted
+		}
 		if left <= 0 {
 			return v.watch(ctx, prefix, after, wait)
 		}
@@ -265,18 +304,21 @@
 	return nil, after, ctx.Err()
 }
 
-// note tells when the way in which a prefix is watched changes.
-func (r *Relay) note(prefix string, handedOn bool) {
+// note tells when the way in which a prefix is watched changes, and reports whether
+// the service has to be listed first since changes were left out.
+func (r *Relay) note(prefix string, handedOn bool) (listFirst bool) {
 	r.mu.Lock()
 	t := r.topics[prefix]
 	differs := t != nil && t.handedOn != handedOn
 	if differs {
 		t.handedOn = handedOn
+		listFirst = !handedOn && t.left
 	}
 	r.mu.Unlock()
 	if differs && r.opts.Told != nil {
 		r.opts.Told(prefix, !handedOn)
 	}
+	return listFirst
 }
 
 // look returns the changes known after a revision and for how long watches from
--- a/kv/relay_test.go
+++ b/kv/relay_test.go
@@ -160,3 +160,31 @@
 	poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "2", "a/3": "3"}))
 	assert.Assert(t, p.other.Seen()["a/"] > at)
 }
+
+// TestRelayLeavesOutWhatDoesNotMatter checks that changes which leave the digest as
+// it was are not handed on, and that nothing of them is lost for a process that has
+// to watch the service again.
+func TestRelayLeavesOutWhatDoesNotMatter(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := standin.NewMemoryStore(clock.Real{})
+	firstByte := func(_ string, e kv.Entry) uint64 { return uint64(e.Value[0]) }
+	options := kv.RelayOptions{Clock: clock.Real{}, Trust: longTrust, Digest: firstByte, IsSource: func() bool { return true }}
+	source := kv.NewRelay(options)
+	options.IsSource = func() bool { return false }
+	other := kv.NewRelay(options)
+	store.Set("a/1", []byte("x1"))
+	var sourceSees, otherSees mirror
+	go kv.Follow(ctx, source.For(store, false), "a/", time.Second, &sourceSees)
+	go kv.Follow(ctx, other.For(store, false), "a/", time.Second, &otherSees)
+	poll.WaitOn(t, sourceSees.shows(map[string]string{"a/1": "x1"}))
+	poll.WaitOn(t, otherSees.shows(map[string]string{"a/1": "x1"}))
+	store.Set("a/1", []byte("x2"))
+	poll.WaitOn(t, sourceSees.shows(map[string]string{"a/1": "x2"}))
+	store.Set("a/2", []byte("y1"))
+	poll.WaitOn(t, sourceSees.shows(map[string]string{"a/1": "x2", "a/2": "y1"}))
+	other.Take(source.Since(other.Seen()), time.Now())
+	poll.WaitOn(t, otherSees.shows(map[string]string{"a/1": "x1", "a/2": "y1"}))
+	other.Doubt()
+	poll.WaitOn(t, otherSees.shows(map[string]string{"a/1": "x2", "a/2": "y1"}))
+}
