--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -178,14 +178,7 @@
 	}
 	w.servers[1] = demand(w.servers[1], "busy", 20)
 	p := placement.NewPlanner(placement.Options{})
-	var got []string
-	for round := range 6 {
-		orders := p.Plan(w.input(start.Add(time.Duration(round) * time.Second)))
-		got = append(got, brief(orders)...)
-		for _, o := range orders {
-			w.carryOut(t, o)
-		}
-	}
+	got := w.follow(t, p, 6)
 	assert.DeepEqual(t, got, []string{"unload hint a/0", "load summary a/0"})
 }
 
@@ -264,6 +257,21 @@
 	assert.Assert(t, a.FreeMiB() >= 0, "%s overcommits %s/%d", o.Name, o.Server, o.Accelerator)
 }
 
+// follow plans a number of times, a second apart, carries the orders out and
+// returns them.
+func (w *world) follow(t *testing.T, p *placement.Planner, rounds int) []string {
+	t.Helper()
+	var got []string
+	for round := range rounds {
+		orders := p.Plan(w.input(start.Add(time.Duration(round) * time.Second)))
+		got = append(got, brief(orders)...)
+		for _, o := range orders {
+			w.carryOut(t, o)
+		}
+	}
+	return got
+}
+
 // TestFreePieces starts with memory that is free only in pieces: a model that
 // fits none of them gets a place all the same, and no last copy goes.
 func TestFreePieces(t *testing.T) {
@@ -275,14 +283,7 @@
 		},
 	}
 	p := placement.NewPlanner(placement.Options{})
-	var got []string
-	for round := range 5 {
-		orders := p.Plan(w.input(start.Add(time.Duration(round) * time.Second)))
-		got = append(got, brief(orders)...)
-		for _, o := range orders {
-			w.carryOut(t, o)
-		}
-	}
+	got := w.follow(t, p, 5)
 	assert.DeepEqual(t, got, []string{"load headline a/0", "unload headline c/0", "load summary c/0"})
 }
 
