A prompt that found no place does not count as kept

Cause (read): the parts of a prompt were remembered when a server was chosen, also if its owner then granted no place, so that the next choice took them for kept there. Test: TestDeniedPromptIsNotKept failed before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -339,8 +339,10 @@
 		t.read = l.reading.add(milliseconds(c.Read), t.sent)
 	}
 	if r.Model != "" {
-		l.kept.add(r.name(), r.Parts)
 		d.demandOf(r).Running++
 	}
+	if r.Model != "" && t.owner == "" {
+		l.kept.add(r.name(), r.Parts)
+	}
 	return t
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -147,10 +147,10 @@
 		t.release()
 		return false
 	}
-	own := t.load.Load
 	if a.Granted {
 		t.sent = now
-		d.remote[t.server.ID] = remoteLoad{Load: a.Load.less(own), at: now}
+		t.load.kept.add(r.name(), r.Parts)
+		d.remote[t.server.ID] = remoteLoad{Load: a.Load.less(t.load.Load), at: now}
 		return true
 	}
 	r.Denied++
