What a gateway read from the store itself does not spare it the next watch

Ruled out: a holder that comes and goes (3 changes of holder in the lines). Change: only what was handed on is trusted instead of a watch. Tests: TestRelayAlone failed before; the pair of TestRelay* waits until changes are handed on.

--- a/kv/relay.go
+++ b/kv/relay.go
@@ -92,7 +92,10 @@
 // Take takes in what another process handed on; sent is when it was asked.
 func (r *Relay) Take(batches map[string]Batch, sent time.Time) {
 	for prefix, b := range batches {
-		r.take(prefix, b, sent.Add(-time.Duration(b.Age)*time.Millisecond))
+		asOf := sent.Add(-time.Duration(b.Age) * time.Millisecond)
+		if r.take(prefix, b, asOf) {
+			r.trust(prefix, asOf)
+		}
 	}
 }
 
@@ -119,7 +122,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.topics {
-		t.asOf = time.Time{}
+		t.trusted = time.Time{}
 		t.tell()
 	}
 }
@@ -143,13 +146,24 @@
 	}
 }
 
-// take takes in changes of one prefix as of a time.
-func (r *Relay) take(prefix string, b Batch, asOf time.Time) {
+// trust counts what is known of a prefix as handed on as of a time.
+func (r *Relay) trust(prefix string, asOf time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.topics[prefix]; asOf.After(t.trusted) {
+		t.trusted = asOf
+		t.tell()
+	}
+}
+
+// take takes in changes of one prefix as of a time and reports whether they are not
+// older than what is known.
+func (r *Relay) take(prefix string, b Batch, asOf time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.topics[prefix]
 	if t == nil || b.At < t.at {
-		return
+		return false
 	}
 	if b.From > t.at {
 		t.floor, t.log = b.From, nil
@@ -171,6 +185,7 @@
 		t.asOf = asOf
 	}
 	t.tell()
+	return true
 }
 
 // differs keeps an entry's digest and reports whether the change matters to others.
--- a/kv/relayed.go
+++ b/kv/relayed.go
@@ -93,7 +93,7 @@
 	if r.opts.IsSource() {
 		return nil, after, 0, nil
 	}
-	return nil, after, r.opts.Trust - r.opts.Clock.Now().Sub(t.asOf), t.changed
+	return nil, after, r.opts.Trust - r.opts.Clock.Now().Sub(t.trusted), t.changed
 }
 
 // watch watches the service itself and keeps what it tells.
--- a/kv/topic.go
+++ b/kv/topic.go
@@ -13,8 +13,9 @@
 	// floor and at bound the log: it holds every change after floor up to at.
 	floor, at Revision
 	log       []Event
-	// asOf is when this was surely all there was.
-	asOf time.Time
+	// asOf is when this was surely all there was; trusted is the same as far as it was
+	// handed on: what this process has read itself does not spare it the next watch.
+	asOf, trusted time.Time
 	// digests are those of the entries, if there is a Digest.
 	digests map[string]uint64
 	// left tells that changes after floor are left out of the log, or were by who
