--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -64,7 +64,11 @@
 }
 
 // A serverFollower takes in the list of backend servers.
-type serverFollower struct{ g *Gateway }
+type serverFollower struct {
+	g *Gateway
+	// known holds the ids of the servers that were last told.
+	known map[string]bool
+}
 
 // Replace implements kv.Follower.
 func (f *serverFollower) Replace(entries []kv.Entry) {
@@ -79,10 +83,25 @@
 	}
 	f.g.registry.Replace(list, f.g.clock.Now())
 	f.g.listed.Store(true)
+	f.logMissing(list)
 	f.g.log.Info("servers listed", zap.Int("count", len(list)))
 	f.g.dispatcher.SetServers(f.g.registry.Snapshot())
 }
 
+// logMissing tells of servers that were known before and are not in a new list.
+func (f *serverFollower) logMissing(list []backend.Server) {
+	listed := make(map[string]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+	}
+	for id := range f.known {
+		if !listed[id] {
+			f.g.log.Info("server gone", zap.String("server", id))
+		}
+	}
+	f.known = listed
+}
+
 // Apply implements kv.Follower.
 func (f *serverFollower) Apply(events []kv.Event) {
 	changes := make([]backend.Change, 0, len(events))
@@ -99,6 +118,7 @@
 func (f *serverFollower) change(e kv.Event) (backend.Change, bool) {
 	id := f.g.decoder.ServerID(e.Entry.Key)
 	if e.Deleted {
+		delete(f.known, id)
 		f.g.log.Info("server gone", zap.String("server", id))
 		return backend.Change{Server: backend.Server{ID: id}, Gone: true}, true
 	}
@@ -112,6 +132,7 @@
 		f.g.log.Info("server seen", zap.String("server", id), zap.String("service", s.Service),
 			zap.String("addr", s.Addr), zap.Bool("leaving", s.Leaving))
 	}
+	f.known[id] = true
 	return backend.Change{Server: s}, true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,7 @@
 		return err
 	}
 	go kv.Follow(g.ctx, g.prefixes, g.decoder.ConfigKey(), g.settings.WatchTime.Std(), &configFollower{g: g})
-	go kv.Follow(g.ctx, g.prefixes, g.decoder.ServerPrefix(), g.settings.WatchTime.Std(), &serverFollower{g: g})
+	go kv.Follow(g.ctx, g.prefixes, g.decoder.ServerPrefix(), g.settings.WatchTime.Std(), &serverFollower{g: g, known: make(map[string]bool)})
 	g.placer.Start()
 	go g.peers.run()
 	g.subscribe(time.Second, g.conns.sweep)
