Gateways are not forgotten between their reports; nothing is handed on that is stale by then

And what the holder hands on every two seconds is trusted for one. Change: a report comes each second at least; a gateway is forgotten after four that did not come; changes are handed on only while two reports fit into the time of trust (up to 83 gateways), more of them watch the store themselves.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -268,8 +269,15 @@
 	}
 }
 
+// ownHost is a loopback address that only this process uses: a port that is free on
+// it when a test looks stays free, while other processes take ports of 127.0.0.1.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
+}
+
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownHost()+":0")
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,14 +25,10 @@
 
 // Pace of exchanges with the holder of orders.
 const (
-	exchangeEvery = 80 * time.Millisecond
 	// exchangeSoon is the pace while a request waits for a model that nobody holds.
 	exchangeSoon = 40 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 700 * time.Millisecond
-	// gatewaysPerHolder is the number of gateways up to which the pace is kept; with
-	// more of them each reports less often, so that the holder's load stays bounded.
-	gatewaysPerHolder = 12
 )
 
 // A peerRequest is what a gateway sends to another one.
@@ -100,7 +96,7 @@
 
 // rest waits for the next exchange.
 func (p *peers) rest(started time.Time) {
-	pace := exchangeEvery * time.Duration(max(1, p.g.gateways.Load()/gatewaysPerHolder))
+	pace := placer.ReportPace(int(p.g.gateways.Load()))
 	timer := time.NewTimer(max(pace-time.Since(started), exchangeSoon))
 	defer timer.Stop()
 	soon := time.NewTimer(exchangeSoon)
@@ -317,8 +313,10 @@
 	if !a.Held {
 		a.Holder, _ = g.placer.Holder()
 	} else {
-		g.relay.Affirm(g.lease.Key())
-		a.Changes = g.relay.Since(r.Seen)
+		if g.handsOn() {
+			g.relay.Affirm(g.lease.Key())
+			a.Changes = g.relay.Since(r.Seen)
+		}
 		if waits(r.Report) {
 			g.placer.Wake()
 		}
@@ -332,6 +330,12 @@
 	return c.JSON(http.StatusOK, a)
 }
 
+// handsOn reports whether gateways report so often that what they are handed on is
+// trusted until their next report; more of them watch the store themselves.
+func (g *Gateway) handsOn() bool {
+	return 2*placer.ReportPace(int(g.gateways.Load())) <= g.relay.Trust()
+}
+
 // waits reports whether a gateway has requests that wait for a model.
 func waits(r placer.Report) bool {
 	for _, d := range r.Demands {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,8 +20,16 @@
 	tick = 100 * time.Millisecond
 	// wakeEvery is the least time between two steps that reports cause.
 	wakeEvery = 25 * time.Millisecond
-	// gatewaySilence is after how long a gateway's report no longer counts.
+	// gatewaySilence is after how long a gateway's report no longer counts, at least,
+	// and silentReports after how many that did not come.
 	gatewaySilence = 2 * time.Second
+	silentReports  = 4
+	// reportEvery is the time between two reports of a gateway. With more gateways
+	// than reportGateways each reports less often, so that the holder's load stays
+	// bounded, but at least every slowReport.
+	reportEvery    = 80 * time.Millisecond
+	reportGateways = 12
+	slowReport     = time.Second
 	// refreshEvery is how often an engine without orders is asked for a report, with
 	// up to paceEngines of them; with more of them it is done less often.
 	refreshEvery = 6 * time.Second
@@ -204,7 +212,7 @@
 	p.stepped = now
 	p.asked = 0
 	p.demand.step(by)
-	p.demand.forget(now, gatewaySilence)
+	p.demand.forget(now, silence(len(p.demand.gateways)))
 	routing := p.opts.Routing()
 	if routing == nil || token == p.fenced || now.Sub(p.since) < p.settle() {
 		return
@@ -220,6 +228,16 @@
 	p.tell(now)
 }
 
+// ReportPace returns the time between two reports of one of a number of gateways.
+func ReportPace(gateways int) time.Duration {
+	return min(reportEvery*time.Duration(max(1, gateways/reportGateways)), slowReport)
+}
+
+// silence returns after how long a gateway's report no longer counts.
+func silence(gateways int) time.Duration {
+	return max(gatewaySilence, silentReports*ReportPace(gateways))
+}
+
 // isFirst reports whether there was no holder before this one.
 func (p *Placer) isFirst() bool { return p.opts.First && !p.opts.Lease.HasSeenOther() }
 
--- a/kv/relay.go
+++ b/kv/relay.go
@@ -52,6 +52,9 @@
 	return &Relay{opts: o, topics: make(map[string]*topic)}
 }
 
+// Trust returns how old a view may be that watches are answered from.
+func (r *Relay) Trust() time.Duration { return r.opts.Trust }
+
 // For returns the service as seen through the Relay. A steady prefix is one that
 // only a source's own acts change, so that its watches need no short rounds.
 func (r *Relay) For(s PrefixStore, steady bool) PrefixStore {
