A stop leaves resting connections on which a request has come that is not read yet

The process had no processor time to read it before: the shutdown closes whatever rests, also with bytes unread. Ruled out: a request in hand (no line of it; the server waits for those); the balancer (the connection was an old one). Tests: TestRestingConnectionsWithRequests.

--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // A closable is a connection that remembers that it was closed.
@@ -58,3 +60,47 @@
 		})
 	}
 }
+
+// TestRestingConnectionsWithRequests closes resting connections while on one of them a
+// request has come that nobody has read yet: that one is left.
+func TestRestingConnectionsWithRequests(t *testing.T) {
+	c := newConns()
+	rests, rested := connected(t)
+	asked, asks := connected(t)
+	c.note(rests, http.StateIdle)
+	c.note(asked, http.StateIdle)
+	_, err := asks.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !hasUnread(asked) {
+			return poll.Continue("nothing has come")
+		}
+		return poll.Success()
+	})
+	assert.Assert(t, c.closeRested(), "one is left")
+	_, err = rested.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	request := make([]byte, 3)
+	_, err = io.ReadFull(asked, request)
+	assert.NilError(t, err)
+	assert.Equal(t, string(request), "GET")
+	c.note(asked, http.StateActive)
+	assert.Assert(t, !c.closeRested())
+}
+
+// connected returns the two ends of a connection.
+func connected(t *testing.T) (server, client net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err = net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	server, err = l.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = server.Close()
+	})
+	return server, client
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,6 +212,8 @@
 	noticeTime = 2500 * time.Millisecond
 	// lastAnswers is left of the time to stop for answers to those still waiting.
 	lastAnswers = 400 * time.Millisecond
+	// restedPause is the pause between two looks for connections that rest.
+	restedPause = 10 * time.Millisecond
 	// lastMoment is left of the grace for the process's own end.
 	lastMoment = 700 * time.Millisecond
 )
@@ -225,6 +227,7 @@
 	stopLast := time.AfterFunc(g.untilLastAnswers(ctx), g.lastCall)
 	defer stopLast.Stop()
 	wait(ctx, noticeTime)
+	g.closeRested(ctx)
 	err := g.listeners.front.Shutdown(ctx)
 	g.cancel()
 	for _, stop := range g.stops {
@@ -238,6 +241,15 @@
 	return eris.Wrap(err, "gateway: stop")
 }
 
+// closeRested closes callers' connections that rest. A request that came on one and
+// is not read yet, since the process had no processor time, is left to be answered:
+// the server's own shutdown would close its connection.
+func (g *Gateway) closeRested(ctx context.Context) {
+	for g.conns.closeRested() && ctx.Err() == nil {
+		wait(ctx, restedPause)
+	}
+}
+
 // untilLastAnswers returns when requests without an answer are to be given up, so
 // that each still gets one before the process ends.
 func (g *Gateway) untilLastAnswers(ctx context.Context) time.Duration {
