residency: adapters beyond the reserve count when room is looked for

Ruled out: the division of memory (TestCopiesAsDefined). Change: the greater of the reserve and what the adapters take.

--- a/residency/plan.go
+++ b/residency/plan.go
@@ -301,7 +301,9 @@
 // victims returns what to unload so that the model fits, and what that loses.
 func (p *plan) victims(e *Engine, m table.ModelSpec) (victims []string, loss float64, ok bool) {
 	spec := p.in.Spec
-	need := m.WeightsMB + adapterReserve(spec) - Free(spec, withoutAdapters(e.Residents))
+	bare := Free(spec, withoutAdapters(e.Residents))
+	adapters := max(adapterReserve(spec), bare-Free(spec, e.Residents))
+	need := m.WeightsMB + adapters - bare
 	if need <= 0 {
 		return nil, 0, true
 	}
