A stop ends callers' connections by what was read of them

Change: callerConn follows its own bytes; a stop ends what waits for a request by a read that returns EOF, closes the listener and waits until no connection is open; Shutdown is not used for callers. The bound on slow headers now counts from the first byte (the server tells StateActive only after the header was read, so the old check could not fire) and answers 408. Tests: TestStopAnswersRequestBeingRead fails on the code before (unexpected EOF), TestDrain, TestConnectionBounds on real connections in place of TestConnections, TestRefusedConnectionServesNothing, TestServersDeadlineHolds.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -5,10 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // connKey is the key of a request's connection in its context.
@@ -18,98 +15,88 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// A conns closes callers' connections that have rested for too long or whose
-// header takes too long. The bounds may change while they last, which the
+// conns holds callers' open connections and ends those that have rested for too long
+// or whose header takes too long. The bounds may change while they last, which the
 // settings of http.Server cannot.
 type conns struct {
 	limits func() (idle, header time.Duration)
 
 	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-	// reading holds connections on which a header has begun.
-	reading map[net.Conn]time.Time
+	open map[*callerConn]struct{}
 }
 
-func newConns() *conns {
-	return &conns{idle: make(map[net.Conn]time.Time), reading: make(map[net.Conn]time.Time)}
+func newConns() *conns { return &conns{open: make(map[*callerConn]struct{})} }
+
+// callerListener accepts callers' connections.
+type callerListener struct{ *net.TCPListener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return newCallerConn(conn), nil
 }
 
-// note follows the state of connections.
+// note follows the state of connections as the server tells it.
 func (c *conns) note(conn net.Conn, s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.idle, conn)
-	delete(c.reading, conn)
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	switch s {
+	case http.StateNew:
+		c.mu.Lock()
+		c.open[caller] = struct{}{}
+		c.mu.Unlock()
 	case http.StateIdle:
-		c.idle[conn] = time.Now()
-	case http.StateActive:
-		c.reading[conn] = time.Now()
+		caller.rest()
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		delete(c.open, caller)
+		c.mu.Unlock()
 	}
 }
 
-// read tells that a request's header has been read whole.
-func (c *conns) read(ctx context.Context) {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.reading, conn)
+// begin notes that a request's header has been read whole, and reports whether the
+// request may be served.
+func (c *conns) begin(ctx context.Context) bool {
+	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	return !ok || caller.begin()
 }
 
-// sweep closes connections that are over their bounds.
+// sweep ends connections that are over their bounds.
 func (c *conns) sweep(now time.Time) {
 	idle, header := c.limits()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	closeOlder(c.idle, idle, now)
-	closeOlder(c.reading, header, now)
-}
-
-func closeOlder(list map[net.Conn]time.Time, limit time.Duration, now time.Time) {
-	if limit <= 0 {
-		return
-	}
-	for conn, since := range list {
-		if now.Sub(since) > limit {
-			delete(list, conn)
-			_ = conn.Close()
+	for _, caller := range c.list() {
+		if header > 0 {
+			caller.refuseSlow(now, header)
+		}
+		if idle > 0 {
+			caller.endWaiting(now, idle, idle)
 		}
 	}
 }
 
-// closeRested closes the connections that rest, but for those on which a request has
-// come that is not read yet, and reports whether any are left.
-func (c *conns) closeRested() (left bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.idle {
-		if hasUnread(conn) {
-			continue
-		}
-		delete(c.idle, conn)
-		_ = conn.Close()
+// freshTime is how long a connection that has carried nothing yet is left at a stop.
+const freshTime = time.Second
+
+// drain ends the connections that wait for a request and returns how many are open.
+func (c *conns) drain(now time.Time) int {
+	list := c.list()
+	for _, caller := range list {
+		caller.endWaiting(now, freshTime, 0)
 	}
-	return len(c.idle) > 0
+	return len(list)
 }
 
-// hasUnread reports whether bytes have come on a connection that nobody has read.
-func hasUnread(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
+func (c *conns) list() []*callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*callerConn, 0, len(c.open))
+	for caller := range c.open {
+		list = append(list, caller)
 	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			unread = n
-		}
-	})
-	return err == nil && unread > 0
+	return list
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -12,95 +13,187 @@
 	"gotest.tools/v3/poll"
 )
 
-// A closable is a connection that remembers that it was closed.
-type closable struct {
-	net.Conn
-	closed bool
+// connected returns the two ends of a connection of which a conns knows.
+func connected(t *testing.T, c *conns) (server *callerConn, client net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err = net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	conn, err := callerListener{l.(*net.TCPListener)}.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = conn.Close()
+	})
+	c.note(conn, http.StateNew)
+	return conn.(*callerConn), client
 }
 
-func (c *closable) Close() error {
-	c.closed = true
-	return nil
+// send writes from the client's end and waits until the bytes have come.
+func send(t *testing.T, server *callerConn, client net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(client, text)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !hasUnread(server) {
+			return poll.Continue("nothing has come")
+		}
+		return poll.Success()
+	})
 }
 
-func TestConnections(t *testing.T) {
+// receive reads a text at the server's end.
+func receive(t *testing.T, server *callerConn, text string) {
+	t.Helper()
+	got := make([]byte, len(text))
+	_, err := io.ReadFull(server, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), text)
+}
+
+// TestConnectionBounds looks at connections after some time has passed on them.
+func TestConnectionBounds(t *testing.T) {
 	const idle, header = 10 * time.Second, 3 * time.Second
+	const half = "GET / HT"
 	tests := map[string]struct {
-		follow func(c *conns, conn net.Conn)
+		follow func(t *testing.T, c *conns, server *callerConn, client net.Conn)
 		after  time.Duration
-		closed bool
+		// status is that of the answer to the client, 0 if the connection ends without
+		// one; open tells that it stays open.
+		status int
+		open   bool
 	}{
 		"rests within the bound": {
-			follow: func(c *conns, conn net.Conn) { c.note(conn, http.StateIdle) }, after: idle * 9 / 10,
+			follow: func(_ *testing.T, c *conns, s *callerConn, _ net.Conn) { c.note(s, http.StateIdle) },
+			after:  idle * 9 / 10, open: true,
 		},
 		"rests too long": {
-			follow: func(c *conns, conn net.Conn) { c.note(conn, http.StateIdle) }, after: idle + time.Second, closed: true,
+			follow: func(_ *testing.T, c *conns, s *callerConn, _ net.Conn) { c.note(s, http.StateIdle) },
+			after:  idle + time.Second,
+		},
+		"never used": {
+			follow: func(*testing.T, *conns, *callerConn, net.Conn) {}, after: idle + time.Second,
 		},
 		"header takes too long": {
-			follow: func(c *conns, conn net.Conn) { c.note(conn, http.StateActive) }, after: header + time.Second, closed: true,
+			follow: func(t *testing.T, _ *conns, s *callerConn, client net.Conn) {
+				send(t, s, client, half)
+				receive(t, s, half)
+			}, after: header + time.Second, status: http.StatusRequestTimeout,
 		},
 		"request takes long": {
-			follow: func(c *conns, conn net.Conn) {
-				c.note(conn, http.StateActive)
-				c.read(withConn(context.Background(), conn))
-			}, after: time.Hour,
-		},
-		"closed already": {
-			follow: func(c *conns, conn net.Conn) { c.note(conn, http.StateIdle); c.note(conn, http.StateClosed) }, after: time.Hour,
+			follow: func(t *testing.T, c *conns, s *callerConn, client net.Conn) {
+				send(t, s, client, half)
+				receive(t, s, half)
+				assert.Assert(t, c.begin(withConn(context.Background(), s)))
+			}, after: time.Hour, open: true,
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := newConns()
 			c.limits = func() (time.Duration, time.Duration) { return idle, header }
-			conn := &closable{}
-			test.follow(c, conn)
+			server, client := connected(t, c)
+			test.follow(t, c, server, client)
 			c.sweep(time.Now().Add(test.after))
-			assert.Equal(t, conn.closed, test.closed)
+			if test.open {
+				send(t, server, client, "x")
+				receive(t, server, "x")
+				return
+			}
+			_, err := server.Read(make([]byte, 1))
+			assert.Assert(t, err != nil)
+			_ = server.Close()
+			if test.status == 0 {
+				_, err := client.Read(make([]byte, 1))
+				assert.Equal(t, err, io.EOF)
+				return
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, test.status)
+			assert.Assert(t, resp.Close)
 		})
 	}
 }
 
-// TestRestingConnectionsWithRequests closes resting connections while on one of them a
-// request has come that nobody has read yet: that one is left.
-func TestRestingConnectionsWithRequests(t *testing.T) {
+// TestRefusedConnectionServesNothing checks that a header that was refused as too slow
+// and comes whole all the same is not served.
+func TestRefusedConnectionServesNothing(t *testing.T) {
 	c := newConns()
-	rests, rested := connected(t)
-	asked, asks := connected(t)
-	c.note(rests, http.StateIdle)
-	c.note(asked, http.StateIdle)
-	_, err := asks.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
-	assert.NilError(t, err)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !hasUnread(asked) {
-			return poll.Continue("nothing has come")
-		}
-		return poll.Success()
-	})
-	assert.Assert(t, c.closeRested(), "one is left")
-	_, err = rested.Read(make([]byte, 1))
-	assert.Equal(t, err, io.EOF)
-	request := make([]byte, 3)
-	_, err = io.ReadFull(asked, request)
-	assert.NilError(t, err)
-	assert.Equal(t, string(request), "GET")
-	c.note(asked, http.StateActive)
-	assert.Assert(t, !c.closeRested())
+	server, client := connected(t, c)
+	send(t, server, client, "GET")
+	receive(t, server, "GET")
+	server.refuseSlow(time.Now().Add(time.Minute), time.Second)
+	assert.Assert(t, !c.begin(withConn(context.Background(), server)))
 }
 
-// connected returns the two ends of a connection.
-func connected(t *testing.T) (server, client net.Conn) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	client, err = net.Dial("tcp", l.Addr().String())
-	assert.NilError(t, err)
-	server, err = l.Accept()
-	assert.NilError(t, err)
-	t.Cleanup(func() {
-		_ = client.Close()
-		_ = server.Close()
-	})
-	return server, client
+// TestDrain drains connections that rest, on which a request has come that nobody has
+// read, on which a part of one was read, and that are new: only what waits is ended.
+func TestDrain(t *testing.T) {
+	const request, half = "GET / HTTP/1.1\r\n\r\n", "GET / HT"
+	tests := map[string]struct {
+		follow func(t *testing.T, c *conns, server *callerConn, client net.Conn)
+		after  time.Duration
+		// rest is what can still be read of what was sent; ended tells that nothing can.
+		rest  string
+		ended bool
+	}{
+		"rests": {
+			follow: func(_ *testing.T, c *conns, s *callerConn, _ net.Conn) { c.note(s, http.StateIdle) }, ended: true,
+		},
+		"unread request": {
+			follow: func(t *testing.T, c *conns, s *callerConn, client net.Conn) {
+				c.note(s, http.StateIdle)
+				send(t, s, client, request)
+			}, rest: request,
+		},
+		"request half read": {
+			follow: func(t *testing.T, c *conns, s *callerConn, client net.Conn) {
+				c.note(s, http.StateIdle)
+				send(t, s, client, request)
+				receive(t, s, half)
+			}, rest: request[len(half):],
+		},
+		"new": {
+			follow: func(t *testing.T, c *conns, s *callerConn, client net.Conn) {
+				c.drain(time.Now())
+				send(t, s, client, request)
+			}, rest: request,
+		},
+		"new for long": {
+			follow: func(*testing.T, *conns, *callerConn, net.Conn) {}, after: 2 * freshTime, ended: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newConns()
+			server, client := connected(t, c)
+			test.follow(t, c, server, client)
+			assert.Equal(t, c.drain(time.Now().Add(test.after)), 1)
+			if test.ended {
+				_, err := server.Read(make([]byte, 1))
+				assert.Equal(t, err, io.EOF)
+			} else {
+				receive(t, server, test.rest)
+			}
+			c.note(server, http.StateClosed)
+			assert.Equal(t, c.drain(time.Now()), 0)
+		})
+	}
+}
+
+// TestServersDeadlineHolds checks that the server's own bound on reads holds after a
+// connection was to be ended and was not.
+func TestServersDeadlineHolds(t *testing.T) {
+	c := newConns()
+	server, client := connected(t, c)
+	c.note(server, http.StateIdle)
+	send(t, server, client, "GE")
+	c.drain(time.Now())
+	receive(t, server, "GE")
+	assert.NilError(t, server.SetReadDeadline(past))
+	_, err := server.Read(make([]byte, 1))
+	assert.Assert(t, isTimeout(err))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,8 +212,8 @@
 	noticeTime = 2500 * time.Millisecond
 	// lastAnswers is left of the time to stop for answers to those still waiting.
 	lastAnswers = 400 * time.Millisecond
-	// restedPause is the pause between two looks for connections that rest.
-	restedPause = 10 * time.Millisecond
+	// drainPause is the pause between two looks for connections that are still open.
+	drainPause = 10 * time.Millisecond
 	// lastMoment is left of the grace for the process's own end.
 	lastMoment = 700 * time.Millisecond
 )
@@ -227,26 +227,30 @@
 	stopLast := time.AfterFunc(g.untilLastAnswers(ctx), g.lastCall)
 	defer stopLast.Stop()
 	wait(ctx, noticeTime)
-	g.closeRested(ctx)
-	err := g.listeners.front.Shutdown(ctx)
+	g.listeners.closeFront()
+	left := g.drain(ctx)
 	g.cancel()
 	for _, stop := range g.stops {
 		stop()
 	}
-	if err != nil {
-		g.log.Warn("requests cut by the end of the grace", zap.Int64("requests", g.inFlight.Load()))
-	}
 	g.listeners.close()
+	if left > 0 {
+		g.log.Warn("requests cut by the end of the grace", zap.Int64("requests", g.inFlight.Load()), zap.Int("connections", left))
+		return eris.Wrap(ctx.Err(), "gateway: stop")
+	}
 	g.log.Info("stopped")
-	return eris.Wrap(err, "gateway: stop")
+	return nil
 }
 
-// closeRested closes callers' connections that rest. A request that came on one and
-// is not read yet, since the process had no processor time, is left to be answered:
-// the server's own shutdown would close its connection.
-func (g *Gateway) closeRested(ctx context.Context) {
-	for g.conns.closeRested() && ctx.Err() == nil {
-		wait(ctx, restedPause)
+// drain waits until callers' connections are closed or ctx ends, and returns how many
+// are left. Those that wait for a request are ended, the others with their answer.
+func (g *Gateway) drain(ctx context.Context) int {
+	for {
+		left := g.conns.drain(time.Now())
+		if left == 0 || ctx.Err() != nil {
+			return left
+		}
+		wait(ctx, drainPause)
 	}
 }
 
@@ -313,7 +317,9 @@
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.begin()()
-	g.conns.read(r.Context())
+	if !g.conns.begin(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	x, f := g.accept(w, r)
 	if f != nil {
 		f.close = f.close || g.leaving.Load()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -18,6 +18,8 @@
 // listeners are the servers of a gateway.
 type listeners struct {
 	front, ready, peers, metrics *http.Server
+	// callers is where front accepts connections.
+	callers net.Listener
 }
 
 // Bounds of callers' connections that net/http sets before the configuration is known.
@@ -37,11 +39,16 @@
 	g.conns.limits = g.connLimits
 	g.listeners.ready = &http.Server{Handler: g.readyRouter(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
 	g.listeners.peers = &http.Server{Handler: g.peerRouter(), ReadHeaderTimeout: headerTime, ErrorLog: quiet}
+	callers, err := listenTCP(g.settings.Listen)
+	if err != nil {
+		return err
+	}
+	g.listeners.callers = callerListener{callers}
+	g.serveOn(g.listeners.callers, g.listeners.front)
 	for _, l := range []struct {
 		addr string
 		s    *http.Server
 	}{
-		{g.settings.Listen, g.listeners.front},
 		{g.settings.ReadyListen, g.listeners.ready},
 		{g.settings.PeerListen, g.listeners.peers},
 	} {
@@ -56,19 +63,35 @@
 	return g.serve(g.settings.MetricsListen, g.listeners.metrics)
 }
 
+// serve binds an address and answers on it.
 func (g *Gateway) serve(addr string, s *http.Server) error {
-	l, err := net.Listen("tcp", addr)
+	l, err := listenTCP(addr)
 	if err != nil {
-		return eris.Wrapf(err, "gateway: listen on %s", addr)
+		return err
 	}
+	g.serveOn(l, s)
+	return nil
+}
+
+func (g *Gateway) serveOn(l net.Listener, s *http.Server) {
 	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			g.log.Error("listener failed", zap.String("addr", addr), telemetry.Error(err))
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			g.log.Error("listener failed", zap.String("addr", l.Addr().String()), telemetry.Error(err))
 		}
 	}()
-	return nil
 }
 
+func listenTCP(addr string) (*net.TCPListener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "gateway: listen on %s", addr)
+	}
+	return l.(*net.TCPListener), nil
+}
+
+// closeFront ends the taking of callers' connections; those that are open stay.
+func (l *listeners) closeFront() { _ = l.callers.Close() }
+
 func (l *listeners) close() {
 	for _, s := range []*http.Server{l.front, l.ready, l.peers, l.metrics} {
 		if s != nil {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -51,6 +53,42 @@
 	assert.NilError(t, <-done)
 }
 
+// TestStopAnswersRequestBeingRead checks that a stop cuts off no request of which a
+// part has been read, while it ends the connections that wait for one.
+func TestStopAnswersRequestBeingRead(t *testing.T) {
+	x := newWorker(t, "a", answer(200, "ok"))
+	w := newWorld(t, x)
+	rests, asks := w.used(), w.used()
+	const request = "GET " + pathSafe + " HTTP/1.1\r\nHost: " + host + "\r\nX-Id: id-2\r\n\r\n"
+	const half = len(request) / 2
+	_, err := io.WriteString(asks, request[:half])
+	assert.NilError(t, err)
+	done := w.stop(20 * time.Second)
+	_, err = rests.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF, "what waits is ended")
+	_, err = io.WriteString(asks, request[half:])
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(asks), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close)
+	assert.NilError(t, <-done)
+}
+
+// used returns a connection on which a request has been answered.
+func (w *world) used() net.Conn {
+	conn, err := net.Dial("tcp", w.front)
+	assert.NilError(w.t, err)
+	w.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(w.t, w.request(http.MethodGet, pathSafe, "").Write(conn))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(w.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(w.t, err)
+	assert.Equal(w.t, resp.StatusCode, http.StatusOK)
+	return conn
+}
+
 // TestStopAnswersThoseWaiting checks that a request for which there is no server
 // and one whose server is silent get answers before the process ends.
 func TestStopAnswersThoseWaiting(t *testing.T) {
