--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -113,21 +113,17 @@
 	waiting    int
 	running    int
 	duration   time.Duration
-	firstCome  bool
 }
 
 // Options configure a Queue.
 type Options struct {
 	// MaxWaiting bounds the waiting requests of all rows; zero means 1024.
 	MaxWaiting int
-	// FirstCome serves requests in the order of arrival, whatever their rows; it
-	// is a baseline for measurements.
-	FirstCome bool
 }
 
 // New returns an empty Queue over the slots.
 func New(s Slots, o Options) *Queue {
-	q := &Queue{slots: s, maxWaiting: o.MaxWaiting, firstCome: o.FirstCome}
+	q := &Queue{slots: s, maxWaiting: o.MaxWaiting}
 	q.rows = make(map[string]*rowState)
 	q.duration = defaultDuration
 	if q.maxWaiting <= 0 {
@@ -273,12 +269,7 @@
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b *rowState) int {
-		if q.firstCome {
-			return a.waiting[0].arrived.Compare(b.waiting[0].arrived)
-		}
-		return cmp.Compare(a.served, b.served)
-	})
+	slices.SortFunc(rows, func(a, b *rowState) int { return cmp.Compare(a.served, b.served) })
 	return rows
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -145,7 +145,7 @@
 	a.backend = &http.Client{Transport: wire.NewTransport(&a.proxied)}
 	a.slots = newSlotTable()
 	a.peers = wire.NewClient(o.Settings.Secret, o.Traffic)
-	a.queue = fairqueue.New(a.slots, fairqueue.Options{MaxWaiting: o.Settings.MaxWaiting, FirstCome: o.Settings.FirstCome})
+	a.queue = fairqueue.New(a.slots, fairqueue.Options{MaxWaiting: o.Settings.MaxWaiting})
 	a.record = newRecord(o.Store, o.Settings.ID, a.incarnation)
 	if a.isService() {
 		a.slots.setServices(o.Settings.Backend.Services, o.Settings.Backend.Slots)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -54,8 +54,6 @@
 	LoadsPerSecond float64 `yaml:"loads_per_second"`
 	// LeaseTTL is the time after which another entry may take over a cell.
 	LeaseTTL Duration `yaml:"lease_ttl"`
-	// Policy is empty, or names a baseline for measurements: static or lru.
-	Policy string `yaml:"policy"`
 }
 
 // Claims are the settings of the records of requests that may not be repeated.
@@ -93,9 +91,6 @@
 	Planner   Planner  `yaml:"planner"`
 	Claims    Claims   `yaml:"claims"`
 	Limits    Limits   `yaml:"limits"`
-	// Policy is empty, or names a baseline for measurements: round-robin or
-	// least-outstanding.
-	Policy string `yaml:"policy"`
 }
 
 // Backend are the settings of the backend server that an agent stands beside.
@@ -121,10 +116,8 @@
 	// planner speaks to it; it may be absent.
 	VMs string `yaml:"vms"`
 	// MaxWaiting bounds the waiting requests.
-	MaxWaiting int `yaml:"max_waiting"`
-	// FirstCome serves requests in the order of arrival; for measurements only.
-	FirstCome bool   `yaml:"first_come"`
-	Limits    Limits `yaml:"limits"`
+	MaxWaiting int    `yaml:"max_waiting"`
+	Limits     Limits `yaml:"limits"`
 }
 
 // Kinds of backend servers.
@@ -204,8 +197,6 @@
 	c.between(e.VMsEvery, 50*time.Millisecond, time.Minute, "vms_every")
 	c.between(e.SyncEvery, 50*time.Millisecond, 10*time.Second, "sync_every")
 	e.Planner.check(c)
-	known := []string{"", "round-robin", "least-outstanding"}
-	c.require(slices.Contains(known, e.Policy), "policy", "must be absent, round-robin or least-outstanding")
 	e.Claims.check(c)
 }
 
@@ -215,7 +206,6 @@
 	c.require(p.Headroom > 0 && p.Headroom <= 1, "planner.headroom", "must be above 0 and at most 1")
 	c.between(p.Hold, 0, time.Hour, "planner.hold")
 	c.require(p.MaxLoads >= 1 && p.MaxLoads <= 1000, "planner.max_loads", "must be from 1 to 1000")
-	c.require(slices.Contains([]string{"", "static", "lru"}, p.Policy), "planner.policy", "must be absent, static or lru")
 	c.require(p.LoadsPerSecond > 0, "planner.loads_per_second", "must be above 0")
 	c.between(p.LeaseTTL, 500*time.Millisecond, time.Minute, "planner.lease_ttl")
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -115,7 +115,6 @@
 		Log:      log,
 		Metrics:  metrics,
 		Traffic:  traffic,
-		Policy:   entry.Policy(s.Policy),
 	})
 	return e, s.Process, log, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,21 +33,8 @@
 	Metrics  *telemetry.Metrics
 	// Traffic counts the bytes of control; the clients of the platform share it.
 	Traffic *wire.Traffic
-	// Policy changes how servers are chosen, for measurements; empty is the normal way.
-	Policy Policy
 }
 
-// A Policy names a way of choosing servers.
-type Policy string
-
-// The policies; all but the first are baselines for measurements.
-const (
-	PolicyDefault    Policy = ""
-	PolicyRoundRobin Policy = "round-robin"
-	// PolicyLeastOutstanding looks only at what this entry has sent.
-	PolicyLeastOutstanding Policy = "least-outstanding"
-)
-
 // An Entry is the process that callers and operators speak to.
 type Entry struct {
 	settings  config.Entry
@@ -73,8 +60,6 @@
 	control   *server.Listener
 	inFlight  atomic.Int64
 	leaving   atomic.Bool
-	policy    Policy
-	rotation  atomic.Uint64
 	stops     []func()
 	ctx       context.Context
 	done      context.CancelFunc
@@ -89,7 +74,6 @@
 		log:      o.Log,
 		metrics:  o.Metrics,
 		traffic:  o.Traffic,
-		policy:   o.Policy,
 	}
 	e.ctx, e.done = context.WithCancel(context.Background())
 	e.routes.Hall = o.Settings.Hall
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -119,25 +119,15 @@
 	if len(servers) == 0 {
 		return fleet.Server{}, false
 	}
-	if d.e.policy == PolicyRoundRobin {
-		return servers[int(d.e.rotation.Add(1)%uint64(len(servers)))], true
-	}
 	cands := make([]route.Candidate, len(servers))
 	for i, s := range servers {
 		cands[i] = route.Candidate{ID: s.ID, Hall: s.Hall}
 	}
-	best := d.first(cands)
+	best := d.e.routes.Order(cands, d.x.prefix, d.e.clock.Now())[0]
 	i := slices.IndexFunc(servers, func(s fleet.Server) bool { return s.ID == best.ID })
 	return servers[i], true
 }
 
-func (d *delivery) first(cands []route.Candidate) route.Candidate {
-	if d.e.policy == PolicyLeastOutstanding {
-		return d.e.routes.Least(cands)
-	}
-	return d.e.routes.Order(cands, d.x.prefix, d.e.clock.Now())[0]
-}
-
 func (d *delivery) leaving(s fleet.Server) bool {
 	return s.Leaving || d.e.members.isLeaving(s.ID) || d.e.routes.Leaving(s.ID, s.Incarnation)
 }
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -94,7 +94,7 @@
 	}
 	n := max(len(p.cells), 1)
 	c.plan = placement.NewPlanner(placement.Options{
-		Policy: placement.Policy(p.Settings.Policy), Headroom: p.Settings.Headroom, Hold: p.Settings.Hold.Std(), MaxLoads: max(p.Settings.MaxLoads/n, 1),
+		Headroom: p.Settings.Headroom, Hold: p.Settings.Hold.Std(), MaxLoads: max(p.Settings.MaxLoads/n, 1),
 	})
 	c.loads = rate.NewLimiter(rate.Limit(p.Settings.LoadsPerSecond/float64(n)), max(p.Settings.MaxLoads/n, 1))
 	old, _ := p.View.Cell(id)
--- a/placement/moves.go
+++ b/placement/moves.go
@@ -85,9 +85,7 @@
 			s.load(x, r, reason)
 			continue
 		}
-		if s.opts.Policy != PolicyStatic {
-			s.makeRoom(r, "room for "+r.Name+": "+reason, s.opts.Hold)
-		}
+		s.makeRoom(r, "room for "+r.Name+": "+reason, s.opts.Hold)
 	}
 }
 
@@ -182,7 +180,7 @@
 	if s.ready[name] <= 1 {
 		return false
 	}
-	if held == 0 || s.opts.Policy == PolicyLRU {
+	if held == 0 {
 		return true
 	}
 	since, ok := s.surplus[name]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,25 +29,8 @@
 	Reason      string    `json:"reason"`
 }
 
-// A Policy names a way of deciding.
-type Policy string
-
-// The policies; all but the first are baselines for measurements.
-const (
-	// PolicyDemand is the normal way.
-	PolicyDemand Policy = ""
-	// PolicyStatic fills the memory with equally many copies of each row, whatever
-	// the demand, and moves nothing.
-	PolicyStatic Policy = "static"
-	// PolicyLRU adds a copy as soon as the ones there are busy and drops those
-	// asked for least recently, with no regard to what they cost.
-	PolicyLRU Policy = "lru"
-)
-
 // Options are the settings of a Planner.
 type Options struct {
-	// Policy is the way of deciding.
-	Policy Policy
 	// Headroom is the part of an accelerator's slots that a copy is planned to fill.
 	Headroom float64
 	// Hold is how long a copy stays after demand no longer justifies it; a longer
--- a/placement/survey.go
+++ b/placement/survey.go
@@ -111,9 +111,6 @@
 		}
 		perCopy := s.opts.Headroom * float64(slots)
 		n := max(1, int(math.Ceil(total[r.Name]/perCopy)))
-		if s.opts.Policy == PolicyStatic {
-			n = s.evenCopies()
-		}
 		s.wanted[r.Name] = s.ownPart(r.Name, n)
 	}
 	for _, r := range s.in.Rows {
@@ -130,22 +127,6 @@
 	}
 }
 
-// evenCopies returns the copies of each row that the memory of all cells holds.
-func (s *plan) evenCopies() int {
-	need, have := 0, 0
-	for _, r := range s.in.Rows {
-		need += s.in.Sizes[r.Name].TotalMiB()
-	}
-	for _, c := range s.in.Cells {
-		for _, srv := range c.Servers {
-			for _, a := range srv.Accelerators {
-				have += a.MemoryMiB
-			}
-		}
-	}
-	return max(1, have/max(need, 1))
-}
-
 // totalDemand returns the demand by name, that of adapters counted for their
 // bases too.
 func (s *plan) totalDemand() map[string]float64 {
--- a/route/route.go
+++ b/route/route.go
@@ -143,16 +143,6 @@
 	return order
 }
 
-// Least returns the candidate with the fewest requests outstanding from here; it
-// is a baseline for measurements.
-func (t *Table) Least(cands []Candidate) Candidate {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.MinFunc(cands, func(a, b Candidate) int {
-		return cmp.Compare(t.entry(a.ID).outstanding, t.entry(b.ID).outstanding)
-	})
-}
-
 // rank puts avoided servers last and servers of the own hall first.
 func (t *Table) rank(c Candidate, now time.Time) int {
 	rank := 0
