Tests of the placer run in a synctest bubble

Cause: they slept a millisecond between ticks of a manual clock so that the placer's calls to engines could end, which is a timing (tests wait on conditions). Change: each test runs in a bubble of testing/synctest and waits after each step until every goroutine rests; the fakes and the world are a file of their own. The checks are as they were.

--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,233 +1,21 @@
 package placer_test
 
 import (
-	"context"
 	"errors"
-	"fmt"
-	"slices"
-	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"rockcleat/backend"
-	"rockcleat/clock"
 	"rockcleat/dispatch"
 	"rockcleat/internal/placer"
-	"rockcleat/kv"
-	"rockcleat/lease"
-	"rockcleat/table"
 )
 
-const (
-	service = "llm"
-	ttl     = 3 * time.Second
-)
-
-// A given is an order that an engine was given.
-type given struct {
-	server string
-	order  backend.Order
-	at     time.Time
-}
-
-// fakeEngines carries orders out at once, unless a test says otherwise.
-type fakeEngines struct {
-	clock clock.Service
-
-	mu      sync.Mutex
-	engines map[string]*fakeEngine
-	given   []given
-	// answer, if not nil, decides what is answered to an order and whether it is done.
-	answer func(n int, o backend.Order) (out backend.Outcome, done bool, err error)
-}
-
-type fakeEngine struct {
-	sequence  int
-	fence     int64
-	residents []backend.Resident
-	coming    []backend.Adapter
-}
-
-func (f *fakeEngines) Report(_ context.Context, s *backend.Server) (backend.Report, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e, ok := f.engines[s.ID]
-	if !ok {
-		return backend.Report{}, errors.New("no such engine")
-	}
-	r := backend.Report{Sequence: e.sequence, Coming: e.coming}
-	for _, x := range e.residents {
-		r.Residents = append(r.Residents, x.Clone())
-	}
-	return r, nil
-}
-
-func (f *fakeEngines) Order(_ context.Context, s *backend.Server, o backend.Order) (backend.Outcome, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.given = append(f.given, given{server: s.ID, order: o, at: f.clock.Now()})
-	e := f.engines[s.ID]
-	if o.Fence < e.fence {
-		return backend.OutcomeFenced, nil
-	}
-	e.fence = o.Fence
-	if o.Sequence != e.sequence {
-		return backend.OutcomeConflict, nil
-	}
-	if f.answer != nil {
-		out, done, err := f.answer(len(f.given), o)
-		if done {
-			e.do(o)
-		}
-		return out, err
-	}
-	e.do(o)
-	return backend.OutcomeTaken, nil
-}
-
-func (e *fakeEngine) do(o backend.Order) {
-	e.sequence++
-	i := slices.IndexFunc(e.residents, func(r backend.Resident) bool { return r.Model == o.Model })
-	switch {
-	case o.Adapter != "" && !o.Unload:
-		e.residents[i].Adapters = append(e.residents[i].Adapters, o.Adapter)
-	case o.Adapter != "":
-		e.residents[i].Adapters = slices.DeleteFunc(e.residents[i].Adapters, func(a string) bool { return a == o.Adapter })
-	case o.Unload:
-		e.residents = slices.Delete(e.residents, i, i+1)
-	default:
-		e.residents = append(e.residents, backend.Resident{Model: o.Model})
-	}
-}
-
-func (f *fakeEngines) orders() []given {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.given)
-}
-
-// A fakeLease is held when a test says so.
-type fakeLease struct {
-	mu    sync.Mutex
-	token lease.Token
-	other bool
-}
-
-func (l *fakeLease) set(token lease.Token) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.token = token
-}
-
-func (l *fakeLease) Held() (lease.Token, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.token, l.token != 0
-}
+func TestMissingModelIsLoadedOnce(t *testing.T) { synctest.Test(t, testMissingModelIsLoadedOnce) }
 
-func (l *fakeLease) Other() lease.Record { return lease.Record{Addr: "last"} }
-
-func (l *fakeLease) HasSeenOther() bool { return l.other }
-
-func (l *fakeLease) Campaign(context.Context, kv.PrefixStore) {}
-
-func (l *fakeLease) Release(context.Context) error {
-	l.set(0)
-	return nil
-}
-
-// A world is a placer with its surroundings.
-type world struct {
-	t        *testing.T
-	clock    *clock.Manual
-	lease    *fakeLease
-	engines  *fakeEngines
-	registry backend.Registry
-	spec     *table.EngineSpec
-	placer   *placer.Placer
-	// second adds a second service of engines, which shares the weight store.
-	second bool
-}
-
-// newWorld returns a world of models of 60 GB and engines of 200 GB that hold the
-// named models.
-func newWorld(t *testing.T, models int, held ...[]string) *world {
-	c := clock.NewManual(time.Unix(1000, 0))
-	w := &world{t: t, clock: c, lease: &fakeLease{token: 7}}
-	w.engines = &fakeEngines{clock: c, engines: make(map[string]*fakeEngine)}
-	w.spec = &table.EngineSpec{WeightsMB: 200_000, AdapterSlots: 2, LoadsPerSecond: 1}
-	for i := range models {
-		w.spec.Models = append(w.spec.Models, table.ModelSpec{
-			Name: fmt.Sprint("m", i), WeightsMB: 60_000, Adapters: 4, AdapterMB: 10, LoadTime: time.Second,
-		})
-	}
-	var list []backend.Server
-	for i, names := range held {
-		id := fmt.Sprint("e", i)
-		e := &fakeEngine{}
-		for _, m := range names {
-			e.residents = append(e.residents, backend.Resident{Model: m})
-		}
-		w.engines.engines[id] = e
-		list = append(list, backend.Server{ID: id, Service: service, Hall: "h", Residents: e.residents})
-	}
-	w.registry.Replace(list, c.Now())
-	return w
-}
-
-func (w *world) start(first bool) *placer.Placer {
-	services := []table.Service{{Name: service, Engine: w.spec}, {Name: "plain"}}
-	if w.second {
-		services = append(services, table.Service{Name: "second", Engine: w.spec})
-	}
-	routing := table.NewRouting(1, nil, services, table.RequestLimits{})
-	p := placer.New(placer.Options{
-		Lease: w.lease, Engines: w.engines, Registry: &w.registry,
-		Routing: func() *table.Routing { return routing },
-		Settle:  ttl, First: first, Clock: w.clock, Log: zap.NewNop(),
-	})
-	w.placer = p
-	p.Start()
-	w.t.Cleanup(func() { p.Stop(context.Background()) })
-	return p
-}
-
-// run lets time pass until the condition holds.
-func (w *world) run(what string, cond func() bool) {
-	w.t.Helper()
-	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
-		w.clock.Advance(50 * time.Millisecond)
-		if cond() {
-			return poll.Success()
-		}
-		return poll.Continue("%s: orders %v", what, w.engines.orders())
-	}, poll.WithDelay(time.Millisecond))
-}
-
-// pass lets an amount of time pass.
-func (w *world) pass(d time.Duration) {
-	for range int(d / (50 * time.Millisecond)) {
-		w.clock.Advance(50 * time.Millisecond)
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func (w *world) ordered(n int) func() bool {
-	return func() bool { return len(w.engines.orders()) >= n }
-}
-
-// ask reports requests that wait for a model or adapter.
-func (w *world) ask(name string, arrived, waiting int) placer.Answer {
-	return w.placer.Report(placer.Report{From: "g", Demands: map[string]dispatch.Demand{
-		name: {Arrived: arrived, Tokens: arrived * 1000, Waiting: waiting, Service: service},
-	}})
-}
-
-func TestMissingModelIsLoadedOnce(t *testing.T) {
+func testMissingModelIsLoadedOnce(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0"})
 	w.start(true)
 	w.run("load", w.ordered(1))
@@ -245,28 +33,34 @@
 	tests := map[string]struct{ done bool }{"it was done": {done: true}, "it was not done": {}}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 2, []string{"m0"})
-			w.engines.answer = func(n int, _ backend.Order) (backend.Outcome, bool, error) {
-				if n == 1 {
-					return backend.OutcomeUnknown, test.done, errors.New("no answer")
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2, []string{"m0"})
+				w.engines.answer = func(n int, _ backend.Order) (backend.Outcome, bool, error) {
+					if n == 1 {
+						return backend.OutcomeUnknown, test.done, errors.New("no answer")
+					}
+					return backend.OutcomeTaken, true, nil
 				}
-				return backend.OutcomeTaken, true, nil
-			}
-			w.start(true)
-			w.run("first order", w.ordered(1))
-			w.run("model there", func() bool { return len(w.ask("m1", 0, 0).Residency["e0"].Residents) == 2 })
-			w.pass(3 * time.Second)
-			loads := 0
-			for _, g := range w.engines.orders() {
-				assert.Equal(t, g.order.Sequence, 0, "a late order and a repeated one must not both count")
-				loads++
-			}
-			assert.Assert(t, loads <= 2)
+				w.start(true)
+				w.run("first order", w.ordered(1))
+				w.run("model there", func() bool { return len(w.ask("m1", 0, 0).Residency["e0"].Residents) == 2 })
+				w.pass(3 * time.Second)
+				loads := 0
+				for _, g := range w.engines.orders() {
+					assert.Equal(t, g.order.Sequence, 0, "a late order and a repeated one must not both count")
+					loads++
+				}
+				assert.Assert(t, loads <= 2)
+			})
 		})
 	}
 }
 
 func TestHolderThatIsNotTheFirstSettles(t *testing.T) {
+	synctest.Test(t, testHolderThatIsNotTheFirstSettles)
+}
+
+func testHolderThatIsNotTheFirstSettles(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0"})
 	start := w.clock.Now()
 	w.lease.other = true
@@ -311,21 +105,25 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 2, []string{"m0"})
-			w.lease.other = true
-			w.lease.set(0)
-			p := w.start(true)
-			test.say(w, p)
-			start := w.clock.Now()
-			w.lease.set(7)
-			w.run("load", w.ordered(1))
-			waited := w.engines.orders()[0].at.Sub(start) >= ttl
-			assert.Equal(t, waited, test.waits)
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2, []string{"m0"})
+				w.lease.other = true
+				w.lease.set(0)
+				p := w.start(true)
+				test.say(w, p)
+				start := w.clock.Now()
+				w.lease.set(7)
+				w.run("load", w.ordered(1))
+				waited := w.engines.orders()[0].at.Sub(start) >= ttl
+				assert.Equal(t, waited, test.waits)
+			})
 		})
 	}
 }
 
-func TestNoOrderWithoutTheLease(t *testing.T) {
+func TestNoOrderWithoutTheLease(t *testing.T) { synctest.Test(t, testNoOrderWithoutTheLease) }
+
+func testNoOrderWithoutTheLease(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0", "m1"})
 	w.start(true)
 	w.pass(6 * time.Second)
@@ -340,7 +138,9 @@
 	assert.Assert(t, !w.ask("m0", 1, 1).Held)
 }
 
-func TestFencedHolderStops(t *testing.T) {
+func TestFencedHolderStops(t *testing.T) { synctest.Test(t, testFencedHolderStops) }
+
+func testFencedHolderStops(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0"})
 	w.engines.engines["e0"].fence = 1 << 40
 	w.start(true)
@@ -352,8 +152,12 @@
 // TestLoadsStayWithinTheBudget brings many empty engines and checks that in no
 // five seconds more loads begin than the store's rate and a small burst allow.
 func TestLoadsStayWithinTheBudget(t *testing.T) {
-	t.Run("one service", func(t *testing.T) { loadsStayWithinTheBudget(t, false) })
-	t.Run("two services", func(t *testing.T) { loadsStayWithinTheBudget(t, true) })
+	t.Run("one service", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { loadsStayWithinTheBudget(t, false) })
+	})
+	t.Run("two services", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { loadsStayWithinTheBudget(t, true) })
+	})
 }
 
 func loadsStayWithinTheBudget(t *testing.T, second bool) {
@@ -385,6 +189,10 @@
 }
 
 func TestAdapterComesWhenItIsWaitedFor(t *testing.T) {
+	synctest.Test(t, testAdapterComesWhenItIsWaitedFor)
+}
+
+func testAdapterComesWhenItIsWaitedFor(t *testing.T) {
 	w := newWorld(t, 1, []string{"m0"})
 	p := w.start(true)
 	w.pass(5 * time.Second)
@@ -402,6 +210,10 @@
 // TestAdapterOfALeavingEngineComesElsewhere lists an engine that is leaving and has
 // the adapter: requests do not go there, so another engine must get it.
 func TestAdapterOfALeavingEngineComesElsewhere(t *testing.T) {
+	synctest.Test(t, testAdapterOfALeavingEngineComesElsewhere)
+}
+
+func testAdapterOfALeavingEngineComesElsewhere(t *testing.T) {
 	w := newWorld(t, 1, []string{"m0"}, []string{"m0"})
 	w.engines.engines["e0"].residents[0].Adapters = []string{"a1"}
 	w.registry.Update(backend.Server{
@@ -418,6 +230,10 @@
 }
 
 func TestAdaptersOnTheirWayTakeTheirPlaces(t *testing.T) {
+	synctest.Test(t, testAdaptersOnTheirWayTakeTheirPlaces)
+}
+
+func testAdaptersOnTheirWayTakeTheirPlaces(t *testing.T) {
 	w := newWorld(t, 1, []string{"m0"})
 	w.engines.engines["e0"].coming = []backend.Adapter{{Model: "m0", Name: "a1"}, {Model: "m0", Name: "a2"}}
 	p := w.start(true)
@@ -429,7 +245,9 @@
 	assert.Assert(t, w.engines.orders()[0].order.Unload, "both places are taken: one must be freed first")
 }
 
-func TestGatewaysAreTold(t *testing.T) {
+func TestGatewaysAreTold(t *testing.T) { synctest.Test(t, testGatewaysAreTold) }
+
+func testGatewaysAreTold(t *testing.T) {
 	w := newWorld(t, 1, []string{"m0"})
 	p := w.start(true)
 	w.pass(5 * time.Second)
@@ -447,7 +265,9 @@
 
 // TestResidencyIsToldInParts checks that a gateway is told what has changed since
 // the version that it knows, and everything by a holder that it does not know.
-func TestResidencyIsToldInParts(t *testing.T) {
+func TestResidencyIsToldInParts(t *testing.T) { synctest.Test(t, testResidencyIsToldInParts) }
+
+func testResidencyIsToldInParts(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0"}, []string{"m0", "m1"})
 	p := w.start(true)
 	w.pass(5 * time.Second)
@@ -470,7 +290,9 @@
 
 // TestOldDemandIsNoNewDemand tells a new holder, in parts, of demand that is long
 // over: it must not be taken for demand of now and move models about.
-func TestOldDemandIsNoNewDemand(t *testing.T) {
+func TestOldDemandIsNoNewDemand(t *testing.T) { synctest.Test(t, testOldDemandIsNoNewDemand) }
+
+func testOldDemandIsNoNewDemand(t *testing.T) {
 	w := newWorld(t, 2, []string{"m0", "m1"}, nil)
 	p := w.start(true)
 	w.pass(5 * time.Second)
@@ -482,7 +304,9 @@
 }
 
 // TestDemandIsToldInParts checks that demand which a report leaves out stands.
-func TestDemandIsToldInParts(t *testing.T) {
+func TestDemandIsToldInParts(t *testing.T) { synctest.Test(t, testDemandIsToldInParts) }
+
+func testDemandIsToldInParts(t *testing.T) {
 	w := newWorld(t, 1, []string{"m0"})
 	p := w.start(true)
 	w.pass(5 * time.Second)
