A load that waits for room without end is planned elsewhere

Two engines that never end their unload, for they are cut off or long requests run there, hold all of it, and the models planned there count as held: no model comes anywhere any more. Change: after 13 s, longer than an order without an answer may take, the load is dropped and planned anew; what was to go still goes. The last loads cannot double: orders carry the expected sequence. Test: TestUnloadThatDoesNotEndHoldsUpNoOther fails on the code before (two orders, then none).

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -27,6 +27,9 @@
 	reportLag = 1500 * time.Millisecond
 	// doubtTime is how long after a load reports may be older than what it pushed out.
 	doubtTime = 700 * time.Millisecond
+	// longestUnload is how long a load may wait for the room that is made for it: longer
+	// than an order without an answer may take to be carried out.
+	longestUnload = 13 * time.Second
 	// retryOrder is the pause after an order without an answer.
 	retryOrder = 300 * time.Millisecond
 )
@@ -49,6 +52,8 @@
 	given bool
 	// earliest is when the first pending order may be given.
 	earliest time.Time
+	// started is when the pending orders were planned.
+	started time.Time
 	// ordered is when the engine last took an order.
 	ordered time.Time
 	// calling tells that a call to the engine is under way.
@@ -129,11 +134,31 @@
 	}
 	e.pending = append(e.pending, backend.Order{Model: m.Model})
 	e.given = false
+	e.started = now
 	if len(m.Victims) > 0 {
 		e.earliest = now.Add(retireTime)
 	}
 }
 
+// overdue reports whether the engine has been about to make room for a load for too
+// long: it waits for requests to end, or it does not answer.
+func (e *engine) overdue(now time.Time) bool {
+	n := len(e.pending)
+	if n == 0 || e.pending[n-1].Unload || now.Sub(e.started) < longestUnload {
+		return false
+	}
+	return n > 1 || !e.given && !e.known && !e.calling
+}
+
+// abandonLoad drops the load of the pending orders and returns its model, so that it
+// can be planned elsewhere. What is to go still goes.
+func (e *engine) abandonLoad() string {
+	n := len(e.pending)
+	model := e.pending[n-1].Model
+	e.pending = e.pending[:n-1]
+	return model
+}
+
 // take takes in a report and reports whether it is as new as the orders given.
 func (e *engine) take(r backend.Report, now time.Time) bool {
 	if e.known && r.Sequence < e.sequence && now.Sub(e.ordered) < reportLag {
--- a/internal/placer/harness_test.go
+++ b/internal/placer/harness_test.go
@@ -49,6 +49,9 @@
 	fence     int64
 	residents []backend.Resident
 	coming    []backend.Adapter
+	// runs keeps the engine from ending an unload.
+	runs bool
+	busy bool
 }
 
 func (f *fakeEngines) Report(_ context.Context, s *backend.Server) (backend.Report, error) {
@@ -58,7 +61,7 @@
 	if !ok {
 		return backend.Report{}, errors.New("no such engine")
 	}
-	r := backend.Report{Sequence: e.sequence, Coming: e.coming}
+	r := backend.Report{Sequence: e.sequence, Coming: e.coming, Busy: e.busy}
 	for _, x := range e.residents {
 		r.Residents = append(r.Residents, x.Clone())
 	}
@@ -84,6 +87,11 @@
 		}
 		return out, err
 	}
+	if o.Unload && o.Adapter == "" && e.runs {
+		e.sequence++
+		e.busy = true
+		return backend.OutcomeTaken, nil
+	}
 	e.do(o)
 	return backend.OutcomeTaken, nil
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -110,6 +110,7 @@
 	demand *demand
 	// missing tells since when adapters that no engine holds have been waited for.
 	missing map[backend.Adapter]time.Time
+	// budget is the number of loads that the weight store bears now.
 	budget  float64
 	stepped time.Time
 	version int64
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -317,3 +318,29 @@
 	w.run("adapter", w.ordered(1))
 	assert.Equal(t, w.engines.orders()[0].order.Adapter, "a1")
 }
+
+// TestUnloadThatDoesNotEndHoldsUpNoOther brings a model to a full engine that never ends
+// its unload, for long requests run there: the model comes elsewhere, and other models
+// come meanwhile.
+func TestUnloadThatDoesNotEndHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, testUnloadThatDoesNotEndHoldsUpNoOther)
+}
+
+func testUnloadThatDoesNotEndHoldsUpNoOther(t *testing.T) {
+	full := []string{"m0", "m1", "m2"}
+	w := newWorld(t, 7, full, full, full, full, full, full)
+	stuck := []string{"e0", "e1", "e2"}
+	for _, id := range stuck {
+		w.engines.engines[id].runs = true
+	}
+	w.start(true)
+	w.run("every model is held", func() bool {
+		held := make(map[string]bool)
+		for id, e := range w.ask("m0", 0, 0).Residency {
+			for _, r := range e.Residents {
+				held[r.Model] = held[r.Model] || !slices.Contains(stuck, id)
+			}
+		}
+		return len(held) == len(w.spec.Models)
+	})
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -27,6 +27,7 @@
 // serve plans for one service and does what is due at its engines.
 func (p *Placer) serve(s table.Service, now time.Time) {
 	list := p.services[s.Name]
+	p.abandonOverdue(list, now)
 	p.planAdapters(s, list, now)
 	if now.Sub(p.planned[s.Name]) >= planEvery(len(list)) {
 		p.planned[s.Name] = now
@@ -37,6 +38,16 @@
 	}
 }
 
+// abandonOverdue drops the loads that wait for too long for an engine to make room, so
+// that they are planned elsewhere and do not hold up others.
+func (p *Placer) abandonOverdue(list []*engine, now time.Time) {
+	for _, e := range list {
+		if e.overdue(now) {
+			p.opts.Log.Warn("move abandoned", zap.String("server", e.server.ID), zap.String("model", e.abandonLoad()))
+		}
+	}
+}
+
 // slowPlan is the longest time between two plans of a service.
 const slowPlan = time.Second
 
