--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 	Pace Pace
 	// Avoid names servers that are not to be chosen.
 	Avoid []string
+	// Begun tells that the request may have run, so that it gives way to none.
+	Begun bool
 	// Asked counts the places that other gateways were asked for, Denied those that
 	// they did not grant.
 	Asked, Denied int
@@ -240,11 +242,32 @@
 // choose takes a place at the best server, or returns nil. Waiting requests are
 // looked at again when it is known that a place may come free by time alone.
 func (d *Dispatcher) choose(r *Request) *Ticket {
-	var servers []*backend.Server
-	var list []Candidate
-	memory := d.opts.Memory(r.Service)
-	limits := Limits{Pace: r.Pace, Fill: d.opts.Fill}
 	now := d.opts.Clock.Now()
+	servers, list := d.candidates(r, now)
+	limits := d.limits(r)
+	i := Choose(list, limits)
+	if i < 0 {
+		d.serveAfterReading(servers, list, limits, now)
+		return nil
+	}
+	t := d.take(r, servers[i], list[i])
+	t.among = len(list)
+	return t
+}
+
+// HasServer reports whether there is a server that could take the request now.
+func (d *Dispatcher) HasServer(r *Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, list := d.candidates(r, d.opts.Clock.Now())
+	return Choose(list, d.limits(r)) >= 0
+}
+
+func (d *Dispatcher) limits(r *Request) Limits { return Limits{Pace: r.Pace, Fill: d.opts.Fill} }
+
+// candidates returns the servers that hold what the request needs and may be asked now.
+func (d *Dispatcher) candidates(r *Request, now time.Time) (servers []*backend.Server, list []Candidate) {
+	memory := d.opts.Memory(r.Service)
 	for _, s := range d.servers.Holding(r.Service, r.Model) {
 		if s.Leaving || slices.Contains(r.Avoid, s.ID) || r.Model != "" && !s.Holds(r.Model, r.Adapter) {
 			continue
@@ -256,14 +279,7 @@
 		servers = append(servers, s)
 		list = append(list, d.candidate(r, s, memory, now))
 	}
-	i := Choose(list, limits)
-	if i < 0 {
-		d.serveAfterReading(servers, list, limits, now)
-		return nil
-	}
-	t := d.take(r, servers[i], list[i])
-	t.among = len(list)
-	return t
+	return servers, list
 }
 
 // silentAfter is how long a server may owe a first answer and say nothing at all.
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -72,7 +72,7 @@
 	now := d.opts.Clock.Now()
 	c := d.candidate(req, s, d.opts.Memory(s.Service), now)
 	answer := PlaceAnswer{Owned: true, Load: c.load()}
-	limits := Limits{Pace: r.Pace, Fill: d.opts.Fill}
+	limits := d.limits(req)
 	if !c.fits(limits, true) {
 		answer.After = int(d.freeAfter(s, c, limits, now) / time.Millisecond)
 		return answer
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/internal/config"
 )
 
 func TestAnswerIsPassedOnUnchanged(t *testing.T) {
@@ -220,3 +223,56 @@
 	got := w.post(pathResume, "x")
 	assert.Assert(t, got.err != nil, "%+v", got)
 }
+
+// TestSilentServerIsWaitedFor lets a server fall silent in the middle of a stream that
+// could go on elsewhere, while no other server is there or the budget of repeats is
+// spent: its answer is passed on when it comes.
+func TestSilentServerIsWaitedFor(t *testing.T) {
+	tests := map[string]struct {
+		change  func(*config.Gateway)
+		servers []string
+	}{
+		"no other server": {change: func(*config.Gateway) {}, servers: []string{"a"}},
+		"no budget": {
+			change:  func(s *config.Gateway) { s.Retry.Fixed, s.Retry.Ratio = 0, 0 },
+			servers: []string{"a", "b"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			pauses := func(c *call) bool {
+				c.write(c.streamHead(), event(1))
+				select {
+				case <-release:
+				case <-c.gone:
+				}
+				c.write(event(2), lastChunk)
+				return true
+			}
+			var workers []*worker
+			for _, id := range test.servers {
+				workers = append(workers, newWorker(t, id, pauses))
+			}
+			w := newWorldWith(t, test.change, workers...)
+			done := make(chan reply, 1)
+			go func() { done <- w.post(pathResume, "x") }()
+			w.waitLine("server silent, request stays")
+			close(release)
+			got := <-done
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+		})
+	}
+}
+
+// waitLine waits until the gateway has logged a message.
+func (w *world) waitLine(msg string) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		if w.logs.FilterMessage(msg).Len() == 0 {
+			return poll.Continue("no line %q", msg)
+		}
+		return poll.Success()
+	})
+}
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -8,6 +8,7 @@
 	msgSentAgain  = "sent again"
 	msgCut        = "answer cut"
 	msgSilent     = "owner silent"
+	msgMute       = "server silent, request stays"
 	msgAlone      = "store watched here"
 	msgHandedOn   = "changes handed on"
 )
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -243,6 +244,8 @@
 	ready   string
 	client  *http.Client
 	routing routingFile
+	log     *zap.Logger
+	logs    *observer.ObservedLogs
 }
 
 // Hosts and paths of the tests' routes.
@@ -285,14 +288,25 @@
 
 // newWorld starts a gateway before the backend servers.
 func newWorld(t *testing.T, workers ...*worker) *world {
-	w := newWorldWithoutConfig(t, workers...)
+	return newWorldWith(t, func(*config.Gateway) {}, workers...)
+}
+
+// newWorldWith starts a gateway with other settings before the backend servers.
+func newWorldWith(t *testing.T, change func(*config.Gateway), workers ...*worker) *world {
+	w := prepareWorld(t, change, workers...)
 	w.putConfig()
 	w.waitReady(http.StatusOK)
 	return w
 }
 
 func newWorldWithoutConfig(t *testing.T, workers ...*worker) *world {
-	w := &world{t: t, store: standin.NewMemoryStore(clock.Real{}), client: &http.Client{Transport: &http.Transport{}}}
+	return prepareWorld(t, func(*config.Gateway) {}, workers...)
+}
+
+// prepareWorld starts a gateway that has no configuration yet.
+func prepareWorld(t *testing.T, change func(*config.Gateway), workers ...*worker) *world {
+	core, logs := observer.New(zap.InfoLevel)
+	w := &world{t: t, log: zap.New(core), logs: logs, store: standin.NewMemoryStore(clock.Real{}), client: &http.Client{Transport: &http.Transport{}}}
 	w.routing = routingFile{
 		Version: 1, Routes: routes(),
 		Services: []table.Service{
@@ -304,6 +318,7 @@
 		w.putServer(x, false)
 	}
 	s := gatewaySettings(t, "g")
+	change(&s)
 	w.front, w.ready = s.Listen, s.ReadyListen
 	w.gateway = w.startGateway(s, w.store)
 	return w
@@ -325,7 +340,7 @@
 func (w *world) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
 	g := gateway.New(gateway.Options{
 		Settings: s, Names: names, ReadyPath: readyPath, Store: w.store, Prefixes: prefixes, OwnKeys: prefixes,
-		Decoder: decoder{}, Engines: noEngines{}, Clock: clock.Real{}, Log: zap.NewNop(),
+		Decoder: decoder{}, Engines: noEngines{}, Clock: clock.Real{}, Log: w.log,
 	})
 	assert.NilError(w.t, g.Start())
 	w.t.Cleanup(func() {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -128,6 +128,13 @@
 	g.log.Warn(msgSilent, zap.String("owner", owner), telemetry.Error(err))
 }
 
+// logSilentServer tells that a request stays with a server that says nothing, since no
+// other can take it or the budget of repeats is spent.
+func (g *Gateway) logSilentServer(x *exchange, t *dispatch.Ticket) {
+	g.log.Info(msgMute, zap.String(fieldRequest, x.id), zap.String(fieldServer, t.Server().ID),
+		zap.Float64(fieldAge, g.clock.Now().Sub(x.arrived).Seconds()))
+}
+
 // logWatch tells whether changes under a prefix are read from the store or handed
 // on by the holder of orders.
 func (g *Gateway) logWatch(prefix string, direct bool) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -31,14 +32,14 @@
 // maxPriority is the least urgent rank that engines know.
 const maxPriority = 9
 
-// errSilent ends a send whose server says nothing for too long.
+// errSilent ends a send whose server says nothing for too long; its repeat is paid for.
 var errSilent = eris.New("gateway: server silent")
 
 // send sends the request to one server and reports whether it is over.
 func (x *exchange) send(t *dispatch.Ticket) bool {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	silence := x.watchSilence(cancel)
+	silence := x.watchSilence(t, cancel)
 	defer silence.stop()
 	req := x.outgoing(ctx, t)
 	x.g.logSend(x, t)
@@ -174,8 +175,9 @@
 	if x.ctx.Err() != nil {
 		return x.expired()
 	}
-	if x.mayRepeat() && x.allowed() {
+	if x.mayRepeat() && (errors.Is(err, errSilent) || x.allowed()) {
 		x.req.Avoid = append(x.req.Avoid, t.Server().ID)
+		x.req.Begun = true
 		x.req.Until = x.end.Add(-holdReserve)
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,7 +12,6 @@
 	"github.com/rotisserie/eris"
 
 	"rockcleat/dispatch"
-	"rockcleat/table"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -112,41 +111,3 @@
 	x.outcome = outcomeGone
 	return true
 }
-
-// Bounds of a server's silence for requests that may be repeated.
-const (
-	silentFirstShare = 0.5
-	silentFirstLeast = 250 * time.Millisecond
-	silentStream     = 1500 * time.Millisecond
-)
-
-// A silence ends a send whose server says nothing for too long, if the request
-// may go on elsewhere; a nil silence ends none.
-type silence struct {
-	timer *time.Timer
-	gap   time.Duration
-}
-
-func (x *exchange) watchSilence(cancel context.CancelCauseFunc) *silence {
-	if x.runs+1 >= x.route.Attempts || x.route.Repeat == table.RepeatNever {
-		return nil
-	}
-	first := max(time.Duration(float64(x.route.Objective)*silentFirstShare), silentFirstLeast)
-	if x.route.Stream {
-		first = max(first, silentStream)
-	}
-	return &silence{timer: time.AfterFunc(first, func() { cancel(errSilent) }), gap: silentStream}
-}
-
-// heard starts the time anew.
-func (s *silence) heard() {
-	if s != nil {
-		s.timer.Reset(s.gap)
-	}
-}
-
-func (s *silence) stop() {
-	if s != nil {
-		s.timer.Stop()
-	}
-}
