Less urgent requests that would wait give way when more urgent ones fare worse

Ruled out: the order of waiting alone (urgent ones go first; they are late all the same). Change: the dispatcher follows, per service and priority, which part of its credit each request earned as far as that was a matter of load, fading over 10 s. A request that would wait behind more urgent ones that fare worse by a tenth is refused at once, with when to come back. What has begun anywhere never gives way. Tests: TestYields, TestLessUrgentGiveWay.

--- /dev/null
+++ b/dispatch/balance_test.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+)
+
+// TestYields asks for requests of priority 2 after others have fared well or badly.
+func TestYields(t *testing.T) {
+	type outcome struct {
+		priority, count int
+		earned          float64
+	}
+	tests := map[string]struct {
+		outcomes []outcome
+		after    time.Duration
+		want     bool
+	}{
+		"nothing known":           {},
+		"more urgent ones worse":  {outcomes: []outcome{{1, 10, 0.5}, {2, 10, 1}}, want: true},
+		"most urgent ones worse":  {outcomes: []outcome{{0, 10, 0.5}, {1, 10, 1}, {2, 10, 1}}, want: true},
+		"within the margin":       {outcomes: []outcome{{1, 10, 0.95}, {2, 10, 1}}},
+		"less urgent ones worse":  {outcomes: []outcome{{3, 10, 0}, {2, 10, 1}}},
+		"all alike":               {outcomes: []outcome{{1, 10, 0.2}, {2, 10, 0.2}}},
+		"too few to tell":         {outcomes: []outcome{{1, 3, 0}, {2, 10, 1}}},
+		"long ago":                {outcomes: []outcome{{1, 10, 0}, {2, 10, 1}}, after: time.Minute},
+		"nothing known of itself": {outcomes: []outcome{{1, 10, 0}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var b balance
+			now := time.Unix(1000, 0)
+			for _, o := range test.outcomes {
+				for range o.count {
+					b.note(o.priority, o.earned, now)
+				}
+			}
+			assert.Equal(t, b.yields(2, now.Add(test.after)), test.want)
+		})
+	}
+}
+
+// TestLessUrgentGiveWay brings a request of priority 2 to a full engine after those of
+// priority 1 have fared worse: it is refused at once only if one of these waits, and only
+// if it has not run anywhere yet.
+func TestLessUrgentGiveWay(t *testing.T) {
+	tests := map[string]struct {
+		urgentWaits, begun bool
+		want               error
+	}{
+		"an urgent one waits": {urgentWaits: true, want: ErrYields},
+		"none waits":          {want: ErrWaited},
+		"it may have run":     {urgentWaits: true, begun: true, want: ErrWaited},
+		"none waits, has run": {begun: true, want: ErrWaited},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clock.NewManual(time.Unix(1000, 0))
+			d := New(Options{ID: "g", Hall: "h", Clock: c, Fill: 1, Memory: func(string) int { return 100 }})
+			var r backend.Registry
+			r.Replace([]backend.Server{{
+				ID: "a", Service: "llm", Hall: "h", Slots: 1, Residents: []backend.Resident{{Model: "m"}},
+			}}, c.Now())
+			d.SetServers(r.Snapshot())
+			request := func(priority int, wait time.Duration) *Request {
+				return &Request{Service: "llm", Model: "m", Prompt: 10, Priority: priority, Until: c.Now().Add(wait)}
+			}
+			_, err := d.Acquire(context.Background(), request(1, time.Minute))
+			assert.NilError(t, err)
+			for range 10 {
+				d.Fared(request(1, 0), 0)
+				d.Fared(request(2, 0), 1)
+			}
+			if test.urgentWaits {
+				d.mu.Lock()
+				d.enqueue(&waiter{req: request(1, time.Minute), ready: make(chan struct{})})
+				d.mu.Unlock()
+			}
+			less := request(2, time.Millisecond)
+			less.Begun = test.begun
+			_, err = d.Acquire(context.Background(), less)
+			assert.Equal(t, err, test.want)
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,9 @@
 var (
 	// ErrNoServer tells that the service has no server left to try.
 	ErrNoServer = errors.New("dispatch: no server")
+	// ErrYields tells that the request would have to wait and gives way to more urgent
+	// ones, which fare worse.
+	ErrYields = errors.New("dispatch: gives way")
 	// ErrWaited tells that the request waited as long as it may.
 	ErrWaited = errors.New("dispatch: waited too long")
 )
@@ -105,10 +108,12 @@
 	loads   map[string]*load
 	remote  map[string]remoteLoad
 	// partial tells that remote holds the busiest servers only.
-	partial  bool
-	waiting  []*waiter
-	demand   map[string]*Demand
-	speeds   speeds
+	partial bool
+	waiting []*waiter
+	demand  map[string]*Demand
+	speeds  speeds
+	// balances holds how requests of each service fare.
+	balances map[string]*balance
 	gateways []Gateway
 	owners   map[string]string
 	// silent tells until when owners that did not answer are not asked.
@@ -159,7 +164,7 @@
 	return &Dispatcher{
 		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*load),
 		remote: make(map[string]remoteLoad), demand: make(map[string]*Demand),
-		silent: make(map[string]time.Time),
+		silent: make(map[string]time.Time), balances: make(map[string]*balance),
 	}
 }
 
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -33,6 +33,10 @@
 		d.mu.Unlock()
 		return nil, ErrNoServer
 	}
+	if d.yields(r) {
+		d.mu.Unlock()
+		return nil, ErrYields
+	}
 	w := &waiter{req: r, ready: make(chan struct{})}
 	d.enqueue(w)
 	d.mu.Unlock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -279,6 +279,8 @@
 		x.cut(eris.Wrap(err, "gateway: no server to go on with"))
 	case x.runs > 0:
 		x.refuse(outcomeUnknown, &refusal{status: http.StatusBadGateway, reason: "the request may have run"})
+	case errors.Is(err, dispatch.ErrYields):
+		x.refuse(outcomeRefused, &refusal{status: http.StatusServiceUnavailable, reason: "more urgent requests wait; not run", after: x.yieldTime()})
 	case x.ctx.Err() != nil:
 		x.refuse(outcomeRefused, &refusal{status: http.StatusServiceUnavailable, reason: "no server in time; not run", after: retrySoon})
 	default:
@@ -292,6 +294,14 @@
 	return retrySoon + rand.N(2*retrySoon)
 }
 
+// yieldShare is the part of its objective after which a request that gave way may come back.
+const yieldShare = 0.2
+
+// yieldTime returns when a request that gave way should be tried again, spread as comeBack's.
+func (x *exchange) yieldTime() time.Duration {
+	return max(time.Duration(yieldShare*float64(x.route.Objective)), retrySoon) + rand.N(2*retrySoon)
+}
+
 func (x *exchange) refuse(outcome string, f *refusal) {
 	x.outcome, x.status = outcome, f.status
 	f.close = f.close || x.g.leaving.Load()
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -56,6 +56,9 @@
 		first = x.firstByte.Sub(x.arrived).Seconds()
 	}
 	g.metrics.Ended(x.route.Name, x.outcome, first, now.Sub(x.arrived).Seconds())
+	if earned, ok := x.earned(); ok {
+		g.dispatcher.Fared(&x.req, earned)
+	}
 	if x.req.Asked > 0 {
 		g.metrics.Places(x.req.Asked, x.req.Denied)
 	}
@@ -73,6 +76,30 @@
 	g.log.Info(msgEnded, fields...)
 }
 
+// lateCredit is the part of its credit that a late answer earns, about.
+const lateCredit = 0.3
+
+// earned returns the part of its credit that the request has earned, and whether that was
+// a matter of load: a server that was lost says nothing about it.
+func (x *exchange) earned() (part float64, ok bool) {
+	switch x.outcome {
+	case outcomeRefused, outcomeTimeout:
+		return 0, true
+	case outcomeAnswered:
+		if x.inTime() {
+			return 1, true
+		}
+		return lateCredit, true
+	}
+	return 0, false
+}
+
+// inTime reports whether the answer began and went on within the route's objectives.
+func (x *exchange) inTime() bool {
+	pause := x.route.PauseObjective
+	return x.firstByte.Sub(x.arrived) <= x.route.Objective && (pause == 0 || x.longestPause <= pause)
+}
+
 // fields are what the line on a request's end tells of the request.
 func (x *exchange) fields(now time.Time, first float64) []zap.Field {
 	return []zap.Field{
