--- /dev/null
+++ b/kv/example_test.go
@@ -0,0 +1,47 @@
+package kv_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rockcleat/clock"
+	"rockcleat/internal/standin"
+	"rockcleat/kv"
+)
+
+// A rowPrinter prints the rows that it follows, and ends when one has changed.
+type rowPrinter struct {
+	store *standin.MemoryStore
+	end   context.CancelFunc
+}
+
+// Replace implements kv.Follower; it changes a row, which Apply then hears of.
+func (p rowPrinter) Replace(entries []kv.Entry) {
+	for _, e := range entries {
+		fmt.Printf("listed %s: %s\n", e.Key, e.Value)
+	}
+	p.store.Set("rows/hint", []byte("weight 5"))
+}
+
+// Apply implements kv.Follower.
+func (p rowPrinter) Apply(events []kv.Event) {
+	for _, e := range events {
+		fmt.Printf("changed %s: %s\n", e.Entry.Key, e.Entry.Value)
+	}
+	p.end()
+}
+
+// Lost and Heard implement kv.Follower.
+func (p rowPrinter) Lost(error) {}
+func (p rowPrinter) Heard()     {}
+
+func ExampleFollow() {
+	store := standin.NewMemoryStore(clock.Real{})
+	store.Set("rows/hint", []byte("weight 1"))
+	ctx, end := context.WithCancel(context.Background())
+	kv.Follow(ctx, store, "rows/", time.Second, rowPrinter{store: store, end: end})
+	// Output:
+	// listed rows/hint: weight 1
+	// changed rows/hint: weight 5
+}
--- /dev/null
+++ b/residency/example_test.go
@@ -0,0 +1,30 @@
+package residency_test
+
+import (
+	"fmt"
+
+	"rockcleat/backend"
+	"rockcleat/residency"
+	"rockcleat/table"
+)
+
+// A model that nobody holds comes in the place of one that is held twice.
+func ExamplePlan() {
+	spec := &table.EngineSpec{WeightsMB: 100, Models: []table.ModelSpec{
+		{Name: "draft", WeightsMB: 60}, {Name: "hint", WeightsMB: 60},
+	}}
+	draft := []backend.Resident{{Model: "draft"}}
+	moves := residency.Plan(residency.Input{
+		Spec: spec,
+		Engines: []residency.Engine{
+			{ID: "e1", Hall: "kita", Residents: draft, Idle: true},
+			{ID: "e2", Hall: "chuo", Residents: draft, Idle: true},
+		},
+		Wants:      map[string]residency.Want{"hint": {Waiting: 1}},
+		StoreLoads: 1,
+	})
+	for _, m := range moves {
+		fmt.Println(m.Engine, "loads", m.Model, "after", m.Victims)
+	}
+	// Output: e1 loads hint after [draft]
+}
--- /dev/null
+++ b/table/example_test.go
@@ -0,0 +1,15 @@
+package table_test
+
+import (
+	"fmt"
+	"strings"
+
+	"rockcleat/table"
+)
+
+// A spreadsheet with a mistake is refused, with the row and the column.
+func ExampleReadCSV() {
+	_, err := table.ReadCSV(strings.NewReader("name,kind,tier,weight\nhint,model,premium,heavy\n"))
+	fmt.Println(err)
+	// Output: table: row "hint", column weight: "heavy" is not allowed; allowed: a whole number
+}
