--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -229,15 +229,15 @@
 	}
 }
 
+// expire refuses what has waited for too long. An edit of the row may have given a later
+// request a shorter time than those before it.
 func (q *Queue) expire(now time.Time) {
 	for _, r := range q.rows {
-		for len(r.waiting) > 0 {
-			t := r.waiting[0]
-			if now.Sub(t.arrived) <= t.Limit.QueueTime {
-				break
+		for _, t := range slices.Clone(r.waiting) {
+			if now.Sub(t.arrived) > t.Limit.QueueTime {
+				q.drop(r, t)
+				q.refuse(t, ReasonQueueTime, q.duration)
 			}
-			q.drop(r, t)
-			q.refuse(t, ReasonQueueTime, q.duration)
 		}
 	}
 }
