--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -42,9 +42,9 @@
 	Avoid []string
 	// Begun tells that the request may have run, so that it gives way to none.
 	Begun bool
-	// Asked counts the places that other gateways were asked for, Denied those that
-	// they did not grant.
-	Asked, Denied int
+	// Asked counts the places that other gateways were asked for, Granted and Denied
+	// those that they granted and did not grant; the rest had no answer.
+	Asked, Granted, Denied int
 	// order is the request's place in the order of arrival; 0 before it has one.
 	order uint64
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -72,6 +72,10 @@
 	now := d.opts.Clock.Now()
 	c := d.candidate(req, s, d.opts.Memory(s.Service), now)
 	answer := PlaceAnswer{Owned: true, Load: c.load()}
+	if s.Leaving {
+		answer.After = int(fullAfter / time.Millisecond)
+		return answer
+	}
 	limits := d.limits(req)
 	if !c.fits(limits, true) {
 		answer.After = int(d.freeAfter(s, c, limits, now) / time.Millisecond)
@@ -148,6 +152,7 @@
 		return false
 	}
 	if a.Granted {
+		r.Granted++
 		t.sent = now
 		t.load.kept.add(r.name(), r.Parts)
 		d.remote[t.server.ID] = remoteLoad{Load: a.Load.less(t.load.Load), at: now}
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -218,3 +218,13 @@
 	}, poll.WithDelay(time.Millisecond))
 	assert.Assert(t, req.Denied > 0)
 }
+
+// TestNoPlaceAtALeavingEngine asks the owner, who knows first that its engine leaves.
+func TestNoPlaceAtALeavingEngine(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	leaving := engine("a")
+	leaving.Leaving = true
+	d := newGroup(c, 1, leaving).dispatchers["g0"]
+	answer := d.Grant(dispatch.PlaceRequest{Server: "a", Model: model})
+	assert.Assert(t, answer.Owned && !answer.Granted && answer.After > 0, "%+v", answer)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,9 +109,10 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.last, g.lastCall = context.WithCancel(context.Background())
 	g.gateways.Store(int64(o.Settings.Gateways))
+	g.peers = newPeers(g)
 	g.dispatcher = dispatch.New(dispatch.Options{
 		ID: o.Settings.ID, Hall: o.Settings.Hall, Clock: o.Clock, Fill: fill,
-		Memory: g.memory, Missing: g.wakePeers, Places: placesOf{g}, OwnerSilent: g.logSilent,
+		Memory: g.memory, Missing: g.peers.wakeUp, Places: g.peers, OwnerSilent: g.logSilent,
 	})
 	g.lease = lease.New(o.Store, o.Clock, lease.Options{
 		Name: "placer", Holder: o.Settings.ID, Addr: o.Settings.PeerListen, TTL: o.Settings.LeaseTTL.Std(),
@@ -125,7 +126,6 @@
 		Lease: g.lease, Keys: g.relay.For(o.OwnKeys, true), Engines: o.Engines, Registry: &g.registry, Routing: g.routing.Load, Clock: o.Clock, Log: o.Log,
 		Settle: o.Settings.LeaseTTL.Std(), First: o.Settings.FirstStart,
 	})
-	g.peers = newPeers(g)
 	return g
 }
 
@@ -135,16 +135,6 @@
 	return held
 }
 
-// placesOf asks for places through the gateway's peers.
-type placesOf struct{ g *Gateway }
-
-// Ask implements dispatch.Places.
-func (p placesOf) Ask(ctx context.Context, owner string, r dispatch.PlaceRequest) (dispatch.PlaceAnswer, error) {
-	return p.g.peers.Ask(ctx, owner, r)
-}
-
-func (g *Gateway) wakePeers() { g.peers.wakeUp() }
-
 // memory returns the memory of a service's engines in tokens.
 func (g *Gateway) memory(service string) int {
 	r := g.routing.Load()
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -36,8 +36,9 @@
 	Ended(route, outcome string, first, total float64)
 	// Sent counts a send to a backend server; repeat tells that it was not the first.
 	Sent(service string, repeat bool)
-	// Places counts places asked of other gateways, and those not granted.
-	Places(asked, denied int)
+	// Places counts places asked of other gateways: granted, not granted and without an
+	// answer.
+	Places(granted, denied, silent int)
 }
 
 type noMetrics struct{}
@@ -45,7 +46,7 @@
 func (noMetrics) Handler() http.Handler                  { return http.NotFoundHandler() }
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
-func (noMetrics) Places(int, int)                        {}
+func (noMetrics) Places(int, int, int)                   {}
 
 // ended records what became of a request. Answered ones are logged up to a rate;
 // those left out are counted in the next line.
@@ -60,7 +61,7 @@
 		g.dispatcher.Fared(&x.req, earned)
 	}
 	if x.req.Asked > 0 {
-		g.metrics.Places(x.req.Asked, x.req.Denied)
+		g.metrics.Places(x.req.Granted, x.req.Denied, x.req.Asked-x.req.Granted-x.req.Denied)
 	}
 	if x.outcome == outcomeAnswered && !g.answeredLines.Allow() {
 		g.leftOut.Add(1)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -95,12 +95,13 @@
 	m.sends.Add(context.Background(), 1, m.set("service", service, "kind", kind))
 }
 
-// Places counts the places that other gateways were asked for, and those of them
-// that they did not grant.
-func (m *GatewayMetrics) Places(asked, denied int) {
+// Places counts the places that other gateways were asked for: those granted, those not
+// granted and those that had no answer.
+func (m *GatewayMetrics) Places(granted, denied, silent int) {
 	ctx := context.Background()
-	m.places.Add(ctx, int64(asked-denied), m.set("result", "other", "", ""))
+	m.places.Add(ctx, int64(granted), m.set("result", "granted", "", ""))
 	m.places.Add(ctx, int64(denied), m.set("result", "denied", "", ""))
+	m.places.Add(ctx, int64(silent), m.set("result", "silent", "", ""))
 }
 
 // StoreCall counts a call to the platform's store.
