Tests of the gateway take ports that no other call returns

Ruled out: another process (the host part of the address is this process's own). Change: ports are counted up from below the kernel's range.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -183,7 +183,7 @@
 
 func TestServerThatCannotBeReached(t *testing.T) {
 	b := newWorker(t, "b", answer(200, "ok"))
-	w := newWorld(t, &worker{id: "dead", addr: freeAddr(t)}, b)
+	w := newWorld(t, &worker{id: "dead", addr: freeAddr()}, b)
 	for range 6 {
 		got := w.post(pathUnsafe, "x")
 		assert.NilError(t, got.err)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -279,12 +279,16 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", ownHost()+":0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+// firstPort is the first port that tests listen on: below those that the kernel gives
+// to whoever asks for any.
+const firstPort = 20000
+
+// lastPort counts the ports that tests have taken.
+var lastPort atomic.Int64
+
+// freeAddr returns an address that no other call of this process returns. A port that
+// the kernel names when it is asked for any may be named again by the next call.
+func freeAddr() string { return fmt.Sprintf("%s:%d", ownHost(), firstPort+lastPort.Add(1)) }
 
 // newWorld starts a gateway before the backend servers.
 func newWorld(t *testing.T, workers ...*worker) *world {
@@ -329,7 +333,7 @@
 	var s config.Gateway
 	config.Defaults(&s)
 	s.ID, s.Hall = id, "h"
-	s.Listen, s.ReadyListen, s.PeerListen, s.Store = freeAddr(t), freeAddr(t), freeAddr(t), "127.0.0.1:1"
+	s.Listen, s.ReadyListen, s.PeerListen, s.Store = freeAddr(), freeAddr(), freeAddr(), "127.0.0.1:1"
 	s.Grace = config.Duration(4 * time.Second)
 	s.BodyTime = config.Duration(150 * time.Millisecond)
 	s.Gateways, s.Retry.Fixed = 1, 100
--- a/internal/telemetry/gateway_test.go
+++ b/internal/telemetry/gateway_test.go
@@ -21,8 +21,8 @@
 	m.Sent("llm", false)
 	m.Sent("llm", true)
 	m.StoreCall("read")
-	m.Places(3, 1)
-	m.Places(2, 2)
+	m.Places(2, 1, 4)
+	m.Places(1, 2, 0)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	text := w.Body.String()
@@ -33,7 +33,8 @@
 		`rockcleat_gateway_sends_total{kind="repeat",service="llm"} 1`,
 		`rockcleat_gateway_store_calls_total{kind="read"} 1`,
 		`rockcleat_gateway_places_total{result="denied"} 3`,
-		`rockcleat_gateway_places_total{result="other"} 2`,
+		`rockcleat_gateway_places_total{result="granted"} 3`,
+		`rockcleat_gateway_places_total{result="silent"} 4`,
 		`rockcleat_gateway_first_byte_seconds_bucket{route="r2",le="0.05"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want), "%s is not in\n%s", want, text)
