--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -17,61 +17,61 @@
 	balanceLeast = 4
 )
 
-// A balance follows how requests of each priority of one service fare under load.
+// A balance follows the attainment of each priority of one service under load.
 //
 // Waiting alone puts urgent requests at a disadvantage: they are late soon, while the
 // others still have time and are served in the next lull. So the others give way as well.
 //
 // Its zero value knows of no requests.
 type balance struct {
-	fared map[int]*fared
+	byPriority map[int]*attainment
 }
 
-// fared sums up what requests of one priority have earned, fading with time.
-type fared struct {
+// An attainment sums up what requests of one priority have earned, fading with time.
+type attainment struct {
 	owed, earned float64
 	when         time.Time
 }
 
 // share returns the part of what was owed that was earned, and how much was owed.
-func (f *fared) share(now time.Time) (share, owed float64) {
-	if f.owed == 0 {
+func (a *attainment) share(now time.Time) (share, owed float64) {
+	if a.owed == 0 {
 		return 1, 0
 	}
-	return f.earned / f.owed, f.owed * fade(now.Sub(f.when))
+	return a.earned / a.owed, a.owed * fade(now.Sub(a.when))
 }
 
 func fade(d time.Duration) float64 { return math.Exp2(-float64(d) / float64(balanceHalfLife)) }
 
 // note counts a request that earned a part of its credit, 0 to 1.
 func (b *balance) note(priority int, earned float64, now time.Time) {
-	if b.fared == nil {
-		b.fared = make(map[int]*fared)
+	if b.byPriority == nil {
+		b.byPriority = make(map[int]*attainment)
 	}
-	f := b.fared[priority]
-	if f == nil {
-		f = &fared{}
-		b.fared[priority] = f
+	a := b.byPriority[priority]
+	if a == nil {
+		a = &attainment{}
+		b.byPriority[priority] = a
 	}
-	left := fade(now.Sub(f.when))
-	f.owed = f.owed*left + 1
-	f.earned = f.earned*left + earned
-	f.when = now
+	left := fade(now.Sub(a.when))
+	a.owed = a.owed*left + 1
+	a.earned = a.earned*left + earned
+	a.when = now
 }
 
 // yields reports whether requests of a priority fare so much better than more urgent ones
 // that they give way.
 func (b *balance) yields(priority int, now time.Time) bool {
-	own, ok := b.fared[priority]
+	own, ok := b.byPriority[priority]
 	if !ok {
 		return false
 	}
 	share, _ := own.share(now)
-	for p, f := range b.fared {
+	for p, a := range b.byPriority {
 		if p >= priority {
 			continue
 		}
-		urgent, owed := f.share(now)
+		urgent, owed := a.share(now)
 		if owed >= balanceLeast && share > urgent+balanceMargin {
 			return true
 		}
@@ -79,9 +79,9 @@
 	return false
 }
 
-// Fared tells which part of its credit a request has earned, 0 to 1, as far as that was a
-// matter of load.
-func (d *Dispatcher) Fared(r *Request, earned float64) {
+// Attained tells which part of its credit a request has earned, 0 to 1, as far as that was
+// a matter of load.
+func (d *Dispatcher) Attained(r *Request, earned float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.balances[r.Service]
--- a/dispatch/balance_test.go
+++ b/dispatch/balance_test.go
@@ -74,8 +74,8 @@
 			_, err := d.Acquire(context.Background(), request(1, time.Minute))
 			assert.NilError(t, err)
 			for range 10 {
-				d.Fared(request(1, 0), 0)
-				d.Fared(request(2, 0), 1)
+				d.Attained(request(1, 0), 0)
+				d.Attained(request(2, 0), 1)
 			}
 			if test.urgentWaits {
 				d.mu.Lock()
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -58,7 +58,7 @@
 	}
 	g.metrics.Ended(x.route.Name, x.outcome, first, now.Sub(x.arrived).Seconds())
 	if earned, ok := x.earned(); ok {
-		g.dispatcher.Fared(&x.req, earned)
+		g.dispatcher.Attained(&x.req, earned)
 	}
 	if x.req.Asked > 0 {
 		g.metrics.Places(x.req.Granted, x.req.Denied, x.req.Asked-x.req.Granted-x.req.Denied)
