--- /dev/null
+++ b/internal/lab/control.go
@@ -0,0 +1,138 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"rockcleat/internal/standin"
+	"rockcleat/internal/wire"
+	"rockcleat/table"
+)
+
+// Fault gives faults to a stand-in.
+func Fault(ctx context.Context, url string, f standin.Faults) error {
+	return send(ctx, http.MethodPut, url+standin.PathFault, f, nil)
+}
+
+// Fetch reads JSON from a stand-in.
+func Fetch(ctx context.Context, url string, out any) error {
+	return send(ctx, http.MethodGet, url, nil, out)
+}
+
+// send sends JSON and decodes the answer.
+func send(ctx context.Context, method, url string, in, out any) error {
+	var body bytes.Buffer
+	if in != nil {
+		if err := json.NewEncoder(&body).Encode(in); err != nil {
+			return eris.Wrap(err, "lab: encode")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, &body)
+	if err != nil {
+		return eris.Wrap(err, "lab: make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "lab: send")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("lab: %s %s: status %d", method, url, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return eris.Wrap(json.NewDecoder(resp.Body).Decode(out), "lab: decode")
+}
+
+// Client returns a client for the processes' control interfaces.
+func Client() *wire.Client { return wire.NewClient(Secret, &wire.Traffic{}) }
+
+// Save saves changes as one edit through the first live entry.
+func (s *System) Save(ctx context.Context, changes []table.Change) (uint64, error) {
+	e := table.Edit{ID: uuid.NewString(), Author: "lab", Time: time.Now().Unix(), Changes: changes}
+	return s.SaveEdit(ctx, s.Entries[0], e)
+}
+
+// SaveEdit saves an edit through an entry.
+func (s *System) SaveEdit(ctx context.Context, n *Node, e table.Edit) (uint64, error) {
+	var a wire.SaveAnswer
+	err := Client().Call(ctx, http.MethodPost, n.Control, wire.PathTable, wire.SaveRequest{Edit: e}, &a)
+	return a.Version, err
+}
+
+// Status returns an entry's status, with the table version of each VM if asked.
+func (s *System) Status(ctx context.Context, n *Node, versions bool) (wire.StatusAnswer, error) {
+	path := wire.PathStatus
+	if versions {
+		path += "?versions=1"
+	}
+	var a wire.StatusAnswer
+	err := Client().Call(ctx, http.MethodGet, n.Control, path, nil, &a)
+	return a, err
+}
+
+// AwaitPlaced waits until every entry knows a place for every row.
+func (s *System) AwaitPlaced(ctx context.Context) error {
+	for _, e := range s.Entries {
+		if e.Exited() {
+			continue
+		}
+		if err := Until(ctx, "every row has a place in the eyes of "+e.ID, func() bool { return s.placed(ctx, e) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) placed(ctx context.Context, e *Node) bool {
+	st, err := s.Status(ctx, e, false)
+	if err != nil {
+		return false
+	}
+	ready := make(map[string]bool)
+	for _, srv := range st.Servers {
+		for _, r := range srv.Residents {
+			if r.State == "ready" && !srv.Leaving {
+				ready[r.Name] = true
+			}
+		}
+		for _, n := range srv.Services {
+			ready[n] = true
+		}
+	}
+	for _, r := range s.opts.Rows {
+		if !ready[r.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// AwaitVersion waits until every VM that answers has the table version in force.
+func (s *System) AwaitVersion(ctx context.Context, version uint64) error {
+	return Until(ctx, fmt.Sprintf("version %d is in force on every VM", version), func() bool {
+		return s.inForce(ctx, version)
+	})
+}
+
+func (s *System) inForce(ctx context.Context, version uint64) bool {
+	for _, n := range s.nodes() {
+		var v wire.VersionAnswer
+		if n.Exited() {
+			continue
+		}
+		if err := Client().Call(ctx, http.MethodGet, n.Control, wire.PathStatus, nil, &v); err != nil || v.TableVersion < version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lab/nodes.go
@@ -0,0 +1,154 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rockcleat/internal/config"
+	"rockcleat/internal/inventory"
+)
+
+func (s *System) process(p *config.Process, id, hall string) error {
+	var err error
+	if p.Listen, err = FreeAddr(); err != nil {
+		return err
+	}
+	if p.ControlListen, err = FreeAddr(); err != nil {
+		return err
+	}
+	p.ID, p.Hall, p.Secret, p.KV = id, hall, Secret, s.KVURL
+	p.Log.Level = "debug"
+	return nil
+}
+
+func (s *System) addBackend(ctx context.Context, b *Backend, id, hall string, set func(*config.Agent)) error {
+	var a config.Agent
+	config.Defaults(&a)
+	if err := s.process(&a.Process, id, hall); err != nil {
+		return err
+	}
+	a.Backend.URL, a.VMs = b.URL, s.VMsURL
+	set(&a)
+	if s.opts.Agent != nil {
+		s.opts.Agent(&a)
+	}
+	n := &Node{ID: id, Hall: hall, Addr: a.Listen, Control: a.ControlListen, program: "rockcleat-agent"}
+	n.config = filepath.Join(s.opts.Dir, id+".yaml")
+	if err := config.Write(n.config, &a); err != nil {
+		return err
+	}
+	b.Agent = n
+	s.mu.Lock()
+	s.Backends = append(s.Backends, b)
+	s.mu.Unlock()
+	if err := s.StartNode(ctx, n); err != nil {
+		return err
+	}
+	return s.SetVM(ctx, n, inventory.RoleBackend, inventory.VMLive)
+}
+
+// AddEntry starts one more entry and puts it into the list of VMs.
+func (s *System) AddEntry(ctx context.Context) (*Node, error) {
+	i := len(s.Entries)
+	var e config.Entry
+	config.Defaults(&e)
+	id := fmt.Sprintf("entry-%d", i)
+	if err := s.process(&e.Process, id, s.hall(i)); err != nil {
+		return nil, err
+	}
+	if s.opts.EntryPort > 0 && i == 0 {
+		e.Listen = fmt.Sprintf("127.0.0.1:%d", s.opts.EntryPort)
+		e.ControlListen = fmt.Sprintf("127.0.0.1:%d", s.opts.EntryPort+1)
+	}
+	e.VMs, e.Weights = s.VMsURL, s.WURL
+	e.Planner.ExchangeEvery = config.Duration(time.Second)
+	e.Planner.LeaseTTL = config.Duration(3 * time.Second)
+	e.Claims.LeaseTTL = config.Duration(3 * time.Second)
+	e.Planner.MaxLoads, e.Planner.LoadsPerSecond = max(s.opts.FullSpeed, 1), max(s.opts.Loads, 1)
+	if s.opts.Entry != nil {
+		s.opts.Entry(&e)
+	}
+	n := &Node{ID: id, Hall: e.Hall, Addr: e.Listen, Control: e.ControlListen, program: "rockcleat-entry"}
+	n.config = filepath.Join(s.opts.Dir, id+".yaml")
+	if err := config.Write(n.config, &e); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.Entries = append(s.Entries, n)
+	s.mu.Unlock()
+	if err := s.SetVM(ctx, n, inventory.RoleEntry, inventory.VMLive); err != nil {
+		return nil, err
+	}
+	return n, s.StartNode(ctx, n)
+}
+
+// StartNode starts a daemon, anew if it has ended.
+func (s *System) StartNode(ctx context.Context, n *Node) error {
+	p, err := Launch(s.opts.Dir, n.ID, filepath.Join(s.opts.Bin, n.program), "-config", n.config)
+	if err != nil {
+		return err
+	}
+	n.Process = p
+	s.mu.Lock()
+	s.all = append(s.all, p)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	err = Until(ctx, n.ID+" listens", func() bool { return p.Exited() || listens(n.Control) })
+	if err == nil && p.Exited() {
+		return eris.Errorf("lab: %s ended at its start; see %s", n.ID, filepath.Join(s.opts.Dir, n.ID+".log"))
+	}
+	return err
+}
+
+// SecondAgent starts another agent with the same settings but addresses of its
+// own, as when a VM that was thought dead comes back.
+func (s *System) SecondAgent(ctx context.Context, b *Backend) (*Node, error) {
+	var a config.Agent
+	if err := config.Read(b.Agent.config, &a); err != nil {
+		return nil, err
+	}
+	if err := s.process(&a.Process, a.ID, a.Hall); err != nil {
+		return nil, err
+	}
+	n := &Node{ID: a.ID, Hall: a.Hall, Addr: a.Listen, Control: a.ControlListen, program: "rockcleat-agent"}
+	n.config = filepath.Join(s.opts.Dir, a.ID+"-second.yaml")
+	if err := config.Write(n.config, &a); err != nil {
+		return nil, err
+	}
+	return n, s.StartNode(ctx, n)
+}
+
+// RestartServer starts a backend server anew after it was killed, with nothing resident.
+func (s *System) RestartServer(b *Backend) error {
+	p, err := b.start()
+	b.Server = p
+	return err
+}
+
+// SetVM changes a VM in the platform's list.
+func (s *System) SetVM(ctx context.Context, n *Node, role inventory.Role, state inventory.VMState) error {
+	return s.SetVMAt(ctx, n, role, state, n.Addr, n.Control)
+}
+
+// SetVMAt changes a VM in the platform's list and gives it other addresses, such
+// as those of proxies.
+func (s *System) SetVMAt(ctx context.Context, n *Node, role inventory.Role, state inventory.VMState, addr, control string) error {
+	vm := inventory.VM{ID: n.ID, Role: role, Hall: n.Hall, Addr: addr, Control: control, State: state}
+	return send(ctx, http.MethodPost, s.VMsURL+"/v1/vms", inventory.VMList{VMs: []inventory.VM{vm}}, nil)
+}
+
+func (s *System) nodes() []*Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nodes := append([]*Node{}, s.Entries...)
+	for _, b := range s.Backends {
+		nodes = append(nodes, b.Agent)
+	}
+	return nodes
+}
--- /dev/null
+++ b/internal/planner/exchange.go
@@ -0,0 +1,141 @@
+package planner
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/fleet"
+	"rockcleat/internal/inventory"
+	"rockcleat/internal/wire"
+	"rockcleat/ledger"
+	"rockcleat/placement"
+)
+
+// send starts one exchange, with orders and grants only if the lease is held;
+// c.mu is held.
+func (c *cellPlanner) send(p *peer, held bool, now time.Time) {
+	t := c.Replica.Current()
+	x := wire.Exchange{
+		From: c.Addr, Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
+		TableVersion: t.Version(), Leaving: p.vm.State == inventory.VMLeaving,
+		List: c.Members.Version(), Lapsed: !held, Pauses: p.pauses,
+	}
+	if p.known {
+		x.Table = t.Since(p.table)
+	}
+	if held {
+		x.Orders, p.orders = p.orders, nil
+	}
+	if held && c.grants.knows(p.id) {
+		x.Grants = c.grants.next(p.id, t.Rows(), c.servers(), cellPart(c.id, c.cellIDs()), c.complete())
+		c.grants.sending(p.id, x.Grants)
+	}
+	p.urgent, p.inFlight, p.lastSent = false, true, now
+	go c.exchange(p, x)
+}
+
+// servers returns the peers' records; c.mu is held.
+func (c *cellPlanner) servers() []fleet.Server {
+	var all []fleet.Server
+	for _, p := range c.peers {
+		if p.known {
+			all = append(all, p.record)
+		}
+	}
+	return all
+}
+
+// exchange sends one message and takes the answer over.
+func (c *cellPlanner) exchange(p *peer, x wire.Exchange) {
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	var a wire.ExchangeAnswer
+	err := c.Agents.Call(ctx, http.MethodPost, p.vm.Control, wire.PathExchange, x, &a)
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.inFlight = false
+	if err != nil {
+		c.Log.Debug("no answer from agent", zap.String("server", p.id), zap.Error(err))
+		return
+	}
+	if a.Token > int64(c.token) {
+		c.superseded.Store(true)
+		c.Log.Warn("agent knows a newer planner", zap.String("server", p.id), zap.Int64("token", a.Token))
+		return
+	}
+	c.take(p, a, now)
+}
+
+// take takes an agent's answer over; c.mu is held.
+func (c *cellPlanner) take(p *peer, a wire.ExchangeAnswer, now time.Time) {
+	first := !p.known
+	p.urgent = p.urgent || p.pauses != a.Pauses
+	p.pauses = a.Pauses
+	p.lastOK, p.known, p.table = now, true, a.TableVersion
+	c.grants.report(p.id, a.Grants)
+	if a.Server == nil {
+		if p.record.Gone {
+			p.record.Gone = false
+			c.publish(p.record)
+		}
+		return
+	}
+	// A table that the agent lacks and orders for a new incarnation are sent at once.
+	p.urgent = p.urgent || first || a.Incarnation != p.record.Incarnation
+	p.seen = a.RecordSeen
+	next := *a.Server
+	p.demand, next.Demand = next.Demand, nil
+	// The platform's list says where the server is reached.
+	next.Addr = p.vm.Addr
+	if !next.Same(p.record) {
+		p.record = next
+		c.publish(p.record)
+	}
+	c.dropSeen(p)
+}
+
+// dropSeen forgets the orders whose effect shows in the server's record; c.mu is held.
+func (c *cellPlanner) dropSeen(p *peer) {
+	c.pending = slices.DeleteFunc(c.pending, func(o pendingOrder) bool {
+		return o.order.Server == p.id && shows(p.record, o.order)
+	})
+}
+
+func shows(s fleet.Server, o placement.Order) bool {
+	i := slices.IndexFunc(s.Residents, func(r fleet.Resident) bool {
+		return r.Name == o.Name && r.Accelerator == o.Accelerator
+	})
+	if o.Op == ledger.OpLoad {
+		return i >= 0
+	}
+	return i < 0 || s.Residents[i].State != fleet.StateReady
+}
+
+// tableVersions returns each agent's table version as it last said.
+func (c *cellPlanner) tableVersions() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	versions := make(map[string]uint64, len(c.peers))
+	for id, p := range c.peers {
+		versions[id] = p.table
+	}
+	return versions
+}
+
+// TableVersions returns the table version of each agent planned here.
+func (p *Planner) TableVersions() map[string]uint64 {
+	p.mu.Lock()
+	active := slices.Collect(maps.Values(p.active))
+	p.mu.Unlock()
+	all := make(map[string]uint64)
+	for _, c := range active {
+		maps.Copy(all, c.tableVersions())
+	}
+	return all
+}
--- /dev/null
+++ b/internal/planner/plan.go
@@ -0,0 +1,155 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/fleet"
+	"rockcleat/internal/wire"
+	"rockcleat/ledger"
+	"rockcleat/placement"
+	"rockcleat/table"
+)
+
+// makePlan decides on orders and hands them to the servers' next exchanges;
+// c.mu is held.
+func (c *cellPlanner) makePlan(now time.Time) {
+	sizes := c.Sizes()
+	if len(sizes) == 0 || !c.settled() || c.Replica.Current().Version() == 0 {
+		return
+	}
+	c.pending = slices.DeleteFunc(c.pending, func(o pendingOrder) bool { return now.Sub(o.at) > orderMemory })
+	own := c.publishDemand()
+	in := placement.Input{Cell: c.id, Rows: placeable(c.Replica.Current(), sizes), Sizes: sizes, Now: now}
+	for _, id := range c.cellIDs() {
+		servers, _ := c.View.Cell(id)
+		x := placement.Cell{ID: id, Servers: servers, Demand: own}
+		if id == c.id {
+			x.Servers = c.withPending(servers)
+		} else {
+			x.Demand = slotsOf(c.View.Demand(id))
+		}
+		in.Cells = append(in.Cells, x)
+	}
+	for _, o := range c.plan.Plan(in) {
+		if o.Op == ledger.OpLoad && !c.loads.AllowN(now, 1) {
+			break
+		}
+		c.give(o, now)
+	}
+}
+
+// slotsOf returns demands in busy slots by row.
+func slotsOf(demand []fleet.Demand) map[string]float64 {
+	slots := make(map[string]float64)
+	for _, d := range demand {
+		slots[d.Name] += placement.DemandOf(d.Level)
+	}
+	return slots
+}
+
+// demandStep is by how many levels a row's demand must change to be published.
+const demandStep = 2
+
+// publishDemand adds up the agents' demand, publishes what has changed much, and
+// returns the sums; c.mu is held.
+func (c *cellPlanner) publishDemand() map[string]float64 {
+	own := make(map[string]float64)
+	for _, p := range c.peers {
+		if p.record.Gone {
+			continue
+		}
+		for name, slots := range slotsOf(p.demand) {
+			own[name] += slots
+		}
+	}
+	before := make(map[string]int)
+	for _, d := range c.View.Demand(c.id) {
+		before[d.Name] = d.Level
+	}
+	var changed []fleet.Demand
+	for name, slots := range own {
+		level := placement.LevelOf(slots)
+		if diff := level - before[name]; diff >= demandStep || -diff >= demandStep || before[name] == 0 && level > 0 {
+			changed = append(changed, fleet.Demand{Name: name, Level: level, Version: c.version + 1})
+		}
+	}
+	for name, level := range before {
+		if _, has := own[name]; !has && level > 0 {
+			changed = append(changed, fleet.Demand{Name: name, Version: c.version + 1})
+		}
+	}
+	if len(changed) > 0 {
+		c.version++
+		c.View.Merge([]fleet.CellDelta{{
+			CellVersion: fleet.CellVersion{Cell: c.id, Epoch: int64(c.token), Version: c.version}, Demand: changed,
+		}})
+	}
+	return own
+}
+
+// placeable returns the rows that the weight store holds.
+func placeable(t *table.Table, sizes map[string]placement.Size) []table.Row {
+	return slices.DeleteFunc(t.Rows(), func(r table.Row) bool {
+		_, ok := sizes[r.Name]
+		return !ok && r.Kind != table.KindService
+	})
+}
+
+// give hands an order to its server's next exchange; c.mu is held.
+func (c *cellPlanner) give(o placement.Order, now time.Time) {
+	p, ok := c.peers[o.Server]
+	if !ok {
+		return
+	}
+	p.orders = append(p.orders, o)
+	p.urgent = true
+	c.pending = append(c.pending, pendingOrder{order: o, at: now})
+	c.Recorder.Record(wire.Decision{
+		Time: now.UnixMilli(), Kind: string(o.Op), Name: o.Name, Server: o.Server, Reason: o.Reason,
+	})
+	c.Log.Info("order", zap.String("op", string(o.Op)), zap.String("name", o.Name), zap.String("server", o.Server),
+		zap.Int("accelerator", o.Accelerator), zap.String("reason", o.Reason))
+}
+
+// withPending returns the records as they will be when the orders given have
+// taken effect; c.mu is held.
+func (c *cellPlanner) withPending(servers []fleet.Server) []fleet.Server {
+	byID := make(map[string]*fleet.Server, len(servers))
+	for i := range servers {
+		servers[i].Residents = slices.Clone(servers[i].Residents)
+		servers[i].Accelerators = slices.Clone(servers[i].Accelerators)
+		byID[servers[i].ID] = &servers[i]
+	}
+	for _, o := range c.pending {
+		if s, ok := byID[o.order.Server]; ok {
+			overlay(s, o.order)
+		}
+	}
+	slices.SortFunc(servers, func(a, b fleet.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
+// overlay applies one order to a record.
+func overlay(s *fleet.Server, o placement.Order) {
+	i := slices.IndexFunc(s.Residents, func(r fleet.Resident) bool {
+		return r.Name == o.Name && r.Accelerator == o.Accelerator
+	})
+	if o.Op == ledger.OpUnload {
+		if i >= 0 {
+			s.Residents[i].State = fleet.StateUnloading
+		}
+		return
+	}
+	if i >= 0 || o.Accelerator >= len(s.Accelerators) {
+		return
+	}
+	mib := o.Size.TotalMiB()
+	s.Residents = append(s.Residents, fleet.Resident{
+		Name: o.Name, Accelerator: o.Accelerator, State: fleet.StateLoading, MemoryMiB: mib,
+	})
+	s.Accelerators[o.Accelerator].ReservedMiB += mib
+}
