Requests give way for places only, not for models that nobody holds

Cause (read): a more urgent request that waits for a missing model, or was refused for one, made less urgent ones give way although their places would not have helped it. Change: neither counts. The line "stopped" is told after a stop that cut requests too. Test: TestLessUrgentGiveWay, case "for a model not there", fails without it. Also: TestSurplusAnswers waits for the first answer's delivery in place of 30 ms.

--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -93,18 +93,20 @@
 }
 
 // yields reports whether a request that would have to wait gives way to more urgent ones
-// that wait already.
+// that wait for a place already.
 func (d *Dispatcher) yields(r *Request) bool {
 	b := d.balances[r.Service]
 	return b != nil && !r.Begun && d.moreUrgentWait(r) && b.yields(r.Priority, d.opts.Clock.Now())
 }
 
+// moreUrgentWait reports whether a more urgent request of the same service waits for a
+// place; one that waits for a model that no server holds needs no place of others.
 func (d *Dispatcher) moreUrgentWait(r *Request) bool {
 	for _, w := range d.waiting {
 		if w.req.Priority >= r.Priority {
 			return false
 		}
-		if w.req.Service == r.Service {
+		if w.req.Service == r.Service && d.held(w.req) {
 			return true
 		}
 	}
--- a/dispatch/balance_test.go
+++ b/dispatch/balance_test.go
@@ -52,12 +52,15 @@
 func TestLessUrgentGiveWay(t *testing.T) {
 	tests := map[string]struct {
 		urgentWaits, begun bool
-		want               error
+		// model is what the urgent one waits for.
+		model string
+		want  error
 	}{
-		"an urgent one waits": {urgentWaits: true, want: ErrYields},
-		"none waits":          {want: ErrWaited},
-		"it may have run":     {urgentWaits: true, begun: true, want: ErrWaited},
-		"none waits, has run": {begun: true, want: ErrWaited},
+		"an urgent one waits":   {urgentWaits: true, model: "m", want: ErrYields},
+		"for a model not there": {urgentWaits: true, model: "other", want: ErrWaited},
+		"none waits":            {want: ErrWaited},
+		"it may have run":       {urgentWaits: true, model: "m", begun: true, want: ErrWaited},
+		"none waits, has run":   {begun: true, want: ErrWaited},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -79,7 +82,9 @@
 			}
 			if test.urgentWaits {
 				d.mu.Lock()
-				d.enqueue(&waiter{req: request(1, time.Minute), ready: make(chan struct{})})
+				urgent := request(1, time.Minute)
+				urgent.Model = test.model
+				d.enqueue(&waiter{req: urgent, ready: make(chan struct{})})
 				d.mu.Unlock()
 			}
 			less := request(2, time.Millisecond)
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -134,13 +134,16 @@
 // TestSurplusAnswers sends a second answer after each whole one, early and late:
 // no later request may get it.
 func TestSurplusAnswers(t *testing.T) {
-	for name, pause := range map[string]time.Duration{"at once": 0, "late": 30 * time.Millisecond} {
+	for name, late := range map[string]bool{"at once": false, "when the first one is delivered": true} {
 		t.Run(name, func(t *testing.T) {
+			delivered := make(chan struct{}, 1)
 			x := newWorker(t, "a", func(c *call) bool {
 				id := c.Header.Get(names.RequestID)
 				good := c.head(200, fmt.Sprintf("Content-Length: %d", len(id))) + id
 				c.write(good)
-				time.Sleep(pause)
+				if late {
+					<-delivered
+				}
 				c.write(good)
 				return true
 			})
@@ -149,6 +152,10 @@
 			for i := range 20 {
 				id := fmt.Sprint("id-", i)
 				got := w.post(pathUnsafe, "x", names.RequestID, id)
+				select {
+				case delivered <- struct{}{}:
+				default:
+				}
 				assert.NilError(t, got.err)
 				if got.status == http.StatusOK {
 					answered++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,12 +223,14 @@
 	for _, stop := range g.stops {
 		stop()
 	}
-	g.listeners.close()
 	if left > 0 {
 		g.log.Warn("requests cut by the end of the grace", zap.Int64("requests", g.inFlight.Load()), zap.Int("connections", left))
-		return eris.Wrap(ctx.Err(), "gateway: stop")
 	}
+	g.listeners.close()
 	g.log.Info("stopped")
+	if left > 0 {
+		return eris.Wrap(ctx.Err(), "gateway: stop")
+	}
 	return nil
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -81,10 +81,13 @@
 const lateCredit = 0.3
 
 // earned returns the part of its credit that the request has earned, and whether that was
-// a matter of load: a server that was lost says nothing about it.
+// a matter of load: a server that was lost, or a model that no server holds, says nothing
+// about it.
 func (x *exchange) earned() (part float64, ok bool) {
 	switch x.outcome {
-	case outcomeRefused, outcomeTimeout:
+	case outcomeRefused:
+		return 0, x.g.dispatcher.Holders(&x.req) > 0
+	case outcomeTimeout:
 		return 0, true
 	case outcomeAnswered:
 		if x.inTime() {
