While connections drain none takes a request after its answer

The stop ends what waits each 10 ms; a request that came in between, or was there already, was read. Change: a connection whose answer ends during the drain returns EOF at its next read, whatever has come; new connections are left 0.4 s, not 1 s, so that none is taken after three seconds. Test: TestStopTakesNoRequestAfterALongAnswer fails on the code before.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -46,6 +46,8 @@
 	// passed stands in its place, so that a read returns.
 	deadline time.Time
 	ending   bool
+	// over tells that no further request is read, whether or not one has come.
+	over bool
 }
 
 func newCallerConn(conn *net.TCPConn) *callerConn {
@@ -102,7 +104,7 @@
 	if !c.ending {
 		return readTimedOut
 	}
-	if c.waits() && !hasUnread(c.TCPConn) {
+	if c.over || c.waits() && !hasUnread(c.TCPConn) {
 		return readEnded
 	}
 	c.ending = false
@@ -141,11 +143,22 @@
 	return true
 }
 
-// rest notes that an answer is over and the connection waits for a request.
-func (c *callerConn) rest() {
+// rest notes that an answer is over and the connection waits for a request; last tells
+// that it is to take none.
+func (c *callerConn) rest(last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enter(connResting)
+	if last {
+		c.over = true
+		c.end()
+	}
+}
+
+// end makes reads return; the connection is locked.
+func (c *callerConn) end() {
+	c.ending = true
+	_ = c.TCPConn.SetReadDeadline(past)
 }
 
 // endWaiting ends the connection if it has waited for a request for longer than it may.
@@ -159,8 +172,7 @@
 	if !c.waits() || c.ending || now.Sub(c.since) < limit {
 		return
 	}
-	c.ending = true
-	_ = c.TCPConn.SetReadDeadline(past)
+	c.end()
 }
 
 // past is a deadline that ends a read at once.
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 type conns struct {
 	limits func() (idle, header time.Duration)
 
+	// draining tells that no connection is to take a further request after its answer.
+	draining atomic.Bool
+
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
 }
@@ -51,7 +55,7 @@
 		c.open[caller] = struct{}{}
 		c.mu.Unlock()
 	case http.StateIdle:
-		caller.rest()
+		caller.rest(c.draining.Load())
 	case http.StateClosed, http.StateHijacked:
 		c.mu.Lock()
 		delete(c.open, caller)
@@ -79,11 +83,14 @@
 	}
 }
 
-// freshTime is how long a connection that has carried nothing yet is left at a stop.
-const freshTime = time.Second
+// freshTime is how long a connection that has carried nothing yet is left at a stop. With
+// noticeTime it stays under the three seconds within which requests are still taken.
+const freshTime = 400 * time.Millisecond
 
-// drain ends the connections that wait for a request and returns how many are open.
+// drain ends the connections that wait for a request, and the others with their answers,
+// and returns how many are open.
 func (c *conns) drain(now time.Time) int {
+	c.draining.Store(true)
 	list := c.list()
 	for _, caller := range list {
 		caller.endWaiting(now, freshTime, 0)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -75,6 +75,41 @@
 	assert.NilError(t, <-done)
 }
 
+// TestStopTakesNoRequestAfterALongAnswer lets an answer that began before a stop end after
+// the connections that wait were ended: the request behind it on the same connection is
+// not taken, since nobody would wait for it until its end.
+func TestStopTakesNoRequestAfterALongAnswer(t *testing.T) {
+	release := make(chan struct{})
+	x := newWorker(t, "a", func(c *call) bool {
+		if c.RequestURI != pathStream {
+			return answer(200, "ok")(c)
+		}
+		c.write(c.streamHead(), event(1))
+		<-release
+		c.write(event(2), lastChunk)
+		return true
+	})
+	w := newWorld(t, x)
+	rests, busy := w.used(), w.used()
+	before := x.count()
+	assert.NilError(t, w.request(http.MethodPost, pathStream, "x").Write(busy))
+	r := bufio.NewReader(busy)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	done := w.stop(20 * time.Second)
+	_, err = rests.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	assert.NilError(t, w.request(http.MethodGet, pathSafe, "").Write(busy))
+	close(release)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+	_, err = http.ReadResponse(r, nil)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, <-done)
+	assert.Equal(t, x.count(), before+1)
+}
+
 // used returns a connection on which a request has been answered.
 func (w *world) used() net.Conn {
 	conn, err := net.Dial("tcp", w.front)
