Logs tell how much of an answer had arrived when a call was given up

A timeout alone does not tell a silent peer from a link that is too slow for the time given. Errors of reads that end within an answer now carry the number of bytes received, and a gateway logs when its report to the leader gets no reply and when it does again, once a change.

--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -47,6 +47,8 @@
 	// modelMissing is sent when a request waits for a model that no server holds.
 	modelMissing signal
 
+	// unanswered says that the last report got no reply.
+	unanswered bool
 	// wasLeader says that this gateway led at the last report.
 	wasLeader bool
 	// leader is where the leader takes messages, as another gateway said; empty if none did.
@@ -109,6 +111,7 @@
 		r.placer.NotePeerReply(addr, false)
 		return
 	}
+	r.answered(addr)
 	r.placer.NotePeerReply(addr, !reply.IsLeader)
 	if len(reply.Config) > 0 && r.config.offer(reply.Config, fromPeer) {
 		r.servers.refresh()
@@ -139,13 +142,24 @@
 // noReply forgets a leader that did not reply, and asks another gateway next every other
 // time, since the store may not know a new leader yet.
 func (r *reporter) noReply(addr string, err error) {
-	r.log.Debug("no reply from gateway", zap.String("addr", addr), telemetry.Error(err))
+	if !r.unanswered {
+		r.unanswered = true
+		r.log.Warn("report unanswered", zap.String("addr", addr), telemetry.Error(err))
+	}
 	r.leader = ""
 	if rand.IntN(2) == 0 {
 		r.leader = r.gateways.random(addr)
 	}
 }
 
+// answered notes that a report got a reply.
+func (r *reporter) answered(addr string) {
+	if r.unanswered {
+		r.unanswered = false
+		r.log.Info("report answered again", zap.String("addr", addr))
+	}
+}
+
 // message returns the next report, and all demand as it stands with it.
 func (r *reporter) message() (placer.Report, map[string]dispatch.Demand) {
 	demands := r.dispatcher.Demands()
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -79,7 +79,7 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
 	if err != nil {
-		return eris.Wrap(err, "wire: read answer")
+		return PartialAnswer(err, len(data))
 	}
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{Status: resp.StatusCode, Body: data}
@@ -90,6 +90,13 @@
 	return eris.Wrap(json.Unmarshal(data, out), "wire: decode answer")
 }
 
+// PartialAnswer returns the error of a read that ended within an answer's body, with the
+// number of bytes that had arrived: they tell a peer that is silent from a link that is too
+// slow for the time given. It returns nil if err is nil.
+func PartialAnswer(err error, received int) error {
+	return eris.Wrapf(err, "wire: %d bytes of the answer received", received)
+}
+
 // sendError returns the error of a call: ErrNotSent if nothing was sent.
 func sendError(err error) error {
 	if IsNotSent(err) {
