--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,6 +47,8 @@
 	Clock    clock.Service
 	Log      *zap.Logger
 	Metrics  Metrics
+	// Peers, if not nil, carries the calls to other gateways.
+	Peers http.RoundTripper
 }
 
 // A Gateway is the entry process in front of servers that it speaks to directly.
@@ -85,6 +88,9 @@
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
+	if o.Peers == nil {
+		o.Peers = wire.NewTransport(&wire.Traffic{})
+	}
 	s := o.Settings
 	lines := newRequestLog(o.Log, o.Metrics, o.Clock, o.Names)
 	config := newConfiguration(o.Decoder, o.Log)
@@ -92,7 +98,7 @@
 	life := newLifecycle()
 	conns := newConns(o.Clock, config.connLimits)
 	budgets := newRetryBudgets(s.Retry, o.Clock, gateways)
-	peers := newPeerClient(gateways)
+	peers := newPeerClient(gateways, o.Peers)
 	modelMissing := make(signal, 1)
 	dispatcher := dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: config.cacheTokens,
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,8 +57,9 @@
 	gateways *directory
 }
 
-func newPeerClient(gateways *directory) *peerClient {
-	return &peerClient{http: wire.NewClient("", &wire.Traffic{}), gateways: gateways}
+// newPeerClient returns a client whose calls a transport carries.
+func newPeerClient(gateways *directory, t http.RoundTripper) *peerClient {
+	return &peerClient{http: wire.NewClientOver(t), gateways: gateways}
 }
 
 // report sends a report.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -42,6 +42,11 @@
 	return &Client{http: &http.Client{Transport: NewTransport(t)}, secret: secret}
 }
 
+// NewClientOver returns a Client without a secret whose calls a transport carries.
+func NewClientOver(t http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: t}}
+}
+
 // Get reads JSON from http://ADDR/PATH into out.
 func (c *Client) Get(ctx context.Context, addr, path string, out any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
