--- /dev/null
+++ b/internal/configsync/harness_test.go
@@ -0,0 +1,209 @@
+package configsync
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock"
+	"rockcleat/kv"
+	"rockcleat/kv/kvtest"
+)
+
+// Times of the tests' fleets.
+const (
+	reportEvery = 100 * time.Millisecond
+	maxAge      = time.Second
+	watchTime   = 2 * time.Second
+	// settled is long enough for every step that needs no time-out.
+	settled = 500 * time.Millisecond
+)
+
+const testKey = "config"
+
+// errNoWay is the error of calls that do not get through.
+var errNoWay = errors.New("no way there")
+
+// A member is one gateway of a fleet.
+type member struct {
+	t      *testing.T
+	addr   string
+	syncer *Syncer
+	fleet  *fleet
+	// version is the one in force.
+	version atomic.Uint64
+	// fetched counts transfers by what they carried.
+	patches, wholes atomic.Int64
+	// lists and watches count calls to the store.
+	lists, watches atomic.Int64
+	// noStore cuts the member off from the store, noPeers from fetching.
+	noStore, noPeers atomic.Bool
+	// readTime is how long a value takes from the store.
+	readTime atomic.Int64
+}
+
+// A fleet is a leader and other gateways in front of a store.
+type fleet struct {
+	t     *testing.T
+	store *kvtest.Store
+	// mu guards the list of members.
+	mu      sync.Mutex
+	members []*member
+	// leader is the index of the leading member, noLeader if nobody leads.
+	leader atomic.Int64
+}
+
+const noLeader = -1
+
+// newFleet starts a number of gateways; the first one leads.
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, store: kvtest.New(clock.Real{})}
+	f.write(1)
+	for range size {
+		f.join()
+	}
+	go f.reports()
+	f.wait(settled)
+	return f
+}
+
+// join starts one more gateway.
+func (f *fleet) join() *member {
+	m := &member{t: f.t, fleet: f, addr: strconv.Itoa(len(f.members))}
+	index := int64(len(f.members))
+	m.syncer = New(Options{
+		Store: m, Key: testKey, Holder: m, Peers: m, Health: m, Clock: clock.Real{}, Log: zap.NewNop(),
+		IsWatcher: func() bool { return f.leader.Load() == index }, MaxAge: func() time.Duration { return maxAge },
+		WatchTime: watchTime,
+	})
+	f.mu.Lock()
+	f.members = append(f.members, m)
+	f.mu.Unlock()
+	go m.syncer.Run(f.t.Context())
+	return m
+}
+
+// wait lets time pass, which in these tests takes none.
+func (f *fleet) wait(d time.Duration) {
+	clock.Sleep(f.t.Context(), clock.Real{}, d)
+	synctest.Wait()
+}
+
+// reports carries reports to the leader and its replies back.
+func (f *fleet) reports() {
+	for f.t.Context().Err() == nil {
+		f.reportOnce()
+		clock.Sleep(f.t.Context(), clock.Real{}, reportEvery)
+	}
+}
+
+func (f *fleet) reportOnce() {
+	i := f.leader.Load()
+	if i == noLeader {
+		return
+	}
+	f.mu.Lock()
+	members := slices.Clone(f.members)
+	f.mu.Unlock()
+	leader := members[i]
+	for _, m := range members {
+		if m == leader {
+			continue
+		}
+		leader.syncer.HeardVersion(m.syncer.News().Version, m.addr)
+		m.syncer.Heard(leader.syncer.News(), leader.addr, time.Now())
+	}
+}
+
+// write writes a version into the store.
+func (f *fleet) write(version int) {
+	f.store.Set(testKey, append([]byte(strconv.Itoa(version)+"\n"), config(0, 20, none)...))
+}
+
+// checkVersion checks that all members have a version in force.
+func (f *fleet) checkVersion(version uint64) {
+	f.t.Helper()
+	for _, m := range f.members {
+		assert.Equal(f.t, m.version.Load(), version, "gateway %s", m.addr)
+	}
+}
+
+// Offer implements Holder.
+func (m *member) Offer(value []byte, _ Origin) (uint64, error) {
+	head, _, _ := bytes.Cut(value, []byte("\n"))
+	version, err := strconv.ParseUint(string(head), 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	m.version.Store(max(m.version.Load(), version))
+	return version, nil
+}
+
+// FetchConfig implements Peers.
+func (m *member) FetchConfig(_ context.Context, addr string, r Request) (Transfer, error) {
+	if m.noPeers.Load() {
+		return Transfer{}, errNoWay
+	}
+	i, err := strconv.Atoi(addr)
+	assert.NilError(m.t, err)
+	m.fleet.mu.Lock()
+	holder := m.fleet.members[i]
+	m.fleet.mu.Unlock()
+	t, err := holder.syncer.Transfer(r)
+	if t.Base != 0 {
+		m.patches.Add(1)
+	} else {
+		m.wholes.Add(1)
+	}
+	return t, err
+}
+
+// ListPrefix implements kv.PrefixStore.
+func (m *member) ListPrefix(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	m.lists.Add(1)
+	if m.noStore.Load() {
+		return nil, 0, errNoWay
+	}
+	clock.Sleep(ctx, clock.Real{}, time.Duration(m.readTime.Load()))
+	if ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
+	return m.fleet.store.ListPrefix(ctx, prefix)
+}
+
+// WatchPrefix implements kv.PrefixStore.
+func (m *member) WatchPrefix(
+	ctx context.Context, prefix string, after kv.Revision, wait time.Duration,
+) ([]kv.Event, kv.Revision, error) {
+	m.watches.Add(1)
+	if m.noStore.Load() {
+		return nil, 0, errNoWay
+	}
+	events, at, err := m.fleet.store.WatchPrefix(ctx, prefix, after, wait)
+	if len(events) > 0 {
+		clock.Sleep(ctx, clock.Real{}, time.Duration(m.readTime.Load()))
+	}
+	if m.noStore.Load() {
+		return nil, 0, errNoWay
+	}
+	if ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
+	return events, at, err
+}
+
+// Unreachable implements Health.
+func (m *member) Unreachable(error) {}
+
+// Reachable implements Health.
+func (m *member) Reachable() {}
