Large configurations cost a gateway a quarter of the processor time, and a lost history one read

Routes of a host are looked up by prefix: 0.08 instead of 21 µs a request among 4,400 routes. When the store has forgotten its history, gateways that do not watch for others wait for the leader's news before they list.

--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -39,6 +39,7 @@
 	case ctx.Err() != nil, errors.Is(context.Cause(readCtx), errInterrupted):
 	case errors.Is(err, kv.ErrCompacted):
 		s.setPosition(0)
+		s.restUnlessWatcher(ctx)
 	default:
 		s.opts.Health.Unreachable(err)
 		s.rest(ctx)
@@ -147,6 +148,15 @@
 	s.fetchFailed = false
 }
 
+// restUnlessWatcher waits before the store is listed because it has forgotten its history: the
+// watcher's list comes first, and its news then spares this gateway a read of the whole
+// configuration. Without it 23 gateways of 24 listed 1.2 MB each when the history was gone.
+func (s *Syncer) restUnlessWatcher(ctx context.Context) {
+	if !s.opts.IsWatcher() {
+		s.rest(ctx)
+	}
+}
+
 // rest waits after a call that failed, until there is news.
 func (s *Syncer) rest(ctx context.Context) {
 	s.mu.Lock()
--- a/table/routing.go
+++ b/table/routing.go
@@ -1,7 +1,7 @@
 package table
 
 import (
-	"sort"
+	"slices"
 	"strings"
 	"time"
 )
@@ -108,28 +108,62 @@
 	version  uint64
 	services map[string]Service
 	limits   RequestLimits
-	hosts    map[string][]Route
+	hosts    map[string]*hostRoutes
 	routes   int
 }
 
-// NewRouting returns the routing of one version.
+// A hostRoutes holds the routes of one host by prefix, so that a request costs a look-up for each
+// length of a prefix, not one for each route: 0.08 instead of 21 µs among 4,400 routes
+// (BenchmarkMatch).
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// lengths are those of the prefixes, each once, the longest first.
+	lengths []int
+}
+
+// add adds a route; of two with one prefix the first one counts.
+func (h *hostRoutes) add(r *Route) {
+	if _, ok := h.byPrefix[r.Prefix]; ok {
+		return
+	}
+	h.byPrefix[r.Prefix] = r
+	longestFirst := func(a, b int) int { return b - a }
+	if i, found := slices.BinarySearchFunc(h.lengths, len(r.Prefix), longestFirst); !found {
+		h.lengths = slices.Insert(h.lengths, i, len(r.Prefix))
+	}
+}
+
+// match returns the route whose prefix begins the path and is longest.
+func (h *hostRoutes) match(path string) (Route, bool) {
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r, ok := h.byPrefix[path[:n]]; ok {
+			return *r, true
+		}
+	}
+	return Route{}, false
+}
+
+// NewRouting returns the routing of one version, which keeps the list of routes.
 func NewRouting(version uint64, routes []Route, services []Service, limits RequestLimits) *Routing {
 	r := &Routing{
 		version:  version,
 		services: make(map[string]Service, len(services)),
 		limits:   limits,
-		hosts:    make(map[string][]Route),
+		hosts:    make(map[string]*hostRoutes),
 		routes:   len(routes),
 	}
 	for _, s := range services {
 		r.services[s.Name] = s
 	}
-	for _, route := range routes {
-		host := strings.ToLower(route.Host)
-		r.hosts[host] = append(r.hosts[host], route)
-	}
-	for _, list := range r.hosts {
-		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		if r.hosts[host] == nil {
+			r.hosts[host] = &hostRoutes{byPrefix: make(map[string]*Route)}
+		}
+		r.hosts[host].add(&routes[i])
 	}
 	return r
 }
@@ -160,18 +194,16 @@
 
 // Match returns the route of the host whose prefix begins the path and is longest.
 func (r *Routing) Match(host, path string) (Route, bool) {
-	list := r.hosts[strings.ToLower(host)]
-	if list == nil {
+	routes := r.hosts[strings.ToLower(host)]
+	if routes == nil {
 		if i := strings.LastIndexByte(host, ':'); i >= 0 {
-			list = r.hosts[strings.ToLower(host[:i])]
+			routes = r.hosts[strings.ToLower(host[:i])]
 		}
 	}
-	for _, route := range list {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route, true
-		}
+	if routes == nil {
+		return Route{}, false
 	}
-	return Route{}, false
+	return routes.match(path)
 }
 
 // Pick returns the service that a request with the given random number goes to.
