A stop during the start of a process is one in order, and tables are transferred without a bound on the whole

TestStopWhileSettingsAreRead fails on the code before: the stop is not noticed within 10 s.

The same cause as in the large configurations, elsewhere: an entry's answer with the whole table (2 s, 1 s for an agent that asks), the list of VMs and the catalogue of weights (3 s) were bounded as a whole; they are bounded by their progress now.

--- a/internal/agent/catchup.go
+++ b/internal/agent/catchup.go
@@ -14,7 +14,9 @@
 	"rockcleat/internal/wire"
 )
 
-// catchUpTimeout bounds the asking of an entry for a newer table. Chosen, not measured.
+// catchUpTimeout bounds the reading of the list of VMs, and the time until an entry that is
+// asked for a newer table answers, as each time in which no more of it arrives. Chosen, not
+// measured.
 const catchUpTimeout = time.Second
 
 // catchUp gets a newer table from the entry whose request names one. So an agent
@@ -76,11 +78,9 @@
 // askTable asks an entry for a newer table.
 func (a *Agent) askTable(addr string) {
 	defer a.catching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
-	defer cancel()
 	var ans wire.SyncAnswer
 	r := wire.SyncRequest{From: a.settings.ID, Table: a.replica.Current().Version(), TableOnly: true}
-	if err := a.peers.Post(ctx, addr, wire.PathSync, r, &ans); err != nil {
+	if err := a.peers.PostWithin(context.Background(), catchUpTimeout, addr, wire.PathSync, r, &ans); err != nil {
 		a.log.Debug("no table from entry", zap.Error(err))
 		return
 	}
--- a/internal/daemon/entry_agent.go
+++ b/internal/daemon/entry_agent.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -42,6 +40,8 @@
 
 // run builds a process from its settings file, starts it and stops it on a signal.
 func run(name string, args []string, stderr io.Writer, build builder) int {
+	signals := takeSignals(false)
+	defer signals.release()
 	c := command{
 		name: name, purpose: "runs one process of rockcleat until SIGTERM or SIGINT.",
 		example: "/etc/rockcleat/settings.yaml",
@@ -55,18 +55,16 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
-	return serve(p, settings, log)
+	return serve(p, settings, signals, log)
 }
 
 // serve starts the process and stops it on a signal.
-func serve(p process, settings config.Process, log *zap.Logger) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+func serve(p process, settings config.Process, signals signals, log *zap.Logger) int {
 	if err := p.Start(); err != nil {
 		log.Error("not started", zap.Error(err))
 		return ExitFailed
 	}
-	<-ctx.Done()
+	<-signals.stop
 	limit := 2*settings.LeaveTime.Std() + settings.DrainTime.Std()
 	drain, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -20,6 +18,8 @@
 
 // Gateway runs the gateway daemon until a signal and returns its exit code.
 func Gateway(args []string, stderr io.Writer, build GatewayBuilder) int {
+	signals := takeSignals(true)
+	defer signals.release()
 	c := command{
 		name: "rockcleat-gateway",
 		purpose: "runs one entry process of rockcleat on the users' platform until SIGTERM or SIGINT;\n" +
@@ -49,25 +49,21 @@
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	return serveGateway(g, file, log)
+	return serveGateway(g, file, signals, log)
 }
 
 // serveGateway runs the gateway until a signal stops it; a signal to reload is
 // answered by reading the settings again.
-func serveGateway(g *gateway.Gateway, file string, log *zap.Logger) int {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
+func serveGateway(g *gateway.Gateway, file string, signals signals, log *zap.Logger) int {
 	if err := g.Start(); err != nil {
 		log.Error("not started", telemetry.Error(err))
 		return ExitFailed
 	}
 	for {
 		select {
-		case <-reload:
+		case <-signals.reload:
 			reloadGateway(g, file, log)
-		case <-stop:
+		case <-signals.stop:
 			ctx, cancel := context.WithTimeout(context.Background(), g.Grace())
 			defer cancel()
 			if err := g.Stop(ctx); err != nil {
--- /dev/null
+++ b/internal/daemon/signals_test.go
@@ -0,0 +1,78 @@
+package daemon_test
+
+import (
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock"
+	"rockcleat/internal/config"
+	"rockcleat/internal/daemon"
+	"rockcleat/internal/gateway"
+	"rockcleat/internal/wire"
+	"rockcleat/kv/kvtest"
+	"rockcleat/platform"
+)
+
+// endTime is how long a daemon may take to end.
+const endTime = 10 * time.Second
+
+// A gateway that was stopped 2 ms after its launch ended by the signal, with code -1, as if it had
+// crashed: it took signals only after its settings, its log and its metrics were ready. Here the
+// settings come from a pipe, so that the signal surely comes while they are read.
+
+// TestStopWhileSettingsAreRead checks that a stop during the start is one in order.
+func TestStopWhileSettingsAreRead(t *testing.T) {
+	// Without this the signal would end the test itself.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	assert.NilError(t, syscall.Mkfifo(file, 0o600))
+	code := make(chan int, 1)
+	go func() { code <- daemon.Gateway([]string{"-config", file}, io.Discard, build) }()
+
+	// The pipe opens when the daemon opens it to read.
+	settings, err := os.OpenFile(file, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-signals
+	_, err = settings.Write(minimalSettings(t))
+	assert.NilError(t, err)
+	assert.NilError(t, settings.Close())
+	select {
+	case got := <-code:
+		assert.Equal(t, got, daemon.ExitOK)
+	case <-time.After(endTime):
+		t.Fatal("the stop was not noticed")
+	}
+}
+
+// build makes a gateway whose store has nothing.
+func build(s config.Gateway, log *zap.Logger) (*gateway.Gateway, error) {
+	store := kvtest.New(clock.Real{})
+	return gateway.New(gateway.Options{
+		Settings: s, Names: wire.Names{}, ReadyPath: "/ready", Store: store, Prefixes: store, OwnKeys: store,
+		Decoder: platform.Decoder{}, Clock: clock.Real{}, Log: log,
+	}), nil
+}
+
+// minimalSettings returns settings with addresses that are free.
+func minimalSettings(t *testing.T) []byte {
+	text := "id: g\nhall: h\nstore: 127.0.0.1:1\n"
+	for _, key := range []string{"listen", "ready_listen", "peer_listen"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		text += key + ": " + l.Addr().String() + "\n"
+	}
+	return []byte(text)
+}
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -21,7 +21,8 @@
 // Times and counts of the spreading of state; chosen, not measured. docs/CAPACITY.md has its
 // traffic.
 const (
-	// syncTimeout bounds one exchange with another entry.
+	// syncTimeout bounds the time until another entry answers, and each time in which no more
+	// of its answer arrives: an answer may carry the whole table.
 	syncTimeout = 2 * time.Second
 	// tableWait is how long one watch of the table waits.
 	tableWait = 20 * time.Second
@@ -85,10 +86,8 @@
 		return
 	}
 	peer := peers[rand.IntN(len(peers))]
-	ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
-	defer cancel()
 	var a wire.SyncAnswer
-	err := s.peers.Post(ctx, peer.Control, wire.PathSync, s.request(), &a)
+	err := s.peers.PostWithin(s.ctx, syncTimeout, peer.Control, wire.PathSync, s.request(), &a)
 	if err != nil {
 		s.log.Debug("no answer from entry", zap.String("peer", peer.ID), zap.Error(err))
 		return
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"rockcleat/internal/transfer"
 	"rockcleat/placement"
 )
 
@@ -54,7 +54,8 @@
 	Sizes map[string]placement.Size `json:"sizes"`
 }
 
-// callTimeout bounds one call to the platform. Chosen, not measured.
+// callTimeout bounds the time until the platform answers a call, and each time in which no more
+// of the answer arrives. Chosen, not measured.
 const callTimeout = 3 * time.Second
 
 // maxAnswer bounds an answer of the platform, in bytes. Chosen, not measured.
@@ -88,8 +89,8 @@
 
 // get reads JSON from a URL into out.
 func (c *Client) get(ctx context.Context, url string, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, watch := transfer.Start(ctx, callTimeout, callTimeout)
+	defer watch.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return eris.Wrap(err, "inventory: make request")
@@ -97,12 +98,15 @@
 	req.Header["User-Agent"] = nil
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "inventory: call")
+		return eris.Wrap(transfer.Cause(ctx, err), "inventory: call")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("inventory: status %d", resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out)
-	return eris.Wrap(err, "inventory: decode answer")
+	data, err := watch.ReadAll(ctx, resp.Body, maxAnswer)
+	if err != nil {
+		return eris.Wrap(err, "inventory: read answer")
+	}
+	return eris.Wrap(json.Unmarshal(data, out), "inventory: decode answer")
 }
