configsync: a fetch that failed is tried again while the store is away

A gateway whose first fetch failed went on reading the store alone until that answered, though the leader held the version. The new case of TestVersionsReachEveryGateway fails before.

--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -28,9 +28,7 @@
 	if err == nil && s.history.newest() == have {
 		err = errNothingNewer
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fetchFailed = err != nil
+	s.setFetchFailed(err != nil)
 	if err != nil {
 		s.opts.Log.Warn("configuration not fetched", zap.String("addr", addr), zap.Error(err))
 	}
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -36,6 +36,7 @@
 	switch {
 	case err == nil:
 		s.opts.Health.Reachable()
+		s.setFetchFailed(false)
 	case ctx.Err() != nil, errors.Is(context.Cause(readCtx), errInterrupted):
 	case errors.Is(err, kv.ErrCompacted):
 		s.setPosition(0)
@@ -43,9 +44,19 @@
 	default:
 		s.opts.Health.Unreachable(err)
 		s.rest(ctx)
+		s.setFetchFailed(false)
 	}
 }
 
+// setFetchFailed notes whether the newest version could not be fetched. After a read of the store,
+// whether it failed or not, it may be tried again: while the store is away, other gateways are the only
+// way.
+func (s *Syncer) setFetchFailed(failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetchFailed = failed
+}
+
 // interruptible returns a context for a read of the store, which ends when another gateway turns
 // out to hold a newer version: a patch of it is much smaller. After a fetch that failed, reads go on
 // to their end.
@@ -145,7 +156,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.merge(newest{version: s.history.newest(), currentAt: current, revision: at})
-	s.fetchFailed = false
 }
 
 // restUnlessWatcher waits before the store is listed because it has forgotten its history: the
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -65,6 +65,15 @@
 			f.wait(settled)
 			f.checkVersion(3)
 		},
+		"through the leader when the store is down and the first fetch failed": func(f *fleet) {
+			f.members[1].noStore.Store(true)
+			f.members[1].noPeers.Store(true)
+			f.write(2)
+			f.wait(settled)
+			f.members[1].noPeers.Store(false)
+			f.wait(2 * settled)
+			f.checkVersion(2)
+		},
 		"through the leader when the store takes long": func(f *fleet) {
 			f.members[1].readTime.Store(int64(time.Minute))
 			f.leader.Store(noLeader)
