--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -6,6 +6,8 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+
+	"rockcleat/internal/telemetry"
 )
 
 // errNothingNewer says that a gateway that should hold a newer version does not.
@@ -30,7 +32,7 @@
 	}
 	s.setFetchFailed(err != nil)
 	if err != nil {
-		s.opts.Log.Warn("configuration not fetched", zap.String("addr", addr), zap.Error(err))
+		s.opts.Log.Warn("configuration not fetched", zap.String("addr", addr), telemetry.Error(err))
 	}
 }
 
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
 
 	"rockcleat/clock"
+	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 )
 
@@ -146,7 +146,7 @@
 		return
 	}
 	if _, err := s.hold(e.Value, FromStore); err != nil {
-		s.opts.Log.Error("configuration not understood", zap.Error(err))
+		s.opts.Log.Error("configuration not understood", telemetry.Error(err))
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
-	"rockcleat/dispatch"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -77,16 +76,7 @@
 	cancel context.CancelFunc
 }
 
-// utilization is the part of an engine's slots and memory that is used: at full use
-// running streams are preempted. Chosen with the first path (docs/MEASUREMENTS.md, P1); all
-// of it was no better (G3a).
-const utilization = 0.92
-
-// leaseName is the name of the leader's lease in the store.
-const leaseName = "placer"
-
-// New returns a Gateway that does nothing until Start. Its parts are made from those that
-// need no other up to the listeners.
+// New returns a Gateway that does nothing until Start.
 func New(o Options) *Gateway {
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
@@ -94,91 +84,21 @@
 	if o.Peers == nil {
 		o.Peers = wire.NewTransport(&wire.Traffic{})
 	}
-	s := o.Settings
-	lines := newRequestLog(o.Log, o.Metrics, o.Clock, o.Names)
-	config := newConfiguration(o.Decoder, o.Log)
-	gateways := newDirectory(s.PeerListen, s.Gateways)
-	life := newLifecycle()
-	conns := newConns(o.Clock, config.connLimits)
-	budgets := newRetryBudgets(s.Retry, o.Clock, gateways)
-	peers := newPeerClient(gateways, o.Peers)
-	modelMissing := make(signal, 1)
-	dispatcher := dispatch.New(dispatch.Options{
-		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: config.cacheTokens,
-		Owners: peers, OnOwnerSilent: lines.ownerSilent, OnModelMissing: modelMissing.send,
-	})
-	servers := newServerList(o.Decoder, o.Clock, o.Log, dispatcher)
-	holder, fanout, leader := newPlacer(o, config, servers, lines)
-	config.onChange = servers.refresh
 	ctx, cancel := context.WithCancel(context.Background())
-	health := newStoreHealth(ctx, o.Log)
-	configs := configsync.New(configsync.Options{
-		Store: o.Prefixes, Key: o.Decoder.ConfigKey(), Holder: config, Peers: peers, Health: health, Clock: o.Clock, Log: o.Log,
-		IsWatcher: isHeld(holder), MaxAge: newsMaxAge(s, gateways), WatchTime: s.WatchTime.Std(), OnSwitch: lines.watchSwitched,
-	})
-	reporter := &reporter{
-		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: dispatcher, configs: configs,
-		servers: servers, gateways: gateways, placer: leader, fanout: fanout, peers: peers, clock: o.Clock, log: o.Log,
-		modelMissing: modelMissing,
-	}
+	p := newParts(ctx, o)
 	g := &Gateway{
-		settings: s, decoder: o.Decoder, clock: o.Clock, log: o.Log, prefixes: fanout.View(o.Prefixes, false),
-		config: config, configs: configs, health: health, servers: servers, budgets: budgets, placer: leader, reporter: reporter, conns: conns,
-		lifecycle: life, pauses: pauseDetector{log: o.Log, inProgress: life.requests}, ctx: ctx, cancel: cancel,
+		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
+		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
+		prefixes: p.leader.fanout.View(o.Prefixes, false), placer: p.leader.placer, reporter: p.newReporter(o),
+		pauses: pauseDetector{log: o.Log, inProgress: p.lifecycle.requests}, ctx: ctx, cancel: cancel,
 	}
 	g.listeners = newListeners(listenerOptions{
-		settings: s, log: o.Log, conns: conns, ready: readyRouter(o.ReadyPath, g.ready), metrics: o.Metrics.Handler(),
-		proxy: &proxy{
-			names: o.Names, config: config, dispatcher: dispatcher, budgets: budgets, lines: lines, lifecycle: life,
-			conns: conns, clock: o.Clock, transport: wire.NewDirectTransport(s.IdleTime.Std()), bodyTime: s.BodyTime.Std(),
-		},
-		peers: (&peerServer{
-			placer: leader, fanout: fanout, configs: configs, gateways: gateways, dispatcher: dispatcher,
-			leaseKey: holder.Key(),
-		}).router(),
+		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
+		metrics: o.Metrics.Handler(), proxy: p.newProxy(o), peers: p.newPeerServer().router(),
 	})
 	return g
 }
 
-// newPlacer returns the leader's role: the lease, the watches that its holder makes for all
-// gateways, and the placer.
-func newPlacer(o Options, config *configuration, servers *serverList, lines *requestLog) (*lease.Holder, *kv.Fanout, *placer.Placer) {
-	s := o.Settings
-	holder := lease.New(o.Store, o.Clock, lease.Options{
-		Name: leaseName, Holder: s.ID, Addr: s.PeerListen, TTL: s.LeaseTTL.Std(),
-	})
-	fanout := kv.NewFanout(kv.FanoutOptions{
-		Clock: o.Clock, MaxAge: s.WatchTime.Std() / 2, IsWatcher: isHeld(holder),
-		OnSwitch: lines.watchSwitched, Digest: servers.digest,
-	})
-	leader := placer.New(placer.Options{
-		Lease: holder, Keys: fanout.View(o.OwnKeys, true), Engines: o.Engines, Registry: &servers.registry,
-		Routing: config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
-	})
-	return holder, fanout, leader
-}
-
-// newsReports is how many reports in a row may bring no news of the configuration before a
-// gateway reads it from the store itself. Chosen, not measured.
-const newsReports = 3
-
-// newsMaxAge returns a function that returns how old the news of the configuration may be: half
-// of a watch, as for all that is watched for others, and longer where so many gateways report
-// that each reports seldom (docs/CAPACITY.md).
-func newsMaxAge(s config.Gateway, gateways *directory) func() time.Duration {
-	return func() time.Duration {
-		return max(s.WatchTime.Std()/2, newsReports*placer.ReportInterval(gateways.count()))
-	}
-}
-
-// isHeld returns a function that reports whether a lease is held.
-func isHeld(h *lease.Holder) func() bool {
-	return func() bool {
-		_, held := h.Held()
-		return held
-	}
-}
-
 // expireInterval is the time between two looks for what is too old. Chosen, not measured.
 const expireInterval = 200 * time.Millisecond
 
--- /dev/null
+++ b/internal/gateway/parts.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"rockcleat/dispatch"
+	"rockcleat/internal/config"
+	"rockcleat/internal/configsync"
+	"rockcleat/internal/placer"
+	"rockcleat/internal/wire"
+	"rockcleat/kv"
+	"rockcleat/lease"
+)
+
+// utilization is the part of an engine's slots and memory that is used: at full use
+// running streams are preempted. Chosen with the first path (docs/MEASUREMENTS.md, P1); all
+// of it was no better (G3a).
+const utilization = 0.92
+
+// leaseName is the name of the leader's lease in the store.
+const leaseName = "placer"
+
+// parts are what a gateway consists of, beside its listeners and loops.
+type parts struct {
+	lines      *requestLog
+	config     *configuration
+	gateways   *directory
+	lifecycle  *lifecycle
+	conns      *conns
+	budgets    *retryBudgets
+	peers      *peerClient
+	dispatcher *dispatch.Dispatcher
+	servers    *serverList
+	leader     leaderRole
+	health     *storeHealth
+	configs    *configsync.Syncer
+	// modelMissing is sent when a request waits for a model that no server holds.
+	modelMissing signal
+}
+
+// newParts makes the parts in an order in which each needs only those before it. Their work
+// ends with ctx.
+func newParts(ctx context.Context, o Options) *parts {
+	s := o.Settings
+	p := &parts{
+		lines: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
+		gateways: newDirectory(s.PeerListen, s.Gateways), lifecycle: newLifecycle(), modelMissing: make(signal, 1),
+		health: newStoreHealth(ctx, o.Log),
+	}
+	p.conns = newConns(o.Clock, p.config.connLimits)
+	p.budgets = newRetryBudgets(s.Retry, o.Clock, p.gateways)
+	p.peers = newPeerClient(p.gateways, o.Peers)
+	p.dispatcher = dispatch.New(dispatch.Options{
+		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
+		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.modelMissing.send,
+	})
+	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
+	p.config.onChange = p.servers.refresh
+	p.leader = p.newLeaderRole(o)
+	p.configs = configsync.New(configsync.Options{
+		Store: o.Prefixes, Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers, Health: p.health, Clock: o.Clock,
+		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: newsMaxAge(s, p.gateways), WatchTime: s.WatchTime.Std(),
+		OnSwitch: p.lines.watchSwitched,
+	})
+	return p
+}
+
+// A leaderRole is what a gateway needs to lead.
+type leaderRole struct {
+	lease *lease.Holder
+	// fanout carries the watches that the leader makes for all gateways.
+	fanout *kv.Fanout
+	placer *placer.Placer
+}
+
+// newLeaderRole returns the leader's role: the lease, the watches that its holder makes for all
+// gateways, and the placer.
+func (p *parts) newLeaderRole(o Options) leaderRole {
+	s := o.Settings
+	l := leaderRole{lease: lease.New(o.Store, o.Clock, lease.Options{
+		Name: leaseName, Holder: s.ID, Addr: s.PeerListen, TTL: s.LeaseTTL.Std(),
+	})}
+	l.fanout = kv.NewFanout(kv.FanoutOptions{
+		Clock: o.Clock, MaxAge: s.WatchTime.Std() / 2, IsWatcher: l.isHeld,
+		OnSwitch: p.lines.watchSwitched, Digest: p.servers.digest,
+	})
+	l.placer = placer.New(placer.Options{
+		Lease: l.lease, Keys: l.fanout.View(o.OwnKeys, true), Engines: o.Engines, Registry: &p.servers.registry,
+		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
+	})
+	return l
+}
+
+// isHeld reports whether this gateway leads.
+func (l leaderRole) isHeld() bool {
+	_, held := l.lease.Held()
+	return held
+}
+
+// newsReports is how many reports in a row may bring no news of the configuration before a
+// gateway reads it from the store itself. Chosen, not measured.
+const newsReports = 3
+
+// newsMaxAge returns a function that returns how old the news of the configuration may be: half
+// of a watch, as for all that is watched for others, and longer where so many gateways report
+// that each reports seldom (docs/CAPACITY.md).
+func newsMaxAge(s config.Gateway, gateways *directory) func() time.Duration {
+	return func() time.Duration {
+		return max(s.WatchTime.Std()/2, newsReports*placer.ReportInterval(gateways.count()))
+	}
+}
+
+// newReporter returns what reports to the leader.
+func (p *parts) newReporter(o Options) *reporter {
+	s := o.Settings
+	return &reporter{
+		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
+		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
+		clock: o.Clock, log: o.Log, modelMissing: p.modelMissing,
+	}
+}
+
+// newProxy returns what serves callers.
+func (p *parts) newProxy(o Options) *proxy {
+	return &proxy{
+		names: o.Names, config: p.config, dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
+		lifecycle: p.lifecycle, conns: p.conns, clock: o.Clock,
+		transport: wire.NewDirectTransport(o.Settings.IdleTime.Std()), bodyTime: o.Settings.BodyTime.Std(),
+	}
+}
+
+// newPeerServer returns what serves other gateways.
+func (p *parts) newPeerServer() *peerServer {
+	return &peerServer{
+		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
+		dispatcher: p.dispatcher, leaseKey: p.leader.lease.Key(),
+	}
+}
