docs/ARCHITECTURE.md: programs, state, the way of a request and of a change, and what fails

The test of names in DECISIONS.md now reads ARCHITECTURE.md and PLATFORM-QUESTIONS.md too (TestPagesNameWhatIsThere, which takes the place of TestDecisionsNameWhatIsThere).

--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -14,21 +14,33 @@
 	"gotest.tools/v3/assert"
 )
 
-// named finds what DECISIONS.md names as package.Name or package.Type.Name.
-var named = regexp.MustCompile("`((?:dispatch|gateway|placer|residency|backend|retry|lease|kv|entry|agent|planner|placement|route|fairqueue|claim|ledger)\\.[\\w.]+)`")
+// named finds what a page names as package.Name or package.Type.Name.
+var named = regexp.MustCompile("`((?:dispatch|gateway|placer|residency|backend|retry|lease|kv|entry|agent|planner|placement|route|fairqueue|claim|ledger|configsync|transfer|table|platform)\\.[\\w.]+)`")
 
-// TestDecisionsNameWhatIsThere checks that each function and constant that DECISIONS.md
-// names stands in the code.
-func TestDecisionsNameWhatIsThere(t *testing.T) {
-	page, err := os.ReadFile("DECISIONS.md")
-	assert.NilError(t, err)
+// TestPagesNameWhatIsThere checks that each function, type and constant that the pages name stands
+// in the code.
+func TestPagesNameWhatIsThere(t *testing.T) {
+	tests := map[string]struct {
+		// least is how many names the page has at least.
+		least int
+	}{
+		"DECISIONS.md":          {least: 100},
+		"ARCHITECTURE.md":       {least: 30},
+		"PLATFORM-QUESTIONS.md": {least: 10},
+	}
 	declared := declarations(t, "..")
-	matches := named.FindAllStringSubmatch(string(page), -1)
-	assert.Assert(t, len(matches) > 100, "%d names found", len(matches))
-	for _, m := range matches {
-		if !declared[m[1]] {
-			t.Errorf("DECISIONS.md names %s, which is not declared", m[1])
-		}
+	for file, test := range tests {
+		t.Run(file, func(t *testing.T) {
+			page, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			matches := named.FindAllStringSubmatch(string(page), -1)
+			assert.Assert(t, len(matches) > test.least, "%d names found", len(matches))
+			for _, m := range matches {
+				if !declared[m[1]] {
+					t.Errorf("%s names %s, which is not declared", file, m[1])
+				}
+			}
+		})
 	}
 }
 
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -7,7 +7,8 @@
 //
 //   - conns: callers' connections, and when they end;
 //   - lifecycle: requests in progress, and the stop;
-//   - configuration and serverList: the view of the store, kept by followers;
+//   - configuration, which a configsync.Syncer keeps up to date, and serverList, kept by a
+//     follower: the view of the store;
 //   - directory: the list of gateways;
 //   - reporter: the reports to the leader, and what it has been sent;
 //   - proxy: the way of a request, with an inbound (what is known at its start), a
