--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -39,6 +39,7 @@
 // fetchOn fetches a patch on a version, or all of the configuration if that is 0.
 func (s *Syncer) fetchOn(ctx context.Context, addr string, have uint64) error {
 	t, err := s.opts.Peers.FetchConfig(ctx, addr, Request{Have: have})
+	s.noteTransfer(FromGateway, len(t.Patch), err)
 	if err != nil {
 		return err
 	}
--- a/internal/configsync/harness_test.go
+++ b/internal/configsync/harness_test.go
@@ -44,6 +44,8 @@
 	version atomic.Uint64
 	// fetched counts transfers by what they carried.
 	patches, wholes atomic.Int64
+	// received counts the bytes of patches that were reported.
+	received atomic.Int64
 	// lists and watches count calls to the store.
 	lists, watches atomic.Int64
 	// noStore cuts the member off from the store, noPeers from fetching.
@@ -84,7 +86,7 @@
 	m.syncer = New(Options{
 		Store: m, Key: testKey, Holder: m, Peers: m, Health: m, Clock: clock.Real{}, Log: zap.NewNop(),
 		IsWatcher: func() bool { return f.leader.Load() == index }, MaxAge: func() time.Duration { return maxAge },
-		WatchTime: watchTime,
+		WatchTime: watchTime, OnTransfer: m.count,
 	})
 	f.mu.Lock()
 	f.members = append(f.members, m)
@@ -138,6 +140,13 @@
 	}
 }
 
+// count counts what is received from other gateways.
+func (m *member) count(from Origin, bytes int, _ error) {
+	if from == FromGateway {
+		m.received.Add(int64(bytes))
+	}
+}
+
 // Offer implements Holder.
 func (m *member) Offer(value []byte, _ Origin) (uint64, error) {
 	head, _, _ := bytes.Cut(value, []byte("\n"))
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -42,6 +42,7 @@
 		s.setPosition(0)
 		s.restUnlessWatcher(ctx)
 	default:
+		s.noteTransfer(FromStore, 0, err)
 		s.opts.Health.Unreachable(err)
 		s.rest(ctx)
 		s.setFetchFailed(false)
@@ -145,6 +146,7 @@
 	if e.Key != s.opts.Key {
 		return
 	}
+	s.noteTransfer(FromStore, len(e.Value), nil)
 	if _, err := s.hold(e.Value, FromStore); err != nil {
 		s.opts.Log.Error("configuration not understood", telemetry.Error(err))
 	}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -54,6 +54,9 @@
 	MaxAge func() time.Duration
 	// WatchTime bounds one watch, so that a dead connection is noticed.
 	WatchTime time.Duration
+	// OnTransfer, if not nil, is called after a configuration was received, with its bytes as
+	// they were sent, or could not be.
+	OnTransfer func(from Origin, bytes int, err error)
 	// OnSwitch, if not nil, is called when this gateway begins to watch the store (direct), or
 	// to rely on the news of others.
 	OnSwitch func(key string, direct bool)
@@ -227,6 +230,13 @@
 	s.direct = direct
 }
 
+// noteTransfer reports a transfer that has ended.
+func (s *Syncer) noteTransfer(from Origin, bytes int, err error) {
+	if s.opts.OnTransfer != nil {
+		s.opts.OnTransfer(from, bytes, err)
+	}
+}
+
 // hold puts a configuration in force and keeps it for other gateways; it returns the version.
 func (s *Syncer) hold(value []byte, from Origin) (uint64, error) {
 	version, err := s.opts.Holder.Offer(value, from)
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -15,11 +15,13 @@
 		"through the leader, as a patch, without a read of the store": func(f *fleet) {
 			follower := f.members[1]
 			before := follower.lists.Load() + follower.watches.Load()
-			patches := follower.patches.Load()
+			patches, received := follower.patches.Load(), follower.received.Load()
 			f.write(2)
 			f.wait(settled)
 			f.checkVersion(2)
 			assert.Equal(f.t, follower.patches.Load(), patches+1)
+			received = follower.received.Load() - received
+			assert.Assert(f.t, received > 0 && received < 200, "%d bytes reported", received)
 			assert.Equal(f.t, follower.lists.Load()+follower.watches.Load(), before)
 		},
 		"through the leader when the history was forgotten": func(f *fleet) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -61,7 +61,9 @@
 	p.configs = configsync.New(configsync.Options{
 		Store: o.Prefixes, Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers, Health: p.health, Clock: o.Clock,
 		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: newsMaxAge(s, p.gateways), WatchTime: s.WatchTime.Std(),
-		OnSwitch: p.lines.watchSwitched,
+		OnSwitch: p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
+			o.Metrics.ConfigTransfer(string(from), bytes, err)
+		},
 	})
 	return p
 }
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -87,6 +87,9 @@
 	Sent(service string, retry bool)
 	// Admissions counts what other gateways answered when they were asked for admission.
 	Admissions(granted, denied, silent int)
+	// ConfigTransfer counts a transfer of the configuration, with its bytes as they were sent;
+	// err says that it failed.
+	ConfigTransfer(from string, bytes int, err error)
 }
 
 type noMetrics struct{}
@@ -95,6 +98,7 @@
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
 func (noMetrics) Admissions(int, int, int)               {}
+func (noMetrics) ConfigTransfer(string, int, error)      {}
 
 // A requestLog writes the lines that touch requests, and counts them in metrics. It is safe
 // for concurrent use.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -34,6 +34,9 @@
 	sends    metric.Int64Counter
 	calls    metric.Int64Counter
 	places   metric.Int64Counter
+	// transfers and bytes are those of configurations.
+	transfers metric.Int64Counter
+	bytes     metric.Int64Counter
 
 	mu     sync.Mutex
 	routes map[string]bool
@@ -61,6 +64,8 @@
 	m.sends = b.counter("rockcleat.gateway.sends", "Requests sent to backend servers.")
 	m.calls = b.counter("rockcleat.gateway.store_calls", "Calls to the platform's store by kind.")
 	m.places = b.counter("rockcleat.gateway.places", "Places at engines asked of other gateways, by result.")
+	m.transfers = b.counter("rockcleat.gateway.config_transfers", "Transfers of the configuration, by origin and result.")
+	m.bytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
 	return m, b.err
 }
 
@@ -105,6 +110,18 @@
 	m.places.Add(ctx, int64(silent), m.set("result", "silent", "", ""))
 }
 
+// ConfigTransfer counts a transfer of the configuration from the store or another gateway, with
+// its bytes; err says that it failed.
+func (m *GatewayMetrics) ConfigTransfer(from string, bytes int, err error) {
+	ctx := context.Background()
+	result := "complete"
+	if err != nil {
+		result = "failed"
+	}
+	m.transfers.Add(ctx, 1, m.set("from", from, "result", result))
+	m.bytes.Add(ctx, int64(bytes), m.set("from", from, "", ""))
+}
+
 // StoreCall counts a call to the platform's store.
 func (m *GatewayMetrics) StoreCall(kind string) {
 	m.calls.Add(context.Background(), 1, m.set("kind", kind, "", ""))
--- a/internal/telemetry/gateway_test.go
+++ b/internal/telemetry/gateway_test.go
@@ -1,6 +1,7 @@
 package telemetry_test
 
 import (
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,9 @@
 	m.StoreCall("read")
 	m.Admissions(2, 1, 4)
 	m.Admissions(1, 2, 0)
+	m.ConfigTransfer("store", 900, nil)
+	m.ConfigTransfer("gateway", 50, nil)
+	m.ConfigTransfer("gateway", 0, errors.New("no answer"))
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	text := w.Body.String()
@@ -35,6 +39,9 @@
 		`rockcleat_gateway_places_total{result="denied"} 3`,
 		`rockcleat_gateway_places_total{result="granted"} 3`,
 		`rockcleat_gateway_places_total{result="silent"} 4`,
+		`rockcleat_gateway_config_transfers_total{from="gateway",result="failed"} 1`,
+		`rockcleat_gateway_config_transfers_total{from="store",result="complete"} 1`,
+		`rockcleat_gateway_config_bytes_total{from="gateway"} 50`,
 		`rockcleat_gateway_first_byte_seconds_bucket{route="r2",le="0.05"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want), "%s is not in\n%s", want, text)
