configsync: a watch by a gateway for itself lasts a second at most

A store that falls silent during such a watch of 2 s left the gateway without the configuration for up to 2.9 s after its return, by arithmetic, where 3 s are allowed. The watch needs no setting of its own now.

--- a/internal/configsync/harness_test.go
+++ b/internal/configsync/harness_test.go
@@ -24,7 +24,6 @@
 const (
 	reportEvery = 100 * time.Millisecond
 	maxAge      = time.Second
-	watchTime   = 2 * time.Second
 	// settled is long enough for every step that needs no time-out.
 	settled = 500 * time.Millisecond
 )
@@ -86,7 +85,7 @@
 	m.syncer = New(Options{
 		Store: m, Key: testKey, Holder: m, Peers: m, Health: m, Clock: clock.Real{}, Log: zap.NewNop(),
 		IsWatcher: func() bool { return f.leader.Load() == index }, MaxAge: func() time.Duration { return maxAge },
-		WatchTime: watchTime, OnTransfer: m.count,
+		OnTransfer: m.count,
 	})
 	f.mu.Lock()
 	f.members = append(f.members, m)
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -22,6 +22,10 @@
 // back.
 const readPause = 300 * time.Millisecond
 
+// watcherRounds is how often the watcher's watch ends within MaxAge, so that the others know how
+// old its view is. Chosen, not measured.
+const watcherRounds = 3
+
 // read lists the configuration in the store, or watches for the next one if its position in
 // the store's history is known.
 func (s *Syncer) read(ctx context.Context) {
@@ -110,11 +114,13 @@
 	return nil
 }
 
-// watch waits for a configuration that was written after a revision.
+// watch waits for a configuration that was written after a revision. It is short, so that a store
+// that fell silent in the middle of it is asked again in time: with 2 s a gateway was without the
+// configuration for up to 2.9 s after the store's return, by arithmetic, where 3 s are allowed.
 func (s *Syncer) watch(ctx context.Context, after kv.Revision) error {
-	wait := s.opts.WatchTime
+	wait := s.opts.MaxAge()
 	if s.opts.IsWatcher() {
-		wait = min(wait, s.opts.MaxAge()/watcherRounds)
+		wait /= watcherRounds
 	}
 	began := s.opts.Clock.Now()
 	events, at, err := s.opts.Store.WatchPrefix(ctx, s.opts.Key, after, wait)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -50,10 +50,9 @@
 	Log    *zap.Logger
 	// IsWatcher reports whether this gateway watches the store for the others.
 	IsWatcher func() bool
-	// MaxAge returns how old the news may be before this gateway watches the store itself.
+	// MaxAge returns how old the news may be before this gateway watches the store itself, and
+	// bounds one such watch.
 	MaxAge func() time.Duration
-	// WatchTime bounds one watch, so that a dead connection is noticed.
-	WatchTime time.Duration
 	// OnTransfer, if not nil, is called after a configuration was received, with its bytes as
 	// they were sent, or could not be.
 	OnTransfer func(from Origin, bytes int, err error)
@@ -62,10 +61,6 @@
 	OnSwitch func(key string, direct bool)
 }
 
-// watcherRounds is how often the watcher's watch ends within MaxAge, so that the others know how
-// old its view is. Chosen, not measured.
-const watcherRounds = 3
-
 // A Syncer keeps one gateway's configuration up to date. All of its methods are safe for
 // concurrent use, but Run is called once.
 type Syncer struct {
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -160,7 +160,7 @@
 		during := follower.watches.Load()
 		assert.Assert(t, during > before, "the leader's news is old")
 		f.members[0].noStore.Store(false)
-		f.wait(watchTime + maxAge)
+		f.wait(3 * maxAge)
 		during = follower.watches.Load()
 		f.wait(10 * maxAge)
 		assert.Equal(t, follower.watches.Load(), during, "it is fresh again")
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -60,7 +60,7 @@
 	p.leader = p.newLeaderRole(o)
 	p.configs = configsync.New(configsync.Options{
 		Store: o.Prefixes, Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers, Health: p.health, Clock: o.Clock,
-		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: newsMaxAge(s, p.gateways), WatchTime: s.WatchTime.Std(),
+		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: newsMaxAge(s, p.gateways),
 		OnSwitch: p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
 			o.Metrics.ConfigTransfer(string(from), bytes, err)
 		},
