configsync: a history that is gone is not watched again on another gateway's word

While nobody led, gateways told each other revisions that the store had forgotten already: each watch from one failed, and within the pause after it the same revision was heard again. No gateway read the new version until one led. The new case of TestVersionsReachEveryGateway fails before: none of three had the version after 2 s.

--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -32,7 +32,8 @@
 	readCtx, end := s.interruptible(ctx)
 	defer end()
 	var err error
-	if after := s.readFrom(); after > 0 {
+	after := s.readFrom()
+	if after > 0 {
 		err = s.watch(readCtx, after)
 	} else {
 		err = s.list(readCtx)
@@ -43,7 +44,7 @@
 		s.setFetchFailed(false)
 	case ctx.Err() != nil, errors.Is(context.Cause(readCtx), errInterrupted):
 	case errors.Is(err, kv.ErrCompacted):
-		s.setPosition(0)
+		s.noteForgotten(after)
 		s.restUnlessWatcher(ctx)
 	default:
 		s.noteTransfer(FromStore, 0, err)
@@ -84,20 +85,21 @@
 func (s *Syncer) readFrom() kv.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.history.newest() < s.newest.version {
-		return s.position
+	after := s.position
+	if s.history.newest() >= s.newest.version {
+		after = max(after, s.newest.revision)
 	}
-	return max(s.position, s.newest.revision)
+	if after <= s.forgotten {
+		return 0
+	}
+	return after
 }
 
-// setPosition notes up to which revision the store has been read; 0 if it has to be listed.
-func (s *Syncer) setPosition(at kv.Revision) {
+// noteForgotten notes that the store no longer knows what came after a revision.
+func (s *Syncer) noteForgotten(after kv.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.position = at
-	if at == 0 {
-		s.newest.revision = 0
-	}
+	s.forgotten = max(s.forgotten, after)
 }
 
 // list reads the configuration that the store has.
@@ -160,9 +162,9 @@
 
 // noteRead notes that what is held was the newest at a time, up to a revision.
 func (s *Syncer) noteRead(at kv.Revision, current time.Time) {
-	s.setPosition(at)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.position = at
 	s.merge(newest{version: s.history.newest(), currentAt: current, revision: at})
 }
 
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -69,8 +69,12 @@
 
 	mu     sync.Mutex
 	newest newest
-	// position is the revision after which this gateway's own watches have read.
+	// position is up to which revision this gateway has read the store itself.
 	position kv.Revision
+	// forgotten is a revision after which the store no longer knows its history. Other gateways
+	// may name it as theirs for as long as they do not know; watching from it again and again,
+	// since it was heard again and again, kept versions from all gateways while nobody led.
+	forgotten kv.Revision
 	// fetchFailed says that the newest version could not be fetched from its source: the store
 	// is read next.
 	fetchFailed bool
