gateway: the leader is found although the record of the lease is old

A gateway went back to the address in its record of the lease after each reply, also when the gateway there had said that it does not lead and knew of no other. That one reply that names nobody now marks the record as old, a gateway that leads is remembered, and others are told of it.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -20,6 +20,8 @@
 	addrs  map[string]string
 	others []string
 	number int
+	// leader is where the gateway takes messages that replied last that it leads.
+	leader string
 }
 
 // newDirectory returns a directory that assumes a number of gateways until it has a list.
@@ -45,6 +47,29 @@
 	return list
 }
 
+// noteLeader notes whether the gateway at an address replied that it leads.
+func (d *directory) noteLeader(addr string, leads bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case leads:
+		d.leader = addr
+	case d.leader == addr:
+		d.leader = ""
+	}
+}
+
+// leaderOr returns where the leader takes messages: as it replied itself, or else as the lease's
+// record says.
+func (d *directory) leaderOr(record string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leader != "" {
+		return d.leader
+	}
+	return record
+}
+
 // count returns the number of gateways, at least 1.
 func (d *directory) count() int {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/gateway/find_leader_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock"
+	"rockcleat/dispatch"
+	"rockcleat/internal/config"
+	"rockcleat/internal/placer"
+	"rockcleat/kv"
+	"rockcleat/kv/kvtest"
+	"rockcleat/lease"
+)
+
+// A gateway asked for ten seconds another one that had led before, whose record of the lease was
+// the last it had seen: that one no longer reached the store, so it knew of no other leader either,
+// and said so in each reply. Meanwhile no residency and no change came from the leader.
+
+// repliers is a transport to gateways of which one leads; none knows which.
+type repliers struct {
+	t      *testing.T
+	leader string
+	// asked are the addresses of those asked, in order.
+	asked []string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (p *repliers) RoundTrip(r *http.Request) (*http.Response, error) {
+	p.asked = append(p.asked, r.URL.Host)
+	body, err := json.Marshal(replyMessage{Reply: placer.Reply{IsLeader: r.URL.Host == p.leader}})
+	assert.NilError(p.t, err)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body)), Request: r}, nil
+}
+
+// TestLeaderIsFoundDespiteAnOldRecord checks that a gateway finds the leader though the record
+// that it has names one that leads no longer, and then stays with it.
+func TestLeaderIsFoundDespiteAnOldRecord(t *testing.T) {
+	// tries is enough for asking seven gateways at random: not to find the one is a chance of
+	// one in ten million.
+	const tries = 100
+	store := kvtest.New(clock.Real{})
+	peers := &repliers{t: t, leader: "g5:1"}
+	o := Options{
+		Settings: config.Gateway{ID: "g0", PeerListen: "g0:1", Gateways: 8}, Store: store, Prefixes: store, OwnKeys: store,
+		Decoder: plainDecoder{}, Clock: clock.Real{}, Log: zap.NewNop(), Metrics: noMetrics{}, Peers: peers,
+	}
+	p := newParts(t.Context(), o)
+	var list []placer.Gateway
+	for _, id := range []string{"g0", "g1", "g2", "g3", "g4", "g5", "g6", "g7"} {
+		list = append(list, placer.Gateway{Gateway: dispatch.Gateway{ID: id}, Addr: id + ":1"})
+	}
+	p.gateways.set(list)
+	record, err := json.Marshal(lease.Record{Holder: "g1", Addr: "g1:1"})
+	assert.NilError(t, err)
+	_, err = store.Put(t.Context(), kv.Write{Key: p.leader.lease.Key(), Value: record, Expect: kv.Absent})
+	assert.NilError(t, err)
+	assert.NilError(t, p.leader.lease.Step(t.Context()))
+
+	r := p.newReporter(o)
+	for range tries {
+		r.report(t.Context())
+		if peers.asked[len(peers.asked)-1] == peers.leader {
+			break
+		}
+	}
+	assert.Equal(t, peers.asked[0], "g1:1", "the record is the first guess")
+	for range 5 {
+		r.report(t.Context())
+		assert.Equal(t, peers.asked[len(peers.asked)-1], peers.leader, "asked %v", peers.asked)
+	}
+}
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -44,7 +44,8 @@
 	if a.IsLeader {
 		a.Changes = p.changesSince(m.Revisions)
 	} else {
-		a.Leader, _ = p.placer.Leader()
+		record, _ := p.placer.Leader()
+		a.Leader = p.gateways.leaderOr(record)
 	}
 	if a.IsLeader && hasWaiting(m.Report) {
 		p.placer.Wake()
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -52,8 +52,11 @@
 	unanswered bool
 	// wasLeader says that this gateway led at the last report.
 	wasLeader bool
-	// leader is where the leader takes messages, as another gateway said; empty if none did.
+	// leader is where the leader takes messages, as the last reply shows; empty if it does not.
 	leader string
+	// record is where the lease's record says that it does; oldRecord is the same if the
+	// gateway there has replied that it does not lead.
+	record, oldRecord string
 	// term is the token of the leader that replied last; the rest is what that leader
 	// has been sent and has sent.
 	term             int64
@@ -84,7 +87,8 @@
 
 // report reports to the leader and applies its reply.
 func (r *reporter) report(ctx context.Context) {
-	addr, own := r.placer.Leader()
+	record, own := r.placer.Leader()
+	r.record = record
 	if own != r.wasLeader {
 		r.wasLeader = own
 		r.fanout.Recheck()
@@ -96,7 +100,7 @@
 		r.placer.Wake()
 		return
 	}
-	if addr = r.target(addr); addr != "" {
+	if addr := r.target(); addr != "" {
 		r.reportTo(ctx, addr)
 	}
 }
@@ -121,22 +125,40 @@
 	} else {
 		r.fanout.Invalidate()
 	}
-	if reply.Leader != r.self.addr {
+	r.noteLeader(addr, reply)
+	r.apply(reply.Reply, demands)
+}
+
+// noteLeader notes what the reply of the gateway at an address shows of who leads: that one, the
+// one that it takes for the leader, or nobody.
+func (r *reporter) noteLeader(addr string, reply replyMessage) {
+	r.gateways.noteLeader(addr, reply.IsLeader)
+	switch {
+	case reply.IsLeader:
+		r.leader, r.oldRecord = addr, ""
+		return
+	case reply.Leader != r.self.addr && reply.Leader != addr:
 		r.leader = reply.Leader
+	default:
+		r.leader = ""
+	}
+	if addr == r.record {
+		r.oldRecord = addr
 	}
-	r.apply(reply.Reply, demands)
 }
 
-// target returns where to report: to the leader, as another gateway or the store (addr)
-// said, or to any gateway, which says who leads.
-func (r *reporter) target(addr string) string {
+// target returns where to report: to the leader, as the last reply or the lease's record says, or
+// to any gateway, which says who leads. A record that names a gateway which said that it does not
+// lead is old; asking that one on kept gateways from the leader for ten seconds while the one that
+// had led did not reach the store (TestLeaderIsFoundDespiteAnOldRecord).
+func (r *reporter) target() string {
 	switch {
 	case r.leader != "":
 		return r.leader
-	case addr != "" && addr != r.self.addr:
-		return addr
+	case r.record != "" && r.record != r.self.addr && r.record != r.oldRecord:
+		return r.record
 	}
-	return r.gateways.random("")
+	return r.gateways.random(r.oldRecord)
 }
 
 // noReply forgets a leader that did not reply, and asks another gateway next every other
@@ -146,6 +168,7 @@
 		r.unanswered = true
 		r.log.Warn("report unanswered", zap.String("addr", addr), telemetry.Error(err))
 	}
+	r.gateways.noteLeader(addr, false)
 	r.leader = ""
 	if rand.IntN(2) == 0 {
 		r.leader = r.gateways.random(addr)
