--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -34,6 +35,10 @@
 
 // A history holds the newest versions and makes transfers of them. It is safe for concurrent use.
 type history struct {
+	// newestVersion is that of the last version, 0 if there is none. It is read without the
+	// lock, which is held while a patch is made: replies to reports do not wait for that.
+	newestVersion atomic.Uint64
+
 	mu sync.Mutex
 	// versions are in rising order, the last is the newest.
 	versions []stored
@@ -42,11 +47,7 @@
 }
 
 // newest returns the newest version, 0 if there is none.
-func (h *history) newest() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.last().version
-}
+func (h *history) newest() uint64 { return h.newestVersion.Load() }
 
 // last returns the newest version; the zero stored if there is none. The lock is held.
 func (h *history) last() stored {
@@ -68,6 +69,7 @@
 		h.versions = append([]stored(nil), h.versions[len(h.versions)-keptVersions:]...)
 	}
 	h.patches = make(map[uint64][]byte)
+	h.newestVersion.Store(version)
 }
 
 // value returns a version's bytes; empty if it is not kept. The lock is held.
