--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -138,8 +138,8 @@
 }
 
 // newestOnly returns the last of the events that write the configuration: of several versions
-// only the newest is decoded, which takes some 15 ms of a whole core at 4,400 routes. One that is
-// deleted stays in force.
+// only the newest is decoded, which takes 6 ms of a whole core at 4,400 routes
+// (platform.BenchmarkRouting). A configuration that is deleted stays in force.
 func newestOnly(events []kv.Event) []kv.Event {
 	for i := len(events) - 1; i >= 0; i-- {
 		if !events[i].Deleted {
@@ -170,7 +170,7 @@
 
 // restUnlessWatcher waits before the store is listed because it has forgotten its history: the
 // watcher's list comes first, and its news then spares this gateway a read of the whole
-// configuration. Without it 23 gateways of 24 listed 1.2 MB each when the history was gone.
+// configuration, 1.2 MB at 4,400 routes. All watches end in the same moment then.
 func (s *Syncer) restUnlessWatcher(ctx context.Context) {
 	if !s.opts.IsWatcher() {
 		s.rest(ctx)
