gateway: headers that only the system may set never come from callers

Cause: outgoing passed on every header of the caller but those of one connection, so Hold, Pin-Ms, Kv-Backup, Kv-From and the like reached engines, which obey them whoever sent them: a made-up Hold is refused, a made-up Kv-Backup moves memory.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -31,6 +31,7 @@
 var names = wire.Names{
 	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Expect: "X-Expect", NotRun: "X-Unrun",
 	Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix", Priority: "X-Priority",
+	Reserved: []string{"X-Hold", "X-Pin"},
 }
 
 // Keys and paths of the tests' platform.
--- /dev/null
+++ b/internal/gateway/outgoing_test.go
@@ -0,0 +1,67 @@
+package gateway_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestHeadersSentToServers sends headers that are the system's to set, headers of one
+// connection and others by each way to a server, and checks which arrive.
+func TestHeadersSentToServers(t *testing.T) {
+	reset := func(c *call) bool { return c.reset() }
+	cutAfterFirst := func(c *call) bool { c.write(c.streamHead(), event(1)); return false }
+	// lastEvents are those that the sends ask to go on after; callers name 7.
+	tests := map[string]struct {
+		path       string
+		play       script
+		priority   string
+		lastEvents []string
+	}{
+		"plain server":         {path: pathUnsafe, play: answer(http.StatusOK, "x"), lastEvents: []string{"7"}},
+		"plain server, again":  {path: pathSafe, play: inTurn(reset, answer(http.StatusOK, "x")), lastEvents: []string{"7", "7"}},
+		"resumed stream":       {path: pathResume, play: inTurn(cutAfterFirst, stream(2)), lastEvents: []string{"1", "7"}},
+		"engine":               {path: pathModel, play: stream(2), priority: "1", lastEvents: []string{"7"}},
+		"engine, refused once": {path: pathModel, play: inTurn(refuse, stream(2)), priority: "1", lastEvents: []string{"7", "7"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			workers := []*worker{newWorker(t, "a", test.play), newWorker(t, "b", test.play)}
+			w := newWorldWithoutConfig(t)
+			for _, x := range workers {
+				if test.path == pathModel {
+					w.putEngine(x, "m1")
+				} else {
+					w.putServer(x, false)
+				}
+			}
+			w.putConfig()
+			w.waitReady(http.StatusOK)
+			got := w.post(test.path, "x",
+				names.Model, "m1", names.Tokens, "100,10", names.Priority, "0", names.Expect, "z",
+				"X-Hold", "h-1", "x-pin", "4000", "Keep-Alive", "timeout=5", "Connection", "X-Once", "X-Once", "1",
+				"Last-Event-Id", "7", "Length-Hint", "9", "X-Other", "kept")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			var lastEvents []string
+			for _, x := range workers {
+				for i := range x.count() {
+					h := x.call(i).Header
+					for _, dropped := range []string{"X-Hold", "X-Pin", "Keep-Alive", "Connection", "X-Once"} {
+						assert.Equal(t, h.Get(dropped), "", dropped)
+					}
+					assert.Equal(t, h.Get(names.Priority), test.priority)
+					assert.Equal(t, h.Get(names.Expect), x.id)
+					assert.Equal(t, h.Get(names.Model), "m1")
+					assert.Equal(t, h.Get("Length-Hint"), "9")
+					assert.Equal(t, h.Get("X-Other"), "kept")
+					lastEvents = append(lastEvents, h.Get("Last-Event-Id"))
+				}
+			}
+			slices.Sort(lastEvents)
+			assert.DeepEqual(t, lastEvents, test.lastEvents)
+		})
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -15,31 +13,6 @@
 	"rockcleat/internal/wire"
 )
 
-// headerLastEvent is the event after which a stream is to go on.
-const headerLastEvent = "Last-Event-Id"
-
-// connectionHeaders concern one connection only and are not passed on.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// removeConnectionHeaders removes the headers that concern one connection only, and those
-// that Connection names.
-func removeConnectionHeaders(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		h.Del(name)
-	}
-}
-
-// maxPriority is the least urgent rank that engines know, as the users' platform defines it
-// (docs/design/0008).
-const maxPriority = 9
-
 // errStalled ends a send whose server has stalled.
 var errStalled = eris.New("gateway: server stalled")
 
@@ -115,29 +88,13 @@
 func (f *forwarder) outgoing(ctx context.Context, res *dispatch.Reservation) *http.Request {
 	s := res.Server()
 	out := &http.Request{
-		Method: f.in.Method, URL: target(f.in.RequestURI, s.Addr), Host: f.in.Host, Header: f.in.Header.Clone(),
+		Method: f.in.Method, URL: target(f.in.RequestURI, s.Addr), Host: f.in.Host, Header: f.outgoingHeader(s.ID),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(f.in.body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(f.in.body))
 		out.ContentLength = int64(len(f.in.body))
 	}
-	h := out.Header
-	removeConnectionHeaders(h)
-	if _, ok := h["User-Agent"]; !ok {
-		// net/http would add its own.
-		h["User-Agent"] = nil
-	}
-	left := f.in.deadline.Sub(f.proxy.clock.Now()).Milliseconds()
-	names := f.proxy.names
-	h.Set(names.Deadline, strconv.FormatInt(max(left, 1), 10))
-	h.Set(names.Expect, s.ID)
-	if f.req.Model != "" {
-		h.Set(names.Priority, strconv.Itoa(min(f.in.route.Priority, maxPriority)))
-	}
-	if f.lastEvent != "" {
-		h.Set(headerLastEvent, f.lastEvent)
-	}
 	wire.SendOnce(out)
 	return sendOnceContext(ctx, out)
 }
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -21,4 +21,7 @@
 	Prefix string
 	// Priority is the request's rank at the engine; 0 goes first.
 	Priority string
+	// Reserved are further headers of requests that only the system may set: callers' are
+	// never passed on.
+	Reserved []string
 }
