dispatch: late requests leave half of an engine to those that can be in time

Change: late requests take a place only while under half of the usable slots and memory are taken; owners are told that a request is late. An engine without requests takes any.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -18,6 +18,8 @@
 	PromptTokens    int           `json:"p"`
 	MaxOutputTokens int           `json:"o"`
 	Gap             GapBudget     `json:"l"`
+	// Late says that the answer cannot begin in time any more.
+	Late bool `json:"t,omitempty"`
 }
 
 // An AdmissionReply is the answer of the gateway that was asked.
@@ -69,7 +71,7 @@
 	}
 	req := &Request{
 		Service: s.Service, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
-		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap,
+		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, admittedLate: r.Late,
 	}
 	now := d.opts.Clock.Now()
 	c := d.candidate(req, s, d.opts.CacheTokens(s.Service), now)
@@ -78,7 +80,7 @@
 		reply.RetryAfterMs = int(fullGrantRetry.Milliseconds())
 		return reply
 	}
-	limits := d.limits(req)
+	limits := d.limits(req, now)
 	if !c.admits(limits, true) {
 		reply.RetryAfterMs = int(d.admissionDelay(s, c, limits, now).Milliseconds())
 		return reply
@@ -137,9 +139,10 @@
 	}
 	r := res.req
 	r.GrantsAsked++
+	late := r.isLate(d.opts.Clock.Now())
 	reply, err := d.opts.Owners.Admit(ctx, res.owner, AdmissionRequest{
 		Server: res.server.ID, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
-		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap,
+		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, Late: late,
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -101,10 +101,13 @@
 // hasCapacity reports whether the engine has a slot and memory left. An engine without
 // requests takes any request, since nothing would make it fit later.
 func (c Candidate) hasCapacity(l Limits) bool {
+	if c.Running == 0 {
+		return true
+	}
 	if float64(c.Running+1) > l.Utilization*float64(c.Slots) {
 		return false
 	}
-	return c.Running == 0 || float64(c.UsedTokens+c.NeedTokens) <= l.Utilization*float64(c.CacheTokens)
+	return float64(c.UsedTokens+c.NeedTokens) <= l.Utilization*float64(c.CacheTokens)
 }
 
 // prefillFits reports whether the prompt's prefill, with that of others beside it, stays
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -125,8 +125,9 @@
 func (d *Dispatcher) CanSend(r *Request) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, list := d.candidates(r, d.opts.Clock.Now())
-	return Choose(list, d.limits(r)) >= 0
+	now := d.opts.Clock.Now()
+	_, list := d.candidates(r, now)
+	return Choose(list, d.limits(r, now)) >= 0
 }
 
 // HolderCount returns how many servers that stay could serve the request, were they not
@@ -152,7 +153,7 @@
 func (d *Dispatcher) choose(r *Request) *Reservation {
 	now := d.opts.Clock.Now()
 	servers, list := d.candidates(r, now)
-	limits := d.limits(r)
+	limits := d.limits(r, now)
 	i := Choose(list, limits)
 	if i < 0 {
 		d.serveAfterPrefill(servers, list, limits, now)
@@ -163,8 +164,21 @@
 	return res
 }
 
-func (d *Dispatcher) limits(r *Request) Limits {
-	return Limits{Gap: r.Gap, Utilization: d.opts.Utilization}
+// lateShare is the part of the usable slots and memory of an engine that late requests may
+// take, so that they leave room for those that can still be in time. Under overload a queue
+// otherwise hands each place that comes free to a request that has missed its objective:
+// of 620 late answers on one overloaded day 302 had waited longer than their objective.
+// Worth of 25 overloaded days 0.455 without it, 0.468 at 0.75, 0.469 at 0.5 (trial); with
+// models on demand 0.522 at 0.75, 0.529 at 0.5, 0.535 at 0.25 (trial).
+const lateShare = 0.5
+
+// limits returns what a request may take of an engine now.
+func (d *Dispatcher) limits(r *Request, now time.Time) Limits {
+	l := Limits{Gap: r.Gap, Utilization: d.opts.Utilization}
+	if r.isLate(now) {
+		l.Utilization *= lateShare
+	}
+	return l
 }
 
 // candidates returns the servers that hold what the request needs and may be asked now.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -16,7 +16,8 @@
 	// WaitUntil is when the request stops waiting for a server.
 	WaitUntil time.Time
 	// SendBy is when the request must be sent for its answer to begin in time; after
-	// that, requests that can still be in time go first.
+	// that it is late: requests that can still be in time go first, and it may take only
+	// a part of an engine. Zero is no limit.
 	SendBy time.Time
 	// Gap is the budget between two events of the request's stream.
 	Gap GapBudget
@@ -27,10 +28,21 @@
 	// GrantsAsked counts the admissions that other gateways were asked for, GrantsGiven
 	// and GrantsDenied their answers; the rest had no answer.
 	GrantsAsked, GrantsGiven, GrantsDenied int
+	// admittedLate says that another gateway's request is late; its SendBy is not known here.
+	admittedLate bool
 	// sequence is the request's number in the order of arrival; 0 before it has waited.
 	sequence uint64
 }
 
+// isLate reports whether the answer to a request that is sent now cannot begin in time. One
+// that may have run is never late: its caller may have the beginning of an answer.
+func (r *Request) isLate(now time.Time) bool {
+	if r.MayHaveRun {
+		return false
+	}
+	return r.admittedLate || !r.SendBy.IsZero() && !now.Before(r.SendBy)
+}
+
 // target names the model or adapter, as MODEL or MODEL/ADAPTER.
 func (r *Request) target() string {
 	if r.Adapter == "" {
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -40,7 +40,9 @@
 	needs := dispatch.Request{
 		Service: in.service.Name, Priority: in.route.Priority,
 		WaitUntil: in.arrived.Add(in.waitTime()),
-		SendBy:    in.arrived.Add(in.route.FirstByteObjective * sendByShare / 100),
+	}
+	if objective := in.route.FirstByteObjective; objective > 0 {
+		needs.SendBy = in.arrived.Add(objective * sendByShare / 100)
 	}
 	if in.service.Engine == nil {
 		return needs
