residency: room for models that rise: spare replicas by the root of demand, models on request, a learned order

Cause: demand moves to other models each 6 to 10 s, a further replica takes 9 to 11 s (notice 0.4, running streams 2, load 6.4), and one replica of each model took 26 of 36 places.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -18,6 +18,9 @@
 	Running int `json:"n,omitempty"`
 	// Service is the service asked.
 	Service string `json:"s"`
+	// ObjectiveMs is the shortest objective for the first byte among its requests, in
+	// milliseconds; 0 if one of them had none.
+	ObjectiveMs int `json:"o,omitempty"`
 }
 
 // demandCounters count what is asked of models and adapters, by Request.target.
@@ -56,6 +59,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x := d.demand.of(r)
+	if ms := int(r.FirstByteObjective.Milliseconds()); x.Arrived == 0 || ms < x.ObjectiveMs {
+		x.ObjectiveMs = ms
+	}
 	x.Arrived++
 	x.WorkTokens += r.PromptTokens + outputTokenWeight*r.MaxOutputTokens
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -169,7 +169,7 @@
 // otherwise hands each place that comes free to a request that has missed its objective:
 // of 620 late answers on one overloaded day 302 had waited longer than their objective.
 // Worth of 25 overloaded days 0.455 without it, 0.468 at 0.75, 0.469 at 0.5 (trial); with
-// models on demand 0.522 at 0.75, 0.529 at 0.5, 0.535 at 0.25 (trial).
+// models on request 0.522 at 0.75, 0.529 at 0.5, 0.535 at 0.25 (trial).
 const lateShare = 0.5
 
 // limits returns what a request may take of an engine now.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -11,6 +11,8 @@
 	PromptTokens, MaxOutputTokens int
 	// Prefix lists the blocks that the prompt begins with.
 	Prefix []PrefixBlock
+	// FirstByteObjective is how soon the answer should begin; 0 if no time is set.
+	FirstByteObjective time.Duration
 	// Priority orders waiting requests; 0 goes first.
 	Priority int
 	// WaitUntil is when the request stops waiting for a server.
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -39,7 +39,7 @@
 func (p *proxy) needsOf(in *inbound) dispatch.Request {
 	needs := dispatch.Request{
 		Service: in.service.Name, Priority: in.route.Priority,
-		WaitUntil: in.arrived.Add(in.waitTime()),
+		WaitUntil: in.arrived.Add(in.waitTime()), FirstByteObjective: in.route.FirstByteObjective,
 	}
 	if objective := in.route.FirstByteObjective; objective > 0 {
 		needs.SendBy = in.arrived.Add(objective * sendByShare / 100)
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -161,14 +161,24 @@
 	for _, g := range d.gateways {
 		for name, x := range g.demands {
 			model := backend.ParseAdapter(name).Model
-			w := out[model]
-			w.Waiting += x.Waiting
-			out[model] = w
+			out[model] = addDemand(out[model], x)
 		}
 	}
 	return out
 }
 
+// addDemand adds to a model's demand what one gateway reports of it or of an adapter.
+func addDemand(sum residency.Demand, x dispatch.Demand) residency.Demand {
+	objective := time.Duration(x.ObjectiveMs) * time.Millisecond
+	if !sum.Asked || objective < sum.Objective {
+		sum.Objective = objective
+	}
+	sum.Asked = true
+	sum.Waiting += x.Waiting
+	sum.Running += x.Running
+	return sum
+}
+
 // adapters returns the adapters of a service that are waited for, and how many requests use
 // each.
 func (d *demand) adapters(service string) (waited []backend.Adapter, running map[backend.Adapter]int) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -12,6 +12,7 @@
 	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 	"rockcleat/lease"
+	"rockcleat/residency"
 	"rockcleat/table"
 )
 
@@ -68,9 +69,11 @@
 	// adapterWaitedSince is since when adapters that no engine holds have been waited for.
 	adapterWaitedSince map[backend.Adapter]time.Time
 	// plannedAt is when each service's models were last planned.
-	plannedAt  map[string]time.Time
-	storeLoads storeLoads
-	residency  publishedResidency
+	plannedAt map[string]time.Time
+	// successions holds what each service's demand has shown of its order in this term.
+	successions map[string]*residency.Succession
+	storeLoads  storeLoads
+	residency   publishedResidency
 	// reportsRequested counts the reports that engines were asked for in this step.
 	reportsRequested int
 	stepped          time.Time
@@ -196,6 +199,7 @@
 	p.storeLoads = storeLoads{startFull: p.isFirst()}
 	p.residency.beginTerm(token)
 	p.plannedAt = make(map[string]time.Time)
+	p.successions = make(map[string]*residency.Succession)
 }
 
 // resign forgets what only a leader may act on.
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -58,8 +58,16 @@
 
 // planModels plans and queues the moves of models.
 func (p *Placer) planModels(s table.Service, list []*engineState, now time.Time) {
+	demands := p.demand.modelDemands()
+	succession := p.successions[s.Name]
+	if succession == nil {
+		succession = &residency.Succession{}
+		p.successions[s.Name] = succession
+	}
+	engines := views(list, now)
+	succession.Observe(s.Engine, demands, engines)
 	moves := residency.Plan(residency.Input{
-		Spec: s.Engine, Engines: views(list, now), Demands: p.demand.modelDemands(),
+		Spec: s.Engine, Engines: engines, Demands: demands, Succession: succession,
 		StoreLoadsAllowed: p.storeLoads.available(now) - storeLoadsPending(list),
 	})
 	for _, m := range moves {
--- a/residency/evict.go
+++ b/residency/evict.go
@@ -33,13 +33,14 @@
 	return nil, false
 }
 
-// evictable reports whether a replica of the model may be evicted. The last one never is,
-// so that every model stays reachable, unless the model is no longer configured. Otherwise
-// one too many is, if it was not loaded recently; for a model that has no replica, any is.
+// evictable reports whether a replica of the model may be evicted. The last one is only if
+// the model is no longer configured, or may be loaded again on request (mayReturn).
+// Otherwise one too many is, if it was not loaded recently; for a model that has no
+// replica, any is.
 func (p *plan) evictable(e *EngineView, model string, forFirstReplica bool) bool {
 	if p.replicas[model] <= 1 {
 		_, configured := p.in.Spec.Model(model)
-		return !configured
+		return !configured || !forFirstReplica && p.mayReturn(e, model)
 	}
 	if forFirstReplica {
 		return true
@@ -47,6 +48,21 @@
 	return !e.RecentlyLoaded[model] && p.replicas[model] > p.targets[model]
 }
 
+// mayReturn reports whether the last replica of a model may leave an engine, to be loaded
+// again when there is a request for it.
+func (p *plan) mayReturn(e *EngineView, model string) bool {
+	if p.in.Demands[model].Waiting > 0 || e.RecentlyLoaded[model] {
+		return false
+	}
+	switch p.residences[model] {
+	case onRequest:
+		return true
+	case whileCached:
+		return SourceOf(e.CachedInMemory, e.CachedOnDisk, model) != FromStore
+	}
+	return false
+}
+
 // evictionCost returns what the evictions for a model cost, in seconds of loading: each by
 // its share of the demand that it and the new replica serve.
 func (p *plan) evictionCost(m table.ModelSpec, evictions []string) float64 {
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -2,31 +2,29 @@
 
 import "rockcleat/table"
 
-// Parts of a model's demand that the next models in the operators' list get in advance
-// (docs/MEASUREMENTS.md, P6). The list is in the order of demand, and demand moves along
-// it: when a model is asked for less, the one behind it takes its place.
-const (
-	// nextModelShare is the next model's part, without a unit.
-	nextModelShare = 0.25
-	// secondNextModelShare is that of the one behind it.
-	secondNextModelShare = 0.1
-)
+// successorShare is the part of a model's demand that the models right behind it in the
+// list are expected to get, if rises are known to follow the list. Worth of 25 days on which
+// demand moves along the list: 0.398 without a forecast, 0.407 at 0.25 for the first and 0.1
+// for the second model behind, 0.455 at this (trials).
+const successorShare = 0.9
 
-// Forecast returns the demands with what is expected to rise next.
+// Forecast returns the demands with what is expected to rise next: as far as the succession
+// shows that demand moves along the operators' list, the models behind a busy one get a part
+// of its demand in advance.
 //
 // While nothing has been asked for, the replicas that are there stand for demand.
-func Forecast(spec *table.EngineSpec, demands map[string]Demand, engines []EngineView) map[string]Demand {
+func Forecast(spec *table.EngineSpec, demands map[string]Demand, engines []EngineView, s *Succession) map[string]Demand {
 	measured := measuredDemand(spec, demands, engines)
+	share := successorShare * s.Confidence()
 	out := make(map[string]Demand, len(spec.Models))
 	for i, m := range spec.Models {
 		expected := 0.0
-		if i > 0 {
-			expected += nextModelShare * measured[i-1]
+		for j := max(i-successionReach, 0); j < i; j++ {
+			expected += share * measured[j]
 		}
-		if i > 1 {
-			expected += secondNextModelShare * measured[i-2]
-		}
-		out[m.Name] = Demand{TokensPerSecond: max(measured[i], expected), Waiting: demands[m.Name].Waiting}
+		d := demands[m.Name]
+		d.TokensPerSecond = max(measured[i], expected)
+		out[m.Name] = d
 	}
 	return out
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -30,8 +30,12 @@
 type Demand struct {
 	// TokensPerSecond is the work asked for, in prompt tokens.
 	TokensPerSecond float64
-	// Waiting is the number of requests that wait for it.
-	Waiting int
+	// Waiting is the number of requests that wait for it, Running that of those that run.
+	Waiting, Running int
+	// Asked says that there was a request for it, Objective is the shortest objective for
+	// the first byte among its requests; 0 if one of them had none.
+	Asked     bool
+	Objective time.Duration
 }
 
 // An Input is the input of Plan.
@@ -40,6 +44,8 @@
 	Engines []EngineView
 	// Demands holds the demand of each model, by name.
 	Demands map[string]Demand
+	// Succession is what is known of the order in which models' demand rises.
+	Succession *Succession
 	// StoreLoadsAllowed is the number of loads that the weight store allows now.
 	StoreLoadsAllowed int
 }
@@ -76,17 +82,20 @@
 
 // plan is the working state of one call of Plan.
 type plan struct {
-	in       Input
-	replicas map[string]int
-	targets  map[string]int
+	in Input
+	// residences holds when each model needs a replica.
+	residences map[string]residence
+	replicas   map[string]int
+	targets    map[string]int
 	// engines are those that stay.
 	engines []*EngineView
 }
 
 // Plan returns the moves to start now, the most urgent first, at most one an engine.
 func Plan(in Input) []Move {
-	in.Demands = Forecast(in.Spec, in.Demands, in.Engines)
 	p := &plan{in: in, replicas: make(map[string]int)}
+	p.in.Demands = Forecast(in.Spec, in.Demands, in.Engines, in.Succession)
+	p.residences = residences(in.Spec, p.in.Demands, in.Succession.Confidence())
 	for i := range in.Engines {
 		e := &in.Engines[i]
 		if e.Leaving {
@@ -97,7 +106,7 @@
 			p.replicas[r.Model]++
 		}
 	}
-	p.targets = ReplicaTargets(in.Spec, in.Demands, len(p.engines))
+	p.targets = replicaTargets(in.Spec, p.in.Demands, p.residences, len(p.engines))
 	return p.moves()
 }
 
--- a/residency/replicas.go
+++ b/residency/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 
 	"rockcleat/table"
 )
@@ -11,24 +12,35 @@
 // Chosen with the first path (docs/MEASUREMENTS.md, P1), not measured alone.
 const replicaOffset = 0.5
 
-// ReplicaTargets divides the memory of a number of engines among the models: one replica
-// each, and the rest to whichever model has the most demand on each replica, until nothing
-// fits any more. At most one replica of a model fits on an engine.
-func ReplicaTargets(spec *table.EngineSpec, demands map[string]Demand, engines int) map[string]int {
+// demandExponent is the power of demand by which the spare memory is divided: less than in
+// proportion, so that models with little demand have replicas when theirs rises, which takes
+// longer to follow than to serve what there is. Worth of 25 days on which demand moves to
+// other models each 6 to 10 s: 0.392 at 1, 0.414 at 0.7, 0.407 at 0.5, 0.412 at 0.3; with
+// models on request 0.514 at 0.7, 0.529 at 0.5, 0.526 at 0.35 (trials).
+const demandExponent = 0.5
+
+// replicaTargets divides the memory of a number of engines among the models: one replica
+// each, but for those that need none and that nobody waits for, and the rest to whichever model has
+// the most demand on each replica, until nothing fits any more. At most one replica of a
+// model fits on an engine.
+func replicaTargets(spec *table.EngineSpec, demands map[string]Demand, residences map[string]residence, engines int) map[string]int {
 	room := spec.WeightsMB * float64(engines)
 	var candidates replicaHeap
+	targets := make(map[string]int, len(spec.Models))
 	for i, m := range spec.Models {
+		d := demands[m.Name]
+		if residences[m.Name] != always && d.Waiting == 0 {
+			continue
+		}
+		targets[m.Name] = 1
 		room -= m.WeightsMB
-		c := replicaCandidate{index: i, replicas: 1, tokensPerSecond: demands[m.Name].TokensPerSecond}
-		if c.tokensPerSecond > 0 {
-			candidates = append(candidates, c)
+		if d.TokensPerSecond > 0 {
+			candidates = append(candidates, replicaCandidate{
+				index: i, replicas: 1, share: math.Pow(d.TokensPerSecond, demandExponent),
+			})
 		}
 	}
 	heap.Init(&candidates)
-	targets := make(map[string]int, len(spec.Models))
-	for _, m := range spec.Models {
-		targets[m.Name] = 1
-	}
 	for len(candidates) > 0 {
 		c := &candidates[0]
 		m := &spec.Models[c.index]
@@ -47,14 +59,15 @@
 
 // A replicaCandidate is a model that may get a further replica.
 type replicaCandidate struct {
-	index           int
-	replicas        int
-	tokensPerSecond float64
+	index    int
+	replicas int
+	// share is the model's demand to the power of demandExponent.
+	share float64
 }
 
-// priority is the demand on each replica.
+// priority is the share on each replica.
 func (c replicaCandidate) priority() float64 {
-	return c.tokensPerSecond / (float64(c.replicas) + replicaOffset)
+	return c.share / (float64(c.replicas) + replicaOffset)
 }
 
 // replicaHeap is a heap of candidates, the one with the highest priority first.
--- /dev/null
+++ b/residency/succession_test.go
@@ -0,0 +1,89 @@
+package residency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/table"
+)
+
+// listed returns the specification of a number of models of equal size.
+func listed(n int) *table.EngineSpec {
+	sizes := make([]float64, n)
+	for i := range sizes {
+		sizes[i] = 60
+	}
+	return sized(sizes...)
+}
+
+// demandAt returns the demand of four busy models whose list begins at a place, among a
+// trickle for the others.
+func demandAt(order []int, place int) map[string]Demand {
+	out := make(map[string]Demand)
+	for _, m := range order {
+		out[fmt.Sprint("m", m)] = Demand{TokensPerSecond: 1}
+	}
+	for i, share := range []float64{500, 200, 150, 120} {
+		out[fmt.Sprint("m", order[(place+i)%len(order)])] = Demand{TokensPerSecond: share}
+	}
+	return out
+}
+
+// TestSuccession moves demand of four of 26 models on by two places at a time, along the
+// list and in another order.
+func TestSuccession(t *testing.T) {
+	along := make([]int, 26)
+	for i := range along {
+		along[i] = i
+	}
+	shuffled := rand.New(rand.NewPCG(1, 1)).Perm(26)
+	tests := map[string]struct {
+		order         []int
+		shifts        int
+		least, utmost float64
+	}{
+		"nothing seen":               {order: along, shifts: 0, least: 0, utmost: 0},
+		"side by side in the list":   {order: along, shifts: 1, least: 0.6, utmost: 0.9},
+		"moved along the list":       {order: along, shifts: 4, least: 0.8, utmost: 1},
+		"another order":              {order: shuffled, shifts: 1, least: 0, utmost: 0.4},
+		"moved on in another order":  {order: shuffled, shifts: 4, least: 0, utmost: 0.4},
+		"moved far in another order": {order: shuffled, shifts: 12, least: 0, utmost: 0.3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s Succession
+			for i := range test.shifts {
+				s.Observe(listed(26), demandAt(test.order, 2*i), nil)
+			}
+			got := s.Confidence()
+			assert.Assert(t, got >= test.least && got <= test.utmost, "%v", got)
+		})
+	}
+}
+
+func TestForecast(t *testing.T) {
+	var s Succession
+	for i := range 4 {
+		s.Observe(listed(26), demandAt([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25}, 2*i), nil)
+	}
+	spec := listed(5)
+	measured := weighted(0, 100, 0, 0, 0)
+	tests := map[string]struct {
+		succession *Succession
+		rise       []bool
+	}{
+		"no order known": {rise: []bool{false, true, false, false, false}},
+		"a known order":  {succession: &s, rise: []bool{false, true, true, true, false}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := Forecast(spec, measured, nil, test.succession)
+			for i, rise := range test.rise {
+				assert.Equal(t, got[fmt.Sprint("m", i)].TokensPerSecond > 0, rise, "m%d", i)
+			}
+		})
+	}
+}
