--- a/residency/evict.go
+++ b/residency/evict.go
@@ -19,9 +19,8 @@
 	slices.SortStableFunc(list, func(a, b backend.Resident) int {
 		return cmp.Compare(p.demandPerReplica(a.Model), p.demandPerReplica(b.Model))
 	})
-	firstReplica := p.replicas[m.Name] == 0
 	for _, r := range list {
-		if !p.evictable(e, r.Model, firstReplica) {
+		if !p.evictable(e, r.Model, m.Name) {
 			continue
 		}
 		evictions = append(evictions, r.Model)
@@ -34,13 +33,14 @@
 }
 
 // evictable reports whether a replica of the model may be evicted. The last one is only if
-// the model is no longer configured, or may be loaded again on request (mayReturn).
-// Otherwise one too many is, if it was not loaded recently; for a model that has no
-// replica, any is.
-func (p *plan) evictable(e *EngineView, model string, forFirstReplica bool) bool {
+// the model is no longer configured, or may be loaded again on request (mayReturn) and the
+// other model has a replica and far more demand. Otherwise one too many is, if it was not
+// loaded recently; for a model that has no replica, any is.
+func (p *plan) evictable(e *EngineView, model, other string) bool {
+	forFirstReplica := p.replicas[other] == 0
 	if p.replicas[model] <= 1 {
 		_, configured := p.in.Spec.Model(model)
-		return !configured || !forFirstReplica && p.mayReturn(e, model)
+		return !configured || !forFirstReplica && p.outweighs(other, model) && p.mayReturn(e, model)
 	}
 	if forFirstReplica {
 		return true
@@ -48,6 +48,11 @@
 	return !e.RecentlyLoaded[model] && p.replicas[model] > p.targets[model]
 }
 
+// outweighs reports whether a further replica of a model is worth the last one of another.
+func (p *plan) outweighs(model, last string) bool {
+	return p.demandPerReplica(model) > lastReplicaFactor*p.in.Demands[last].TokensPerSecond
+}
+
 // mayReturn reports whether the last replica of a model may leave an engine, to be loaded
 // again when there is a request for it.
 func (p *plan) mayReturn(e *EngineView, model string) bool {
--- a/residency/residence_test.go
+++ b/residency/residence_test.go
@@ -26,6 +26,7 @@
 		"requests that can wait for a load":    {demand: patient, goes: true},
 		"a request that waits":                 {demand: Demand{TokensPerSecond: 1, Asked: true, Objective: 5 * time.Second, Waiting: 1}},
 		"loaded just now":                      {demand: patient, recent: true},
+		"more demand than a twentieth":         {demand: Demand{TokensPerSecond: 60, Asked: true, Objective: 5 * time.Second}},
 		"too much demand":                      {demand: Demand{TokensPerSecond: 100, Asked: true, Objective: 5 * time.Second}},
 		"an objective shorter than two loads":  {demand: Demand{TokensPerSecond: 1, Asked: true, Objective: 3 * time.Second}},
 		"no objective":                         {demand: Demand{TokensPerSecond: 1, Asked: true}},
