--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -23,7 +23,7 @@
 }
 
 // Start returns a context for a call, whose answer must begin within a time, and the call's
-// Watch; Stop must be called when the call is over. Once Reader is called, each further read
+// Watch; Stop must be called when the call is over. Once ReadAll is called, each further read
 // must bring something within stall.
 func Start(ctx context.Context, begin, stall time.Duration) (context.Context, *Watch) {
 	ctx, cancel := context.WithCancelCause(ctx)
