--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -175,7 +175,6 @@
 	}
 	sum.Asked = true
 	sum.Waiting += x.Waiting
-	sum.Running += x.Running
 	return sum
 }
 
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -30,8 +30,8 @@
 type Demand struct {
 	// TokensPerSecond is the work asked for, in prompt tokens.
 	TokensPerSecond float64
-	// Waiting is the number of requests that wait for it, Running that of those that run.
-	Waiting, Running int
+	// Waiting is the number of requests that wait for it.
+	Waiting int
 	// Asked says that there was a request for it, Objective is the shortest objective for
 	// the first byte among its requests; 0 if one of them had none.
 	Asked     bool
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -1,4 +1,4 @@
-package residency_test
+package residency
 
 import (
 	"fmt"
@@ -10,7 +10,6 @@
 	"pgregory.net/rapid"
 
 	"rockcleat/backend"
-	"rockcleat/residency"
 	"rockcleat/table"
 )
 
@@ -27,10 +26,10 @@
 }
 
 // engines returns idle engines that hold the named models.
-func engines(held ...[]string) []residency.EngineView {
-	var list []residency.EngineView
+func engines(held ...[]string) []EngineView {
+	var list []EngineView
 	for i, models := range held {
-		e := residency.EngineView{ID: fmt.Sprint("e", i), Hall: fmt.Sprint("h", i%3), Idle: true}
+		e := EngineView{ID: fmt.Sprint("e", i), Hall: fmt.Sprint("h", i%3), Idle: true}
 		for _, m := range models {
 			e.Residents = append(e.Residents, backend.Resident{Model: m})
 		}
@@ -39,84 +38,84 @@
 	return list
 }
 
-func demands(weights ...float64) map[string]residency.Demand {
-	w := make(map[string]residency.Demand)
+func demands(weights ...float64) map[string]Demand {
+	w := make(map[string]Demand)
 	for i, weight := range weights {
-		w[fmt.Sprint("m", i)] = residency.Demand{TokensPerSecond: weight}
+		w[fmt.Sprint("m", i)] = Demand{TokensPerSecond: weight}
 	}
 	return w
 }
 
 func TestPlan(t *testing.T) {
 	tests := map[string]struct {
-		in   residency.Input
-		want []residency.Move
+		in   Input
+		want []Move
 	}{
 		"nothing to do": {
-			in: residency.Input{Spec: spec(60, 60), Engines: engines([]string{"m0", "m1"}), Demands: demands(1, 1), StoreLoadsAllowed: 5},
+			in: Input{Spec: spec(60, 60), Engines: engines([]string{"m0", "m1"}), Demands: demands(1, 1), StoreLoadsAllowed: 5},
 		},
 		"a model without a copy": {
-			in:   residency.Input{Spec: spec(60, 60), Engines: engines([]string{"m0"}), StoreLoadsAllowed: 5},
-			want: []residency.Move{{Engine: "e0", Model: "m1"}},
+			in:   Input{Spec: spec(60, 60), Engines: engines([]string{"m0"}), StoreLoadsAllowed: 5},
+			want: []Move{{Engine: "e0", Model: "m1"}},
 		},
 		"no load that the store does not bear": {
-			in: residency.Input{Spec: spec(60, 60), Engines: engines([]string{"m0"})},
+			in: Input{Spec: spec(60, 60), Engines: engines([]string{"m0"})},
 		},
 		"a load from disk when the store bears none": {
-			in: func() residency.Input {
+			in: func() Input {
 				list := engines([]string{"m0"})
 				list[0].CachedOnDisk = []string{"m1"}
-				return residency.Input{Spec: spec(60, 60), Engines: list}
+				return Input{Spec: spec(60, 60), Engines: list}
 			}(),
-			want: []residency.Move{{Engine: "e0", Model: "m1", Source: residency.FromDisk}},
+			want: []Move{{Engine: "e0", Model: "m1", Source: FromDisk}},
 		},
 		"where the weights are cached": {
-			in: func() residency.Input {
+			in: func() Input {
 				list := engines(nil, nil, []string{"m0"})
 				list[1].CachedInMemory = []string{"m1"}
-				return residency.Input{Spec: spec(60, 60), Engines: list, StoreLoadsAllowed: 5}
+				return Input{Spec: spec(60, 60), Engines: list, StoreLoadsAllowed: 5}
 			}(),
-			want: []residency.Move{{Engine: "e1", Model: "m1", Source: residency.FromMemory}},
+			want: []Move{{Engine: "e1", Model: "m1", Source: FromMemory}},
 		},
 		"the last copy stays": {
-			in: residency.Input{Spec: spec(150, 150), Engines: engines([]string{"m0"}), Demands: demands(0, 10), StoreLoadsAllowed: 5},
+			in: Input{Spec: spec(150, 150), Engines: engines([]string{"m0"}), Demands: demands(0, 10), StoreLoadsAllowed: 5},
 		},
 		"one copy too many makes room": {
-			in:   residency.Input{Spec: spec(150, 150), Engines: engines([]string{"m0"}, []string{"m0"}), Demands: demands(0, 10), StoreLoadsAllowed: 5},
-			want: []residency.Move{{Engine: "e0", Model: "m1", Evictions: []string{"m0"}}},
+			in:   Input{Spec: spec(150, 150), Engines: engines([]string{"m0"}, []string{"m0"}), Demands: demands(0, 10), StoreLoadsAllowed: 5},
+			want: []Move{{Engine: "e0", Model: "m1", Evictions: []string{"m0"}}},
 		},
 		"models without a replica first, by what is asked and who waits": {
-			in: residency.Input{
+			in: Input{
 				Spec: spec(60, 60, 60, 60), Engines: engines([]string{"m0"}, nil, nil), StoreLoadsAllowed: 3,
-				Demands: map[string]residency.Demand{"m0": {TokensPerSecond: 900}, "m2": {Waiting: 1}, "m3": {TokensPerSecond: 9}},
+				Demands: map[string]Demand{"m0": {TokensPerSecond: 900}, "m2": {Waiting: 1}, "m3": {TokensPerSecond: 9}},
 			},
-			want: []residency.Move{
+			want: []Move{
 				{Engine: "e0", Model: "m3"}, {Engine: "e1", Model: "m2"}, {Engine: "e2", Model: "m1"},
 			},
 		},
 		"an engine that is leaving counts for nothing": {
-			in: func() residency.Input {
+			in: func() Input {
 				list := engines([]string{"m0"}, nil)
 				list[0].Leaving = true
-				return residency.Input{Spec: spec(60), Engines: list, StoreLoadsAllowed: 5}
+				return Input{Spec: spec(60), Engines: list, StoreLoadsAllowed: 5}
 			}(),
-			want: []residency.Move{{Engine: "e1", Model: "m0"}},
+			want: []Move{{Engine: "e1", Model: "m0"}},
 		},
 		"an engine with an order under way gets none": {
-			in: func() residency.Input {
+			in: func() Input {
 				list := engines([]string{"m0"})
 				list[0].Idle = false
-				return residency.Input{Spec: spec(60, 60), Engines: list, StoreLoadsAllowed: 5}
+				return Input{Spec: spec(60, 60), Engines: list, StoreLoadsAllowed: 5}
 			}(),
 		},
 		"a model that is not in the configuration makes room": {
-			in:   residency.Input{Spec: spec(150), Engines: engines([]string{"old"}), StoreLoadsAllowed: 5},
-			want: []residency.Move{{Engine: "e0", Model: "m0"}},
+			in:   Input{Spec: spec(150), Engines: engines([]string{"old"}), StoreLoadsAllowed: 5},
+			want: []Move{{Engine: "e0", Model: "m0"}},
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := residency.Plan(test.in)
+			got := Plan(test.in)
 			assert.Equal(t, len(got), len(test.want), "%v", got)
 			for i, m := range test.want {
 				assert.Equal(t, got[i].Engine, m.Engine)
@@ -138,14 +137,14 @@
 		weights := rapid.SliceOfN(rapid.Float64Range(0, 100), len(sizes), len(sizes)).Draw(t, "weights")
 		stores := rapid.IntRange(0, 4).Draw(t, "stores")
 		before := copies(list)
-		moves := residency.Plan(residency.Input{Spec: s, Engines: slices.Clone(list), Demands: demands(weights...), StoreLoadsAllowed: stores})
+		moves := Plan(Input{Spec: s, Engines: slices.Clone(list), Demands: demands(weights...), StoreLoadsAllowed: stores})
 		seen := make(map[string]bool)
 		for _, m := range moves {
 			if seen[m.Engine] {
 				t.Fatalf("two moves at %s", m.Engine)
 			}
 			seen[m.Engine] = true
-			if m.Source == residency.FromStore {
+			if m.Source == FromStore {
 				stores--
 			}
 			for _, v := range m.Evictions {
@@ -163,7 +162,7 @@
 	})
 }
 
-func drawEngines(t *rapid.T, s *table.EngineSpec) []residency.EngineView {
+func drawEngines(t *rapid.T, s *table.EngineSpec) []EngineView {
 	list := engines(make([][]string, rapid.IntRange(1, 6).Draw(t, "engines"))...)
 	for i := range list {
 		list[i].Idle = rapid.Bool().Draw(t, "idle")
@@ -173,7 +172,7 @@
 				r.Adapters = append(r.Adapters, fmt.Sprint("a", a))
 			}
 			with := append(slices.Clone(list[i].Residents), r)
-			if rapid.Bool().Draw(t, "held") && residency.Free(s, with) >= 0 {
+			if rapid.Bool().Draw(t, "held") && Free(s, with) >= 0 {
 				list[i].Residents = with
 			}
 			if rapid.Bool().Draw(t, "disk") {
@@ -184,7 +183,7 @@
 	return list
 }
 
-func copies(list []residency.EngineView) map[string]int {
+func copies(list []EngineView) map[string]int {
 	n := make(map[string]int)
 	for _, e := range list {
 		for _, r := range e.Residents {
@@ -194,7 +193,7 @@
 	return n
 }
 
-func checkFits(t *rapid.T, s *table.EngineSpec, list []residency.EngineView, m residency.Move) {
+func checkFits(t *rapid.T, s *table.EngineSpec, list []EngineView, m Move) {
 	for _, e := range list {
 		if e.ID != m.Engine {
 			continue
@@ -205,7 +204,7 @@
 		left := slices.DeleteFunc(slices.Clone(e.Residents), func(r backend.Resident) bool {
 			return slices.Contains(m.Evictions, r.Model)
 		})
-		if free := residency.Free(s, append(left, backend.Resident{Model: m.Model})); free < 0 {
+		if free := Free(s, append(left, backend.Resident{Model: m.Model})); free < 0 {
 			t.Fatalf("%s is overfilled by %.0f MB", e.ID, -free)
 		}
 	}
@@ -213,57 +212,57 @@
 
 func TestPlanAdapters(t *testing.T) {
 	now := time.Unix(1000, 0)
-	full := func(names ...string) []residency.EngineView {
+	full := func(names ...string) []EngineView {
 		list := engines([]string{"m0"})
 		list[0].Residents[0].Adapters = names
 		return list
 	}
 	adapter := func(name string) backend.Adapter { return backend.Adapter{Model: "m0", Name: name} }
 	tests := map[string]struct {
-		in      residency.AdapterInput
+		in      AdapterInput
 		engine  string
 		evicted string
 	}{
 		"to an engine with its base": {
-			in: residency.AdapterInput{Slots: 2, Engines: engines([]string{"m1"}, []string{"m0"})}, engine: "e1",
+			in: AdapterInput{Slots: 2, Engines: engines([]string{"m1"}, []string{"m0"})}, engine: "e1",
 		},
 		"to the least loaded": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 2, Engines: engines([]string{"m0"}, []string{"m0"}), RequestsByEngine: map[string]int{"e0": 9},
 			}, engine: "e1",
 		},
-		"nowhere without its base": {in: residency.AdapterInput{Slots: 2, Engines: engines([]string{"m1"})}},
+		"nowhere without its base": {in: AdapterInput{Slots: 2, Engines: engines([]string{"m1"})}},
 		"in the place of one not asked for": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 2, Engines: full("a1", "a2"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now.Add(-time.Minute)},
 			}, engine: "e0", evicted: "a2",
 		},
 		"not in the place of one that runs": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 1, Engines: full("a1"), RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 1},
 			},
 		},
 		"after long waiting in the place of one that another engine holds too": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 1, Engines: append(full("a1"), full("a1")...), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
 				RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 3},
 				WaitingSince:      map[backend.Adapter]time.Time{adapter("new"): now.Add(-2 * time.Second)},
 			}, engine: "e0", evicted: "a1",
 		},
 		"not at once in the place of one that runs, though another engine holds it too": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 1, Engines: append(full("a1"), full("a1")...), RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 3},
 				WaitingSince: map[backend.Adapter]time.Time{adapter("new"): now},
 			},
 		},
 		"after long waiting in the place of one asked for just now": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 1, Engines: full("a1"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
 				WaitingSince: map[backend.Adapter]time.Time{adapter("new"): now.Add(-2 * time.Second)},
 			}, engine: "e0", evicted: "a1",
 		},
 		"not in the place of one asked for just now": {
-			in: residency.AdapterInput{
+			in: AdapterInput{
 				Slots: 1, Engines: full("a1"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
 			},
 		},
@@ -272,7 +271,7 @@
 		t.Run(name, func(t *testing.T) {
 			test.in.Missing = []backend.Adapter{adapter("new")}
 			test.in.Now = now
-			moves := residency.PlanAdapters(test.in)
+			moves := PlanAdapters(test.in)
 			if test.engine == "" {
 				assert.Equal(t, len(moves), 0)
 				return
@@ -295,8 +294,8 @@
 	for i := range held {
 		held[i] = []string{fmt.Sprint("m", i%160), fmt.Sprint("m", (i*7+3)%160), fmt.Sprint("m", (i*3+1)%40)}
 	}
-	in := residency.Input{Spec: spec(sizes...), Engines: engines(held...), Demands: demands(weights...), StoreLoadsAllowed: 2}
+	in := Input{Spec: spec(sizes...), Engines: engines(held...), Demands: demands(weights...), StoreLoadsAllowed: 2}
 	for b.Loop() {
-		residency.Plan(in)
+		Plan(in)
 	}
 }
--- a/residency/replicas.go
+++ b/residency/replicas.go
@@ -20,9 +20,9 @@
 const demandExponent = 0.5
 
 // replicaTargets divides the memory of a number of engines among the models: one replica
-// each, but for those that need none and that nobody waits for, and the rest to whichever model has
-// the most demand on each replica, until nothing fits any more. At most one replica of a
-// model fits on an engine.
+// each, but for those that need none and that nobody waits for, and the rest to whichever
+// model has the largest share of demand on each replica, until nothing fits any more. At
+// most one replica of a model fits on an engine.
 func replicaTargets(spec *table.EngineSpec, demands map[string]Demand, residences map[string]residence, engines int) map[string]int {
 	room := spec.WeightsMB * float64(engines)
 	var candidates replicaHeap
--- a/residency/replicas_test.go
+++ b/residency/replicas_test.go
@@ -11,23 +11,6 @@
 	"rockcleat/table"
 )
 
-// sized returns engines of 200 GB and models of the given sizes in GB.
-func sized(sizes ...float64) *table.EngineSpec {
-	s := &table.EngineSpec{WeightsMB: 200_000}
-	for i, gb := range sizes {
-		s.Models = append(s.Models, table.ModelSpec{Name: fmt.Sprint("m", i), WeightsMB: gb * 1000})
-	}
-	return s
-}
-
-func weighted(weights ...float64) map[string]Demand {
-	w := make(map[string]Demand)
-	for i, weight := range weights {
-		w[fmt.Sprint("m", i)] = Demand{TokensPerSecond: weight}
-	}
-	return w
-}
-
 func TestReplicaTargets(t *testing.T) {
 	tests := map[string]struct {
 		sizes      []float64
@@ -37,13 +20,13 @@
 		want       []int
 	}{
 		"one copy each without demand":  {sizes: []float64{60, 60, 60}, engines: 4, want: []int{1, 1, 1}},
-		"the rest to what is asked for": {sizes: []float64{60, 60, 60}, demands: weighted(10, 0, 0), engines: 4, want: []int{4, 1, 1}},
-		"by the root of demand":         {sizes: []float64{60, 60, 60}, demands: weighted(90, 10, 10), engines: 5, want: []int{5, 5, 5}},
-		"by the root, short of memory":  {sizes: []float64{60, 60}, demands: weighted(81, 1), engines: 5, want: []int{5, 5}},
-		"within the memory":             {sizes: []float64{100, 100}, demands: weighted(30, 10), engines: 2, want: []int{2, 2}},
-		"no room for more":              {sizes: []float64{100, 100, 100}, demands: weighted(30, 10, 0), engines: 2, want: []int{2, 1, 1}},
+		"the rest to what is asked for": {sizes: []float64{60, 60, 60}, demands: demands(10, 0, 0), engines: 4, want: []int{4, 1, 1}},
+		"by the root of demand":         {sizes: []float64{60, 60, 60}, demands: demands(90, 10, 10), engines: 5, want: []int{5, 5, 5}},
+		"by the root, short of memory":  {sizes: []float64{60, 60}, demands: demands(81, 1), engines: 5, want: []int{5, 5}},
+		"within the memory":             {sizes: []float64{100, 100}, demands: demands(30, 10), engines: 2, want: []int{2, 2}},
+		"no room for more":              {sizes: []float64{100, 100, 100}, demands: demands(30, 10, 0), engines: 2, want: []int{2, 1, 1}},
 		"one that needs none": {
-			sizes: []float64{100, 100, 100}, demands: weighted(30, 10, 0), engines: 2,
+			sizes: []float64{100, 100, 100}, demands: demands(30, 10, 0), engines: 2,
 			residences: map[string]residence{"m2": onRequest}, want: []int{2, 2, 0},
 		},
 		"one that needs none, but is waited for": {
@@ -53,7 +36,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := replicaTargets(sized(test.sizes...), test.demands, test.residences, test.engines)
+			got := replicaTargets(spec(test.sizes...), test.demands, test.residences, test.engines)
 			for i, n := range test.want {
 				assert.Equal(t, got[fmt.Sprint("m", i)], n, "m%d of %v", i, got)
 			}
@@ -63,18 +46,18 @@
 
 // plainTargets divides memory as targets are defined: each next replica goes to the model
 // with the greatest root of demand for its replicas among those that still fit.
-func plainTargets(spec *table.EngineSpec, demands map[string]Demand, engines int) map[string]int {
+func plainTargets(s *table.EngineSpec, asked map[string]Demand, engines int) map[string]int {
 	targets := make(map[string]int)
-	room := spec.WeightsMB * float64(engines)
-	for _, m := range spec.Models {
+	room := s.WeightsMB * float64(engines)
+	for _, m := range s.Models {
 		targets[m.Name] = 1
 		room -= m.WeightsMB
 	}
 	for {
 		best, bestShare := -1, 0.0
-		for i, m := range spec.Models {
+		for i, m := range s.Models {
 			n := targets[m.Name]
-			share := math.Pow(demands[m.Name].TokensPerSecond, 0.5) / (float64(n) + 0.5)
+			share := math.Pow(asked[m.Name].TokensPerSecond, 0.5) / (float64(n) + 0.5)
 			if n < engines && m.WeightsMB <= room && share > bestShare {
 				best, bestShare = i, share
 			}
@@ -82,8 +65,8 @@
 		if best < 0 {
 			return targets
 		}
-		targets[spec.Models[best].Name]++
-		room -= spec.Models[best].WeightsMB
+		targets[s.Models[best].Name]++
+		room -= s.Models[best].WeightsMB
 	}
 }
 
@@ -95,7 +78,7 @@
 			weights = append(weights, float64(rapid.IntRange(0, 50).Draw(t, "weight")))
 		}
 		engines := rapid.IntRange(1, 20).Draw(t, "engines")
-		s, w := sized(sizes...), weighted(weights...)
+		s, w := spec(sizes...), demands(weights...)
 		assert.DeepEqual(t, replicaTargets(s, w, nil, engines), plainTargets(s, w, engines))
 	})
 }
@@ -107,7 +90,7 @@
 		sizes = append(sizes, 42+float64(i%30))
 		weights = append(weights, 1000/float64(i+1))
 	}
-	s, w := sized(sizes...), weighted(weights...)
+	s, w := spec(sizes...), demands(weights...)
 	for b.Loop() {
 		replicaTargets(s, w, nil, 300)
 	}
--- a/residency/residence_test.go
+++ b/residency/residence_test.go
@@ -12,10 +12,6 @@
 // TestLastReplica plans a second replica of a model in the place of the last of another one.
 func TestLastReplica(t *testing.T) {
 	patient := Demand{TokensPerSecond: 1, Asked: true, Objective: 5 * time.Second}
-	var known Succession
-	for i := range 4 {
-		known.Observe(listed(26), demandAt([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25}, 2*i), nil)
-	}
 	tests := map[string]struct {
 		demand     Demand
 		succession *Succession
@@ -32,15 +28,11 @@
 		"no objective":                         {demand: Demand{TokensPerSecond: 1, Asked: true}},
 		"never asked for":                      {},
 		"never asked for, weights cached":      {cached: true},
-		"not next to rise, weights cached":     {succession: &known, cached: true, goes: true},
-		"not next to rise, weights not cached": {succession: &known},
+		"not next to rise, weights cached":     {succession: learned(), cached: true, goes: true},
+		"not next to rise, weights not cached": {succession: learned()},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			spec := sized(150, 150, 10)
-			for i := range spec.Models {
-				spec.Models[i].DiskLoadTime = 2 * time.Second
-			}
 			list := []EngineView{
 				{ID: "e0", Idle: true, Residents: []backend.Resident{{Model: "m0"}}},
 				{ID: "e1", Idle: true, Residents: []backend.Resident{{Model: "m1"}, {Model: "m2"}}},
@@ -52,7 +44,7 @@
 				list[0].RecentlyLoaded = map[string]bool{"m0": true}
 			}
 			moves := Plan(Input{
-				Spec: spec, Engines: list, StoreLoadsAllowed: 1, Succession: test.succession,
+				Spec: spec(150, 150, 10), Engines: list, StoreLoadsAllowed: 1, Succession: test.succession,
 				Demands: map[string]Demand{"m0": test.demand, "m1": {TokensPerSecond: 1000}},
 			})
 			goes := false
@@ -67,14 +59,12 @@
 // TestModelOnRequestReturns asks for a model that has no replica: it comes back in the place
 // of one that others hold too, first where its weights are cached.
 func TestModelOnRequestReturns(t *testing.T) {
-	spec := sized(150, 150)
-	spec.Models[0].MemoryLoadTime, spec.Models[0].DiskLoadTime, spec.Models[0].StoreLoadTime = time.Second, 2*time.Second, 8*time.Second
 	list := []EngineView{
 		{ID: "e0", Idle: true, Residents: []backend.Resident{{Model: "m1"}}},
 		{ID: "e1", Idle: true, Residents: []backend.Resident{{Model: "m1"}}, CachedOnDisk: []string{"m0"}},
 	}
 	moves := Plan(Input{
-		Spec: spec, Engines: list, StoreLoadsAllowed: 1, Demands: map[string]Demand{
+		Spec: spec(150, 150), Engines: list, StoreLoadsAllowed: 1, Demands: map[string]Demand{
 			"m0": {Asked: true, Objective: 5 * time.Second, Waiting: 1}, "m1": {TokensPerSecond: 1000},
 		},
 	})
--- a/residency/succession_test.go
+++ b/residency/succession_test.go
@@ -16,7 +16,25 @@
 	for i := range sizes {
 		sizes[i] = 60
 	}
-	return sized(sizes...)
+	return spec(sizes...)
+}
+
+// inOrder returns the numbers below n.
+func inOrder(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// learned returns what a succession has learned after demand has moved along the list.
+func learned() *Succession {
+	var s Succession
+	for i := range 4 {
+		s.Observe(listed(26), demandAt(inOrder(26), 2*i), nil)
+	}
+	return &s
 }
 
 // demandAt returns the demand of four busy models whose list begins at a place, among a
@@ -35,10 +53,7 @@
 // TestSuccession moves demand of four of 26 models on by two places at a time, along the
 // list and in another order.
 func TestSuccession(t *testing.T) {
-	along := make([]int, 26)
-	for i := range along {
-		along[i] = i
-	}
+	along := inOrder(26)
 	shuffled := rand.New(rand.NewPCG(1, 1)).Perm(26)
 	tests := map[string]struct {
 		order         []int
@@ -65,25 +80,26 @@
 }
 
 func TestForecast(t *testing.T) {
-	var s Succession
-	for i := range 4 {
-		s.Observe(listed(26), demandAt([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25}, 2*i), nil)
-	}
-	spec := listed(5)
-	measured := weighted(0, 100, 0, 0, 0)
 	tests := map[string]struct {
 		succession *Succession
 		rise       []bool
 	}{
 		"no order known": {rise: []bool{false, true, false, false, false}},
-		"a known order":  {succession: &s, rise: []bool{false, true, true, true, false}},
+		"a known order":  {succession: learned(), rise: []bool{false, true, true, true, false}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := Forecast(spec, measured, nil, test.succession)
+			got := Forecast(listed(5), demands(0, 100, 0, 0, 0), nil, test.succession)
 			for i, rise := range test.rise {
 				assert.Equal(t, got[fmt.Sprint("m", i)].TokensPerSecond > 0, rise, "m%d", i)
 			}
 		})
 	}
 }
+
+// TestReplicasStandForDemand forecasts before anything has been asked for.
+func TestReplicasStandForDemand(t *testing.T) {
+	held := engines([]string{"m0"}, []string{"m0"}, []string{"m0", "m1"})
+	got := Forecast(listed(4), nil, held, learned())
+	assert.Assert(t, got["m0"].TokensPerSecond > got["m1"].TokensPerSecond && got["m1"].TokensPerSecond > 0, "%v", got)
+}
