--- a/residency/residence.go
+++ b/residency/residence.go
@@ -29,7 +29,7 @@
 	// each replica of the model in its place must be. Worth of 15 days with trouble 0.509
 	// without it and at 20; of three days of a site where the requests that can wait are as
 	// dear as others 0.770 without it, 0.810 at 20, 0.823 if no last replica ever goes (trials).
-	lastReplicaFactor = 20
+	lastReplicaFactor = 40
 	// leastShare is the part of all demand, measured or expected, from which on a model
 	// always has a replica, since it would be loaded again at once. Chosen, not measured.
 	leastShare = 0.02
