wire: one constructor of the client

NewClient and NewClientOver made the same Client from a transport or from what makes one; NewClient takes the transport, as all its callers have one or make it in a word. Behaviour as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -116,7 +116,7 @@
 		server:      newServerState(),
 	}
 	a.backend = &http.Client{Transport: wire.NewTransport(&a.proxied)}
-	a.peers = wire.NewClient(o.Settings.Secret, o.Traffic)
+	a.peers = wire.NewClient(o.Settings.Secret, wire.NewTransport(o.Traffic))
 	a.work = newWorkload(a.server.slots, o.Settings.MaxWaiting)
 	a.record = newRecord(o.Store, o.Settings.ID, a.incarnation)
 	if a.isService() {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -18,7 +18,7 @@
 		}
 		secret = strings.TrimSpace(string(data))
 	}
-	return wire.NewClient(secret, &wire.Traffic{}), nil
+	return wire.NewClient(secret, wire.NewTransport(&wire.Traffic{})), nil
 }
 
 // entries returns the control addresses to call, in their order.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,7 +68,7 @@
 	s := o.Settings
 	e := &Entry{settings: s, clock: o.Clock, log: o.Log, metrics: o.Metrics, traffic: o.Traffic}
 	e.ctx, e.done = context.WithCancel(context.Background())
-	peers := wire.NewClient(s.Secret, e.traffic)
+	peers := wire.NewClient(s.Secret, wire.NewTransport(e.traffic))
 	e.members = newMembers(s.ID, o.Platform, o.Log)
 	e.planner = planner.New(planner.Options{
 		ID: s.ID, Addr: s.ControlListen, Settings: s.Planner, Store: o.Store, Clock: o.Clock, Members: e.members,
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -65,7 +65,7 @@
 
 // newPeerClient returns a client whose calls a transport carries.
 func newPeerClient(gateways *directory, t http.RoundTripper) *peerClient {
-	return &peerClient{http: wire.NewClientOver(t), gateways: gateways}
+	return &peerClient{http: wire.NewClient("", t), gateways: gateways}
 }
 
 // report sends a report.
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -54,7 +54,7 @@
 }
 
 // Client returns a client for the processes' control interfaces.
-func Client() *wire.Client { return wire.NewClient(Secret, &wire.Traffic{}) }
+func Client() *wire.Client { return wire.NewClient(Secret, wire.NewTransport(&wire.Traffic{})) }
 
 // Save saves changes as one edit through the first live entry.
 func (s *System) Save(ctx context.Context, changes []table.Change) (uint64, error) {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -40,14 +40,10 @@
 	secret string
 }
 
-// NewClient returns a Client whose connections are counted by t.
-func NewClient(secret string, t *Traffic) *Client {
-	return &Client{http: &http.Client{Transport: NewTransport(t)}, secret: secret}
-}
-
-// NewClientOver returns a Client without a secret whose calls a transport carries.
-func NewClientOver(t http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: t}}
+// NewClient returns a Client whose calls a transport carries, mostly a NewTransport; secret is
+// empty where processes share none.
+func NewClient(secret string, t http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: t}, secret: secret}
 }
 
 // Get reads JSON from http://ADDR/PATH into out.
