transfer: one reader that tells of progress

The entry's progressReader and the one of transfer.Watch were the same loop with another timer behind it; both are transfer.Reader now. Behaviour as before.

--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http/httptrace"
 	"net/textproto"
 	"time"
@@ -37,18 +36,3 @@
 		},
 	})
 }
-
-// A progressReader counts each read as progress.
-type progressReader struct {
-	r io.Reader
-	w *stallTimer
-}
-
-// Read implements io.Reader.
-func (h *progressReader) Read(b []byte) (int, error) {
-	n, err := h.r.Read(b)
-	if n > 0 {
-		h.w.progress()
-	}
-	return n, err
-}
--- a/internal/entry/stream_copy.go
+++ b/internal/entry/stream_copy.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"rockcleat/fleet"
+	"rockcleat/internal/transfer"
 	"rockcleat/internal/wire"
 )
 
@@ -37,7 +38,7 @@
 // passWhole gives an answer that is not a stream of events. One that is short
 // is read whole first; its outcome is recorded before the caller has it.
 func (d *delivery) passWhole(s fleet.Server, resp *http.Response, w *stallTimer) bool {
-	r := &progressReader{r: resp.Body, w: w}
+	r := transfer.NewReader(resp.Body, w.progress)
 	held, err := io.ReadAll(io.LimitReader(r, heldAnswer))
 	if err != nil {
 		return d.failed(s, err)
@@ -115,7 +116,7 @@
 // whole is passed on, so a stream cut anywhere can go on elsewhere from the
 // token after the last one given.
 func (d *delivery) passStream(s fleet.Server, resp *http.Response, w *stallTimer) bool {
-	r := bufio.NewReader(&progressReader{r: resp.Body, w: w})
+	r := bufio.NewReader(transfer.NewReader(resp.Body, w.progress))
 	for {
 		event, err := readEvent(r)
 		if err != nil {
--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -41,11 +41,14 @@
 	w.cancel()
 }
 
+// progress starts the time anew in which more must arrive.
+func (w *Watch) progress() { w.timer.Reset(w.stall) }
+
 // ReadAll reads an answer's body, up to a number of bytes. An error tells how many had arrived:
 // that tells a peer that is silent from a link that is slow.
 func (w *Watch) ReadAll(ctx context.Context, body io.Reader, limit int64) ([]byte, error) {
-	w.timer.Reset(w.stall)
-	data, err := io.ReadAll(io.LimitReader(&reader{body: body, watch: w}, limit))
+	w.progress()
+	data, err := io.ReadAll(io.LimitReader(NewReader(body, w.progress), limit))
 	if err != nil {
 		return data, eris.Wrapf(Cause(ctx, err), "transfer: %d bytes of the answer received", len(data))
 	}
@@ -60,18 +63,3 @@
 	}
 	return err
 }
-
-// A reader notes the progress of a body that is read.
-type reader struct {
-	body  io.Reader
-	watch *Watch
-}
-
-// Read implements io.Reader.
-func (r *reader) Read(b []byte) (int, error) {
-	n, err := r.body.Read(b)
-	if n > 0 {
-		r.watch.timer.Reset(r.watch.stall)
-	}
-	return n, err
-}
