A server is known by its run; entries of other writers name no server

Cause: a server may start again under its id. Its start (born) was dropped by the decoder, so that orders, grants, prompts in cache, estimates and loads of the former run stayed, and a report of the new run counted as late. Entries with missing fields or of other types were taken as far as they could be decoded.

Change: the adapter makes a server's ID of its id and start, and every table is keyed by it, so that what belongs to a former run goes with it; the name that requests and orders carry is Server.Name. Starts are names without an order (clocks jump): the run that the store listed last counts and one that was followed by another never again. A report of another run than the listed one counts for nothing. Entries are decoded strictly, field names by exact spelling; one that describes no server takes that server away at once, is logged once a change, and does not count as vanished.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -19,6 +19,8 @@
 
 // A Report is an engine's report on itself; it may be some hundred milliseconds old.
 type Report struct {
+	// ServerID names the run that reports, as Server.ID does; empty if it does not say.
+	ServerID  string
 	Residents []Resident
 	// LoadingAdapters lists the adapters that are being loaded.
 	LoadingAdapters []Adapter
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -32,9 +32,11 @@
 // the platform has lost its list, not the servers: they are kept for vanishedTime, in which
 // those that live are listed again.
 type Registry struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// listed and vanished hold servers by their names.
 	listed   map[string]Server
 	vanished map[string]vanishedServer
+	former   formerRuns
 	// residency was published by the leader and last came at residencyAt; nil without one.
 	residency   map[string]Residency
 	residencyAt time.Time
@@ -49,22 +51,48 @@
 	return &Snapshot{}
 }
 
-// Replace sets the whole list as it is at a time.
-func (r *Registry) Replace(list []Server, now time.Time) {
+// Replace sets the whole list as it is at a time and returns the servers that have restarted.
+func (r *Registry) Replace(list []Server, now time.Time) []Restart {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.listed
 	r.listed = make(map[string]Server, len(list))
+	var restarts []Restart
 	for _, s := range list {
-		r.listed[s.ID] = s
-		delete(r.vanished, s.ID)
+		old, known := r.previous(before, s.Name())
+		switch {
+		case r.former.isOver(s):
+			if old, ok := before[s.Name()]; ok {
+				r.listed[s.Name()] = old
+			}
+			continue
+		case known && old.ID != s.ID:
+			restarts = append(restarts, r.former.end(old, s))
+		}
+		r.list(s)
 	}
-	for id, s := range before {
-		if _, ok := r.listed[id]; !ok {
+	for name, s := range before {
+		if _, ok := r.listed[name]; !ok {
 			r.noteVanished(s, now)
 		}
 	}
 	r.rebuild(now)
+	return restarts
+}
+
+// previous returns the record of a name in a list, or the one that vanished from it lately.
+func (r *Registry) previous(listed map[string]Server, name string) (Server, bool) {
+	if s, ok := listed[name]; ok {
+		return s, true
+	}
+	v, ok := r.vanished[name]
+	return v.Server, ok
+}
+
+// list sets the record of one server.
+func (r *Registry) list(s Server) {
+	r.listed[s.Name()] = s
+	delete(r.vanished, s.Name())
 }
 
 // noteVanished remembers a server that is no longer listed, unless it said that it leaves.
@@ -75,40 +103,63 @@
 	if r.vanished == nil {
 		r.vanished = make(map[string]vanishedServer)
 	}
-	r.vanished[s.ID] = vanishedServer{Server: s, since: now}
+	r.vanished[s.Name()] = vanishedServer{Server: s, since: now}
 }
 
 // A Change is a server that came or changed, or one that is no longer listed.
 type Change struct {
 	Server
-	// Gone says that the server is no longer listed; only its ID counts then.
-	Gone bool
+	// Gone says that the server is no longer listed, Unusable that its record does not describe
+	// a server; only the server's name counts then.
+	Gone, Unusable bool
 }
 
-// Apply applies changes of the list at a time, in their order.
-func (r *Registry) Apply(changes []Change, now time.Time) {
+// removes reports whether no server is listed under the name any more.
+func (c *Change) removes() bool { return c.Gone || c.Unusable }
+
+// Apply applies changes of the list at a time, in their order, and returns the servers that have
+// restarted.
+func (r *Registry) Apply(changes []Change, now time.Time) []Restart {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.listed == nil {
 		r.listed = make(map[string]Server)
 	}
 	differs := false
+	var restarts []Restart
 	for _, c := range changes {
-		old, known := r.listed[c.ID]
-		differs = differs || c.Gone || !known || r.isVisible(old, c.Server)
-		if c.Gone {
-			if known {
-				r.noteVanished(old, now)
-			}
-			delete(r.listed, c.ID)
+		old, known := r.previous(r.listed, c.Name())
+		switch {
+		case c.removes():
+			r.remove(c, now)
+			differs = true
 			continue
+		case r.former.isOver(c.Server):
+			continue
+		case known && old.ID != c.ID:
+			restarts = append(restarts, r.former.end(old, c.Server))
 		}
-		r.listed[c.ID] = c.Server
-		delete(r.vanished, c.ID)
+		_, listed := r.listed[c.Name()]
+		differs = differs || !listed || r.isVisible(old, c.Server)
+		r.list(c.Server)
 	}
 	if differs {
 		r.rebuild(now)
 	}
+	return restarts
+}
+
+// remove takes a server off the list. One whose record became unusable is not kept for
+// vanishedTime: the platform has not lost it.
+func (r *Registry) remove(c Change, now time.Time) {
+	old, known := r.listed[c.Name()]
+	if known && c.Gone {
+		r.noteVanished(old, now)
+	}
+	if c.Unusable {
+		delete(r.vanished, c.Name())
+	}
+	delete(r.listed, c.Name())
 }
 
 // isVisible reports whether a server's new record shows in a snapshot: what it holds does
@@ -167,9 +218,9 @@
 		r.residency = nil
 		changed = true
 	}
-	for id, v := range r.vanished {
+	for name, v := range r.vanished {
 		if now.Sub(v.since) >= vanishedTime {
-			delete(r.vanished, id)
+			delete(r.vanished, name)
 			changed = true
 		}
 	}
@@ -208,10 +259,13 @@
 		all = append(all, s)
 	}
 	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	all, unstarted := withoutUnstarted(all)
 	for i := range all {
 		if held, ok := r.residency[all[i].ID]; ok {
 			all[i].Residents = held.Residents
 		}
 	}
-	r.snapshot.Store(newSnapshot(all))
+	snapshot := newSnapshot(all)
+	snapshot.unstarted = unstarted
+	r.snapshot.Store(snapshot)
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -23,10 +23,13 @@
 // A Server describes one run of a backend server.
 type Server struct {
 	// ID names this run; a restarted server has another.
-	ID      string
-	Service string
-	Addr    string
-	Hall    string
+	ID string
+	// Instance is the name that the platform lists the server under, which a restarted server may
+	// keep; empty if that is ID.
+	Instance string
+	Service  string
+	Addr     string
+	Hall     string
 	// Slots is the number of requests it works on at once.
 	Slots int
 	// Leaving says that it takes no new requests.
@@ -36,17 +39,26 @@
 	CachedInMemory, CachedOnDisk []string
 }
 
+// Name returns the name that the platform lists the server under. Requests and orders are
+// addressed to it; what is known of a server is kept by its ID.
+func (s *Server) Name() string {
+	if s.Instance == "" {
+		return s.ID
+	}
+	return s.Instance
+}
+
 // A Listing is what the platform's list says of a server, but for what its engine holds: the
 // leader knows that better and publishes it.
 type Listing struct {
-	Service, Addr, Hall string
-	Slots               int
-	Leaving             bool
+	ID, Service, Addr, Hall string
+	Slots                   int
+	Leaving                 bool
 }
 
 // Listing returns the server's part that only the platform's list says.
 func (s *Server) Listing() Listing {
-	return Listing{Service: s.Service, Addr: s.Addr, Hall: s.Hall, Slots: s.Slots, Leaving: s.Leaving}
+	return Listing{ID: s.ID, Service: s.Service, Addr: s.Addr, Hall: s.Hall, Slots: s.Slots, Leaving: s.Leaving}
 }
 
 // Holds reports whether the server has a model and adapter ready.
@@ -69,8 +81,13 @@
 	servers   map[string]*Server
 	byService map[string][]*Server
 	byModel   map[modelKey][]*Server
+	unstarted []string
 }
 
+// Unstarted returns the names of the servers that are left out since their records do not name
+// their start, while those of most servers do.
+func (s *Snapshot) Unstarted() []string { return s.unstarted }
+
 // A modelKey names a model of one service.
 type modelKey struct{ service, model string }
 
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -41,19 +41,30 @@
 type serverFollower struct {
 	*storeHealth
 	servers *serverList
-	// known holds the ids of the servers that were listed last.
+	// known holds the names of the servers that were listed last.
 	known map[string]bool
+	// unusable holds, by name, why entries describe no server.
+	unusable map[string]string
+}
+
+func newServerFollower(h *storeHealth, servers *serverList) *serverFollower {
+	return &serverFollower{storeHealth: h, servers: servers, known: make(map[string]bool), unusable: make(map[string]string)}
 }
 
 // Replace implements kv.Follower.
 func (f *serverFollower) Replace(entries []kv.Entry) {
 	list := make([]backend.Server, 0, len(entries))
+	var unusable []backend.Change
 	for _, e := range entries {
-		if s, ok := f.servers.decode(e); ok {
-			list = append(list, s)
+		c := f.decode(e)
+		if c.Unusable {
+			unusable = append(unusable, c)
+			continue
 		}
+		list = append(list, c.Server)
 	}
 	f.logMissing(list)
+	f.servers.apply(unusable)
 	f.servers.replace(list)
 }
 
@@ -61,48 +72,65 @@
 func (f *serverFollower) logMissing(list []backend.Server) {
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
-		listed[s.ID] = true
+		listed[s.Name()] = true
 	}
-	for id := range f.known {
-		if !listed[id] {
-			f.logGone(id)
+	for name := range f.known {
+		if !listed[name] {
+			f.logGone(name)
 		}
 	}
 	f.known = listed
 }
 
-func (f *serverFollower) logGone(id string) {
-	f.log.Info("server gone", zap.String("server", id))
+func (f *serverFollower) logGone(name string) {
+	f.log.Info("server gone", zap.String("server", name))
 }
 
 // Apply implements kv.Follower.
 func (f *serverFollower) Apply(events []kv.Event) {
 	changes := make([]backend.Change, 0, len(events))
 	for _, e := range events {
-		if c, ok := f.change(e); ok {
-			changes = append(changes, c)
-		}
+		changes = append(changes, f.change(e))
 	}
 	f.servers.apply(changes)
 }
 
 // change decodes a change of one server and logs it, if more than what it holds changes.
-func (f *serverFollower) change(e kv.Event) (backend.Change, bool) {
-	id := f.servers.decoder.ServerID(e.Entry.Key)
+func (f *serverFollower) change(e kv.Event) backend.Change {
+	name := f.servers.decoder.ServerID(e.Entry.Key)
 	if e.Deleted {
-		delete(f.known, id)
-		f.logGone(id)
-		return backend.Change{Server: backend.Server{ID: id}, Gone: true}, true
+		delete(f.known, name)
+		delete(f.unusable, name)
+		f.logGone(name)
+		return backend.Change{Server: backend.Server{ID: name}, Gone: true}
+	}
+	c := f.decode(e.Entry)
+	if c.Unusable {
+		delete(f.known, name)
+		return c
 	}
-	s, ok := f.servers.decode(e.Entry)
-	if !ok {
-		return backend.Change{}, false
+	old, known := f.servers.registry.Snapshot().Server(c.ID)
+	if !known || old.Leaving != c.Leaving {
+		f.log.Info("server seen", zap.String("server", c.ID), zap.String("service", c.Service),
+			zap.String("addr", c.Addr), zap.Bool("leaving", c.Leaving))
+	}
+	f.known[name] = true
+	return c
+}
+
+// decode decodes an entry. One that describes no server is logged when it becomes so or is so for
+// another reason, not with each of its revisions.
+func (f *serverFollower) decode(e kv.Entry) backend.Change {
+	name := f.servers.decoder.ServerID(e.Key)
+	s, err := f.servers.decoder.Server(e.Key, e.Value)
+	if err == nil {
+		delete(f.unusable, name)
+		return backend.Change{Server: s}
 	}
-	old, known := f.servers.registry.Snapshot().Server(id)
-	if !known || old.Leaving != s.Leaving {
-		f.log.Info("server seen", zap.String("server", id), zap.String("service", s.Service),
-			zap.String("addr", s.Addr), zap.Bool("leaving", s.Leaving))
+	if reason := err.Error(); f.unusable[name] != reason {
+		f.unusable[name] = reason
+		f.log.Warn("server entry not usable", zap.String("server", name), zap.Int64("revision", int64(e.Revision)),
+			telemetry.Error(err))
 	}
-	f.known[id] = true
-	return backend.Change{Server: s}, true
+	return backend.Change{Server: backend.Server{ID: name}, Unusable: true}
 }
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"testing"
 
 	"go.uber.org/zap"
@@ -14,6 +15,9 @@
 	"rockcleat/table"
 )
 
+// spoiled is a value that describes no server.
+const spoiled = "spoiled"
+
 // plainDecoder takes a key for the server's id.
 type plainDecoder struct{}
 
@@ -22,7 +26,10 @@
 
 func (plainDecoder) Routing([]byte) (*table.Routing, error) { return nil, nil }
 
-func (plainDecoder) Server(key string, _ []byte) (backend.Server, error) {
+func (plainDecoder) Server(key string, value []byte) (backend.Server, error) {
+	if string(value) == spoiled {
+		return backend.Server{}, errors.New("spoiled")
+	}
 	return backend.Server{ID: key, Service: "app"}, nil
 }
 
@@ -34,10 +41,7 @@
 	core, logs := observer.New(zap.InfoLevel)
 	d := dispatch.New(dispatch.Options{Clock: clock.Real{}, CacheTokens: func(string) int { return 0 }})
 	log := zap.New(core)
-	f := &serverFollower{
-		storeHealth: newStoreHealth(t.Context(), log), servers: newServerList(plainDecoder{}, clock.Real{}, log, d),
-		known: make(map[string]bool),
-	}
+	f := newServerFollower(newStoreHealth(t.Context(), log), newServerList(plainDecoder{}, clock.Real{}, log, d))
 	entry := func(key string) kv.Entry { return kv.Entry{Key: key} }
 	f.Replace([]kv.Entry{entry("s1"), entry("s2")})
 	f.Apply([]kv.Event{{Entry: entry("s3")}, {Entry: entry("s2"), Deleted: true}})
@@ -49,3 +53,36 @@
 	}
 	assert.DeepEqual(t, gone, []string{"s2", "s1"})
 }
+
+// TestSpoiledEntries checks that an entry which describes no server takes that server away and no
+// other, in a list and as a change, that it is back when the entry is mended, and that the log has
+// one line for each time, not one for each heartbeat.
+func TestSpoiledEntries(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	d := dispatch.New(dispatch.Options{Clock: clock.Real{}, CacheTokens: func(string) int { return 0 }})
+	log := zap.New(core)
+	list := newServerList(plainDecoder{}, clock.Real{}, log, d)
+	f := newServerFollower(newStoreHealth(t.Context(), log), list)
+	good := func(key string) kv.Entry { return kv.Entry{Key: key} }
+	bad := func(key string, rev kv.Revision) kv.Entry {
+		return kv.Entry{Key: key, Value: []byte(spoiled), Revision: rev}
+	}
+	check := func(lines int, want ...string) {
+		t.Helper()
+		var names []string
+		for _, s := range list.registry.Snapshot().Service("app") {
+			names = append(names, s.ID)
+		}
+		assert.DeepEqual(t, names, want)
+		assert.Equal(t, logs.FilterMessage("server entry not usable").Len(), lines)
+	}
+	f.Replace([]kv.Entry{good("s1"), bad("s2", 1), good("s3")})
+	check(1, "s1", "s3")
+	f.Apply([]kv.Event{{Entry: bad("s1", 2)}, {Entry: bad("s1", 3)}, {Entry: bad("s2", 4)}})
+	check(2, "s3")
+	f.Apply([]kv.Event{{Entry: good("s1")}, {Entry: bad("s1", 5)}, {Entry: good("s2")}})
+	check(3, "s2", "s3")
+	f.Replace([]kv.Entry{bad("s1", 5), good("s2"), bad("s3", 6)})
+	check(4, "s2")
+	assert.Equal(t, list.digest("servers/", bad("s1", 5)), list.digest("servers/", bad("s1", 6)), "heartbeats are not handed on")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	go g.configs.Run(g.ctx)
-	g.follow(g.decoder.ServerPrefix(), &serverFollower{storeHealth: g.health, servers: g.servers, known: make(map[string]bool)})
+	g.follow(g.decoder.ServerPrefix(), newServerFollower(g.health, g.servers))
 	g.placer.Start()
 	go g.reporter.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -88,7 +88,7 @@
 func (f *forwarder) outgoing(ctx context.Context, res *dispatch.Reservation) *http.Request {
 	s := res.Server()
 	out := &http.Request{
-		Method: f.in.Method, URL: target(f.in.RequestURI, s.Addr), Host: f.in.Host, Header: f.outgoingHeader(s.ID),
+		Method: f.in.Method, URL: target(f.in.RequestURI, s.Addr), Host: f.in.Host, Header: f.outgoingHeader(s.Name()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(f.in.body) > 0 {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -9,7 +10,6 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
-	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 )
 
@@ -26,6 +26,9 @@
 	// seed makes digests, which are compared within this process only.
 	seed   maphash.Seed
 	listed atomic.Bool
+	// unstarted are the servers that were left out last since they do not name their start. Only
+	// the goroutine that follows the store uses it.
+	unstarted []string
 }
 
 func newServerList(d Decoder, c clock.Service, log *zap.Logger, sink serverSink) *serverList {
@@ -40,15 +43,29 @@
 
 // replace sets the store's list.
 func (s *serverList) replace(list []backend.Server) {
-	s.registry.Replace(list, s.clock.Now())
+	restarts := s.registry.Replace(list, s.clock.Now())
 	s.listed.Store(true)
 	s.log.Info("servers listed", zap.Int("count", len(list)))
-	s.refresh()
+	s.changed(restarts)
 }
 
 // apply applies changes of the store's list.
 func (s *serverList) apply(changes []backend.Change) {
-	s.registry.Apply(changes, s.clock.Now())
+	s.changed(s.registry.Apply(changes, s.clock.Now()))
+}
+
+// changed logs what is special about the last change of the list and passes the servers on. What is
+// kept of a server goes with its run: every table names servers by their IDs.
+func (s *serverList) changed(restarts []backend.Restart) {
+	for _, r := range restarts {
+		s.log.Info("server restarted", zap.String("server", r.Now.ID), zap.String("former", r.Former.ID),
+			zap.String("service", r.Now.Service), zap.String("addr", r.Now.Addr))
+	}
+	unstarted := s.registry.Snapshot().Unstarted()
+	if !slices.Equal(unstarted, s.unstarted) {
+		s.unstarted = unstarted
+		s.log.Warn("servers without a start are not used", zap.Strings("servers", unstarted))
+	}
 	s.refresh()
 }
 
@@ -69,26 +86,18 @@
 	}
 }
 
-// decode decodes a server's entry; one that cannot be decoded is logged and left out.
-func (s *serverList) decode(e kv.Entry) (backend.Server, bool) {
-	srv, err := s.decoder.Server(e.Key, e.Value)
-	if err != nil {
-		s.log.Error("server not understood", zap.String("key", e.Key), telemetry.Error(err))
-		return backend.Server{}, false
-	}
-	return srv, true
-}
+// unusableDigest is the digest of every entry that describes no server.
+const unusableDigest = 1
 
 // digest returns a digest of what other gateways need to know of an entry: of a server its
-// Listing. An entry that cannot be decoded counts as changed with each revision; whoever applies
-// it logs the error.
+// Listing, of an entry that describes no server just that.
 func (s *serverList) digest(prefix string, e kv.Entry) uint64 {
 	if prefix != s.decoder.ServerPrefix() {
 		return uint64(e.Revision)
 	}
 	srv, err := s.decoder.Server(e.Key, e.Value)
 	if err != nil {
-		return uint64(e.Revision)
+		return unusableDigest
 	}
 	return maphash.Comparable(s.seed, srv.Listing())
 }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -64,6 +64,8 @@
 	lastAccepted time.Time
 	// calling says that a call to the engine is under way.
 	calling bool
+	// otherRun says that another run of the server reports than the one that is listed.
+	otherRun bool
 	// nextReport is when the next report is due; zero if none is.
 	nextReport time.Time
 	// loadedAt is when models were loaded, for minResidence.
@@ -85,6 +87,9 @@
 // servable returns the models and adapters that gateways may send requests for: what the
 // engine holds, less models that are about to go and adapters that are still loading.
 func (e *engineState) servable(now time.Time) []backend.Resident {
+	if e.otherRun {
+		return nil
+	}
 	var out []backend.Resident
 	for _, r := range e.residents {
 		if e.isRetiring(r.Model) {
@@ -164,6 +169,13 @@
 	return model
 }
 
+// isOther reports whether a report comes from another run than this one: the server has restarted
+// and its new record has not been seen yet. Where records do not name their start, runs cannot be
+// told apart.
+func (e *engineState) isOther(r backend.Report) bool {
+	return r.ServerID != "" && e.server.Instance != "" && r.ServerID != e.server.ID
+}
+
 // apply applies a report and reports whether it is as new as the orders accepted.
 func (e *engineState) apply(r backend.Report, now time.Time) bool {
 	if e.known && r.Sequence < e.sequence && now.Sub(e.lastAccepted) < reportLag {
--- a/internal/placer/harness_test.go
+++ b/internal/placer/harness_test.go
@@ -46,6 +46,8 @@
 }
 
 type fakeEngine struct {
+	// serverID is the run that reports name; empty for none.
+	serverID  string
 	sequence  int
 	fence     int64
 	residents []backend.Resident
@@ -62,7 +64,7 @@
 	if !ok {
 		return backend.Report{}, errors.New("no such engine")
 	}
-	r := backend.Report{Sequence: e.sequence, LoadingAdapters: e.coming, OrderInProgress: e.busy}
+	r := backend.Report{ServerID: e.serverID, Sequence: e.sequence, LoadingAdapters: e.coming, OrderInProgress: e.busy}
 	for _, x := range e.residents {
 		r.Residents = append(r.Residents, x.Clone())
 	}
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -60,6 +60,11 @@
 
 // applyReport applies a report and sets when the next one is due.
 func (p *Placer) applyReport(e *engineState, r backend.Report, now time.Time) {
+	if e.isOther(r) {
+		p.noteOtherRun(e, r, now)
+		return
+	}
+	e.otherRun = false
 	if !e.apply(r, now) {
 		e.nextReport = now.Add(pollEvery / 2)
 		return
@@ -79,6 +84,18 @@
 	p.publish(now)
 }
 
+// noteOtherRun notes that a report comes from another run of an engine than the one listed. It tells
+// nothing of the run that is listed, which gets no orders and holds nothing any more; the list will
+// name the other one.
+func (p *Placer) noteOtherRun(e *engineState, r backend.Report, now time.Time) {
+	if !e.otherRun {
+		p.opts.Log.Info("another run reports", zap.String("server", e.server.ID), zap.String("reports", r.ServerID))
+	}
+	e.known, e.otherRun = false, true
+	e.nextReport = now.Add(pollEvery)
+	p.publish(now)
+}
+
 // refreshInterval returns the time between two reports of an engine without orders.
 func (p *Placer) refreshInterval() time.Duration {
 	return refreshEvery * time.Duration(max(1, len(p.engines.byID)/enginesAtFullPace))
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -329,3 +329,36 @@
 		return len(held) == len(w.spec.Models)
 	})
 }
+
+// TestAnotherRunOfAnEngine checks that the report of another run than the one that is listed counts
+// for nothing: no order goes to the engine, gateways see that it holds nothing, and once it is
+// listed its orders begin anew.
+func TestAnotherRunOfAnEngine(t *testing.T) { synctest.Test(t, testAnotherRunOfAnEngine) }
+
+func testAnotherRunOfAnEngine(t *testing.T) {
+	w := newWorld(t, 2, []string{"m0", "m1"})
+	former := backend.Server{ID: "e0@1", Instance: "e0", Service: service, Hall: "h"}
+	w.engines.engines[former.ID] = w.engines.engines["e0"]
+	w.registry.Replace([]backend.Server{former}, w.clock.Now())
+	w.start(true)
+	held := func(id string, models int) func() bool {
+		return func() bool {
+			r, ok := w.ask("m1", 0, 0).Residency[id]
+			return ok && len(r.Residents) == models
+		}
+	}
+	w.run("the engine is known", held("e0@1", 2))
+	restarted := &fakeEngine{serverID: "e0@2"}
+	w.engines.engines[former.ID] = restarted
+	w.run("the former run holds nothing", held("e0@1", 0))
+	w.pass(5 * time.Second)
+	assert.Equal(t, len(w.engines.orders()), 0, "no order goes to a run that is over")
+	now := former
+	now.ID = restarted.serverID
+	w.engines.engines[now.ID] = restarted
+	w.registry.Replace([]backend.Server{now}, w.clock.Now())
+	w.run("the other run is loaded", held("e0@2", 2))
+	first := w.engines.orders()[0]
+	assert.Equal(t, first.server, "e0@2")
+	assert.Equal(t, first.order.Sequence, 0)
+}
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -48,7 +48,7 @@
 	published := make(map[string]backend.Residency, len(p.engines.byID))
 	for id, e := range p.engines.byID {
 		before, ok := r.published[id]
-		if !e.known {
+		if !e.known && !e.otherRun {
 			if ok {
 				published[id] = before
 			}
