The leader's view of the store goes down a tree of gateways

Cause: what the leader sees of the store came with the replies to load reports.

Change: gateways form a tree below the leader, eight children each (package relay), and ask their parent, which answers when there is something new; the configuration's news and patches come the same way. A gateway that knows nothing gets the whole list, so one that starts asks those that its settings name before the store. When the view grows too old the first level asks the store first, each further level waits longer; a store that fails is left alone by all but the leader and the first level (kv.Breaker). An old gateway and a new one side by side go to the store.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -41,8 +41,11 @@
 	// BodyTime bounds the reading of a request's body.
 	BodyTime Duration `yaml:"body_time"`
 	// Gateways is the number of gateways to assume until they have been counted.
-	Gateways int   `yaml:"gateways"`
-	Retry    Retry `yaml:"retry"`
+	Gateways int `yaml:"gateways"`
+	// Seeds are the peer_listen addresses of a few gateways, which may be down or of no use: one that
+	// starts asks them before the store.
+	Seeds []string `yaml:"seeds"`
+	Retry Retry    `yaml:"retry"`
 }
 
 // Defaults of the gateway's settings; chosen, not measured. The platform's template sets grace,
@@ -89,6 +92,9 @@
 	} {
 		c.require(d > 0, key, "must be longer than 0s")
 	}
+	for _, addr := range g.Seeds {
+		c.require(isAddr(addr), "seeds", "must be a list of IP:PORT")
+	}
 	c.require(g.Gateways > 0, "gateways", "must be at least 1")
 	c.require(g.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
 	c.require(g.Retry.Fixed >= 0, "retry.fixed", "must not be negative")
--- a/internal/configsync/doc.go
+++ b/internal/configsync/doc.go
@@ -9,7 +9,7 @@
 // It owns the bytes of the newest version and of the few before it, what is known of the newest
 // version, and the goroutine of Syncer.Run that decides each step (Syncer.next). What is in force
 // belongs to the Holder. It relies on versions that only rise, on the store's revisions, and on
-// gateways that pass News on with their reports.
+// gateways that pass News on with their reports and with the changes of the store.
 //
 // When the news grows too old (the leader is gone, or does not reach the store), the gateway
 // watches the store itself, from the revision that the last news named. When a fetch fails, it
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -53,6 +53,9 @@
 	// MaxAge returns how old the news may be before this gateway watches the store itself, and
 	// bounds one such watch.
 	MaxAge func() time.Duration
+	// StartWait, if not nil, returns how long a gateway that starts waits for the news of others
+	// before it reads the store.
+	StartWait func() time.Duration
 	// OnTransfer, if not nil, is called after a configuration was received, with its bytes as
 	// they were sent, or could not be.
 	OnTransfer func(from Origin, bytes int, err error)
@@ -66,6 +69,8 @@
 type Syncer struct {
 	opts    Options
 	history history
+	// readFromStart is when a gateway that has heard nothing yet reads the store.
+	readFromStart time.Time
 
 	mu     sync.Mutex
 	newest newest
@@ -89,7 +94,11 @@
 
 // New returns a Syncer that holds nothing.
 func New(o Options) *Syncer {
-	return &Syncer{opts: o, changed: make(chan struct{})}
+	s := &Syncer{opts: o, changed: make(chan struct{}), readFromStart: o.Clock.Now()}
+	if o.StartWait != nil {
+		s.readFromStart = s.readFromStart.Add(o.StartWait())
+	}
+	return s
 }
 
 // News returns what this gateway tells others.
@@ -209,6 +218,9 @@
 	if missing && s.newest.source != "" && !s.fetchFailed {
 		return step{kind: stepFetch, source: s.newest.source}
 	}
+	if left := s.readFromStart.Sub(s.opts.Clock.Now()); left > 0 && s.newest.version == 0 && !s.opts.IsWatcher() {
+		return step{kind: stepWait, wait: left, changed: s.changed}
+	}
 	fresh := s.freshFor()
 	if missing || fresh <= 0 || s.opts.IsWatcher() {
 		return step{kind: stepRead}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -7,6 +7,7 @@
 
 	"rockcleat/dispatch"
 	"rockcleat/internal/placer"
+	"rockcleat/relay"
 )
 
 // A directory holds the list of gateways that the leader last sent. It is safe for
@@ -22,28 +23,40 @@
 	number int
 	// leader is where the gateway takes messages that replied last that it leads.
 	leader string
+	// tree is that of the listed gateways.
+	tree *relay.Tree
+	// seeds are where the gateways take messages that the settings name, without this one; isSeed
+	// says that it is one of them.
+	seeds  []string
+	isSeed bool
 }
 
-// newDirectory returns a directory that assumes a number of gateways until it has a list.
-func newDirectory(self string, assumed int) *directory {
-	return &directory{self: self, number: assumed}
+// newDirectory returns a directory that assumes a number of gateways until it has a list; seeds are
+// where some of them take messages.
+func newDirectory(self string, assumed int, seeds []string) *directory {
+	others := slices.DeleteFunc(slices.Clone(seeds), func(addr string) bool { return addr == self })
+	return &directory{
+		self: self, number: assumed, tree: relay.New(nil), seeds: others, isSeed: len(others) < len(seeds),
+	}
 }
 
 // set sets the list and returns it as a Dispatcher needs it.
 func (d *directory) set(gateways []placer.Gateway) []dispatch.Gateway {
 	list := make([]dispatch.Gateway, len(gateways))
 	addrs := make(map[string]string, len(gateways))
+	members := make([]relay.Member, len(gateways))
 	var others []string
 	for i, x := range gateways {
 		list[i] = x.Gateway
 		addrs[x.ID] = x.Addr
+		members[i] = relay.Member{ID: x.ID, Addr: x.Addr}
 		if x.Addr != d.self {
 			others = append(others, x.Addr)
 		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.addrs, d.others, d.number = addrs, others, len(gateways)
+	d.addrs, d.others, d.number, d.tree = addrs, others, len(gateways), relay.New(members)
 	return list
 }
 
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -11,6 +11,7 @@
 //     follower: the view of the store;
 //   - directory: the list of gateways;
 //   - reporter: the reports to the leader, and what it has been sent;
+//   - feed: the view of the store, from the parent in the tree of gateways;
 //   - proxy: the way of a request, with an inbound (what is known at its start), a
 //     forwarder (the loop that tries servers) and a record (what happened);
 //   - retryBudgets, requestLog: retries allowed; log lines and metrics.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	budgets   *retryBudgets
 	placer    *placer.Placer
 	reporter  *reporter
+	feed      *feed
 	conns     *conns
 	lifecycle *lifecycle
 	listeners *listeners
@@ -89,12 +90,12 @@
 	g := &Gateway{
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
-		prefixes: p.leader.fanout.View(o.Prefixes, false), placer: p.leader.placer, reporter: p.newReporter(o),
+		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer, reporter: p.newReporter(o), feed: p.newFeed(o),
 		pauses: pauseDetector{log: o.Log, inProgress: p.lifecycle.requests}, ctx: ctx, cancel: cancel,
 	}
 	g.listeners = newListeners(listenerOptions{
 		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
-		metrics: o.Metrics.Handler(), proxy: p.newProxy(o), peers: p.newPeerServer().router(),
+		metrics: o.Metrics.Handler(), proxy: p.newProxy(o), peers: p.newPeerServer(o.Clock).router(),
 	})
 	return g
 }
@@ -115,6 +116,7 @@
 	g.follow(g.decoder.ServerPrefix(), newServerFollower(g.health, g.servers))
 	g.placer.Start()
 	go g.reporter.run(g.ctx)
+	go g.feed.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(pauseCheckInterval, g.pauses.check)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rockcleat/clock"
 	"rockcleat/dispatch"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
@@ -33,6 +34,7 @@
 	dispatcher *dispatch.Dispatcher
 	servers    *serverList
 	leader     leaderRole
+	breaker    *kv.Breaker
 	health     *storeHealth
 	configs    *configsync.Syncer
 	// modelMissing is sent when a request waits for a model that no server holds.
@@ -45,7 +47,7 @@
 	s := o.Settings
 	p := &parts{
 		lines: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
-		gateways: newDirectory(s.PeerListen, s.Gateways), lifecycle: newLifecycle(), modelMissing: make(signal, 1),
+		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds), lifecycle: newLifecycle(), modelMissing: make(signal, 1),
 		health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
@@ -56,11 +58,15 @@
 		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.modelMissing.send,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
-	p.config.onChange = p.servers.refresh
+	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
+	p.config.onChange = func() {
+		p.servers.refresh()
+		p.leader.fanout.Recheck()
+	}
 	p.configs = configsync.New(configsync.Options{
-		Store: o.Prefixes, Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers, Health: p.health, Clock: o.Clock,
-		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: newsMaxAge(s, p.gateways),
+		Store: p.breaker.View(o.Prefixes), Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers, Health: p.health, Clock: o.Clock,
+		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: p.newsMaxAge(s), StartWait: p.gateways.listWait,
 		OnSwitch: p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
 			o.Metrics.ConfigTransfer(string(from), bytes, err)
 		},
@@ -82,13 +88,15 @@
 	s := o.Settings
 	l := leaderRole{lease: lease.New(o.Store, o.Clock, lease.Options{
 		Name: leaseName, Holder: s.ID, Addr: s.PeerListen, TTL: s.LeaseTTL.Std(),
+		Delay: func() time.Duration { return p.gateways.contentionDelay(p.leaderAddr()) },
 	})}
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
 		Clock: o.Clock, MaxAge: s.WatchTime.Std() / 2, IsWatcher: l.isHeld,
-		OnSwitch: p.lines.watchSwitched, Digest: p.servers.digest,
+		OnSwitch: p.lines.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
+		ExtraAge: func() time.Duration { return p.gateways.extraAge(p.leaderAddr(), s.WatchTime.Std()/2) },
 	})
 	l.placer = placer.New(placer.Options{
-		Lease: l.lease, Keys: l.fanout.View(o.OwnKeys, true), Engines: o.Engines, Registry: &p.servers.registry,
+		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.OwnKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
 	})
 	return l
@@ -100,16 +108,36 @@
 	return held
 }
 
-// newsReports is how many reports in a row may bring no news of the configuration before a
-// gateway reads it from the store itself. Chosen, not measured.
-const newsReports = 3
+// leaderAddr returns where the leader takes messages, as far as that is known: as it replied itself,
+// or else as the lease's record says.
+func (p *parts) leaderAddr() string {
+	record, own := p.leader.placer.Leader()
+	if own {
+		return p.gateways.self
+	}
+	return p.gateways.leaderOr(record)
+}
+
+// probePause returns for how long this gateway does not ask a store that failed.
+func (p *parts) probePause() time.Duration {
+	if p.leader.isHeld() {
+		return 0
+	}
+	return p.gateways.probePause(p.leaderAddr())
+}
 
 // newsMaxAge returns a function that returns how old the news of the configuration may be: half
-// of a watch, as for all that is watched for others, and longer where so many gateways report
-// that each reports seldom (docs/CAPACITY.md).
-func newsMaxAge(s config.Gateway, gateways *directory) func() time.Duration {
-	return func() time.Duration {
-		return max(s.WatchTime.Std()/2, newsReports*placer.ReportInterval(gateways.count()))
+// of a watch, as for all that is watched for others, and longer far from the leader.
+func (p *parts) newsMaxAge(s config.Gateway) func() time.Duration {
+	maxAge := s.WatchTime.Std() / 2
+	return func() time.Duration { return maxAge + p.gateways.extraAge(p.leaderAddr(), maxAge) }
+}
+
+// newFeed returns what keeps the view of the store up to date from other gateways.
+func (p *parts) newFeed(o Options) *feed {
+	return &feed{
+		self: o.Settings.PeerListen, gateways: p.gateways, fanout: p.leader.fanout, configs: p.configs, peers: p.peers,
+		isLeader: p.leader.isHeld, leader: p.leaderAddr, clock: o.Clock, log: o.Log, avoided: make(map[string]time.Time),
 	}
 }
 
@@ -133,9 +161,9 @@
 }
 
 // newPeerServer returns what serves other gateways.
-func (p *parts) newPeerServer() *peerServer {
+func (p *parts) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
 		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, leaseKey: p.leader.lease.Key(),
+		dispatcher: p.dispatcher, clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -11,13 +11,14 @@
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/wire"
-	"rockcleat/kv"
 )
 
 // Paths of the interface between gateways.
 const (
 	// pathReport is where gateways report to the leader.
 	pathReport = "/v1/gateway"
+	// pathFeed is where a gateway is asked for what has changed in the store.
+	pathFeed = "/v1/feed"
 	// pathConfig is where a gateway is asked for its configuration.
 	pathConfig = "/v1/config"
 	// pathAdmission is where a gateway is asked for admission at the engines that it owns.
@@ -42,8 +43,6 @@
 	placer.Report
 	// ConfigVersion is the version of the configuration that the gateway holds.
 	ConfigVersion uint64 `json:"config"`
-	// Revisions is up to which revision the gateway knows the prefixes that it follows.
-	Revisions map[string]kv.Revision `json:"seen,omitempty"`
 }
 
 // A replyMessage is the answer to a report.
@@ -53,8 +52,6 @@
 	Leader string `json:"holder,omitempty"`
 	// Config is what the answering gateway knows of the configuration.
 	Config configsync.News `json:"news"`
-	// Changes lists what has changed in the store since Revisions, if the leader answers.
-	Changes map[string]kv.Batch `json:"changes,omitempty"`
 }
 
 // A peerClient calls other gateways; it is a dispatch.Owners and a configsync.Peers.
@@ -75,6 +72,14 @@
 	return reply, err
 }
 
+// feed asks the gateway at an address for what has changed in the store; the answer must begin within
+// a time and then go on without a pause that is longer.
+func (p *peerClient) feed(ctx context.Context, addr string, timeout time.Duration, r feedRequest) (feedReply, error) {
+	var reply feedReply
+	err := p.http.PostWithin(ctx, timeout, addr, pathFeed, r, &reply)
+	return reply, err
+}
+
 // FetchConfig implements configsync.Peers.
 func (p *peerClient) FetchConfig(ctx context.Context, addr string, r configsync.Request) (configsync.Transfer, error) {
 	var t configsync.Transfer
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"rockcleat/clock"
 	"rockcleat/dispatch"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -19,6 +22,7 @@
 	configs    *configsync.Syncer
 	gateways   *directory
 	dispatcher *dispatch.Dispatcher
+	clock      clock.Service
 	// leaseKey is the key of the leader's lease.
 	leaseKey string
 }
@@ -26,14 +30,15 @@
 func (p *peerServer) router() http.Handler {
 	e := server.NewRouter()
 	e.POST(pathReport, p.answerReport)
+	e.POST(pathFeed, p.answerFeed)
 	e.POST(pathConfig, p.answerConfig)
 	e.POST(pathAdmission, p.answerAdmission)
 	return e
 }
 
-// answerReport answers a report: with the leader's reply and what has changed in the store,
-// if this gateway leads, and with the leader's address otherwise; the news of the configuration
-// goes with both. Requests that wait make the leader act soon.
+// answerReport answers a report: with the leader's reply, if this gateway leads, and with the
+// leader's address otherwise; the news of the configuration goes with both. Requests that wait make
+// the leader act soon.
 func (p *peerServer) answerReport(c echo.Context) error {
 	var m reportMessage
 	if err := c.Bind(&m); err != nil {
@@ -41,9 +46,7 @@
 	}
 	p.configs.HeardVersion(m.ConfigVersion, m.Addr)
 	a := replyMessage{Reply: p.placer.Report(m.Report), Config: p.configs.News()}
-	if a.IsLeader {
-		a.Changes = p.changesSince(m.Revisions)
-	} else {
+	if !a.IsLeader {
 		record, _ := p.placer.Leader()
 		a.Leader = p.gateways.leaderOr(record)
 	}
@@ -66,21 +69,43 @@
 	return c.JSON(http.StatusOK, t)
 }
 
-// changesSince returns what the leader knows to have changed in the store; none if gateways
-// watch the store themselves. The leader holds the lease, so the lease's key has not changed
-// up to now.
-func (p *peerServer) changesSince(known map[string]kv.Revision) map[string]kv.Batch {
-	if !p.handsOnChanges() {
-		return nil
+// answerFeed answers a gateway that asks for what has changed in the store, as soon as there is
+// something new for it.
+func (p *peerServer) answerFeed(c echo.Context) error {
+	var r feedRequest
+	if err := c.Bind(&r); err != nil {
+		return err
 	}
-	p.fanout.MarkCurrent(p.leaseKey)
-	return p.fanout.Since(known)
+	p.configs.HeardVersion(r.ConfigVersion, r.Addr)
+	asked := p.clock.Now()
+	p.awaitNews(c.Request().Context(), r, asked)
+	p.markLeaseCurrent()
+	return c.JSON(http.StatusOK, feedReply{
+		Changes: p.fanout.Since(r.Revisions), Config: p.configs.News(), HeldMs: p.clock.Now().Sub(asked).Milliseconds(),
+	})
 }
 
-// handsOnChanges reports whether gateways report so often that what they receive is not too
-// old before their next report; more of them watch the store themselves.
-func (p *peerServer) handsOnChanges() bool {
-	return 2*placer.ReportInterval(p.gateways.count()) <= p.fanout.MaxAge()
+// awaitNews waits until there is something new for a gateway, at most for feedHold of its time.
+func (p *peerServer) awaitNews(ctx context.Context, r feedRequest, asked time.Time) {
+	known := p.fanout.NewestView(r.Revisions)
+	maxAge := p.fanout.MaxAge()
+	end := asked.Add(feedHold(maxAge))
+	for ctx.Err() == nil {
+		changed := p.fanout.Changed()
+		left := end.Sub(p.clock.Now())
+		if left <= 0 || p.fanout.HasNews(r.Revisions, maxAge/feedSteps, known) || p.configs.News().Version > r.ConfigVersion {
+			return
+		}
+		clock.Await(ctx, p.clock, changed, left)
+	}
+}
+
+// markLeaseCurrent notes that the lease's key has not changed up to now, if this gateway holds the
+// lease.
+func (p *peerServer) markLeaseCurrent() {
+	if _, leads := p.placer.Leader(); leads {
+		p.fanout.MarkCurrent(p.leaseKey)
+	}
 }
 
 // hasWaiting reports whether a gateway has requests that wait for a server.
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -110,7 +110,7 @@
 	m, demands := r.message()
 	requested := r.clock.Now()
 	reply, err := r.peers.report(ctx, addr, reportMessage{
-		Report: m, ConfigVersion: r.configs.News().Version, Revisions: r.fanout.Revisions(),
+		Report: m, ConfigVersion: r.configs.News().Version,
 	})
 	if err != nil {
 		r.noReply(addr, err)
@@ -120,12 +120,12 @@
 	r.answered(addr)
 	r.placer.NotePeerReply(addr, !reply.IsLeader)
 	r.configs.Heard(reply.Config, addr, requested)
-	if reply.IsLeader {
-		r.fanout.Apply(reply.Changes, requested)
-	} else {
+	r.noteLeader(addr, reply)
+	if !reply.IsLeader && r.gateways.depth(r.leader) <= 1 {
+		// The leader that this gateway followed is none any more. The first level looks for the next
+		// one at the store; the others hear of it from there.
 		r.fanout.Invalidate()
 	}
-	r.noteLeader(addr, reply)
 	r.apply(reply.Reply, demands)
 }
 
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -1,6 +1,11 @@
 package kv
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Bounds of the changes kept for one prefix. Chosen, not measured: a gateway of the grown
 // sites has 64 MB at most (docs/CAPACITY.md), and whoever is further behind lists anew.
@@ -20,6 +25,10 @@
 	// same for what another process handed on: what this process has watched itself
 	// does not spare it the next watch.
 	currentAt, receivedAt time.Time
+	// entries are all that stand under the prefix as of to, if complete; those whose changes
+	// were left out may be older.
+	entries  map[string]Entry
+	complete bool
 	// digests are those of the entries, if the Fanout has a Digest.
 	digests map[string]uint64
 	// filtered says that changes after floor were left out here or by the sender:
@@ -63,6 +72,61 @@
 	return nil
 }
 
+// reset sets the whole prefix as it was at a revision.
+func (l *changeLog) reset(entries []Entry, at Revision) {
+	l.floor, l.to, l.events, l.filtered = at, at, nil, false
+	l.entries = make(map[string]Entry, len(entries))
+	for _, e := range entries {
+		l.entries[e.Key] = e
+	}
+	l.complete = true
+	l.digests = make(map[string]uint64)
+}
+
+// set applies a change to the entries.
+func (l *changeLog) set(e Event) {
+	switch {
+	case !l.complete:
+	case e.Deleted:
+		delete(l.entries, e.Entry.Key)
+	default:
+		l.entries[e.Entry.Key] = e.Entry
+	}
+}
+
+// all returns the entries in the order of their keys.
+func (l *changeLog) all() []Entry {
+	list := slices.Collect(maps.Values(l.entries))
+	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
+
+// batch returns what has changed after a revision, or everything if that is not known; it reports
+// false if neither is.
+func (l *changeLog) batch(after Revision, now time.Time) (Batch, bool) {
+	b := Batch{From: after, To: max(l.to, after), Filtered: l.filtered, AgeMs: now.Sub(l.currentAt).Milliseconds()}
+	switch {
+	case l.to == 0:
+		return Batch{}, false
+	case after >= l.floor:
+		b.Events = l.after(after)
+	case l.complete:
+		b.Full = true
+		for _, e := range l.all() {
+			b.Events = append(b.Events, Event{Entry: e})
+		}
+	default:
+		return Batch{}, false
+	}
+	return b, true
+}
+
+// isChangedAfter reports whether changes after a revision are kept.
+func (l *changeLog) isChangedAfter(rev Revision) bool {
+	n := len(l.events)
+	return n > 0 && l.events[n-1].Entry.Revision > rev
+}
+
 // notify wakes the watches that wait for a change.
 func (l *changeLog) notify() {
 	close(l.changed)
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -12,6 +12,12 @@
 	Clock clock.Service
 	// MaxAge is how old a view may be that watches are answered from.
 	MaxAge time.Duration
+	// ExtraAge, if not nil, returns how much older it may be in this process: those that are far
+	// from the watcher leave it to the nearer ones to ask the service first.
+	ExtraAge func() time.Duration
+	// ListWait, if not nil, returns how long the first list of a prefix waits for what another
+	// process hands on before it goes to the service.
+	ListWait func() time.Duration
 	// IsWatcher reports whether this process watches the service for the others; it
 	// must be safe for concurrent use.
 	IsWatcher func() bool
@@ -34,6 +40,8 @@
 
 	mu   sync.Mutex
 	logs map[string]*changeLog
+	// changed is closed when anything changes.
+	changed chan struct{}
 }
 
 // A Batch holds the changes of one prefix that one Fanout hands to another.
@@ -42,6 +50,8 @@
 	From   Revision `json:"from"`
 	To     Revision `json:"at"`
 	Events []Event  `json:"events,omitempty"`
+	// Full says that Events are all entries as they stood at To instead.
+	Full bool `json:"full,omitempty"`
 	// Filtered says that changes which do not matter to others are left out.
 	Filtered bool `json:"left,omitempty"`
 	// AgeMs is how long ago these surely were all changes, in milliseconds.
@@ -50,12 +60,20 @@
 
 // NewFanout returns a Fanout that knows nothing.
 func NewFanout(o FanoutOptions) *Fanout {
-	return &Fanout{opts: o, logs: make(map[string]*changeLog)}
+	return &Fanout{opts: o, logs: make(map[string]*changeLog), changed: make(chan struct{})}
 }
 
-// MaxAge returns how old a view may be that watches are answered from.
+// MaxAge returns how old a view may be that watches are answered from, without the extra of a process.
 func (f *Fanout) MaxAge() time.Duration { return f.opts.MaxAge }
 
+// maxAge returns how old a view may be that watches are answered from in this process.
+func (f *Fanout) maxAge() time.Duration {
+	if f.opts.ExtraAge == nil {
+		return f.opts.MaxAge
+	}
+	return f.opts.MaxAge + f.opts.ExtraAge()
+}
+
 // View returns the service as seen through the Fanout. A steady prefix is one that only
 // the watching process itself changes, so that its watches need no short rounds.
 func (f *Fanout) View(s PrefixStore, steady bool) PrefixStore {
@@ -73,8 +91,8 @@
 	return known
 }
 
-// Since returns what has changed after the revisions that another process knows;
-// prefixes whose changes since then are not all known are left out.
+// Since returns what has changed after the revisions that another process knows, and all entries of
+// prefixes of which it knows too little; prefixes that are not known here are left out.
 func (f *Fanout) Since(known map[string]Revision) map[string]Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,27 +100,87 @@
 	out := make(map[string]Batch, len(known))
 	for prefix, after := range known {
 		l := f.logs[prefix]
-		if l == nil || after < l.floor {
+		if l == nil {
 			continue
 		}
-		out[prefix] = Batch{
-			From: after, To: max(l.to, after), Events: l.after(after), Filtered: l.filtered,
-			AgeMs: now.Sub(l.currentAt).Milliseconds(),
+		if b, ok := l.batch(after, now); ok {
+			out[prefix] = b
 		}
 	}
 	return out
 }
 
-// Apply applies what another process handed on; requested is when it was asked.
-func (f *Fanout) Apply(batches map[string]Batch, requested time.Time) {
+// HasNews reports whether another process should be sent what is known now: something has changed
+// after the revisions that it knows, or the view of a prefix is by an amount newer than at a time.
+func (f *Fanout) HasNews(known map[string]Revision, newer time.Duration, than time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for prefix, after := range known {
+		l := f.logs[prefix]
+		if l == nil || l.to == 0 {
+			continue
+		}
+		if after < l.floor && l.complete || l.isChangedAfter(after) || l.currentAt.Sub(than) >= newer {
+			return true
+		}
+	}
+	return false
+}
+
+// NewestView returns up to which time the freshest of some prefixes is known.
+func (f *Fanout) NewestView(known map[string]Revision) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var newest time.Time
+	for prefix := range known {
+		if l := f.logs[prefix]; l != nil && l.currentAt.After(newest) {
+			newest = l.currentAt
+		}
+	}
+	return newest
+}
+
+// Changed returns a channel that is closed when anything changes, also how current the view is.
+func (f *Fanout) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Apply applies what another process handed on; currentAsOf is the latest time at which the batches
+// surely were made.
+func (f *Fanout) Apply(batches map[string]Batch, currentAsOf time.Time) {
 	for prefix, b := range batches {
-		currentAt := requested.Add(-time.Duration(b.AgeMs) * time.Millisecond)
+		currentAt := currentAsOf.Add(-time.Duration(b.AgeMs) * time.Millisecond)
+		if b.Full {
+			f.reset(prefix, entriesOf(b.Events), b.To, currentAt)
+			f.markReceived(prefix, currentAt)
+			continue
+		}
 		if f.appendBatch(prefix, b, currentAt) {
 			f.markReceived(prefix, currentAt)
 		}
 	}
 }
 
+func entriesOf(events []Event) []Entry {
+	list := make([]Entry, len(events))
+	for i, e := range events {
+		list[i] = e.Entry
+	}
+	return list
+}
+
+// IsOld reports whether something of what another process handed on is too old to rely on.
+func (f *Fanout) IsOld(batches map[string]Batch) bool {
+	for _, b := range batches {
+		if b.AgeMs > f.opts.MaxAge.Milliseconds() {
+			return true
+		}
+	}
+	return false
+}
+
 // MarkCurrent notes that nothing under a prefix has changed up to now.
 func (f *Fanout) MarkCurrent(prefix string) {
 	f.mu.Lock()
@@ -119,6 +197,23 @@
 	for _, l := range f.logs {
 		l.notify()
 	}
+	f.notify()
+}
+
+// notify wakes whoever waits for Changed. The Fanout is locked.
+func (f *Fanout) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// log returns the log of a prefix, an empty one if it was not asked for before. The Fanout is locked.
+func (f *Fanout) log(prefix string) *changeLog {
+	l := f.logs[prefix]
+	if l == nil {
+		l = &changeLog{changed: make(chan struct{})}
+		f.logs[prefix] = l
+	}
+	return l
 }
 
 // Invalidate makes watches go to the service until a newer view is handed on.
@@ -135,27 +230,24 @@
 func (f *Fanout) reset(prefix string, entries []Entry, at Revision, currentAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l := f.logs[prefix]
-	if l == nil {
-		l = &changeLog{changed: make(chan struct{})}
-		f.logs[prefix] = l
-	}
+	l := f.log(prefix)
 	if at < l.to {
 		return
 	}
-	l.floor, l.to, l.events, l.currentAt, l.filtered = at, at, nil, currentAt, false
-	l.digests = make(map[string]uint64)
+	l.reset(entries, at)
+	l.currentAt = currentAt
 	for _, e := range entries {
 		f.matters(prefix, l, Event{Entry: e})
 	}
 	l.notify()
+	f.notify()
 }
 
 // markReceived notes that what is known of a prefix was handed on and current at a time.
 func (f *Fanout) markReceived(prefix string, currentAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if l := f.logs[prefix]; currentAt.After(l.receivedAt) {
+	if l := f.log(prefix); currentAt.After(l.receivedAt) {
 		l.receivedAt = currentAt
 		l.notify()
 	}
@@ -171,13 +263,14 @@
 		return false
 	}
 	if b.From > l.to {
-		l.floor, l.events = b.From, nil
+		l.floor, l.events, l.complete = b.From, nil, false
 	}
 	l.filtered = l.filtered || b.Filtered
 	for _, e := range b.Events {
 		if e.Entry.Revision <= l.to {
 			continue
 		}
+		l.set(e)
 		if !f.matters(prefix, l, e) {
 			l.filtered = true
 			continue
@@ -190,6 +283,7 @@
 		l.currentAt = currentAt
 	}
 	l.notify()
+	f.notify()
 	return true
 }
 
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -31,6 +31,9 @@
 
 // ListPrefix implements PrefixStore.
 func (v *fanoutView) ListPrefix(ctx context.Context, prefix string) ([]Entry, Revision, error) {
+	if entries, at, ok := v.fanout.received(ctx, prefix); ok {
+		return entries, at, nil
+	}
 	began := v.fanout.opts.Clock.Now()
 	entries, at, err := v.store.ListPrefix(ctx, prefix)
 	if err == nil {
@@ -39,6 +42,33 @@
 	return entries, at, err
 }
 
+// received returns all entries under a prefix as another process has handed them on lately. While
+// nothing is known of the prefix it waits for that.
+func (f *Fanout) received(ctx context.Context, prefix string) ([]Entry, Revision, bool) {
+	wait := time.Duration(0)
+	if f.opts.ListWait != nil {
+		wait = f.opts.ListWait()
+	}
+	end := f.opts.Clock.Now().Add(wait)
+	for ctx.Err() == nil && !f.opts.IsWatcher() {
+		f.mu.Lock()
+		l := f.log(prefix)
+		now := f.opts.Clock.Now()
+		if l.complete && now.Sub(l.receivedAt) < f.maxAge() {
+			entries, at := l.all(), l.to
+			f.mu.Unlock()
+			return entries, at, true
+		}
+		isKnown, changed := l.to > 0, l.changed
+		f.mu.Unlock()
+		if isKnown || !now.Before(end) {
+			break
+		}
+		clock.Await(ctx, f.opts.Clock, changed, end.Sub(now))
+	}
+	return nil, 0, false
+}
+
 // WatchPrefix implements PrefixStore.
 func (v *fanoutView) WatchPrefix(
 	ctx context.Context, prefix string, after Revision, wait time.Duration,
@@ -47,6 +77,9 @@
 	end := f.opts.Clock.Now().Add(wait)
 	for ctx.Err() == nil {
 		c := f.cached(prefix, after)
+		if c.listAnew {
+			return nil, after, ErrCompacted
+		}
 		if len(c.events) > 0 {
 			f.noteMode(prefix, !f.opts.IsWatcher())
 			return c.events, c.to, nil
@@ -90,6 +123,8 @@
 	to     Revision
 	// validFor is for how long the watch may wait here when there are no events.
 	validFor time.Duration
+	// listAnew says that the changes are not known but all entries are.
+	listAnew bool
 	// changed is closed when there is something new.
 	changed <-chan struct{}
 }
@@ -99,9 +134,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.logs[prefix]
-	if l == nil || after < l.floor {
+	if l == nil {
 		return cachedChanges{}
 	}
+	isFresh := !f.opts.IsWatcher() && f.opts.Clock.Now().Sub(l.receivedAt) < f.maxAge()
+	if after < l.floor {
+		return cachedChanges{listAnew: isFresh && l.complete}
+	}
 	if events := l.after(after); len(events) > 0 {
 		return cachedChanges{events: events, to: l.to}
 	}
@@ -109,7 +148,7 @@
 		return cachedChanges{}
 	}
 	age := f.opts.Clock.Now().Sub(l.receivedAt)
-	return cachedChanges{validFor: f.opts.MaxAge - age, changed: l.changed}
+	return cachedChanges{validFor: f.maxAge() - age, changed: l.changed}
 }
 
 // watchService watches the service itself and keeps what it returns.
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"rockcleat/clock"
@@ -32,6 +33,9 @@
 		if _, held := h.Held(); !held && !w.await(ctx) {
 			return
 		}
+		if w.leaveToOthers(ctx); w.isTaken() {
+			continue
+		}
 		if err := h.Step(ctx); err != nil {
 			clock.Sleep(ctx, h.clock, callRetryPause/2+rand.N(callRetryPause))
 			w.signal()
@@ -48,6 +52,35 @@
 type watcher struct {
 	holder *Holder
 	free   chan struct{}
+	// taken says that another process has the lease, as the key was seen last.
+	taken atomic.Bool
+}
+
+// leaveToOthers waits for the time for which this process leaves a free lease to others.
+func (w *watcher) leaveToOthers(ctx context.Context) {
+	if _, held := w.holder.Held(); held || w.holder.opts.Delay == nil {
+		return
+	}
+	clock.Sleep(ctx, w.holder.clock, w.holder.opts.Delay())
+}
+
+// isTaken reports whether another process has the lease.
+func (w *watcher) isTaken() bool {
+	_, held := w.holder.Held()
+	return !held && w.taken.Load()
+}
+
+// note notes whose record stands under the key. The record of a holder that does not hold the lease
+// any more is that of its own former life: it ends with its ttl.
+func (w *watcher) note(e kv.Entry) {
+	w.holder.noteOther(e)
+	w.taken.Store(true)
+}
+
+// noteFree notes that there is no record.
+func (w *watcher) noteFree() {
+	w.taken.Store(false)
+	w.signal()
 }
 
 // await waits until the lease may be free and reports whether ctx still goes on.
@@ -72,11 +105,11 @@
 func (w *watcher) Replace(entries []kv.Entry) {
 	for _, e := range entries {
 		if e.Key == w.holder.Key() {
-			w.holder.noteOther(e)
+			w.note(e)
 			return
 		}
 	}
-	w.signal()
+	w.noteFree()
 }
 
 // Apply implements kv.Follower.
@@ -85,9 +118,9 @@
 		switch {
 		case e.Entry.Key != w.holder.Key():
 		case e.Deleted:
-			w.signal()
+			w.noteFree()
 		default:
-			w.holder.noteOther(e.Entry)
+			w.note(e.Entry)
 		}
 	}
 }
--- a/lease/campaign_test.go
+++ b/lease/campaign_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,3 +107,54 @@
 	// Each forgetting costs each of the two a list and a watch, and no more.
 	assert.Assert(t, store.Calls("watch")-watches <= 8, "%d watches", store.Calls("watch")-watches)
 }
+
+// countingGrants counts the leases that are asked for.
+type countingGrants struct {
+	kv.Store
+	grants atomic.Int64
+}
+
+// Grant implements kv.Store.
+func (s *countingGrants) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	s.grants.Add(1)
+	return s.Store.Grant(ctx, ttl)
+}
+
+// TestOthersLeaveAFreeLease checks that processes which leave a free lease to others do not contend
+// once one of those has taken it, and that they do when nobody takes it.
+func TestOthersLeaveAFreeLease(t *testing.T) {
+	const patience = 500 * time.Millisecond
+	patient := func(s kv.Store, name string) *lease.Holder {
+		return lease.New(s, clock.Real{}, lease.Options{
+			Name: "role", Holder: name, TTL: shortTTL, Delay: func() time.Duration { return patience },
+		})
+	}
+	t.Run("taken by another", func(t *testing.T) {
+		store := kvtest.New(clock.Real{})
+		counted := &countingGrants{Store: store}
+		holders := make([]*lease.Holder, 5)
+		for i := range holders {
+			holders[i] = patient(counted, fmt.Sprint("patient", i))
+			go holders[i].Campaign(t.Context(), store)
+		}
+		first := contender(store, "first")
+		go first.Campaign(t.Context(), store)
+		poll.WaitOn(t, holds(first, true))
+		for _, h := range holders {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if h.OtherHolder().Holder != "first" {
+					return poll.Continue("the holder is not known")
+				}
+				return poll.Success()
+			})
+		}
+		clock.Sleep(t.Context(), clock.Real{}, 2*patience)
+		assert.Equal(t, counted.grants.Load(), int64(0))
+	})
+	t.Run("taken by nobody", func(t *testing.T) {
+		store := kvtest.New(clock.Real{})
+		h := patient(store, "patient")
+		go h.Campaign(t.Context(), store)
+		poll.WaitOn(t, holds(h, true))
+	})
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -45,6 +45,9 @@
 	Addr   string
 	// TTL is the time after which the service ends a lease that is not renewed.
 	TTL time.Duration
+	// Delay, if not nil, returns how long this process leaves a free lease to others, so that not
+	// all of many contend at once.
+	Delay func() time.Duration
 }
 
 // A Holder contends for one lease; it is safe for concurrent use.
