Prefill speeds are learned once for all gateways; one retry budget at any number of them

Cause: each gateway learned models' prefill speeds alone, so that with 103 gateways and 252 models few models ever got near theirs, the busiest one a ninth of what is assumed.

Change: no part in the first window after a restart nor without a list; the largest number of gateways counts for a minute; a gateway that knows nobody else asks the one of the record again, and those of its settings.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -56,7 +56,7 @@
 	owners      owners
 	waiting     waitQueue
 	demand      demandCounters
-	speeds      prefillSpeeds
+	speeds      speedBook
 	// shedders holds how requests of each service are served.
 	shedders map[string]*shedder
 	// nextServe is when waiting requests are looked at next; zero if that is not set.
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -4,7 +4,7 @@
 // A Dispatcher joins one type a job: the choice of a server (Candidate, Choose), admission
 // at the engines that this gateway owns (Admit, AdmissionRequest), the order of waiting
 // requests (waitQueue), load shedding by priority (shedder), what an engine is expected to
-// prefill and when (prefillQueue, prefillSpeeds), which prefixes it has cached
+// prefill and when (prefillQueue, PrefillSpeeds), which prefixes it has cached
 // (prefixCache) and what was asked of each model (demandCounters).
 //
 // It owns what this process has sent and not finished, and who waits. What other processes
--- a/dispatch/prefill_speed.go
+++ b/dispatch/prefill_speed.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "maps"
+
 // How a model's prefill speed is followed (docs/MEASUREMENTS.md, P4); the times of an
 // engine are those of docs/design/0009.
 const (
@@ -19,39 +21,129 @@
 	minSpeed = 0.002
 )
 
-// prefillSpeeds keeps each model's time to prefill one prompt token, in milliseconds.
+// A PrefillSample is one observation of how long a model took to prefill.
+type PrefillSample struct {
+	Model string `json:"m"`
+	// MsPerToken is the time from a send to its first byte, less a step, by the length of what was
+	// not cached of the prompt, in milliseconds a token.
+	MsPerToken float64 `json:"t"`
+}
+
+// newPrefillSample returns the sample of one answer; it reports false if the prompt was too short to
+// show the speed.
+func newPrefillSample(model string, tokens int, firstByte Milliseconds) (PrefillSample, bool) {
+	if tokens < minSampleTokens {
+		return PrefillSample{}, false
+	}
+	return PrefillSample{Model: model, MsPerToken: float64(max(firstByte-firstStepTime, 0)) / float64(tokens)}, true
+}
+
+// PrefillSpeeds keeps each model's time to prefill one prompt token, in milliseconds.
+//
+// One gateway of many sees few samples of each model: with 103 gateways and 252 models few models
+// ever got near their speed, which for the busiest one is a ninth of initialSpeed, and engines that
+// ran 46 of 100 of their slots refused requests since their prompts were thought nine times as long.
+// So gateways pass their samples to the leader, which learns from all of them and tells all.
 //
-// Its zero value is ready to use.
-type prefillSpeeds struct {
+// Its zero value is ready to use. It is not safe for concurrent use.
+type PrefillSpeeds struct {
 	byModel map[string]float64
 }
 
-func (s *prefillSpeeds) of(model string) float64 {
+// Of returns a model's speed, initialSpeed for one that has not been seen.
+func (s *PrefillSpeeds) Of(model string) float64 {
 	if v, ok := s.byModel[model]; ok {
 		return v
 	}
 	return initialSpeed
 }
 
-// prefillTime returns the time to prefill a number of tokens.
-func (s *prefillSpeeds) prefillTime(model string, tokens int) Milliseconds {
-	return Milliseconds(s.of(model) * float64(tokens))
-}
+// Known returns the speeds of the models that have been seen.
+func (s *PrefillSpeeds) Known() map[string]float64 { return maps.Clone(s.byModel) }
 
-// observe counts a sample: the time from a send to its first byte. The speed follows a
-// quantile of the samples: it falls by a large step and rises by a small one.
-func (s *prefillSpeeds) observe(model string, tokens int, firstByte Milliseconds) {
-	if tokens < minSampleTokens {
-		return
-	}
+// Set sets a model's speed.
+func (s *PrefillSpeeds) Set(model string, speed float64) {
 	if s.byModel == nil {
 		s.byModel = make(map[string]float64)
 	}
-	v := s.of(model)
-	if sample := float64(max(firstByte-firstStepTime, 0)) / float64(tokens); sample < v {
+	s.byModel[model] = max(speed, minSpeed)
+}
+
+// Observe counts a sample. The speed follows a quantile of the samples: it falls by a large step and
+// rises by a small one.
+func (s *PrefillSpeeds) Observe(x PrefillSample) {
+	v := s.Of(x.Model)
+	if x.MsPerToken < v {
 		v *= 1 - speedStep*(1-speedQuantile)
 	} else {
 		v *= 1 + speedStep*speedQuantile
 	}
-	s.byModel[model] = max(v, minSpeed)
+	s.Set(x.Model, v)
+}
+
+// prefillTime returns the time to prefill a number of tokens.
+func (s *PrefillSpeeds) prefillTime(model string, tokens int) Milliseconds {
+	return Milliseconds(s.Of(model) * float64(tokens))
+}
+
+// maxSamples bounds the samples that are kept until they are taken: some ten times what one gateway
+// sees between two reports. Chosen, not measured.
+const maxSamples = 128
+
+// A speedBook holds the speeds that one gateway reckons with: those that were learned from all
+// gateways' samples, and its own as long as there are none.
+type speedBook struct {
+	PrefillSpeeds
+	// shared names the models whose speeds were learned from all gateways.
+	shared map[string]bool
+	// samples are those that have not been taken yet.
+	samples []PrefillSample
+}
+
+// note counts a sample of this gateway's own.
+func (b *speedBook) note(x PrefillSample) {
+	if len(b.samples) < maxSamples {
+		b.samples = append(b.samples, x)
+	}
+	if !b.shared[x.Model] {
+		b.Observe(x)
+	}
+}
+
+// share sets speeds that were learned from all gateways.
+func (b *speedBook) share(speeds map[string]float64) {
+	if b.shared == nil {
+		b.shared = make(map[string]bool)
+	}
+	for model, speed := range speeds {
+		b.shared[model] = true
+		b.Set(model, speed)
+	}
+}
+
+// TakePrefillSamples returns the samples since the last call. What its caller loses only makes the
+// speeds follow more slowly.
+func (d *Dispatcher) TakePrefillSamples() []PrefillSample {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	samples := d.speeds.samples
+	d.speeds.samples = nil
+	return samples
+}
+
+// SetPrefillSpeeds sets the speeds of models that were learned from all gateways' samples.
+func (d *Dispatcher) SetPrefillSpeeds(speeds map[string]float64) {
+	if len(speeds) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.speeds.share(speeds)
+}
+
+// PrefillSpeeds returns the speeds that this gateway reckons with.
+func (d *Dispatcher) PrefillSpeeds() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.speeds.Known()
 }
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -80,8 +80,8 @@
 	if !r.prefillEnd.IsZero() {
 		r.load.prefill.finish(r.prefillEnd, now.Add(-firstStepTime.Duration()))
 	}
-	if r.prefillTokens > 0 {
-		r.d.speeds.observe(r.req.Model, r.prefillTokens, InMilliseconds(now.Sub(r.sent)))
+	if x, ok := newPrefillSample(r.req.Model, r.prefillTokens, InMilliseconds(now.Sub(r.sent))); ok {
+		r.d.speeds.note(x)
 	}
 	r.d.serve()
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -90,6 +90,13 @@
 	return max(d.number, 1)
 }
 
+// isListed reports whether the list of gateways is known.
+func (d *directory) isListed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.addrs) > 0
+}
+
 // addr returns where a gateway takes messages; empty if that is not known.
 func (d *directory) addr(id string) string {
 	d.mu.Lock()
@@ -97,11 +104,16 @@
 	return d.addrs[id]
 }
 
-// random returns where any other gateway but one takes messages; empty if there is none.
+// random returns where any other gateway but one takes messages, by the list or else by the settings;
+// empty if there is none.
 func (d *directory) random(but string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := slices.DeleteFunc(slices.Clone(d.others), func(addr string) bool { return addr == but })
+	others := d.others
+	if len(others) == 0 {
+		others = d.seeds
+	}
+	list := slices.DeleteFunc(slices.Clone(others), func(addr string) bool { return addr == but })
 	if len(list) == 0 {
 		return ""
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -186,7 +186,7 @@
 	s.Listen, s.ReadyListen, s.PeerListen, s.Store = freeAddr(), freeAddr(), freeAddr(), "127.0.0.1:1"
 	s.Grace = config.Duration(4 * time.Second)
 	s.BodyTime = config.Duration(150 * time.Millisecond)
-	s.Gateways, s.Retry.Fixed = 1, 100
+	s.FirstStart, s.Gateways, s.Retry.Fixed = true, 1, 100
 	return s
 }
 
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -51,7 +51,7 @@
 		health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
-	p.budgets = newRetryBudgets(s.Retry, o.Clock, p.gateways)
+	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
 	p.peers = newPeerClient(p.gateways, o.Peers)
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
@@ -98,6 +98,7 @@
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.OwnKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
+		PrefillSpeeds: p.dispatcher.PrefillSpeeds,
 	})
 	return l
 }
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -62,6 +62,7 @@
 	term             int64
 	gatewaysVersion  uint64
 	residencyVersion int64
+	speedsVersion    int64
 	reported         map[string]dispatch.Demand
 }
 
@@ -158,7 +159,16 @@
 	case r.record != "" && r.record != r.self.addr && r.record != r.oldRecord:
 		return r.record
 	}
-	return r.gateways.random(r.oldRecord)
+	if addr := r.gateways.random(r.oldRecord); addr != "" {
+		return addr
+	}
+	// Nobody else is known: the gateway of the record may have become the leader again. After a
+	// restart of all gateways those that knew no other never reported to it, for they had asked it
+	// before it led.
+	if r.record != r.self.addr {
+		return r.record
+	}
+	return ""
 }
 
 // noReply forgets a leader that did not reply, and asks another gateway next every other
@@ -198,6 +208,7 @@
 	return placer.Report{
 		GatewayID: r.self.id, Addr: r.self.addr, Hall: r.self.hall, ResidencyVersion: r.residencyVersion,
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
+		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
 	}, demands
 }
 
@@ -212,6 +223,7 @@
 		r.dispatcher.SetGateways(r.gateways.set(a.Gateways))
 	}
 	r.servers.refresh()
+	r.dispatcher.SetPrefillSpeeds(a.Speeds)
 	r.dispatcher.SetRemote(a.Loads, a.BusiestOnly)
 }
 
@@ -220,6 +232,7 @@
 func (r *reporter) remember(a placer.Reply, demands map[string]dispatch.Demand) {
 	r.residencyVersion = a.ResidencyVersion
 	r.gatewaysVersion = a.GatewaysVersion
+	r.speedsVersion = a.SpeedsVersion
 	r.reported = demands
 	if a.Term != r.term {
 		r.term, r.reported = a.Term, nil
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"rockcleat/clock"
 	"rockcleat/internal/config"
@@ -22,10 +23,45 @@
 	mu        sync.Mutex
 	settings  config.Retry
 	byService map[string]*retry.Window
+	// firstStart says that the gateway had no former life; countsFrom is when its budget is over.
+	firstStart bool
+	countsFrom time.Time
+	// most is the largest number of gateways since mostAt.
+	most   int
+	mostAt time.Time
 }
 
-func newRetryBudgets(s config.Retry, c clock.Service, gateways *directory) *retryBudgets {
-	return &retryBudgets{settings: s, clock: c, gateways: gateways, byService: make(map[string]*retry.Window)}
+// newRetryBudgets returns the budgets of a gateway; firstStart says that it had no former life.
+func newRetryBudgets(s config.Retry, firstStart bool, c clock.Service, gateways *directory) *retryBudgets {
+	b := &retryBudgets{
+		settings: s, clock: c, gateways: gateways, byService: make(map[string]*retry.Window),
+		firstStart: firstStart, countsFrom: c.Now(),
+	}
+	if !firstStart {
+		b.countsFrom = b.countsFrom.Add(s.Window.Std())
+	}
+	return b
+}
+
+// countMemory is for how many windows the largest number of gateways counts: those that are cut off,
+// or that a new leader has not heard of, still use their part. Chosen, not measured.
+const countMemory = 6
+
+// share returns the part of the fixed number that is this gateway's own, 0 to 1: none in the first
+// window after a restart, since it does not know what it used before, nor as long as it does not know how
+// many gateways there are. A third of 103 gateways that restarted together and took six for their number
+// sent 2,125 requests again within ten seconds, where 1,877 were allowed.
+func (b *retryBudgets) share(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	window := b.settings.Window.Std()
+	if now.Before(b.countsFrom) || !b.firstStart && !b.gateways.isListed() {
+		return 0
+	}
+	if n := b.gateways.count(); n >= b.most || now.Sub(b.mostAt) > countMemory*window {
+		b.most, b.mostAt = n, now
+	}
+	return 1 / float64(b.most)
 }
 
 // set sets the settings, forgets all counts if they differ, and reports whether they do.
@@ -61,8 +97,8 @@
 
 // take counts a retry and reports whether the budget has room for it.
 func (b *retryBudgets) take(in *inbound) bool {
-	share := 1 / float64(b.gateways.count())
-	return b.of(in.service.Name).Allow(b.clock.Now(), share)
+	now := b.clock.Now()
+	return b.of(in.service.Name).Allow(now, b.share(now))
 }
 
 // mayRetry reports whether the request may be sent to a further server after one that may
--- /dev/null
+++ b/internal/gateway/retry_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock/clocktest"
+	"rockcleat/dispatch"
+	"rockcleat/internal/config"
+	"rockcleat/internal/placer"
+	"rockcleat/table"
+)
+
+// TestFleetKeepsOneBudget restarts a third of a fleet that knows no leader, and one of its gateways
+// again and again: all of them together repeat no more than is allowed in any window, also when each
+// repeats as much as it may.
+func TestFleetKeepsOneBudget(t *testing.T) {
+	const gateways, restarted = 103, 34
+	settings := config.Retry{Window: config.Duration(10 * time.Second), Ratio: 0.2, Fixed: 246}
+	c := clocktest.New(time.Unix(1000, 0))
+	list := make([]placer.Gateway, gateways)
+	for i := range list {
+		list[i] = placer.Gateway{Gateway: dispatch.Gateway{ID: fmt.Sprint("g", i)}, Addr: fmt.Sprint("a", i)}
+	}
+	start := func(i int, first bool) *retryBudgets {
+		d := newDirectory(list[i].Addr, 6, nil)
+		if first {
+			d.set(list)
+		}
+		return newRetryBudgets(settings, first, c, d)
+	}
+	fleet := make([]*retryBudgets, gateways)
+	for i := range fleet {
+		fleet[i] = start(i, true)
+	}
+	in := &inbound{service: table.Service{Name: "llm"}}
+	repeat := func() (n int) {
+		for _, b := range fleet {
+			for b.take(in) {
+				n++
+			}
+		}
+		return n
+	}
+	repeated := repeat()
+	assert.Assert(t, repeated >= gateways, "each has a part")
+	for i := range restarted {
+		fleet[i] = start(i, false)
+	}
+	repeated += repeat()
+	for range 5 {
+		c.Advance(time.Second)
+		fleet[0] = start(0, false)
+		repeated += repeat()
+	}
+	assert.Assert(t, float64(repeated) <= settings.Fixed, "%d in a window", repeated)
+	c.Advance(settings.Window.Std() + time.Second)
+	assert.Equal(t, repeat(), gateways-restarted, "those that know of no others have no part")
+	for _, b := range fleet[:restarted] {
+		b.gateways.set(list)
+	}
+	assert.Equal(t, repeat(), restarted, "then they have theirs again")
+}
+
+// TestFewerGatewaysAreNotBelievedAtOnce checks that a gateway does not take a larger part when the
+// leader knows fewer: those that are cut off from it still use theirs.
+func TestFewerGatewaysAreNotBelievedAtOnce(t *testing.T) {
+	c := clocktest.New(time.Unix(1000, 0))
+	d := newDirectory("a0", 6, nil)
+	list := make([]placer.Gateway, 10)
+	for i := range list {
+		list[i] = placer.Gateway{Gateway: dispatch.Gateway{ID: fmt.Sprint("g", i)}, Addr: fmt.Sprint("a", i)}
+	}
+	d.set(list)
+	window := 10 * time.Second
+	b := newRetryBudgets(config.Retry{Window: config.Duration(window)}, true, c, d)
+	assert.Equal(t, b.share(c.Now()), 0.1)
+	d.set(list[:2])
+	c.Advance(window)
+	assert.Equal(t, b.share(c.Now()), 0.1)
+	c.Advance(countMemory * window)
+	assert.Equal(t, b.share(c.Now()), 0.5)
+}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -22,6 +22,10 @@
 	// of the residency.
 	GatewaysVersion  uint64 `json:"known,omitempty"`
 	ResidencyVersion int64  `json:"residency"`
+	// Samples are what it has seen of models' prefill speeds since its last report, SpeedsVersion is
+	// the version of the speeds that it has.
+	Samples       []dispatch.PrefillSample `json:"prefill,omitempty"`
+	SpeedsVersion int64                    `json:"speeds,omitempty"`
 }
 
 // A Gateway is a gateway that reported lately.
@@ -50,4 +54,8 @@
 	ResidencyVersion int64                        `json:"version"`
 	Full             bool                         `json:"full,omitempty"`
 	Residency        map[string]backend.Residency `json:"residency,omitempty"`
+	// Speeds are the prefill speeds in milliseconds a token that have changed since the version
+	// reported; SpeedsVersion is the new version.
+	SpeedsVersion int64              `json:"speeds,omitempty"`
+	Speeds        map[string]float64 `json:"prefill,omitempty"`
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -54,8 +54,11 @@
 	// FirstStart says that the whole system starts for the first time, so that there was
 	// no leader before.
 	FirstStart bool
-	Clock      clock.Service
-	Log        *zap.Logger
+	// PrefillSpeeds, if not nil, returns the prefill speeds that this process reckons with, for a
+	// new leader to begin with.
+	PrefillSpeeds func() map[string]float64
+	Clock         clock.Service
+	Log           *zap.Logger
 }
 
 // A Placer issues orders to engines while it holds the lease; it is safe for concurrent use.
@@ -73,6 +76,7 @@
 	// successions holds what each service's demand has shown of its order in this term.
 	successions map[string]*residency.Succession
 	storeLoads  storeLoads
+	speeds      speedTable
 	residency   publishedResidency
 	// reportsRequested counts the reports that engines were asked for in this step.
 	reportsRequested int
@@ -122,6 +126,7 @@
 	}
 	now := p.opts.Clock.Now()
 	p.demand.apply(r, now)
+	p.speeds.observe(r.Samples)
 	if p.residency.isDue(now) {
 		p.publish(now)
 	}
@@ -135,6 +140,7 @@
 	}
 	a.Full = versionToken(r.ResidencyVersion) != token
 	a.Residency = p.residency.changedSince(r.ResidencyVersion, a.Full)
+	a.SpeedsVersion, a.Speeds = p.speeds.version, p.speeds.changedSince(r.SpeedsVersion)
 	return a
 }
 
@@ -198,6 +204,7 @@
 	p.leadership.token, p.leadership.since, p.stepped = token, now, now
 	p.storeLoads = storeLoads{startFull: p.isFirst()}
 	p.residency.beginTerm(token)
+	p.speeds.beginTerm(token, p.knownSpeeds())
 	p.plannedAt = make(map[string]time.Time)
 	p.successions = make(map[string]*residency.Succession)
 }
@@ -213,3 +220,11 @@
 	p.demand = newDemand()
 	p.residency.published = nil
 }
+
+// knownSpeeds returns the prefill speeds to begin a term with.
+func (p *Placer) knownSpeeds() map[string]float64 {
+	if p.opts.PrefillSpeeds == nil {
+		return nil
+	}
+	return p.opts.PrefillSpeeds()
+}
