--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -85,8 +85,9 @@
 		if len(e.pending) == 0 || e.accepted && len(e.pending) == 1 {
 			continue
 		}
+		// The load of an abandoned move is gone, its unloads are not.
 		last := e.pending[len(e.pending)-1]
-		if e.source(last.Model) == residency.FromStore {
+		if !last.Unload && e.source(last.Model) == residency.FromStore {
 			n++
 		}
 	}
