--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -139,7 +139,7 @@
 	return a.group("rockcleat", "rockcleat COMMAND [flags] [arguments]",
 		"Show and edit the table of models, and see what the system does with it.",
 		a.group("table", "rockcleat table COMMAND", "Show and edit the table.", a.tableCommands()...),
-		a.statusCommand(), a.whyCommand(), a.traceCommand(),
+		a.statusCommand(), a.whyCommand(), a.traceCommand(), a.summaryCommand(),
 		a.group("config", "rockcleat config COMMAND", "Check settings files.", a.configCheck()),
 		a.completion(),
 	)
--- /dev/null
+++ b/internal/cli/summary.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func (a *app) summaryCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("summary", flag.ContinueOnError)
+	fs.SetOutput(a.err)
+	by := fs.String("by", string(byModel), "what rows stand for: model, route, second or gateway")
+	most := fs.Int("most", 20, "rows to show, those with the most refused requests; 0 shows all")
+	asJSON := fs.Bool("json", false, "print JSON instead of tables")
+	return a.command(help{
+		name: "summary", usage: "summary [-by model|route|second|gateway] [-most N] [-json] FILE...",
+		short:   "Sum up the collected logs of many gateways: requests, moves of models, calls past the leader.",
+		example: "rockcleat summary -by second gateway-*.log",
+	}, fs,
+		func(_ context.Context, args []string) error {
+			return a.summary(args, summaryOptions{by: grouping(*by), most: *most, asJSON: *asJSON})
+		})
+}
+
+// summaryOptions are the flags of a summary.
+type summaryOptions struct {
+	by     grouping
+	most   int
+	asJSON bool
+}
+
+func (a *app) summary(files []string, o summaryOptions) error {
+	if err := need(files, 1, -1, "at least one FILE"); err != nil {
+		return err
+	}
+	if !o.by.isKnown() {
+		return fmt.Errorf("%w: -by takes model, route, second or gateway", errUsage)
+	}
+	s := newSummary(o.by)
+	for _, file := range files {
+		if err := s.readFile(file, a.in); err != nil {
+			return err
+		}
+	}
+	report := s.report(o.most)
+	if o.asJSON {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(report)
+	}
+	return report.print(a.out)
+}
+
+// readFile adds the lines of a file, or of standard input for "-".
+func (s *summary) readFile(file string, in io.Reader) error {
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		in = f
+	}
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		s.add(lines.Bytes())
+	}
+	return lines.Err()
+}
+
+// print writes the report as tables.
+func (r *summaryReport) print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s\trequests\tanswered\trefused\tcut\tother\tno holder\tasked each\tdenied each\twait p50 s\twait p99 s\tfirst byte p50 s\tp99 s\n", r.By)
+	for _, row := range append(r.Rows, r.All) {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\n", row.Name, row.Requests, row.Answered,
+			row.Refused, row.Cut, row.Other, row.NoHolder, row.AskedEach, row.DeniedEach, row.WaitP50, row.WaitP99,
+			row.FirstByteP50, row.FirstByteP99)
+	}
+	m := r.Moves
+	fmt.Fprintf(w, "\nmoves\tplanned\tloaded\tabandoned\tplan to loaded p50 s\tp90 s\n")
+	fmt.Fprintf(w, "\t%d\t%d\t%d\t%.1f\t%.1f\n", m.Planned, m.Loaded, m.Abandoned, m.PlanToLoadedP50, m.PlanToLoadedP90)
+	fmt.Fprintf(w, "\nevent\ttimes\n")
+	for _, e := range r.Events {
+		fmt.Fprintf(w, "%s\t%d\n", e.Name, e.Times)
+	}
+	fmt.Fprintf(w, "\nlines read\t%d\nlines that are not a log's\t%d\n", r.Lines, r.Spoiled)
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/cli/summary_stats.go
@@ -0,0 +1,302 @@
+package cli
+
+import (
+	"bytes"
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+)
+
+// A grouping says what the rows of a summary stand for.
+type grouping string
+
+// The groupings.
+const (
+	byModel   grouping = "model"
+	byRoute   grouping = "route"
+	bySecond  grouping = "second"
+	byGateway grouping = "gateway"
+)
+
+func (g grouping) isKnown() bool {
+	return slices.Contains([]grouping{byModel, byRoute, bySecond, byGateway}, g)
+}
+
+// A summaryLine holds the fields of a log line that a summary needs.
+type summaryLine struct {
+	At      float64 `json:"ts"`
+	VM      string  `json:"vm"`
+	Message string  `json:"msg"`
+	Model   string  `json:"model"`
+	Route   string  `json:"route"`
+	Outcome string  `json:"outcome"`
+	Server  string  `json:"server"`
+	Holders *int    `json:"holders"`
+	Sends   int     `json:"sends"`
+	Asked   int     `json:"asked"`
+	Denied  int     `json:"denied"`
+	WaitedS float64 `json:"waited_s"`
+	FirstS  float64 `json:"first_s"`
+	TotalS  float64 `json:"total_s"`
+}
+
+// Messages that a summary counts by themselves; the others that it knows are countedEvents.
+const (
+	messageRequest   = "request ended"
+	messagePlanned   = "move planned"
+	messageLoaded    = "model loaded"
+	messageAbandoned = "move abandoned"
+)
+
+// countedEvents are the messages that show what a gateway did without the leader or the store, or that
+// something was lost.
+var countedEvents = []string{
+	"leadership gained", "leadership lost", "owner did not answer", "report unanswered", "sent again", "server entry not usable",
+	"server gone", "server restarted", "started", "store no longer followed through", "store unreachable",
+	"watching the store directly",
+}
+
+// A moveKey names a move under way.
+type moveKey struct{ server, model string }
+
+// A summary adds up log lines. Its memory grows with the number of rows and of moves under way, not
+// with that of lines.
+type summary struct {
+	by             grouping
+	all            *requestStats
+	rows           map[string]*requestStats
+	moves          moveStats
+	plannedAt      map[moveKey]float64
+	events         map[string]int
+	lines, spoiled int
+}
+
+func newSummary(by grouping) *summary {
+	s := &summary{
+		by: by, all: &requestStats{}, rows: make(map[string]*requestStats), plannedAt: make(map[moveKey]float64),
+		events: make(map[string]int),
+	}
+	for _, name := range countedEvents {
+		s.events[name] = 0
+	}
+	return s
+}
+
+// add adds one line. What stands before its first brace is passed over; one that is no log line is
+// counted.
+func (s *summary) add(text []byte) {
+	s.lines++
+	i := bytes.IndexByte(text, '{')
+	var l summaryLine
+	if i < 0 || json.Unmarshal(text[i:], &l) != nil || l.Message == "" {
+		s.spoiled++
+		return
+	}
+	switch l.Message {
+	case messageRequest:
+		s.all.add(l)
+		s.row(l).add(l)
+	case messagePlanned:
+		s.moves.planned++
+		s.plannedAt[moveKey{l.Server, l.Model}] = l.At
+	case messageLoaded:
+		s.loaded(l)
+	case messageAbandoned:
+		s.moves.abandoned++
+		delete(s.plannedAt, moveKey{l.Server, l.Model})
+	default:
+		if n, ok := s.events[l.Message]; ok {
+			s.events[l.Message] = n + 1
+		}
+	}
+}
+
+// row returns the row of a request.
+func (s *summary) row(l summaryLine) *requestStats {
+	name := s.name(l)
+	r := s.rows[name]
+	if r == nil {
+		r = &requestStats{}
+		s.rows[name] = r
+	}
+	return r
+}
+
+func (s *summary) name(l summaryLine) string {
+	switch s.by {
+	case byRoute:
+		return l.Route
+	case byGateway:
+		return l.VM
+	case bySecond:
+		arrived := l.At/1000 - l.TotalS
+		return strconv.FormatInt(int64(math.Floor(arrived)), 10)
+	}
+	model, _, _ := strings.Cut(l.Model, "/")
+	return cmp.Or(model, "-")
+}
+
+// loaded counts a model that was loaded.
+func (s *summary) loaded(l summaryLine) {
+	s.moves.loaded++
+	key := moveKey{l.Server, l.Model}
+	if at, ok := s.plannedAt[key]; ok {
+		s.moves.took.add((l.At - at) / 1000)
+		delete(s.plannedAt, key)
+	}
+}
+
+// moveStats counts moves of models; took holds the seconds from plan to loaded.
+type moveStats struct {
+	planned, loaded, abandoned int
+	took                       histogram
+}
+
+// requestStats adds up requests.
+type requestStats struct {
+	requests, answered, refused, cut, noHolder int
+	asked, denied                              int
+	waited, firstByte                          histogram
+}
+
+func (r *requestStats) add(l summaryLine) {
+	r.requests++
+	r.asked += l.Asked
+	r.denied += l.Denied
+	switch l.Outcome {
+	case "answered":
+		r.answered++
+	case "refused":
+		r.refused++
+		if l.Holders != nil && *l.Holders == 0 {
+			r.noHolder++
+		}
+	case "cut":
+		r.cut++
+	}
+	if l.Sends == 0 {
+		r.waited.add(l.TotalS)
+		return
+	}
+	r.waited.add(l.WaitedS)
+	if l.FirstS > 0 {
+		r.firstByte.add(l.FirstS)
+	}
+}
+
+// Buckets of a histogram: their bounds grow by a tenth from a millisecond on, to some hours.
+const (
+	bucketGrowth = 1.1
+	firstBucket  = 0.001
+	buckets      = 180
+)
+
+// A histogram counts durations in seconds, with an error of a tenth.
+type histogram struct {
+	counts [buckets]int
+	n      int
+}
+
+func (h *histogram) add(seconds float64) {
+	i := 0
+	if seconds > firstBucket {
+		i = int(math.Log(seconds/firstBucket)/math.Log(bucketGrowth)) + 1
+	}
+	h.counts[min(i, buckets-1)]++
+	h.n++
+}
+
+// quantile returns the upper bound of the bucket that holds a quantile; 0 without durations.
+func (h *histogram) quantile(q float64) float64 {
+	left := q * float64(h.n)
+	for i, n := range h.counts {
+		left -= float64(n)
+		if n > 0 && left <= 0 {
+			return firstBucket * math.Pow(bucketGrowth, float64(i))
+		}
+	}
+	return 0
+}
+
+// A summaryRow is one row of a report; times are in seconds.
+type summaryRow struct {
+	Name         string  `json:"name"`
+	Requests     int     `json:"requests"`
+	Answered     int     `json:"answered"`
+	Refused      int     `json:"refused"`
+	Cut          int     `json:"cut"`
+	Other        int     `json:"other"`
+	NoHolder     int     `json:"no_holder"`
+	AskedEach    float64 `json:"asked_each"`
+	DeniedEach   float64 `json:"denied_each"`
+	WaitP50      float64 `json:"wait_p50_s"`
+	WaitP99      float64 `json:"wait_p99_s"`
+	FirstByteP50 float64 `json:"first_byte_p50_s"`
+	FirstByteP99 float64 `json:"first_byte_p99_s"`
+}
+
+// A summaryMoves tells of moves of models.
+type summaryMoves struct {
+	Planned         int     `json:"planned"`
+	Loaded          int     `json:"loaded"`
+	Abandoned       int     `json:"abandoned"`
+	PlanToLoadedP50 float64 `json:"plan_to_loaded_p50_s"`
+	PlanToLoadedP90 float64 `json:"plan_to_loaded_p90_s"`
+}
+
+// A summaryEvent counts one kind of line.
+type summaryEvent struct {
+	Name  string `json:"name"`
+	Times int    `json:"times"`
+}
+
+// A summaryReport is what a summary prints.
+type summaryReport struct {
+	By      grouping       `json:"by"`
+	Rows    []summaryRow   `json:"rows"`
+	All     summaryRow     `json:"all"`
+	Moves   summaryMoves   `json:"moves"`
+	Events  []summaryEvent `json:"events"`
+	Lines   int            `json:"lines"`
+	Spoiled int            `json:"spoiled"`
+}
+
+// report returns the report with at most so many rows, those with the most refused requests, 0 for
+// all; seconds stand in their order.
+func (s *summary) report(most int) *summaryReport {
+	r := &summaryReport{By: s.by, All: s.all.row("all"), Lines: s.lines, Spoiled: s.spoiled, Moves: summaryMoves{
+		Planned: s.moves.planned, Loaded: s.moves.loaded, Abandoned: s.moves.abandoned,
+		PlanToLoadedP50: s.moves.took.quantile(0.5), PlanToLoadedP90: s.moves.took.quantile(0.9),
+	}}
+	for name, stats := range s.rows {
+		r.Rows = append(r.Rows, stats.row(name))
+	}
+	slices.SortFunc(r.Rows, func(x, y summaryRow) int {
+		return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(y.Requests, x.Requests), strings.Compare(x.Name, y.Name))
+	})
+	if most > 0 && len(r.Rows) > most {
+		r.Rows = r.Rows[:most]
+	}
+	if s.by == bySecond {
+		slices.SortFunc(r.Rows, func(x, y summaryRow) int { return strings.Compare(x.Name, y.Name) })
+	}
+	for _, name := range countedEvents {
+		r.Events = append(r.Events, summaryEvent{Name: name, Times: s.events[name]})
+	}
+	return r
+}
+
+func (r *requestStats) row(name string) summaryRow {
+	each := func(n int) float64 { return float64(n) / float64(max(r.requests, 1)) }
+	return summaryRow{
+		Name: name, Requests: r.requests, Answered: r.answered, Refused: r.refused, Cut: r.cut,
+		Other: r.requests - r.answered - r.refused - r.cut, NoHolder: r.noHolder,
+		AskedEach: each(r.asked), DeniedEach: each(r.denied),
+		WaitP50: r.waited.quantile(0.5), WaitP99: r.waited.quantile(0.99),
+		FirstByteP50: r.firstByte.quantile(0.5), FirstByteP99: r.firstByte.quantile(0.99),
+	}
+}
