--- a/internal/cli/summary.go
+++ b/internal/cli/summary.go
@@ -92,6 +92,7 @@
 	for _, e := range r.Events {
 		fmt.Fprintf(w, "%s\t%d\n", e.Name, e.Times)
 	}
-	fmt.Fprintf(w, "\nlines read\t%d\nlines that are not a log's\t%d\n", r.Lines, r.Spoiled)
+	fmt.Fprintf(w, "\nanswered requests that were not logged\t%d\n", r.LeftOut)
+	fmt.Fprintf(w, "lines read\t%d\nlines that are not a log's\t%d\n", r.Lines, r.Spoiled)
 	return w.Flush()
 }
--- a/internal/cli/summary_stats.go
+++ b/internal/cli/summary_stats.go
@@ -42,6 +42,7 @@
 	WaitedS float64 `json:"waited_s"`
 	FirstS  float64 `json:"first_s"`
 	TotalS  float64 `json:"total_s"`
+	LeftOut int     `json:"left_out"`
 }
 
 // Messages that a summary counts by themselves; the others that it knows are countedEvents.
@@ -73,6 +74,8 @@
 	plannedAt      map[moveKey]float64
 	events         map[string]int
 	lines, spoiled int
+	// leftOut counts answered requests that gateways have not logged.
+	leftOut int
 }
 
 func newSummary(by grouping) *summary {
@@ -98,6 +101,7 @@
 	}
 	switch l.Message {
 	case messageRequest:
+		s.leftOut += l.LeftOut
 		s.all.add(l)
 		s.row(l).add(l)
 	case messagePlanned:
@@ -261,6 +265,7 @@
 	All     summaryRow     `json:"all"`
 	Moves   summaryMoves   `json:"moves"`
 	Events  []summaryEvent `json:"events"`
+	LeftOut int            `json:"left_out"`
 	Lines   int            `json:"lines"`
 	Spoiled int            `json:"spoiled"`
 }
@@ -268,7 +273,7 @@
 // report returns the report with at most so many rows, those with the most refused requests, 0 for
 // all; seconds stand in their order.
 func (s *summary) report(most int) *summaryReport {
-	r := &summaryReport{By: s.by, All: s.all.row("all"), Lines: s.lines, Spoiled: s.spoiled, Moves: summaryMoves{
+	r := &summaryReport{By: s.by, All: s.all.row("all"), LeftOut: s.leftOut, Lines: s.lines, Spoiled: s.spoiled, Moves: summaryMoves{
 		Planned: s.moves.planned, Loaded: s.moves.loaded, Abandoned: s.moves.abandoned,
 		PlanToLoadedP50: s.moves.took.quantile(0.5), PlanToLoadedP90: s.moves.took.quantile(0.9),
 	}}
