--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -33,12 +33,10 @@
 // second, or the number of its spare replicas while nothing has been asked for.
 func measuredDemand(spec *table.EngineSpec, demands map[string]Demand, engines []EngineView) []float64 {
 	measured := make([]float64, len(spec.Models))
-	asked := false
 	for i, m := range spec.Models {
 		measured[i] = demands[m.Name].TokensPerSecond
-		asked = asked || measured[i] > 0
 	}
-	if asked {
+	if isAnyAsked(demands) {
 		return measured
 	}
 	for i, m := range spec.Models {
--- a/residency/succession.go
+++ b/residency/succession.go
@@ -32,7 +32,9 @@
 	rises, hits, chance float64
 }
 
-// Observe takes note of the demand at one time.
+// Observe takes note of the demand at one time. Before anything has been asked for, the replicas show
+// which models are busy and nothing is learned: they rise in the order in which they are loaded, and
+// what was learned from that kept a model that nobody had asked for yet without its replica.
 func (s *Succession) Observe(spec *table.EngineSpec, demands map[string]Demand, engines []EngineView) {
 	measured := measuredDemand(spec, demands, engines)
 	total := 0.0
@@ -49,10 +51,22 @@
 			busy[m.Name] = true
 		}
 	}
-	s.count(spec, busy)
+	if isAnyAsked(demands) {
+		s.count(spec, busy)
+	}
 	s.busy = busy
 }
 
+// isAnyAsked reports whether anything has been asked for.
+func isAnyAsked(demands map[string]Demand) bool {
+	for _, d := range demands {
+		if d.TokensPerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // count counts the models that have become busy.
 func (s *Succession) count(spec *table.EngineSpec, busy map[string]bool) {
 	idle, expected := 0, 0
--- a/residency/succession_test.go
+++ b/residency/succession_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rockcleat/backend"
 	"rockcleat/table"
 )
 
@@ -103,3 +104,18 @@
 	got := Forecast(listed(4), nil, held, learned())
 	assert.Assert(t, got["m0"].TokensPerSecond > got["m1"].TokensPerSecond && got["m1"].TokensPerSecond > 0, "%v", got)
 }
+
+// TestNothingIsLearnedFromLoads loads one model after the other, in the order of the list, before
+// anything is asked for.
+func TestNothingIsLearnedFromLoads(t *testing.T) {
+	var s Succession
+	engines := make([]EngineView, 12)
+	for m := range 26 {
+		for i := range 3 {
+			e := &engines[(m+i)%len(engines)]
+			e.Residents = append(e.Residents, backend.Resident{Model: fmt.Sprint("m", m)})
+		}
+		s.Observe(listed(26), nil, engines)
+	}
+	assert.Equal(t, s.Confidence(), 0.0)
+}
