--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -9,7 +9,8 @@
 //   - lifecycle: requests in progress, and the stop;
 //   - configuration, which a configsync.Syncer keeps up to date, and serverList, kept by a
 //     follower: the view of the store;
-//   - directory: the list of gateways;
+//   - directory: the list of gateways, and this one's position in the tree of them, which decides
+//     whom it asks and when it asks the store itself;
 //   - reporter: the reports to the leader, and what it has been sent;
 //   - feed: the view of the store, from the parent in the tree of gateways;
 //   - proxy: the way of a request, with an inbound (what is known at its start), a
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -41,21 +41,6 @@
 	return time.Duration(feedHoldShare * float64(maxAge))
 }
 
-// Who asks the store when the leader's view does not come.
-const (
-	// levelPatience is the part of the age that a view may have by which each level of the tree waits
-	// longer before it asks the store itself: the level above has asked by then and hands on what it
-	// got. Chosen, not measured: on the third level a view may be 1.5 times as old, so that changes
-	// are still known within the time of a whole watch.
-	levelPatience = 0.25
-	// listPatience is how long a gateway that starts waits for the list of servers and the
-	// configuration from others. Chosen, not measured.
-	listPatience = 600 * time.Millisecond
-	// fleetProbes is the number of calls a second that all gateways below the first level make
-	// together to a store that fails. Chosen, not measured.
-	fleetProbes = 8
-)
-
 // A feedRequest asks a gateway for what has changed in the store.
 type feedRequest struct {
 	// Revisions is up to which revision the asking gateway knows the prefixes that it follows, 0 for
@@ -153,72 +138,3 @@
 			telemetry.Error(err))
 	}
 }
-
-// extraAge returns how much longer this gateway waits than those of the first level before it asks
-// the store itself, by the age that their view may have.
-func (d *directory) extraAge(leader string, maxAge time.Duration) time.Duration {
-	levels := max(d.depth(leader)-1, 0)
-	return time.Duration(levelPatience * float64(levels) * float64(maxAge))
-}
-
-// probePause returns for how long this gateway does not ask a store that failed: the leader and the
-// first level ask it always.
-func (d *directory) probePause(leader string) time.Duration {
-	if d.depth(leader) <= 1 {
-		return 0
-	}
-	pause := time.Second * time.Duration(d.count()) / fleetProbes
-	return pause/2 + rand.N(pause)
-}
-
-// contentionDelay returns how long this gateway leaves a free lease to others: none on the first
-// level, longer on each further one, so that not all gateways contend at once.
-func (d *directory) contentionDelay(leader string) time.Duration {
-	depth := d.depth(leader)
-	if depth <= 1 {
-		return 0
-	}
-	return time.Duration(depth-1)*listPatience + rand.N(listPatience)
-}
-
-// depth returns the level of this gateway in the tree. While it does not know the tree, one that
-// others ask first is on the first level, and so is one that knows nobody to ask.
-func (d *directory) depth(leader string) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p, ok := d.tree.Position(d.self, leader); ok {
-		return p.Depth
-	}
-	if len(d.seeds) == 0 || d.isSeed {
-		return 1
-	}
-	return 2
-}
-
-// sources returns whom this gateway asks for changes of the store, the first one first: those above
-// it in the tree; while it does not know the tree, the gateways that its settings name.
-func (d *directory) sources(leader string) []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p, ok := d.tree.Position(d.self, leader); ok {
-		return p.Parents
-	}
-	list := make([]string, 0, len(d.seeds)+1)
-	if leader != "" {
-		list = append(list, leader)
-	}
-	for _, i := range rand.Perm(len(d.seeds)) {
-		list = append(list, d.seeds[i])
-	}
-	return list
-}
-
-// listWait returns how long a gateway that knows nothing yet waits for others to tell.
-func (d *directory) listWait() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.seeds) == 0 || d.isSeed {
-		return 0
-	}
-	return listPatience
-}
