--- a/residency/residence.go
+++ b/residency/residence.go
@@ -35,8 +35,7 @@
 	leastShare = 0.02
 	// leastConfidence is how sure the order of rises must be for a model that is not next
 	// to count as not expected to rise. At 0.8, some three rises in order and none out of it, 10
-	// plays of a site where demand moves along the list gave 0.446 instead of 0.470; two days of a
-	// fleet with 252 models, where it does so in part, 0.588 instead of about 0.58 (trials).
+	// plays of a site where demand moves along the list gave 0.446 instead of 0.470 (trials).
 	leastConfidence = 0.5
 )
 
