kv: each prefix's view counts by itself when it is handed on

Cause: a gateway is answered without a change once the view is by a quarter of its allowed age newer than the newest prefix at the question. The leader marks its lease current with each answer, so that the servers had to be newer than the last answer to anybody, and views reached three quarters of the age after which gateways ask the store. Change: each prefix is compared with itself. Test: TestFanoutHasNews, which fails with the newest of all.

--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -87,13 +87,13 @@
 
 // awaitNews waits until there is something new for a gateway, at most for feedHold of its time.
 func (p *peerServer) awaitNews(ctx context.Context, r feedRequest, asked time.Time) {
-	known := p.fanout.NewestView(r.Revisions)
+	before := p.fanout.Views(r.Revisions)
 	maxAge := p.fanout.MaxAge()
 	end := asked.Add(feedHold(maxAge))
 	for ctx.Err() == nil {
 		changed := p.fanout.Changed()
 		left := end.Sub(p.clock.Now())
-		if left <= 0 || p.fanout.HasNews(r.Revisions, maxAge/feedSteps, known) || p.configs.News().Version > r.ConfigVersion {
+		if left <= 0 || p.fanout.HasNews(r.Revisions, maxAge/feedSteps, before) || p.configs.News().Version > r.ConfigVersion {
 			return
 		}
 		clock.Await(ctx, p.clock, changed, left)
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -110,9 +110,24 @@
 	return out
 }
 
+// Views returns up to which time each of some prefixes is known.
+func (f *Fanout) Views(prefixes map[string]Revision) map[string]time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	views := make(map[string]time.Time, len(prefixes))
+	for prefix := range prefixes {
+		if l := f.logs[prefix]; l != nil {
+			views[prefix] = l.currentAt
+		}
+	}
+	return views
+}
+
 // HasNews reports whether another process should be sent what is known now: something has changed
-// after the revisions that it knows, or the view of a prefix is by an amount newer than at a time.
-func (f *Fanout) HasNews(known map[string]Revision, newer time.Duration, than time.Time) bool {
+// after the revisions that it knows, or a prefix is by an amount newer than its view of before. Each
+// prefix counts by itself: the leader knows at any time that its lease has not changed, which says
+// nothing of the others.
+func (f *Fanout) HasNews(known map[string]Revision, newer time.Duration, before map[string]time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for prefix, after := range known {
@@ -120,26 +135,13 @@
 		if l == nil || l.to == 0 {
 			continue
 		}
-		if after < l.floor && l.complete || l.isChangedAfter(after) || l.currentAt.Sub(than) >= newer {
+		if after < l.floor && l.complete || l.isChangedAfter(after) || l.currentAt.Sub(before[prefix]) >= newer {
 			return true
 		}
 	}
 	return false
 }
 
-// NewestView returns up to which time the freshest of some prefixes is known.
-func (f *Fanout) NewestView(known map[string]Revision) time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var newest time.Time
-	for prefix := range known {
-		if l := f.logs[prefix]; l != nil && l.currentAt.After(newest) {
-			newest = l.currentAt
-		}
-	}
-	return newest
-}
-
 // Changed returns a channel that is closed when anything changes, also how current the view is.
 func (f *Fanout) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/kv/fanout_test.go
+++ b/kv/fanout_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
 )
@@ -307,3 +308,37 @@
 		})
 	}
 }
+
+// TestFanoutHasNews checks when another process should be sent something: a change, a whole prefix, or
+// a newer view of any prefix, also while another prefix is known to be current all the time.
+func TestFanoutHasNews(t *testing.T) {
+	const step = 100 * time.Millisecond
+	c := clocktest.New(time.Unix(1000, 0))
+	store := kvtest.New(c)
+	store.Set("a/1", []byte("1"))
+	store.Set("b/1", []byte("1"))
+	f := kv.NewFanout(kv.FanoutOptions{Clock: c, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
+	view := f.View(store, false)
+	list := func(prefix string) {
+		_, _, err := view.ListPrefix(t.Context(), prefix)
+		assert.NilError(t, err)
+	}
+	list("a/")
+	list("b/")
+	known := f.Revisions()
+	before := f.Views(known)
+	assert.Assert(t, !f.HasNews(known, step, before))
+	assert.Assert(t, f.HasNews(map[string]kv.Revision{"a/": 0}, step, before), "one that knows nothing gets the whole prefix")
+	f.MarkCurrent("b/")
+	c.Advance(step / 2)
+	f.MarkCurrent("b/")
+	before = f.Views(known)
+	c.Advance(step / 2)
+	list("a/")
+	assert.Assert(t, f.HasNews(known, step, before), "a newer view of one prefix counts whatever is known of the other")
+	store.Set("a/1", []byte("2"))
+	before = f.Views(f.Revisions())
+	_, _, err := view.WatchPrefix(t.Context(), "a/", known["a/"], time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, f.HasNews(known, step, before), "a change counts at once")
+}
