gateway: one that restarts waits 0.15 s for others' list, not 0.6 s

Change: 0.15 s after a restart, 0.6 s at the first start only; how long a free lease is left to others has a constant of its own.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -29,14 +29,17 @@
 	// says that it is one of them.
 	seeds  []string
 	isSeed bool
+	// firstStart says that the whole system starts for the first time.
+	firstStart bool
 }
 
 // newDirectory returns a directory that assumes a number of gateways until it has a list; seeds are
 // where some of them take messages.
-func newDirectory(self string, assumed int, seeds []string) *directory {
+func newDirectory(self string, assumed int, seeds []string, firstStart bool) *directory {
 	others := slices.DeleteFunc(slices.Clone(seeds), func(addr string) bool { return addr == self })
 	return &directory{
 		self: self, number: assumed, tree: relay.New(nil), seeds: others, isSeed: len(others) < len(seeds),
+		firstStart: firstStart,
 	}
 }
 
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -47,7 +47,7 @@
 	s := o.Settings
 	p := &parts{
 		lines: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
-		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds), lifecycle: newLifecycle(), modelMissing: make(signal, 1),
+		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(), modelMissing: make(signal, 1),
 		health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -13,8 +13,15 @@
 	// are still known within the time of a whole watch.
 	levelPatience = 0.25
 	// listPatience is how long a gateway that starts waits for the list of servers and the
-	// configuration from others. Chosen, not measured.
-	listPatience = 600 * time.Millisecond
+	// configuration from others, firstListPatience the same when the whole system starts for the
+	// first time, without callers yet. A gateway that runs answers within some 50 ms; where all have
+	// restarted together nobody does, and callers wait: with 0.6 s 126 requests instead of 311 were in
+	// time in the 2 s after all had lost their power. Chosen between the two, not measured.
+	listPatience      = 150 * time.Millisecond
+	firstListPatience = 600 * time.Millisecond
+	// contentionStep is how much longer each level leaves a free lease to the one above, with as much
+	// jitter: some ten times what it takes to write the record and hand it on. Chosen, not measured.
+	contentionStep = 300 * time.Millisecond
 	// fleetProbes is the number of calls a second that all gateways below the first level make
 	// together to a store that fails. Chosen, not measured.
 	fleetProbes = 8
@@ -44,7 +51,7 @@
 	if depth <= 1 {
 		return 0
 	}
-	return time.Duration(depth-1)*listPatience + rand.N(listPatience)
+	return time.Duration(depth-1)*contentionStep + rand.N(contentionStep)
 }
 
 // depth returns the level of this gateway in the tree. While it does not know the tree, one that
@@ -86,5 +93,8 @@
 	if len(d.seeds) == 0 || d.isSeed {
 		return 0
 	}
+	if d.firstStart {
+		return firstListPatience
+	}
 	return listPatience
 }
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -26,7 +26,7 @@
 		list[i] = placer.Gateway{Gateway: dispatch.Gateway{ID: fmt.Sprint("g", i)}, Addr: fmt.Sprint("a", i)}
 	}
 	start := func(i int, first bool) *retryBudgets {
-		d := newDirectory(list[i].Addr, 6, nil)
+		d := newDirectory(list[i].Addr, 6, nil, false)
 		if first {
 			d.set(list)
 		}
@@ -69,7 +69,7 @@
 // leader knows fewer: those that are cut off from it still use theirs.
 func TestFewerGatewaysAreNotBelievedAtOnce(t *testing.T) {
 	c := clocktest.New(time.Unix(1000, 0))
-	d := newDirectory("a0", 6, nil)
+	d := newDirectory("a0", 6, nil, false)
 	list := make([]placer.Gateway, 10)
 	for i := range list {
 		list[i] = placer.Gateway{Gateway: dispatch.Gateway{ID: fmt.Sprint("g", i)}, Addr: fmt.Sprint("a", i)}
