--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -238,6 +238,21 @@
 	})
 }
 
+// waitServers waits until the gateway knows a number of servers, listed or seen after that.
+func (w *world) waitServers(n int) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		known := int64(w.logs.FilterMessage("server seen").Len())
+		if listed := w.logs.FilterMessage("servers listed").All(); len(listed) > 0 {
+			known += listed[len(listed)-1].ContextMap()["count"].(int64)
+		}
+		if known < int64(n) {
+			return poll.Continue("%d of %d servers are known", known, n)
+		}
+		return poll.Success()
+	})
+}
+
 func (w *world) request(method, path, body string, headers ...string) *http.Request {
 	req, err := http.NewRequest(method, "http://"+w.front+path, bytes.NewReader([]byte(body)))
 	assert.NilError(w.t, err)
--- a/internal/gateway/outgoing_test.go
+++ b/internal/gateway/outgoing_test.go
@@ -39,6 +39,7 @@
 			}
 			w.putConfig()
 			w.waitReady(http.StatusOK)
+			w.waitServers(len(workers))
 			got := w.post(test.path, "x",
 				names.Model, "m1", names.Tokens, "100,10", names.Priority, "0", names.Expect, "z",
 				"X-Hold", "h-1", "x-pin", "4000", "Keep-Alive", "timeout=5", "Connection", "X-Once", "X-Once", "1",
