--- a/backend/restart.go
+++ b/backend/restart.go
@@ -37,6 +37,15 @@
 // record was not written by a server. Where most do not, the platform does not tell it. It returns
 // the names of those that it leaves out.
 func withoutUnstarted(list []Server) (started []Server, unstarted []string) {
+	n := 0
+	for i := range list {
+		if list[i].Instance == "" {
+			n++
+		}
+	}
+	if n == 0 || 2*n >= len(list) {
+		return list, nil
+	}
 	for _, s := range list {
 		if s.Instance == "" {
 			unstarted = append(unstarted, s.Name())
@@ -44,8 +53,5 @@
 		}
 		started = append(started, s)
 	}
-	if 2*len(unstarted) >= len(list) {
-		return list, nil
-	}
 	return started, unstarted
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -91,9 +91,9 @@
 		Delay: func() time.Duration { return p.gateways.contentionDelay(p.leaderAddr()) },
 	})}
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
-		Clock: o.Clock, MaxAge: s.WatchTime.Std() / 2, IsWatcher: l.isHeld,
+		Clock: o.Clock, MaxAge: viewMaxAge(s), IsWatcher: l.isHeld,
 		OnSwitch: p.lines.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
-		ExtraAge: func() time.Duration { return p.gateways.extraAge(p.leaderAddr(), s.WatchTime.Std()/2) },
+		ExtraAge: p.extraAge(s),
 	})
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.OwnKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
@@ -127,11 +127,20 @@
 	return p.gateways.probePause(p.leaderAddr())
 }
 
-// newsMaxAge returns a function that returns how old the news of the configuration may be: half
-// of a watch, as for all that is watched for others, and longer far from the leader.
+// viewMaxAge returns how old what others hand on of the store may be on the first level: half of a
+// watch.
+func viewMaxAge(s config.Gateway) time.Duration { return s.WatchTime.Std() / 2 }
+
+// extraAge returns a function that returns how much older it may be in this gateway.
+func (p *parts) extraAge(s config.Gateway) func() time.Duration {
+	return func() time.Duration { return p.gateways.extraAge(p.leaderAddr(), viewMaxAge(s)) }
+}
+
+// newsMaxAge returns a function that returns how old the news of the configuration may be: as old as
+// all that is handed on.
 func (p *parts) newsMaxAge(s config.Gateway) func() time.Duration {
-	maxAge := s.WatchTime.Std() / 2
-	return func() time.Duration { return maxAge + p.gateways.extraAge(p.leaderAddr(), maxAge) }
+	extra := p.extraAge(s)
+	return func() time.Duration { return viewMaxAge(s) + extra() }
 }
 
 // newFeed returns what keeps the view of the store up to date from other gateways.
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -62,12 +62,16 @@
 	if p, ok := d.tree.Position(d.self, leader); ok {
 		return p.Depth
 	}
-	if len(d.seeds) == 0 || d.isSeed {
+	if d.hasNobodyToAsk() {
 		return 1
 	}
 	return 2
 }
 
+// hasNobodyToAsk reports whether a gateway that does not know the tree goes to the store at once: it
+// knows no other, or is one that others ask first. The directory is locked.
+func (d *directory) hasNobodyToAsk() bool { return len(d.seeds) == 0 || d.isSeed }
+
 // sources returns whom this gateway asks for changes of the store, the first one first: those above
 // it in the tree; while it does not know the tree, the gateways that its settings name.
 func (d *directory) sources(leader string) []string {
@@ -90,7 +94,7 @@
 func (d *directory) listWait() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.seeds) == 0 || d.isSeed {
+	if d.hasNobodyToAsk() {
 		return 0
 	}
 	if d.firstStart {
--- /dev/null
+++ b/kv/fanout_hand_on_test.go
@@ -0,0 +1,179 @@
+package kv_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
+	"rockcleat/kv"
+	"rockcleat/kv/kvtest"
+)
+
+// TestFanoutHandsOnWholePrefix checks that a process which knows nothing and does not reach the
+// service lists what another one knows, and what it is sent later.
+func TestFanoutHandsOnWholePrefix(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := kvtest.New(clock.Real{})
+	options := kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }}
+	source := kv.NewFanout(options)
+	options.IsWatcher = func() bool { return false }
+	options.ListWait = func() time.Duration { return time.Minute }
+	late := kv.NewFanout(options)
+	store.Set("a/1", []byte("1"))
+	store.Set("a/2", []byte("2"))
+	var sourceSees, lateSees mirror
+	go kv.Follow(ctx, kv.FollowOptions{
+		Store: source.View(store, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &sourceSees,
+	})
+	store.Remove("a/2")
+	poll.WaitOn(t, sourceSees.shows(map[string]string{"a/1": "1"}))
+	away := &watchCounter{PrefixStore: store}
+	away.closed.Store(true)
+	go kv.Follow(ctx, kv.FollowOptions{
+		Store: late.View(away, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &lateSees,
+	})
+	stop := clock.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Revisions()), time.Now()) })
+	defer stop()
+	poll.WaitOn(t, lateSees.shows(map[string]string{"a/1": "1"}))
+	store.Set("a/3", []byte("3"))
+	poll.WaitOn(t, lateSees.shows(map[string]string{"a/1": "1", "a/3": "3"}))
+	assert.Equal(t, away.watches.Load(), int64(0))
+}
+
+// TestFanoutPatience checks that a process with extra patience goes to the service later than others.
+func TestFanoutPatience(t *testing.T) {
+	tests := map[string]struct {
+		extra time.Duration
+		alone bool
+	}{
+		"none":        {alone: true},
+		"much of it":  {extra: time.Minute},
+		"just enough": {extra: shortMaxAge, alone: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			p := newFanoutPairWith(ctx, t, shortMaxAge, test.extra)
+			before := p.direct.watches.Load()
+			p.setCut(true)
+			if test.alone {
+				poll.WaitOn(t, p.isAlone(true))
+				return
+			}
+			clock.Sleep(ctx, clock.Real{}, 3*shortMaxAge)
+			assert.Equal(t, p.direct.watches.Load(), before)
+		})
+	}
+}
+
+// TestFanoutHasNews checks when another process should be sent something: a change, a whole prefix, or
+// a newer view of any prefix, also while another prefix is known to be current all the time.
+func TestFanoutHasNews(t *testing.T) {
+	const step = 100 * time.Millisecond
+	c := clocktest.New(time.Unix(1000, 0))
+	store := kvtest.New(c)
+	store.Set("a/1", []byte("1"))
+	store.Set("b/1", []byte("1"))
+	f := kv.NewFanout(kv.FanoutOptions{Clock: c, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
+	view := f.View(store, false)
+	list := func(prefix string) {
+		_, _, err := view.ListPrefix(t.Context(), prefix)
+		assert.NilError(t, err)
+	}
+	list("a/")
+	list("b/")
+	known := f.Revisions()
+	before := f.Views(known)
+	assert.Assert(t, !f.HasNews(known, step, before))
+	assert.Assert(t, f.HasNews(map[string]kv.Revision{"a/": 0}, step, before), "one that knows nothing gets the whole prefix")
+	f.MarkCurrent("b/")
+	c.Advance(step / 2)
+	f.MarkCurrent("b/")
+	before = f.Views(known)
+	c.Advance(step / 2)
+	list("a/")
+	assert.Assert(t, f.HasNews(known, step, before), "a newer view of one prefix counts whatever is known of the other")
+	store.Set("a/1", []byte("2"))
+	before = f.Views(f.Revisions())
+	_, _, err := view.WatchPrefix(t.Context(), "a/", known["a/"], time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, f.HasNews(known, step, before), "a change counts at once")
+}
+
+// TestFanoutListIsHandedOnAsChanges lists a prefix again, as after the service has forgotten its
+// history: a process that knew it before is sent what has changed, also what is gone, and no more.
+func TestFanoutListIsHandedOnAsChanges(t *testing.T) {
+	store := kvtest.New(clock.Real{})
+	f := kv.NewFanout(kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
+	view := f.View(store, false)
+	list := func() {
+		_, _, err := view.ListPrefix(t.Context(), "a/")
+		assert.NilError(t, err)
+	}
+	for i := range 20 {
+		store.Set(fmt.Sprint("a/", i), []byte("1"))
+	}
+	list()
+	known := f.Revisions()
+	store.Set("a/1", []byte("2"))
+	store.Set("a/new", []byte("1"))
+	store.Remove("a/2")
+	list()
+	batch := f.Since(known)["a/"]
+	assert.Assert(t, !batch.Full)
+	got := make(map[string]string)
+	for _, e := range batch.Events {
+		got[e.Entry.Key] = string(e.Entry.Value)
+		if e.Deleted {
+			got[e.Entry.Key] = "gone"
+		}
+	}
+	assert.DeepEqual(t, got, map[string]string{"a/1": "2", "a/new": "1", "a/2": "gone"})
+	assert.Equal(t, batch.To, f.Revisions()["a/"])
+	assert.Equal(t, len(f.Since(batchEnd(batch))["a/"].Events), 0)
+	whole := f.Since(map[string]kv.Revision{"a/": 0})["a/"]
+	assert.Assert(t, whole.Full)
+	assert.Equal(t, len(whole.Events), 20)
+}
+
+// batchEnd returns what a process knows that has applied a batch of the prefix "a/".
+func batchEnd(b kv.Batch) map[string]kv.Revision { return map[string]kv.Revision{"a/": b.To} }
+
+// A listedStore lists what a test sets.
+type listedStore struct {
+	kv.PrefixStore
+	entries []kv.Entry
+	at      kv.Revision
+}
+
+// ListPrefix implements kv.PrefixStore.
+func (s *listedStore) ListPrefix(context.Context, string) ([]kv.Entry, kv.Revision, error) {
+	return s.entries, s.at, nil
+}
+
+// TestFanoutListInPages lists a prefix of which an entry was written while its pages were read: what
+// is handed on does not go beyond the revision of the list, so that nothing after it is passed over.
+func TestFanoutListInPages(t *testing.T) {
+	s := &listedStore{entries: []kv.Entry{{Key: "a/1", Revision: 1}}, at: 5}
+	f := kv.NewFanout(kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
+	view := f.View(s, false)
+	_, _, err := view.ListPrefix(t.Context(), "a/")
+	assert.NilError(t, err)
+	known := f.Revisions()
+	s.entries, s.at = []kv.Entry{{Key: "a/1", Revision: 9}, {Key: "a/2", Revision: 6}}, 7
+	_, _, err = view.ListPrefix(t.Context(), "a/")
+	assert.NilError(t, err)
+	batch := f.Since(known)["a/"]
+	assert.Equal(t, batch.To, kv.Revision(7))
+	assert.Equal(t, len(batch.Events), 2)
+	end := batchEnd(batch)
+	assert.Assert(t, !f.HasNews(end, time.Hour, f.Views(end)), "nothing is left to send")
+}
