kv: changes handed on from the service's first revision no longer end the receiver

Cause: a gateway that asks for a prefix before it has a list, of one that listed the prefix when the store held nothing at all (revision 0), gets the changes since then and no list; its log had no map of digests, and the process panicked. Seen twice in nine runs of TestRequestUnderWhichServersEnd, whose world starts with an empty store. On a store with any key the first answer is a list.

Change: changes since revision 0 on an empty log are the whole prefix; a log always has its map. TestFanoutHandsOnFromTheFirstRevision panicked before, passes now.

--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -212,7 +212,7 @@
 func (f *Fanout) log(prefix string) *changeLog {
 	l := f.logs[prefix]
 	if l == nil {
-		l = &changeLog{changed: make(chan struct{})}
+		l = &changeLog{changed: make(chan struct{}), digests: make(map[string]uint64)}
 		f.logs[prefix] = l
 	}
 	return l
@@ -285,6 +285,10 @@
 	if l == nil || b.To < l.to {
 		return false
 	}
+	if l.to == 0 && b.From == 0 {
+		// All changes since the service's first revision are all that it holds.
+		l.reset(nil, 0)
+	}
 	if b.From > l.to {
 		l.floor, l.events, l.complete = b.From, nil, false
 	}
--- a/kv/fanout_hand_on_test.go
+++ b/kv/fanout_hand_on_test.go
@@ -177,3 +177,42 @@
 	end := batchEnd(batch)
 	assert.Assert(t, !f.HasNews(end, time.Hour, f.Views(end)), "nothing is left to send")
 }
+
+// TestFanoutHandsOnFromTheFirstRevision hands on the changes of a service that held nothing when it was
+// listed, to a process that knows nothing yet. A process that started together with the service ended
+// here, since its log of the prefix was empty but not set up for changes.
+func TestFanoutHandsOnFromTheFirstRevision(t *testing.T) {
+	options := kv.FanoutOptions{
+		Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true },
+		Digest: func(string, kv.Entry) uint64 { return 0 },
+	}
+	source := kv.NewFanout(options)
+	store := kvtest.New(clock.Real{})
+	view := source.View(store, false)
+	_, at, err := view.ListPrefix(t.Context(), "a/")
+	assert.NilError(t, err)
+	assert.Equal(t, at, kv.Revision(0))
+	store.Set("a/1", []byte("1"))
+	_, _, err = view.WatchPrefix(t.Context(), "a/", at, time.Second)
+	assert.NilError(t, err)
+
+	options.IsWatcher = func() bool { return false }
+	options.ListWait = func() time.Duration { return time.Minute }
+	late := kv.NewFanout(options)
+	batches := source.Since(map[string]kv.Revision{"a/": 0})
+	assert.Assert(t, !batches["a/"].Full)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var lateSees mirror
+	go kv.Follow(ctx, kv.FollowOptions{
+		Store: late.View(store, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &lateSees,
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, asked := late.Revisions()["a/"]; !asked {
+			return poll.Continue("the prefix is not asked for yet")
+		}
+		return poll.Success()
+	})
+	late.Apply(batches, time.Now())
+	poll.WaitOn(t, lateSees.shows(map[string]string{"a/1": "1"}))
+}
