Requests under which three servers ended are refused by every gateway

Cause: a gateway knew requests by their ids and excluded failed servers within one request only; the next copy, a new request at another gateway, was sent to the next server. Class: what one process has learned of a failure, each further copy met anew.

Change: package quarantine, a table of the servers that ended under each request, known by a digest of credentials, method, host, target and body. A gateway takes a server for ended when a request's connection broke and nobody listens there any more, or its run goes off the list soon after, unless it had said that it leaves or the gateway itself was paused. Ends go with the reports to the leader, and to any other gateway while there is none; the replies tell all. At the third server the request is refused with 503 and the time left, copies that wait or have no answer yet are given up. The leader keeps them in the store and reads them when it begins to lead.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,6 +24,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer))
 	if err != nil {
+		f.noteBreak(res, cause(ctx, err))
 		return f.lost(res, cause(ctx, err))
 	}
 	f.begin(resp)
@@ -52,6 +53,7 @@
 		return
 	}
 	res.Done(dispatch.Answered)
+	f.proxy.quarantine.Void(f.in.key)
 	f.record.outcome = outcomeAnswered
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -21,7 +21,8 @@
 	in    *inbound
 	w     http.ResponseWriter
 	// ctx ends with the request's deadline, with its caller, or with the gateway.
-	ctx context.Context
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// req is in.needs with what became known on the way.
 	req    dispatch.Request
 	record record
@@ -35,6 +36,11 @@
 
 // run sends the request until it is over.
 func (f *forwarder) run() {
+	if f.isQuarantined() {
+		f.refuseQuarantined()
+		return
+	}
+	defer f.watchQuarantine()()
 	f.proxy.budgets.first(f.in)
 	f.proxy.dispatcher.CountArrival(&f.req)
 	for {
@@ -43,6 +49,11 @@
 			f.giveUp(err)
 			return
 		}
+		if f.isQuarantined() {
+			res.Done(dispatch.Abandoned)
+			f.refuseQuarantined()
+			return
+		}
 		f.record.reservation = res
 		if over := f.send(res); over {
 			return
@@ -55,6 +66,8 @@
 	switch {
 	case f.callerGone():
 		f.record.outcome = outcomeGone
+	case f.gaveUpForQuarantine():
+		f.refuseQuarantined()
 	case f.answering.Load():
 		f.cut(eris.Wrap(err, "gateway: no server to go on with"))
 	case f.record.runs > 0:
@@ -161,6 +174,10 @@
 		f.record.outcome = outcomeGone
 		return
 	}
+	if f.gaveUpForQuarantine() {
+		f.refuseQuarantined()
+		return
+	}
 	if f.answering.Load() {
 		f.cut(context.DeadlineExceeded)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
+	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -31,14 +32,20 @@
 	ServerID(key string) string
 }
 
+// A Store is where the gateways keep what must outlast them; kv.Store describes each call.
+type Store interface {
+	lease.Store
+	Delete(ctx context.Context, key string, expect kv.Revision) error
+}
+
 // Options are what a Gateway is made of.
 type Options struct {
 	Settings config.Gateway
 	Names    wire.Names
 	// ReadyPath is where the balancer asks whether the process is ready.
 	ReadyPath string
-	// Store is where the leader's lease is kept.
-	Store lease.Store
+	// Store is where the leader's lease and the requests in quarantine are kept.
+	Store Store
 	// Prefixes are all keys of the store, OwnKeys those that the product writes.
 	Prefixes kv.PrefixStore
 	OwnKeys  kv.PrefixStore
@@ -53,23 +60,26 @@
 
 // A Gateway is the entry process in front of servers that it speaks to directly.
 type Gateway struct {
-	settings  config.Gateway
-	decoder   Decoder
-	clock     clock.Service
-	log       *zap.Logger
-	prefixes  kv.PrefixStore
-	config    *configuration
-	configs   *configsync.Syncer
-	health    *storeHealth
-	servers   *serverList
-	budgets   *retryBudgets
-	placer    *placer.Placer
-	reporter  *reporter
-	feed      *feed
-	conns     *conns
-	lifecycle *lifecycle
-	listeners *listeners
-	pauses    pauseDetector
+	settings   config.Gateway
+	decoder    Decoder
+	clock      clock.Service
+	log        *zap.Logger
+	prefixes   kv.PrefixStore
+	config     *configuration
+	configs    *configsync.Syncer
+	health     *storeHealth
+	servers    *serverList
+	budgets    *retryBudgets
+	placer     *placer.Placer
+	reporter   *reporter
+	feed       *feed
+	conns      *conns
+	lifecycle  *lifecycle
+	listeners  *listeners
+	pauses     *pauseDetector
+	quarantine *quarantine.Table
+	ends       *endDetector
+	keeper     *quarantineKeeper
 	// stops end the subscriptions to the clock.
 	stops []func()
 	// ctx ends with the gateway, after its last request.
@@ -91,7 +101,7 @@
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
 		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer, reporter: p.newReporter(o), feed: p.newFeed(o),
-		pauses: pauseDetector{log: o.Log, inProgress: p.lifecycle.requests}, ctx: ctx, cancel: cancel,
+		pauses: p.pauses, quarantine: p.quarantine, ends: p.ends, keeper: p.newQuarantineKeeper(ctx, o), ctx: ctx, cancel: cancel,
 	}
 	g.listeners = newListeners(listenerOptions{
 		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
@@ -120,6 +130,9 @@
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(pauseCheckInterval, g.pauses.check)
+	g.subscribe(expireInterval, g.ends.check)
+	g.subscribe(sweepInterval, func(time.Time) { g.quarantine.Expire() })
+	g.subscribe(keepInterval, g.keeper.step)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -213,13 +213,13 @@
 }
 
 func (w *world) putServer(x *worker, leaving bool) {
-	w.putRecord(backend.Server{ID: x.id, Service: "app", Addr: x.addr, Hall: "h", Slots: 4, Leaving: leaving})
+	w.putRecord(backend.Server{ID: x.id, Instance: x.instance, Service: "app", Addr: x.addr, Hall: "h", Slots: 4, Leaving: leaving})
 }
 
 func (w *world) putRecord(s backend.Server) {
 	value, err := json.Marshal(s)
 	assert.NilError(w.t, err)
-	w.store.Set(prefix+s.ID, value)
+	w.store.Set(prefix+s.Name(), value)
 }
 
 // waitReady waits until the gateway answers the balancer with a status.
@@ -275,8 +275,11 @@
 	err error
 }
 
-func (w *world) do(req *http.Request) reply {
-	resp, err := w.client.Do(req)
+func (w *world) do(req *http.Request) reply { return doWith(w.client, req) }
+
+// doWith sends a request with a client.
+func doWith(client *http.Client, req *http.Request) reply {
+	resp, err := client.Do(req)
 	if err != nil {
 		return reply{err: err}
 	}
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -71,26 +71,14 @@
 	return in, nil
 }
 
-// keyOf returns the key of a request and its body.
+// keyOf returns the key of a request and its body. The caller is known by its credentials, and not at all
+// without them: its address says nothing, for one caller sends copies from many.
 func keyOf(r *http.Request, body []byte) quarantine.Key {
 	return quarantine.KeyOf(quarantine.Request{
-		Caller: callerOf(r), Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body,
+		Caller: r.Header.Get("Authorization"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body,
 	})
 }
 
-// callerOf names whoever sends a request: by its credentials, or else by its address without the port,
-// which differs from connection to connection.
-func callerOf(r *http.Request) string {
-	if credentials := r.Header.Get("Authorization"); credentials != "" {
-		return credentials
-	}
-	addr, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return addr
-}
-
 // resolve fills in the service, the deadline and what the request needs.
 func (p *proxy) resolve(in *inbound, routing *table.Routing) *refusal {
 	var ok bool
--- a/internal/gateway/messages_test.go
+++ b/internal/gateway/messages_test.go
@@ -11,6 +11,7 @@
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
 	"rockcleat/kv"
+	"rockcleat/quarantine"
 )
 
 // TestMessagesBetweenGateways pins the form of what gateways send to each other: during an
@@ -33,6 +34,21 @@
 			want: `{"from":"g1","addr":"a1","hall":"h1","loads":{"s":{"n":1,"r":2,"u":3}},` +
 				`"demands":{"m":{"a":1,"t":2,"w":3,"n":4,"s":"llm"}},"full":true,"known":5,"residency":6,"config":7}`,
 		},
+		"report with ends of servers": {
+			message: reportMessage{Report: placer.Report{GatewayID: "g1", Addr: "a1", Hall: "h1"}, Quarantine: quarantine.Message{
+				Records: []quarantine.Record{{Key: quarantine.Key{1}, Round: 2, Servers: []string{"s"}, AgeMs: 3}},
+				Seen:    quarantine.Cursor{Epoch: 4, Version: 5},
+			}},
+			want: `{"from":"g1","addr":"a1","hall":"h1","residency":0,"config":0,"quarantine":{"records":[` +
+				`{"k":"01000000000000000000000000000000","r":2,"s":["s"],"a":3}],"seen":{"e":4,"v":5}}}`,
+		},
+		"reply with ends of servers": {
+			message: replyMessage{Quarantine: &quarantine.Reply{
+				Cursor: quarantine.Cursor{Epoch: 4, Version: 5}, Records: []quarantine.Record{{Key: quarantine.Key{1}, AgeMs: 3}},
+			}},
+			want: `{"held":false,"version":0,"news":{},"quarantine":{"e":4,"v":5,"records":[` +
+				`{"k":"01000000000000000000000000000000","a":3}]}}`,
+		},
 		"reply of the leader": {
 			message: replyMessage{
 				Reply: placer.Reply{
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -12,6 +12,7 @@
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
+	"rockcleat/quarantine"
 )
 
 // utilization is the part of an engine's slots and memory that is used: at full use
@@ -37,8 +38,11 @@
 	breaker    *kv.Breaker
 	health     *storeHealth
 	configs    *configsync.Syncer
-	// modelMissing is sent when a request waits for a model that no server holds.
-	modelMissing signal
+	quarantine *quarantine.Table
+	ends       *endDetector
+	pauses     *pauseDetector
+	// urgent is sent when a report to the leader should not wait.
+	urgent signal
 }
 
 // newParts makes the parts in an order in which each needs only those before it. Their work
@@ -47,7 +51,7 @@
 	s := o.Settings
 	p := &parts{
 		lines: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
-		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(), modelMissing: make(signal, 1),
+		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(), urgent: make(signal, 1),
 		health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
@@ -55,9 +59,14 @@
 	p.peers = newPeerClient(p.gateways, o.Peers)
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
-		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.modelMissing.send,
+		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.urgent.send,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
+	p.quarantine = quarantine.New(quarantine.Options{
+		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: p.lines.logQuarantine,
+	})
+	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests}
+	p.ends = p.newEndDetector(o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
 	p.config.onChange = func() {
@@ -157,7 +166,25 @@
 	return &reporter{
 		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
-		clock: o.Clock, log: o.Log, modelMissing: p.modelMissing,
+		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine), urgent: p.urgent,
+	}
+}
+
+// newEndDetector returns what finds out whether servers have ended under requests. An end is told to the
+// leader at once.
+func (p *parts) newEndDetector(o Options) *endDetector {
+	return &endDetector{
+		clock: o.Clock, table: p.quarantine, servers: &p.servers.registry, dial: wire.TryConnect,
+		isPaused: p.pauses.isOverdue, onEnd: p.urgent.send, log: o.Log, metrics: o.Metrics,
+		broken: make(map[string]*brokenServer),
+	}
+}
+
+// newQuarantineKeeper returns what keeps the quarantine in the store.
+func (p *parts) newQuarantineKeeper(ctx context.Context, o Options) *quarantineKeeper {
+	return &quarantineKeeper{
+		ctx: ctx, table: p.quarantine, store: o.Store, keys: p.breaker.View(o.OwnKeys), lease: p.leader.lease,
+		clock: o.Clock, log: o.Log, timeout: o.Settings.StoreTimeout.Std(),
 	}
 }
 
@@ -165,7 +192,7 @@
 func (p *parts) newProxy(o Options) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
-		lifecycle: p.lifecycle, conns: p.conns, clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine, ends: p.ends, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTime.Std()), bodyTime: o.Settings.BodyTime.Std(),
 	}
 }
@@ -174,6 +201,6 @@
 func (p *parts) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
 		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, clock: c, leaseKey: p.leader.lease.Key(),
+		dispatcher: p.dispatcher, quarantine: p.quarantine, clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -11,6 +11,7 @@
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
 )
 
 // Paths of the interface between gateways.
@@ -43,6 +44,8 @@
 	placer.Report
 	// ConfigVersion is the version of the configuration that the gateway holds.
 	ConfigVersion uint64 `json:"config"`
+	// Quarantine tells of requests under which servers have ended.
+	Quarantine quarantine.Message `json:"quarantine,omitzero"`
 }
 
 // A replyMessage is the answer to a report.
@@ -52,6 +55,8 @@
 	Leader string `json:"holder,omitempty"`
 	// Config is what the answering gateway knows of the configuration.
 	Config configsync.News `json:"news"`
+	// Quarantine is what is new for the reporting gateway of such requests; nil if nothing is.
+	Quarantine *quarantine.Reply `json:"quarantine,omitempty"`
 }
 
 // A peerClient calls other gateways; it is a dispatch.Owners and a configsync.Peers.
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -13,6 +13,7 @@
 	"rockcleat/internal/placer"
 	"rockcleat/internal/server"
 	"rockcleat/kv"
+	"rockcleat/quarantine"
 )
 
 // A peerServer answers the other gateways.
@@ -22,6 +23,7 @@
 	configs    *configsync.Syncer
 	gateways   *directory
 	dispatcher *dispatch.Dispatcher
+	quarantine *quarantine.Table
 	clock      clock.Service
 	// leaseKey is the key of the leader's lease.
 	leaseKey string
@@ -45,7 +47,9 @@
 		return err
 	}
 	p.configs.HeardVersion(m.ConfigVersion, m.Addr)
-	a := replyMessage{Reply: p.placer.Report(m.Report), Config: p.configs.News()}
+	a := replyMessage{
+		Reply: p.placer.Report(m.Report), Config: p.configs.News(), Quarantine: p.quarantine.Answer(m.Quarantine),
+	}
 	if !a.IsLeader {
 		record, _ := p.placer.Leader()
 		a.Leader = p.gateways.leaderOr(record)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -8,6 +8,7 @@
 	"rockcleat/clock"
 	"rockcleat/dispatch"
 	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
 )
 
 // A proxy serves callers' requests: it reads each whole, forwards it to a server and passes
@@ -20,6 +21,8 @@
 	lines      *requestLog
 	lifecycle  *lifecycle
 	conns      *conns
+	quarantine *quarantine.Table
+	ends       *endDetector
 	clock      clock.Service
 	transport  http.RoundTripper
 	// bodyTime bounds the reading of a request's body.
@@ -39,13 +42,15 @@
 		p.lines.refusedEarly(r, refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), in.deadline)
-	defer cancel()
-	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, req: in.needs}
+	ctx, stop := context.WithDeadline(r.Context(), in.deadline)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.needs}
 	defer p.ended(f)
 	defer context.AfterFunc(p.lifecycle.lastCall, func() {
 		if !f.answering.Load() {
-			cancel()
+			cancel(nil)
 		}
 	})()
 	f.run()
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"rockcleat/dispatch"
+	"rockcleat/quarantine"
+)
+
+// errQuarantined ends what is done for a request when it comes into quarantine.
+var errQuarantined = eris.New("gateway: request quarantined")
+
+// logQuarantine logs the begin or the end of a request's quarantine.
+func (l *requestLog) logQuarantine(c quarantine.Change) {
+	if c.State == quarantine.Began {
+		l.log.Warn(msgQuarantined, zap.Stringer(fieldDigest, c.Key), zap.Strings(fieldServers, c.Servers),
+			zap.Duration("for", c.Until.Sub(l.clock.Now())))
+		return
+	}
+	l.log.Info(msgReleased, zap.Stringer(fieldDigest, c.Key), zap.String(fieldReason, string(c.State)))
+}
+
+// watchQuarantine gives the request up when it comes into quarantine while it waits for a server or for
+// an answer: a copy that a server has not begun yet then never runs. An answer that has begun goes on.
+func (f *forwarder) watchQuarantine() (stop func()) {
+	return f.proxy.quarantine.Watch(f.in.key, func() {
+		if !f.answering.Load() {
+			f.cancel(errQuarantined)
+		}
+	})
+}
+
+// isQuarantined reports whether the request is in quarantine, and was given up for that.
+func (f *forwarder) isQuarantined() bool {
+	_, held := f.proxy.quarantine.Until(f.in.key)
+	return held
+}
+
+// gaveUpForQuarantine reports whether the request was given up since it came into quarantine.
+func (f *forwarder) gaveUpForQuarantine() bool {
+	return errors.Is(context.Cause(f.ctx), errQuarantined)
+}
+
+// refuseQuarantined ends a request that is in quarantine. One that has not run here is told when the
+// quarantine ends: before that no gateway sends it. The status is one after which callers do not repeat
+// what may have run, and that promises nothing for one that has.
+func (f *forwarder) refuseQuarantined() {
+	if f.answering.Load() {
+		f.cut(errQuarantined)
+	}
+	if f.record.runs > 0 {
+		f.refuse(outcomeQuarantined, mayHaveRun("servers end under this request; it may have run"))
+		return
+	}
+	until, _ := f.proxy.quarantine.Until(f.in.key)
+	left := max(until.Sub(f.proxy.clock.Now()), time.Second).Round(time.Second)
+	f.refuse(outcomeQuarantined, notRun("servers have ended under copies of this request", left))
+}
+
+// noteBreak notes that the connection to a server broke under the request.
+func (f *forwarder) noteBreak(res *dispatch.Reservation, err error) {
+	if isBreak(err) {
+		f.proxy.ends.requestBroke(res.Server(), f.in.key)
+	}
+}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,8 +1,8 @@
 package gateway_test
 
 import (
-	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,7 +11,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"rockcleat/backend"
 	"rockcleat/relay"
 )
 
@@ -47,12 +46,7 @@
 	for i := range n {
 		list = append(list, f.start(fmt.Sprint("s", i), "127.0.0.1:0", 1))
 	}
-	f.world = newWorldWithoutConfig(t)
-	for i, x := range list {
-		f.list(x, fmt.Sprint("s", i))
-	}
-	f.world.putConfig()
-	f.world.waitReady(http.StatusOK)
+	f.world = newWorld(t, list...)
 	t.Cleanup(f.restarts.Wait)
 	return f.world, f
 }
@@ -71,22 +65,17 @@
 		f.restarts.Add(1)
 		time.AfterFunc(restartTime, func() {
 			defer f.restarts.Done()
-			f.list(f.start(name, x.addr, run+1), name)
+			f.world.putServer(f.start(name, x.addr, run+1), false)
 		})
 		return false
 	})
+	x.instance = name
 	close(started)
 	return x
 }
 
-// list puts the record of a run under the server's name.
-func (f *fragileServers) list(x *worker, name string) {
-	value, err := json.Marshal(backend.Server{ID: x.id, Instance: name, Service: "app", Addr: x.addr, Hall: "h", Slots: 4})
-	assert.NilError(f.t, err)
-	f.world.store.Set(prefix+name, value)
-}
-
-// A paced caller sends copies of one request to gateways in turn, each with another id.
+// A paced caller sends copies of one request to gateways in turn, each with another id and from another
+// address.
 type pacedCaller struct {
 	w      *world
 	fronts []string
@@ -101,7 +90,10 @@
 	req.URL.Host = p.fronts[p.sent%len(p.fronts)]
 	p.sent++
 	req.Header.Set(names.RequestID, fmt.Sprint("copy-", p.sent))
-	return p.w.do(req)
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(1+p.sent))}}
+	transport := &http.Transport{DialContext: dialer.DialContext}
+	defer transport.CloseIdleConnections()
+	return doWith(&http.Client{Transport: transport}, req)
 }
 
 // TestRequestUnderWhichServersEnd holds what users of a deployment with six gateways saw: streams broke
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -15,6 +15,8 @@
 	outcomeTimeout  = "timeout"
 	outcomeCut      = "cut"
 	outcomeGone     = "caller_gone"
+	// outcomeQuarantined says that servers have ended under copies of the request.
+	outcomeQuarantined = "quarantined"
 )
 
 // A record collects what happened to one request.
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -13,10 +13,11 @@
 	"rockcleat/internal/placer"
 	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
+	"rockcleat/quarantine"
 )
 
-// minReportInterval is the time between two reports while a request waits for a model that
-// no server holds. Chosen with the first path (docs/MEASUREMENTS.md, P1).
+// minReportInterval is the time between two reports when something is urgent, such as a request that
+// waits for a model that no server holds. Chosen with the first path (docs/MEASUREMENTS.md, P1).
 const minReportInterval = 40 * time.Millisecond
 
 // A signal wakes a loop; sending never blocks, and signals that come together are one.
@@ -45,8 +46,11 @@
 	peers      *peerClient
 	clock      clock.Service
 	log        *zap.Logger
-	// modelMissing is sent when a request waits for a model that no server holds.
-	modelMissing signal
+	// quarantine exchanges with whoever is reported to.
+	quarantine *quarantine.Link
+	// urgent is sent when a report should not wait: a request waits for a model that no server holds,
+	// or a server has ended.
+	urgent signal
 
 	// unanswered says that the last report got no reply.
 	unanswered bool
@@ -76,13 +80,13 @@
 }
 
 // rest waits for the next report: for the interval between reports, less what the last one
-// took, or until a model is missing, but for minReportInterval at least.
+// took, or until there is something urgent, but for minReportInterval at least.
 func (r *reporter) rest(ctx context.Context, started time.Time) {
 	interval := placer.ReportInterval(r.gateways.count())
 	total := max(interval-r.clock.Now().Sub(started), minReportInterval)
 	clock.Sleep(ctx, r.clock, minReportInterval)
 	if ctx.Err() == nil {
-		clock.Await(ctx, r.clock, r.modelMissing, total-minReportInterval)
+		clock.Await(ctx, r.clock, r.urgent, total-minReportInterval)
 	}
 }
 
@@ -111,7 +115,7 @@
 	m, demands := r.message()
 	requested := r.clock.Now()
 	reply, err := r.peers.report(ctx, addr, reportMessage{
-		Report: m, ConfigVersion: r.configs.News().Version,
+		Report: m, ConfigVersion: r.configs.News().Version, Quarantine: r.quarantine.Message(addr),
 	})
 	if err != nil {
 		r.noReply(addr, err)
@@ -119,6 +123,7 @@
 		return
 	}
 	r.answered(addr)
+	r.quarantine.Apply(reply.Quarantine)
 	r.placer.NotePeerReply(addr, !reply.IsLeader)
 	r.configs.Heard(reply.Config, addr, requested)
 	r.noteLeader(addr, reply)
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -16,16 +16,19 @@
 
 // Messages of the lines that touch a request; docs/OPERATIONS-GATEWAY.md explains them.
 const (
-	msgEnded      = "request ended"
-	msgRefused    = "request refused"
-	msgSendFailed = "send failed"
-	msgSentAgain  = "sent again"
-	msgCut        = "answer cut"
-	msgOwner      = "owner did not answer"
-	msgStalled    = "server stalled, request stays"
-	msgDirect     = "watching the store directly"
-	msgReceiving  = "watching the store through the leader"
-	msgMalformed  = "header malformed, ignored"
+	msgEnded       = "request ended"
+	msgRefused     = "request refused"
+	msgSendFailed  = "send failed"
+	msgSentAgain   = "sent again"
+	msgCut         = "answer cut"
+	msgOwner       = "owner did not answer"
+	msgStalled     = "server stalled, request stays"
+	msgDirect      = "watching the store directly"
+	msgReceiving   = "watching the store through the leader"
+	msgMalformed   = "header malformed, ignored"
+	msgServerEnded = "server ended"
+	msgQuarantined = "request quarantined"
+	msgReleased    = "quarantine ended"
 )
 
 // Names of the fields of these lines; docs/OPERATIONS-GATEWAY.md lists them with units.
@@ -64,6 +67,9 @@
 	fieldSameHall  = "near"
 	fieldLastEvent = "last_event"
 	fieldLeftOut   = "left_out"
+	fieldDigests   = "digests"
+	fieldServers   = "servers"
+	fieldRequests  = "requests"
 )
 
 // Rates of lines, in lines per second and lines together. Chosen, not measured: a line has
@@ -88,6 +94,8 @@
 	Sent(service string, retry bool)
 	// Admissions counts what other gateways answered when they were asked for admission.
 	Admissions(granted, denied, silent int)
+	// ServerEnded counts the end of a server of a service under requests.
+	ServerEnded(service string)
 	// ConfigTransfer counts a transfer of the configuration, with its bytes as they were sent;
 	// err says that it failed.
 	ConfigTransfer(from string, bytes int, err error)
@@ -98,6 +106,7 @@
 func (noMetrics) Handler() http.Handler                  { return http.NotFoundHandler() }
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
+func (noMetrics) ServerEnded(string)                     {}
 func (noMetrics) Admissions(int, int, int)               {}
 func (noMetrics) ConfigTransfer(string, int, error)      {}
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -66,6 +66,7 @@
 	}
 	f.record.sends++
 	f.record.runs++
+	f.noteBreak(res, err)
 	return f.lost(res, err)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,6 +67,7 @@
 			break
 		}
 		if err != nil {
+			f.noteBreak(res, cause(ctx, err))
 			return f.lost(res, cause(ctx, err))
 		}
 		res.FirstByte()
--- a/internal/gateway/worker_test.go
+++ b/internal/gateway/worker_test.go
@@ -31,9 +31,11 @@
 
 // A worker is a backend server whose answers a test writes byte by byte.
 type worker struct {
-	t    *testing.T
-	id   string
-	addr string
+	t  *testing.T
+	id string
+	// instance is the name that its runs share; empty if that is id.
+	instance string
+	addr     string
 
 	listener net.Listener
 
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -37,6 +37,7 @@
 	// transfers and bytes are those of configurations.
 	transfers metric.Int64Counter
 	bytes     metric.Int64Counter
+	ends      metric.Int64Counter
 
 	mu     sync.Mutex
 	routes map[string]bool
@@ -66,6 +67,7 @@
 	m.places = b.counter("rockcleat.gateway.places", "Places at engines asked of other gateways, by result.")
 	m.transfers = b.counter("rockcleat.gateway.config_transfers", "Transfers of the configuration, by origin and result.")
 	m.bytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
+	m.ends = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
 	return m, b.err
 }
 
@@ -122,6 +124,11 @@
 	m.bytes.Add(ctx, int64(bytes), m.set("from", from, "", ""))
 }
 
+// ServerEnded counts the end of a backend server of a service under requests.
+func (m *GatewayMetrics) ServerEnded(service string) {
+	m.ends.Add(context.Background(), 1, m.set("service", service, "", ""))
+}
+
 // StoreCall counts a call to the platform's store.
 func (m *GatewayMetrics) StoreCall(kind string) {
 	m.calls.Add(context.Background(), 1, m.set("kind", kind, "", ""))
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -21,8 +21,8 @@
 // A Request is what makes two requests copies of each other. The rest may differ: the request's id,
 // its deadline, the connection that it comes on and headers that do not name the caller.
 type Request struct {
-	// Caller is whoever sends it: the credentials, or the address without them. With the caller in
-	// the key nobody can have another's requests refused.
+	// Caller is whoever sends it, by its credentials; empty without any. With the caller in the key
+	// nobody who has credentials can have the requests of others refused.
 	Caller string
 	Method string
 	Host   string
--- /dev/null
+++ b/quarantine/rules.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import "time"
+
+// DefaultEnds is the number of servers after whose ends a request is in quarantine. Two would refuse
+// innocent requests that their callers repeat while servers end for other reasons; the chance is computed
+// in docs/design/0013. Four would cost one server more for each such request.
+const DefaultEnds = 3
+
+// DefaultHold is how long a first quarantine lasts: a caller who repeats the request each second ends
+// three servers in that time instead of some 600. Chosen, not measured.
+const DefaultHold = 10 * time.Minute
+
+// maxEnds bounds the ends that a record keeps, and with it how often the quarantine doubles: five times,
+// to 32 times the first. Chosen, not measured.
+const maxEnds = 8
+
+// sharedEnds is the number of ends from which on everyone is told of a request: below it one process
+// counts them, since nobody acts on them and a server that ends takes up to its slots of requests along.
+const sharedEnds = 2
+
+// maxRecords bounds the requests that a table knows. A record takes some 300 bytes, so all of them 1.2 MB.
+// Those with the fewest and the oldest ends go first. 146 servers of 24 places that end together leave
+// 3,504 requests.
+const maxRecords = 4096
+
+// keptRecords are left when a table is over maxRecords, so that not each further record costs a look at
+// all.
+const keptRecords = maxRecords * 3 / 4
+
+// maxMessageRecords bounds the records of one message; those left out go with the next. A record takes
+// some 70 to 150 bytes there. Chosen, not measured.
+const maxMessageRecords = 256
+
+// holdTime returns how long a quarantine lasts from the last end on.
+func holdTime(first time.Duration, ends, limit int) time.Duration {
+	return first << max(min(ends, maxEnds)-limit, 0)
+}
+
+// memory returns how long a record is kept from its last end on: through the quarantine and as long
+// again, in which one further end is enough for the next.
+func memory(first time.Duration, ends, limit int) time.Duration {
+	if ends < limit {
+		return first
+	}
+	return 2 * holdTime(first, ends, limit)
+}
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,167 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock/clocktest"
+	"rockcleat/quarantine"
+)
+
+// hold is the time of a first quarantine in these tests.
+const hold = 10 * time.Minute
+
+// key returns the key of one of many requests.
+func key(i int) quarantine.Key {
+	return quarantine.KeyOf(quarantine.Request{Target: fmt.Sprint("/", i)})
+}
+
+// newTable returns a table that appends its changes to a list.
+func newTable(c *clocktest.Clock, changes *[]quarantine.Change) *quarantine.Table {
+	return quarantine.New(quarantine.Options{
+		Clock: c, Ends: quarantine.DefaultEnds, Hold: hold,
+		OnChange: func(c quarantine.Change) { *changes = append(*changes, c) },
+	})
+}
+
+func TestEnds(t *testing.T) {
+	tests := map[string]struct {
+		do   func(t *quarantine.Table, c *clocktest.Clock)
+		held bool
+		ends int
+	}{
+		"none": {do: func(*quarantine.Table, *clocktest.Clock) {}},
+		"two servers": {do: func(t *quarantine.Table, _ *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+		}, ends: 2},
+		"three servers": {do: func(t *quarantine.Table, _ *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			t.Ended("c", key(1))
+		}, ends: 3, held: true},
+		"one server, seen three times": {do: func(t *quarantine.Table, _ *clocktest.Clock) {
+			for range 3 {
+				t.Ended("a", key(1))
+			}
+		}, ends: 1},
+		"under another request": {do: func(t *quarantine.Table, _ *clocktest.Clock) {
+			t.Ended("a", key(1), key(2))
+			t.Ended("b", key(1), key(2))
+			t.Ended("c", key(2))
+		}, ends: 2},
+		"a run that went well between": {do: func(t *quarantine.Table, _ *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			t.Void(key(1))
+			t.Ended("c", key(1))
+		}, ends: 1},
+		"a run that went well after": {do: func(t *quarantine.Table, _ *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			t.Ended("c", key(1))
+			t.Void(key(1))
+		}},
+		"the time is over": {do: func(t *quarantine.Table, c *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			t.Ended("c", key(1))
+			c.Advance(hold)
+		}, ends: 3},
+		"one more end after that": {do: func(t *quarantine.Table, c *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			t.Ended("c", key(1))
+			c.Advance(hold)
+			t.Ended("d", key(1))
+			c.Advance(2*hold - time.Second)
+		}, ends: 4, held: true},
+		"ends that are too old": {do: func(t *quarantine.Table, c *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			c.Advance(hold + time.Second)
+			t.Expire()
+			t.Ended("c", key(1))
+		}, ends: 1},
+		"a quarantine long ago": {do: func(t *quarantine.Table, c *clocktest.Clock) {
+			t.Ended("a", key(1))
+			t.Ended("b", key(1))
+			t.Ended("c", key(1))
+			c.Advance(2*hold + time.Second)
+			t.Expire()
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.New(time.Unix(0, 0))
+			var changes []quarantine.Change
+			table := newTable(c, &changes)
+			test.do(table, c)
+			_, held := table.Until(key(1))
+			assert.Equal(t, held, test.held)
+			assert.Equal(t, table.Ends(key(1)), test.ends)
+		})
+	}
+}
+
+// TestChanges checks what OnChange is told: each begin and each end once.
+func TestChanges(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	var changes []quarantine.Change
+	table := newTable(c, &changes)
+	for i := range 5 {
+		table.Ended(fmt.Sprint("s", i), key(1), key(2))
+	}
+	assert.Equal(t, len(changes), 2, "one for each request")
+	assert.Equal(t, changes[0].State, quarantine.Began)
+	assert.Equal(t, len(changes[0].Servers), 3)
+	held, suspected := table.Len()
+	assert.Equal(t, held, 2)
+	assert.Equal(t, suspected, 0)
+	assert.Assert(t, table.Void(key(1)))
+	assert.Equal(t, len(changes), 3)
+	assert.Equal(t, changes[2].State, quarantine.Voided)
+	assert.Assert(t, !table.Void(key(1)), "there are no ends left")
+	c.Advance(4 * hold)
+	table.Expire()
+	assert.Equal(t, len(changes), 4)
+	assert.Equal(t, changes[3].State, quarantine.Over)
+	assert.Equal(t, changes[3].Key, key(2))
+}
+
+func TestWatch(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	var changes []quarantine.Change
+	table := newTable(c, &changes)
+	woken, stopped := 0, 0
+	table.Watch(key(1), func() { woken++ })
+	stop := table.Watch(key(1), func() { stopped++ })
+	stop()
+	table.Watch(key(2), func() { t.Error("another request") })
+	for i := range 5 {
+		table.Ended(fmt.Sprint("s", i), key(1))
+	}
+	assert.Equal(t, woken, 1)
+	assert.Equal(t, stopped, 0)
+}
+
+// TestTableIsBounded ends servers under far more requests than a table keeps: those with the most ends
+// stay.
+func TestTableIsBounded(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	var changes []quarantine.Change
+	table := newTable(c, &changes)
+	for _, server := range []string{"a", "b", "c"} {
+		table.Ended(server, key(0))
+	}
+	for i := 1; i < 20_000; i++ {
+		table.Ended("d", key(i))
+	}
+	held, suspected := table.Len()
+	assert.Equal(t, held, 1)
+	assert.Assert(t, suspected <= 4096, "%d requests are kept", suspected)
+	assert.Equal(t, table.List()[0].Key, key(0))
+}
