--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -170,7 +170,7 @@
 	}
 }
 
-// newEndDetector returns what finds out whether servers have ended under requests. An end is told to the
+// newEndDetector returns what finds out whether servers have ended under requests. An end is reported to the
 // leader at once.
 func (p *parts) newEndDetector(o Options) *endDetector {
 	return &endDetector{
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -46,7 +46,7 @@
 	return errors.Is(context.Cause(f.ctx), errQuarantined)
 }
 
-// refuseQuarantined ends a request that is in quarantine. One that has not run here is told when the
+// refuseQuarantined ends a request that is in quarantine. One that has not run here gets the time at which the
 // quarantine ends: before that no gateway sends it. The status is one after which callers do not repeat
 // what may have run, and that promises nothing for one that has.
 func (f *forwarder) refuseQuarantined() {
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -86,7 +86,7 @@
 // NewLink returns a Link of a table with no peer.
 func NewLink(t *Table) *Link { return &Link{table: t} }
 
-// Message returns the next message to a peer. Another peer than the last one is told everything.
+// Message returns the next message to a peer. Another peer than the last one is sent everything.
 func (l *Link) Message(peer string) Message {
 	if peer != l.peer {
 		*l = Link{table: l.table, peer: peer, heard: l.heard}
@@ -96,7 +96,7 @@
 	return Message{Records: records, Seen: l.seen}
 }
 
-// Apply takes in the peer's answer to the last message. A peer that has started anew is told everything
+// Apply takes in the peer's answer to the last message. A peer that has started anew is sent everything
 // next.
 func (l *Link) Apply(r *Reply) {
 	l.sent, l.heard = l.telling, true
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -75,7 +75,7 @@
 	return news
 }
 
-// record returns the entry as others are told.
+// record returns the entry as it is sent to others.
 func (e *entry) record(k Key, now time.Time) Record {
 	return Record{Key: k, Round: e.round, Servers: slices.Clone(e.servers), AgeMs: max(now.Sub(e.at).Milliseconds(), 0)}
 }
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -15,7 +15,7 @@
 // to 32 times the first. Chosen, not measured.
 const maxEnds = 8
 
-// sharedEnds is the number of ends from which on everyone is told of a request: below it one process
+// sharedEnds is the number of ends from which on a request is sent to everyone: below it one process
 // counts them, since nobody acts on them and a server that ends takes up to its slots of requests along.
 const sharedEnds = 2
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// TestChanges checks what OnChange is told: each begin and each end once.
+// TestChanges checks the calls of OnChange: each begin and each end once.
 func TestChanges(t *testing.T) {
 	c := clocktest.New(time.Unix(0, 0))
 	var changes []quarantine.Change
