--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -139,6 +139,8 @@
 	return a.group("rockcleat", "rockcleat COMMAND [flags] [arguments]",
 		"Show and edit the table of models, and see what the system does with it.",
 		a.group("table", "rockcleat table COMMAND", "Show and edit the table.", a.tableCommands()...),
+		a.group("quarantine", "rockcleat quarantine COMMAND", "Show and lift the quarantine of requests under which servers end.",
+			a.quarantineCommands()...),
 		a.statusCommand(), a.whyCommand(), a.traceCommand(), a.summaryCommand(),
 		a.group("config", "rockcleat config COMMAND", "Check settings files.", a.configCheck()),
 		a.completion(),
--- /dev/null
+++ b/internal/cli/quarantine.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
+)
+
+// quarantineCommands return the commands for requests under which servers have ended.
+func (a *app) quarantineCommands() []*ffcli.Command {
+	var gateway string
+	flags := func(name string) *flag.FlagSet {
+		fs := flag.NewFlagSet(name, flag.ContinueOnError)
+		fs.SetOutput(a.err)
+		fs.StringVar(&gateway, "gateway", "127.0.0.1:8144", "peer_listen address of any gateway")
+		return fs
+	}
+	listFlags := flags("list")
+	asJSON := listFlags.Bool("json", false, "print JSON")
+	return []*ffcli.Command{
+		a.command(help{
+			name: "list", usage: "quarantine list [-gateway ADDR] [-json]",
+			short:   "Print the requests under which servers have ended, and which of them are refused for that.",
+			example: "rockcleat quarantine list -gateway 10.1.0.38:8144",
+		}, listFlags, func(ctx context.Context, _ []string) error { return a.listQuarantine(ctx, gateway, *asJSON) }),
+		a.command(help{
+			name: "lift", usage: "quarantine lift [-gateway ADDR] DIGEST",
+			short:   "Serve a request again under which servers have ended. All gateways follow within seconds.",
+			example: "rockcleat quarantine lift -gateway 10.1.0.38:8144 08a89246bccc4d27bab354cdd3d288b3",
+		}, flags("lift"), func(ctx context.Context, args []string) error { return a.liftQuarantine(ctx, gateway, args) }),
+	}
+}
+
+// listQuarantine prints what a gateway knows of requests under which servers have ended.
+func (a *app) listQuarantine(ctx context.Context, gateway string, asJSON bool) error {
+	c, err := a.client()
+	if err != nil {
+		return err
+	}
+	var list wire.QuarantineList
+	if err := c.Get(ctx, gateway, wire.PathQuarantine, &list); err != nil {
+		return err
+	}
+	if asJSON {
+		return printJSON(a.out, list)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DIGEST\tENDS\tLAST END\tREFUSED FOR\tSERVERS")
+	for _, item := range list.Items {
+		fmt.Fprintf(w, "%s\t%d\t%s ago\t%s\t%s\n", item.Key, len(item.Servers), milliseconds(item.AgeMs),
+			milliseconds(item.HeldMs), strings.Join(item.Servers, " "))
+	}
+	return w.Flush()
+}
+
+// milliseconds returns a time in seconds for a reader.
+func milliseconds(ms int64) time.Duration {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second)
+}
+
+// liftQuarantine voids the ends under a request.
+func (a *app) liftQuarantine(ctx context.Context, gateway string, args []string) error {
+	if err := need(args, 1, 1, "DIGEST"); err != nil {
+		return err
+	}
+	var key quarantine.Key
+	if err := key.UnmarshalText([]byte(args[0])); err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	c, err := a.client()
+	if err != nil {
+		return err
+	}
+	var lifted wire.QuarantineLifted
+	if err := c.Post(ctx, gateway, wire.PathQuarantine, wire.QuarantineLift{Key: key}, &lifted); err != nil {
+		return err
+	}
+	if !lifted.Known {
+		return fmt.Errorf("no server is known to have ended under %s", key)
+	}
+	fmt.Fprintln(a.out, "lifted", key)
+	return nil
+}
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -12,6 +12,7 @@
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/server"
+	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/quarantine"
 )
@@ -35,9 +36,25 @@
 	e.POST(pathFeed, p.answerFeed)
 	e.POST(pathConfig, p.answerConfig)
 	e.POST(pathAdmission, p.answerAdmission)
+	e.GET(wire.PathQuarantine, p.listQuarantine)
+	e.POST(wire.PathQuarantine, p.liftQuarantine)
 	return e
 }
 
+// listQuarantine answers an operator who asks under which requests servers have ended.
+func (p *peerServer) listQuarantine(c echo.Context) error {
+	return c.JSON(http.StatusOK, wire.QuarantineList{Items: p.quarantine.List()})
+}
+
+// liftQuarantine voids the ends under one request for an operator, at all gateways.
+func (p *peerServer) liftQuarantine(c echo.Context) error {
+	var r wire.QuarantineLift
+	if err := c.Bind(&r); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, wire.QuarantineLifted{Known: p.quarantine.Void(r.Key)})
+}
+
 // answerReport answers a report: with the leader's reply, if this gateway leads, and with the
 // leader's address otherwise; the news of the configuration goes with both. Requests that wait make
 // the leader act soon.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -33,6 +33,9 @@
 	t    *testing.T
 	rest script
 	ends atomic.Int64
+	// mended says that poison does no harm any more, keepsNext that the next copy is kept unanswered
+	// until its sender closes the connection.
+	mended, keepsNext atomic.Bool
 	// world lists the new runs.
 	world *world
 	// restarts are those to come.
@@ -54,18 +57,25 @@
 // start starts a run of a server.
 func (f *fragileServers) start(name, addr string, run int) *worker {
 	var x *worker
+	var end sync.Once
 	started := make(chan struct{})
 	x = newWorkerAt(f.t, fmt.Sprintf("%s-%d", name, run), addr, func(c *call) bool {
-		if c.body != poison {
+		if c.body != poison || f.mended.Load() {
 			return f.rest(c)
 		}
+		if f.keepsNext.Swap(false) {
+			<-c.gone
+			return false
+		}
 		<-started
-		f.ends.Add(1)
-		x.end()
-		f.restarts.Add(1)
-		time.AfterFunc(restartTime, func() {
-			defer f.restarts.Done()
-			f.world.putServer(f.start(name, x.addr, run+1), false)
+		end.Do(func() {
+			f.ends.Add(1)
+			x.end()
+			f.restarts.Add(1)
+			time.AfterFunc(restartTime, func() {
+				defer f.restarts.Done()
+				f.world.putServer(f.start(name, x.addr, run+1), false)
+			})
 		})
 		return false
 	})
--- /dev/null
+++ b/internal/gateway/server_ends_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
+	"rockcleat/quarantine"
+)
+
+// TestEndDetector breaks a request off at a server and checks whether the server's end is charged to it.
+func TestEndDetector(t *testing.T) {
+	key := quarantine.KeyOf(quarantine.Request{Target: "/t"})
+	server := backend.Server{ID: "s", Service: "app", Addr: "10.0.0.1:1"}
+	tests := map[string]struct {
+		// dial is the result of a connection to the server's address.
+		dial error
+		// before and after change the list before and after the break.
+		before, after func(r *backend.Registry, now time.Time)
+		paused        bool
+		dials, want   int
+	}{
+		"nobody listens":        {dial: syscall.ECONNREFUSED, dials: 1, want: 1},
+		"it listens":            {dials: endDials},
+		"its machine is silent": {dial: context.DeadlineExceeded, dials: endDials},
+		"nobody listens, and it had said that it leaves": {
+			dial:   syscall.ECONNREFUSED,
+			before: func(r *backend.Registry, now time.Time) { s := server; s.Leaving = true; r.Update(s, now) },
+		},
+		"nobody listens, and it was off the list": {
+			dial:   syscall.ECONNREFUSED,
+			before: func(r *backend.Registry, now time.Time) { r.Remove(server.ID, now.Add(-time.Minute)); r.Expire(now) },
+		},
+		"nobody listens, and this process was paused": {dial: syscall.ECONNREFUSED, paused: true},
+		"silent, then off the list": {
+			dial: context.DeadlineExceeded, dials: endDials, want: 1,
+			after: func(r *backend.Registry, now time.Time) { r.Remove(server.ID, now); r.Expire(now.Add(time.Minute)) },
+		},
+		"silent, then it says that it leaves": {
+			dial: context.DeadlineExceeded, dials: endDials,
+			after: func(r *backend.Registry, now time.Time) { s := server; s.Leaving = true; r.Update(s, now) },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.New(time.Unix(1000, 0))
+			registry := &backend.Registry{}
+			// Two servers of one service: one that vanishes alone is not kept.
+			registry.Replace([]backend.Server{server, {ID: "other", Service: "app"}, {ID: "third", Service: "app"}}, c.Now())
+			if test.before != nil {
+				test.before(registry, c.Now())
+			}
+			dialed := make(chan struct{}, endDials)
+			d := &endDetector{
+				clock: clock.Real{}, table: quarantine.New(quarantine.Options{Clock: c, Ends: 3, Hold: time.Minute}),
+				servers: registry, isPaused: func(time.Time) bool { return test.paused }, onEnd: func() {},
+				log: zap.NewNop(), metrics: noMetrics{}, broken: make(map[string]*brokenServer),
+				dial: func(context.Context, string) error {
+					dialed <- struct{}{}
+					return test.dial
+				},
+			}
+			d.requestBroke(&server, key)
+			for range test.dials {
+				<-dialed
+			}
+			if test.after != nil {
+				test.after(registry, c.Now())
+			}
+			d.check(d.clock.Now())
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if got := d.table.Ends(key); got != test.want {
+					return poll.Continue("%d ends", got)
+				}
+				return poll.Success()
+			})
+			assert.Equal(t, len(dialed), 0, "more attempts to connect than expected")
+		})
+	}
+}
+
+// TestIsBreak checks which errors of a send say that its connection broke.
+func TestIsBreak(t *testing.T) {
+	tests := map[string]struct {
+		err  error
+		want bool
+	}{
+		"end of the connection":      {err: io.EOF, want: true},
+		"end within an answer":       {err: io.ErrUnexpectedEOF, want: true},
+		"reset":                      {err: syscall.ECONNRESET, want: true},
+		"the caller's time is over":  {err: context.DeadlineExceeded},
+		"the caller has left":        {err: context.Canceled},
+		"the server stalled":         {err: errStalled},
+		"an event that is too long":  {err: errEventTooLong},
+		"the request is quarantined": {err: errors.Join(errQuarantined)},
+		"no bytes in time":           {err: timeoutError{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, isBreak(test.err), test.want) })
+	}
+}
+
+// A timeoutError is a time-out of the network.
+type timeoutError struct{}
+
+func (timeoutError) Error() string   { return "i/o timeout" }
+func (timeoutError) Timeout() bool   { return true }
+func (timeoutError) Temporary() bool { return true }
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -80,7 +80,6 @@
 	sent uint64
 	// telling is up to where the last message tells.
 	telling uint64
-	heard   bool
 }
 
 // NewLink returns a Link of a table with no peer.
