clock: time goes on while the machine is suspended

Cause: the steady clock does not count a suspension, so that leases, views, grants and callers' deadlines were older than they looked by all of it; a leader went on leading.

Change: programs use clock.System, which adds what the boot clock counts beyond the steady one and makes overdue calls when it notices: a suspension looks like a pause of the process. Callers' deadlines run on it. Deadlines that package net keeps are made by clock.SystemDeadline. clock.Real moved to clocktest: only tests use it.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/claim"
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/standin/standintest"
 	"rockcleat/kv"
@@ -25,7 +25,7 @@
 func newOwner(t *testing.T, store kv.Store, name string) *owner {
 	t.Helper()
 	o := &owner{held: true}
-	o.Shard = claim.NewShard(store, clock.Real{}, claim.Options{
+	o.Shard = claim.NewShard(store, clocktest.Real{}, claim.Options{
 		Owner: name, Retention: time.Minute, Held: func() bool { return o.held },
 	})
 	return o
@@ -36,7 +36,7 @@
 	t.Helper()
 	assert.NilError(t, o.Open(context.Background()))
 	ctx, cancel := context.WithCancel(context.Background())
-	stop := clock.Real{}.Subscribe(time.Millisecond, func(time.Time) { _ = o.Step(ctx) })
+	stop := clocktest.Real{}.Subscribe(time.Millisecond, func(time.Time) { _ = o.Step(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		stop()
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -44,16 +44,24 @@
 	}
 }
 
-// Real is a Service on the machine's clock.
-//
-// Its zero value is ready to use.
-type Real struct{}
+// WithDeadline returns a context that ends at a time of a Service, with context.DeadlineExceeded as its
+// cause, or when cancel is called.
+func WithDeadline(ctx context.Context, s Service, t time.Time) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := s.AfterFunc(t.Sub(s.Now()), func() { cancel(context.DeadlineExceeded) })
+	return ctx, func(cause error) {
+		timer.Stop()
+		cancel(cause)
+	}
+}
 
-// Now returns the machine's time with its monotonic reading.
-func (Real) Now() time.Time { return time.Now() }
+// SystemDeadline returns the time that is d from now, as package net and contexts measure: for deadlines
+// that they keep themselves. They do not count the time in which the machine is suspended, in which
+// nothing can be read or written either.
+func SystemDeadline(d time.Duration) time.Time { return time.Now().Add(d) }
 
-// Subscribe starts one goroutine that calls f on each tick until stop returns.
-func (Real) Subscribe(interval time.Duration, f func(now time.Time)) (stop func()) {
+// EachInterval calls f on each tick of the steady clock in one goroutine until stop returns.
+func EachInterval(interval time.Duration, f func()) (stop func()) {
 	ticker := time.NewTicker(interval)
 	done := make(chan struct{})
 	exited := make(chan struct{})
@@ -64,7 +72,7 @@
 			case <-done:
 				return
 			case <-ticker.C:
-				f(time.Now())
+				f()
 			}
 		}
 	}()
@@ -77,6 +85,3 @@
 		<-exited
 	}
 }
-
-// AfterFunc calls f in a goroutine of its own after d.
-func (Real) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -39,7 +39,7 @@
 					close(c)
 				}
 				start := time.Now()
-				clock.Await(test.ctx, clock.Real{}, c, test.d)
+				clock.Await(test.ctx, clocktest.Real{}, c, test.d)
 				assert.Equal(t, time.Since(start), test.want)
 			})
 		})
--- /dev/null
+++ b/clock/clocktest/real.go
@@ -0,0 +1,24 @@
+package clocktest
+
+import (
+	"time"
+
+	"rockcleat/clock"
+)
+
+// Real is a clock.Service on the machine's steady clock, which stands still while the machine is
+// suspended; programs use a clock.System.
+//
+// Its zero value is ready to use.
+type Real struct{}
+
+// Now implements clock.Service.
+func (Real) Now() time.Time { return time.Now() }
+
+// Subscribe implements clock.Service.
+func (r Real) Subscribe(interval time.Duration, f func(now time.Time)) (stop func()) {
+	return clock.EachInterval(interval, func() { f(r.Now()) })
+}
+
+// AfterFunc implements clock.Service.
+func (Real) AfterFunc(d time.Duration, f func()) clock.Timer { return time.AfterFunc(d, f) }
--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -37,7 +37,7 @@
 		OwnKeys:   store.Own(),
 		Decoder:   platform.Decoder{},
 		Engines:   platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), client),
-		Clock:     clock.Real{},
+		Clock:     clock.NewSystem(),
 		Log:       log,
 		Metrics:   metrics,
 	}), nil
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -255,7 +255,7 @@
 }
 
 func TestWaitEnds(t *testing.T) {
-	c := clock.Real{}
+	c := clocktest.Real{}
 	s := engine("a")
 	s.Slots = 1
 	d := dispatcher(c, s)
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -82,7 +82,7 @@
 // come too early for that.
 func TestBacklogDoesNotDelayNewRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := clock.Real{}
+		c := clocktest.Real{}
 		g := newGroup(c, 3)
 		served := playBacklog(c, g)
 		t.Logf("in time %d, late %d", served.inTime, served.late)
--- a/dispatch/shed_test.go
+++ b/dispatch/shed_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/backend"
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 )
 
 // TestSheds asks for requests of priority 2 after others were served well or badly.
@@ -64,7 +64,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := clock.Real{}
+			c := clocktest.Real{}
 			d := New(Options{ID: "g", Hall: "h", Clock: c, Utilization: 1, CacheTokens: func(string) int { return 100 }})
 			var r backend.Registry
 			r.Replace([]backend.Server{{
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -13,7 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/internal/cli"
 	"rockcleat/internal/standin/standintest"
 	"rockcleat/internal/wire"
@@ -26,7 +26,7 @@
 func operators(t *testing.T) (addr string) {
 	t.Helper()
 	_, store := standintest.KV(t)
-	l := table.NewLog(store, clock.Real{}, nil)
+	l := table.NewLog(store, clocktest.Real{}, nil)
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+wire.PathTable, func(w http.ResponseWriter, r *http.Request) {
 		tab, _, err := l.Load(r.Context(), &table.Table{})
--- a/internal/configsync/harness_test.go
+++ b/internal/configsync/harness_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
 )
@@ -68,7 +69,7 @@
 
 // newFleet starts a number of gateways; the first one leads.
 func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, store: kvtest.New(clock.Real{})}
+	f := &fleet{t: t, store: kvtest.New(clocktest.Real{})}
 	f.write(1)
 	for range size {
 		f.join(false)
@@ -84,7 +85,7 @@
 	m.noStore.Store(noStore)
 	index := int64(len(f.members))
 	m.syncer = New(Options{
-		Store: m, Key: testKey, Holder: m, Peers: m, Health: m, Clock: clock.Real{}, Log: zap.NewNop(),
+		Store: m, Key: testKey, Holder: m, Peers: m, Health: m, Clock: clocktest.Real{}, Log: zap.NewNop(),
 		IsWatcher: func() bool { return f.leader.Load() == index }, MaxAge: func() time.Duration { return maxAge },
 		OnTransfer: m.count,
 	})
@@ -97,7 +98,7 @@
 
 // wait lets time pass, which in these tests takes none.
 func (f *fleet) wait(d time.Duration) {
-	clock.Sleep(f.t.Context(), clock.Real{}, d)
+	clock.Sleep(f.t.Context(), clocktest.Real{}, d)
 	synctest.Wait()
 }
 
@@ -106,7 +107,7 @@
 func (f *fleet) reports() {
 	for f.t.Context().Err() == nil {
 		f.reportOnce()
-		clock.Sleep(f.t.Context(), clock.Real{}, reportEvery)
+		clock.Sleep(f.t.Context(), clocktest.Real{}, reportEvery)
 	}
 }
 
@@ -187,7 +188,7 @@
 	if m.noStore.Load() {
 		return nil, 0, errNoWay
 	}
-	clock.Sleep(ctx, clock.Real{}, time.Duration(m.readTime.Load()))
+	clock.Sleep(ctx, clocktest.Real{}, time.Duration(m.readTime.Load()))
 	if ctx.Err() != nil {
 		return nil, 0, ctx.Err()
 	}
@@ -204,7 +205,7 @@
 	}
 	events, at, err := m.fleet.store.WatchPrefix(ctx, prefix, after, wait)
 	if len(events) > 0 {
-		clock.Sleep(ctx, clock.Real{}, time.Duration(m.readTime.Load()))
+		clock.Sleep(ctx, clocktest.Real{}, time.Duration(m.readTime.Load()))
 	}
 	if m.noStore.Load() {
 		return nil, 0, errNoWay
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/internal/config"
 	"rockcleat/internal/daemon"
 	"rockcleat/internal/gateway"
@@ -58,10 +58,10 @@
 
 // build makes a gateway whose store has nothing.
 func build(s config.Gateway, log *zap.Logger) (*gateway.Gateway, error) {
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	return gateway.New(gateway.Options{
 		Settings: s, Names: wire.Names{}, ReadyPath: "/ready", Store: store, Prefixes: store, OwnKeys: store,
-		Decoder: platform.Decoder{}, Clock: clock.Real{}, Log: log,
+		Decoder: platform.Decoder{}, Clock: clocktest.Real{}, Log: log,
 	}), nil
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
+	"rockcleat/clock"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 	"rockcleat/table"
@@ -85,7 +86,7 @@
 // readBody reads the body within its limits of length and time.
 func (p *proxy) readBody(c echo.Context) ([]byte, error) {
 	rc := http.NewResponseController(c.Response().Writer)
-	if err := rc.SetReadDeadline(p.clock.Now().Add(p.limits.BodyTime.Std())); err != nil {
+	if err := rc.SetReadDeadline(clock.SystemDeadline(p.limits.BodyTime.Std())); err != nil {
 		return nil, eris.Wrap(err, "entry: set deadline")
 	}
 	limit := p.limits.BodyBytes
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -203,7 +203,7 @@
 	c.enter(connRefused)
 	// Errors need nothing done: the connection is closed either way.
 	answer := http.Response{StatusCode: http.StatusRequestTimeout, ProtoMajor: 1, ProtoMinor: 1, Close: true}
-	_ = c.SetWriteDeadline(now.Add(refusalTime))
+	_ = c.SetWriteDeadline(clock.SystemDeadline(refusalTime))
 	_ = answer.Write(c.TCPConn)
 	_ = c.TCPConn.Close()
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 )
 
 // connected returns the two ends of a connection of which a conns knows.
@@ -23,7 +23,7 @@
 	defer l.Close()
 	client, err = net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
-	conn, err := callerListener{TCPListener: l.(*net.TCPListener), clock: clock.Real{}}.Accept()
+	conn, err := callerListener{TCPListener: l.(*net.TCPListener), clock: clocktest.Real{}}.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		_ = client.Close()
@@ -94,7 +94,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := newConns(clock.Real{}, func() (time.Duration, time.Duration) { return idle, header })
+			c := newConns(clocktest.Real{}, func() (time.Duration, time.Duration) { return idle, header })
 			server, client := connected(t, c)
 			test.follow(t, c, server, client)
 			c.sweep(time.Now().Add(test.after))
@@ -122,7 +122,7 @@
 // TestRefusedConnectionServesNothing checks that a header that was refused as too slow
 // and comes whole all the same is not served.
 func TestRefusedConnectionServesNothing(t *testing.T) {
-	c := newConns(clock.Real{}, nil)
+	c := newConns(clocktest.Real{}, nil)
 	server, client := connected(t, c)
 	send(t, server, client, "GET")
 	receive(t, server, "GET")
@@ -169,7 +169,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := newConns(clock.Real{}, nil)
+			c := newConns(clocktest.Real{}, nil)
 			server, client := connected(t, c)
 			test.follow(t, c, server, client)
 			assert.Equal(t, c.drain(time.Now().Add(test.after)), 1)
@@ -188,7 +188,7 @@
 // TestServersDeadlineHolds checks that the server's own bound on reads holds after a
 // connection was to be ended and was not.
 func TestServersDeadlineHolds(t *testing.T) {
-	c := newConns(clock.Real{}, nil)
+	c := newConns(clocktest.Real{}, nil)
 	server, client := connected(t, c)
 	c.note(server, http.StateIdle)
 	send(t, server, client, "GE")
--- a/internal/gateway/find_leader_test.go
+++ b/internal/gateway/find_leader_test.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/dispatch"
 	"rockcleat/internal/config"
 	"rockcleat/internal/placer"
@@ -45,11 +45,11 @@
 	// tries is enough for asking seven gateways at random: not to find the one is a chance of
 	// one in ten million.
 	const tries = 100
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	peers := &repliers{t: t, leader: "g5:1"}
 	o := Options{
 		Settings: config.Gateway{ID: "g0", PeerListen: "g0:1", Gateways: 8}, Store: store, Prefixes: store, OwnKeys: store,
-		Decoder: plainDecoder{}, Clock: clock.Real{}, Log: zap.NewNop(), Metrics: noMetrics{}, Peers: peers,
+		Decoder: plainDecoder{}, Clock: clocktest.Real{}, Log: zap.NewNop(), Metrics: noMetrics{}, Peers: peers,
 	}
 	p := newParts(t.Context(), o)
 	var list []placer.Gateway
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/backend"
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/dispatch"
 	"rockcleat/kv"
 	"rockcleat/table"
@@ -39,9 +39,9 @@
 // watched is logged once.
 func TestNewListShowsWhoIsGone(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	d := dispatch.New(dispatch.Options{Clock: clock.Real{}, CacheTokens: func(string) int { return 0 }})
+	d := dispatch.New(dispatch.Options{Clock: clocktest.Real{}, CacheTokens: func(string) int { return 0 }})
 	log := zap.New(core)
-	f := newServerFollower(newStoreHealth(t.Context(), log), newServerList(plainDecoder{}, clock.Real{}, log, d))
+	f := newServerFollower(newStoreHealth(t.Context(), log), newServerList(plainDecoder{}, clocktest.Real{}, log, d))
 	entry := func(key string) kv.Entry { return kv.Entry{Key: key} }
 	f.Replace([]kv.Entry{entry("s1"), entry("s2")})
 	f.Apply([]kv.Event{{Entry: entry("s3")}, {Entry: entry("s2"), Deleted: true}})
@@ -59,9 +59,9 @@
 // one line for each time, not one for each heartbeat.
 func TestSpoiledEntries(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	d := dispatch.New(dispatch.Options{Clock: clock.Real{}, CacheTokens: func(string) int { return 0 }})
+	d := dispatch.New(dispatch.Options{Clock: clocktest.Real{}, CacheTokens: func(string) int { return 0 }})
 	log := zap.New(core)
-	list := newServerList(plainDecoder{}, clock.Real{}, log, d)
+	list := newServerList(plainDecoder{}, clocktest.Real{}, log, d)
 	f := newServerFollower(newStoreHealth(t.Context(), log), list)
 	good := func(key string) kv.Entry { return kv.Entry{Key: key} }
 	bad := func(key string, rev kv.Revision) kv.Entry {
@@ -91,8 +91,8 @@
 // gateways as long as no leader publishes that, and not when one does: after all gateways had restarted
 // one request in five went to an engine that no longer held its model.
 func TestResidentsAreHandedOnWithoutALeader(t *testing.T) {
-	d := dispatch.New(dispatch.Options{Clock: clock.Real{}, CacheTokens: func(string) int { return 0 }})
-	list := newServerList(residentDecoder{}, clock.Real{}, zap.NewNop(), d)
+	d := dispatch.New(dispatch.Options{Clock: clocktest.Real{}, CacheTokens: func(string) int { return 0 }})
+	list := newServerList(residentDecoder{}, clocktest.Real{}, zap.NewNop(), d)
 	entry := func(model string) kv.Entry { return kv.Entry{Key: "s1", Value: []byte(model)} }
 	assert.Assert(t, list.digest("servers/", entry("m1")) != list.digest("servers/", entry("m2")))
 	assert.Equal(t, list.digest("servers/", entry("m1")), list.digest("servers/", entry("m1")))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/internal/config"
 	"rockcleat/internal/gateway"
 	"rockcleat/internal/wire"
@@ -91,6 +92,7 @@
 	ready   string
 	peer    string
 	client  *http.Client
+	clock   clock.Service
 	routing routingFile
 	log     *zap.Logger
 	logs    *observer.ObservedLogs
@@ -157,8 +159,13 @@
 
 // prepareWorld starts a gateway that has no configuration yet.
 func prepareWorld(t *testing.T, change func(*config.Gateway), workers ...*worker) *world {
+	return prepareWorldOn(t, clocktest.Real{}, change, workers...)
+}
+
+// prepareWorldOn is prepareWorld with another clock of the gateways.
+func prepareWorldOn(t *testing.T, c clock.Service, change func(*config.Gateway), workers ...*worker) *world {
 	core, logs := observer.New(zap.InfoLevel)
-	w := &world{t: t, log: zap.New(core), logs: logs, store: kvtest.New(clock.Real{}), client: &http.Client{Transport: &http.Transport{}}}
+	w := &world{t: t, clock: c, log: zap.New(core), logs: logs, store: kvtest.New(clocktest.Real{}), client: &http.Client{Transport: &http.Transport{}}}
 	w.routing = routingFile{
 		Version: 1, Routes: routes(),
 		Services: []table.Service{
@@ -194,7 +201,7 @@
 func (w *world) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
 	g := gateway.New(gateway.Options{
 		Settings: s, Names: names, ReadyPath: readyPath, Store: w.store, Prefixes: prefixes, OwnKeys: prefixes,
-		Decoder: decoder{}, Engines: noEngines{}, Clock: clock.Real{}, Log: w.log,
+		Decoder: decoder{}, Engines: noEngines{}, Clock: w.clock, Log: w.log,
 	})
 	assert.NilError(w.t, g.Start())
 	w.t.Cleanup(func() {
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rockcleat/backend"
+	"rockcleat/clock"
 	"rockcleat/dispatch"
 	"rockcleat/quarantine"
 	"rockcleat/table"
@@ -131,7 +132,7 @@
 	}
 	// A connection that takes no deadline is closed or about to be: reading says so.
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(p.clock.Now().Add(p.bodyTime))
+	_ = rc.SetReadDeadline(clock.SystemDeadline(p.bodyTime))
 	var src io.Reader = r.Body
 	if limit > 0 {
 		src = io.LimitReader(src, limit+1)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -65,7 +65,7 @@
 	p.quarantine = quarantine.New(quarantine.Options{
 		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: p.lines.logQuarantine,
 	})
-	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests}
+	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, last: o.Clock.Now()}
 	p.ends = p.newEndDetector(o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -42,9 +42,7 @@
 		p.lines.refusedEarly(r, refused)
 		return
 	}
-	ctx, stop := context.WithDeadline(r.Context(), in.deadline)
-	defer stop()
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := clock.WithDeadline(r.Context(), p.clock, in.deadline)
 	defer cancel(nil)
 	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.needs}
 	defer p.ended(f)
--- a/internal/gateway/quarantine_failures_test.go
+++ b/internal/gateway/quarantine_failures_test.go
@@ -27,6 +27,14 @@
 	p.w.waitLines("request quarantined", gateways)
 }
 
+// stopNow stops the first gateway of a world with no grace.
+func stopNow(w *world) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	// The gateway says that requests were cut.
+	_ = w.gateway.Stop(ctx)
+}
+
 // waitLines waits until a message was logged a number of times.
 func (w *world) waitLines(message string, n int) {
 	w.t.Helper()
@@ -100,9 +108,7 @@
 func TestQuarantineOutlastsTheLeader(t *testing.T) {
 	caller, servers := newQuarantineFleet(t)
 	caller.quarantined(3)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = caller.w.gateway.Stop(ctx)
+	stopNow(caller.w)
 	caller.fronts = caller.fronts[1:]
 	caller.w.waitLines("leadership gained", 2)
 	caller.refused(servers)
@@ -121,9 +127,7 @@
 		}
 		return poll.Success()
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = w.gateway.Stop(ctx)
+	stopNow(w)
 	s := gatewaySettings(t, "next")
 	s.FirstStart = false
 	w.startGateway(s, w.store)
--- a/internal/gateway/server_ends_test.go
+++ b/internal/gateway/server_ends_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/poll"
 
 	"rockcleat/backend"
-	"rockcleat/clock"
 	"rockcleat/clock/clocktest"
 	"rockcleat/quarantine"
 )
@@ -62,7 +61,7 @@
 			}
 			dialed := make(chan struct{}, endDials)
 			d := &endDetector{
-				clock: clock.Real{}, table: quarantine.New(quarantine.Options{Clock: c, Ends: 3, Hold: time.Minute}),
+				clock: clocktest.Real{}, table: quarantine.New(quarantine.Options{Clock: c, Ends: 3, Hold: time.Minute}),
 				servers: registry, isPaused: func(time.Time) bool { return test.paused }, onEnd: func() {},
 				log: zap.NewNop(), metrics: noMetrics{}, broken: make(map[string]*brokenServer),
 				dial: func(context.Context, string) error {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -100,7 +100,7 @@
 	if !ok {
 		return g.Grace()
 	}
-	return max(end.Sub(g.clock.Now())-lastAnswers, 0)
+	return max(time.Until(end)-lastAnswers, 0)
 }
 
 // Grace returns how long Stop may take.
--- a/internal/transfer/watch_test.go
+++ b/internal/transfer/watch_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/internal/transfer"
 )
 
@@ -26,7 +27,7 @@
 	if len(b.pauses) == 0 {
 		return 0, io.EOF
 	}
-	clock.Sleep(b.ctx, clock.Real{}, b.pauses[0])
+	clock.Sleep(b.ctx, clocktest.Real{}, b.pauses[0])
 	if b.ctx.Err() != nil {
 		return 0, b.ctx.Err()
 	}
--- a/kv/example_test.go
+++ b/kv/example_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
 )
@@ -37,11 +37,11 @@
 func (p rowPrinter) Reachable()        {}
 
 func ExampleFollow() {
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	store.Set("rows/hint", []byte("weight 1"))
 	ctx, end := context.WithCancel(context.Background())
 	kv.Follow(ctx, kv.FollowOptions{
-		Store: store, Prefix: "rows/", Round: time.Second, Clock: clock.Real{}, Follower: rowPrinter{store: store, end: end},
+		Store: store, Prefix: "rows/", Round: time.Second, Clock: clocktest.Real{}, Follower: rowPrinter{store: store, end: end},
 	})
 	// Output:
 	// listed rows/hint: weight 1
--- a/kv/fanout_hand_on_test.go
+++ b/kv/fanout_hand_on_test.go
@@ -20,8 +20,8 @@
 func TestFanoutHandsOnWholePrefix(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := kvtest.New(clock.Real{})
-	options := kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }}
+	store := kvtest.New(clocktest.Real{})
+	options := kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }}
 	source := kv.NewFanout(options)
 	options.IsWatcher = func() bool { return false }
 	options.ListWait = func() time.Duration { return time.Minute }
@@ -30,16 +30,16 @@
 	store.Set("a/2", []byte("2"))
 	var sourceSees, lateSees mirror
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: source.View(store, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &sourceSees,
+		Store: source.View(store, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: &sourceSees,
 	})
 	store.Remove("a/2")
 	poll.WaitOn(t, sourceSees.shows(map[string]string{"a/1": "1"}))
 	away := &watchCounter{PrefixStore: store}
 	away.closed.Store(true)
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: late.View(away, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &lateSees,
+		Store: late.View(away, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: &lateSees,
 	})
-	stop := clock.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Revisions()), time.Now()) })
+	stop := clocktest.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Revisions()), time.Now()) })
 	defer stop()
 	poll.WaitOn(t, lateSees.shows(map[string]string{"a/1": "1"}))
 	store.Set("a/3", []byte("3"))
@@ -68,7 +68,7 @@
 				poll.WaitOn(t, p.isAlone(true))
 				return
 			}
-			clock.Sleep(ctx, clock.Real{}, 3*shortMaxAge)
+			clock.Sleep(ctx, clocktest.Real{}, 3*shortMaxAge)
 			assert.Equal(t, p.direct.watches.Load(), before)
 		})
 	}
@@ -111,8 +111,8 @@
 // TestFanoutListIsHandedOnAsChanges lists a prefix again, as after the service has forgotten its
 // history: a process that knew it before is sent what has changed, also what is gone, and no more.
 func TestFanoutListIsHandedOnAsChanges(t *testing.T) {
-	store := kvtest.New(clock.Real{})
-	f := kv.NewFanout(kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
+	store := kvtest.New(clocktest.Real{})
+	f := kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
 	view := f.View(store, false)
 	list := func() {
 		_, _, err := view.ListPrefix(t.Context(), "a/")
@@ -163,7 +163,7 @@
 // is handed on does not go beyond the revision of the list, so that nothing after it is passed over.
 func TestFanoutListInPages(t *testing.T) {
 	s := &listedStore{entries: []kv.Entry{{Key: "a/1", Revision: 1}}, at: 5}
-	f := kv.NewFanout(kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
+	f := kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true }})
 	view := f.View(s, false)
 	_, _, err := view.ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
@@ -183,11 +183,11 @@
 // here, since its log of the prefix was empty but not set up for changes.
 func TestFanoutHandsOnFromTheFirstRevision(t *testing.T) {
 	options := kv.FanoutOptions{
-		Clock: clock.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true },
+		Clock: clocktest.Real{}, MaxAge: longMaxAge, IsWatcher: func() bool { return true },
 		Digest: func(string, kv.Entry) uint64 { return 0 },
 	}
 	source := kv.NewFanout(options)
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	view := source.View(store, false)
 	_, at, err := view.ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
@@ -205,7 +205,7 @@
 	defer cancel()
 	var lateSees mirror
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: late.View(store, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &lateSees,
+		Store: late.View(store, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: &lateSees,
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if _, asked := late.Revisions()["a/"]; !asked {
--- a/kv/fanout_test.go
+++ b/kv/fanout_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
 )
@@ -66,25 +66,25 @@
 // newFanoutPairWith is newFanoutPair with extra patience of the second process.
 func newFanoutPairWith(ctx context.Context, t *testing.T, trust, extra time.Duration) *fanoutPair {
 	t.Helper()
-	p := &fanoutPair{store: kvtest.New(clock.Real{}), sourceSees: &mirror{}, otherSees: &mirror{}}
+	p := &fanoutPair{store: kvtest.New(clocktest.Real{}), sourceSees: &mirror{}, otherSees: &mirror{}}
 	p.sourceIsSource.Store(true)
 	p.alone.Store(true)
-	p.source = kv.NewFanout(kv.FanoutOptions{Clock: clock.Real{}, MaxAge: trust, IsWatcher: p.sourceIsSource.Load})
-	p.other = kv.NewFanout(kv.FanoutOptions{Clock: clock.Real{}, MaxAge: trust, IsWatcher: func() bool { return false },
+	p.source = kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: trust, IsWatcher: p.sourceIsSource.Load})
+	p.other = kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: trust, IsWatcher: func() bool { return false },
 		ExtraAge: func() time.Duration { return extra },
 		OnSwitch: func(_ string, direct bool) { p.alone.Store(direct) },
 	})
 	p.store.Set("a/1", []byte("1"))
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: p.source.View(p.store, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: p.sourceSees,
+		Store: p.source.View(p.store, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: p.sourceSees,
 	})
 	p.direct = &watchCounter{PrefixStore: p.store}
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: p.other.View(p.direct, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: p.otherSees,
+		Store: p.other.View(p.direct, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: p.otherSees,
 	})
 	poll.WaitOn(t, p.otherSees.shows(map[string]string{"a/1": "1"}))
 	poll.WaitOn(t, p.sourceSees.shows(map[string]string{"a/1": "1"}))
-	stop := clock.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { p.handOn() })
+	stop := clocktest.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { p.handOn() })
 	t.Cleanup(stop)
 	poll.WaitOn(t, p.isAlone(false))
 	return p
@@ -220,21 +220,21 @@
 func TestFanoutLeavesOutWhatDoesNotMatter(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	firstByte := func(_ string, e kv.Entry) uint64 { return uint64(e.Value[0]) }
-	options := kv.FanoutOptions{Clock: clock.Real{}, MaxAge: longMaxAge, Digest: firstByte, IsWatcher: func() bool { return true }}
+	options := kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: longMaxAge, Digest: firstByte, IsWatcher: func() bool { return true }}
 	source := kv.NewFanout(options)
 	options.IsWatcher = func() bool { return false }
 	other := kv.NewFanout(options)
 	store.Set("a/1", []byte("x1"))
 	var sourceSees, otherSees mirror
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: source.View(store, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &sourceSees,
+		Store: source.View(store, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: &sourceSees,
 	})
 	direct := &watchCounter{PrefixStore: store}
 	direct.closed.Store(true)
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: other.View(direct, false), Prefix: "a/", Round: time.Second, Clock: clock.Real{}, Follower: &otherSees,
+		Store: other.View(direct, false), Prefix: "a/", Round: time.Second, Clock: clocktest.Real{}, Follower: &otherSees,
 	})
 	poll.WaitOn(t, sourceSees.shows(map[string]string{"a/1": "x1"}))
 	poll.WaitOn(t, otherSees.shows(map[string]string{"a/1": "x1"}))
--- a/kv/follow_test.go
+++ b/kv/follow_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
 )
@@ -126,11 +126,11 @@
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			w := world{store: kvtest.New(clock.Real{}), m: &mirror{}}
+			w := world{store: kvtest.New(clocktest.Real{}), m: &mirror{}}
 			w.store.Set("a/1", []byte("1"))
 			w.store.Set("a/2", []byte("2"))
 			go kv.Follow(ctx, kv.FollowOptions{
-				Store: w.store, Prefix: "a/", Round: time.Minute, Clock: clock.Real{}, Follower: w.m,
+				Store: w.store, Prefix: "a/", Round: time.Minute, Clock: clocktest.Real{}, Follower: w.m,
 			})
 			poll.WaitOn(t, w.m.shows(map[string]string{"a/1": "1", "a/2": "2"}))
 			test.trouble(t, w)
@@ -142,11 +142,11 @@
 func TestFollowCallsNoMoreThanItMust(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	store.Set("a/1", []byte("1"))
 	m := &mirror{}
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: store, Prefix: "a/", Round: time.Minute, Clock: clock.Real{}, Follower: m,
+		Store: store, Prefix: "a/", Round: time.Minute, Clock: clocktest.Real{}, Follower: m,
 	})
 	poll.WaitOn(t, m.shows(map[string]string{"a/1": "1"}))
 	for range 50 {
--- a/lease/campaign_test.go
+++ b/lease/campaign_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
 	"rockcleat/lease"
@@ -20,7 +21,7 @@
 const shortTTL = 300 * time.Millisecond
 
 func contender(s kv.Store, name string) *lease.Holder {
-	return lease.New(s, clock.Real{}, lease.Options{Name: "role", Holder: name, Addr: name, TTL: shortTTL})
+	return lease.New(s, clocktest.Real{}, lease.Options{Name: "role", Holder: name, Addr: name, TTL: shortTTL})
 }
 
 func holds(h *lease.Holder, want bool) poll.Check {
@@ -35,7 +36,7 @@
 func TestCampaign(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	a, b := contender(store, "a"), contender(store, "b")
 	first, endFirst := context.WithCancel(ctx)
 	go a.Campaign(first, store)
@@ -62,7 +63,7 @@
 func TestCampaignTakesNothingWhileTheStoreIsDown(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	store.Fail(func(string) error { return kv.ErrUnavailable })
 	a := contender(store, "a")
 	go a.Campaign(ctx, store)
@@ -82,7 +83,7 @@
 func TestCampaignOutlivesForgottenHistory(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := kvtest.New(clock.Real{})
+	store := kvtest.New(clocktest.Real{})
 	a, b := contender(store, "a"), contender(store, "b")
 	go a.Campaign(ctx, store)
 	poll.WaitOn(t, holds(a, true))
@@ -125,12 +126,12 @@
 func TestOthersLeaveAFreeLease(t *testing.T) {
 	const patience = 500 * time.Millisecond
 	patient := func(s kv.Store, name string) *lease.Holder {
-		return lease.New(s, clock.Real{}, lease.Options{
+		return lease.New(s, clocktest.Real{}, lease.Options{
 			Name: "role", Holder: name, TTL: shortTTL, Delay: func() time.Duration { return patience },
 		})
 	}
 	t.Run("taken by another", func(t *testing.T) {
-		store := kvtest.New(clock.Real{})
+		store := kvtest.New(clocktest.Real{})
 		counted := &countingGrants{Store: store}
 		holders := make([]*lease.Holder, 5)
 		for i := range holders {
@@ -148,11 +149,11 @@
 				return poll.Success()
 			})
 		}
-		clock.Sleep(t.Context(), clock.Real{}, 2*patience)
+		clock.Sleep(t.Context(), clocktest.Real{}, 2*patience)
 		assert.Equal(t, counted.grants.Load(), int64(0))
 	})
 	t.Run("taken by nobody", func(t *testing.T) {
-		store := kvtest.New(clock.Real{})
+		store := kvtest.New(clocktest.Real{})
 		h := patient(store, "patient")
 		go h.Campaign(t.Context(), store)
 		poll.WaitOn(t, holds(h, true))
--- a/table/log_test.go
+++ b/table/log_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/standin/standintest"
 	"rockcleat/kv"
@@ -25,7 +25,7 @@
 
 func TestSaveConflicts(t *testing.T) {
 	_, store := standintest.KV(t)
-	l := table.NewLog(store, clock.Real{}, nil)
+	l := table.NewLog(store, clocktest.Real{}, nil)
 	save(t, l, "first", set("a", 1, 0), set("b", 1, 0))
 	tests := map[string]struct {
 		change table.Change
@@ -62,7 +62,7 @@
 	for lost := range 4 {
 		t.Run(fmt.Sprint(lost, " lost"), func(t *testing.T) {
 			s, store := standintest.KV(t)
-			l := table.NewLog(store, clock.Real{}, nil)
+			l := table.NewLog(store, clocktest.Real{}, nil)
 			save(t, l, "first", set("a", 1, 0))
 			s.SetFaults(standin.Faults{LoseAnswers: lost})
 			tab := save(t, l, "second", set("a", 2, 1))
@@ -115,11 +115,11 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			_, store := standintest.KV(t)
-			l := table.NewLog(store, clock.Real{}, nil)
+			l := table.NewLog(store, clocktest.Real{}, nil)
 			save(t, l, "first", set("a", 1, 0))
 			lossy := &lossyStore{Store: store, effect: tc.effect, then: func() { save(t, l, "other", tc.other) }}
 			mine := table.Edit{ID: "mine", Changes: []table.Change{set("a", 2, 1)}}
-			_, err := table.NewLog(lossy, clock.Real{}, nil).Save(context.Background(), mine)
+			_, err := table.NewLog(lossy, clocktest.Real{}, nil).Save(context.Background(), mine)
 			assert.ErrorIs(t, err, tc.want)
 			tab, _, err := l.Load(context.Background(), &table.Table{})
 			assert.NilError(t, err)
@@ -133,7 +133,7 @@
 	store := &unknownStore{}
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	_, err := table.NewLog(store, clock.Real{}, nil).Save(ctx, table.Edit{ID: "e", Changes: []table.Change{set("a", 1, 0)}})
+	_, err := table.NewLog(store, clocktest.Real{}, nil).Save(ctx, table.Edit{ID: "e", Changes: []table.Change{set("a", 1, 0)}})
 	assert.ErrorIs(t, err, table.ErrSaveUnknown)
 }
 
@@ -156,7 +156,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			l := table.NewLog(store, clock.Real{}, nil)
+			l := table.NewLog(store, clocktest.Real{}, nil)
 			seen := uint64(0)
 			for i := range edits {
 				name := fmt.Sprintf("row-%d", o)
@@ -171,7 +171,7 @@
 		}()
 	}
 	wg.Wait()
-	tab, _, err := table.NewLog(store, clock.Real{}, nil).Load(context.Background(), &table.Table{})
+	tab, _, err := table.NewLog(store, clocktest.Real{}, nil).Load(context.Background(), &table.Table{})
 	assert.NilError(t, err)
 	assert.Equal(t, tab.Version(), uint64(operators*edits))
 	assert.Equal(t, tab.Len(), operators)
@@ -183,7 +183,7 @@
 // TestLoadAcrossSnapshots reads the table from every version that a process may have.
 func TestLoadAcrossSnapshots(t *testing.T) {
 	_, store := standintest.KV(t)
-	l := table.NewLog(store, clock.Real{}, nil)
+	l := table.NewLog(store, clocktest.Real{}, nil)
 	versions := []*table.Table{{}}
 	for i := range 150 {
 		r, _ := versions[i].Row("m")
