After a restart of all gateways each reads what is in quarantine from the store

A gateway that has started anew counts as informed when the store or an informed gateway has told it, not when any gateway answers: after a loss of all none of them knows. Until then, for 1 s at most, it is not ready.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -81,6 +82,7 @@
 	ends       *endDetector
 	keeper     *quarantineKeeper
 	startedAt  time.Time
+	informed   *atomic.Bool
 	// stops end the subscriptions to the clock.
 	stops []func()
 	// ctx ends with the gateway, after its last request.
@@ -102,7 +104,7 @@
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
 		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer, reporter: p.newReporter(o), feed: p.newFeed(o),
-		pauses: p.pauses, quarantine: p.quarantine, ends: p.ends, keeper: p.newQuarantineKeeper(ctx, o), ctx: ctx, cancel: cancel,
+		pauses: p.pauses, quarantine: p.quarantine, ends: p.ends, keeper: p.newQuarantineKeeper(ctx, o), informed: p.informed, ctx: ctx, cancel: cancel,
 	}
 	g.listeners = newListeners(listenerOptions{
 		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
@@ -160,20 +162,23 @@
 	case !g.servers.isListed():
 		return false, "no servers known yet"
 	case !g.isInformed():
-		return false, "no other gateway heard yet"
+		return false, "quarantine not known yet"
 	}
 	return true, ""
 }
 
-// informTime is how long after its start a gateway waits for the answer to its first report, which says
-// what is in quarantine, before it calls itself ready: an answer takes some milliseconds. Chosen, not
-// measured.
-const informTime = 300 * time.Millisecond
+// Learning after a start what is in quarantine. Chosen, not measured: another gateway answers within some
+// milliseconds.
+const (
+	// informTime is after which time without one that knows the store is read.
+	informTime = 300 * time.Millisecond
+	// maxInformTime is after which time the gateway calls itself ready all the same.
+	maxInformTime = time.Second
+)
 
-// isInformed reports whether the gateway may believe that it knows what is in quarantine. At the first
-// start of the whole system nothing is.
+// isInformed reports whether the gateway may believe that it knows what is in quarantine.
 func (g *Gateway) isInformed() bool {
-	return g.settings.FirstStart || g.reporter.informed.Load() || g.clock.Now().Sub(g.startedAt) > informTime
+	return g.informed.Load() || g.clock.Now().Sub(g.startedAt) > maxInformTime
 }
 
 // Reload takes new settings. The retry budget changes at once; what cannot change while the
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"rockcleat/clock"
@@ -39,8 +40,11 @@
 	health     *storeHealth
 	configs    *configsync.Syncer
 	quarantine *quarantine.Table
-	ends       *endDetector
-	pauses     *pauseDetector
+	// informed says that the gateway knows what was in quarantine before its start: at the first start
+	// of the whole system nothing was.
+	informed *atomic.Bool
+	ends     *endDetector
+	pauses   *pauseDetector
 	// urgent is sent when a report to the leader should not wait.
 	urgent signal
 }
@@ -51,7 +55,7 @@
 	s := o.Settings
 	p := &parts{
 		lines: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
-		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(), urgent: make(signal, 1),
+		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(), urgent: make(signal, 1), informed: &atomic.Bool{},
 		health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
@@ -62,6 +66,7 @@
 		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.urgent.send,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
+	p.informed.Store(s.FirstStart)
 	p.quarantine = quarantine.New(quarantine.Options{
 		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: p.lines.logQuarantine,
 	})
@@ -166,7 +171,7 @@
 	return &reporter{
 		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
-		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine), urgent: p.urgent,
+		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine), informed: p.informed, urgent: p.urgent,
 	}
 }
 
@@ -185,6 +190,7 @@
 	return &quarantineKeeper{
 		ctx: ctx, table: p.quarantine, store: o.Store, keys: p.breaker.View(o.OwnKeys), lease: p.leader.lease,
 		clock: o.Clock, log: o.Log, timeout: o.Settings.StoreTimeout.Std(),
+		informed: p.informed, startedAt: o.Clock.Now(),
 	}
 }
 
@@ -201,6 +207,6 @@
 func (p *parts) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
 		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, quarantine: p.quarantine, clock: c, leaseKey: p.leader.lease.Key(),
+		dispatcher: p.dispatcher, quarantine: p.quarantine, informed: p.informed, clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -46,6 +46,8 @@
 	ConfigVersion uint64 `json:"config"`
 	// Quarantine tells of requests under which servers have ended.
 	Quarantine quarantine.Message `json:"quarantine,omitzero"`
+	// Uninformed says that the gateway does not know yet what was in quarantine before its start.
+	Uninformed bool `json:"uninformed,omitempty"`
 }
 
 // A replyMessage is the answer to a report.
@@ -57,6 +59,8 @@
 	Config configsync.News `json:"news"`
 	// Quarantine is what is new for the reporting gateway of such requests; nil if nothing is.
 	Quarantine *quarantine.Reply `json:"quarantine,omitempty"`
+	// Informed tells a gateway that is uninformed whether the answering one is not.
+	Informed bool `json:"informed,omitempty"`
 }
 
 // A peerClient calls other gateways; it is a dispatch.Owners and a configsync.Peers.
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -25,6 +26,7 @@
 	gateways   *directory
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Table
+	informed   *atomic.Bool
 	clock      clock.Service
 	// leaseKey is the key of the leader's lease.
 	leaseKey string
@@ -66,6 +68,7 @@
 	p.configs.HeardVersion(m.ConfigVersion, m.Addr)
 	a := replyMessage{
 		Reply: p.placer.Report(m.Report), Config: p.configs.News(), Quarantine: p.quarantine.Answer(m.Quarantine),
+		Informed: m.Uninformed && p.informed.Load(),
 	}
 	if !a.IsLeader {
 		record, _ := p.placer.Leader()
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,7 +32,8 @@
 
 // A quarantineKeeper keeps the requests in quarantine in the store, so that they outlast the loss of all
 // gateways: the leader writes each once, removes it when its quarantine is over, and reads all when it
-// begins to lead. All else about them is exchanged between gateways alone.
+// begins to lead. Beside it only a gateway reads them that has started anew and finds no other that knows
+// them. All else about them is exchanged between gateways.
 //
 // Its state belongs to the goroutine that calls step.
 type quarantineKeeper struct {
@@ -43,6 +45,9 @@
 	clock   clock.Service
 	log     *zap.Logger
 	timeout time.Duration
+	// informed says that this gateway knows what was in quarantine before its start.
+	informed  *atomic.Bool
+	startedAt time.Time
 
 	// term is that in which the store was read.
 	term lease.Token
@@ -55,26 +60,37 @@
 // step is called every keepInterval.
 func (k *quarantineKeeper) step(now time.Time) {
 	token, held := k.lease.Held()
-	if !held {
-		k.term = 0
-		return
-	}
 	ctx, cancel := context.WithTimeout(k.ctx, k.timeout)
 	defer cancel()
-	if token != k.term {
-		k.note(k.load(ctx, token))
+	switch {
+	case held && token == k.term:
+		k.note(k.save(ctx, now))
+	case held:
+		k.note(k.load(ctx))
+	default:
+		k.term = 0
+		k.inform(ctx, now)
 		return
 	}
-	k.note(k.save(ctx, now))
+	if !k.failing {
+		k.term = token
+	}
+}
+
+// inform reads the store in a gateway that nobody has told what is in quarantine: all have started anew.
+func (k *quarantineKeeper) inform(ctx context.Context, now time.Time) {
+	if !k.informed.Load() && now.Sub(k.startedAt) > informTime {
+		k.note(k.load(ctx))
+	}
 }
 
-// load reads the store at the begin of a term.
-func (k *quarantineKeeper) load(ctx context.Context, token lease.Token) error {
+// load reads the store: at the begin of a term, and in a gateway that is not informed.
+func (k *quarantineKeeper) load(ctx context.Context) error {
 	entries, _, err := k.keys.ListPrefix(ctx, quarantinePrefix)
 	if err != nil {
 		return err
 	}
-	k.term, k.stored = token, make(map[quarantine.Key]int)
+	k.stored = make(map[quarantine.Key]int)
 	now := k.clock.Now()
 	var records []quarantine.Record
 	for _, e := range entries {
@@ -88,6 +104,7 @@
 		k.stored[s.Key] = len(s.Servers)
 	}
 	k.table.Merge(records)
+	k.informed.Store(true)
 	return nil
 }
 
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -49,13 +49,12 @@
 	log        *zap.Logger
 	// quarantine exchanges with whoever is reported to.
 	quarantine *quarantine.Link
+	// informed says that this gateway knows what was in quarantine before its start.
+	informed *atomic.Bool
 	// urgent is sent when a report should not wait: a request waits for a model that no server holds,
 	// or a server has ended.
 	urgent signal
 
-	// informed says that a report was answered, or that this gateway leads.
-	informed atomic.Bool
-
 	// unanswered says that the last report got no reply.
 	unanswered bool
 	// wasLeader says that this gateway led at the last report.
@@ -104,7 +103,6 @@
 		r.configs.Recheck()
 	}
 	if own {
-		r.informed.Store(true)
 		m, demands := r.message()
 		r.apply(r.placer.Report(m), demands)
 		r.placer.Wake()
@@ -121,6 +119,7 @@
 	requested := r.clock.Now()
 	reply, err := r.peers.report(ctx, addr, reportMessage{
 		Report: m, ConfigVersion: r.configs.News().Version, Quarantine: r.quarantine.Message(addr),
+		Uninformed: !r.informed.Load(),
 	})
 	if err != nil {
 		r.noReply(addr, err)
@@ -129,7 +128,9 @@
 	}
 	r.answered(addr)
 	r.quarantine.Apply(reply.Quarantine)
-	r.informed.Store(true)
+	if reply.Informed {
+		r.informed.Store(true)
+	}
 	r.placer.NotePeerReply(addr, !reply.IsLeader)
 	r.configs.Heard(reply.Config, addr, requested)
 	r.noteLeader(addr, reply)
