--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +15,6 @@
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
-	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -77,12 +75,8 @@
 	conns      *conns
 	lifecycle  *lifecycle
 	listeners  *listeners
-	pauses     *pauseDetector
-	quarantine *quarantine.Table
-	ends       *endDetector
+	quarantine *quarantineRole
 	keeper     *quarantineKeeper
-	startedAt  time.Time
-	informed   *atomic.Bool
 	// stops end the subscriptions to the clock.
 	stops []func()
 	// ctx ends with the gateway, after its last request.
@@ -103,8 +97,9 @@
 	g := &Gateway{
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
-		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer, reporter: p.newReporter(o), feed: p.newFeed(o),
-		pauses: p.pauses, quarantine: p.quarantine, ends: p.ends, keeper: p.newQuarantineKeeper(ctx, o), informed: p.informed, ctx: ctx, cancel: cancel,
+		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer,
+		reporter: p.newReporter(o), feed: p.newFeed(o), quarantine: &p.quarantine, keeper: p.newQuarantineKeeper(ctx, o),
+		ctx: ctx, cancel: cancel,
 	}
 	g.listeners = newListeners(listenerOptions{
 		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
@@ -122,7 +117,6 @@
 
 // Start binds the listeners and starts the gateway's parts.
 func (g *Gateway) Start() error {
-	g.startedAt = g.clock.Now()
 	if err := g.listeners.start(); err != nil {
 		return err
 	}
@@ -133,10 +127,7 @@
 	go g.feed.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
-	g.subscribe(pauseCheckInterval, g.pauses.check)
-	g.subscribe(expireInterval, g.ends.check)
-	g.subscribe(sweepInterval, func(time.Time) { g.quarantine.Expire() })
-	g.subscribe(keepInterval, g.keeper.step)
+	g.stops = append(g.stops, g.quarantine.subscribe(g.clock, g.keeper)...)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
 }
@@ -161,26 +152,12 @@
 		return false, "no configuration yet"
 	case !g.servers.isListed():
 		return false, "no servers known yet"
-	case !g.isInformed():
+	case !g.quarantine.isInformed(g.clock.Now()):
 		return false, "quarantine not known yet"
 	}
 	return true, ""
 }
 
-// Learning after a start what is in quarantine. Chosen, not measured: another gateway answers within some
-// milliseconds.
-const (
-	// informTime is after which time without one that knows the store is read.
-	informTime = 300 * time.Millisecond
-	// maxInformTime is after which time the gateway calls itself ready all the same.
-	maxInformTime = time.Second
-)
-
-// isInformed reports whether the gateway may believe that it knows what is in quarantine.
-func (g *Gateway) isInformed() bool {
-	return g.informed.Load() || g.clock.Now().Sub(g.startedAt) > maxInformTime
-}
-
 // Reload takes new settings. The retry budget changes at once; what cannot change while the
 // gateway runs stays, and the log says that a restart is needed.
 func (g *Gateway) Reload(s config.Gateway) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"rockcleat/clock"
@@ -39,12 +38,7 @@
 	breaker    *kv.Breaker
 	health     *storeHealth
 	configs    *configsync.Syncer
-	quarantine *quarantine.Table
-	// informed says that the gateway knows what was in quarantine before its start: at the first start
-	// of the whole system nothing was.
-	informed *atomic.Bool
-	ends     *endDetector
-	pauses   *pauseDetector
+	quarantine quarantineRole
 	// urgent is sent when a report to the leader should not wait.
 	urgent signal
 }
@@ -55,8 +49,8 @@
 	s := o.Settings
 	p := &parts{
 		lines: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
-		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(), urgent: make(signal, 1), informed: &atomic.Bool{},
-		health: newStoreHealth(ctx, o.Log),
+		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(),
+		urgent: make(signal, 1), health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
@@ -66,12 +60,7 @@
 		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.urgent.send,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
-	p.informed.Store(s.FirstStart)
-	p.quarantine = quarantine.New(quarantine.Options{
-		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: p.lines.logQuarantine,
-	})
-	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, last: o.Clock.Now()}
-	p.ends = p.newEndDetector(o)
+	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
 	p.config.onChange = func() {
@@ -79,8 +68,8 @@
 		p.leader.fanout.Recheck()
 	}
 	p.configs = configsync.New(configsync.Options{
-		Store: p.breaker.View(o.Prefixes), Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers, Health: p.health, Clock: o.Clock,
-		Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: p.newsMaxAge(s), StartWait: p.gateways.listWait,
+		Store: p.breaker.View(o.Prefixes), Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers,
+		Health: p.health, Clock: o.Clock, Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: p.newsMaxAge(s), StartWait: p.gateways.listWait,
 		OnSwitch: p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
 			o.Metrics.ConfigTransfer(string(from), bytes, err)
 		},
@@ -171,26 +160,17 @@
 	return &reporter{
 		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
-		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine), informed: p.informed, urgent: p.urgent,
-	}
-}
-
-// newEndDetector returns what finds out whether servers have ended under requests. An end is reported to the
-// leader at once.
-func (p *parts) newEndDetector(o Options) *endDetector {
-	return &endDetector{
-		clock: o.Clock, table: p.quarantine, servers: &p.servers.registry, dial: wire.TryConnect,
-		isPaused: p.pauses.isOverdue, onEnd: p.urgent.send, log: o.Log, metrics: o.Metrics,
-		broken: make(map[string]*brokenServer),
+		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table),
+		informed: p.quarantine.informed, urgent: p.urgent,
 	}
 }
 
 // newQuarantineKeeper returns what keeps the quarantine in the store.
 func (p *parts) newQuarantineKeeper(ctx context.Context, o Options) *quarantineKeeper {
 	return &quarantineKeeper{
-		ctx: ctx, table: p.quarantine, store: o.Store, keys: p.breaker.View(o.OwnKeys), lease: p.leader.lease,
+		ctx: ctx, table: p.quarantine.table, store: o.Store, keys: p.breaker.View(o.OwnKeys), lease: p.leader.lease,
 		clock: o.Clock, log: o.Log, timeout: o.Settings.StoreTimeout.Std(),
-		informed: p.informed, startedAt: o.Clock.Now(),
+		informed: p.quarantine.informed, startedAt: p.quarantine.startedAt,
 	}
 }
 
@@ -198,7 +178,7 @@
 func (p *parts) newProxy(o Options) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine, ends: p.ends, clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, ends: p.quarantine.ends, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTime.Std()), bodyTime: o.Settings.BodyTime.Std(),
 	}
 }
@@ -207,6 +187,7 @@
 func (p *parts) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
 		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, quarantine: p.quarantine, informed: p.informed, clock: c, leaseKey: p.leader.lease.Key(),
+		dispatcher: p.dispatcher, quarantine: p.quarantine.table, informed: p.quarantine.informed,
+		clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -78,6 +78,10 @@
 	// answeredRate and answeredBurst bound the lines on answered requests.
 	answeredRate  = 20
 	answeredBurst = 40 // two seconds of them
+	// quarantinedRate and quarantinedBurst bound those on requests in quarantine, whose callers may send
+	// them without end.
+	quarantinedRate  = 5
+	quarantinedBurst = 10 // two seconds of them
 	// malformedRate and malformedBurst bound the lines on malformed headers.
 	malformedRate  = 1
 	malformedBurst = 5 // a series of one caller
@@ -117,21 +121,23 @@
 	metrics Metrics
 	clock   clock.Service
 	names   wire.Names
-	// answered bounds the lines on answered requests, leftOut counts the others.
-	answered  *rate.Limiter
-	leftOut   atomic.Uint64
-	malformed *rate.Limiter
+	// answered and quarantined bound the lines on such requests, leftOut counts the others.
+	answered    *rate.Limiter
+	quarantined *rate.Limiter
+	leftOut     atomic.Uint64
+	malformed   *rate.Limiter
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.Names) *requestLog {
 	return &requestLog{
 		log: log, metrics: m, clock: c, names: names,
-		answered:  rate.NewLimiter(answeredRate, answeredBurst),
-		malformed: rate.NewLimiter(malformedRate, malformedBurst),
+		answered:    rate.NewLimiter(answeredRate, answeredBurst),
+		quarantined: rate.NewLimiter(quarantinedRate, quarantinedBurst),
+		malformed:   rate.NewLimiter(malformedRate, malformedBurst),
 	}
 }
 
-// ended counts and logs what became of a request. Answered ones are logged up to a rate;
+// ended counts and logs what became of a request. Answered ones, and those in quarantine, are logged up to a rate;
 // those left out are counted in the next line.
 func (l *requestLog) ended(in *inbound, req *dispatch.Request, r *record) {
 	now := l.clock.Now()
@@ -140,7 +146,7 @@
 	if asked := req.GrantsAsked; asked > 0 {
 		l.metrics.Admissions(req.GrantsGiven, req.GrantsDenied, asked-req.GrantsGiven-req.GrantsDenied)
 	}
-	if r.outcome == outcomeAnswered && !l.answered.AllowN(now, 1) {
+	if !l.isLogged(r.outcome, now) {
 		l.leftOut.Add(1)
 		return
 	}
@@ -154,10 +160,22 @@
 	l.log.Info(msgEnded, fields...)
 }
 
+// isLogged reports whether the rates of lines have room for one on a request with an outcome.
+func (l *requestLog) isLogged(outcome string, now time.Time) bool {
+	switch outcome {
+	case outcomeAnswered:
+		return l.answered.AllowN(now, 1)
+	case outcomeQuarantined:
+		return l.quarantined.AllowN(now, 1)
+	}
+	return true
+}
+
 // endFields describe a request that has ended.
 func (l *requestLog) endFields(in *inbound, req *dispatch.Request, r *record, now time.Time) []zap.Field {
 	return []zap.Field{
-		zap.String(fieldRequest, in.id), zap.Stringer(fieldDigest, in.key), zap.String(fieldRoute, in.route.Name), zap.String(fieldService, in.service.Name),
+		zap.String(fieldRequest, in.id), zap.Stringer(fieldDigest, in.key),
+		zap.String(fieldRoute, in.route.Name), zap.String(fieldService, in.service.Name),
 		zap.String(fieldModel, in.Header.Get(l.names.Model)), zap.String(fieldOutcome, r.outcome),
 		zap.Int(fieldStatus, r.status), zap.Uint64(fieldConfig, in.configVersion),
 		zap.Int(fieldSends, r.sends), zap.Int(fieldUnsent, r.unsent),
@@ -208,8 +226,8 @@
 
 // sendFailed logs a send that brought no usable answer.
 func (l *requestLog) sendFailed(f *forwarder, res *dispatch.Reservation, reason string, err error) {
-	l.log.Info(msgSendFailed, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.key), zap.String(fieldServer, res.Server().ID),
-		zap.String(fieldAddr, res.Server().Addr), zap.String(fieldReason, reason), zap.Int(fieldRuns, f.record.runs),
+	l.log.Info(msgSendFailed, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.key),
+		zap.String(fieldServer, res.Server().ID), zap.String(fieldAddr, res.Server().Addr), zap.String(fieldReason, reason), zap.Int(fieldRuns, f.record.runs),
 		l.age(f.in), telemetry.Error(err))
 }
 
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -33,12 +33,14 @@
 	loggedDigests = 16
 )
 
-// A brokenServer is a run of a server at which a request broke off.
+// A brokenServer is a run of a server at which requests broke off.
 type brokenServer struct {
 	server *backend.Server
-	at     time.Time
-	ended  bool
-	// suspects are the requests that broke off there, until it is known that the server has ended.
+	// at is when the last request broke off.
+	at time.Time
+	// probing says that a probe is under way.
+	probing, ended bool
+	// suspects are the requests that broke off there and may have been at its end.
 	suspects []quarantine.Key
 }
 
@@ -49,6 +51,8 @@
 // ended if nobody listens at its address any more, or if the platform takes that run off its list soon
 // after, and in both cases if it had not said that it leaves.
 type endDetector struct {
+	// ctx ends with the gateway, and the probes with it.
+	ctx     context.Context
 	clock   clock.Service
 	table   *quarantine.Table
 	servers *backend.Registry
@@ -72,51 +76,114 @@
 	if !ok || listed.Leaving || d.isPaused(now) {
 		return
 	}
+	if d.suspect(s, k, now) {
+		return
+	}
+	d.table.Ended(s.ID, k)
+	d.onEnd()
+}
+
+// suspect adds a request to the suspects of a server, unless that is known to have ended, and begins a
+// probe if none is under way.
+func (d *endDetector) suspect(s *backend.Server, k quarantine.Key, now time.Time) (added bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	b := d.broken[s.ID]
 	if b == nil {
-		b = &brokenServer{server: s, at: now}
+		b = &brokenServer{server: s}
 		d.broken[s.ID] = b
-		go d.probe(b)
 	}
-	ended := b.ended
-	if !ended && len(b.suspects) < maxSuspects {
+	if b.ended {
+		return false
+	}
+	b.at = now
+	if len(b.suspects) < maxSuspects {
 		b.suspects = append(b.suspects, k)
 	}
-	d.mu.Unlock()
-	if ended {
-		d.table.Ended(s.ID, k)
-		d.onEnd()
+	if !b.probing {
+		b.probing = true
+		go d.probe(b)
 	}
+	return true
 }
 
-// probe tries to connect to a server.
+// A probeResult is what a probe has found out.
+type probeResult int
+
+// The results of a probe.
+const (
+	// serverUnknown: no answer in time. The platform's list says more.
+	serverUnknown probeResult = iota
+	// serverLives: it takes connections.
+	serverLives
+	// serverEnded: nobody listens at its address.
+	serverEnded
+)
+
+// probe finds out whether a server lives. Requests that broke off before it took a connection broke off for
+// other reasons than its end; those that broke off later need another probe.
 func (d *endDetector) probe(b *brokenServer) {
+	for {
+		before, result := d.dialTwice(b)
+		if result == serverEnded {
+			d.ended(b)
+			return
+		}
+		if !d.goesOn(b, before, result) {
+			return
+		}
+	}
+}
+
+// goesOn applies the result of an attempt to connect, made after a number of suspects, and reports whether
+// others need a further one.
+func (d *endDetector) goesOn(b *brokenServer, before int, result probeResult) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if result == serverLives && !b.ended {
+		b.suspects = b.suspects[before:]
+	}
+	b.probing = result == serverLives && len(b.suspects) > 0
+	return b.probing
+}
+
+// dialTwice tries to connect to a server until it is refused, and returns the result of the last attempt
+// with the number of suspects before it.
+func (d *endDetector) dialTwice(b *brokenServer) (before int, result probeResult) {
 	for i := range endDials {
 		if i > 0 {
-			clock.Sleep(context.Background(), d.clock, endDialPause)
+			clock.Sleep(d.ctx, d.clock, endDialPause)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), endDialTimeout)
-		err := d.dial(ctx, b.server.Addr)
-		cancel()
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			d.ended(b)
-			return
+		d.mu.Lock()
+		before = len(b.suspects)
+		d.mu.Unlock()
+		result = d.dialOnce(b.server.Addr)
+		if result == serverEnded {
+			break
 		}
 	}
+	return before, result
+}
+
+func (d *endDetector) dialOnce(addr string) probeResult {
+	ctx, cancel := context.WithTimeout(d.ctx, endDialTimeout)
+	defer cancel()
+	err := d.dial(ctx, addr)
+	switch {
+	case err == nil:
+		return serverLives
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return serverEnded
+	}
+	return serverUnknown
 }
 
 // ended charges the end of a server to the requests that broke off there.
 func (d *endDetector) ended(b *brokenServer) {
-	d.mu.Lock()
-	if b.ended {
-		d.mu.Unlock()
+	suspects, first := d.takeSuspects(b)
+	if !first {
 		return
 	}
-	b.ended = true
-	suspects := b.suspects
-	b.suspects = nil
-	d.mu.Unlock()
 	d.metrics.ServerEnded(b.server.Service)
 	d.log.Info(msgServerEnded, zap.String(fieldServer, b.server.ID), zap.String(fieldAddr, b.server.Addr),
 		zap.Int(fieldRequests, len(suspects)), zap.Stringers(fieldDigests, suspects[:min(len(suspects), loggedDigests)]))
@@ -124,6 +191,18 @@
 	d.onEnd()
 }
 
+// takeSuspects notes the end of a server and returns the suspects; first says that it was not known.
+func (d *endDetector) takeSuspects(b *brokenServer) (suspects []quarantine.Key, first bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b.ended {
+		return nil, false
+	}
+	b.ended = true
+	suspects, b.suspects = b.suspects, nil
+	return suspects, true
+}
+
 // check charges the ends of servers that have gone off the list since a request broke off there, and
 // forgets old breaks. It is called every expireInterval.
 func (d *endDetector) check(now time.Time) {
@@ -135,7 +214,7 @@
 		switch {
 		case now.Sub(b.at) > endWait, listed && s.Leaving && !b.ended:
 			delete(d.broken, id)
-		case !listed && !b.ended:
+		case !listed && len(b.suspects) > 0:
 			gone = append(gone, b)
 		}
 	}
