--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -38,7 +38,9 @@
 	mended, keepsNext atomic.Bool
 	// world lists the new runs.
 	world *world
-	// restarts are those to come.
+	// restarts are those to come; over says that the test is, and there are no more.
+	mu       sync.Mutex
+	over     bool
 	restarts sync.WaitGroup
 }
 
@@ -50,7 +52,7 @@
 		list = append(list, f.start(fmt.Sprint("s", i), "127.0.0.1:0", 1))
 	}
 	f.world = newWorld(t, list...)
-	t.Cleanup(f.restarts.Wait)
+	t.Cleanup(f.stop)
 	return f.world, f
 }
 
@@ -71,11 +73,7 @@
 		end.Do(func() {
 			f.ends.Add(1)
 			x.end()
-			f.restarts.Add(1)
-			time.AfterFunc(restartTime, func() {
-				defer f.restarts.Done()
-				f.world.putServer(f.start(name, x.addr, run+1), false)
-			})
+			f.restart(func() { f.world.putServer(f.start(name, x.addr, run+1), false) })
 		})
 		return false
 	})
@@ -84,6 +82,28 @@
 	return x
 }
 
+// restart makes a call after restartTime.
+func (f *fragileServers) restart(call func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.over {
+		return
+	}
+	f.restarts.Add(1)
+	time.AfterFunc(restartTime, func() {
+		defer f.restarts.Done()
+		call()
+	})
+}
+
+// stop waits for the restarts that are to come.
+func (f *fragileServers) stop() {
+	f.mu.Lock()
+	f.over = true
+	f.mu.Unlock()
+	f.restarts.Wait()
+}
+
 // A paced caller sends copies of one request to gateways in turn, each with another id and from another
 // address.
 type pacedCaller struct {
