Entry and agent refuse requests under which three servers ended

Cause: the same as in the gateway, found when looking for it elsewhere. A request that may be repeated ended up to three engines by itself, and each copy began anew.

Change: an agent whose server's connection breaks under a request, and where nobody listens any more, charges the end to the request's digest, which the entry sends along; the planner is nudged and fetches it with its exchange; entries tell each other with their sync and ask before each try. Settings quarantine of entries; rockcleat quarantine asks entries too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
+	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -85,6 +86,9 @@
 	proxied  wire.Traffic
 	requests *server.Listener
 	control  *server.Listener
+	// ends are those of the backend server under requests, quarantine holds them.
+	ends       *serverEnds
+	quarantine *quarantine.Table
 	// record is what lasts of the agent; ordering guards it.
 	record *record
 	// stops end the subscriptions to the clock.
@@ -118,6 +122,13 @@
 	a.backend = &http.Client{Transport: wire.NewTransport(&a.proxied)}
 	a.peers = wire.NewClient(o.Settings.Secret, wire.NewTransport(o.Traffic))
 	a.work = newWorkload(a.server.slots, o.Settings.MaxWaiting)
+	a.quarantine = quarantine.New(quarantine.Options{
+		Clock: o.Clock, Ends: quarantine.DefaultEnds, Hold: quarantine.DefaultHold,
+	})
+	a.ends = &serverEnds{
+		clock: o.Clock, table: a.quarantine, addr: addrOf(o.Settings.Backend.URL), name: o.Settings.ID + "/" + a.incarnation,
+		onEnd: a.serverEnded, log: o.Log,
+	}
 	a.record = newRecord(o.Store, o.Settings.ID, a.incarnation)
 	if a.isService() {
 		a.server.slots.setServices(o.Settings.Backend.Services, o.Settings.Backend.Slots)
@@ -141,6 +152,7 @@
 	a.subscribe(queueEvery, a.stepQueue)
 	a.subscribe(demandEvery, a.stepDemand)
 	a.subscribe(orphanEvery, a.stepOrphan)
+	a.subscribe(expireEvery, func(time.Time) { a.quarantine.Expire() })
 	if !a.isService() {
 		a.subscribe(statusEvery, a.stepStatus)
 		a.subscribe(armEvery, a.stepArm)
--- a/internal/agent/doc.go
+++ b/internal/agent/doc.go
@@ -9,7 +9,8 @@
 // ask for), serverState (the ledger, the slots, the engine's reports and the record that the
 // planner gets), membership (whether it is leaving) and contact (the planner that spoke last,
 // and pauses of this process). The agent's mutex guards all four, since a request looks at all
-// of them at once; the record in the platform's service has a mutex of its own (ordering).
+// of them at once; the record in the platform's service has a mutex of its own (ordering), and so have the
+// ends of the server under requests (serverEnds), which the planner fetches.
 //
 // It relies on the platform's service for its fencing token and its intents: without it the
 // agent serves on and issues no order. Without a planner it serves with the table and grants
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -8,6 +8,7 @@
 
 	"rockcleat/internal/server"
 	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
 )
 
 // controlRouter returns the handler of the control listener.
@@ -81,7 +82,7 @@
 	s := a.serverRecord(a.clock.Now())
 	ans := wire.ExchangeAnswer{
 		Incarnation: a.incarnation, Token: a.contact.token, TableVersion: a.replica.Current().Version(), RecordSeen: a.server.version,
-		Pauses: a.contact.pauses,
+		Pauses: a.contact.pauses, Quarantine: a.quarantine.Answer(x.Quarantine, quarantine.AllEnds),
 	}
 	if x.Incarnation != a.incarnation || x.Seen != a.server.version {
 		ans.Server = &s
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -222,9 +222,13 @@
 	resp, err := a.backend.Do(out)
 	p.stopHeartbeat()
 	if err != nil {
+		if !wire.IsNotSent(err) {
+			a.noteBreak(c.Request())
+		}
 		return 0, a.noAnswer(c, err)
 	}
 	defer resp.Body.Close()
+	a.ends.answered()
 	if p.row.Kind != table.KindService && resp.StatusCode == http.StatusNotFound {
 		return 0, a.refuse(c, fairqueue.Refusal{Reason: fairqueue.ReasonNotResident, RetryAfter: retrySoon})
 	}
@@ -236,6 +240,7 @@
 	c.Response().WriteHeader(resp.StatusCode)
 	n, err := copyFlushing(c.Response(), resp.Body)
 	if err != nil {
+		a.noteBreak(c.Request())
 		a.log.Warn("answer cut", zap.String("request", c.Request().Header.Get(wire.HeaderRequestID)), zap.Error(err))
 		// Dropping the connection shows the entry that the answer is not whole.
 		panic(http.ErrAbortHandler)
@@ -253,6 +258,7 @@
 	copyHeader(out.Header, in.Header)
 	out.Header.Del("Authorization")
 	out.Header.Del(wire.HeaderEntry)
+	out.Header.Del(wire.HeaderDigest)
 	wire.SendOnce(out)
 	a.mu.Lock()
 	acc := a.server.slots.accelerator(p.grant.Slot)
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -18,9 +18,8 @@
 func (a *app) quarantineCommands() []*ffcli.Command {
 	var gateway string
 	flags := func(name string) *flag.FlagSet {
-		fs := flag.NewFlagSet(name, flag.ContinueOnError)
-		fs.SetOutput(a.err)
-		fs.StringVar(&gateway, "gateway", "127.0.0.1:8144", "peer_listen address of any gateway")
+		fs := a.flags(name)
+		fs.StringVar(&gateway, "gateway", "", "peer_listen address of any gateway; an entry is asked without it")
 		return fs
 	}
 	listFlags := flags("list")
@@ -33,20 +32,28 @@
 		}, listFlags, func(ctx context.Context, _ []string) error { return a.listQuarantine(ctx, gateway, *asJSON) }),
 		a.command(help{
 			name: "lift", usage: "quarantine lift [-gateway ADDR] DIGEST",
-			short:   "Serve a request again under which servers have ended. All gateways follow within seconds.",
+			short:   "Serve a request again under which servers have ended. All gateways or entries follow within seconds.",
 			example: "rockcleat quarantine lift -gateway 10.1.0.38:8144 08a89246bccc4d27bab354cdd3d288b3",
 		}, flags("lift"), func(ctx context.Context, args []string) error { return a.liftQuarantine(ctx, gateway, args) }),
 	}
 }
 
-// listQuarantine prints what a gateway knows of requests under which servers have ended.
+// quarantineAddr returns whom to ask: a gateway, or else the first entry.
+func (a *app) quarantineAddr(gateway string) string {
+	if gateway != "" {
+		return gateway
+	}
+	return a.entries()[0]
+}
+
+// listQuarantine prints what a gateway or an entry knows of requests under which servers have ended.
 func (a *app) listQuarantine(ctx context.Context, gateway string, asJSON bool) error {
 	c, err := a.client()
 	if err != nil {
 		return err
 	}
 	var list wire.QuarantineList
-	if err := c.Get(ctx, gateway, wire.PathQuarantine, &list); err != nil {
+	if err := c.Get(ctx, a.quarantineAddr(gateway), wire.PathQuarantine, &list); err != nil {
 		return err
 	}
 	if asJSON {
@@ -80,7 +87,7 @@
 		return err
 	}
 	var lifted wire.QuarantineLifted
-	if err := c.Post(ctx, gateway, wire.PathQuarantine, wire.QuarantineLift{Key: key}, &lifted); err != nil {
+	if err := c.Post(ctx, a.quarantineAddr(gateway), wire.PathQuarantine, wire.QuarantineLift{Key: key}, &lifted); err != nil {
 		return err
 	}
 	if !lifted.Known {
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -1,10 +1,6 @@
 package config
 
-import (
-	"time"
-
-	"rockcleat/quarantine"
-)
+import "time"
 
 // Retry are the settings of the retry budget that all gateways share.
 type Retry struct {
@@ -15,14 +11,6 @@
 	Fixed float64 `yaml:"fixed"`
 }
 
-// Quarantine are the settings of the quarantine of requests under which backend servers end.
-type Quarantine struct {
-	// Ends is the number of servers that may end under copies of one request before it is refused.
-	Ends int `yaml:"ends"`
-	// Hold is how long it is refused at first; each further end doubles that.
-	Hold Duration `yaml:"hold"`
-}
-
 // Gateway are the settings of a gateway.
 type Gateway struct {
 	// ID names the VM, Hall is the data hall that it is in.
@@ -81,19 +69,15 @@
 	defaultRetryFixed  = 10
 )
 
-// minQuarantineEnds is the least number of ends: with one, every request that runs at a server when it
-// ends would be refused.
-const minQuarantineEnds = 2
-
 func (g *Gateway) setDefaults() {
 	*g = Gateway{
 		Log:   Log{Level: "info", Format: "json"},
 		Grace: Duration(defaultGrace), LeaseTTL: Duration(defaultGatewayLease), WatchTime: Duration(defaultWatchTime),
 		StoreTimeout: Duration(defaultStoreTimeout), EngineTimeout: Duration(defaultEngineTimeout),
 		IdleTime: Duration(defaultIdleTime), BodyTime: Duration(defaultBodyTime), Gateways: defaultGateways,
-		Retry:      Retry{Window: Duration(defaultRetryWindow), Ratio: defaultRetryRatio, Fixed: defaultRetryFixed},
-		Quarantine: Quarantine{Ends: quarantine.DefaultEnds, Hold: Duration(quarantine.DefaultHold)},
+		Retry: Retry{Window: Duration(defaultRetryWindow), Ratio: defaultRetryRatio, Fixed: defaultRetryFixed},
 	}
+	g.Quarantine.setDefaults()
 }
 
 func (g *Gateway) check(c *checker) {
@@ -107,7 +91,6 @@
 	for key, d := range map[string]Duration{
 		"grace": g.Grace, "lease_ttl": g.LeaseTTL, "watch_time": g.WatchTime, "store_timeout": g.StoreTimeout,
 		"engine_timeout": g.EngineTimeout, "idle_time": g.IdleTime, "body_time": g.BodyTime, "retry.window": g.Retry.Window,
-		"quarantine.hold": g.Quarantine.Hold,
 	} {
 		c.require(d > 0, key, "must be longer than 0s")
 	}
@@ -117,5 +100,5 @@
 	c.require(g.Gateways > 0, "gateways", "must be at least 1")
 	c.require(g.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
 	c.require(g.Retry.Fixed >= 0, "retry.fixed", "must not be negative")
-	c.require(g.Quarantine.Ends >= minQuarantineEnds, "quarantine.ends", "must be at least 2")
+	g.Quarantine.check(c)
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -90,10 +90,11 @@
 	// VMsEvery is the time between two looks at the platform's list of VMs.
 	VMsEvery Duration `yaml:"vms_every"`
 	// SyncEvery is the time between two exchanges of state with another entry.
-	SyncEvery Duration `yaml:"sync_every"`
-	Planner   Planner  `yaml:"planner"`
-	Claims    Claims   `yaml:"claims"`
-	Limits    Limits   `yaml:"limits"`
+	SyncEvery  Duration   `yaml:"sync_every"`
+	Planner    Planner    `yaml:"planner"`
+	Claims     Claims     `yaml:"claims"`
+	Quarantine Quarantine `yaml:"quarantine"`
+	Limits     Limits     `yaml:"limits"`
 }
 
 // Backend are the settings of the backend server that an agent stands beside.
@@ -154,6 +155,7 @@
 	e.Claims = Claims{
 		Shards: 4, Retention: Duration(10 * time.Minute), WritesPerSecond: 50, LeaseTTL: Duration(9 * time.Second),
 	}
+	e.Quarantine.setDefaults()
 }
 
 func (a *Agent) setDefaults() {
@@ -202,6 +204,7 @@
 	c.between(e.SyncEvery, 50*time.Millisecond, 10*time.Second, "sync_every")
 	e.Planner.check(c)
 	e.Claims.check(c)
+	e.Quarantine.check(c)
 }
 
 func (p *Planner) check(c *checker) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -59,6 +59,7 @@
 	h.Set("Authorization", "Bearer "+d.proxy.secret)
 	h.Set(wire.HeaderRequestID, d.x.id)
 	h.Set(wire.HeaderRow, d.x.row.Name)
+	h.Set(wire.HeaderDigest, d.x.digest.String())
 	h.Set(wire.HeaderTokens, strconv.Itoa(d.x.tokens))
 	h.Set(wire.HeaderTableVersion, strconv.FormatUint(d.proxy.replica.Current().Version(), 10))
 	h.Set(wire.HeaderEntry, d.proxy.controlAddr())
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -13,6 +13,7 @@
 	"rockcleat/clock"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -43,6 +44,8 @@
 	repeatable bool
 	// key is the scoped Idempotency-Key, empty if there is none.
 	key string
+	// digest is the same for all copies of the request, set once the row is known.
+	digest quarantine.Key
 	// answer collects the answer for the record of a request with a key.
 	answer *answerRecord
 }
--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -10,6 +10,8 @@
 //   - syncer: the spreading of the table and the servers' records between entries;
 //   - operators: what operators read and save, and decisions, the latest of them;
 //   - members: the platform's list of VMs;
+//   - quarantine: the requests under which servers have ended, from the agents through the planners
+//     and from other entries (package quarantine);
 //   - package planner: the cells whose lease this entry holds.
 //
 // The table in force and the view of servers are shared by all parts and safe for that. Nothing of
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
+	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -44,11 +45,13 @@
 	view      fleet.View
 	decisions decisions
 	members   *members
-	planner   *planner.Planner
-	sync      *syncer
-	claims    *claims
-	operators *operators
-	proxy     *proxy
+	// quarantine holds the requests under which backend servers have ended.
+	quarantine *quarantine.Table
+	planner    *planner.Planner
+	sync       *syncer
+	claims     *claims
+	operators  *operators
+	proxy      *proxy
 	// traffic counts the bytes of control, proxied those of callers' requests.
 	traffic  *wire.Traffic
 	proxied  wire.Traffic
@@ -70,14 +73,19 @@
 	e.ctx, e.done = context.WithCancel(context.Background())
 	peers := wire.NewClient(s.Secret, wire.NewTransport(e.traffic))
 	e.members = newMembers(s.ID, o.Platform, o.Log)
+	e.quarantine = quarantine.New(quarantine.Options{
+		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: e.logQuarantine,
+	})
 	e.planner = planner.New(planner.Options{
 		ID: s.ID, Addr: s.ControlListen, Settings: s.Planner, Store: o.Store, Clock: o.Clock, Members: e.members,
-		Catalogue: o.Platform, Agents: peers, View: &e.view, Replica: &e.replica, Recorder: &e.decisions, Log: o.Log,
+		Catalogue: o.Platform, Agents: peers, View: &e.view, Replica: &e.replica, Recorder: &e.decisions,
+		Quarantine: e.quarantine, Log: o.Log,
 	})
 	tableLog := table.NewLog(o.Store, o.Clock, tableCheck(&e.view, e.planner))
 	e.sync = &syncer{
 		ctx: e.ctx, id: s.ID, replica: &e.replica, view: &e.view, tableLog: tableLog, members: e.members,
-		planner: e.planner, peers: peers, clock: o.Clock, log: o.Log,
+		planner: e.planner, quarantine: e.quarantine, peers: peers, clock: o.Clock, log: o.Log,
+		links: make(map[string]*quarantine.Link),
 	}
 	e.claims = newClaims(claimsOptions{
 		ctx: e.ctx, id: s.ID, addr: s.ControlListen, settings: s.Claims, store: o.Store, clock: o.Clock,
@@ -86,7 +94,7 @@
 	e.proxy = &proxy{
 		limits: s.Limits, secret: s.Secret, controlAddr: e.ControlAddr, ready: e.ready, leaving: e.leaving.Load,
 		replica: &e.replica, view: &e.view, members: e.members, claims: e.claims, decisions: &e.decisions,
-		agents: &http.Client{Transport: wire.NewTransport(&e.proxied)}, clock: o.Clock, log: o.Log, metrics: o.Metrics,
+		agents: &http.Client{Transport: wire.NewTransport(&e.proxied)}, quarantine: e.quarantine, clock: o.Clock, log: o.Log, metrics: o.Metrics,
 	}
 	e.proxy.routes.Hall = s.Hall
 	e.operators = &operators{
@@ -108,6 +116,7 @@
 	e.members.step(e.ctx)
 	e.subscribe(e.settings.VMsEvery.Std(), func(time.Time) { e.stepMembers() })
 	e.subscribe(e.settings.SyncEvery.Std(), func(time.Time) { e.sync.step() })
+	e.subscribe(quarantineSweep, func(time.Time) { e.quarantine.Expire() })
 	e.claims.start()
 	e.planner.Start()
 	go e.sync.watchTable()
@@ -126,6 +135,7 @@
 	own.POST(wire.PathNudge, e.nudge)
 	own.POST(wire.PathClaim, e.claims.serveClaim)
 	own.POST(wire.PathClaimFinish, e.claims.serveFinish)
+	server.RegisterQuarantine(own, e.quarantine)
 	e.operators.register(own)
 	return r
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -55,12 +55,17 @@
 // answer.
 func (p *proxy) forwardThen(c echo.Context, x *call, finish func(wire.Outcome)) {
 	d := &delivery{proxy: p, c: c, x: x, tried: make(map[string]string), finish: finish}
+	x.digest = digestOf(c.Request(), x.row.Name, x.body)
 	p.budget.First()
 	for try := 0; try < maxTries; try++ {
 		s, ok := d.next()
 		if !ok {
 			break
 		}
+		if f, held := d.quarantined(); held {
+			d.refusal = &f
+			break
+		}
 		if try > 0 && !p.budget.Allow() {
 			p.log.Warn("retry budget used up", zap.String("request", x.id))
 			break
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -15,6 +15,7 @@
 	"rockcleat/internal/server"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
 	"rockcleat/rendezvous"
 	"rockcleat/retry"
 	"rockcleat/route"
@@ -37,9 +38,11 @@
 	claims    *claims
 	decisions *decisions
 	agents    *http.Client
-	clock     clock.Service
-	log       *zap.Logger
-	metrics   *telemetry.Metrics
+	// quarantine is asked before each send.
+	quarantine *quarantine.Table
+	clock      clock.Service
+	log        *zap.Logger
+	metrics    *telemetry.Metrics
 	// routes holds the load of each server, budget the retries of this entry.
 	routes route.Table
 	budget retry.Budget
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
+)
+
+// quarantineSweep is the time between two looks for quarantines that are over. Chosen, not measured.
+const quarantineSweep = time.Second
+
+// logQuarantine logs the begin or the end of a request's quarantine.
+func (e *Entry) logQuarantine(c quarantine.Change) {
+	if c.State == quarantine.Began {
+		e.log.Warn("request quarantined", zap.Stringer("digest", c.Key), zap.Strings("servers", c.Servers),
+			zap.Duration("for", c.Until.Sub(e.clock.Now())))
+		return
+	}
+	e.log.Info("quarantine ended", zap.Stringer("digest", c.Key), zap.String("reason", string(c.State)))
+}
+
+// digestOf returns what copies of a request have in common: its row, its caller's credentials, and what it
+// asks for.
+func digestOf(r *http.Request, row string, body []byte) quarantine.Key {
+	return quarantine.KeyOf(quarantine.Request{
+		Caller: r.Header.Get("Authorization"), Method: r.Method, Host: row, Target: r.URL.RequestURI(), Body: body,
+	})
+}
+
+// quarantined returns the refusal of a call that is in quarantine: servers have ended under copies of it,
+// and no entry sends it until that is over.
+func (d *delivery) quarantined() (wire.Failure, bool) {
+	until, held := d.proxy.quarantine.Until(d.x.digest)
+	return wire.Failure{
+		Status: http.StatusServiceUnavailable, Outcome: wire.OutcomeNotRun, Type: wire.TypeServer, Code: "quarantined",
+		Message: "backend servers have ended under copies of this request; it was not run", RetryAfter: until.Sub(d.proxy.clock.Now()),
+	}, held
+}
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -15,6 +15,7 @@
 	"rockcleat/internal/planner"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
+	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -43,16 +44,17 @@
 // entry at random for what is new on each tick.
 type syncer struct {
 	// ctx ends with the entry.
-	ctx      context.Context
-	id       string
-	replica  *table.Replica
-	view     *fleet.View
-	tableLog *table.Log
-	members  *members
-	planner  *planner.Planner
-	peers    *wire.Client
-	clock    clock.Service
-	log      *zap.Logger
+	ctx        context.Context
+	id         string
+	replica    *table.Replica
+	view       *fleet.View
+	tableLog   *table.Log
+	members    *members
+	planner    *planner.Planner
+	quarantine *quarantine.Table
+	peers      *wire.Client
+	clock      clock.Service
+	log        *zap.Logger
 
 	mu sync.Mutex
 	// lastSync is when another entry last answered, revision the store's at the last watch.
@@ -60,6 +62,9 @@
 	revision kv.Revision
 	// running says that an exchange is under way.
 	running bool
+	// links exchange what is in quarantine with each other entry, by id. They belong to the exchange that
+	// is under way.
+	links map[string]*quarantine.Link
 }
 
 // step asks one other entry for what is new.
@@ -87,18 +92,30 @@
 	}
 	peer := peers[rand.IntN(len(peers))]
 	var a wire.SyncAnswer
-	err := s.peers.PostWithin(s.ctx, syncTimeout, peer.Control, wire.PathSync, s.request(), &a)
+	link := s.link(peer.ID)
+	err := s.peers.PostWithin(s.ctx, syncTimeout, peer.Control, wire.PathSync, s.request(link.Message(peer.ID)), &a)
 	if err != nil {
 		s.log.Debug("no answer from entry", zap.String("peer", peer.ID), zap.Error(err))
 		return
 	}
+	link.Apply(a.Quarantine)
 	s.apply(a)
 }
 
+// link returns the exchange with another entry.
+func (s *syncer) link(id string) *quarantine.Link {
+	l := s.links[id]
+	if l == nil {
+		l = quarantine.NewLink(s.quarantine, quarantine.AllEnds)
+		s.links[id] = l
+	}
+	return l
+}
+
 // request says what this entry has.
-func (s *syncer) request() wire.SyncRequest {
+func (s *syncer) request(m quarantine.Message) wire.SyncRequest {
 	return wire.SyncRequest{
-		From: s.id, Table: s.replica.Current().Version(), Cells: s.view.Digest(),
+		From: s.id, Table: s.replica.Current().Version(), Cells: s.view.Digest(), Quarantine: m,
 	}
 }
 
@@ -123,6 +140,7 @@
 	a := wire.SyncAnswer{Table: t.Since(r.Table), TableVersion: t.Version()}
 	if !r.TableOnly {
 		a.Cells = s.view.Since(r.Cells)
+		a.Quarantine = s.quarantine.Answer(r.Quarantine, quarantine.AllEnds)
 	}
 	return c.JSON(http.StatusOK, a)
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -160,7 +160,7 @@
 	return &reporter{
 		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
-		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table),
+		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllEnds),
 		informed: p.quarantine.informed, urgent: p.urgent,
 	}
 }
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -13,7 +13,6 @@
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/server"
-	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/quarantine"
 )
@@ -38,25 +37,10 @@
 	e.POST(pathFeed, p.answerFeed)
 	e.POST(pathConfig, p.answerConfig)
 	e.POST(pathAdmission, p.answerAdmission)
-	e.GET(wire.PathQuarantine, p.listQuarantine)
-	e.POST(wire.PathQuarantine, p.liftQuarantine)
+	server.RegisterQuarantine(e, p.quarantine)
 	return e
 }
 
-// listQuarantine answers an operator who asks under which requests servers have ended.
-func (p *peerServer) listQuarantine(c echo.Context) error {
-	return c.JSON(http.StatusOK, wire.QuarantineList{Items: p.quarantine.List()})
-}
-
-// liftQuarantine voids the ends under one request for an operator, at all gateways.
-func (p *peerServer) liftQuarantine(c echo.Context) error {
-	var r wire.QuarantineLift
-	if err := c.Bind(&r); err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, wire.QuarantineLifted{Known: p.quarantine.Void(r.Key)})
-}
-
 // answerReport answers a report: with the leader's reply, if this gateway leads, and with the
 // leader's address otherwise; the news of the configuration goes with both. Requests that wait make
 // the leader act soon.
@@ -67,7 +51,7 @@
 	}
 	p.configs.HeardVersion(m.ConfigVersion, m.Addr)
 	a := replyMessage{
-		Reply: p.placer.Report(m.Report), Config: p.configs.News(), Quarantine: p.quarantine.Answer(m.Quarantine),
+		Reply: p.placer.Report(m.Report), Config: p.configs.News(), Quarantine: p.quarantine.Answer(m.Quarantine, quarantine.SharedEnds),
 		Informed: m.Uninformed && p.informed.Load(),
 	}
 	if !a.IsLeader {
--- a/internal/gateway/quarantine_scale_test.go
+++ b/internal/gateway/quarantine_scale_test.go
@@ -36,7 +36,7 @@
 	for range gateways {
 		t := table()
 		f.tables = append(f.tables, t)
-		f.links = append(f.links, quarantine.NewLink(t))
+		f.links = append(f.links, quarantine.NewLink(t, quarantine.AllEnds))
 		f.due = append(f.due, f.clock.Now().Add(time.Duration(r.Int64N(int64(f.interval)))))
 	}
 	return f
@@ -58,7 +58,7 @@
 		}
 		f.due[i] = now.Add(f.interval)
 		m := link.Message("leader")
-		reply := f.leader.Answer(m)
+		reply := f.leader.Answer(m, quarantine.SharedEnds)
 		link.Apply(reply)
 		f.count(m, reply)
 	}
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -13,6 +13,7 @@
 	"rockcleat/internal/inventory"
 	"rockcleat/lease"
 	"rockcleat/placement"
+	"rockcleat/quarantine"
 )
 
 // Times of a cell's planning; chosen, not measured, but for what docs/CAPACITY.md says of
@@ -54,6 +55,8 @@
 	inFlight, urgent bool
 	// orders go with the next exchange.
 	orders []placement.Order
+	// quarantine exchanges with the agent.
+	quarantine *quarantine.Link
 }
 
 // A pendingOrder is an order issued whose effect has not been seen.
@@ -169,7 +172,7 @@
 		}
 		p, ok := c.peers[id]
 		if !ok {
-			p = &peer{id: id, since: now}
+			p = &peer{id: id, since: now, quarantine: quarantine.NewLink(c.Quarantine, quarantine.SharedEnds)}
 			c.peers[id] = p
 		}
 		p.urgent = p.urgent || vm.State != p.vm.State && p.vm.ID != ""
--- a/internal/planner/exchange.go
+++ b/internal/planner/exchange.go
@@ -21,7 +21,7 @@
 	x := wire.Exchange{
 		From: c.Addr, Cell: c.id, Token: int64(c.token), Incarnation: p.record.Incarnation, Seen: p.seen,
 		TableVersion: t.Version(), Leaving: p.vm.State == inventory.VMLeaving,
-		List: c.Members.Version(), Lapsed: !held, Pauses: p.pauses,
+		List: c.Members.Version(), Lapsed: !held, Pauses: p.pauses, Quarantine: p.quarantine.Message(p.id),
 	}
 	if p.known {
 		x.Table = t.Since(p.table)
@@ -72,6 +72,7 @@
 
 // apply applies an agent's answer; c.mu is held.
 func (c *cellPlanner) apply(p *peer, a wire.ExchangeAnswer, now time.Time) {
+	p.quarantine.Apply(a.Quarantine)
 	first := !p.known
 	p.urgent = p.urgent || p.pauses != a.Pauses
 	p.pauses = a.Pauses
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,6 +19,7 @@
 	"rockcleat/kv"
 	"rockcleat/lease"
 	"rockcleat/placement"
+	"rockcleat/quarantine"
 	"rockcleat/rendezvous"
 	"rockcleat/table"
 )
@@ -80,7 +81,9 @@
 	View      *fleet.View
 	Replica   *table.Replica
 	Recorder  Recorder
-	Log       *zap.Logger
+	// Quarantine holds the requests under which backend servers have ended.
+	Quarantine *quarantine.Table
+	Log        *zap.Logger
 }
 
 // A Planner plays the planner role for the cells that an entry holds.
--- a/internal/proofs/harness_test.go
+++ b/internal/proofs/harness_test.go
@@ -67,7 +67,7 @@
 	os.Exit(code)
 }
 
-const promises = 8
+const promises = 9
 
 func printReport() {
 	fmt.Printf("seed %d\n", *seedFlag)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -24,6 +24,9 @@
 	LateOrdersMs int `json:"late_orders_ms"`
 	// FailLoads is the number of loads that fail half-way.
 	FailLoads int `json:"fail_loads"`
+	// EndOn, if not empty, ends the process of an engine that begins to run a request whose body has
+	// that text.
+	EndOn string `json:"end_on"`
 }
 
 // A faultBox holds the faults of one stand-in.
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,6 +43,9 @@
 	cacheLimit = 64
 )
 
+// endedByRequest is the exit code of an engine that a request has ended.
+const endedByRequest = 3
+
 // generate answers a completion with tokens that follow from the prompt alone.
 func (s *Engine) generate(c echo.Context) error {
 	data, err := io.ReadAll(c.Request().Body)
@@ -65,6 +70,9 @@
 		return nil
 	}
 	defer s.leave(q)
+	if mark := s.get().EndOn; mark != "" && bytes.Contains(data, []byte(mark)) {
+		os.Exit(endedByRequest)
+	}
 	total := req.MaxTokens
 	if total <= 0 {
 		total = defaultTokens
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -20,6 +20,8 @@
 	HeaderReason = "Rockcleat-Reason"
 	// HeaderRow names the table row of a request between entry and agent.
 	HeaderRow = "Rockcleat-Row"
+	// HeaderDigest is the same for all copies of a request (package quarantine), between entry and agent.
+	HeaderDigest = "Rockcleat-Digest"
 	// HeaderTokens is the expected cost of a request in tokens.
 	HeaderTokens = "Rockcleat-Tokens"
 	// HeaderLoad is an agent's load, in requests per slot in percent, on each answer.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -4,6 +4,7 @@
 	"rockcleat/claim"
 	"rockcleat/fleet"
 	"rockcleat/placement"
+	"rockcleat/quarantine"
 	"rockcleat/table"
 )
 
@@ -60,6 +61,8 @@
 	Pauses int                `json:"pauses,omitempty"`
 	Orders []placement.Order  `json:"orders,omitempty"`
 	Grants []ConcurrencyGrant `json:"grants,omitempty"`
+	// Quarantine tells of requests under which backend servers have ended.
+	Quarantine quarantine.Message `json:"quarantine,omitzero"`
 }
 
 // An ExchangeAnswer is the agent's answer to an Exchange.
@@ -75,6 +78,8 @@
 	// Server is the agent's record; absent if the planner has seen it.
 	Server *fleet.Server      `json:"server,omitempty"`
 	Grants []ConcurrencyGrant `json:"grants,omitempty"`
+	// Quarantine is what is new for the planner of requests under which the server has ended.
+	Quarantine *quarantine.Reply `json:"quarantine,omitempty"`
 }
 
 // A SyncRequest asks an entry for what the sender lacks.
@@ -84,6 +89,8 @@
 	Cells fleet.Digest `json:"cells,omitempty"`
 	// TableOnly tells that the sender needs no servers' records.
 	TableOnly bool `json:"table_only,omitempty"`
+	// Quarantine tells of requests under which backend servers have ended.
+	Quarantine quarantine.Message `json:"quarantine,omitzero"`
 }
 
 // A SyncAnswer is the answer to a SyncRequest.
@@ -92,6 +99,8 @@
 	Cells []fleet.CellDelta `json:"cells,omitempty"`
 	// TableVersion is the answering process's own.
 	TableVersion uint64 `json:"version"`
+	// Quarantine is what is new for the sender of such requests.
+	Quarantine *quarantine.Reply `json:"quarantine,omitempty"`
 }
 
 // A ClaimRequest asks a shard's owner for a claim or records its end.
--- a/internal/wire/quarantine.go
+++ b/internal/wire/quarantine.go
@@ -2,7 +2,7 @@
 
 import "rockcleat/quarantine"
 
-// PathQuarantine is where a gateway shows operators the requests under which servers have ended, and
+// PathQuarantine is where a gateway or an entry shows operators the requests under which servers have ended, and
 // lets them lift a quarantine.
 const PathQuarantine = "/v1/quarantine"
 
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -26,14 +26,15 @@
 	Records []Record `json:"records,omitempty"`
 }
 
-// Answer takes in what a peer tells and returns what is new for it; nil if nothing is.
-func (t *Table) Answer(m Message) *Reply {
+// Answer takes in what a peer tells and returns what is new for it of the requests with a number of ends or
+// more; nil if nothing is.
+func (t *Table) Answer(m Message, ends int) *Reply {
 	t.Merge(m.Records)
 	after := m.Seen.Version
 	if m.Seen.Epoch != t.epoch {
 		after = 0
 	}
-	records, version := t.since(after, sharedEnds)
+	records, version := t.since(after, ends)
 	reply := &Reply{Cursor: Cursor{Epoch: t.epoch, Version: version}, Records: records}
 	isFirst := m.Seen == Cursor{} && version == 0
 	if isFirst || reply.Cursor == m.Seen {
@@ -74,7 +75,9 @@
 // A Link is one process's side of the exchange with one peer at a time. It belongs to one goroutine.
 type Link struct {
 	table *Table
-	peer  string
+	// ends is from how many ends on the peer is sent a request.
+	ends int
+	peer string
 	// seen is up to where the peer's changes are known, sent up to where the peer knows this table's.
 	seen Cursor
 	sent uint64
@@ -82,15 +85,15 @@
 	telling uint64
 }
 
-// NewLink returns a Link of a table with no peer.
-func NewLink(t *Table) *Link { return &Link{table: t} }
+// NewLink returns a Link of a table with no peer, which tells of requests with a number of ends or more.
+func NewLink(t *Table, ends int) *Link { return &Link{table: t, ends: ends} }
 
 // Message returns the next message to a peer. Another peer than the last one is sent everything.
 func (l *Link) Message(peer string) Message {
 	if peer != l.peer {
-		*l = Link{table: l.table, peer: peer}
+		*l = Link{table: l.table, ends: l.ends, peer: peer}
 	}
-	records, telling := l.table.since(l.sent, 0)
+	records, telling := l.table.since(l.sent, l.ends)
 	l.telling = telling
 	return Message{Records: records, Seen: l.seen}
 }
--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -21,12 +21,12 @@
 func newNode(c *clocktest.Clock) *node {
 	var changes []quarantine.Change
 	table := newTable(c, &changes)
-	return &node{table: table, link: quarantine.NewLink(table)}
+	return &node{table: table, link: quarantine.NewLink(table, quarantine.AllEnds)}
 }
 
 // ask exchanges once with a peer; lost says that the answer does not arrive.
 func (n *node) ask(name string, peer *node, lost bool) {
-	reply := peer.table.Answer(n.link.Message(name))
+	reply := peer.table.Answer(n.link.Message(name), quarantine.SharedEnds)
 	if !lost {
 		n.link.Apply(reply)
 	}
@@ -82,7 +82,7 @@
 	n.ask("hub", hub, false)
 	m := n.link.Message("hub")
 	assert.Equal(t, len(m.Records), 0)
-	assert.Assert(t, hub.table.Answer(m) == nil)
+	assert.Assert(t, hub.table.Answer(m, quarantine.SharedEnds) == nil)
 }
 
 // TestManyRecords exchanges more records than one message takes.
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -15,9 +15,14 @@
 // to 32 times the first. Chosen, not measured.
 const maxEnds = 8
 
-// sharedEnds is the number of ends from which on a request is sent to everyone: below it one process
+// AllEnds and SharedEnds say from how many ends on a process tells its peers of a request.
+//
+// SharedEnds is the number of ends from which on a request is sent to everyone: below it one process
 // counts them, since nobody acts on them and a server that ends takes up to its slots of requests along.
-const sharedEnds = 2
+const (
+	AllEnds    = 0
+	SharedEnds = 2
+)
 
 // maxRecords bounds the requests that a table knows, in 0.54 MB with one end each (BenchmarkFullTable).
 // Those with the fewest and the oldest ends go first. 146 servers of 24 places that end together leave
