--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -36,11 +36,11 @@
 
 // run sends the request until it is over.
 func (f *forwarder) run() {
+	defer f.watchQuarantine()()
 	if f.isQuarantined() {
 		f.refuseQuarantined()
 		return
 	}
-	defer f.watchQuarantine()()
 	f.proxy.budgets.first(f.in)
 	f.proxy.dispatcher.CountArrival(&f.req)
 	for {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,7 +35,7 @@
 	})
 }
 
-// isQuarantined reports whether the request is in quarantine, and was given up for that.
+// isQuarantined reports whether the request is in quarantine.
 func (f *forwarder) isQuarantined() bool {
 	_, held := f.proxy.quarantine.Until(f.in.key)
 	return held
@@ -46,9 +46,9 @@
 	return errors.Is(context.Cause(f.ctx), errQuarantined)
 }
 
-// refuseQuarantined ends a request that is in quarantine. One that has not run here gets the time at which the
-// quarantine ends: before that no gateway sends it. The status is one after which callers do not repeat
-// what may have run, and that promises nothing for one that has.
+// refuseQuarantined ends a request that is in quarantine. One that has not run gets 503 and the time that is
+// left of the quarantine, before which no gateway sends it; one that may have run gets 502, which promises
+// nothing and invites nobody back.
 func (f *forwarder) refuseQuarantined() {
 	if f.answering.Load() {
 		f.cut(errQuarantined)
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -57,7 +57,7 @@
 	failing bool
 }
 
-// step is called every keepInterval.
+// step is called every keepInterval. A new leader reads the store before it writes to it.
 func (k *quarantineKeeper) step(now time.Time) {
 	token, held := k.lease.Held()
 	ctx, cancel := context.WithTimeout(k.ctx, k.timeout)
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -9,14 +9,14 @@
 	"rockcleat/quarantine"
 )
 
-// A Routes takes handlers; an echo.Echo and an echo.Group do.
-type Routes interface {
+// A Router takes handlers; an echo.Echo and an echo.Group do.
+type Router interface {
 	GET(path string, h echo.HandlerFunc, m ...echo.MiddlewareFunc) *echo.Route
 	POST(path string, h echo.HandlerFunc, m ...echo.MiddlewareFunc) *echo.Route
 }
 
 // RegisterQuarantine lets operators list the requests under which servers have ended, and lift a quarantine.
-func RegisterQuarantine(r Routes, t *quarantine.Table) {
+func RegisterQuarantine(r Router, t *quarantine.Table) {
 	r.GET(wire.PathQuarantine, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, wire.QuarantineList{Items: t.List()})
 	})
