--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -71,7 +71,7 @@
 		Store: p.breaker.View(o.Prefixes), Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers,
 		Health: p.health, Clock: o.Clock, Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: p.newsMaxAge(s),
 		StartWait: p.gateways.listWait,
-		OnSwitch: p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
+		OnSwitch:  p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
 			o.Metrics.ConfigTransfer(string(from), bytes, err)
 		},
 	})
