--- a/internal/config/quarantine.go
+++ b/internal/config/quarantine.go
@@ -19,6 +19,7 @@
 	// minQuarantineEnds is the least number of ends: with one, every request that runs at a server when it
 	// ends would be refused.
 	minQuarantineEnds = 2
+	// maxQuarantineEnds is the number of ends that a record keeps.
 	maxQuarantineEnds = 8
 	// minQuarantineHold and maxQuarantineHold bound the time.
 	minQuarantineHold = time.Second
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -15,12 +15,12 @@
 // to 32 times the first. Chosen, not measured.
 const maxEnds = 8
 
-// AllEnds and SharedEnds say from how many ends on a process tells its peers of a request.
-//
-// SharedEnds is the number of ends from which on a request is sent to everyone: below it one process
-// counts them, since nobody acts on them and a server that ends takes up to its slots of requests along.
+// From how many ends on a process tells a peer of a request.
 const (
-	AllEnds    = 0
+	// AllEnds tells all, to a peer that adds up what it hears: the leader, a planner, another entry.
+	AllEnds = 0
+	// SharedEnds tells what matters to everyone. Nobody acts on a request with one end, and a server that
+	// ends takes up to its slots of requests along.
 	SharedEnds = 2
 )
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -53,7 +53,7 @@
 	mu      sync.Mutex
 	version uint64
 	entries map[Key]*entry
-	// held are the requests in quarantine, as OnChange was called.
+	// held are the requests whose quarantine has begun, as far as OnChange was called.
 	held map[Key]struct{}
 	// touched are the requests that the running change concerns.
 	touched []Key
