entry: a request that runs well counts as sound again

Cause: read in the diff. The gateway voids the ends under a request when a copy runs well, the entry never did, so that an innocent request was refused after three ends however often it had run well between.

--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -104,12 +104,15 @@
 	d.answer(*d.refusal)
 }
 
-// end counts the outcome and passes it on to finish.
+// end counts the outcome and passes it on to finish. A request that has run whole ends no server.
 func (d *delivery) end(o wire.Outcome) {
 	if d.out != "" {
 		return
 	}
 	d.out = o
+	if o == wire.OutcomeAnswered {
+		d.proxy.quarantine.Void(d.x.digest)
+	}
 	d.proxy.metrics.Request(d.x.class(), string(o))
 	d.proxy.metrics.Duration(d.x.class(), d.proxy.clock.Now().Sub(d.x.arrived).Seconds())
 	d.finish(o)
--- a/internal/proofs/poison_test.go
+++ b/internal/proofs/poison_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rockcleat/internal/config"
 	"rockcleat/internal/lab"
 	"rockcleat/internal/standin"
 	"rockcleat/internal/wire"
@@ -56,6 +57,13 @@
 	}
 }
 
+// unmark makes the engines sound.
+func (tr *trial) unmark() {
+	for _, b := range tr.engines() {
+		tr.must(lab.Fault(tr.ctx, b.URL, standin.Faults{}))
+	}
+}
+
 // restartEnded starts the engines anew that have ended, and returns their number.
 func (tr *trial) restartEnded() (ended int) {
 	for _, b := range tr.engines() {
@@ -81,3 +89,46 @@
 	}
 	return true
 }
+
+// Promise 9: a request that runs well after servers have ended under it counts as sound again at every
+// entry. Without that, one that was at three servers which ended for other reasons was refused, however
+// often it had run well between.
+func TestSoundRequest(t *testing.T) {
+	tr := start(t, 9, "requests that end servers are refused", func(o *lab.Options) {
+		// All engines may end under the request before it is refused.
+		o.Entry = func(e *config.Entry) { e.Quarantine.Ends = 8 }
+	})
+	tr.must(tr.AwaitPlaced(tr.ctx))
+	body := lab.ChatBody(lab.SmallModel, poisonMark, 5, true)
+	tr.mark()
+	first := tr.caller.Send(tr.ctx, lab.Request{Addr: tr.liveEntry(0).Addr, ID: "first", Body: body})
+	assert.Assert(t, first.Outcome != wire.OutcomeAnswered)
+	// Engines that start anew are sound.
+	ended := tr.restartEnded()
+	assert.Assert(t, ended > 0)
+	tr.until("both entries know of the ends", func() bool { return tr.suspectedEverywhere(true) })
+	tr.unmark()
+	sound := tr.caller.Send(tr.ctx, lab.Request{Addr: tr.liveEntry(0).Addr, ID: "sound", Body: body})
+	assert.Equal(t, sound.Outcome, wire.OutcomeAnswered)
+	tr.until("no entry suspects the request", func() bool { return tr.suspectedEverywhere(false) })
+	tr.fault("engine ended by a request x%d", ended)
+}
+
+// suspects returns the number of requests under which an entry knows of ends; it reports false if the entry
+// does not answer.
+func (tr *trial) suspects(e *lab.Node) (n int, ok bool) {
+	var list wire.QuarantineList
+	err := lab.Client().Get(tr.ctx, e.Control, wire.PathQuarantine, &list)
+	return len(list.Items), err == nil
+}
+
+// suspectedEverywhere reports whether each entry knows of ends under a request, or with want false that none
+// does.
+func (tr *trial) suspectedEverywhere(want bool) bool {
+	for _, e := range tr.Entries {
+		if n, ok := tr.suspects(e); !ok || (n > 0) != want {
+			return false
+		}
+	}
+	return true
+}
