One probe of a server for gateway and agent, one log of a quarantine for gateway and entry

Read in the diff: both connected to a server in the same two attempts with constants of their own, and both logged the same two lines; wire.Probe and server.LogQuarantine serve both. The pause detector stands with the gateway's parts again, and the keeper asks the quarantine's role instead of copies of its fields. Behaviour as before; tests of gateway, agent and entry pass, the gateway's under the race detector too.

--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -15,7 +15,7 @@
 )
 
 // named finds what a page names as package.Name or package.Type.Name.
-var named = regexp.MustCompile("`((?:dispatch|gateway|placer|residency|backend|retry|quarantine|lease|kv|entry|agent|planner|placement|route|fairqueue|claim|ledger|configsync|transfer|table|platform)\\.[\\w.]+)`")
+var named = regexp.MustCompile("`((?:dispatch|gateway|placer|residency|backend|retry|quarantine|lease|kv|entry|agent|planner|placement|route|fairqueue|claim|ledger|configsync|transfer|table|wire|platform)\\.[\\w.]+)`")
 
 // TestPagesNameWhatIsThere checks that each function, type and constant that the pages name stands
 // in the code.
--- a/internal/agent/server_end.go
+++ b/internal/agent/server_end.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,18 +15,8 @@
 	"rockcleat/quarantine"
 )
 
-// Finding out whether the backend server has ended. Chosen, not measured.
-const (
-	// endDialTimeout bounds an attempt to connect to it.
-	endDialTimeout = 300 * time.Millisecond
-	// endDialPause is the pause before the second attempt: a process that ends closes what it has open
-	// one after the other.
-	endDialPause = 100 * time.Millisecond
-	// endDials is the number of attempts.
-	endDials = 2
-	// expireEvery is the time between two looks for what is too old.
-	expireEvery = time.Second
-)
+// expireEvery is the time between two looks for what is too old. Chosen, not measured.
+const expireEvery = time.Second
 
 // serverEnds counts the ends of the backend server and charges them to the requests that broke off there.
 // The planner gets them with its exchanges. It is safe for concurrent use.
@@ -89,17 +77,9 @@
 // requestBroke finds out whether the server has ended under a request whose connection to it broke: nobody
 // listens at its address any more.
 func (e *serverEnds) requestBroke(k quarantine.Key) {
-	for i := range endDials {
-		if i > 0 {
-			clock.Sleep(context.Background(), e.clock, endDialPause)
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), endDialTimeout)
-		err := wire.TryConnect(ctx, e.addr)
-		cancel()
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			e.charge(k)
-			return
-		}
+	p := wire.Probe{Clock: e.clock, Connect: wire.TryConnect}
+	if p.Run(context.Background(), e.addr) == wire.ServerEnded {
+		e.charge(k)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,7 +74,7 @@
 	peers := wire.NewClient(s.Secret, wire.NewTransport(e.traffic))
 	e.members = newMembers(s.ID, o.Platform, o.Log)
 	e.quarantine = quarantine.New(quarantine.Options{
-		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: e.logQuarantine,
+		Clock: o.Clock, Ends: s.Quarantine.Ends, Hold: s.Quarantine.Hold.Std(), OnChange: e.quarantineChanged,
 	})
 	e.planner = planner.New(planner.Options{
 		ID: s.ID, Addr: s.ControlListen, Settings: s.Planner, Store: o.Store, Clock: o.Clock, Members: e.members,
@@ -94,7 +94,8 @@
 	e.proxy = &proxy{
 		limits: s.Limits, secret: s.Secret, controlAddr: e.ControlAddr, ready: e.ready, leaving: e.leaving.Load,
 		replica: &e.replica, view: &e.view, members: e.members, claims: e.claims, decisions: &e.decisions,
-		agents: &http.Client{Transport: wire.NewTransport(&e.proxied)}, quarantine: e.quarantine, clock: o.Clock, log: o.Log, metrics: o.Metrics,
+		agents: &http.Client{Transport: wire.NewTransport(&e.proxied)}, quarantine: e.quarantine,
+		clock: o.Clock, log: o.Log, metrics: o.Metrics,
 	}
 	e.proxy.routes.Hall = s.Hall
 	e.operators = &operators{
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -4,8 +4,7 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
+	"rockcleat/internal/server"
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 )
@@ -13,15 +12,8 @@
 // quarantineSweep is the time between two looks for quarantines that are over. Chosen, not measured.
 const quarantineSweep = time.Second
 
-// logQuarantine logs the begin or the end of a request's quarantine.
-func (e *Entry) logQuarantine(c quarantine.Change) {
-	if c.State == quarantine.Began {
-		e.log.Warn("request quarantined", zap.Stringer("digest", c.Key), zap.Strings("servers", c.Servers),
-			zap.Duration("for", c.Until.Sub(e.clock.Now())))
-		return
-	}
-	e.log.Info("quarantine ended", zap.Stringer("digest", c.Key), zap.String("reason", string(c.State)))
-}
+// quarantineChanged logs the begin or the end of a request's quarantine.
+func (e *Entry) quarantineChanged(c quarantine.Change) { server.LogQuarantine(e.log, c, e.clock.Now()) }
 
 // digestOf returns what copies of a request have in common: its row, its caller's credentials, and what it
 // asks for.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	conns      *conns
 	lifecycle  *lifecycle
 	listeners  *listeners
+	pauses     *pauseDetector
 	quarantine *quarantineRole
 	keeper     *quarantineKeeper
 	// stops end the subscriptions to the clock.
@@ -98,7 +99,7 @@
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
 		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer,
-		reporter: p.newReporter(o), feed: p.newFeed(o), quarantine: &p.quarantine, keeper: p.newQuarantineKeeper(ctx, o),
+		reporter: p.newReporter(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, keeper: p.newQuarantineKeeper(ctx, o),
 		ctx: ctx, cancel: cancel,
 	}
 	g.listeners = newListeners(listenerOptions{
@@ -127,6 +128,7 @@
 	go g.feed.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
+	g.subscribe(pauseCheckInterval, g.pauses.check)
 	g.stops = append(g.stops, g.quarantine.subscribe(g.clock, g.keeper)...)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -38,6 +38,7 @@
 	breaker    *kv.Breaker
 	health     *storeHealth
 	configs    *configsync.Syncer
+	pauses     *pauseDetector
 	quarantine quarantineRole
 	// urgent is sent when a report to the leader should not wait.
 	urgent signal
@@ -60,6 +61,7 @@
 		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.urgent.send,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
+	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, last: o.Clock.Now()}
 	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
@@ -169,9 +171,8 @@
 // newQuarantineKeeper returns what keeps the quarantine in the store.
 func (p *parts) newQuarantineKeeper(ctx context.Context, o Options) *quarantineKeeper {
 	return &quarantineKeeper{
-		ctx: ctx, table: p.quarantine.table, store: o.Store, keys: p.breaker.View(o.OwnKeys), lease: p.leader.lease,
+		ctx: ctx, role: &p.quarantine, store: o.Store, keys: p.breaker.View(o.OwnKeys), lease: p.leader.lease,
 		clock: o.Clock, log: o.Log, timeout: o.Settings.StoreTimeout.Std(),
-		informed: p.quarantine.informed, startedAt: p.quarantine.startedAt,
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -6,23 +6,18 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
 
 	"rockcleat/dispatch"
+	"rockcleat/internal/server"
 	"rockcleat/quarantine"
 )
 
 // errQuarantined ends what is done for a request when it comes into quarantine.
 var errQuarantined = eris.New("gateway: request quarantined")
 
-// logQuarantine logs the begin or the end of a request's quarantine.
-func (l *requestLog) logQuarantine(c quarantine.Change) {
-	if c.State == quarantine.Began {
-		l.log.Warn(msgQuarantined, zap.Stringer(fieldDigest, c.Key), zap.Strings(fieldServers, c.Servers),
-			zap.Duration("for", c.Until.Sub(l.clock.Now())))
-		return
-	}
-	l.log.Info(msgReleased, zap.Stringer(fieldDigest, c.Key), zap.String(fieldReason, string(c.State)))
+// quarantineChanged logs the begin or the end of a request's quarantine.
+func (l *requestLog) quarantineChanged(c quarantine.Change) {
+	server.LogQuarantine(l.log, c, l.clock.Now())
 }
 
 // watchQuarantine gives the request up when it comes into quarantine while it waits for a server or for
--- a/internal/gateway/quarantine_role.go
+++ b/internal/gateway/quarantine_role.go
@@ -19,13 +19,12 @@
 	maxInformTime = time.Second
 )
 
-// A quarantineRole is what a gateway needs to keep requests from servers under which servers have ended.
+// A quarantineRole is what a gateway needs to refuse requests under which servers have ended.
 type quarantineRole struct {
 	table *quarantine.Table
 	// informed says that the gateway knows what was in quarantine before its start: at the first start
 	// of the whole system nothing was.
 	informed *atomic.Bool
-	pauses   *pauseDetector
 	ends     *endDetector
 	// startedAt is when the gateway was made.
 	startedAt time.Time
@@ -36,15 +35,14 @@
 	s := o.Settings.Quarantine
 	r := quarantineRole{
 		table: quarantine.New(quarantine.Options{
-			Clock: o.Clock, Ends: s.Ends, Hold: s.Hold.Std(), OnChange: p.lines.logQuarantine,
+			Clock: o.Clock, Ends: s.Ends, Hold: s.Hold.Std(), OnChange: p.lines.quarantineChanged,
 		}),
 		informed: &atomic.Bool{}, startedAt: o.Clock.Now(),
 	}
 	r.informed.Store(o.Settings.FirstStart)
-	r.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, last: r.startedAt}
 	r.ends = &endDetector{
 		ctx: ctx, clock: o.Clock, table: r.table, servers: &p.servers.registry, dial: wire.TryConnect,
-		isPaused: r.pauses.isOverdue, onEnd: p.urgent.send, log: o.Log, metrics: o.Metrics,
+		isPaused: p.pauses.isOverdue, onEnd: p.urgent.send, log: o.Log, metrics: o.Metrics,
 		broken: make(map[string]*brokenServer),
 	}
 	return r
@@ -58,7 +56,6 @@
 // subscribe starts the role's regular work and returns what ends it.
 func (r *quarantineRole) subscribe(c clock.Service, keeper *quarantineKeeper) (stops []func()) {
 	return []func(){
-		c.Subscribe(pauseCheckInterval, r.pauses.check),
 		c.Subscribe(expireInterval, r.ends.check),
 		c.Subscribe(sweepInterval, func(time.Time) { r.table.Expire() }),
 		c.Subscribe(keepInterval, keeper.step),
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,16 +37,13 @@
 // Its state belongs to the goroutine that calls step.
 type quarantineKeeper struct {
 	ctx     context.Context
-	table   *quarantine.Table
+	role    *quarantineRole
 	store   Store
 	keys    kv.PrefixStore
 	lease   interface{ Held() (lease.Token, bool) }
 	clock   clock.Service
 	log     *zap.Logger
 	timeout time.Duration
-	// informed says that this gateway knows what was in quarantine before its start.
-	informed  *atomic.Bool
-	startedAt time.Time
 
 	// term is that in which the store was read.
 	term lease.Token
@@ -79,7 +75,7 @@
 
 // inform reads the store in a gateway that nobody has told what is in quarantine: all have started anew.
 func (k *quarantineKeeper) inform(ctx context.Context, now time.Time) {
-	if !k.informed.Load() && now.Sub(k.startedAt) > informTime {
+	if !k.role.informed.Load() && now.Sub(k.role.startedAt) > informTime {
 		k.note(k.load(ctx))
 	}
 }
@@ -103,8 +99,8 @@
 		records = append(records, s.Record)
 		k.stored[s.Key] = len(s.Servers)
 	}
-	k.table.Merge(records)
-	k.informed.Store(true)
+	k.role.table.Merge(records)
+	k.role.informed.Store(true)
 	return nil
 }
 
@@ -112,7 +108,7 @@
 // after an error with the next step.
 func (k *quarantineKeeper) save(ctx context.Context, now time.Time) error {
 	held := make(map[quarantine.Key]bool)
-	for _, r := range k.table.Held() {
+	for _, r := range k.role.table.Held() {
 		held[r.Key] = true
 		if k.stored[r.Key] == len(r.Servers) {
 			continue
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -27,8 +27,6 @@
 	msgReceiving   = "watching the store through the leader"
 	msgMalformed   = "header malformed, ignored"
 	msgServerEnded = "server ended"
-	msgQuarantined = "request quarantined"
-	msgReleased    = "quarantine ended"
 )
 
 // Names of the fields of these lines; docs/OPERATIONS-GATEWAY.md lists them with units.
@@ -68,7 +66,6 @@
 	fieldLastEvent = "last_event"
 	fieldLeftOut   = "left_out"
 	fieldDigests   = "digests"
-	fieldServers   = "servers"
 	fieldRequests  = "requests"
 )
 
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -5,25 +5,18 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 )
 
 // Finding out whether a server has ended. Chosen, not measured.
 const (
-	// endDialTimeout bounds an attempt to connect.
-	endDialTimeout = 300 * time.Millisecond
-	// endDialPause is the pause before the second attempt: a process that ends closes what it has open
-	// one after the other.
-	endDialPause = 100 * time.Millisecond
-	// endDials is the number of attempts.
-	endDials = 2
 	// endWait is for how long after a break a server that goes off the list counts as ended: three
 	// heartbeats of 1.2 s and the time in which the change is noticed.
 	endWait = 6 * time.Second
@@ -107,25 +100,14 @@
 	return true
 }
 
-// A probeResult is what a probe has found out.
-type probeResult int
-
-// The results of a probe.
-const (
-	// serverUnknown: no answer in time. The platform's list says more.
-	serverUnknown probeResult = iota
-	// serverLives: it takes connections.
-	serverLives
-	// serverEnded: nobody listens at its address.
-	serverEnded
-)
-
 // probe finds out whether a server lives. Requests that broke off before it took a connection broke off for
 // other reasons than its end; those that broke off later need another probe.
 func (d *endDetector) probe(b *brokenServer) {
+	before := 0
+	p := wire.Probe{Clock: d.clock, Connect: d.dial, BeforeAttempt: func() { before = d.suspectCount(b) }}
 	for {
-		before, result := d.dialTwice(b)
-		if result == serverEnded {
+		result := p.Run(d.ctx, b.server.Addr)
+		if result == wire.ServerEnded {
 			d.ended(b)
 			return
 		}
@@ -135,49 +117,25 @@
 	}
 }
 
+// suspectCount returns the number of suspects of a server.
+func (d *endDetector) suspectCount(b *brokenServer) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(b.suspects)
+}
+
 // goesOn applies the result of an attempt to connect, made after a number of suspects, and reports whether
 // others need a further one.
-func (d *endDetector) goesOn(b *brokenServer, before int, result probeResult) bool {
+func (d *endDetector) goesOn(b *brokenServer, before int, result wire.ProbeResult) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if result == serverLives && !b.ended {
+	if result == wire.ServerLives && !b.ended {
 		b.suspects = b.suspects[before:]
 	}
-	b.probing = result == serverLives && len(b.suspects) > 0
+	b.probing = result == wire.ServerLives && len(b.suspects) > 0
 	return b.probing
 }
 
-// dialTwice tries to connect to a server until it is refused, and returns the result of the last attempt
-// with the number of suspects before it.
-func (d *endDetector) dialTwice(b *brokenServer) (before int, result probeResult) {
-	for i := range endDials {
-		if i > 0 {
-			clock.Sleep(d.ctx, d.clock, endDialPause)
-		}
-		d.mu.Lock()
-		before = len(b.suspects)
-		d.mu.Unlock()
-		result = d.dialOnce(b.server.Addr)
-		if result == serverEnded {
-			break
-		}
-	}
-	return before, result
-}
-
-func (d *endDetector) dialOnce(addr string) probeResult {
-	ctx, cancel := context.WithTimeout(d.ctx, endDialTimeout)
-	defer cancel()
-	err := d.dial(ctx, addr)
-	switch {
-	case err == nil:
-		return serverLives
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return serverEnded
-	}
-	return serverUnknown
-}
-
 // ended charges the end of a server to the requests that broke off there.
 func (d *endDetector) ended(b *brokenServer) {
 	suspects, first := d.takeSuspects(b)
--- a/internal/gateway/server_ends_test.go
+++ b/internal/gateway/server_ends_test.go
@@ -15,6 +15,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock/clocktest"
+	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 )
 
@@ -31,8 +32,8 @@
 		dials, want   int
 	}{
 		"nobody listens":        {dial: syscall.ECONNREFUSED, dials: 1, want: 1},
-		"it listens":            {dials: endDials},
-		"its machine is silent": {dial: context.DeadlineExceeded, dials: endDials},
+		"it listens":            {dials: wire.ConnectAttempts},
+		"its machine is silent": {dial: context.DeadlineExceeded, dials: wire.ConnectAttempts},
 		"nobody listens, and it had said that it leaves": {
 			dial:   syscall.ECONNREFUSED,
 			before: func(r *backend.Registry, now time.Time) { s := server; s.Leaving = true; r.Update(s, now) },
@@ -43,11 +44,11 @@
 		},
 		"nobody listens, and this process was paused": {dial: syscall.ECONNREFUSED, paused: true},
 		"silent, then off the list": {
-			dial: context.DeadlineExceeded, dials: endDials, want: 1,
+			dial: context.DeadlineExceeded, dials: wire.ConnectAttempts, want: 1,
 			after: func(r *backend.Registry, now time.Time) { r.Remove(server.ID, now); r.Expire(now.Add(time.Minute)) },
 		},
 		"silent, then it says that it leaves": {
-			dial: context.DeadlineExceeded, dials: endDials,
+			dial: context.DeadlineExceeded, dials: wire.ConnectAttempts,
 			after: func(r *backend.Registry, now time.Time) { s := server; s.Leaving = true; r.Update(s, now) },
 		},
 	}
@@ -60,7 +61,7 @@
 			if test.before != nil {
 				test.before(registry, c.Now())
 			}
-			dialed := make(chan struct{}, endDials)
+			dialed := make(chan struct{}, wire.ConnectAttempts)
 			d := &endDetector{
 				ctx: t.Context(), clock: clocktest.Real{}, table: quarantine.New(quarantine.Options{Clock: c, Ends: 3, Hold: time.Minute}),
 				servers: registry, isPaused: func(time.Time) bool { return test.paused }, onEnd: func() {},
@@ -97,7 +98,7 @@
 	registry := &backend.Registry{}
 	registry.Replace([]backend.Server{server}, time.Now())
 	var ended atomic.Bool
-	dialed := make(chan struct{}, 3*endDials)
+	dialed := make(chan struct{}, 3*wire.ConnectAttempts)
 	d := &endDetector{
 		ctx: t.Context(), clock: clocktest.Real{}, servers: registry, isPaused: func(time.Time) bool { return false },
 		table: quarantine.New(quarantine.Options{Clock: clocktest.Real{}, Ends: 3, Hold: time.Minute}), onEnd: func() {},
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
 
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
@@ -15,6 +17,16 @@
 	POST(path string, h echo.HandlerFunc, m ...echo.MiddlewareFunc) *echo.Route
 }
 
+// LogQuarantine logs the begin or the end of a request's quarantine, as of now.
+func LogQuarantine(log *zap.Logger, c quarantine.Change, now time.Time) {
+	if c.State == quarantine.Began {
+		log.Warn("request quarantined", zap.Stringer("digest", c.Key), zap.Strings("servers", c.Servers),
+			zap.Duration("for", c.Until.Sub(now)))
+		return
+	}
+	log.Info("quarantine ended", zap.Stringer("digest", c.Key), zap.String("reason", string(c.State)))
+}
+
 // RegisterQuarantine lets operators list the requests under which servers have ended, and lift a quarantine.
 func RegisterQuarantine(r Router, t *quarantine.Table) {
 	r.GET(wire.PathQuarantine, func(c echo.Context) error {
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -56,15 +55,6 @@
 	}
 }
 
-// TryConnect connects to an address and closes the connection at once.
-func TryConnect(ctx context.Context, addr string) error {
-	conn, err := NewDialer().DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
-
 // NewDirectTransport returns the transport towards servers that are spoken to
 // directly; connections are kept while idle for the given time.
 func NewDirectTransport(idle time.Duration) *http.Transport {
