--- a/kv/fanout_hand_on_test.go
+++ b/kv/fanout_hand_on_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -216,3 +217,36 @@
 	late.Apply(batches, time.Now())
 	poll.WaitOn(t, lateSees.shows(map[string]string{"a/1": "1"}))
 }
+
+// TestFanoutNewWatcherEndsItsOldWatch makes a process the watcher while its watch from before, a long one,
+// is still under way: that ends, so that the view is renewed within the age that others allow. A gateway that
+// came to lead went on with it for two seconds, and all others watched the store for themselves after one.
+func TestFanoutNewWatcherEndsItsOldWatch(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var watches atomic.Bool
+	store := kvtest.New(clocktest.Real{})
+	store.Set("a/1", []byte("1"))
+	f := kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: longMaxAge, IsWatcher: watches.Load})
+	var sees mirror
+	go kv.Follow(ctx, kv.FollowOptions{
+		Store: f.View(store, false), Prefix: "a/", Round: time.Hour, Clock: clocktest.Real{}, Follower: &sees,
+	})
+	poll.WaitOn(t, sees.shows(map[string]string{"a/1": "1"}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if store.Calls("watch") == 0 {
+			return poll.Continue("no watch yet")
+		}
+		return poll.Success()
+	})
+	watches.Store(true)
+	f.Recheck()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := store.Calls("watch"); n < 2 {
+			return poll.Continue("%d watches", n)
+		}
+		return poll.Success()
+	})
+	store.Set("a/2", []byte("2"))
+	poll.WaitOn(t, sees.shows(map[string]string{"a/1": "1", "a/2": "2"}))
+}
