kv: a process that comes to watch the service ends its old watch

Cause: a gateway that gained the lease in the middle of its own watch of the store went on with it for the whole round of two seconds. After one of them its view was too old for all others, and each watched the store once itself.

Ruled out: the age that is handed on (right), the others' patience (right for a watcher's rounds).

Change: a watch by a process that is not the watcher ends when it becomes the watcher; the next one is as short as the others need it.

Result: TestFanoutNewWatcherEndsItsOldWatch failed each time, passes; TestFleetFollowsTheStoreThroughOneGateway beside load failed in 10 of 25 runs, in none of 25 now.

--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -166,7 +166,15 @@
 	}
 	clock.Sleep(ctx, f.opts.Clock, f.nextWatch(prefix, batchTime).Sub(f.opts.Clock.Now()))
 	began := f.opts.Clock.Now()
-	events, at, err := v.store.WatchPrefix(ctx, prefix, after, wait)
+	own, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !watcher && !v.steady {
+		go f.cancelWhenWatcher(own, prefix, cancel)
+	}
+	events, at, err := v.store.WatchPrefix(own, prefix, after, wait)
+	if err != nil && own.Err() != nil && ctx.Err() == nil {
+		return nil, after, nil
+	}
 	if err != nil {
 		return events, at, err
 	}
@@ -177,6 +185,25 @@
 	return events, at, nil
 }
 
+// cancelWhenWatcher ends a watch of the service, by ctx, when this process becomes the watcher: the next one
+// is as short as others need it. A process that came to watch went on for its whole round of two seconds, and
+// after one of them all others watched the service for themselves.
+func (f *Fanout) cancelWhenWatcher(ctx context.Context, prefix string, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		changed := f.log(prefix).changed
+		f.mu.Unlock()
+		if f.opts.IsWatcher() {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // WatchedUntil returns when the answer of a watch was surely all there was: at its beginning, or,
 // if it returned no change and did not end early, at its end.
 func WatchedUntil(began time.Time, wait time.Duration, changes bool, now time.Time) time.Time {
