Callers' keys: only who holds a key has a request run, and servers are told whose it is

Cause: a configuration may name organisations with their keys. The gateway read neither, so it ran requests without a key or with one that was taken away, passed keys on to servers, and named no organisation.

Change: package apikey knows who holds a key by its digest, without I/O; table.Routing carries organisations and their keys; the platform's adapter decodes both. A gateway refuses what has no usable key with 401, and names the organisation to the server in place of the key. Whoever cannot prove that its configuration was the newest within four fifths of the time in which a key that was taken away must open nothing refuses requests with a key with 503: the age is counted from when the store was asked, by whichever gateway (configsync.Syncer.CurrentAt). A key that is not known gets 401 only where the configuration is as recent as in calm times. An organisation's priority goes before the route's.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -47,6 +47,9 @@
 	Seeds      []string   `yaml:"seeds"`
 	Retry      Retry      `yaml:"retry"`
 	Quarantine Quarantine `yaml:"quarantine"`
+	// RevokeTime is the time after which a key that the operators took away opens nothing, on any gateway
+	// and whatever is down; 0 for no such bound.
+	RevokeTime Duration `yaml:"revoke_time"`
 }
 
 // Defaults of the gateway's settings; chosen, not measured. The platform's template sets grace,
@@ -100,5 +103,6 @@
 	c.require(g.Gateways > 0, "gateways", "must be at least 1")
 	c.require(g.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
 	c.require(g.Retry.Fixed >= 0, "retry.fixed", "must not be negative")
+	c.require(g.RevokeTime >= 0, "revoke_time", "must not be negative")
 	g.Quarantine.check(c)
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -74,6 +74,8 @@
 
 	mu     sync.Mutex
 	newest newest
+	// heldCurrentAt is the latest time at which the version that is held surely was the newest.
+	heldCurrentAt time.Time
 	// position is up to which revision this gateway has read the store itself.
 	position kv.Revision
 	// forgotten is a revision after which the store no longer knows its history. Other gateways
@@ -141,6 +143,7 @@
 	if newer {
 		s.fetchFailed = false
 	}
+	s.noteHeldCurrent(n)
 	if newer && n.source != "" && s.interrupt != nil {
 		s.interrupt()
 	}
@@ -149,6 +152,35 @@
 	}
 }
 
+// noteHeldCurrent notes until when the version that is held surely was the newest, by what was said last.
+// News of a newer version says nothing of it. The lock is held.
+func (s *Syncer) noteHeldCurrent(n newest) {
+	held := s.history.newest()
+	switch {
+	case held == 0:
+	case held >= s.newest.version:
+		s.heldCurrentAt = later(s.heldCurrentAt, s.newest.currentAt)
+	case held >= n.version:
+		s.heldCurrentAt = later(s.heldCurrentAt, n.currentAt)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// CurrentAt returns the latest time at which the configuration that is held surely was the newest: whatever
+// was written before it is in force here. It is counted from when the store was asked, by whichever gateway,
+// never from an answer. It is zero while none is held.
+func (s *Syncer) CurrentAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heldCurrentAt
+}
+
 // freshFor returns for how long the news is not too old, at most 0 if it is. The lock is held.
 func (s *Syncer) freshFor() time.Duration {
 	return s.opts.MaxAge() - s.opts.Clock.Now().Sub(s.newest.currentAt)
--- /dev/null
+++ b/internal/gateway/access_test.go
@@ -0,0 +1,250 @@
+package gateway_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/apikey"
+	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
+	"rockcleat/internal/config"
+	"rockcleat/table"
+)
+
+// Organisations of the tests, each with a key.
+const (
+	guild, guildKey = "guild", "k7b2ex5wa5xwyhks8nbk"
+	desk, deskKey   = "desk", "asnmgkcuyj8pjbvk9m68"
+	unknownKey      = "n0b0dyh0ldsth1skey00"
+)
+
+// pathOpen is a route that needs no key.
+const pathOpen = "/open/"
+
+// useKeys makes the world's configuration need keys.
+func useKeys(w *world) {
+	urgent := 0
+	open := w.routing.Routes[1]
+	open.Name, open.Prefix, open.Open = pathOpen, pathOpen, true
+	w.routing.Routes = append(w.routing.Routes, open)
+	w.routing.Organisations = []table.Organisation{{Name: guild, Priority: &urgent}, {Name: desk}}
+	w.routing.Keys = []apikey.Holder{
+		{Organisation: guild, Keys: []string{guildKey}}, {Organisation: desk, Keys: []string{deskKey}},
+	}
+}
+
+// newKeyWorld starts a gateway whose configuration needs keys.
+func newKeyWorld(t *testing.T, change func(*config.Gateway), workers ...*worker) *world {
+	w := prepareWorld(t, change, workers...)
+	useKeys(w)
+	w.putConfig()
+	w.waitReady(http.StatusOK)
+	return w
+}
+
+func bearer(key string) string { return "Bearer " + key }
+
+// TestKeys checks who may have a request run, and what the server is shown of its key.
+func TestKeys(t *testing.T) {
+	x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+	w := newKeyWorld(t, func(*config.Gateway) {}, x)
+	tests := map[string]struct {
+		path    string
+		headers []string
+		status  int
+		// organisation is the one that the server is told.
+		organisation string
+	}{
+		"a key":                        {headers: []string{apikey.Header, bearer(guildKey)}, status: 200, organisation: guild},
+		"another organisation's":       {headers: []string{apikey.Header, bearer(deskKey)}, status: 200, organisation: desk},
+		"scheme in lower case":         {headers: []string{apikey.Header, "bearer " + deskKey}, status: 200, organisation: desk},
+		"a made-up organisation":       {headers: []string{apikey.Header, bearer(deskKey), names.Organisation, guild}, status: 200, organisation: desk},
+		"an unknown key":               {headers: []string{apikey.Header, bearer(unknownKey)}, status: 401},
+		"an unknown key, organisation": {headers: []string{apikey.Header, bearer(unknownKey), names.Organisation, guild}, status: 401},
+		"no key":                       {status: 401},
+		"another scheme":               {headers: []string{apikey.Header, "Basic " + guildKey}, status: 401},
+		"the key alone":                {headers: []string{apikey.Header, guildKey}, status: 401},
+		"a key in capitals":            {headers: []string{apikey.Header, bearer(strings.ToUpper(guildKey))}, status: 401},
+		"open route":                   {path: pathOpen, status: 200},
+		"open route, a key":            {path: pathOpen, headers: []string{apikey.Header, bearer(unknownKey)}, status: 200},
+		"open route, organisation":     {path: pathOpen, headers: []string{names.Organisation, guild}, status: 200},
+		"no such route":                {path: "/none/", headers: []string{apikey.Header, bearer(unknownKey)}, status: 404},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := test.path
+			if path == "" {
+				path = pathSafe
+			}
+			before := x.count()
+			r := w.get(path, test.headers...)
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, test.status)
+			if test.status != http.StatusOK {
+				assert.Equal(t, x.count(), before, "no server is asked")
+				assert.Equal(t, r.header.Get("WWW-Authenticate") != "", test.status == http.StatusUnauthorized)
+				return
+			}
+			got := x.call(before).Header
+			assert.Equal(t, got.Get(names.Organisation), test.organisation)
+			assert.Equal(t, len(got.Values(apikey.Header)), 0, "servers are not shown keys")
+		})
+	}
+	checkNoKeyLogged(t, w)
+}
+
+// TestTwoKeys sends two Authorization headers, each with a key that is known: which one counts is open.
+func TestTwoKeys(t *testing.T) {
+	x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+	w := newKeyWorld(t, func(*config.Gateway) {}, x)
+	req := w.request(http.MethodGet, pathSafe, "", apikey.Header, bearer(guildKey))
+	req.Header.Add(apikey.Header, bearer(deskKey))
+	assert.Equal(t, w.do(req).status, http.StatusUnauthorized)
+	assert.Equal(t, x.count(), 0)
+}
+
+// TestWithoutOrganisationsKeysPass checks that a configuration without organisations leaves the callers'
+// headers alone.
+func TestWithoutOrganisationsKeysPass(t *testing.T) {
+	x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+	w := newWorld(t, x)
+	r := w.get(pathSafe, apikey.Header, bearer(unknownKey), names.Organisation, "any")
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, x.call(0).Header.Get(apikey.Header), bearer(unknownKey))
+	assert.Equal(t, x.call(0).Header.Get(names.Organisation), "any")
+}
+
+// checkNoKeyLogged checks that no log line holds a key.
+func checkNoKeyLogged(t *testing.T, w *world) {
+	t.Helper()
+	for _, line := range w.logs.All() {
+		text := line.Message + fmt.Sprint(line.ContextMap())
+		for _, key := range []string{guildKey, deskKey, unknownKey} {
+			assert.Assert(t, !strings.Contains(strings.ToLower(text), key), "%s", text)
+		}
+	}
+}
+
+// TestOrganisationPriority checks that an organisation's priority goes before the route's.
+func TestOrganisationPriority(t *testing.T) {
+	x := newWorker(t, "e", stream(1))
+	w := newKeyWorld(t, func(*config.Gateway) {})
+	w.putEngine(x, "m1")
+	assert.Equal(t, w.get(pathModel, names.Model, "m1", apikey.Header, bearer(guildKey)).status, http.StatusOK)
+	assert.Equal(t, w.get(pathModel, names.Model, "m1", apikey.Header, bearer(deskKey)).status, http.StatusOK)
+	assert.Equal(t, x.call(0).Header.Get(names.Priority), "0", "the organisation's")
+	assert.Equal(t, x.call(1).Header.Get(names.Priority), "1", "the route's")
+}
+
+// TestMovedKey moves a key from one organisation to another and takes one away.
+func TestMovedKey(t *testing.T) {
+	x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+	w := newKeyWorld(t, func(*config.Gateway) {}, x)
+	assert.Equal(t, w.get(pathSafe, apikey.Header, bearer(guildKey)).status, http.StatusOK)
+	w.routing.Version++
+	w.routing.Keys = []apikey.Holder{{Organisation: desk, Keys: []string{guildKey}}}
+	w.putConfig()
+	w.awaitStatus(http.StatusUnauthorized, deskKey)
+	before := x.count()
+	assert.Equal(t, w.get(pathSafe, apikey.Header, bearer(guildKey)).status, http.StatusOK)
+	assert.Equal(t, x.call(before).Header.Get(names.Organisation), desk)
+}
+
+// awaitStatus waits until a request with a key gets a status.
+func (w *world) awaitStatus(status int, key string) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		if r := w.get(pathSafe, apikey.Header, bearer(key)); r.status != status {
+			return poll.Continue("status %d, %v", r.status, r.err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// TestRevokedWhileTheStoreIsAway takes a key away while a gateway does not reach the store: it refuses all
+// requests with a key before the bound is over, and serves those that need none; when the store is back the key
+// is unknown and others are served.
+func TestRevokedWhileTheStoreIsAway(t *testing.T) {
+	const revokeTime = 2 * time.Second
+	away := map[string]func(w *world) (back func()){
+		"down": func(w *world) func() {
+			w.store.Fail(func(string) error { return errors.New("down") })
+			return func() { w.store.Fail(nil) }
+		},
+		"reads fail": func(w *world) func() {
+			w.store.Fail(func(call string) error {
+				if call == "list" || call == "watch" {
+					return errors.New("busy")
+				}
+				return nil
+			})
+			return func() { w.store.Fail(nil) }
+		},
+	}
+	for name, goAway := range away {
+		t.Run(name, func(t *testing.T) {
+			x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+			w := newKeyWorld(t, func(s *config.Gateway) {
+				s.RevokeTime = config.Duration(revokeTime)
+				s.StoreTimeout = config.Duration(200 * time.Millisecond)
+			}, x)
+			w.awaitStatus(http.StatusOK, guildKey)
+			back := goAway(w)
+			w.routing.Version++
+			w.routing.Keys = w.routing.Keys[1:]
+			w.putConfig()
+			written := time.Now()
+			w.awaitStatus(http.StatusServiceUnavailable, guildKey)
+			assert.Assert(t, time.Since(written) < revokeTime, "refused after %v", time.Since(written))
+			r := w.get(pathSafe, apikey.Header, bearer(deskKey))
+			assert.Equal(t, r.status, http.StatusServiceUnavailable)
+			assert.Assert(t, r.header.Get("Retry-After") != "")
+			assert.Equal(t, w.get(pathOpen).status, http.StatusOK, "no key is needed")
+			back()
+			w.awaitStatus(http.StatusUnauthorized, guildKey)
+			w.awaitStatus(http.StatusOK, deskKey)
+			checkNoKeyLogged(t, w)
+		})
+	}
+}
+
+// TestRevokedDuringSuspension suspends the machine while its store is away: as soon as that is noticed, keys that
+// may have been taken away meanwhile are refused.
+func TestRevokedDuringSuspension(t *testing.T) {
+	x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+	machine := clocktest.NewMachine()
+	w := prepareWorldOn(t, clock.NewSystemFrom(machine), func(s *config.Gateway) { s.RevokeTime = config.Duration(5 * time.Second) }, x)
+	useKeys(w)
+	w.putConfig()
+	w.waitReady(http.StatusOK)
+	w.awaitStatus(http.StatusOK, guildKey)
+	w.store.Fail(func(string) error { return errors.New("down") })
+	machine.Suspend(5 * time.Second)
+	w.waitLines("process paused", 1)
+	assert.Equal(t, w.get(pathSafe, apikey.Header, bearer(guildKey)).status, http.StatusServiceUnavailable)
+	w.store.Fail(nil)
+	w.awaitStatus(http.StatusOK, guildKey)
+}
+
+// TestUnboundedRevocation checks that without a bound keys count for as long as the store is away.
+func TestUnboundedRevocation(t *testing.T) {
+	x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+	machine := clocktest.NewMachine()
+	w := prepareWorldOn(t, clock.NewSystemFrom(machine), func(*config.Gateway) {}, x)
+	useKeys(w)
+	w.putConfig()
+	w.waitReady(http.StatusOK)
+	w.awaitStatus(http.StatusOK, guildKey)
+	w.store.Fail(func(string) error { return errors.New("down") })
+	machine.Suspend(time.Minute)
+	w.waitLines("process paused", 1)
+	assert.Equal(t, w.get(pathSafe, apikey.Header, bearer(guildKey)).status, http.StatusOK)
+	assert.Equal(t, w.get(pathSafe, apikey.Header, bearer(unknownKey)).status, http.StatusServiceUnavailable, "it may be new")
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"rockcleat/apikey"
 	"rockcleat/backend"
 	"rockcleat/clock"
 	"rockcleat/clock/clocktest"
@@ -32,7 +33,7 @@
 var names = wire.Names{
 	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Expect: "X-Expect", NotRun: "X-Unrun",
 	Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix", Priority: "X-Priority",
-	Reserved: []string{"X-Hold", "X-Pin"},
+	Organisation: "X-Organisation", Reserved: []string{"X-Hold", "X-Pin"},
 }
 
 // Keys and paths of the tests' platform.
@@ -50,6 +51,9 @@
 	Routes   []table.Route
 	Services []table.Service
 	Limits   table.RequestLimits
+	// Organisations are there if requests need keys, which Keys names by organisation.
+	Organisations []table.Organisation
+	Keys          []apikey.Holder
 }
 
 func (decoder) ConfigKey() string { return keyConfig }
@@ -63,7 +67,11 @@
 	if err := json.Unmarshal(value, &f); err != nil {
 		return nil, err
 	}
-	return table.NewRouting(f.Version, f.Routes, f.Services, f.Limits), nil
+	routing := table.NewRouting(f.Version, f.Routes, f.Services, f.Limits)
+	if len(f.Organisations) == 0 {
+		return routing, nil
+	}
+	return routing.WithOrganisations(f.Organisations, apikey.New(f.Keys)), nil
 }
 
 func (decoder) Server(_ string, value []byte) (backend.Server, error) {
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -26,6 +26,10 @@
 	key     quarantine.Key
 	route   table.Route
 	service table.Service
+	// organisation is whose key the request came with; the zero Organisation if it needs none.
+	organisation table.Organisation
+	// withoutKey says that the system keeps the caller's key and names the organisation itself.
+	withoutKey bool
 	// target is the model and adapter asked for; empty for a plain service's requests.
 	target backend.Adapter
 	// configVersion is that of the configuration that the request was matched with.
@@ -42,6 +46,8 @@
 // read reads and checks a request, and refuses one that surely cannot be served.
 func (p *proxy) read(w http.ResponseWriter, r *http.Request) (*inbound, *refusal) {
 	now := p.clock.Now()
+	// The age is taken before the configuration: one that comes in between is newer, never older.
+	configAge := p.access.configAge(now)
 	routing := p.config.routing()
 	if routing == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryUnready}
@@ -59,12 +65,20 @@
 	if len(ids) != 1 || ids[0] == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "one request id is needed"}
 	}
+	organisation, refused := p.access.check(r, routing, route, configAge)
+	if refused != nil {
+		return nil, refused
+	}
+	if organisation.Priority != nil {
+		route.Priority = *organisation.Priority
+	}
 	body, refused := p.readBody(w, r, limits.BodyBytes)
 	if refused != nil {
 		return nil, refused
 	}
 	in := &inbound{
 		Request: r, id: ids[0], key: keyOf(r, body), route: route, configVersion: routing.Version(), body: body, arrived: now,
+		organisation: organisation, withoutKey: routing.NeedsKeys(),
 	}
 	if refused := p.resolve(in, routing); refused != nil {
 		return nil, refused
--- a/internal/gateway/outgoing.go
+++ b/internal/gateway/outgoing.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"rockcleat/apikey"
 )
 
 // headerLastEvent is the event after which a stream is to go on. A caller may send it too.
@@ -33,6 +35,7 @@
 	for _, name := range names.Reserved {
 		h.Del(name)
 	}
+	f.in.setOrganisation(h, names.Organisation)
 	if _, ok := h["User-Agent"]; !ok {
 		// net/http would add its own.
 		h["User-Agent"] = nil
@@ -49,6 +52,19 @@
 	return h
 }
 
+// setOrganisation names the organisation to the server in place of the caller's key, which servers are never
+// shown. A configuration without organisations leaves both headers to the caller.
+func (in *inbound) setOrganisation(h http.Header, header string) {
+	if !in.withoutKey {
+		return
+	}
+	h.Del(apikey.Header)
+	h.Del(header)
+	if in.organisation.Name != "" {
+		h.Set(header, in.organisation.Name)
+	}
+}
+
 // formatMilliseconds writes a time in whole milliseconds, at least one.
 func formatMilliseconds(d time.Duration) string {
 	return strconv.FormatInt(max(d.Milliseconds(), 1), 10)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -179,12 +179,17 @@
 // newProxy returns what serves callers.
 func (p *parts) newProxy(o Options) *proxy {
 	return &proxy{
-		names: o.Names, config: p.config, dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
+		names: o.Names, config: p.config, access: p.newAccess(o.Settings), dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
 		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, ends: p.quarantine.ends, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTime.Std()), bodyTime: o.Settings.BodyTime.Std(),
 	}
 }
 
+// newAccess returns what judges callers' keys.
+func (p *parts) newAccess(s config.Gateway) *access {
+	return &access{currentAt: p.configs.CurrentAt, revokeTime: s.RevokeTime.Std(), knownTime: p.newsMaxAge(s)}
+}
+
 // newPeerServer returns what serves other gateways.
 func (p *parts) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -16,6 +16,7 @@
 type proxy struct {
 	names      wire.Names
 	config     *configuration
+	access     *access
 	dispatcher *dispatch.Dispatcher
 	budgets    *retryBudgets
 	lines      *requestLog
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"rockcleat/apikey"
 )
 
 // A refusal is an answer of the gateway's own.
@@ -16,6 +18,10 @@
 	retryAfter time.Duration
 	// closeConn ends the connection after the answer.
 	closeConn bool
+	// challenge says that the request needs a key.
+	challenge bool
+	// organisation is whose key the request came with; empty if that is not known.
+	organisation string
 }
 
 // write sends the refusal. An error of the connection needs nothing done: the caller is gone.
@@ -25,6 +31,9 @@
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 	}
+	if f.challenge {
+		h.Set("WWW-Authenticate", apikey.Scheme)
+	}
 	if f.closeConn {
 		h.Set("Connection", "close")
 	}
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -67,6 +67,7 @@
 	fieldLeftOut   = "left_out"
 	fieldDigests   = "digests"
 	fieldRequests  = "requests"
+	fieldCustomer  = "customer"
 )
 
 // Rates of lines, in lines per second and lines together. Chosen, not measured: a line has
@@ -180,7 +181,7 @@
 		zap.Float64(fieldGap, r.longestGap.Seconds()), zap.Int(fieldEvents, r.events),
 		zap.Int(fieldAsked, req.GrantsAsked), zap.Int(fieldDenied, req.GrantsDenied),
 		zap.Float64(fieldTotal, now.Sub(in.arrived).Seconds()),
-		zap.Float64(fieldLimit, in.deadline.Sub(in.arrived).Seconds()),
+		zap.Float64(fieldLimit, in.deadline.Sub(in.arrived).Seconds()), customerField(in.organisation.Name),
 	}
 }
 
@@ -200,7 +201,16 @@
 // refusedEarly logs a request that was refused before it was matched with a route.
 func (l *requestLog) refusedEarly(r *http.Request, f *refusal) {
 	l.log.Info(msgRefused, zap.String(fieldRequest, r.Header.Get(l.names.RequestID)), zap.String(fieldHost, r.Host),
-		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, f.status), zap.String(fieldReason, f.reason))
+		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, f.status), zap.String(fieldReason, f.reason),
+		customerField(f.organisation))
+}
+
+// customerField names the organisation of a request, if it is known.
+func customerField(organisation string) zap.Field {
+	if organisation == "" {
+		return zap.Skip()
+	}
+	return zap.String(fieldCustomer, organisation)
 }
 
 // malformedHeader logs, up to a rate, a header that cannot be decoded and is ignored.
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -21,6 +21,8 @@
 	Prefix string
 	// Priority is the request's rank at the engine; 0 goes first.
 	Priority string
+	// Organisation names the organisation whose key the request came with.
+	Organisation string
 	// Reserved are further headers of requests that only the system may set: callers' are
 	// never passed on.
 	Reserved []string
--- a/table/routing.go
+++ b/table/routing.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rockcleat/apikey"
 )
 
 // A RetryPolicy says whether a request whose first send failed may be sent again.
@@ -47,6 +49,8 @@
 	Attempts int
 	// Priority is the route's rank; 0 is the most urgent.
 	Priority int
+	// Open says that requests need no key.
+	Open bool
 }
 
 // A ModelSpec is a model that an engine may hold.
@@ -101,7 +105,7 @@
 	IdleTime    time.Duration
 }
 
-// A Routing is one version of the operators' routes, services and limits.
+// A Routing is one version of the operators' routes, services, limits and organisations.
 //
 // It is not to be changed after NewRouting.
 type Routing struct {
@@ -110,6 +114,9 @@
 	limits   RequestLimits
 	hosts    map[string]*hostRoutes
 	routes   int
+	// organisations are those whose requests are served, by name; keys says who holds which key.
+	organisations map[string]Organisation
+	keys          *apikey.Directory
 }
 
 // A hostRoutes holds the routes of one host by prefix, so that a request costs a look-up for each
--- a/tools/names/main.go
+++ b/tools/names/main.go
@@ -48,7 +48,7 @@
 // allowed are the product's packages that platform/ may import: records, interfaces and
 // the bounds of calls, nothing that decides.
 var allowed = []string{
-	"rockcleat/backend", "rockcleat/internal/transfer", "rockcleat/internal/wire", "rockcleat/kv", "rockcleat/table",
+	"rockcleat/apikey", "rockcleat/backend", "rockcleat/internal/transfer", "rockcleat/internal/wire", "rockcleat/kv", "rockcleat/table",
 }
 
 func main() {
