A store that comes back from a copy: positions are era and count, and nothing known is taken back

Cause: the code relied on the store's revisions only growing. When it comes back from a copy, revisions go back and are given out again: a watch from one that is not there is compacted, listed anew, compacted again, some 6,000 times a second; the next leader's token is lower than the last one's, so that engines refuse it for good; the copy lists servers that had gone, lacks new ones and shows an older configuration.

Change: kv.Revision is era and count in one number, below 2^53; the platform's adapter alone sees the header. What belongs to an earlier era is gone without a call, a lease too, even if its id was given out again. The leader gives up at the first answer of a new era. The first list of an era is joined with what was known. The configuration in force stays, and reading an older one proves nothing; a gateway that starts then waits for others or the operators. After a compaction that follows no successful watch there is a pause. The leader writes the list of gateways anew in each term, with the era.

Not done: entry and agent, the price at 6 to 300 gateways (docs/design/0015).

Found on the way: versions of residency held the whole token above 20 bits and would have overflowed in era 8.

--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -35,6 +35,7 @@
 		Store:     store,
 		Prefixes:  store,
 		OwnKeys:   store.Own(),
+		Eras:      store,
 		Decoder:   platform.Decoder{},
 		Engines:   platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), client),
 		Clock:     clock.NewSystem(),
--- /dev/null
+++ b/internal/configsync/copy_test.go
@@ -0,0 +1,86 @@
+package configsync
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStoreFromACopy lets the store come back from a copy that shows an older version than is in force: no gateway
+// goes back to it, nobody takes it for a proof that nothing newer was written, and what the operators write again
+// counts.
+func TestStoreFromACopy(t *testing.T) {
+	tests := map[string]func(f *fleet){
+		"the same version is written again": func(f *fleet) { f.write(3) },
+		"a newer version is written":        func(f *fleet) { f.write(4) },
+		"with nobody who leads": func(f *fleet) {
+			f.leader.Store(noLeader)
+			f.wait(maxAge)
+			f.write(4)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 5)
+				copied := f.store.Copy()
+				f.write(3)
+				f.wait(settled)
+				f.checkVersion(3)
+				f.store.Restore(copied)
+				restored := time.Now()
+				f.wait(2 * maxAge)
+				f.checkVersion(3)
+				for _, m := range f.members {
+					assert.Assert(t, m.syncer.CurrentAt().Before(restored.Add(time.Millisecond)), "%s: %v after, behind %v", m.addr, m.syncer.CurrentAt().Sub(restored), m.syncer.storeBehind)
+				}
+				test(f)
+				f.wait(maxAge + 2*settled)
+				f.checkVersion(max(3, f.members[0].version.Load()))
+				for _, m := range f.members {
+					assert.Assert(t, m.syncer.CurrentAt().After(restored.Add(2*maxAge)), "it is proved again")
+				}
+			})
+		})
+	}
+}
+
+// TestStartAtACopy starts a gateway while the store, come back from a copy, shows an older version: it takes the
+// newer one from another gateway, or waits for the operators to write it again.
+func TestStartAtACopy(t *testing.T) {
+	tests := map[string]struct {
+		// alone says that no other gateway is left, settled that a leader has written since the copy.
+		alone, settled bool
+		// within is after which time the version is in force.
+		version uint64
+		within  time.Duration
+	}{
+		"beside others":               {version: 3, within: settled},
+		"alone":                       {alone: true, version: 1, within: copySettleTime + settled},
+		"alone, the store is settled": {alone: true, settled: true, version: 1, within: settled},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				copied := f.store.Copy()
+				f.write(3)
+				f.wait(settled)
+				f.store.Restore(copied)
+				if test.alone {
+					f.leader.Store(noLeader)
+					f.members = nil
+				}
+				m := f.join(false)
+				m.syncer.opts.IsSettled = func(context.Context, int64) (bool, error) { return test.settled, nil }
+				f.wait(test.within / 2)
+				assert.Assert(t, test.settled || m.version.Load() != 1, "an older version is in force")
+				f.wait(test.within / 2)
+				assert.Equal(t, m.version.Load(), test.version)
+			})
+		})
+	}
+}
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -43,9 +43,11 @@
 		s.opts.Health.Reachable()
 		s.setFetchFailed(false)
 	case ctx.Err() != nil, errors.Is(context.Cause(readCtx), errInterrupted):
+	case errors.Is(err, errUnsettled):
+		s.rest(ctx)
 	case errors.Is(err, kv.ErrCompacted):
 		s.noteForgotten(after)
-		s.restUnlessWatcher(ctx)
+		s.restAfterCompaction(ctx)
 	default:
 		s.noteTransfer(FromStore, 0, err)
 		s.opts.Health.Unreachable(err)
@@ -109,13 +111,54 @@
 	if err != nil {
 		return err
 	}
+	if err := s.checkSettled(ctx, at.Era()); err != nil {
+		return err
+	}
+	shown := uint64(0)
 	for _, e := range entries {
-		s.take(e)
+		shown = max(shown, s.take(e))
 	}
+	s.noteShown(shown, at.Era())
 	s.noteRead(at, began)
 	return nil
 }
 
+// copySettleTime is how long after its return from a copy the store is given until it has again what the operators
+// wrote, by a gateway that knows of nothing newer: they write it again within some two seconds. Chosen, not
+// measured.
+const copySettleTime = 3 * time.Second
+
+// errUnsettled says that the store may lack what the operators wrote before it came back from a copy.
+var errUnsettled = eris.New("configsync: the store has come back from a copy and may show an older version")
+
+// checkSettled returns an error if this gateway holds nothing and the store may show an older version than was in
+// force: old keys would open again. Another gateway may know; else the operators' next words are waited for.
+func (s *Syncer) checkSettled(ctx context.Context, era int64) error {
+	if era == 0 || s.history.newest() > 0 || s.opts.IsSettled == nil {
+		return nil
+	}
+	settled, err := s.opts.IsSettled(ctx, era)
+	if err != nil {
+		return err
+	}
+	now := s.opts.Clock.Now()
+	if s.copySince.IsZero() {
+		s.copySince = now
+	}
+	if !settled && now.Sub(s.copySince) < copySettleTime {
+		return errUnsettled
+	}
+	return nil
+}
+
+// noteShown notes the version that the store shows, 0 for none. In an era after the first it may be older than the
+// one that is held, which stays in force.
+func (s *Syncer) noteShown(version uint64, era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeBehind = era > 0 && version < s.history.newest()
+}
+
 // watch waits for a configuration that was written after a revision. It is short, so that a store
 // that fell silent in the middle of it is asked again in time: a watch of 2 s would leave a gateway
 // without the configuration for 2.9 s after the store's return, by arithmetic, where 3 s are allowed.
@@ -131,7 +174,7 @@
 	}
 	current := kv.WatchedUntil(began, wait, len(events) > 0, s.opts.Clock.Now())
 	for _, e := range newestOnly(events) {
-		s.take(e.Entry)
+		s.noteShown(s.take(e.Entry), at.Era())
 	}
 	s.noteRead(at, current)
 	return nil
@@ -149,30 +192,41 @@
 	return nil
 }
 
-// take puts an entry in force. One that cannot be decoded is logged, and the last one stays.
-func (s *Syncer) take(e kv.Entry) {
+// take puts an entry in force and returns its version. One that cannot be decoded is logged, and the last one
+// stays.
+func (s *Syncer) take(e kv.Entry) uint64 {
 	if e.Key != s.opts.Key {
-		return
+		return 0
 	}
 	s.noteTransfer(FromStore, len(e.Value), nil)
-	if _, err := s.hold(e.Value, FromStore); err != nil {
+	version, err := s.hold(e.Value, FromStore)
+	if err != nil {
 		s.opts.Log.Error("configuration not understood", telemetry.Error(err))
 	}
+	return version
 }
 
-// noteRead notes that what is held was the newest at a time, up to a revision.
+// noteRead notes that what is held was the newest at a time, up to a revision. While the store is behind, that
+// cannot be said: only this gateway goes on from there.
 func (s *Syncer) noteRead(at kv.Revision, current time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position = at
+	if s.storeBehind {
+		return
+	}
 	s.merge(newest{version: s.history.newest(), currentAt: current, revision: at})
 }
 
-// restUnlessWatcher waits before the store is listed because it has forgotten its history: the
+// restAfterCompaction waits before the store is listed because it has forgotten its history: the
 // watcher's list comes first, and its news then spares this gateway a read of the whole
-// configuration, 1.2 MB at 4,400 routes. All watches end in the same moment then.
-func (s *Syncer) restUnlessWatcher(ctx context.Context) {
-	if !s.opts.IsWatcher() {
+// configuration, 1.2 MB at 4,400 routes. All watches end in the same moment then. The watcher waits when
+// that happens again and again, so that no answer of the store makes it call without a pause.
+func (s *Syncer) restAfterCompaction(ctx context.Context) {
+	now := s.opts.Clock.Now()
+	again := now.Sub(s.compactedAt) < readPause
+	s.compactedAt = now
+	if again || !s.opts.IsWatcher() {
 		s.rest(ctx)
 	}
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -53,6 +53,9 @@
 	// MaxAge returns how old the news may be before this gateway watches the store itself, and
 	// bounds one such watch.
 	MaxAge func() time.Duration
+	// IsSettled, if not nil, reports whether the store, in an era, surely has all that the operators wrote before
+	// it came back from a copy; an error says that this is not known.
+	IsSettled func(ctx context.Context, era int64) (bool, error)
 	// StartWait, if not nil, returns how long a gateway that starts waits for the news of others
 	// before it reads the store.
 	StartWait func() time.Duration
@@ -82,6 +85,9 @@
 	// may name it as theirs for as long as they do not know; watching from it again and again,
 	// since it was heard again and again, kept versions from all gateways while nobody led.
 	forgotten kv.Revision
+	// storeBehind says that the store, come back from a copy, shows an older version than the one that is held:
+	// it may lack still newer ones too, so that it proves nothing of what is held.
+	storeBehind bool
 	// fetchFailed says that the newest version could not be fetched from its source: the store
 	// is read next.
 	fetchFailed bool
@@ -90,8 +96,11 @@
 	changed   chan struct{}
 	interrupt context.CancelFunc
 
-	// direct belongs to Run: whether the last step watched the store.
-	direct bool
+	// The rest belongs to Run. direct says whether the last step watched the store, compactedAt is when its
+	// history was gone last, copySince is since when a copy of the store is waited for to settle.
+	direct      bool
+	compactedAt time.Time
+	copySince   time.Time
 }
 
 // New returns a Syncer that holds nothing.
--- a/internal/gateway/fleet_keeper.go
+++ b/internal/gateway/fleet_keeper.go
@@ -15,6 +15,7 @@
 	"rockcleat/internal/placer"
 	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
+	"rockcleat/lease"
 	"rockcleat/quota"
 )
 
@@ -26,8 +27,8 @@
 	// fleetKeepInterval is the time between two looks at the list.
 	fleetKeepInterval = 100 * time.Millisecond
 	// fleetSettleTime is for how long a list must be the same before it is written, so that gateways which
-	// start together cost one write.
-	fleetSettleTime = time.Second
+	// start together cost one write, and a store that came back from a copy has again what operators wrote.
+	fleetSettleTime = 3 * time.Second
 	// fleetMemory is for how long a gateway that is off the leader's list stays on the one in the store: as long
 	// as it may spend its part of limits, and somewhat longer. Gateways that restart in turn cost no writes.
 	fleetMemory = quota.AloneTime + 2*time.Second
@@ -54,13 +55,15 @@
 	onLoad     func([]placer.Gateway)
 	store      Store
 	keys       kv.PrefixStore
-	isLeader   func() bool
+	lease      interface{ Held() (lease.Token, bool) }
 	firstStart bool
 	startedAt  time.Time
 	clock      clock.Service
 	log        *zap.Logger
 	timeout    time.Duration
 
+	// term is the token under which this gateway wrote last.
+	term lease.Token
 	// recent is when each gateway was on the leader's list last.
 	recent map[placer.Gateway]time.Time
 	// seen is the list of those at the last look, and since when; stored is the one in the store.
@@ -72,9 +75,21 @@
 	nextLoad time.Time
 }
 
-// step is called every fleetKeepInterval.
+// A storedFleet is the value of keyGateways.
+type storedFleet struct {
+	Gateways []placer.Gateway `json:"gateways"`
+	// Era is that of the store when this was written: by then it had again what was written before it came back
+	// from a copy, if it did.
+	Era int64 `json:"era,omitempty"`
+}
+
+// step is called every fleetKeepInterval. In a new term everything is written anew: the store may have lost it.
 func (k *fleetKeeper) step(now time.Time) {
-	list, leads := k.gateways.list(), k.isLeader()
+	token, leads := k.lease.Held()
+	if leads && token != k.term {
+		k.term, k.stored, k.seenSince = token, nil, now
+	}
+	list := k.gateways.list()
 	k.informed = k.informed || k.firstStart || len(list) > 0 && !leads
 	switch {
 	case !k.informed && !now.Before(k.nextLoad):
@@ -113,7 +128,7 @@
 }
 
 func (k *fleetKeeper) put(list []placer.Gateway) error {
-	value, err := json.Marshal(list)
+	value, err := json.Marshal(storedFleet{Gateways: list, Era: kv.Revision(k.term).Era()})
 	if err != nil {
 		return eris.Wrap(err, "gateway: encode list of gateways")
 	}
@@ -129,24 +144,40 @@
 		return
 	}
 	k.nextLoad = now.Add(fleetLoadPause)
-	ctx, cancel := context.WithTimeout(k.ctx, k.timeout)
-	defer cancel()
-	entries, _, err := k.keys.ListPrefix(ctx, keyGateways)
+	stored, err := k.read(k.ctx)
 	if err != nil {
 		k.log.Warn("list of gateways not read", telemetry.Error(err))
 		return
 	}
-	var list []placer.Gateway
+	k.informed = true
+	if len(stored.Gateways) == 0 {
+		return
+	}
+	k.log.Info("list of gateways read", zap.Int("count", len(stored.Gateways)))
+	k.onLoad(stored.Gateways)
+}
+
+// read reads what the store has; nothing if it has nothing that can be read.
+func (k *fleetKeeper) read(ctx context.Context) (storedFleet, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	defer cancel()
+	entries, _, err := k.keys.ListPrefix(ctx, keyGateways)
+	if err != nil {
+		return storedFleet{}, err
+	}
+	var stored storedFleet
 	for _, e := range entries {
-		if err := json.Unmarshal(e.Value, &list); err != nil {
+		if err := json.Unmarshal(e.Value, &stored); err != nil {
 			k.log.Warn("list of gateways not readable, ignored", telemetry.Error(err))
-			return
+			return storedFleet{}, nil
 		}
 	}
-	k.informed = true
-	if len(list) == 0 {
-		return
-	}
-	k.log.Info("list of gateways read", zap.Int("count", len(list)))
-	k.onLoad(list)
+	return stored, nil
+}
+
+// isSettled reports whether a leader has written in an era of the store, when that had again what was written
+// before it came back from a copy.
+func (k *fleetKeeper) isSettled(ctx context.Context, era int64) (bool, error) {
+	stored, err := k.read(ctx)
+	return stored.Era == era, err
 }
--- a/internal/gateway/fleet_keeper_test.go
+++ b/internal/gateway/fleet_keeper_test.go
@@ -19,15 +19,20 @@
 // keyGateways is where the store has the list of gateways.
 const keyGateways = "gateways"
 
+// A storedFleet is what the store has there.
+type storedFleet struct {
+	Gateways []placer.Gateway `json:"gateways"`
+}
+
 // storedGateways returns the list in the store.
 func (w *world) storedGateways() []placer.Gateway {
 	e, err := w.store.Get(w.t.Context(), keyGateways)
 	if err != nil {
 		return nil
 	}
-	var list []placer.Gateway
-	assert.NilError(w.t, json.Unmarshal(e.Value, &list))
-	return list
+	var stored storedFleet
+	assert.NilError(w.t, json.Unmarshal(e.Value, &stored))
+	return stored.Gateways
 }
 
 // TestListOfGatewaysIsKept checks that the leader writes the list of gateways to the store, once while it stays
@@ -52,7 +57,9 @@
 	s := gatewaySettings(t, "again")
 	s.FirstStart = false
 	lost := placer.Gateway{Gateway: dispatch.Gateway{ID: "lost", Hall: s.Hall}, Addr: freeAddr()}
-	former, err := json.Marshal([]placer.Gateway{{Gateway: dispatch.Gateway{ID: s.ID, Hall: s.Hall}, Addr: s.PeerListen}, lost})
+	former, err := json.Marshal(storedFleet{Gateways: []placer.Gateway{
+		{Gateway: dispatch.Gateway{ID: s.ID, Hall: s.Hall}, Addr: s.PeerListen}, lost,
+	}})
 	assert.NilError(t, err)
 	w.store = w.copyStore()
 	w.store.Set(keyGateways, former)
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -33,6 +33,8 @@
 	return backend.Server{ID: key, Service: "app"}, nil
 }
 
+func (plainDecoder) IsOlderServer([]byte, []byte) bool { return false }
+
 func (plainDecoder) ServerID(key string) string { return key }
 
 // TestNewListShowsWhoIsGone checks that a server which went while the store was not
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,8 @@
 	Server(key string, value []byte) (backend.Server, error)
 	// ServerID returns the id in a backend server's key.
 	ServerID(key string) string
+	// IsOlderServer reports whether a backend server's record is an older word than another one of the same run.
+	IsOlderServer(value, than []byte) bool
 }
 
 // A Store is where the gateways keep what must outlast them; kv.Store describes each call.
@@ -37,6 +39,9 @@
 	Delete(ctx context.Context, key string, expect kv.Revision) error
 }
 
+// Eras calls a function with each era of the store that is newer than those before.
+type Eras interface{ OnEra(f func(era int64)) }
+
 // Options are what a Gateway is made of.
 type Options struct {
 	Settings config.Gateway
@@ -48,11 +53,13 @@
 	// Prefixes are all keys of the store, OwnKeys those that the product writes.
 	Prefixes kv.PrefixStore
 	OwnKeys  kv.PrefixStore
-	Decoder  Decoder
-	Engines  backend.EngineClient
-	Clock    clock.Service
-	Log      *zap.Logger
-	Metrics  Metrics
+	// Eras, if not nil, tells when the store comes back from a copy.
+	Eras    Eras
+	Decoder Decoder
+	Engines backend.EngineClient
+	Clock   clock.Service
+	Log     *zap.Logger
+	Metrics Metrics
 	// Peers, if not nil, carries the calls to other gateways.
 	Peers http.RoundTripper
 }
@@ -68,6 +75,7 @@
 	configs    *configsync.Syncer
 	health     *storeHealth
 	servers    *serverList
+	lease      *lease.Holder
 	budgets    *retryBudgets
 	placer     *placer.Placer
 	reporter   *reporter
@@ -99,11 +107,14 @@
 	g := &Gateway{
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
-		prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer,
+		lease: p.leader.lease, prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer,
 		reporter: p.newReporter(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, keeper: p.newQuarantineKeeper(ctx, o),
-		fleet: p.newFleetKeeper(ctx, o),
+		fleet: p.fleet,
 		ctx:   ctx, cancel: cancel,
 	}
+	if o.Eras != nil {
+		o.Eras.OnEra(g.storeCameBack)
+	}
 	g.listeners = newListeners(listenerOptions{
 		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
 		metrics: o.Metrics.Handler(), proxy: p.newProxy(o), peers: p.newPeerServer(o.Clock).router(),
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -62,6 +62,12 @@
 
 func (decoder) ServerID(key string) string { return strings.TrimPrefix(key, prefix) }
 
+// IsOlderServer reports whether the record of a leaving server is not: records of tests have no count.
+func (decoder) IsOlderServer(value, than []byte) bool {
+	var s, other backend.Server
+	return json.Unmarshal(value, &s) == nil && json.Unmarshal(than, &other) == nil && other.Leaving && !s.Leaving
+}
+
 func (decoder) Routing(value []byte) (*table.Routing, error) {
 	var f routingFile
 	if err := json.Unmarshal(value, &f); err != nil {
@@ -208,7 +214,7 @@
 // startGateway starts a gateway that reads the store through prefixes.
 func (w *world) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
 	g := gateway.New(gateway.Options{
-		Settings: s, Names: names, ReadyPath: readyPath, Store: w.store, Prefixes: prefixes, OwnKeys: prefixes,
+		Settings: s, Names: names, ReadyPath: readyPath, Store: w.store, Prefixes: prefixes, OwnKeys: prefixes, Eras: w.store,
 		Decoder: decoder{}, Engines: noEngines{}, Clock: w.clock, Log: w.log,
 	})
 	assert.NilError(w.t, g.Start())
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -43,6 +43,7 @@
 	pauses     *pauseDetector
 	quarantine quarantineRole
 	limiter    *quota.Limiter
+	fleet      *fleetKeeper
 	// listing is held while a list of gateways is taken over, so that all who need it have the same one.
 	listing sync.Mutex
 	// urgent is sent when a report to the leader should not wait.
@@ -75,11 +76,12 @@
 		p.servers.refresh()
 		p.leader.fanout.Recheck()
 	}
+	p.fleet = p.newFleetKeeper(ctx, o)
 	p.configs = configsync.New(configsync.Options{
 		Store: p.breaker.View(o.Prefixes), Key: o.Decoder.ConfigKey(), Holder: p.config, Peers: p.peers,
 		Health: p.health, Clock: o.Clock, Log: o.Log, IsWatcher: p.leader.isHeld, MaxAge: p.newsMaxAge(s),
-		StartWait: p.gateways.listWait,
-		OnSwitch:  p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
+		StartWait: p.gateways.listWait, IsSettled: p.fleet.isSettled,
+		OnSwitch: p.lines.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
 			o.Metrics.ConfigTransfer(string(from), bytes, err)
 		},
 	})
@@ -105,7 +107,7 @@
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
 		Clock: o.Clock, MaxAge: viewMaxAge(s), IsWatcher: l.isHeld,
 		OnSwitch: p.lines.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
-		ExtraAge: p.extraAge(s),
+		ExtraAge: p.extraAge(s), Writers: serverWriters(o.Decoder),
 	})
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.OwnKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
@@ -186,7 +188,7 @@
 func (p *parts) newFleetKeeper(ctx context.Context, o Options) *fleetKeeper {
 	return &fleetKeeper{
 		ctx: ctx, gateways: p.gateways, onLoad: p.useStored, recent: make(map[placer.Gateway]time.Time), store: o.Store, keys: p.breaker.View(o.OwnKeys),
-		isLeader: p.leader.isHeld, firstStart: o.Settings.FirstStart, startedAt: o.Clock.Now(), clock: o.Clock, log: o.Log,
+		lease: p.leader.lease, firstStart: o.Settings.FirstStart, startedAt: o.Clock.Now(), clock: o.Clock, log: o.Log,
 		timeout: o.Settings.StoreTimeout.Std(),
 	}
 }
--- /dev/null
+++ b/internal/gateway/store_copy_test.go
@@ -0,0 +1,87 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// TestStoreComesBackFromACopy lets the store come back from a copy that is older than the configuration in force and
+// lacks a server, has one that had gone, and knows no lease: no gateway goes back to the old configuration or sends
+// to the server that had gone, the new server is used, a leader comes whose token is higher, and the store is called
+// as often as when a leader is lost. Before, each gateway listed the store some 2,000 times a second, and no engine
+// took an order any more.
+func TestStoreComesBackFromACopy(t *testing.T) {
+	stays, gone := newWorker(t, "stays", answer(http.StatusOK, "yes")), newWorker(t, "gone", answer(http.StatusOK, "yes"))
+	w := newWorld(t, stays, gone)
+	members := startFleet(t, w, 2)
+	copied := w.store.Copy()
+	for range 60 {
+		w.store.Set("other", nil)
+	}
+	w.store.Remove(prefix + gone.id)
+	comes := newWorker(t, "comes", answer(http.StatusOK, "yes"))
+	w.putServer(comes, false)
+	w.routing.Version++
+	w.routing.Routes = w.routing.Routes[:2]
+	w.putConfig()
+	for _, m := range members {
+		m.await(t, w, pathStream, http.StatusNotFound)
+	}
+	w.waitLines("leadership gained", 1)
+	first := w.lastToken()
+
+	w.store.Restore(copied)
+	calls := w.storeCalls()
+	began := time.Now()
+	before := gone.count()
+	for time.Since(began) < 3*time.Second {
+		for _, m := range members {
+			m.await(t, w, pathSafe, http.StatusOK)
+			m.await(t, w, pathStream, http.StatusNotFound)
+		}
+	}
+	assert.Equal(t, gone.count(), before, "it had gone")
+	for _, line := range w.logs.FilterMessage("server gone").All() {
+		assert.Assert(t, line.ContextMap()["server"] != comes.id, "it was known before")
+	}
+	assert.Assert(t, w.storeCalls()-calls < 150, "%d calls in 3 s", w.storeCalls()-calls)
+	w.waitLines("store came back from a copy", 3)
+
+	w.putServer(comes, false)
+	w.putConfig()
+	w.waitLines("leadership gained", 2)
+	assert.Assert(t, w.lastToken() > first, "%d after %d", w.lastToken(), first)
+	later := newWorker(t, "later", answer(http.StatusOK, "yes"))
+	w.putServer(later, false)
+	w.putServer(stays, true)
+	w.putServer(comes, true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		used := later.count()
+		for _, m := range members {
+			m.await(t, w, pathSafe, http.StatusOK)
+		}
+		if later.count() < used+len(members) {
+			return poll.Continue("the new server is not used by all")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// storeCalls returns how often the store was called by all.
+func (w *world) storeCalls() int {
+	sum := 0
+	for _, call := range []string{"get", "list", "watch", "put", "delete", "grant", "keep", "revoke"} {
+		sum += w.store.Calls(call)
+	}
+	return sum
+}
+
+// lastToken returns the token of the last term.
+func (w *world) lastToken() int64 {
+	lines := w.logs.FilterMessage("leadership gained").All()
+	return lines[len(lines)-1].ContextMap()["token"].(int64)
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -145,7 +145,7 @@
 	if r.GatewaysVersion != version {
 		a.Gateways = gateways
 	}
-	a.Full = versionToken(r.ResidencyVersion) != token
+	a.Full = !isSameTerm(r.ResidencyVersion, p.residency.version)
 	a.Residency = p.residency.changedSince(r.ResidencyVersion, a.Full)
 	a.SpeedsVersion, a.Speeds = p.speeds.version, p.speeds.changedSince(r.SpeedsVersion)
 	return a
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -12,13 +12,20 @@
 // Chosen for growth (docs/design/0009, many servers), not measured alone.
 const publishEvery = 25 * time.Millisecond
 
-// versionBits is the part of a residency's version that counts changes; the rest is the
+// versionBits is the part of a residency's version that counts changes; the rest is of the
 // leader's token, so that versions of two leaders differ. A million changes in a term are
 // more than a leader makes in days. Chosen, not measured.
 const versionBits = 20
 
-// versionToken returns the token of the leader that made a version.
-func versionToken(version int64) int64 { return version >> versionBits }
+// termBits is how much of a token a version has room for: two leaders have the same only if their terms began at
+// the same count of writes in eras of the store that are eight apart.
+const termBits = 63 - versionBits
+
+// firstVersion returns the first version of the term with a token.
+func firstVersion(token int64) int64 { return token & (1<<termBits - 1) << versionBits }
+
+// isSameTerm reports whether two versions were made in the same term.
+func isSameTerm(a, b int64) bool { return a>>versionBits == b>>versionBits }
 
 // A publishedResidency holds what engines hold, as published to gateways, with the version
 // in which that last changed for each engine.
@@ -32,7 +39,7 @@
 // beginTerm starts the versions of a new leader's term. What was published stands until
 // the engines are known again.
 func (r *publishedResidency) beginTerm(token lease.Token) {
-	r.version = int64(token) << versionBits
+	r.version = firstVersion(int64(token))
 	r.changedIn = make(map[string]int64)
 }
 
--- a/internal/placer/speeds.go
+++ b/internal/placer/speeds.go
@@ -25,7 +25,7 @@
 
 // beginTerm starts the versions of a new leader's term; known are the speeds that it reckons with.
 func (t *speedTable) beginTerm(token lease.Token, known map[string]float64) {
-	t.version = int64(token) << versionBits
+	t.version = firstVersion(int64(token))
 	t.published, t.changedIn = make(map[string]float64), make(map[string]int64)
 	for model, speed := range known {
 		t.speeds.Set(model, speed)
@@ -63,7 +63,7 @@
 	if version == t.version {
 		return nil
 	}
-	everything := versionToken(version) != versionToken(t.version)
+	everything := !isSameTerm(version, t.version)
 	out := make(map[string]float64)
 	for model, speed := range t.published {
 		if everything || t.changedIn[model] > version {
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -35,6 +35,11 @@
 	// filtered says that changes after floor were left out here or by the sender:
 	// before it watches the service again, this process has to list the prefix.
 	filtered bool
+	// missing are the entries that a copy of the service lacked and that stand until then for their writers to
+	// write them again.
+	missing map[string]time.Time
+	// stale are the entries of the copy that do not count until they are written again.
+	stale map[string]staleEntry
 	// lastEvents is when a watch of the service last returned changes.
 	lastEvents time.Time
 	// receiving says that watches are answered from what another process hands on.
--- a/kv/doc.go
+++ b/kv/doc.go
@@ -5,10 +5,14 @@
 // service over HTTP with JSON. Another platform is met by another Store. Follow keeps a
 // copy of a prefix up to date; a Fanout lets one process watch for many.
 //
+// A position in the service is an era and a count of writes, in one Revision. The era rises
+// when the service comes back from a copy of itself, some seconds old; nothing else may compare
+// counts. The first list of a new era is joined with what was known before (Writers).
+//
 // It owns no state of the service: a Fanout keeps the latest changes of the prefixes it
-// has seen, bounded, and how old they are. It relies on the service's revisions only
-// growing, and on package clock. While the service is away, calls fail and Follow tries
-// again; what is known stays known, and its age is for the caller to judge.
+// has seen, bounded, and how old they are. It relies on revisions only growing, as eras make
+// them, and on package clock. While the service is away, calls fail and Follow tries
+// again, never without a pause; what is known stays known, and its age is for the caller to judge.
 //
 // Outcomes are values: a call that failed shows, by errors.Is, whether the service
 // refused it before it took effect (ErrUnavailable, ErrRateLimited, ErrConflict,
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -24,6 +24,9 @@
 	// Digest, if not nil, returns a digest of what matters to other processes of an
 	// entry: changes that leave it as it was are not handed on.
 	Digest func(prefix string, e Entry) uint64
+	// Writers, if not nil, returns whoever writes the entries of a prefix again and again, nil if nobody does:
+	// then a copy of the service is taken for what it is.
+	Writers func(prefix string) Writers
 	// OnSwitch, if not nil, is called when watches of a prefix begin to go to the
 	// service (direct), or begin to be answered from what another process hands on.
 	OnSwitch func(prefix string, direct bool)
@@ -228,6 +231,21 @@
 	}
 }
 
+// resetFromService sets a prefix to a whole list of the service that was current at a time, and returns what it
+// holds then. The first list of a later era is joined with what was known before.
+func (f *Fanout) resetFromService(prefix string, entries []Entry, at Revision, currentAt time.Time) []Entry {
+	f.mu.Lock()
+	if l := f.log(prefix); l.complete && l.to.Era() < at.Era() && f.opts.Writers != nil {
+		if w := f.opts.Writers(prefix); w != nil {
+			entries = l.joinCopy(entries, at, w, f.opts.Clock.Now())
+		}
+	}
+	entries = f.log(prefix).replaceStale(entries)
+	f.mu.Unlock()
+	f.reset(prefix, entries, at, currentAt)
+	return entries
+}
+
 // reset sets a prefix to a whole list that was current at a time.
 func (f *Fanout) reset(prefix string, entries []Entry, at Revision, currentAt time.Time) {
 	f.mu.Lock()
@@ -298,6 +316,8 @@
 			continue
 		}
 		l.set(e)
+		delete(l.missing, e.Entry.Key)
+		delete(l.stale, e.Entry.Key)
 		if !f.matters(prefix, l, e) {
 			l.filtered = true
 			continue
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -37,7 +37,7 @@
 	began := v.fanout.opts.Clock.Now()
 	entries, at, err := v.store.ListPrefix(ctx, prefix)
 	if err == nil {
-		v.fanout.reset(prefix, entries, at, began)
+		entries = v.fanout.resetFromService(prefix, entries, at, began)
 	}
 	return entries, at, err
 }
@@ -164,6 +164,10 @@
 	if watcher && !v.steady {
 		wait = min(wait, f.opts.MaxAge/watcherRounds)
 	}
+	wait, isDue := f.untilMissingDue(prefix, wait)
+	if isDue {
+		return nil, after, ErrCompacted
+	}
 	clock.Sleep(ctx, f.opts.Clock, f.nextWatch(prefix, batchTime).Sub(f.opts.Clock.Now()))
 	began := f.opts.Clock.Now()
 	own, cancel := context.WithCancel(ctx)
--- a/kv/follow.go
+++ b/kv/follow.go
@@ -52,33 +52,40 @@
 			pause = o.backOff(ctx, pause)
 			continue
 		}
-		pause = firstRetryPause
 		o.Follower.Reachable()
 		o.Follower.Replace(entries)
-		o.watchFrom(ctx, at)
+		if o.watchFrom(ctx, at) {
+			pause = firstRetryPause
+			continue
+		}
+		// A list whose revision cannot be watched from tells nothing new.
+		pause = o.backOff(ctx, pause)
 	}
 }
 
-// watchFrom watches from a revision until the service has compacted it.
-func (o FollowOptions) watchFrom(ctx context.Context, at Revision) {
+// watchFrom watches from a revision until the service has compacted it, and reports whether any watch succeeded
+// before. A service that answered each watch of a list's revision as compacted was listed some 2,000 times a
+// second by one process.
+func (o FollowOptions) watchFrom(ctx context.Context, at Revision) (watched bool) {
 	pause := firstRetryPause
 	for ctx.Err() == nil {
 		events, next, err := o.Store.WatchPrefix(ctx, o.Prefix, at, o.Round)
 		if errors.Is(err, ErrCompacted) {
-			return
+			return watched
 		}
 		if err != nil {
 			o.Follower.Unreachable(err)
 			pause = o.backOff(ctx, pause)
 			continue
 		}
-		pause = firstRetryPause
+		pause, watched = firstRetryPause, true
 		at = next
 		o.Follower.Reachable()
 		if len(events) > 0 {
 			o.Follower.Apply(events)
 		}
 	}
+	return watched
 }
 
 // backOff waits for a pause with jitter and returns the next, longer one.
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -22,9 +22,6 @@
 	ErrUnknown = errors.New("kv: outcome unknown")
 )
 
-// A Revision is the service's global write counter; it only grows.
-type Revision int64
-
 // Expectations of a write beside a concrete revision.
 const (
 	// Absent expects that the key does not exist.
--- a/kv/kvtest/store.go
+++ b/kv/kvtest/store.go
@@ -27,6 +27,9 @@
 	lose    func(call string) bool
 	calls   map[string]int
 	changed chan struct{}
+	// era is the store's, onEra are called with each new one.
+	era   int64
+	onEra []func(era int64)
 }
 
 type entry struct {
@@ -72,6 +75,59 @@
 	s.wake()
 }
 
+// A Copy is a store's entries and count of writes as they were once.
+type Copy struct {
+	count   int64
+	entries map[string]entry
+}
+
+// Copy returns a copy of the store as it is now. Leases are not in it, nor what stands under one.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{count: s.rev.Count(), entries: make(map[string]entry)}
+	for key, e := range s.entries {
+		if e.lease == 0 {
+			c.entries[key] = e
+		}
+	}
+	return c
+}
+
+// Restore makes the store come back from a copy, in the next era: what was written since is lost, leases too, and
+// revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	s.era++
+	s.rev = kv.NewRevision(s.era, c.count)
+	s.entries = make(map[string]entry, len(c.entries))
+	for key, e := range c.entries {
+		e.Revision = kv.NewRevision(s.era, e.Revision.Count())
+		s.entries[key] = e
+	}
+	s.history, s.floor, s.leases = nil, s.rev, make(map[kv.LeaseID]*leaseState)
+	era, calls := s.era, slices.Clone(s.onEra)
+	s.wake()
+	s.mu.Unlock()
+	for _, f := range calls {
+		f(era)
+	}
+}
+
+// OnEra makes f be called with each new era.
+func (s *Store) OnEra(f func(era int64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onEra = append(s.onEra, f)
+}
+
+// Era returns the store's era.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the number of calls of a kind so far.
 func (s *Store) Calls(call string) int {
 	s.mu.Lock()
@@ -202,7 +258,7 @@
 	for err == nil {
 		s.mu.Lock()
 		events, at, changed := s.since(prefix, after)
-		compacted := after < s.floor
+		compacted := after < s.floor || after > s.rev
 		if s.fail != nil {
 			err = s.fail("watch")
 		}
@@ -284,7 +340,7 @@
 		return 0, err
 	}
 	s.rev++
-	id := kv.LeaseID(s.rev)
+	id := kv.LeaseID(s.rev.Count())
 	s.leases[id] = &leaseState{ttl: ttl, end: s.clock.Now().Add(ttl)}
 	return id, s.end("grant")
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,7 +27,8 @@
 	Revoke(ctx context.Context, id kv.LeaseID) error
 }
 
-// A Token is a fencing token: a later holder's token is always higher.
+// A Token is a fencing token: a later holder's token is always higher, also across eras of the service, for it is
+// the revision of the lease's record.
 type Token int64
 
 // A Record is the value of a lease's key.
@@ -119,6 +120,16 @@
 	return h.store.Revoke(ctx, id)
 }
 
+// EndEra gives up a lease of an earlier era of the service than the given one, without asking: the service has
+// forgotten it.
+func (h *Holder) EndEra(era int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.token != 0 && kv.Revision(h.token).Era() < era {
+		h.leaseID, h.token = 0, 0
+	}
+}
+
 func (h *Holder) renew(ctx context.Context) error {
 	sent := h.clock.Now()
 	h.mu.Lock()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -12,6 +12,7 @@
 	"rockcleat/internal/standin"
 	"rockcleat/internal/standin/standintest"
 	"rockcleat/kv"
+	"rockcleat/kv/kvtest"
 	"rockcleat/lease"
 )
 
@@ -80,3 +81,30 @@
 	assert.ErrorIs(t, a.Step(context.Background()), kv.ErrUnavailable)
 	assert.Assert(t, held(a))
 }
+
+// TestLeaseOfAnEarlierEra checks that a holder gives up at once when the service comes back from a copy, and that
+// the next token is higher although the service counts from before.
+func TestLeaseOfAnEarlierEra(t *testing.T) {
+	c := clocktest.New(time.Unix(1000, 0))
+	store := kvtest.New(c)
+	copied := store.Copy()
+	for range 60 {
+		store.Set("other", nil)
+	}
+	h := lease.New(store, c, lease.Options{Name: "n", Holder: "a", TTL: time.Second})
+	store.OnEra(h.EndEra)
+	assert.NilError(t, h.Step(t.Context()))
+	first, isHeld := h.Held()
+	assert.Assert(t, isHeld)
+	h.EndEra(store.Era())
+	_, isHeld = h.Held()
+	assert.Assert(t, isHeld, "it is of this era")
+	store.Restore(copied)
+	_, isHeld = h.Held()
+	assert.Assert(t, !isHeld, "the service has forgotten it")
+	assert.NilError(t, h.Step(t.Context()))
+	second, isHeld := h.Held()
+	assert.Assert(t, isHeld)
+	assert.Assert(t, second > first, "%d after %d", second, first)
+	assert.Assert(t, second < 1<<53, "decoders keep it")
+}
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -22,8 +22,10 @@
 	// maxGrace bounds the time for which an owner without a leader goes on with the parts of all, by what
 	// the Tolerance allows an organisation beyond its limit.
 	maxGrace = 2 * time.Second
-	// graceShare is the part of the Tolerance that this may use up; the rest is for grants in stock.
-	graceShare = 0.25
+	// graceShare is the part of the Tolerance that one owner may use up in this way: several may lose the leader
+	// one after the other. With a quarter, 1 of 139,000 drawn cases of cuts, pauses and restarts came 0.01 %
+	// over the bound; with a tenth none of 300,000 (TestLimitHolds).
+	graceShare = 0.1
 )
 
 // A Tolerance is what an organisation may have run beyond its limit in any window: Over times what the limit
