--- a/internal/gateway/access_test.go
+++ b/internal/gateway/access_test.go
@@ -59,7 +59,7 @@
 		path    string
 		headers []string
 		status  int
-		// organisation is the one that the server is told.
+		// organisation is the one that is named to the server.
 		organisation string
 	}{
 		"a key":                        {headers: []string{apikey.Header, bearer(guildKey)}, status: 200, organisation: guild},
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -109,28 +109,27 @@
 // Admit implements dispatch.Owners.
 func (p *peerClient) Admit(ctx context.Context, owner string, r dispatch.AdmissionRequest) (dispatch.AdmissionReply, error) {
 	var reply dispatch.AdmissionReply
-	addr := p.gateways.addr(owner)
-	if addr == "" {
-		return reply, eris.Errorf("gateway: the address of gateway %q is not known", owner)
-	}
-	ctx, cancel := context.WithTimeout(ctx, admissionTimeout)
-	defer cancel()
-	err := p.http.Post(ctx, addr, pathAdmission, r, &reply)
+	err := p.askGateway(ctx, admissionTimeout, owner, pathAdmission, r, &reply)
 	return reply, err
 }
 
 // AskGrant implements quota.Asker.
 func (p *peerClient) AskGrant(ctx context.Context, gateway string, r quota.Request) (quota.Reply, error) {
 	var reply quota.Reply
-	addr := p.gateways.addr(gateway)
-	if addr == "" {
-		return reply, eris.Errorf("gateway: the address of gateway %q is not known", gateway)
-	}
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
-	err := p.http.Post(ctx, addr, pathGrant, r, &reply)
+	err := p.askGateway(ctx, grantTimeout, gateway, pathGrant, r, &reply)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		err = fmt.Errorf("%w: %w", quota.ErrEnded, err)
 	}
 	return reply, err
 }
+
+// askGateway posts a message to the gateway of an id, within a time.
+func (p *peerClient) askGateway(ctx context.Context, timeout time.Duration, gateway, path string, in, out any) error {
+	addr := p.gateways.addr(gateway)
+	if addr == "" {
+		return eris.Errorf("gateway: the address of gateway %q is not known", gateway)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return p.http.Post(ctx, addr, path, in, out)
+}
--- a/table/organisation.go
+++ b/table/organisation.go
@@ -20,8 +20,8 @@
 	// PerSecond is the rate, 0 for no limit.
 	PerSecond float64
 	Burst     float64
-	// PlainTokens is what a request counts that names no number of tokens.
-	PlainTokens float64
+	// DefaultTokens is what a request counts that names no number of tokens.
+	DefaultTokens float64
 }
 
 // IsLimited reports whether there is a limit.
@@ -35,7 +35,7 @@
 	case tokens > 0:
 		return float64(tokens)
 	}
-	return l.PlainTokens
+	return l.DefaultTokens
 }
 
 // An Organisation is a paying customer, whose requests carry one of its keys.
