quota: only gateways on the list have a part

Cause, seen when the parts were written as a model: a gateway that started anew and read a list from the store on which it was not took one part of those on it for its own, and an owner without a leader counted whoever asked. Change: both count the list only. TestStrangersHaveNoPart failed on both before.

--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -54,16 +55,15 @@
 // A fleet is what a gateway knows of the others.
 type fleet struct {
 	self string
-	// ids are the gateways of the last list, none at first; listedAt is when it came.
-	ids      []string
-	listedAt time.Time
+	// ids are the gateways of the last list, none at first.
+	ids []string
 	// owners remembers the owner of each organisation.
 	owners map[string]string
 	// lapsed is when gateways went off the list: each may spend its part for a while.
 	lapsed map[string]time.Time
 	// absence is what the leader said last: a gateway that has started anew does not know who has lapsed.
 	absence Absence
-	// askedAt is when each gateway last asked this one.
+	// askedAt is when each gateway on the list last asked this one.
 	askedAt map[string]time.Time
 	// sureUntil is until when this gateway has the parts of all on the list.
 	sureUntil time.Time
@@ -97,7 +97,8 @@
 			f.lapsed[id] = now
 		}
 	}
-	f.ids, f.listedAt, f.owners = ids, now, make(map[string]string)
+	maps.DeleteFunc(f.askedAt, func(id string, _ time.Time) bool { return !listed[id] })
+	f.ids, f.owners = ids, make(map[string]string)
 }
 
 // noteFormer notes gateways that were there before this one knew any: those not on the list have lapsed.
@@ -134,17 +135,23 @@
 	return len(f.ids) + max(f.countLapsed(now), f.absence.Lapsed)
 }
 
-// lenders returns the number of gateways whose part this one has by their asking, its own among them.
+// noteAsked notes that a gateway asked this one, if it is on the list.
+func (f *fleet) noteAsked(id string, now time.Time) {
+	if slices.Contains(f.ids, id) {
+		f.askedAt[id] = now
+	}
+}
+
+// lenders returns the number of gateways whose part this one has by their asking, its own among them. Only those
+// on the list have one.
 func (f *fleet) lenders(now time.Time) int {
-	for id, at := range f.askedAt {
-		if now.Sub(at) > lendTime {
-			delete(f.askedAt, id)
+	n := 0
+	for _, id := range f.ids {
+		at, asked := f.askedAt[id]
+		if id == f.self || asked && now.Sub(at) <= lendTime {
+			n++
 		}
 	}
-	n := len(f.askedAt)
-	if _, counted := f.askedAt[f.self]; !counted {
-		n++
-	}
 	return n
 }
 
@@ -167,11 +174,11 @@
 	return 0
 }
 
-// ownPart returns the part of a rate that this gateway spends while it reaches no owner, 0 to 1.
+// ownPart returns the part of a rate that this gateway spends while it reaches no owner, 0 to 1: none if it is not
+// on the list, so that those on it do not leave it one.
 func (f *fleet) ownPart(now time.Time) float64 {
-	size := f.size(now)
-	if size == 0 || !now.Before(f.sureUntil.Add(AloneTime)) {
+	if !slices.Contains(f.ids, f.self) || !now.Before(f.sureUntil.Add(AloneTime)) {
 		return 0
 	}
-	return 1 / float64(size)
+	return 1 / float64(f.size(now))
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -141,7 +141,7 @@
 	now := l.opts.Clock.Now()
 	share := l.fleet.share(limit, l.opts.Tolerance, now)
 	reply := l.granter.grant(r, limit, share, now)
-	l.fleet.askedAt[r.From] = now
+	l.fleet.noteAsked(r.From, now)
 	reply.IsUnsure = !l.fleet.isSure(now)
 	return reply
 }
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -136,3 +136,26 @@
 		}
 	})
 }
+
+// TestStrangersHaveNoPart checks that a gateway that is not on the list has no part: neither one that reaches no
+// owner, nor for an owner that it asks.
+func TestStrangersHaveNoPart(t *testing.T) {
+	limit := quota.Limit{Rate: 1000, Burst: 1000}
+	f := newFleet(3, limit)
+	stranger := f.gateways[2]
+	stranger.limiter.SetGateways([]string{"g0", "g1"})
+	for _, m := range f.gateways[:2] {
+		m.limiter.SetGateways([]string{"g0", "g1"})
+		m.island = 1
+	}
+	f.clock.Advance(3 * time.Second)
+	assert.Equal(t, f.take(2, 100), quota.Unknown)
+	stranger.island = 1
+	for range 20 {
+		f.clock.Advance(50 * time.Millisecond)
+		stranger.limiter.Take(t.Context(), testOrganisation, 1)
+	}
+	status, ok := f.gateways[f.owner()].limiter.Status(testOrganisation)
+	assert.Assert(t, ok)
+	assert.Equal(t, status.Share, 0.5, "the owner has its own part only")
+}
