Limits: amounts below nothing are refused, in a request's header and between gateways

Cause, found on reading: a header of 1000,-999 tokens cost 1, and a request for a grant of a negative amount, from whoever calls, added to an organisation's bucket. Change: negative tokens count as malformed, and such a grant is not answered as an owner. TestInvalidRequests, TestOverTheLimit (tokens, negative).

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -46,6 +46,7 @@
 		"tokens":              {limit: table.Limit{Unit: table.UnitTokens, PerSecond: 500, Burst: 1000}, tokens: "900,100"},
 		"tokens, none named":  {limit: table.Limit{Unit: table.UnitTokens, PerSecond: 500, Burst: 1000, DefaultTokens: 1000}},
 		"tokens, malformed":   {limit: table.Limit{Unit: table.UnitTokens, PerSecond: 500, Burst: 1000, DefaultTokens: 1000}, tokens: "many"},
+		"tokens, negative":    {limit: table.Limit{Unit: table.UnitTokens, PerSecond: 500, Burst: 1000}, tokens: "1000,-999"},
 		"more than the burst": {limit: table.Limit{Unit: table.UnitTokens, PerSecond: 500, Burst: 1000}, tokens: "900,9100"},
 		"requests":            {limit: table.Limit{Unit: table.UnitRequests, PerSecond: 0.5, Burst: 1}, tokens: "900,100"},
 	}
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -63,15 +63,16 @@
 	return p.tokens(in, promptText), p.tokens(in, outputText)
 }
 
-// tokens decodes a number of tokens; 0 if there is none.
+// tokens decodes a number of tokens; 0 if there is none that can be.
 func (p *proxy) tokens(in *inbound, text string) int {
 	text = strings.TrimSpace(text)
 	if text == "" {
 		return 0
 	}
 	n, err := strconv.Atoi(text)
-	if err != nil {
+	if err != nil || n < 0 {
 		p.lines.malformedHeader(in, p.names.Tokens, text)
+		return 0
 	}
 	return n
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -210,7 +210,7 @@
 // owner returns the gateway that grants for the organisation.
 func (f *fleet) owner() int {
 	for i, m := range f.gateways {
-		if m.limiter.Grant(quota.Request{Organisation: testOrganisation, From: m.id}).IsOwner {
+		if s, _ := m.limiter.Status(testOrganisation); s.Owner == m.id {
 			return i
 		}
 	}
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -12,6 +12,10 @@
 	Ahead float64 `json:"ahead,omitempty"`
 }
 
+// isValid reports whether the amounts may be granted: others send requests too, and a negative one would add to
+// what the bucket has.
+func (r Request) isValid() bool { return r.Need > 0 && r.Ahead >= 0 }
+
 // A Reply is an owner's answer to a Request.
 type Reply struct {
 	// IsOwner says that the answering gateway grants for the organisation; all else is empty otherwise.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -130,12 +130,12 @@
 	l.fleet.noteFormer(ids, l.opts.Clock.Now())
 }
 
-// Grant answers a gateway's request for a grant.
+// Grant answers a gateway's request for a grant; one for a negative amount is not answered as an owner.
 func (l *Limiter) Grant(r Request) Reply {
 	limit, ok := l.opts.Limit(r.Organisation)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !ok || l.fleet.owner(r.Organisation) != l.opts.Self {
+	if !ok || !r.isValid() || l.fleet.owner(r.Organisation) != l.opts.Self {
 		return Reply{}
 	}
 	now := l.opts.Clock.Now()
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -159,3 +159,23 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, status.Share, 0.5, "the owner has its own part only")
 }
+
+// TestInvalidRequests checks that a request for a grant that no gateway makes adds nothing to a limit.
+func TestInvalidRequests(t *testing.T) {
+	f := newFleet(3, quota.Limit{Rate: 1000, Burst: 1000})
+	f.step(3 * time.Second)
+	owner := f.gateways[f.owner()].limiter
+	tests := map[string]quota.Request{
+		"negative need":   {Organisation: testOrganisation, From: "g0", Need: -500},
+		"no need":         {Organisation: testOrganisation, From: "g0"},
+		"negative ahead":  {Organisation: testOrganisation, From: "g0", Need: 1, Ahead: -500},
+		"no organisation": {From: "g0", Need: -1},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, owner.Grant(r), quota.Reply{})
+		})
+	}
+	status, _ := owner.Status(testOrganisation)
+	assert.Equal(t, status.Available, 1000.0)
+}
