summary -by organisation: refused for load, over the limit, and on arrival for another reason

What a gateway leaves out of the lines on requests over a limit is counted by itself; it had been counted among answered requests that were not logged.

--- a/internal/cli/summary.go
+++ b/internal/cli/summary.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -16,11 +17,11 @@
 func (a *app) summaryCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("summary", flag.ContinueOnError)
 	fs.SetOutput(a.err)
-	by := fs.String("by", string(byModel), "what rows stand for: model, route, second or gateway")
+	by := fs.String("by", string(byModel), "what rows stand for: "+groupingNames())
 	most := fs.Int("most", 20, "rows to show, those with the most refused requests; 0 shows all")
 	asJSON := fs.Bool("json", false, "print JSON instead of tables")
 	return a.command(help{
-		name: "summary", usage: "summary [-by model|route|second|gateway] [-most N] [-json] FILE...",
+		name: "summary", usage: "summary [-by model|route|second|gateway|organisation] [-most N] [-json] FILE...",
 		short:   "Sum up the collected logs of many gateways: requests, moves of models, calls past the leader.",
 		example: "rockcleat summary -by second gateway-*.log",
 	}, fs,
@@ -29,6 +30,15 @@
 		})
 }
 
+// groupingNames lists the groupings for a reader.
+func groupingNames() string {
+	names := make([]string, len(groupings))
+	for i, g := range groupings {
+		names[i] = string(g)
+	}
+	return strings.Join(names, ", ")
+}
+
 // summaryOptions are the flags of a summary.
 type summaryOptions struct {
 	by     grouping
@@ -41,7 +51,7 @@
 		return err
 	}
 	if !o.by.isKnown() {
-		return fmt.Errorf("%w: -by takes model, route, second or gateway", errUsage)
+		return fmt.Errorf("%w: -by takes %s", errUsage, groupingNames())
 	}
 	s := newSummary(o.by)
 	for _, file := range files {
@@ -79,10 +89,10 @@
 // print writes the report as tables.
 func (r *summaryReport) print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "%s\trequests\tanswered\trefused\tcut\tother\tno holder\tasked each\tdenied each\twait p50 s\twait p99 s\tfirst byte p50 s\tp99 s\n", r.By)
+	fmt.Fprintf(w, "%s\trequests\tanswered\trefused\tcut\tother\tno holder\tover limit\trefused early\tasked each\tdenied each\twait p50 s\twait p99 s\tfirst byte p50 s\tp99 s\n", r.By)
 	for _, row := range append(r.Rows, r.All) {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\n", row.Name, row.Requests, row.Answered,
-			row.Refused, row.Cut, row.Other, row.NoHolder, row.AskedEach, row.DeniedEach, row.WaitP50, row.WaitP99,
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\n", row.Name, row.Requests, row.Answered,
+			row.Refused, row.Cut, row.Other, row.NoHolder, row.OverLimit, row.RefusedEarly, row.AskedEach, row.DeniedEach, row.WaitP50, row.WaitP99,
 			row.FirstByteP50, row.FirstByteP99)
 	}
 	m := r.Moves
--- a/internal/cli/summary_report.go
+++ b/internal/cli/summary_report.go
@@ -15,6 +15,8 @@
 	Cut          int     `json:"cut"`
 	Other        int     `json:"other"`
 	NoHolder     int     `json:"no_holder"`
+	OverLimit    int     `json:"over_limit"`
+	RefusedEarly int     `json:"refused_early"`
 	AskedEach    float64 `json:"asked_each"`
 	DeniedEach   float64 `json:"denied_each"`
 	WaitP50      float64 `json:"wait_p50_s"`
@@ -61,7 +63,7 @@
 		r.Rows = append(r.Rows, stats.row(name))
 	}
 	slices.SortFunc(r.Rows, func(x, y summaryRow) int {
-		return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(y.Requests, x.Requests), strings.Compare(x.Name, y.Name))
+		return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(y.OverLimit, x.OverLimit), cmp.Compare(y.Requests, x.Requests), strings.Compare(x.Name, y.Name))
 	})
 	if most > 0 && len(r.Rows) > most {
 		r.Rows = r.Rows[:most]
@@ -80,6 +82,7 @@
 	return summaryRow{
 		Name: name, Requests: r.requests, Answered: r.answered, Refused: r.refused, Cut: r.cut,
 		Other: r.requests - r.answered - r.refused - r.cut, NoHolder: r.noHolder,
+		OverLimit: r.over, RefusedEarly: r.early,
 		AskedEach: each(r.asked), DeniedEach: each(r.denied),
 		WaitP50: r.waited.quantile(0.5), WaitP99: r.waited.quantile(0.99),
 		FirstByteP50: r.firstByte.quantile(0.5), FirstByteP99: r.firstByte.quantile(0.99),
--- a/internal/cli/summary_stats.go
+++ b/internal/cli/summary_stats.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"math"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,15 +17,17 @@
 
 // The groupings.
 const (
-	byModel   grouping = "model"
-	byRoute   grouping = "route"
-	bySecond  grouping = "second"
-	byGateway grouping = "gateway"
+	byModel        grouping = "model"
+	byRoute        grouping = "route"
+	bySecond       grouping = "second"
+	byGateway      grouping = "gateway"
+	byOrganisation grouping = "organisation"
 )
 
-func (g grouping) isKnown() bool {
-	return slices.Contains([]grouping{byModel, byRoute, bySecond, byGateway}, g)
-}
+// groupings are all of them, as the command's help names them.
+var groupings = []grouping{byModel, byRoute, bySecond, byGateway, byOrganisation}
+
+func (g grouping) isKnown() bool { return slices.Contains(groupings, g) }
 
 // A summaryLine holds the fields of a log line that a summary needs.
 type summaryLine struct {
@@ -43,11 +46,15 @@
 	FirstS  float64 `json:"first_s"`
 	TotalS  float64 `json:"total_s"`
 	LeftOut int     `json:"left_out"`
+	// Customer is the organisation, Status that of a request that was refused on its arrival.
+	Customer string `json:"customer"`
+	Status   int    `json:"status"`
 }
 
 // Messages that a summary counts by themselves; the others that it knows are countedEvents.
 const (
 	messageRequest   = "request ended"
+	messageRefused   = "request refused"
 	messagePlanned   = "move planned"
 	messageLoaded    = "model loaded"
 	messageAbandoned = "move abandoned"
@@ -105,6 +112,8 @@
 		s.leftOut += l.LeftOut
 		s.all.add(l)
 		s.row(l).add(l)
+	case messageRefused:
+		s.refusedEarly(l)
 	case messagePlanned:
 		s.moves.planned++
 		s.plannedAt[moveKey{l.Server, l.Model}] = l.At
@@ -120,6 +129,16 @@
 	}
 }
 
+// refusedEarly counts a request that was refused on its arrival. Its line names no model and no route; those over
+// a limit that were not logged are of any organisation.
+func (s *summary) refusedEarly(l summaryLine) {
+	s.all.refusedEarly(l.Status)
+	s.all.over += l.LeftOut
+	if s.by != byModel && s.by != byRoute {
+		s.row(l).refusedEarly(l.Status)
+	}
+}
+
 // row returns the row of a request.
 func (s *summary) row(l summaryLine) *requestStats {
 	name := s.name(l)
@@ -137,6 +156,8 @@
 		return l.Route
 	case byGateway:
 		return l.VM
+	case byOrganisation:
+		return cmp.Or(l.Customer, "-")
 	case bySecond:
 		arrived := l.At/1000 - l.TotalS
 		return strconv.FormatInt(int64(math.Floor(arrived)), 10)
@@ -164,8 +185,20 @@
 // requestStats adds up requests.
 type requestStats struct {
 	requests, answered, refused, cut, noHolder int
-	asked, denied                              int
-	waited, firstByte                          histogram
+	// over counts requests over their organisation's limit, early others that were refused on arrival; neither is
+	// among requests.
+	over, early       int
+	asked, denied     int
+	waited, firstByte histogram
+}
+
+// refusedEarly counts a request that was refused on its arrival.
+func (r *requestStats) refusedEarly(status int) {
+	if status == http.StatusTooManyRequests {
+		r.over++
+		return
+	}
+	r.early++
 }
 
 func (r *requestStats) add(l summaryLine) {
--- a/internal/cli/summary_test.go
+++ b/internal/cli/summary_test.go
@@ -93,6 +93,34 @@
 	}
 }
 
+// TestSummaryByOrganisation counts what was refused on arrival, over a limit and else, by organisation.
+func TestSummaryByOrganisation(t *testing.T) {
+	const lines = `{"ts":5200,"msg":"request ended","vm":"a","customer":"guild","outcome":"answered","sends":1,"total_s":0.7}
+{"ts":5300,"msg":"request refused","vm":"a","customer":"guild","status":429,"reason":"over the organisation's limit; not run"}
+{"ts":5400,"msg":"request refused","vm":"a","customer":"guild","status":429,"left_out":7}
+{"ts":5500,"msg":"request refused","vm":"a","customer":"desk","status":503}
+{"ts":5600,"msg":"request refused","vm":"b","status":401}
+`
+	var out, stderr bytes.Buffer
+	code := cli.Run(t.Context(), []string{"summary", "-json", "-by", "organisation", "-"}, strings.NewReader(lines), &out, &stderr)
+	assert.Equal(t, code, cli.ExitOK, "%s", stderr.String())
+	type row struct {
+		Name      string
+		Requests  int
+		OverLimit int `json:"over_limit"`
+		Early     int `json:"refused_early"`
+	}
+	var r struct {
+		Rows []row
+		All  row
+	}
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &r))
+	assert.DeepEqual(t, r.Rows, []row{
+		{Name: "guild", Requests: 1, OverLimit: 2}, {Name: "-", Early: 1}, {Name: "desk", Early: 1},
+	})
+	assert.DeepEqual(t, r.All, row{Name: "all", Requests: 1, OverLimit: 9, Early: 2})
+}
+
 // TestSummaryTable checks that the tables name what they count.
 func TestSummaryTable(t *testing.T) {
 	var out, stderr bytes.Buffer
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -132,6 +132,8 @@
 	quarantined *rate.Limiter
 	overLimit   *rate.Limiter
 	leftOut     atomic.Uint64
+	// overLeftOut counts requests over a limit that were not logged.
+	overLeftOut atomic.Uint64
 	malformed   *rate.Limiter
 }
 
@@ -211,13 +213,19 @@
 // refusedEarly logs a request that was refused before it could wait for a server; those over a limit up to a
 // rate.
 func (l *requestLog) refusedEarly(r *http.Request, f *refusal) {
-	if f.status == http.StatusTooManyRequests && !l.overLimit.AllowN(l.clock.Now(), 1) {
-		l.leftOut.Add(1)
-		return
+	leftOut := zap.Skip()
+	if f.status == http.StatusTooManyRequests {
+		if !l.overLimit.AllowN(l.clock.Now(), 1) {
+			l.overLeftOut.Add(1)
+			return
+		}
+		if n := l.overLeftOut.Swap(0); n > 0 {
+			leftOut = zap.Uint64(fieldLeftOut, n)
+		}
 	}
 	l.log.Info(msgRefused, zap.String(fieldRequest, r.Header.Get(l.names.RequestID)), zap.String(fieldHost, r.Host),
 		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, f.status), zap.String(fieldReason, f.reason),
-		customerField(f.organisation))
+		customerField(f.organisation), leftOut)
 }
 
 // customerField names the organisation of a request, if it is known.
