--- a/internal/cli/summary_stats.go
+++ b/internal/cli/summary_stats.go
@@ -46,9 +46,9 @@
 	FirstS  float64 `json:"first_s"`
 	TotalS  float64 `json:"total_s"`
 	LeftOut int     `json:"left_out"`
-	// Customer is the organisation, Status that of a request that was refused on its arrival.
-	Customer string `json:"customer"`
-	Status   int    `json:"status"`
+	// Organisation is whose key it came with, Status that of a request that was refused on its arrival.
+	Organisation string `json:"customer"`
+	Status       int    `json:"status"`
 }
 
 // Messages that a summary counts by themselves; the others that it knows are countedEvents.
@@ -157,7 +157,7 @@
 	case byGateway:
 		return l.VM
 	case byOrganisation:
-		return cmp.Or(l.Customer, "-")
+		return cmp.Or(l.Organisation, "-")
 	case bySecond:
 		arrived := l.At/1000 - l.TotalS
 		return strconv.FormatInt(int64(math.Floor(arrived)), 10)
