Sight: what a backend server says of how many requests it takes is read and logged

The logs of the incident could not tell a gateway that never reads the limit in a server's answers from one that reads it and does not keep it. Package serverlimit reads it from every answer to a request (malformed ones neither set nor lift it) and keeps the newest word; a line and a counter say when a limit begins, changes or ends. Nothing is decided by it yet.

--- a/internal/cli/summary_stats.go
+++ b/internal/cli/summary_stats.go
@@ -64,7 +64,8 @@
 // something was lost.
 var countedEvents = []string{
 	"leadership gained", "leadership lost", "owner did not answer", "quarantine ended", "report unanswered",
-	"request quarantined", "sent again", "server ended", "server entry not usable", "server gone", "server restarted",
+	"request quarantined", "sent again", "server ended", "server entry not usable", "server gone", "server limit",
+	"server restarted",
 	"started", "store no longer followed through", "store unreachable",
 	"watching the store directly",
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
+	"rockcleat/serverlimit"
 	"rockcleat/table"
 )
 
@@ -87,7 +88,9 @@
 	pauses     *pauseDetector
 	quarantine *quarantineRole
 	keeper     *quarantineKeeper
-	fleet      *fleetKeeper
+	// serverLimits are those that backend servers name for themselves.
+	serverLimits *serverlimit.Table
+	fleet        *fleetKeeper
 	// stops end the subscriptions to the clock.
 	stops []func()
 	// ctx ends with the gateway, after its last request.
@@ -110,8 +113,8 @@
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
 		lease: p.leader.lease, prefixes: p.leader.fanout.View(p.breaker.View(o.Prefixes), false), placer: p.leader.placer,
 		reporter: p.newReporter(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, keeper: p.newQuarantineKeeper(ctx, o),
-		fleet: p.fleet,
-		ctx:   ctx, cancel: cancel,
+		fleet: p.fleet, serverLimits: p.serverLimits,
+		ctx: ctx, cancel: cancel,
 	}
 	if o.Eras != nil {
 		o.Eras.OnEra(g.storeCameBack)
@@ -144,6 +147,7 @@
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(pauseCheckInterval, g.pauses.check)
 	g.subscribe(fleetKeepInterval, g.fleet.step)
+	g.subscribe(sweepInterval, func(time.Time) { g.serverLimits.Expire() })
 	g.stops = append(g.stops, g.quarantine.subscribe(g.clock, g.keeper)...)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -31,7 +31,7 @@
 )
 
 var names = wire.Names{
-	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Expect: "X-Expect", NotRun: "X-Unrun",
+	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Expect: "X-Expect", NotRun: "X-Unrun", ServerLimit: "X-Takes",
 	Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix", Priority: "X-Priority",
 	Organisation: "X-Organisation", Reserved: []string{"X-Hold", "X-Pin"},
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -15,6 +15,7 @@
 	"rockcleat/lease"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
+	"rockcleat/serverlimit"
 )
 
 // utilization is the part of an engine's slots and memory that is used: at full use
@@ -42,8 +43,10 @@
 	configs    *configsync.Syncer
 	pauses     *pauseDetector
 	quarantine quarantineRole
-	limiter    *quota.Limiter
-	fleet      *fleetKeeper
+	// serverLimits are those that backend servers name for themselves.
+	serverLimits *serverlimit.Table
+	limiter      *quota.Limiter
+	fleet        *fleetKeeper
 	// listing is held while a list of gateways is taken over, so that all who need it have the same one.
 	listing sync.Mutex
 	// urgent is sent when a report to the leader should not wait.
@@ -69,6 +72,7 @@
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, last: o.Clock.Now()}
 	p.quarantine = p.newQuarantineRole(ctx, o)
+	p.serverLimits = serverlimit.New(serverlimit.Options{Clock: o.Clock, OnChange: p.lines.serverLimitChanged})
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
 	p.limiter = p.newLimiter(o)
@@ -222,7 +226,7 @@
 func (p *parts) newProxy(o Options) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, access: p.newAccess(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, ends: p.quarantine.ends, clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, ends: p.quarantine.ends, serverLimits: p.serverLimits, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTime.Std()), bodyTime: o.Settings.BodyTime.Std(),
 	}
 }
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -10,6 +10,7 @@
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
+	"rockcleat/serverlimit"
 )
 
 // A proxy serves callers' requests: it reads each whole, forwards it to a server and passes
@@ -26,8 +27,10 @@
 	conns      *conns
 	quarantine *quarantine.Table
 	ends       *endDetector
-	clock      clock.Service
-	transport  http.RoundTripper
+	// serverLimits hears what each answer of a server says of its limit.
+	serverLimits *serverlimit.Table
+	clock        clock.Service
+	transport    http.RoundTripper
 	// bodyTime bounds the reading of a request's body.
 	bodyTime time.Duration
 }
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -12,6 +12,7 @@
 	"rockcleat/dispatch"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
+	"rockcleat/serverlimit"
 )
 
 // Messages of the lines that touch a request; docs/OPERATIONS-GATEWAY.md explains them.
@@ -28,6 +29,7 @@
 	msgReceiving   = "watching the store through the leader"
 	msgMalformed   = "header malformed, ignored"
 	msgServerEnded = "server ended"
+	msgServerLimit = "server limit"
 )
 
 // Names of the fields of these lines; docs/OPERATIONS-GATEWAY.md lists them with units.
@@ -69,6 +71,9 @@
 	fieldDigests   = "digests"
 	fieldRequests  = "requests"
 	fieldCustomer  = "customer"
+	fieldState     = "state"
+	fieldOrigin    = "origin"
+	fieldPerSecond = "per_second"
 )
 
 // Rates of lines, in lines per second and lines together. Chosen, not measured: a line has
@@ -87,6 +92,10 @@
 	// malformedRate and malformedBurst bound the lines on malformed headers.
 	malformedRate  = 1
 	malformedBurst = 5 // a series of one caller
+	// serverLimitRate and serverLimitBurst bound those on servers' limits, which a server may name and end as
+	// often as it answers.
+	serverLimitRate  = 5
+	serverLimitBurst = 60 // all servers of a data hall at once
 )
 
 // Metrics counts what becomes of requests.
@@ -103,6 +112,8 @@
 	// Charged counts a request that was charged to an organisation's limit, by what that said ("inside", "over",
 	// "unknown"), with its cost in the limit's unit.
 	Charged(organisation, outcome string, cost float64)
+	// ServerLimit counts limits that servers have named, changed and ended, by state.
+	ServerLimit(state string)
 	// ServerEnded counts the end of a server of a service under requests.
 	ServerEnded(service string)
 	// ConfigTransfer counts a transfer of the configuration, with its bytes as they were sent;
@@ -115,6 +126,7 @@
 func (noMetrics) Handler() http.Handler                  { return http.NotFoundHandler() }
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
+func (noMetrics) ServerLimit(string)                     {}
 func (noMetrics) ServerEnded(string)                     {}
 func (noMetrics) Charged(string, string, float64)        {}
 func (noMetrics) Admissions(int, int, int)               {}
@@ -135,6 +147,9 @@
 	// overLeftOut counts requests over a limit that were not logged.
 	overLeftOut atomic.Uint64
 	malformed   *rate.Limiter
+	// serverLimit bounds the lines on servers' limits, limitsLeftOut counts the others.
+	serverLimit   *rate.Limiter
+	limitsLeftOut atomic.Uint64
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.Names) *requestLog {
@@ -144,6 +159,7 @@
 		quarantined: rate.NewLimiter(quarantinedRate, quarantinedBurst),
 		overLimit:   rate.NewLimiter(overLimitRate, overLimitBurst),
 		malformed:   rate.NewLimiter(malformedRate, malformedBurst),
+		serverLimit: rate.NewLimiter(serverLimitRate, serverLimitBurst),
 	}
 }
 
@@ -243,6 +259,28 @@
 	}
 }
 
+// malformedLimit logs, up to a rate, an answer whose server names a limit that is no rate.
+func (l *requestLog) malformedLimit(server, header string, values []string) {
+	if l.malformed.AllowN(l.clock.Now(), 1) {
+		l.log.Info(msgMalformed, zap.String(fieldServer, server), zap.String("header", header), zap.Strings("value", values))
+	}
+}
+
+// serverLimitChanged counts a limit that a server has named, changed or ended, and logs it up to a rate.
+func (l *requestLog) serverLimitChanged(c serverlimit.Change) {
+	l.metrics.ServerLimit(string(c.State))
+	if !l.serverLimit.AllowN(l.clock.Now(), 1) {
+		l.limitsLeftOut.Add(1)
+		return
+	}
+	leftOut := zap.Skip()
+	if n := l.limitsLeftOut.Swap(0); n > 0 {
+		leftOut = zap.Uint64(fieldLeftOut, n)
+	}
+	l.log.Info(msgServerLimit, zap.String(fieldServer, c.Server), zap.String(fieldState, string(c.State)),
+		zap.Float64(fieldPerSecond, c.PerSecond), zap.String(fieldOrigin, string(c.Origin)), zap.Float64(fieldAge, c.Age.Seconds()), leftOut)
+}
+
 // sending counts a send, and logs it if it is a retry.
 func (l *requestLog) sending(f *forwarder, res *dispatch.Reservation) {
 	retry := f.record.sends > 0
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"rockcleat/dispatch"
 	"rockcleat/internal/wire"
+	"rockcleat/serverlimit"
 )
 
 // errStalled ends a send whose server has stalled.
@@ -27,12 +29,14 @@
 		f.record.waited = f.proxy.clock.Now().Sub(f.in.arrived)
 	}
 	f.proxy.lines.sending(f, res)
+	sent := f.proxy.clock.Now()
 	resp, err := f.proxy.transport.RoundTrip(f.outgoing(ctx, res))
 	if err != nil {
 		return f.noAnswer(res, cause(ctx, err))
 	}
 	defer resp.Body.Close()
 	f.record.sends++
+	f.noteServerLimit(res, resp, sent)
 	if resp.Header.Get(f.proxy.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return f.refusedBy(res, resp)
 	}
@@ -85,6 +89,20 @@
 	return nil
 }
 
+// noteServerLimit takes in what an answer says of its server's limit: any answer to this request, but for one
+// of a server at the address of another. sent is when the request was sent.
+func (f *forwarder) noteServerLimit(res *dispatch.Reservation, resp *http.Response, sent time.Time) {
+	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(f.proxy.names.RequestID) != f.in.id {
+		return
+	}
+	values := resp.Header.Values(f.proxy.names.ServerLimit)
+	r := serverlimit.Read(values)
+	if r.Kind == serverlimit.Unreadable {
+		f.proxy.lines.malformedLimit(res.Server().ID, f.proxy.names.ServerLimit, values)
+	}
+	f.proxy.serverLimits.Observe(res.Server().ID, r, sent)
+}
+
 // outgoing makes the request to a server.
 func (f *forwarder) outgoing(ctx context.Context, res *dispatch.Reservation) *http.Request {
 	s := res.Server()
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -38,6 +38,8 @@
 	transfers metric.Int64Counter
 	bytes     metric.Int64Counter
 	ends      metric.Int64Counter
+	// serverLimits counts the limits that servers named, changed and ended.
+	serverLimits metric.Int64Counter
 	// limits counts requests by organisation and what its limit said, spent what they cost.
 	limits metric.Int64Counter
 	spent  metric.Float64Counter
@@ -71,6 +73,7 @@
 	m.transfers = b.counter("rockcleat.gateway.config_transfers", "Transfers of the configuration, by origin and result.")
 	m.bytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
 	m.ends = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
+	m.serverLimits = b.counter("rockcleat.gateway.server_limits", "Limits that backend servers named for themselves, by what became of them.")
 	m.limits = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
 	b.keep(err)
@@ -136,6 +139,11 @@
 	m.ends.Add(context.Background(), 1, m.set("service", service, "", ""))
 }
 
+// ServerLimit counts a limit that a backend server has named, changed or ended, by state.
+func (m *GatewayMetrics) ServerLimit(state string) {
+	m.serverLimits.Add(context.Background(), 1, m.set("state", state, "", ""))
+}
+
 // Charged counts a request that was charged to an organisation's limit, by what that said, with its cost in the
 // limit's unit.
 func (m *GatewayMetrics) Charged(organisation, outcome string, cost float64) {
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -11,6 +11,9 @@
 	Signature string
 	// Expect names the run of the backend server that a request is meant for.
 	Expect string
+	// ServerLimit is set on answers by backend servers in need: how many requests a second they take from
+	// all senders together.
+	ServerLimit string
 	// NotRun is set on answers to requests that were not run.
 	NotRun string
 	// Model is the model, with an adapter after a slash.
--- /dev/null
+++ b/serverlimit/table_test.go
@@ -0,0 +1,121 @@
+package serverlimit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock/clocktest"
+	"rockcleat/serverlimit"
+)
+
+// Readings of answers.
+var (
+	none = serverlimit.Reading{Kind: serverlimit.None}
+	two  = serverlimit.Reading{Kind: serverlimit.Named, PerSecond: 2}
+	five = serverlimit.Reading{Kind: serverlimit.Named, PerSecond: 5}
+)
+
+// testServer is the server of all tests.
+const testServer = "s1"
+
+// A process is one process's table with its clock.
+type process struct {
+	*serverlimit.Table
+	clock   *clocktest.Clock
+	changes []serverlimit.Change
+}
+
+func newProcess() *process {
+	p := &process{clock: clocktest.New(time.Unix(1000, 0))}
+	p.Table = serverlimit.New(serverlimit.Options{
+		Clock: p.clock, OnChange: func(c serverlimit.Change) { p.changes = append(p.changes, c) },
+	})
+	return p
+}
+
+// ago returns the time that a number of milliseconds before now was.
+func (p *process) ago(ms int) time.Time {
+	return p.clock.Now().Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// limit returns the limit that stands, or -1.
+func (p *process) limit() float64 {
+	if l, ok := p.Limit(testServer); ok {
+		return l
+	}
+	return -1
+}
+
+// An answerStep is an answer of the server that comes some time after the one before.
+type answerStep struct {
+	afterMs int
+	// tookMs is the time since its request was sent.
+	tookMs  int
+	reading serverlimit.Reading
+}
+
+func TestOrderOfAnswers(t *testing.T) {
+	unreadable := serverlimit.Reading{Kind: serverlimit.Unreadable}
+	tests := map[string]struct {
+		steps []answerStep
+		want  float64
+	}{
+		"named":                                 {steps: []answerStep{{0, 10, two}}, want: 2},
+		"never named":                           {steps: []answerStep{{0, 10, none}}, want: -1},
+		"named after none, though sent before":  {steps: []answerStep{{0, 10, none}, {1, 500, two}}, want: 2},
+		"ended by what was sent after":          {steps: []answerStep{{0, 10, two}, {20, 10, none}}, want: -1},
+		"not ended by what was sent before":     {steps: []answerStep{{0, 10, two}, {20, 30, none}}, want: 2},
+		"raised by what was sent after":         {steps: []answerStep{{0, 10, two}, {20, 10, five}}, want: 5},
+		"not raised by what was sent before":    {steps: []answerStep{{0, 10, two}, {20, 30, five}}, want: 2},
+		"lowered at once":                       {steps: []answerStep{{0, 10, five}, {20, 30, two}}, want: 2},
+		"not brought back by a late answer":     {steps: []answerStep{{0, 10, two}, {20, 10, none}, {5, 100, two}}, want: -1},
+		"brought back by what was sent after":   {steps: []answerStep{{0, 10, two}, {20, 10, none}, {50, 10, two}}, want: 2},
+		"neither set nor ended by what is none": {steps: []answerStep{{0, 10, two}, {20, 10, unreadable}}, want: 2},
+		"unreadable alone":                      {steps: []answerStep{{0, 10, unreadable}}, want: -1},
+		"zero":                                  {steps: []answerStep{{0, 10, serverlimit.Reading{Kind: serverlimit.Named}}}, want: 0},
+		"not ended by an answer sent before it was named again": {
+			steps: []answerStep{{0, 10, two}, {1000, 10, two}, {10, 20, none}}, want: 2,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newProcess()
+			for _, s := range test.steps {
+				p.clock.Advance(time.Duration(s.afterMs) * time.Millisecond)
+				p.Observe(testServer, s.reading, p.ago(s.tookMs))
+			}
+			assert.Equal(t, p.limit(), test.want)
+		})
+	}
+}
+
+// TestUnheardLimitEnds checks that a limit ends of which nothing is heard any more, and not before.
+func TestUnheardLimitEnds(t *testing.T) {
+	p := newProcess()
+	p.Observe(testServer, two, p.ago(10))
+	p.clock.Advance(20 * time.Second)
+	p.Observe(testServer, two, p.ago(10))
+	p.clock.Advance(20 * time.Second)
+	p.Expire()
+	assert.Equal(t, p.limit(), 2.0, "it was named 20 s ago")
+	p.clock.Advance(11 * time.Second)
+	p.Expire()
+	assert.Equal(t, p.limit(), -1.0)
+	assert.Equal(t, p.changes[len(p.changes)-1].State, serverlimit.Unheard)
+}
+
+// TestChangesAreReported checks that each change of a limit is reported once.
+func TestChangesAreReported(t *testing.T) {
+	p := newProcess()
+	for _, r := range []serverlimit.Reading{two, two, five, none, none} {
+		p.clock.Advance(time.Second)
+		p.Observe(testServer, r, p.ago(10))
+	}
+	var states []serverlimit.State
+	for _, c := range p.changes {
+		states = append(states, c.State)
+	}
+	assert.DeepEqual(t, states, []serverlimit.State{serverlimit.Began, serverlimit.Changed, serverlimit.Ended})
+}
--- a/tools/names/main.go
+++ b/tools/names/main.go
@@ -20,7 +20,7 @@
 const adapter = "platform"
 
 // names finds names that only the platform uses.
-var names = regexp.MustCompile(`/-/[a-z]|Server-Seal|Expect-Instance|Not-Run|Deadline-Ms|Token-Count|Store-Era|ApiKeys|RatePerS|PlainTokens|Prefix-Hash|` +
+var names = regexp.MustCompile(`/-/[a-z]|Server-Seal|Server-Limit|Expect-Instance|Not-Run|Deadline-Ms|Token-Count|Store-Era|ApiKeys|RatePerS|PlainTokens|Prefix-Hash|` +
 	`Request-Priority|Pin-Ms|Kv-Backup|Kv-From|Kv-Fetch|Expect-Version|KvCapacity|WeightsMb|op/config|AtHand|RequireFence|SloMs|GapTargetMs|ROCKCLEAT_CONFIG`)
 
 // A withdrawnWord is a word that the code no longer uses, and the term in its place.
