Failing test: servers that name a limit get ten times what they take

Three gateways, two plain servers or two engines, of which one or both name a limit of 2 requests a second: 160 requests in 4 s (engines 34) where 17 are allowed.

--- /dev/null
+++ b/internal/gateway/server_limit_test.go
@@ -0,0 +1,245 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The users' bound on what a server in need gets: from contactTime after it first named a limit, in any
+// limitWindow at most limitFactor times what the limit allows and limitSlack requests more.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// A needyServer is a backend server that names a limit in its answers while it is in need.
+type needyServer struct {
+	*worker
+	mu       sync.Mutex
+	limit    string
+	namedAt  time.Time
+	arrivals []time.Time
+}
+
+// newNeedyServer starts a server that answers with the end of a script's answer after its head.
+func newNeedyServer(t *testing.T, id string, isEngine bool) *needyServer {
+	s := &needyServer{}
+	s.worker = newWorker(t, id, func(c *call) bool {
+		var limit []string
+		if value := s.note(); value != "" {
+			limit = append(limit, names.ServerLimit+": "+value)
+		}
+		if isEngine {
+			c.write(c.head(200, append(limit, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")...), event(1), lastChunk)
+			return true
+		}
+		c.write(c.head(200, append(limit, "Content-Length: 2")...), "ok")
+		return true
+	})
+	return s
+}
+
+// note counts a request and returns the limit to name, if any.
+func (s *needyServer) note() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.limit != "" && s.namedAt.IsZero() {
+		s.namedAt = time.Now()
+	}
+	return s.limit
+}
+
+// setLimit sets the limit that the server names from now on; empty if it is not in need.
+func (s *needyServer) setLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.namedAt = limit, time.Time{}
+}
+
+// arrived returns the number of requests in a span of time.
+func (s *needyServer) arrived(from, to time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// since returns the number of requests since a time.
+func (s *needyServer) since(from time.Time) int { return s.arrived(from, time.Now()) }
+
+// mostInWindow returns the most requests in any limitWindow, from contactTime after the limit was first named.
+func (s *needyServer) mostInWindow() int {
+	s.mu.Lock()
+	from := s.namedAt.Add(contactTime - limitWindow)
+	arrivals := s.arrivals
+	s.mu.Unlock()
+	most := 0
+	for _, at := range arrivals {
+		if at.Before(from) {
+			continue
+		}
+		most = max(most, s.arrived(at, at.Add(limitWindow)))
+	}
+	return most
+}
+
+// A crowd is many callers, each of which sends one request to a gateway and takes what it gets.
+type crowd struct {
+	w       *world
+	fronts  []string
+	path    string
+	headers []string
+
+	wait    sync.WaitGroup
+	mu      sync.Mutex
+	results []result
+}
+
+// A result is what one caller got.
+type result struct {
+	reply
+	sent, took time.Duration
+}
+
+// sends lets callers arrive at the gateways in turn, one every pace for a time.
+func (c *crowd) sends(pace, during time.Duration) {
+	began := time.Now()
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	for i := 0; time.Since(began) < during; i++ {
+		c.wait.Add(1)
+		go c.send(i, began)
+		<-ticker.C
+	}
+	c.wait.Wait()
+}
+
+func (c *crowd) send(i int, began time.Time) {
+	defer c.wait.Done()
+	req := c.w.request(http.MethodPost, c.path, fmt.Sprint("body ", i), c.headers...)
+	req.URL.Host = c.fronts[i%len(c.fronts)]
+	req.Header.Set(names.RequestID, fmt.Sprint("caller-", i))
+	sent := time.Now()
+	got := doWith(c.w.client, req)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, result{reply: got, sent: sent.Sub(began), took: time.Since(sent)})
+}
+
+// refusals checks that all who were not served were refused at once, with a time to come back, and returns
+// how many those are that were sent later than a time after the first.
+func (c *crowd) refusals(t *testing.T, after, atOnce time.Duration) int {
+	t.Helper()
+	n := 0
+	for _, r := range c.results {
+		assert.NilError(t, r.err)
+		if r.status == http.StatusOK {
+			continue
+		}
+		assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+		wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, wait > 0)
+		if r.sent > after {
+			n++
+			assert.Assert(t, r.took < atOnce, "refused after %s", r.took)
+		}
+	}
+	return n
+}
+
+// TestServerLimitIsKept holds what users of a deployment with six gateways saw: three engines in need named
+// limits of 1.7 to 2.1 requests a second, and went on getting four to six, from all gateways.
+//
+// Nothing that the gateways sent changed when the engines began to name their limits. The proof was in the
+// gateways' logs: all sends were first sends of other requests, as many in the four seconds before as in the
+// four after, and one gateway alone sent an engine more than all together may. The cause: no gateway read the
+// limit, and what a server says in its answers reached one gateway with one answer, while its limit holds for
+// all of them together.
+func TestServerLimitIsKept(t *testing.T) {
+	const (
+		perSecond  = 2.0
+		plainPace  = 25 * time.Millisecond
+		enginePace = 80 * time.Millisecond
+		// during covers contactTime and a window after it.
+		during = contactTime + limitWindow + time.Second
+	)
+	tests := map[string]struct {
+		isEngine bool
+		// pace is the time between two callers: one server alone bears them.
+		pace time.Duration
+		// needy is how many of the two servers are in need, fronts at how many gateways callers arrive.
+		needy, fronts int
+	}{
+		"plain service, one of two in need":                 {pace: plainPace, needy: 1, fronts: 3},
+		"plain service, all in need":                        {pace: plainPace, needy: 2, fronts: 3},
+		"plain service, all in need, callers at a gateway":  {pace: plainPace, needy: 2, fronts: 1},
+		"engines, one of two in need":                       {isEngine: true, pace: enginePace, needy: 1, fronts: 3},
+		"engines, all in need":                              {isEngine: true, pace: enginePace, needy: 2, fronts: 3},
+		"engines, all in need, callers at a single gateway": {isEngine: true, pace: enginePace, needy: 2, fronts: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servers := []*needyServer{newNeedyServer(t, "s0", test.isEngine), newNeedyServer(t, "s1", test.isEngine)}
+			c := newNeedyWorld(t, test.isEngine, servers)
+			c.fronts = c.fronts[:test.fronts]
+			for _, s := range servers[:test.needy] {
+				s.setLimit(strconv.FormatFloat(perSecond, 'f', 1, 64))
+			}
+			c.sends(test.pace, during)
+			most := limitFactor*perSecond*limitWindow.Seconds() + limitSlack
+			for _, s := range servers[:test.needy] {
+				got := s.mostInWindow()
+				assert.Assert(t, float64(got) <= most, "%d requests in %s, allowed are %v", got, limitWindow, most)
+				took := s.since(s.namedAt.Add(contactTime))
+				least := int(0.7 * perSecond * (during - contactTime - time.Second).Seconds())
+				assert.Assert(t, took >= least || test.needy == 1, "%d requests, the server takes more", took)
+			}
+			refused := c.refusals(t, contactTime, 300*time.Millisecond)
+			if test.needy == 1 {
+				assert.Equal(t, refused, 0, "the other server takes them all")
+			}
+		})
+	}
+}
+
+// newNeedyWorld starts three gateways before servers and returns callers at all of them.
+func newNeedyWorld(t *testing.T, isEngine bool, servers []*needyServer) *crowd {
+	w := newWorldWithoutConfig(t)
+	for _, s := range servers {
+		if isEngine {
+			w.putEngine(s.worker, "m1")
+		} else {
+			w.putServer(s.worker, false)
+		}
+	}
+	if isEngine {
+		// Gateways are known to be ready by requests to the plain service.
+		w.putServer(newWorker(t, "plain", answer(http.StatusOK, "ok")), false)
+	}
+	w.putConfig()
+	w.waitReady(http.StatusOK)
+	c := &crowd{w: w, path: pathUnsafe, fronts: []string{w.front}}
+	if isEngine {
+		c.path, c.headers = pathModel, []string{names.Model, "m1", names.Tokens, "10,10", names.Deadline, "400"}
+	}
+	for _, m := range startFleet(t, w, 2) {
+		c.fronts = append(c.fronts, m.front)
+	}
+	w.waitLines("leadership gained", 1)
+	return c
+}
