Servers in need get no more requests than they take, from all gateways together

What callers and operators saw: engines that named a limit of 1.7 to 2.1 requests a second got 16 to 26 in 4 s, from all six gateways.

Cause: nothing read the limit. Its class: what a server says of itself reaches one gateway with one answer, while its promise holds over all of them.

Change: the newest word on each server spreads with the reports to the leader, or to any gateway while there is none, and with each ask for a permit (serverlimit, exchange). A send to a server with a limit needs a permit of the limit's owner, by the mechanism that keeps organisations' limits (quota, with a Limiter of its own). The dispatcher asks for one permit at a time, prefers other servers, and refuses at once, with a true time to come back, what no server takes in time. A server without a limit costs no ask.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -131,12 +131,21 @@
 	return max((c.PrefillAhead + min(c.Prefill, limit) - limit).Duration(), minGrantRetry)
 }
 
-// confirm asks the engine's owner for admission, if another gateway owns it, and reports
-// whether the request may be sent; the reservation is over if not.
+// confirm takes a permit, if the server has a limit, and asks the engine's owner for admission, if another gateway
+// owns it. It reports whether the request may be sent; the reservation is over if not.
 func (d *Dispatcher) confirm(ctx context.Context, res *Reservation) bool {
-	if res.owner == "" {
+	if !d.takePermit(ctx, res) {
+		return false
+	}
+	if res.owner == "" || d.askOwner(ctx, res) {
 		return true
 	}
+	d.dropPermit(res)
+	return false
+}
+
+// askOwner asks the engine's owner for admission.
+func (d *Dispatcher) askOwner(ctx context.Context, res *Reservation) bool {
 	r := res.req
 	r.GrantsAsked++
 	late := r.isLate(d.opts.Clock.Now())
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +33,8 @@
 	CacheTokens func(service string) int
 	// Owners, if not nil, asks other gateways for admission at the engines that they own.
 	Owners Owners
+	// Permits, if not nil, lets requests through to servers that have limits.
+	Permits Permits
 	// OnOwnerSilent, if not nil, is called with an owner that did not answer and is not
 	// asked for a while. It is called with the Dispatcher locked and must not block.
 	OnOwnerSilent func(owner string, err error)
@@ -185,13 +186,16 @@
 func (d *Dispatcher) candidates(r *Request, now time.Time) (servers []*backend.Server, list []Candidate) {
 	memory := d.opts.CacheTokens(r.Service)
 	for _, s := range d.servers.Holding(r.Service, r.Model) {
-		if s.Leaving || slices.Contains(r.Exclude, s.ID) || r.Model != "" && !s.Holds(r.Model, r.Adapter) {
+		if !d.couldTake(r, s) {
 			continue
 		}
 		if from := d.load(s.ID).askableFrom(r.target()); now.Before(from) {
 			d.serveAt(from)
 			continue
 		}
+		if _, limited := d.limitOf(s.ID); limited && d.isBarred(r, s.ID, now) {
+			continue
+		}
 		servers = append(servers, s)
 		list = append(list, d.candidate(r, s, memory, now))
 	}
@@ -210,6 +214,9 @@
 	if _, known := d.remote[s.ID]; d.busiestOnly && !known && !c.Owned {
 		c.Jitter = d.owners.jitter(s.ID)
 	}
+	if _, limited := d.limitOf(s.ID); limited && now.Sub(l.permits.sentAt) < limitedRest {
+		c.Limited = true
+	}
 	if r.Model != "" {
 		c.PrefillTokens = max(r.PromptTokens-l.prefixes.cachedTokens(r.target(), r.Prefix), 0)
 		c.Prefill = d.speeds.prefillTime(r.Model, c.PrefillTokens)
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -54,6 +54,7 @@
 	prefill prefillQueue
 	// deniedUntil is until when the engine's owner grants nothing.
 	deniedUntil time.Time
+	permits     permits
 	// lackedUntil is until when the engine is not asked for models and adapters that it has refused
 	// since it does not hold them.
 	lackedUntil map[string]time.Time
--- /dev/null
+++ b/dispatch/permit_test.go
@@ -0,0 +1,201 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rockcleat/backend"
+	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
+	"rockcleat/dispatch"
+)
+
+// Permits of a test: limits by server, and when each grants next.
+type testPermits struct {
+	mu     sync.Mutex
+	limits map[string]float64
+	// waits are what each server's next answers to Take are; 0 grants.
+	waits map[string][]time.Duration
+	taken map[string]int
+	back  int
+}
+
+func (p *testPermits) Any() bool { return len(p.limits) > 0 }
+
+func (p *testPermits) Limit(server string) (float64, bool) {
+	l, ok := p.limits[server]
+	return l, ok
+}
+
+func (p *testPermits) Take(_ context.Context, server string) (bool, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waits := p.waits[server]
+	if len(waits) == 0 {
+		return false, time.Second
+	}
+	p.waits[server] = waits[1:]
+	if waits[0] > 0 {
+		return false, waits[0]
+	}
+	p.taken[server]++
+	return true, 0
+}
+
+func (p *testPermits) GiveBack(string) { p.back++ }
+
+// granting returns that a server grants a number of times.
+func granting(n int) []time.Duration { return make([]time.Duration, n) }
+
+// limitedDispatcher returns a Dispatcher whose servers may have limits.
+func limitedDispatcher(c clock.Service, p dispatch.Permits, owners dispatch.Owners, servers ...backend.Server) *dispatch.Dispatcher {
+	d := dispatch.New(dispatch.Options{
+		ID: "g", Hall: "h", Clock: c, Utilization: 1, Permits: p, Owners: owners,
+		CacheTokens: func(name string) int {
+			if name != service {
+				return 0
+			}
+			return memory
+		},
+	})
+	d.SetServers(snapshot(servers...))
+	return d
+}
+
+// TestLimitedServers lets requests of a plain service arrive while servers have limits.
+func TestLimitedServers(t *testing.T) {
+	tests := map[string]struct {
+		limits map[string]float64
+		waits  map[string][]time.Duration
+		// want are the servers chosen, in turn; empty if the request is refused.
+		want []string
+	}{
+		"the one without a limit is chosen": {
+			limits: map[string]float64{"a": 1}, waits: map[string][]time.Duration{"a": granting(1)}, want: []string{"a", "b", "b", "b"},
+		},
+		"one that denies is not asked again soon": {
+			limits: map[string]float64{"a": 1}, waits: map[string][]time.Duration{"a": {time.Second, 0, 0}}, want: []string{"b", "b", "b"},
+		},
+		"both have limits": {
+			limits: map[string]float64{"a": 1, "b": 1}, waits: map[string][]time.Duration{"a": granting(1), "b": granting(1)},
+			want: []string{"a", "b", "", ""},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			permits := &testPermits{limits: test.limits, waits: test.waits, taken: make(map[string]int)}
+			d := limitedDispatcher(clocktest.New(time.Unix(0, 0)), permits, nil,
+				backend.Server{ID: "a", Service: "app", Hall: "h"}, backend.Server{ID: "b", Service: "app", Hall: "h"})
+			for i, want := range test.want {
+				res, err := d.Acquire(t.Context(), &dispatch.Request{Service: "app"})
+				if want == "" {
+					var limited *dispatch.LimitedError
+					assert.Assert(t, errors.As(err, &limited), "request %d: %v", i, err)
+					assert.Assert(t, limited.RetryAfter > 0)
+					continue
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, res.Server().ID, want, "request %d", i)
+				res.Done(dispatch.Answered)
+			}
+		})
+	}
+}
+
+// TestHopelessRequests lets requests for a model come whose only engine has a limit: those that can be granted in
+// time wait, the most urgent first, and the others are refused at once with a time to come back.
+func TestHopelessRequests(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	permits := &testPermits{
+		limits: map[string]float64{"a": 2}, taken: make(map[string]int),
+		waits: map[string][]time.Duration{"a": {500 * time.Millisecond, 0, 500 * time.Millisecond, 0}},
+	}
+	d := limitedDispatcher(c, permits, nil, engine("a"))
+	patient, urgent := request(c), request(c)
+	patient.WaitUntil = c.Now().Add(1200 * time.Millisecond)
+	urgent.WaitUntil, urgent.Priority = c.Now().Add(900*time.Millisecond), 1
+	first := acquire(d, patient)
+	poll.WaitOn(t, waiting(d, 1))
+	second := acquire(d, urgent)
+	poll.WaitOn(t, waiting(d, 2))
+
+	hopeless := request(c)
+	hopeless.WaitUntil = c.Now().Add(600 * time.Millisecond)
+	_, err := d.Acquire(t.Context(), hopeless)
+	var limited *dispatch.LimitedError
+	assert.Assert(t, errors.As(err, &limited), "%v", err)
+	assert.Equal(t, limited.RetryAfter, 1500*time.Millisecond, "two wait before it at two a second")
+
+	c.Advance(500 * time.Millisecond)
+	res := <-second
+	assert.Equal(t, res.Server().ID, "a", "the most urgent one is granted first")
+	poll.WaitOn(t, waiting(d, 1))
+	c.Advance(500 * time.Millisecond)
+	res = <-first
+	assert.Equal(t, res.Server().ID, "a")
+}
+
+// TestWaitEndsWhenItIsHopeless lets a limit fall while a request waits for its only engine.
+func TestWaitEndsWhenItIsHopeless(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	permits := &testPermits{
+		limits: map[string]float64{"a": 2}, taken: make(map[string]int),
+		waits: map[string][]time.Duration{"a": {500 * time.Millisecond, 4 * time.Second}},
+	}
+	d := limitedDispatcher(c, permits, nil, engine("a"))
+	r := request(c)
+	r.WaitUntil = c.Now().Add(2 * time.Second)
+	errs := make(chan error, 1)
+	go func() {
+		_, err := d.Acquire(context.Background(), r)
+		errs <- err
+	}()
+	poll.WaitOn(t, waiting(d, 1))
+	c.Advance(500 * time.Millisecond)
+	var limited *dispatch.LimitedError
+	assert.Assert(t, errors.As(<-errs, &limited), "it would wait in vain")
+	poll.WaitOn(t, waiting(d, 0))
+}
+
+// TestLimitEnds lets a server answer without its limit while requests wait for it.
+func TestLimitEnds(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	permits := &testPermits{
+		limits: map[string]float64{"a": 0.5}, taken: make(map[string]int), waits: map[string][]time.Duration{"a": {2 * time.Second}},
+	}
+	d := limitedDispatcher(c, permits, nil, engine("a"))
+	waits := acquire(d, request(c))
+	poll.WaitOn(t, waiting(d, 1))
+	delete(permits.limits, "a")
+	d.LimitChanged("a")
+	assert.Equal(t, (<-waits).Server().ID, "a")
+}
+
+// denyingOwners answer that their engines are full.
+type denyingOwners struct{}
+
+func (denyingOwners) Admit(context.Context, string, dispatch.AdmissionRequest) (dispatch.AdmissionReply, error) {
+	return dispatch.AdmissionReply{Owned: true, RetryAfterMs: 60_000}, nil
+}
+
+// TestPermitIsGivenBack checks that a permit is given back if the engine's owner admits no request.
+func TestPermitIsGivenBack(t *testing.T) {
+	c := clocktest.New(time.Unix(0, 0))
+	permits := &testPermits{
+		limits: map[string]float64{"a": 2}, taken: make(map[string]int), waits: map[string][]time.Duration{"a": granting(1)},
+	}
+	d := limitedDispatcher(c, permits, denyingOwners{}, engine("a"))
+	d.SetGateways([]dispatch.Gateway{{ID: "other", Hall: "h"}})
+	r := request(c)
+	r.WaitUntil = c.Now()
+	_, err := d.Acquire(t.Context(), r)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, permits.taken["a"], 1)
+	assert.Equal(t, permits.back, 1)
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A Request describes a caller's request as far as a choice depends on it.
 type Request struct {
@@ -45,6 +48,9 @@
 	return r.admittedLate || !r.SendBy.IsZero() && !now.Before(r.SendBy)
 }
 
+// excludes reports whether a server is not to be chosen.
+func (r *Request) excludes(server string) bool { return slices.Contains(r.Exclude, server) }
+
 // target names the model or adapter, as MODEL or MODEL/ADAPTER.
 func (r *Request) target() string {
 	if r.Adapter == "" {
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -26,6 +26,8 @@
 	candidates int
 	// owner is the gateway that must admit the request; empty if none must.
 	owner string
+	// asksPermit says that a permit of a server with a limit is being asked for, hasPermit that it was granted.
+	asksPermit, hasPermit bool
 	// answering says that the first byte has come, over that the capacity is given back.
 	answering, over bool
 }
@@ -43,6 +45,10 @@
 	if r.Model == "" {
 		res.usedTokens = 0
 	}
+	if _, limited := d.limitOf(s.ID); limited {
+		res.asksPermit = true
+		l.permits.asked++
+	}
 	l.Running++
 	l.PrefillMs += res.prefillMs
 	l.UsedTokens += res.usedTokens
@@ -137,6 +143,7 @@
 		return
 	}
 	r.over = true
+	r.endAsking()
 	if !r.answering {
 		r.endPrefill()
 	}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -12,8 +12,9 @@
 // A waiter is a request that waits for a server.
 type waiter struct {
 	req *Request
-	// reservation is set before ready is closed.
+	// reservation or refused is set before ready is closed.
 	reservation *Reservation
+	refused     *LimitedError
 	ready       chan struct{}
 }
 
@@ -49,8 +50,13 @@
 	q.list = slices.DeleteFunc(q.list, func(w *waiter) bool { return w.reservation != nil })
 }
 
+// removeRefused takes out all requests whose wait was ended.
+func (q *waitQueue) removeRefused() {
+	q.list = slices.DeleteFunc(q.list, func(w *waiter) bool { return w.refused != nil })
+}
+
 // Acquire reserves a server for a request, waiting for one until the request's WaitUntil.
-// The error is ErrNoServer, ErrShed, ErrWaitTimeout or that of ctx.
+// The error is ErrNoServer, ErrShed, ErrWaitTimeout, a *LimitedError or that of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Reservation, error) {
 	for {
 		res, err := d.reserveOrWait(ctx, r)
@@ -74,13 +80,9 @@
 		d.mu.Unlock()
 		return res, nil
 	}
-	if r.Model == "" || !d.opts.Clock.Now().Before(r.WaitUntil) {
-		d.mu.Unlock()
-		return nil, ErrNoServer
-	}
-	if d.sheds(r) {
+	if err := d.refusesAtOnce(r); err != nil {
 		d.mu.Unlock()
-		return nil, ErrShed
+		return nil, err
 	}
 	w := &waiter{req: r, ready: make(chan struct{})}
 	d.enqueue(w)
@@ -88,6 +90,26 @@
 	return d.wait(ctx, w)
 }
 
+// refusesAtOnce returns why a request that no server takes now must not wait; nil if it may. The Dispatcher is
+// locked.
+func (d *Dispatcher) refusesAtOnce(r *Request) error {
+	now := d.opts.Clock.Now()
+	mayWait := r.Model != "" && now.Before(r.WaitUntil)
+	if d.hasLimits() {
+		wait, ok := d.limitedWait(r, d.waiting.countAhead(r), now)
+		if ok && (!mayWait || now.Add(wait).After(r.WaitUntil)) {
+			return &LimitedError{RetryAfter: wait}
+		}
+	}
+	switch {
+	case !mayWait:
+		return ErrNoServer
+	case d.sheds(r):
+		return ErrShed
+	}
+	return nil
+}
+
 // enqueue makes a request wait; the Dispatcher is locked.
 func (d *Dispatcher) enqueue(w *waiter) {
 	d.waiting.add(w)
@@ -105,6 +127,10 @@
 	switch {
 	case w.reservation != nil && ctx.Err() == nil:
 		return w.reservation, nil
+	case w.refused != nil && ctx.Err() == nil:
+		return nil, w.refused
+	case w.refused != nil:
+		return nil, ctx.Err()
 	case w.reservation != nil:
 		w.reservation.release()
 		d.serve()
@@ -137,6 +163,7 @@
 		}
 	}
 	d.waiting.removeServed()
+	d.refuseHopeless(now)
 }
 
 // offer gives a waiting request a server if one admits it; full remembers the models and
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -63,6 +63,7 @@
 
 // giveUp ends a request that no server is left for.
 func (f *forwarder) giveUp(err error) {
+	var limited *dispatch.LimitedError
 	switch {
 	case f.callerGone():
 		f.record.outcome = outcomeGone
@@ -72,6 +73,8 @@
 		f.cut(eris.Wrap(err, "gateway: no server to go on with"))
 	case f.record.runs > 0:
 		f.refuse(outcomeUnknown, mayHaveRun("the request may have run"))
+	case errors.As(err, &limited):
+		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
 	case errors.Is(err, dispatch.ErrShed):
 		f.refuse(outcomeRefused, notRun("more urgent requests wait", retryAfterShed(f.in)))
 	case f.ctx.Err() != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
-	"rockcleat/serverlimit"
 	"rockcleat/table"
 )
 
@@ -89,7 +88,7 @@
 	quarantine *quarantineRole
 	keeper     *quarantineKeeper
 	// serverLimits are those that backend servers name for themselves.
-	serverLimits *serverlimit.Table
+	serverLimits *serverLimits
 	fleet        *fleetKeeper
 	// stops end the subscriptions to the clock.
 	stops []func()
@@ -147,7 +146,7 @@
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(pauseCheckInterval, g.pauses.check)
 	g.subscribe(fleetKeepInterval, g.fleet.step)
-	g.subscribe(sweepInterval, func(time.Time) { g.serverLimits.Expire() })
+	g.stops = append(g.stops, g.serverLimits.subscribe(g.clock))
 	g.stops = append(g.stops, g.quarantine.subscribe(g.clock, g.keeper)...)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -44,9 +44,11 @@
 	pauses     *pauseDetector
 	quarantine quarantineRole
 	// serverLimits are those that backend servers name for themselves.
-	serverLimits *serverlimit.Table
+	serverLimits *serverLimits
 	limiter      *quota.Limiter
-	fleet        *fleetKeeper
+	// quotas are all that need to know of the leader and its list of gateways.
+	quotas quotas
+	fleet  *fleetKeeper
 	// listing is held while a list of gateways is taken over, so that all who need it have the same one.
 	listing sync.Mutex
 	// urgent is sent when a report to the leader should not wait.
@@ -65,17 +67,19 @@
 	p.conns = newConns(o.Clock, p.config.connLimits)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
 	p.peers = newPeerClient(p.gateways, o.Peers)
+	p.serverLimits = p.newServerLimits(o)
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
 		Owners: p.peers, OnOwnerSilent: p.lines.ownerSilent, OnModelMissing: p.urgent.send,
+		Permits: p.serverLimits,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, last: o.Clock.Now()}
 	p.quarantine = p.newQuarantineRole(ctx, o)
-	p.serverLimits = serverlimit.New(serverlimit.Options{Clock: o.Clock, OnChange: p.lines.serverLimitChanged})
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Pause: p.probePause})
 	p.leader = p.newLeaderRole(o)
 	p.limiter = p.newLimiter(o)
+	p.quotas = quotas{p.limiter, p.serverLimits.limiter}
 	p.config.onChange = func() {
 		p.servers.refresh()
 		p.leader.fanout.Recheck()
@@ -176,7 +180,8 @@
 		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
 		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllEnds),
-		informed: p.quarantine.informed, limiter: p.limiter, useGateways: p.useGateways, urgent: p.urgent,
+		informed: p.quarantine.informed, quotas: p.quotas, useGateways: p.useGateways, urgent: p.urgent,
+		serverLimits: serverlimit.NewLink(p.serverLimits.Table),
 	}
 }
 
@@ -203,7 +208,7 @@
 	p.listing.Lock()
 	defer p.listing.Unlock()
 	if p.gateways.isListed() {
-		p.limiter.NoteFormer(gatewayIDs(list))
+		p.quotas.noteFormer(gatewayIDs(list))
 		return
 	}
 	p.setGateways(list)
@@ -219,14 +224,14 @@
 // setGateways passes a list of gateways on to all who need it.
 func (p *parts) setGateways(list []placer.Gateway) {
 	p.dispatcher.SetGateways(p.gateways.set(list))
-	p.limiter.SetGateways(gatewayIDs(list))
+	p.quotas.setGateways(gatewayIDs(list))
 }
 
 // newProxy returns what serves callers.
 func (p *parts) newProxy(o Options) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, access: p.newAccess(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, lines: p.lines,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, ends: p.quarantine.ends, serverLimits: p.serverLimits, clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, ends: p.quarantine.ends, serverLimits: p.serverLimits.Table, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTime.Std()), bodyTime: o.Settings.BodyTime.Std(),
 	}
 }
@@ -240,7 +245,7 @@
 func (p *parts) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
 		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus,
+		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, lapsed: p.quotas.lapsed,
 		informed: p.quarantine.informed, clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -28,6 +28,9 @@
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Table
 	limiter    *quota.Limiter
+	// serverLimits are those of backend servers, lapsed the number of gateways that went off the list lately.
+	serverLimits *serverLimits
+	lapsed       func() int
 	// limits returns what this gateway knows of all limits.
 	limits   func() wire.LimitList
 	informed *atomic.Bool
@@ -43,6 +46,7 @@
 	e.POST(pathConfig, p.answerConfig)
 	e.POST(pathAdmission, p.answerAdmission)
 	e.POST(pathGrant, p.answerGrant)
+	e.POST(pathPermit, p.answerPermit)
 	server.RegisterQuarantine(e, p.quarantine)
 	e.GET(wire.PathLimits, func(c echo.Context) error { return c.JSON(http.StatusOK, p.limits()) })
 	return e
@@ -59,7 +63,7 @@
 	p.configs.HeardVersion(m.ConfigVersion, m.Addr)
 	a := replyMessage{
 		Reply: p.placer.Report(m.Report), Config: p.configs.News(), Quarantine: p.quarantine.Answer(m.Quarantine, quarantine.SharedEnds),
-		Informed: m.Uninformed && p.informed.Load(), Lapsed: p.limiter.Lapsed(),
+		Informed: m.Uninformed && p.informed.Load(), Lapsed: p.lapsed(), ServerLimits: p.serverLimits.Answer(m.ServerLimits),
 	}
 	if !a.IsLeader {
 		record, _ := p.placer.Leader()
@@ -149,3 +153,12 @@
 	}
 	return c.JSON(http.StatusOK, p.limiter.Grant(r))
 }
+
+// answerPermit answers a gateway that asks for a permit of a backend server's limit.
+func (p *peerServer) answerPermit(c echo.Context) error {
+	var m permitMessage
+	if err := c.Bind(&m); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, p.serverLimits.grantPermit(m))
+}
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -16,6 +16,7 @@
 	"rockcleat/kv"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
+	"rockcleat/serverlimit"
 )
 
 // minReportInterval is the time between two reports when something is urgent, such as a request that
@@ -50,13 +51,16 @@
 	log        *zap.Logger
 	// quarantine exchanges with whoever is reported to.
 	quarantine *quarantine.Link
-	// limiter is to know when the leader was heard, useGateways takes over its list of gateways.
-	limiter     *quota.Limiter
+	// serverLimits exchanges with the same, what backend servers said of their limits.
+	serverLimits *serverlimit.Link
+	// quotas are to know when the leader was heard, useGateways takes over its list of gateways.
+	quotas      quotas
 	useGateways func([]placer.Gateway)
 	// informed says that this gateway knows what was in quarantine before its start.
 	informed *atomic.Bool
 	// urgent is sent when a report should not wait: a request waits for a model that no server holds,
-	// or a server has ended.
+	// a server has ended
+	// or has named another limit than before.
 	urgent signal
 
 	// unanswered says that the last report got no reply.
@@ -111,7 +115,7 @@
 		now := r.clock.Now()
 		reply := r.placer.Report(m)
 		if reply.IsLeader {
-			r.limiter.Heard(now, quota.Absence{Lapsed: r.limiter.Lapsed(), Awaited: reply.Awaited})
+			r.quotas.heard(now, quota.Absence{Lapsed: r.quotas.lapsed(), Awaited: reply.Awaited})
 		}
 		r.apply(reply, demands)
 		r.placer.Wake()
@@ -128,7 +132,8 @@
 	requested := r.clock.Now()
 	reply, err := r.peers.report(ctx, addr, reportMessage{
 		Report: m, ConfigVersion: r.configs.News().Version, Quarantine: r.quarantine.Message(addr),
-		Uninformed: !r.informed.Load(),
+		ServerLimits: r.serverLimits.Message(addr),
+		Uninformed:   !r.informed.Load(),
 	})
 	if err != nil {
 		r.noReply(addr, err)
@@ -137,12 +142,13 @@
 	}
 	r.answered(addr)
 	r.quarantine.Apply(reply.Quarantine)
+	r.serverLimits.Apply(reply.ServerLimits)
 	if reply.Informed {
 		r.informed.Store(true)
 	}
 	r.placer.NotePeerReply(addr, !reply.IsLeader)
 	if reply.IsLeader {
-		r.limiter.Heard(requested, quota.Absence{Lapsed: reply.Lapsed, Awaited: reply.Awaited})
+		r.quotas.heard(requested, quota.Absence{Lapsed: reply.Lapsed, Awaited: reply.Awaited})
 	}
 	r.configs.Heard(reply.Config, addr, requested)
 	r.noteLeader(addr, reply)
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -24,6 +24,7 @@
 	msgCut         = "answer cut"
 	msgOwner       = "owner did not answer"
 	msgLimitOwner  = "limit not granted by its owner"
+	msgPermitOwner = "permit not granted by its owner"
 	msgStalled     = "server stalled, request stays"
 	msgDirect      = "watching the store directly"
 	msgReceiving   = "watching the store through the leader"
@@ -114,6 +115,8 @@
 	Charged(organisation, outcome string, cost float64)
 	// ServerLimit counts limits that servers have named, changed and ended, by state.
 	ServerLimit(state string)
+	// Permit counts a request for a permit at a server with a limit, by what it brought ("inside", "over", "unknown").
+	Permit(outcome string)
 	// ServerEnded counts the end of a server of a service under requests.
 	ServerEnded(service string)
 	// ConfigTransfer counts a transfer of the configuration, with its bytes as they were sent;
@@ -127,6 +130,7 @@
 func (noMetrics) Ended(string, string, float64, float64) {}
 func (noMetrics) Sent(string, bool)                      {}
 func (noMetrics) ServerLimit(string)                     {}
+func (noMetrics) Permit(string)                          {}
 func (noMetrics) ServerEnded(string)                     {}
 func (noMetrics) Charged(string, string, float64)        {}
 func (noMetrics) Admissions(int, int, int)               {}
@@ -326,6 +330,11 @@
 	l.log.Warn(msgLimitOwner, customerField(organisation), zap.String("owner", gateway), telemetry.Error(err))
 }
 
+// permitOwnerSilent logs a gateway that did not grant when it was asked as the owner of a backend server's limit.
+func (l *requestLog) permitOwnerSilent(server, gateway string, err error) {
+	l.log.Warn(msgPermitOwner, zap.String(fieldServer, server), zap.String("owner", gateway), telemetry.Error(err))
+}
+
 // watchSwitched logs whether a prefix is watched at the store or through the leader.
 func (l *requestLog) watchSwitched(prefix string, direct bool) {
 	msg := msgReceiving
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -40,6 +40,8 @@
 	ends      metric.Int64Counter
 	// serverLimits counts the limits that servers named, changed and ended.
 	serverLimits metric.Int64Counter
+	// permits counts the requests for permits at servers with limits.
+	permits metric.Int64Counter
 	// limits counts requests by organisation and what its limit said, spent what they cost.
 	limits metric.Int64Counter
 	spent  metric.Float64Counter
@@ -74,6 +76,7 @@
 	m.bytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
 	m.ends = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
 	m.serverLimits = b.counter("rockcleat.gateway.server_limits", "Limits that backend servers named for themselves, by what became of them.")
+	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.limits = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
 	b.keep(err)
@@ -144,6 +147,11 @@
 	m.serverLimits.Add(context.Background(), 1, m.set("state", state, "", ""))
 }
 
+// Permit counts a request for a permit at a backend server with a limit, by what it brought.
+func (m *GatewayMetrics) Permit(outcome string) {
+	m.permits.Add(context.Background(), 1, m.set("outcome", outcome, "", ""))
+}
+
 // Charged counts a request that was charged to an organisation's limit, by what that said, with its cost in the
 // limit's unit.
 func (m *GatewayMetrics) Charged(organisation, outcome string, cost float64) {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -1,4 +1,5 @@
-// Package quota keeps the limits of organisations that several gateways serve together.
+// Package quota keeps limits that several gateways keep together: those of organisations, and those that backend
+// servers name for themselves, each by its own Limiter. What follows calls whoever has a limit an organisation.
 //
 // An organisation's limit is a rate and a burst, in requests or in tokens, over all gateways. One gateway,
 // the organisation's owner by rendezvous hashing over the list of gateways that the leader sends, has the
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// A Request asks the owner of an organisation's limit for a grant.
+// A Request asks the owner of a limit for a grant.
 type Request struct {
-	Organisation string `json:"organisation"`
+	// Key names whose limit it is: an organisation or a backend server.
+	Key string `json:"organisation"`
 	// From is the gateway that asks.
 	From string `json:"from"`
 	// Need is what one request needs, Ahead what would be of use beside it, in the limit's unit.
@@ -74,7 +75,7 @@
 
 // grant grants from an organisation's bucket, which a share of the rate fills.
 func (g *granter) grant(r Request, l Limit, share float64, now time.Time) Reply {
-	b := g.filled(r.Organisation, l, share, now)
+	b := g.filled(r.Key, l, share, now)
 	if !b.take(l, r.Need) {
 		return Reply{IsOwner: true, RetryAfterMs: b.until(l, r.Need).Milliseconds() + 1}
 	}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -132,10 +133,10 @@
 
 // Grant answers a gateway's request for a grant; one for a negative amount is not answered as an owner.
 func (l *Limiter) Grant(r Request) Reply {
-	limit, ok := l.opts.Limit(r.Organisation)
+	limit, ok := l.opts.Limit(r.Key)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !ok || !r.isValid() || l.fleet.owner(r.Organisation) != l.opts.Self {
+	if !ok || !r.isValid() || l.fleet.owner(r.Key) != l.opts.Self {
 		return Reply{}
 	}
 	now := l.opts.Clock.Now()
@@ -186,7 +187,7 @@
 	if left := a.deniedUntil.Sub(now); left > 0 && amount >= a.deniedNeed {
 		return Request{}, Decision{Outcome: Over, RetryAfter: left}, true
 	}
-	return Request{Organisation: organisation, From: l.opts.Self, Need: amount, Ahead: a.ahead(amount)}, Decision{}, false
+	return Request{Key: organisation, From: l.opts.Self, Need: amount, Ahead: a.ahead(amount)}, Decision{}, false
 }
 
 // errNoOwner says that no gateway grants, as far as this one knows.
@@ -195,7 +196,7 @@
 // ask asks the owner of a limit for a grant; an error says that it does not answer as such.
 func (l *Limiter) ask(ctx context.Context, r Request) (Reply, error) {
 	l.mu.Lock()
-	owner := l.fleet.owner(r.Organisation)
+	owner := l.fleet.owner(r.Key)
 	l.mu.Unlock()
 	switch owner {
 	case "":
@@ -207,7 +208,7 @@
 	}
 	reply, err := owned(l.opts.Asker.AskGrant(ctx, owner, r))
 	if err != nil {
-		l.noteSilent(r.Organisation, owner, err)
+		l.noteSilent(r.Key, owner, err)
 	}
 	return reply, err
 }
@@ -280,6 +281,18 @@
 	a.add(amount, l.opts.Clock.Now().Add(StockTime))
 }
 
+// Keep forgets the limits that a function does not want kept: a Limiter whose limits come and go would hold all that
+// there ever were.
+func (l *Limiter) Keep(wanted func(organisation string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	unwanted := func(organisation string) bool { return !wanted(organisation) }
+	maps.DeleteFunc(l.accounts, func(name string, _ *account) bool { return unwanted(name) })
+	maps.DeleteFunc(l.silent, func(name string, _ bool) bool { return unwanted(name) })
+	maps.DeleteFunc(l.granter.buckets, func(name string, _ *bucket) bool { return unwanted(name) })
+	maps.DeleteFunc(l.fleet.owners, func(name, _ string) bool { return unwanted(name) })
+}
+
 // noteSilent reports an owner that did not grant, once until one does.
 func (l *Limiter) noteSilent(organisation, gateway string, err error) {
 	l.mu.Lock()
--- /dev/null
+++ b/serverlimit/exchange_test.go
@@ -0,0 +1,184 @@
+package serverlimit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rockcleat/clock/clocktest"
+	"rockcleat/serverlimit"
+)
+
+// A group is processes of which all but the first exchange with the first one.
+type group struct {
+	clock     *clocktest.Clock
+	processes []*process
+	links     []*serverlimit.Link
+}
+
+func newGroup(n int) *group {
+	g := &group{clock: clocktest.New(time.Unix(1000, 0))}
+	for range n {
+		p := &process{clock: g.clock}
+		p.Table = serverlimit.New(serverlimit.Options{
+			Clock: g.clock, OnChange: func(c serverlimit.Change) { p.changes = append(p.changes, c) },
+		})
+		g.processes = append(g.processes, p)
+		g.links = append(g.links, serverlimit.NewLink(p.Table))
+	}
+	return g
+}
+
+// exchange lets a process exchange with the first one; lost says that the reply does not arrive.
+func (g *group) exchange(i int, lost bool) {
+	reply := g.processes[0].Answer(g.links[i].Message("first"))
+	if !lost {
+		g.links[i].Apply(reply)
+	}
+}
+
+// exchangeAll lets all exchange twice, so that what one knows comes to all.
+func (g *group) exchangeAll() {
+	for range 2 {
+		for i := range g.processes[1:] {
+			g.exchange(i+1, false)
+		}
+	}
+}
+
+// all checks the limit that stands in all processes.
+func (g *group) all(t *testing.T, want float64) {
+	t.Helper()
+	for i, p := range g.processes {
+		assert.Equal(t, p.limit(), want, "process %d", i)
+	}
+}
+
+// TestWordReachesAll lets one process hear that a server names, changes and ends its limit.
+func TestWordReachesAll(t *testing.T) {
+	g := newGroup(5)
+	for _, step := range []struct {
+		reading serverlimit.Reading
+		want    float64
+	}{{two, 2}, {five, 5}, {none, -1}, {two, 2}} {
+		g.clock.Advance(time.Second)
+		g.processes[3].Observe(testServer, step.reading, g.processes[3].ago(10))
+		g.exchangeAll()
+		g.all(t, step.want)
+	}
+}
+
+// TestWordsOfTwo lets one process hear that a limit has ended while another one still hears it named: the limit
+// stands until a request that was sent after that is answered without it.
+func TestWordsOfTwo(t *testing.T) {
+	g := newGroup(3)
+	a, b := g.processes[1], g.processes[2]
+	a.Observe(testServer, two, a.ago(10))
+	g.exchangeAll()
+	g.clock.Advance(6 * time.Second)
+	a.Observe(testServer, none, a.ago(10))
+	b.Observe(testServer, two, b.ago(100))
+	g.exchangeAll()
+	g.all(t, 2)
+	g.clock.Advance(50 * time.Millisecond)
+	a.Observe(testServer, none, a.ago(10))
+	g.exchangeAll()
+	g.all(t, -1)
+}
+
+// TestLimitThatIsNamedAgainStands checks that a limit stands everywhere for as long as one process hears it.
+func TestLimitThatIsNamedAgainStands(t *testing.T) {
+	g := newGroup(3)
+	for range 60 {
+		g.processes[1].Observe(testServer, two, g.processes[1].ago(10))
+		g.exchangeAll()
+		g.clock.Advance(time.Second)
+		for _, p := range g.processes {
+			p.Expire()
+		}
+		g.all(t, 2)
+	}
+	for _, p := range g.processes {
+		assert.Equal(t, len(p.changes), 1, "it began once")
+	}
+}
+
+// TestRecordsOfOthers checks that records which no process sends, and those that are too old, change nothing.
+func TestRecordsOfOthers(t *testing.T) {
+	tests := map[string]serverlimit.Record{
+		"no server":    {Sequence: 9, Limited: true, PerSecond: 1},
+		"negative":     {Server: testServer, Sequence: 9, Limited: true, PerSecond: -1},
+		"huge":         {Server: testServer, Sequence: 9, Limited: true, PerSecond: 1e300},
+		"of later on":  {Server: testServer, Sequence: 9, Limited: true, PerSecond: 1, AgeMs: -5},
+		"too old":      {Server: testServer, Sequence: 9, Limited: true, PerSecond: 1, AgeMs: 31_000},
+		"older word":   {Server: testServer, Sequence: 1, Limited: true, PerSecond: 1},
+		"no record":    {},
+		"an older end": {Server: testServer, Sequence: 2},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newProcess()
+			p.Observe(testServer, two, p.ago(10))
+			p.clock.Advance(time.Second)
+			p.Observe(testServer, five, p.ago(10))
+			p.Merge([]serverlimit.Record{r})
+			assert.Equal(t, p.limit(), 5.0)
+		})
+	}
+}
+
+// TestManyServers checks that the words on more servers than a message holds all arrive.
+func TestManyServers(t *testing.T) {
+	const servers = 730
+	g := newGroup(2)
+	for i := range servers {
+		g.processes[1].Observe(fmt.Sprint("s", i), two, g.processes[1].ago(10))
+	}
+	for range 4 {
+		g.exchange(1, false)
+	}
+	assert.Equal(t, len(g.processes[0].List()), servers)
+}
+
+// TestAnyOrderOfExchanges lets any process hear any answer, loses replies and lets time pass as a test draws it: once
+// the server names one limit and all have exchanged, all have that limit.
+func TestAnyOrderOfExchanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(4)
+		readings := []serverlimit.Reading{none, two, five}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			g.clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(1, 3).Draw(t, "process")
+			if rapid.Bool().Draw(t, "exchanges") {
+				g.exchange(i, rapid.Bool().Draw(t, "lost"))
+				continue
+			}
+			took := rapid.IntRange(0, 2000).Draw(t, "took")
+			g.processes[i].Observe(testServer, rapid.SampledFrom(readings).Draw(t, "reading"), g.processes[i].ago(took))
+		}
+		last := rapid.SampledFrom(readings).Draw(t, "last")
+		for range 2 {
+			for i := range g.processes {
+				g.clock.Advance(10 * time.Millisecond)
+				g.processes[i].Observe(testServer, last, g.processes[i].ago(1))
+			}
+			for range 2 {
+				for i := range g.processes[1:] {
+					g.exchange(i+1, false)
+				}
+			}
+		}
+		want := last.PerSecond
+		if last.Kind == serverlimit.None {
+			want = -1
+		}
+		for i, p := range g.processes {
+			if p.limit() != want {
+				t.Fatalf("process %d has %v, the server says %v", i, p.limit(), want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/serverlimit/rules.go
@@ -0,0 +1,29 @@
+package serverlimit
+
+import (
+	"time"
+
+	"rockcleat/quota"
+)
+
+const (
+	// probeRate is the least rate at which servers in need get requests, in requests a second: only an answer
+	// says that a limit has ended, also one of zero.
+	probeRate = 0.25
+	// burstTime is the time of a limit's rate that may be sent at once, beside one request: a server gets its
+	// rate although requests do not come evenly.
+	burstTime = 250 * time.Millisecond
+)
+
+// Quota returns the limit by which all processes together send to a server that named a rate.
+func Quota(perSecond float64) quota.Limit {
+	rate := max(perSecond, probeRate)
+	return quota.Limit{Rate: rate, Burst: 1 + rate*burstTime.Seconds()}
+}
+
+// Window is the time in which the users count what a server gets.
+const Window = 4 * time.Second
+
+// Tolerance returns what may reach a server beyond its Quota: with it, in any Window at most one and a half times
+// what the server named and five requests.
+func Tolerance() quota.Tolerance { return quota.Tolerance{Window: Window, Over: 0.4, Slack: 2} }
--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rockcleat/clock"
@@ -75,6 +76,8 @@
 type Table struct {
 	opts  Options
 	epoch uint32
+	// limits is the number of limits that stand.
+	limits atomic.Int64
 
 	mu      sync.Mutex
 	version uint64
@@ -144,6 +147,16 @@
 	t.set(server, named, now, now, Own)
 }
 
+// Any reports whether any limit stands.
+func (t *Table) Any() bool { return t.limits.Load() > 0 }
+
+// Knows reports whether anything is known of a server's limit.
+func (t *Table) Knows(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[server] != nil
+}
+
 // Limit returns the rate that a server named; ok is false if it has no limit.
 func (t *Table) Limit(server string) (perSecond float64, ok bool) {
 	t.mu.Lock()
@@ -201,8 +214,12 @@
 
 // store stores a word. The Table is locked.
 func (t *Table) store(server string, e *entry, w word, namedAt, now time.Time) {
-	if w.limited && !e.limited {
+	switch {
+	case w.limited && !e.limited:
 		e.beganAt = now
+		t.limits.Add(1)
+	case !w.limited && e.limited:
+		t.limits.Add(-1)
 	}
 	t.version++
 	e.word, e.version, e.heardAt, e.namedAt, e.toldAt = w, t.version, now, namedAt, now
