--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -65,8 +65,6 @@
 	Jitter Milliseconds
 	// FailureRate is the server's recent share of failures, 0 to 1.
 	FailureRate float64
-	// Limited says that the server bounds how many requests it takes and was sent one lately.
-	Limited bool
 	// Stalled says that the server owes first bytes and has sent nothing for stallTime.
 	Stalled bool
 }
@@ -133,9 +131,6 @@
 	if c.Stalled {
 		ms += msSuspect
 	}
-	if c.Limited {
-		ms += msLimited
-	}
 	return ms + c.Jitter + Milliseconds(c.FailureRate)*msSuspect
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -214,9 +214,6 @@
 	if _, known := d.remote[s.ID]; d.busiestOnly && !known && !c.Owned {
 		c.Jitter = d.owners.jitter(s.ID)
 	}
-	if _, limited := d.limitOf(s.ID); limited && now.Sub(l.permits.sentAt) < limitedRest {
-		c.Limited = true
-	}
 	if r.Model != "" {
 		c.PrefillTokens = max(r.PromptTokens-l.prefixes.cachedTokens(r.target(), r.Prefix), 0)
 		c.Prefill = d.speeds.prefillTime(r.Model, c.PrefillTokens)
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -32,14 +32,6 @@
 	return fmt.Sprintf("dispatch: the servers take no more requests for %s", e.RetryAfter)
 }
 
-const (
-	// msLimited is the cost of a server with a limit: its places are for requests that no other server takes.
-	msLimited Milliseconds = 100.0
-	// limitedRest is how long a server with a limit costs msLimited after it was sent a request: one that is
-	// avoided for longer would never be heard to be out of need.
-	limitedRest = time.Second
-)
-
 // permits is what a gateway knows of the requests that it may send to a server with a limit.
 type permits struct {
 	// asked is the number of requests for which a permit is being asked, deniedUntil until when none is granted.
@@ -47,8 +39,6 @@
 	deniedUntil time.Time
 	// denials counts those that were denied since one was granted.
 	denials int
-	// sentAt is when the last one was granted.
-	sentAt time.Time
 }
 
 // limitOf returns a server's limit; ok is false if it has none.
@@ -101,7 +91,7 @@
 	p := &res.load.permits
 	res.endAsking()
 	if granted {
-		res.hasPermit, p.sentAt, p.denials = limited, now, 0
+		res.hasPermit, p.denials = limited, 0
 	} else {
 		p.deniedUntil = now.Add(wait)
 		p.denials++
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -76,7 +76,7 @@
 		// want are the servers chosen, in turn; empty if the request is refused.
 		want []string
 	}{
-		"the one without a limit is chosen": {
+		"one without a limit when no more are granted": {
 			limits: map[string]float64{"a": 1}, waits: map[string][]time.Duration{"a": granting(1)}, want: []string{"a", "b", "b", "b"},
 		},
 		"one that denies is not asked again soon": {
