Adapters that only engines in need hold are loaded elsewhere; operators see servers' limits

An adapter request whose only engine takes no more was refused, while another engine with its model could have loaded the adapter in some 40 ms. The leader leaves engines in need out when it looks for adapters, and requests for them wait.

rockcleat limits shows servers' limits, their owners and use; request ended has held_back.

--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -95,6 +95,7 @@
 	} else {
 		p.deniedUntil = now.Add(wait)
 		p.denials++
+		res.req.PermitsDenied++
 		res.release()
 	}
 	d.serve()
@@ -125,10 +126,13 @@
 	perSecond := 0.0
 	contested := true
 	for _, s := range d.servers.Holding(r.Service, r.Model) {
+		rate, limited := d.limitOf(s.ID)
+		if !limited && d.couldLoadAdapter(r, s) {
+			return 0, false
+		}
 		if !d.couldTake(r, s) {
 			continue
 		}
-		rate, limited := d.limitOf(s.ID)
 		p := d.load(s.ID).permits
 		from := p.deniedUntil
 		if !limited || !now.Before(from) && p.asked == 0 {
@@ -184,6 +188,12 @@
 	return n
 }
 
+// couldLoadAdapter reports whether a server lacks only the adapter that a request needs: it is loaded soon, since the
+// request waits for it.
+func (d *Dispatcher) couldLoadAdapter(r *Request, s *backend.Server) bool {
+	return r.Adapter != "" && !s.Leaving && !r.excludes(s.ID) && s.Holds(r.Model, "")
+}
+
 // couldTake reports whether a server holds what a request needs and stays.
 func (d *Dispatcher) couldTake(r *Request, s *backend.Server) bool {
 	return !s.Leaving && !r.excludes(s.ID) && (r.Model == "" || s.Holds(r.Model, r.Adapter))
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -199,3 +199,43 @@
 	assert.Equal(t, permits.taken["a"], 1)
 	assert.Equal(t, permits.back, 1)
 }
+
+// TestWaitForAnAdapter lets requests for an adapter come whose only engine takes no more: they wait if another engine
+// could load it, and are refused at once otherwise.
+func TestWaitForAnAdapter(t *testing.T) {
+	tests := map[string]struct {
+		otherHolds   string
+		otherLeaving bool
+		waits        bool
+	}{
+		"another engine holds its model":  {otherHolds: model, waits: true},
+		"no other engine holds its model": {otherHolds: "m2"},
+		"the other engine is leaving":     {otherHolds: model, otherLeaving: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.New(time.Unix(0, 0))
+			permits := &testPermits{limits: map[string]float64{"a": 0}, taken: make(map[string]int)}
+			permits.waits = map[string][]time.Duration{"a": {time.Hour}}
+			a, b := engine("a"), engine("b")
+			a.Residents = []backend.Resident{{Model: model, Adapters: []string{"a1"}}}
+			b.Residents, b.Leaving = []backend.Resident{{Model: test.otherHolds}}, test.otherLeaving
+			d := limitedDispatcher(c, permits, nil, a, b)
+			r := request(c)
+			r.Adapter = "a1"
+			if test.waits {
+				acquire(d, r)
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if d.Demands()[model+"/a1"].Waiting != 1 {
+						return poll.Continue("it does not wait yet")
+					}
+					return poll.Success()
+				})
+				return
+			}
+			_, err := d.Acquire(t.Context(), r)
+			var limited *dispatch.LimitedError
+			assert.Assert(t, errors.As(err, &limited), "%v", err)
+		})
+	}
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -33,6 +33,8 @@
 	// GrantsAsked counts the admissions that other gateways were asked for, GrantsGiven
 	// and GrantsDenied their answers; the rest had no answer.
 	GrantsAsked, GrantsGiven, GrantsDenied int
+	// PermitsDenied counts the permits that were denied at servers with limits.
+	PermitsDenied int
 	// admittedLate says that another gateway's request is late; its SendBy is not known here.
 	admittedLate bool
 	// sequence is the request's number in the order of arrival; 0 before it has waited.
--- a/internal/cli/limits.go
+++ b/internal/cli/limits.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -12,14 +14,14 @@
 	"rockcleat/quota"
 )
 
-// limitsCommand returns the command for the limits of organisations.
+// limitsCommand returns the command for the limits of organisations and backend servers.
 func (a *app) limitsCommand() *ffcli.Command {
 	fs := a.flags("limits")
 	gateways := fs.String("gateways", "", "peer_listen addresses of gateways, separated by commas; all of them for whole sums")
 	asJSON := fs.Bool("json", false, "print JSON")
 	return a.command(help{
 		name: "limits", usage: "limits -gateways ADDR[,ADDR...] [-json]",
-		short:   "Print the limit of each organisation, which gateway grants it, and what was decided since the gateways' start.",
+		short:   "Print the limits of organisations and of servers in need, which gateway grants each, and what was decided since the gateways' start.",
 		example: "rockcleat limits -gateways 10.1.0.38:8144,10.2.0.40:8144",
 	}, fs, func(ctx context.Context, _ []string) error { return a.printLimits(ctx, *gateways, *asJSON) })
 }
@@ -33,30 +35,48 @@
 	if err != nil {
 		return err
 	}
-	var sum limitSum
+	var organisations, servers limitSum
 	for _, addr := range strings.Split(gateways, ",") {
 		var list wire.LimitList
 		if err := c.Get(ctx, addr, wire.PathLimits, &list); err != nil {
 			return err
 		}
-		sum.add(list.Items)
+		organisations.add(list.Items)
+		servers.add(list.Servers)
 	}
 	if asJSON {
-		return printJSON(a.out, wire.LimitList{Items: sum.items})
+		return printJSON(a.out, wire.LimitList{Items: organisations.items, Servers: servers.items})
 	}
+	if err := a.printLimitTable("ORGANISATION", organisations.items); err != nil || len(servers.items) == 0 {
+		return err
+	}
+	fmt.Fprintln(a.out)
+	return a.printLimitTable("SERVER", servers.items)
+}
+
+// printLimitTable prints limits; whose says what the first column names.
+func (a *app) printLimitTable(whose string, items []quota.Status) error {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ORGANISATION\tRATE/S\tBURST\tOWNER\tSHARE\tAVAILABLE\tINSIDE\tOVER\tUNKNOWN\tSPENT")
-	for _, s := range sum.items {
-		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%s\t%.2f\t%.0f\t%d\t%d\t%d\t%.0f\n", s.Organisation, s.Rate, s.Burst, s.Owner,
-			s.Share, s.Available, s.Inside, s.Over, s.Unknown, s.Spent)
+	fmt.Fprintln(w, whose+"\tRATE/S\tBURST\tOWNER\tSHARE\tAVAILABLE\tINSIDE\tOVER\tUNKNOWN\tSPENT")
+	for _, s := range items {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%s\t%d\t%d\t%d\t%.0f\n", s.Key, amount(s.Rate), amount(s.Burst), s.Owner,
+			s.Share, amount(s.Available), s.Inside, s.Over, s.Unknown, s.Spent)
 	}
 	return w.Flush()
 }
 
-// A limitSum adds up what several gateways know, by organisation.
+// amount prints an amount of a limit, small ones with two digits after the point.
+func amount(x float64) string {
+	if x != 0 && x < 100 && x != math.Trunc(x) {
+		return strconv.FormatFloat(x, 'f', 2, 64)
+	}
+	return strconv.FormatFloat(x, 'f', 0, 64)
+}
+
+// A limitSum adds up what several gateways know, by whose limits they are.
 type limitSum struct {
 	items []quota.Status
-	// index is where each organisation stands in items.
+	// index is where each one stands in items.
 	index map[string]int
 }
 
@@ -66,9 +86,9 @@
 		l.index = make(map[string]int)
 	}
 	for _, s := range list {
-		i, known := l.index[s.Organisation]
+		i, known := l.index[s.Key]
 		if !known {
-			l.index[s.Organisation] = len(l.items)
+			l.index[s.Key] = len(l.items)
 			l.items = append(l.items, s)
 			continue
 		}
--- a/internal/cli/limits_test.go
+++ b/internal/cli/limits_test.go
@@ -18,9 +18,14 @@
 
 // limitsGateway answers as a gateway does that operators ask for limits.
 func limitsGateway(t *testing.T, items ...quota.Status) (addr string) {
+	return newLimitsGateway(t, wire.LimitList{Items: items})
+}
+
+// newLimitsGateway answers with a list.
+func newLimitsGateway(t *testing.T, list wire.LimitList) (addr string) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		assert.Equal(t, r.URL.Path, wire.PathLimits)
-		assert.NilError(t, json.NewEncoder(w).Encode(wire.LimitList{Items: items}))
+		assert.NilError(t, json.NewEncoder(w).Encode(list))
 	}))
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
@@ -28,11 +33,13 @@
 
 // TestLimits adds up what two gateways know.
 func TestLimits(t *testing.T) {
-	guild := quota.Status{Organisation: "guild", Rate: 2600, Burst: 5200, Owner: "g2"}
+	guild := quota.Status{Key: "guild", Rate: 2600, Burst: 5200, Owner: "g2"}
 	one, two := guild, guild
 	one.Counts = quota.Counts{Inside: 3, Over: 1, Spent: 4800}
 	two.Share, two.Available, two.Counts = 1, 700, quota.Counts{Inside: 1, Unknown: 2, Spent: 1600}
-	addrs := limitsGateway(t, one) + "," + limitsGateway(t, two, quota.Status{Organisation: "desk", Rate: 1, Burst: 1})
+	addrs := limitsGateway(t, one) + "," + limitsGateway(t, two, quota.Status{Key: "desk", Rate: 1, Burst: 1})
+	server := quota.Status{Key: "i-7", Rate: 1.8, Burst: 1.45, Owner: "g1", Counts: quota.Counts{Inside: 21, Over: 9}}
+	needy := newLimitsGateway(t, wire.LimitList{Servers: []quota.Status{server}})
 	tests := map[string]struct {
 		args []string
 		code int
@@ -40,6 +47,7 @@
 	}{
 		"as a table":   {args: []string{"limits", "-gateways", addrs}, want: []string{"guild", "2600", "g2", "1.00", "700", "4", "6400", "desk"}},
 		"as JSON":      {args: []string{"limits", "-gateways", addrs, "-json"}, want: []string{`"inside":4`, `"unknown":2`, `"spent":6400`}},
+		"of servers":   {args: []string{"limits", "-gateways", needy}, want: []string{"SERVER", "i-7", "1.80", "g1", "219"}},
 		"no gateways":  {args: []string{"limits"}, code: cli.ExitUsage},
 		"nobody there": {args: []string{"limits", "-gateways", "127.0.0.1:1"}, code: cli.ExitFailed},
 	}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -31,7 +31,12 @@
 	return quota.Limit{Rate: o.Limit.PerSecond, Burst: o.Limit.Burst}, ok && o.Limit.IsLimited()
 }
 
-// limitStatus returns what this gateway knows of all limits, in the order of the organisations' names.
+// sortByKey sorts limits by whose they are.
+func sortByKey(list []quota.Status) {
+	slices.SortFunc(list, func(a, b quota.Status) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// limitStatus returns what this gateway knows of all limits, in the order of the names of whose they are.
 func (p *parts) limitStatus() wire.LimitList {
 	list := wire.LimitList{Items: []quota.Status{}}
 	r := p.config.routing()
@@ -43,7 +48,9 @@
 			list.Items = append(list.Items, s)
 		}
 	}
-	slices.SortFunc(list.Items, func(a, b quota.Status) int { return strings.Compare(a.Organisation, b.Organisation) })
+	list.Servers = p.serverLimits.statuses()
+	sortByKey(list.Items)
+	sortByKey(list.Servers)
 	return list
 }
 
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -120,7 +120,7 @@
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.OwnKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
-		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds,
+		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, IsInNeed: p.serverLimits.isInNeed,
 	})
 	return l
 }
--- a/internal/gateway/quarantine_scale_test.go
+++ b/internal/gateway/quarantine_scale_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,72 +9,41 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/clock/clocktest"
-	"rockcleat/internal/placer"
 	"rockcleat/quarantine"
 )
 
-// A simulatedFleet is a leader and gateways that report to it at their pace, without a network.
-type simulatedFleet struct {
-	clock  *clocktest.Clock
-	leader *quarantine.Table
+// A quarantineFleet is a simulated fleet whose gateways exchange what they know of requests under which servers end.
+type quarantineFleet struct {
+	*simulatedFleet[quarantine.Record]
 	tables []*quarantine.Table
-	links  []*quarantine.Link
-	// due is when each reports next.
-	due      []time.Time
-	interval time.Duration
-	// bytes counts those of the exchange, as JSON.
-	bytes int
 }
 
-func newSimulatedFleet(gateways int, r *rand.Rand) *simulatedFleet {
-	f := &simulatedFleet{clock: clocktest.New(time.Unix(0, 0)), interval: placer.ReportInterval(gateways)}
+func newQuarantineFleetOf(gateways int, r *rand.Rand) *quarantineFleet {
+	c := clocktest.New(time.Unix(0, 0))
 	table := func() *quarantine.Table {
-		return quarantine.New(quarantine.Options{Clock: f.clock, Ends: quarantine.DefaultEnds, Hold: quarantine.DefaultHold})
+		return quarantine.New(quarantine.Options{Clock: c, Ends: quarantine.DefaultEnds, Hold: quarantine.DefaultHold})
 	}
-	f.leader = table()
+	f := &quarantineFleet{}
+	var links []*quarantine.Link
 	for range gateways {
 		t := table()
 		f.tables = append(f.tables, t)
-		f.links = append(f.links, quarantine.NewLink(t, quarantine.AllEnds))
-		f.due = append(f.due, f.clock.Now().Add(time.Duration(r.Int64N(int64(f.interval)))))
+		links = append(links, quarantine.NewLink(t, quarantine.AllEnds))
 	}
+	leader := table()
+	answer := func(m quarantine.Message) *quarantine.Reply { return leader.Answer(m, quarantine.SharedEnds) }
+	f.simulatedFleet = newSimulatedFleet(c, answer, links, r)
 	return f
 }
 
 // end ends a server under requests of one gateway, which reports soon.
-func (f *simulatedFleet) end(server string, gateway int, keys ...quarantine.Key) {
+func (f *quarantineFleet) end(server string, gateway int, keys ...quarantine.Key) {
 	f.tables[gateway].Ended(server, keys...)
-	f.due[gateway] = f.clock.Now().Add(minReportInterval)
-}
-
-// step lets a time pass and all report that are due.
-func (f *simulatedFleet) step(d time.Duration) {
-	f.clock.Advance(d)
-	now := f.clock.Now()
-	for i, link := range f.links {
-		if now.Before(f.due[i]) {
-			continue
-		}
-		f.due[i] = now.Add(f.interval)
-		m := link.Message("leader")
-		reply := f.leader.Answer(m, quarantine.SharedEnds)
-		link.Apply(reply)
-		f.count(m, reply)
-	}
-}
-
-// count adds the bytes of one exchange.
-func (f *simulatedFleet) count(m quarantine.Message, reply *quarantine.Reply) {
-	if len(m.Records) == 0 && reply == nil {
-		return
-	}
-	sent, _ := json.Marshal(m)
-	got, _ := json.Marshal(reply)
-	f.bytes += len(sent) + len(got)
+	f.reportSoon(gateway)
 }
 
 // allHold reports whether every gateway has a request in quarantine.
-func (f *simulatedFleet) allHold(k quarantine.Key) bool {
+func (f *quarantineFleet) allHold(k quarantine.Key) bool {
 	for _, t := range f.tables {
 		if _, held := t.Until(k); !held {
 			return false
@@ -96,7 +64,7 @@
 			bytes := 0
 			for seed := range uint64(seeds) {
 				r := rand.New(rand.NewPCG(seed, 0))
-				f := newSimulatedFleet(gateways, r)
+				f := newQuarantineFleetOf(gateways, r)
 				poison := quarantine.KeyOf(quarantine.Request{Target: "/poison"})
 				for i := range quarantine.DefaultEnds {
 					keys := []quarantine.Key{poison}
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -52,6 +52,7 @@
 	fieldEvents    = "events"
 	fieldAsked     = "asked"
 	fieldDenied    = "denied"
+	fieldHeldBack  = "held_back"
 	fieldTotal     = "total_s"
 	fieldLimit     = "limit_s"
 	fieldAge       = "age_s"
@@ -213,10 +214,18 @@
 		zap.Float64(fieldGap, r.longestGap.Seconds()), zap.Int(fieldEvents, r.events),
 		zap.Int(fieldAsked, req.GrantsAsked), zap.Int(fieldDenied, req.GrantsDenied),
 		zap.Float64(fieldTotal, now.Sub(in.arrived).Seconds()),
-		zap.Float64(fieldLimit, in.deadline.Sub(in.arrived).Seconds()), customerField(in.organisation.Name),
+		zap.Float64(fieldLimit, in.deadline.Sub(in.arrived).Seconds()), customerField(in.organisation.Name), heldBackField(req),
 	}
 }
 
+// heldBackField tells how often a request was held back for servers' limits, if it was.
+func heldBackField(req *dispatch.Request) zap.Field {
+	if req.PermitsDenied == 0 {
+		return zap.Skip()
+	}
+	return zap.Int(fieldHeldBack, req.PermitsDenied)
+}
+
 // choiceFields describe the last choice of a server and what it was made from.
 func choiceFields(res *dispatch.Reservation) []zap.Field {
 	if res == nil {
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rockcleat/backend"
 	"rockcleat/clock"
 	"rockcleat/quota"
 	"rockcleat/serverlimit"
@@ -42,12 +43,29 @@
 	return l
 }
 
+// isInNeed reports whether a server takes too few requests for its slots to be of use, and has for some time.
+func (l *serverLimits) isInNeed(s *backend.Server) bool {
+	status, ok := l.Status(s.ID)
+	return ok && serverlimit.IsInNeed(status, s.Slots)
+}
+
 // quota returns a server's limit as the limiter needs it.
 func (l *serverLimits) quota(server string) (quota.Limit, bool) {
 	perSecond, ok := l.Limit(server)
 	return serverlimit.Quota(perSecond), ok
 }
 
+// statuses returns what this gateway knows of all limits of servers, in no order.
+func (l *serverLimits) statuses() []quota.Status {
+	var list []quota.Status
+	for _, s := range l.List() {
+		if status, ok := l.limiter.Status(s.Server); ok {
+			list = append(list, status)
+		}
+	}
+	return list
+}
+
 // Take implements dispatch.Permits.
 func (l *serverLimits) Take(ctx context.Context, server string) (granted bool, wait time.Duration) {
 	d := l.limiter.Take(ctx, server, 1)
--- a/internal/placer/harness_test.go
+++ b/internal/placer/harness_test.go
@@ -161,6 +161,8 @@
 	placer   *placer.Placer
 	// second adds a second service of engines, which shares the weight store.
 	second bool
+	// inNeed are the servers that take few requests.
+	inNeed map[string]bool
 }
 
 // newWorld returns, in a bubble of synctest, a world of models of 60 GB and engines of 200 GB that hold the
@@ -198,6 +200,7 @@
 	p := placer.New(placer.Options{
 		Lease: w.lease, Engines: w.engines, Registry: &w.registry,
 		Routing:    func() *table.Routing { return routing },
+		IsInNeed:   func(s *backend.Server) bool { return w.inNeed[s.ID] },
 		SettleTime: ttl, FirstStart: first, Clock: w.clock, Log: zap.NewNop(),
 	})
 	w.placer = p
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -59,8 +59,10 @@
 	// PrefillSpeeds, if not nil, returns the prefill speeds that this process reckons with, for a
 	// new leader to begin with.
 	PrefillSpeeds func() map[string]float64
-	Clock         clock.Service
-	Log           *zap.Logger
+	// IsInNeed, if not nil, reports whether a backend server takes few requests for now.
+	IsInNeed func(*backend.Server) bool
+	Clock    clock.Service
+	Log      *zap.Logger
 }
 
 // A Placer issues orders to engines while it holds the lease; it is safe for concurrent use.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -220,6 +220,19 @@
 	assert.Equal(t, w.engines.orders()[0].server, "e1")
 }
 
+// TestAdapterOfAnEngineInNeedComesElsewhere lets a request wait for an adapter whose only engine takes few requests.
+func TestAdapterOfAnEngineInNeedComesElsewhere(t *testing.T) {
+	synctest.Test(t, testAdapterOfAnEngineInNeedComesElsewhere)
+}
+
+func testAdapterOfAnEngineInNeedComesElsewhere(t *testing.T) {
+	w := newWorld(t, 1, []string{"m0"}, []string{"m0"})
+	w.engines.engines["e0"].residents[0].Adapters = []string{"a1"}
+	w.inNeed = map[string]bool{"e0": true}
+	w.startWaitingFor("m0/a1")
+	assert.Equal(t, w.engines.orders()[0].server, "e1")
+}
+
 func TestLoadingAdaptersTakeSlots(t *testing.T) {
 	synctest.Test(t, testLoadingAdaptersTakeSlots)
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -48,14 +48,20 @@
 	}
 }
 
-func views(list []*engineState, now time.Time) []residency.EngineView {
+func (p *Placer) views(list []*engineState, now time.Time) []residency.EngineView {
 	out := make([]residency.EngineView, len(list))
 	for i, e := range list {
 		out[i] = e.view(now)
+		out[i].InNeed = p.isInNeed(e)
 	}
 	return out
 }
 
+// isInNeed reports whether an engine takes few requests for now.
+func (p *Placer) isInNeed(e *engineState) bool {
+	return p.opts.IsInNeed != nil && p.opts.IsInNeed(e.server)
+}
+
 // planModels plans and queues the moves of models.
 func (p *Placer) planModels(s table.Service, list []*engineState, now time.Time) {
 	demands := p.demand.modelDemands()
@@ -64,7 +70,7 @@
 		succession = &residency.Succession{}
 		p.successions[s.Name] = succession
 	}
-	engines := views(list, now)
+	engines := p.views(list, now)
 	succession.Observe(s.Engine, demands, engines)
 	moves := residency.Plan(residency.Input{
 		Spec: s.Engine, Engines: engines, Demands: demands, Succession: succession,
@@ -97,12 +103,12 @@
 // planAdapters plans the moves of adapters that are waited for, and issues their orders.
 func (p *Placer) planAdapters(s table.Service, list []*engineState, now time.Time) {
 	waited, running := p.demand.adapters(s.Name)
-	missing := withoutHeld(waited, list)
+	missing := p.withoutHeld(waited, list)
 	p.noteMissingAdapters(missing, now)
 	if len(missing) == 0 {
 		return
 	}
-	idle := slices.DeleteFunc(views(list, now), func(e residency.EngineView) bool { return !e.Idle })
+	idle := slices.DeleteFunc(p.views(list, now), func(e residency.EngineView) bool { return !e.Idle })
 	requests := make(map[string]int)
 	for id, l := range p.demand.loads.total {
 		requests[id] = l.Running
@@ -117,14 +123,14 @@
 	}
 }
 
-// withoutHeld returns the adapters that no engine which stays holds.
-func withoutHeld(adapters []backend.Adapter, list []*engineState) []backend.Adapter {
+// withoutHeld returns the adapters that no engine holds which stays and is not in need.
+func (p *Placer) withoutHeld(adapters []backend.Adapter, list []*engineState) []backend.Adapter {
 	if len(adapters) == 0 {
 		return nil
 	}
 	held := make(map[backend.Adapter]bool)
 	for _, e := range list {
-		if e.server.Leaving {
+		if e.server.Leaving || p.isInNeed(e) {
 			continue
 		}
 		for _, r := range e.residents {
--- a/quota/status.go
+++ b/quota/status.go
@@ -23,9 +23,10 @@
 	}
 }
 
-// A Status is what a gateway knows of an organisation's limit.
+// A Status is what a gateway knows of a limit.
 type Status struct {
-	Organisation string `json:"organisation"`
+	// Key names whose limit it is.
+	Key string `json:"organisation"`
 	// Rate is in the limit's unit a second, Burst in the limit's unit.
 	Rate  float64 `json:"rate"`
 	Burst float64 `json:"burst"`
@@ -47,7 +48,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s = Status{
-		Organisation: organisation, Rate: limit.Rate, Burst: limit.Burst, Owner: l.fleet.owner(organisation),
+		Key: organisation, Rate: limit.Rate, Burst: limit.Burst, Owner: l.fleet.owner(organisation),
 		Counts: l.account(organisation).counts,
 	}
 	if s.Owner == l.opts.Self {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -19,6 +19,8 @@
 	Idle bool
 	// Leaving says that the engine is about to go; its replicas do not count.
 	Leaving bool
+	// InNeed says that the engine takes few requests for now: no adapter is loaded there.
+	InNeed bool
 	// CachedInMemory and CachedOnDisk name the models whose weights the engine's machine
 	// has cached.
 	CachedInMemory, CachedOnDisk []string
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -210,6 +210,12 @@
 	}
 }
 
+// inNeed makes one engine take few requests.
+func inNeed(list []EngineView, i int) []EngineView {
+	list[i].InNeed = true
+	return list
+}
+
 func TestPlanAdapters(t *testing.T) {
 	now := time.Unix(1000, 0)
 	full := func(names ...string) []EngineView {
@@ -231,6 +237,7 @@
 				Slots: 2, Engines: engines([]string{"m0"}, []string{"m0"}), RequestsByEngine: map[string]int{"e0": 9},
 			}, engine: "e1",
 		},
+		"not to one in need":       {in: AdapterInput{Slots: 2, Engines: inNeed(engines([]string{"m0"}, []string{"m0"}), 0)}, engine: "e1"},
 		"nowhere without its base": {in: AdapterInput{Slots: 2, Engines: engines([]string{"m1"})}},
 		"in the place of one not asked for": {
 			in: AdapterInput{
--- a/serverlimit/rules.go
+++ b/serverlimit/rules.go
@@ -15,6 +15,20 @@
 	burstTime = 250 * time.Millisecond
 )
 
+const (
+	// needTime is how long a limit has stood before it counts for what engines hold: a load takes some seconds, and
+	// one for a need that is over is in vain.
+	needTime = 2 * time.Second
+	// slotTime is about how long a request holds a slot of an engine.
+	slotTime = 4 * time.Second
+)
+
+// IsInNeed reports whether a server with a number of slots takes too few requests for the slots to be taken, and has
+// for needTime.
+func IsInNeed(s Status, slots int) bool {
+	return s.Since >= needTime && s.PerSecond*slotTime.Seconds() < float64(slots)
+}
+
 // Quota returns the limit by which all processes together send to a server that named a rate.
 func Quota(perSecond float64) quota.Limit {
 	rate := max(perSecond, probeRate)
--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -100,6 +100,11 @@
 	beganAt time.Time
 }
 
+// status returns the entry of a limit as it stands.
+func (e *entry) status(server string, now time.Time) Status {
+	return Status{Server: server, PerSecond: e.perSecond, Since: now.Sub(e.beganAt), Age: now.Sub(e.namedAt)}
+}
+
 // New returns an empty Table.
 func New(o Options) *Table {
 	return &Table{opts: o, epoch: rand.Uint32() | 1, entries: make(map[string]*entry)}
@@ -168,6 +173,20 @@
 	return e.perSecond, true
 }
 
+// Status returns a server's limit as it stands; ok is false if it has none.
+func (t *Table) Status(server string) (s Status, ok bool) {
+	if !t.Any() {
+		return Status{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[server]
+	if e == nil || !e.limited {
+		return Status{}, false
+	}
+	return e.status(server, t.opts.Clock.Now()), true
+}
+
 // List returns the limits as they stand, in no order.
 func (t *Table) List() []Status {
 	t.mu.Lock()
@@ -176,7 +195,7 @@
 	var list []Status
 	for server, e := range t.entries {
 		if e.limited {
-			list = append(list, Status{Server: server, PerSecond: e.perSecond, Since: now.Sub(e.beganAt), Age: now.Sub(e.namedAt)})
+			list = append(list, e.status(server, now))
 		}
 	}
 	return list
