--- /dev/null
+++ b/internal/gateway/server_limit_failures_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// TestServerLimitUnderFailures lets two plain servers in need get requests at three gateways while something fails:
+// they get no more than they take all the while, and what they take once it is over.
+func TestServerLimitUnderFailures(t *testing.T) {
+	const (
+		pace   = 25 * time.Millisecond
+		before = 4 * time.Second
+		after  = 9 * time.Second
+		// last is the end of the time after, in which all is well again.
+		last = 4 * time.Second
+	)
+	tests := map[string]struct {
+		// fails returns how many gateways are left, the last ones.
+		fails func(w *world) int
+		// recovers says that the servers get what they take in the end.
+		recovers bool
+	}{
+		"the leader stops": {fails: func(w *world) int {
+			stopNow(w)
+			return 2
+		}, recovers: true},
+		"the store is away": {fails: func(w *world) int {
+			w.store.Fail(func(string) error { return errors.New("away") })
+			return 3
+		}},
+		"the store comes back from a copy": {fails: func(w *world) int {
+			w.store.Restore(w.store.Copy())
+			return 3
+		}, recovers: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servers := []*needyServer{newNeedyServer(t, "s0", false), newNeedyServer(t, "s1", false)}
+			c := newNeedyWorld(t, false, servers)
+			for _, s := range servers {
+				s.setLimit("2")
+			}
+			c.sends(pace, before)
+			left := test.fails(c.w)
+			c.fronts = c.fronts[len(c.fronts)-left:]
+			c.sends(pace, after)
+			for _, s := range servers {
+				got := s.mostInWindow()
+				assert.Assert(t, got <= 17, "%d requests in %s", got, limitWindow)
+				taken := s.since(time.Now().Add(-last))
+				assert.Assert(t, !test.recovers || taken >= 5, "%d requests in the last %s, the server takes 8", taken, last)
+			}
+			c.refusals(t, contactTime)
+		})
+	}
+}
+
+// TestServerIsUsedAgain lets the only two servers of a service be in need of any rate, and then not: all requests are
+// served again within seconds.
+func TestServerIsUsedAgain(t *testing.T) {
+	for name, limit := range map[string]string{"few": "2", "none": "0"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servers := []*needyServer{newNeedyServer(t, "s0", false), newNeedyServer(t, "s1", false)}
+			c := newNeedyWorld(t, false, servers)
+			for _, s := range servers {
+				s.setLimit(limit)
+			}
+			c.sends(25*time.Millisecond, 2*time.Second)
+			for _, s := range servers {
+				s.setLimit("")
+			}
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				c.results = nil
+				c.sends(25*time.Millisecond, 250*time.Millisecond)
+				if refused := c.refusals(t, 0); refused > 0 {
+					return poll.Continue("%d of %d are refused", refused, len(c.results))
+				}
+				return poll.Success()
+			}, poll.WithTimeout(6*time.Second))
+		})
+	}
+}
