--- a/backend/registry.go
+++ b/backend/registry.go
@@ -10,13 +10,12 @@
 )
 
 // residencyMaxAge is how long the leader's residency takes precedence over the platform's
-// list when no further one comes: a leader's lease lasts as long. Chosen with the first path
-// (docs/MEASUREMENTS.md, P1), not measured alone.
+// list when no further one comes: a leader's lease lasts as long.
 const residencyMaxAge = 3 * time.Second
 
 // vanishedTime is how long servers that vanished from the list together are kept: long
 // enough for a heartbeat (1.2 s) of those that live, and with the time in which changes are
-// noticed short enough for those that left (docs/MEASUREMENTS.md, P11).
+// noticed short enough for those that left.
 const vanishedTime = 1300 * time.Millisecond
 
 // A vanishedServer is no longer listed and never said that it leaves.
--- a/claim/record.go
+++ b/claim/record.go
@@ -38,7 +38,7 @@
 }
 
 // MaxBody is the longest answer that a record keeps, in bytes: a slot of several records stays
-// far below the 1 MB of a value. Chosen, not measured.
+// far below the 1 MB of a value.
 const MaxBody = 1024
 
 // A Record is the record of one key.
--- a/clock/system.go
+++ b/clock/system.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Noticing that the machine was suspended. Chosen, not measured.
+// Noticing that the machine was suspended.
 const (
 	// lookInterval is the time between two looks at the boot clock.
 	lookInterval = 250 * time.Millisecond
--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -44,5 +44,5 @@
 	}), nil
 }
 
-// storeIdle is how long a connection to the store is kept unused. Chosen, not measured.
+// storeIdle is how long a connection to the store is kept unused.
 const storeIdle = 10 * time.Second
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -40,7 +40,7 @@
 	Admit(ctx context.Context, owner string, r AdmissionRequest) (AdmissionReply, error)
 }
 
-// Times of admission, chosen with docs/MEASUREMENTS.md, G1; not measured alone.
+// Times of admission.
 const (
 	// ownerSuspension is how long an owner that did not answer is not asked again: a
 	// gateway that has stopped is off the list of gateways after two seconds.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -5,31 +5,30 @@
 	"time"
 )
 
-// Weights of the expected cost of a server. The rounds are those of docs/MEASUREMENTS.md.
+// Weights of the expected cost of a server.
 const (
 	// msPerRequest is the time that one running request adds to the others' steps.
-	// Chosen with the first path (P1), not measured alone.
 	msPerRequest Milliseconds = 1.5
-	// msPerPlainRequest is the time that one running request adds at a plain service (P1).
+	// msPerPlainRequest is the time that one running request adds at a plain service.
 	msPerPlainRequest Milliseconds = 10.0
-	// msOtherHall is the cost of an engine in another data hall (P1). Halls are 0.5 to
-	// 1.5 ms apart (the brief); the rest keeps prompts and streams within a hall.
+	// msOtherHall is the cost of an engine in another data hall. Halls are 0.5 to 1.5
+	// ms apart (the brief); the rest keeps prompts and streams within a hall.
 	msOtherHall Milliseconds = 25.0
 	// msPlainOtherHall is the same for a plain service, whose bodies are small.
 	msPlainOtherHall Milliseconds = 10.0
-	// msOtherOwner is the cost of an engine that another gateway owns (P6).
+	// msOtherOwner is the cost of an engine that another gateway owns.
 	msOtherOwner Milliseconds = 30.0
 	// otherOwnerShare is the part of the prefill of a step up to which a request goes to
 	// an engine whose owner is not asked, while there are engines whose load is known
-	// exactly: what its owner has sent there is known late (P9).
+	// exactly: what its owner has sent there is known late.
 	otherOwnerShare = 0.6
 	// msSuspect is the cost of a server that stalls or has failed: more than any queue
-	// that admission allows, so that it is chosen last (P1).
+	// that admission allows, so that it is chosen last.
 	msSuspect Milliseconds = 2000.0
 	// msJitter bounds the cost by which gateways' choices differ (docs/design/0009).
 	msJitter Milliseconds = 20.0
 	// stallTime is how long a server may owe a first byte and send nothing at all
-	// before it is suspected (P1).
+	// before it is suspected.
 	stallTime = 1500 * time.Millisecond
 )
 
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -2,7 +2,7 @@
 
 // outputTokenWeight is how many prompt tokens one generated token counts as in a model's
 // demand. By arithmetic: a decoding step of 10.5 ms shared by some 20 running requests
-// takes as long as 10 prompt tokens at 0.05 ms each (docs/design/0009); not measured.
+// takes as long as 10 prompt tokens at 0.05 ms each (docs/design/0009).
 const outputTokenWeight = 10
 
 // A Demand counts what was asked of one model or adapter since the start.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -167,10 +167,7 @@
 
 // lateShare is the part of the usable slots and memory of an engine that late requests may
 // take, so that they leave room for those that can still be in time. Under overload a queue
-// otherwise hands each place that comes free to a request that has missed its objective:
-// of 620 late answers on one overloaded day 302 had waited longer than their objective.
-// Worth of 25 overloaded days 0.455 without it, 0.468 at 0.75, 0.469 at 0.5 (trial); with
-// models on request 0.522 at 0.75, 0.529 at 0.5, 0.535 at 0.25 (trial).
+// otherwise hands each place that comes free to a request that has missed its objective.
 const lateShare = 0.5
 
 // limits returns what a request may take of an engine now.
--- a/dispatch/gap.go
+++ b/dispatch/gap.go
@@ -24,11 +24,10 @@
 	StepsPerEvent int `json:"s"`
 }
 
-// How an engine spends the time between two events of a stream. The times of a step were
-// fitted on 10,000 streams of one day at 0 to 44 running requests (docs/design/0009).
+// How an engine spends the time between two events of a stream. The times of a step are those
+// of docs/design/0009.
 const (
-	// gapShare is the part of the longest gap that is used. 0.85 and 0.8 were no better
-	// (docs/MEASUREMENTS.md, P12 and P12a), the whole gap was worse (G3a).
+	// gapShare is the part of the longest gap that is used; the rest is for the network.
 	gapShare = 0.93
 	// baseStep is the time of a decoding step without prefill.
 	baseStep Milliseconds = 10.5
@@ -36,9 +35,7 @@
 	stepPerRequest Milliseconds = 0.2
 	// minPrefillPerStep is the prefill in one step that is allowed in any case, so that
 	// engines do not idle between prompts. More than a gap has room for makes streams
-	// pause too long: 50 in 6 steps are 300 ms of a gap of 250 ms, by which 227 of 2,169
-	// answers of one day were late. Worth of 25 overloaded days 0.455 at 50, 0.477 at 25
-	// (trial, with other times of a step; those alone 0.518 and 0.526).
+	// pause too long.
 	minPrefillPerStep Milliseconds = 25.0
 )
 
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -61,9 +61,8 @@
 }
 
 // lackTime is how long an engine that does not hold a model or adapter is not asked for it again: as
-// long as what engines hold may take to be known elsewhere. While no leader published that, after a
-// restart of all gateways, one send in six went to an engine without the model, some requests four
-// times, and each took from the retry budget. Chosen, not measured.
+// long as what engines hold may take to be known elsewhere. Each such send
+// takes from the retry budget.
 const lackTime = time.Second
 
 // noteLack notes that the engine does not hold a model or adapter.
@@ -95,8 +94,7 @@
 	return now.Sub(since) > stallTime
 }
 
-// How a server's failure rate follows its outcomes. Chosen with the first path
-// (docs/MEASUREMENTS.md, P1), not measured alone.
+// How a server's failure rate follows its outcomes.
 const (
 	// failureStep is how much one outcome moves the rate: a server with one failure
 	// costs 600 ms more for now.
--- a/dispatch/prefill_queue.go
+++ b/dispatch/prefill_queue.go
@@ -13,7 +13,7 @@
 }
 
 // spanMemory is how long spans that are over are kept: longer than any gap that a route
-// allows, since prefill counts within the gap that it falls into. Chosen, not measured.
+// allows, since prefill counts within the gap that it falls into.
 const spanMemory = 2 * time.Second
 
 // end returns when the engine has prefilled everything.
--- a/dispatch/prefill_speed.go
+++ b/dispatch/prefill_speed.go
@@ -2,8 +2,8 @@
 
 import "maps"
 
-// How a model's prefill speed is followed (docs/MEASUREMENTS.md, P4); the times of an
-// engine are those of docs/design/0009.
+// How a model's prefill speed is followed; the times of an engine are those of
+// docs/design/0009.
 const (
 	// initialSpeed is assumed of a model that has not been seen, in milliseconds a
 	// token: 19.2 tokens a millisecond at today's engines.
@@ -11,13 +11,13 @@
 	// speedQuantile is the part of the samples that are to be faster than the speed
 	// kept: a low one, since most samples hold waiting for other prompts too.
 	speedQuantile = 0.25
-	// speedStep is how much one sample moves the speed. Chosen, not measured.
+	// speedStep is how much one sample moves the speed.
 	speedStep = 0.1
-	// minSampleTokens is the shortest prefill that shows the speed. Chosen, not measured.
+	// minSampleTokens is the shortest prefill that shows the speed.
 	minSampleTokens = 300
 	// firstStepTime is the part of the time to first byte that is no prefill: one step.
 	firstStepTime Milliseconds = 12.0
-	// minSpeed bounds the speed from below, in milliseconds a token. Chosen, not measured.
+	// minSpeed bounds the speed from below, in milliseconds a token.
 	minSpeed = 0.002
 )
 
@@ -40,10 +40,8 @@
 
 // PrefillSpeeds keeps each model's time to prefill one prompt token, in milliseconds.
 //
-// One gateway of many sees few samples of each model: with 103 gateways and 252 models few models
-// ever got near their speed, which for the busiest one is a ninth of initialSpeed, and engines that
-// ran 46 of 100 of their slots refused requests since their prompts were thought nine times as long.
-// So gateways pass their samples to the leader, which learns from all of them and tells all.
+// One gateway of many sees few samples of each model, and takes prompts for several times as long as
+// they are, so that engines with free slots refuse requests. So gateways pass their samples to the leader, which learns from all of them and tells all.
 //
 // Its zero value is ready to use. It is not safe for concurrent use.
 type PrefillSpeeds struct {
--- a/dispatch/prefix_cache.go
+++ b/dispatch/prefix_cache.go
@@ -8,8 +8,7 @@
 	Tokens int    `json:"t"`
 }
 
-// maxCachedBlocks bounds the blocks remembered for one server. Chosen, not measured: at
-// some 300 tokens a block it is about the cache of an engine of the users' sites.
+// maxCachedBlocks bounds the blocks remembered for one server.
 const maxCachedBlocks = 512
 
 // A prefixCache remembers which prompt blocks were last sent to a server, as an estimate
--- a/dispatch/shed.go
+++ b/dispatch/shed.go
@@ -6,7 +6,7 @@
 )
 
 // Bounds of how much better less urgent requests may be served than more urgent ones
-// (docs/design/0010; docs/MEASUREMENTS.md, L2).
+// (docs/design/0010).
 const (
 	// successHalfLife is how fast the results of requests are forgotten.
 	successHalfLife = 10 * time.Second
--- a/dispatch/speed_book.go
+++ b/dispatch/speed_book.go
@@ -1,7 +1,7 @@
 package dispatch
 
 // maxSamples bounds the samples that are kept until they are taken: some ten times what one gateway
-// sees between two reports. Chosen, not measured.
+// sees between two reports.
 const maxSamples = 128
 
 // A speedBook holds the speeds that one gateway reckons with: those that were learned from all
--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -23,7 +23,7 @@
 	ReasonNotResident Reason = "not_resident"
 )
 
-// Constants of a Queue; chosen, not measured.
+// Constants of a Queue.
 const (
 	// defaultMaxWaiting bounds the waiting requests of all rows.
 	defaultMaxWaiting = 1024
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,7 +24,7 @@
 	"rockcleat/table"
 )
 
-// Intervals of the agent's systems; chosen, not measured.
+// Intervals of the agent's systems.
 const (
 	// statusEvery is the time between two reports of the engine.
 	statusEvery = 100 * time.Millisecond
--- a/internal/agent/catchup.go
+++ b/internal/agent/catchup.go
@@ -15,8 +15,7 @@
 )
 
 // catchUpTimeout bounds the reading of the list of VMs, and the time until an entry that is
-// asked for a newer table answers, as each time in which no more of it arrives. Chosen, not
-// measured.
+// asked for a newer table answers, as each time in which no more of it arrives.
 const catchUpTimeout = time.Second
 
 // catchUp gets a newer table from the entry whose request names one. So an agent
@@ -39,7 +38,7 @@
 
 // Times of an agent that no planner speaks to.
 const (
-	// orphanEvery is the time between two looks. Chosen, not measured.
+	// orphanEvery is the time between two looks.
 	orphanEvery = time.Second
 	// orphanAfter is the time without an exchange after which it asks an entry for the
 	// table by itself. It is longer than the longest time between two exchanges (10 s,
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -8,7 +8,7 @@
 )
 
 // heartbeats is the number of heartbeats in the time after which a silent agent counts as
-// lost. Chosen, not measured.
+// lost.
 const heartbeats = 4
 
 // startHeartbeat shows the entry, by interim responses of status 102, that the agent is alive
--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -81,7 +81,7 @@
 	}()
 }
 
-// nudgeTimeout bounds a message to the planner. Chosen, not measured.
+// nudgeTimeout bounds a message to the planner.
 const nudgeTimeout = time.Second
 
 // followList leaves when the platform's list says so. If the agent stays after all, it does so under
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -13,7 +13,7 @@
 	"rockcleat/placement"
 )
 
-// orderTimeout bounds the recording and sending of one exchange's orders. Chosen, not measured.
+// orderTimeout bounds the recording and sending of one exchange's orders.
 const orderTimeout = 5 * time.Second
 
 // stepArm gets the agent its fencing token, however long the platform's service is out.
--- a/internal/agent/pause.go
+++ b/internal/agent/pause.go
@@ -8,7 +8,7 @@
 	"rockcleat/internal/wire"
 )
 
-// Times of an agent that was paused; chosen, not measured.
+// Times of an agent that was paused.
 const (
 	// pauseNoticed is the gap between two ticks from which on a pause is assumed.
 	pauseNoticed = 2 * time.Second
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -21,16 +21,15 @@
 	"rockcleat/table"
 )
 
-// copyBuffer is the size of the pieces in which answers are passed on, in bytes. Chosen, not
-// measured.
+// copyBuffer is the size of the pieces in which answers are passed on, in bytes.
 const copyBuffer = 16 << 10
 
-// bytesPerEvent is a rough size of one streamed token's event, in bytes, for
-// counting the tokens that an answer took. Chosen, not measured.
+// bytesPerEvent is a rough size of one streamed token's event, in bytes, for counting
+// the tokens that an answer took.
 const bytesPerEvent = 180
 
 // retrySoon is when to come back after a refusal whose end nobody knows: a load, a grant or a
-// planner's message may come at any time. Chosen, not measured.
+// planner's message may come at any time.
 const retrySoon = time.Second
 
 // requestRouter returns the handler of the listener for requests.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -54,7 +54,7 @@
 }
 
 // maxFailures is the number of reports in a row that an engine may miss before its models
-// count as not there: half a second. Chosen, not measured.
+// count as not there: half a second.
 const maxFailures = 5
 
 // noStatus counts a missed report; an engine that misses several serves nothing.
--- a/internal/agent/server_end.go
+++ b/internal/agent/server_end.go
@@ -15,7 +15,7 @@
 	"rockcleat/quarantine"
 )
 
-// expireEvery is the time between two looks for what is too old. Chosen, not measured.
+// expireEvery is the time between two looks for what is too old.
 const expireEvery = time.Second
 
 // serverEnds counts the ends of the backend server and charges them to the requests that broke off there.
--- a/internal/agent/workload.go
+++ b/internal/agent/workload.go
@@ -33,7 +33,7 @@
 	estimate placement.Estimator
 }
 
-// Following of a row's demand; chosen, not measured.
+// Following of a row's demand.
 const (
 	// halfLife is how fast the estimate of a demand falls.
 	halfLife = 15 * time.Second
--- a/internal/cli/save.go
+++ b/internal/cli/save.go
@@ -14,7 +14,7 @@
 	"rockcleat/table"
 )
 
-// Tries of a save without an answer; chosen, not measured.
+// Tries of a save without an answer.
 const (
 	// saveTries is how often a save is sent at most.
 	saveTries = 4
--- a/internal/cli/table_read.go
+++ b/internal/cli/table_read.go
@@ -135,7 +135,7 @@
 	return w.Flush()
 }
 
-// shownNames is the number of row names that the history prints of an edit. Chosen, not measured.
+// shownNames is the number of row names that the history prints of an edit.
 const shownNames = 5
 
 // shorten joins names, the first shownNames of them if there are more.
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -20,7 +20,7 @@
 // errNoTrace says that no line speaks of the request.
 var errNoTrace = errors.New("no line speaks of this request; answered ones are logged up to a rate, see docs/OPERATIONS.md")
 
-// maxLogLine bounds one line of a log, in bytes. Chosen, not measured.
+// maxLogLine bounds one line of a log, in bytes.
 const maxLogLine = 1 << 20
 
 // Fields of a log line that a story does not repeat.
@@ -28,8 +28,8 @@
 	"level": true, "ts": true, "msg": true, "role": true, "vm": true, "request": true,
 }
 
-// aroundTime is how long before and after a request's lines those on its servers
-// are shown too. Chosen, not measured.
+// aroundTime is how long before and after a request's lines those on its servers are
+// shown too.
 const aroundTime = 3 * time.Second
 
 // A logLine is one line of a process's log.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,7 +21,7 @@
 // settingsMode keeps the secret from other users.
 const settingsMode = 0o600
 
-// maxFile bounds a settings file, in bytes. Chosen, not measured.
+// maxFile bounds a settings file, in bytes.
 const maxFile = 1 << 20
 
 // A Problem is one error in a settings file.
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -62,8 +62,8 @@
 	RevokeTime Duration `yaml:"revoke_time"`
 }
 
-// Defaults of the gateway's settings; chosen, not measured. The platform's template sets grace,
-// lease_ttl and retry (deploy/gateway.yaml).
+// Defaults of the gateway's settings. The platform's template sets grace, lease_ttl and retry
+// (deploy/gateway.yaml).
 const (
 	defaultGrace = 8 * time.Second
 	// defaultGatewayLease is three times that between two renewals (lease.renewalsPerTTL).
--- a/internal/config/quarantine.go
+++ b/internal/config/quarantine.go
@@ -14,7 +14,7 @@
 	Hold Duration `yaml:"hold"`
 }
 
-// Bounds of these settings; chosen, not measured.
+// Bounds of these settings.
 const (
 	// minQuarantineEnds is the least number of ends: with one, every request that runs at a server when it
 	// ends would be refused.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -165,7 +165,7 @@
 	a.Backend = Backend{Kind: BackendEngine, OrderLifetime: Duration(30 * time.Second), Slots: 16}
 }
 
-// minSecret is the shortest secret, in bytes. Chosen, not measured.
+// minSecret is the shortest secret, in bytes.
 const minSecret = 16
 
 func (p *Process) check(c *checker) {
--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -9,7 +9,7 @@
 
 // keptVersions is how many versions are kept to make patches on: a gateway that is more than
 // two behind gets the whole value, 56 KB of 4,400 routes. Three of them take 3 MB of memory at
-// most. Chosen, not measured.
+// most.
 const keptVersions = 3
 
 // A Request asks a gateway for its configuration.
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -17,13 +17,11 @@
 var errInterrupted = eris.New("configsync: a gateway holds a newer version")
 
 // readPause is the mean of the pause after a call to the store that failed, with jitter of half
-// to one and a half; news ends it. Chosen, not measured: short against the seconds in which a
-// configuration must be in force, long enough that 340 gateways do not load a store that comes
-// back.
+// to one and a half; news ends it.
 const readPause = 300 * time.Millisecond
 
 // watcherRounds is how often the watcher's watch ends within MaxAge, so that the others know how
-// old its view is. Chosen, not measured.
+// old its view is.
 const watcherRounds = 3
 
 // read lists the configuration in the store, or watches for the next one if its position in
@@ -124,8 +122,7 @@
 }
 
 // copySettleTime is how long after its return from a copy the store is given until it has again what the operators
-// wrote, by a gateway that knows of nothing newer: they write it again within some two seconds. Chosen, not
-// measured.
+// wrote, by a gateway that knows of nothing newer: they write it again within some two seconds.
 const copySettleTime = 3 * time.Second
 
 // errUnsettled says that the store may lack what the operators wrote before it came back from a copy.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -57,10 +57,10 @@
 // ErrFenced says that the engine has seen a higher fencing token.
 var ErrFenced = errors.New("engine: order fenced off")
 
-// callTimeout bounds a status call or an order. Chosen, not measured.
+// callTimeout bounds a status call or an order.
 const callTimeout = 2 * time.Second
 
-// maxStatus bounds a status answer, in bytes. Chosen, not measured.
+// maxStatus bounds a status answer, in bytes.
 const maxStatus = 4 << 20
 
 // A Client issues orders to one engine and reads its status.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -17,7 +17,7 @@
 	"rockcleat/table"
 )
 
-// Bounds of callers' requests; chosen, not measured.
+// Bounds of callers' requests.
 const (
 	// maxKey is the longest Idempotency-Key, in bytes.
 	maxKey = 255
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -17,7 +17,7 @@
 	"rockcleat/lease"
 )
 
-// Times and counts of claims; chosen, not measured.
+// Times and counts of claims.
 const (
 	// claimTimeout bounds one claim, one write of records and one step of a lease.
 	claimTimeout = 2 * time.Second
--- a/internal/entry/decisions.go
+++ b/internal/entry/decisions.go
@@ -7,7 +7,7 @@
 	"rockcleat/internal/wire"
 )
 
-// maxDecisions bounds the decisions kept for operators. Chosen, not measured.
+// maxDecisions bounds the decisions kept for operators.
 const maxDecisions = 512
 
 // decisions keeps the latest decisions of an entry; its zero value is empty.
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -12,7 +12,7 @@
 	"rockcleat/internal/openai"
 )
 
-// maxEvent is the longest event of a stream, in bytes. Chosen, not measured.
+// maxEvent is the longest event of a stream, in bytes.
 const maxEvent = 1 << 20
 
 // Marks of a stream's events.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -13,7 +13,7 @@
 	"rockcleat/route"
 )
 
-// Bounds of the sending of one request; chosen, not measured.
+// Bounds of the sending of one request.
 const (
 	// maxTries bounds the servers that it is sent to.
 	maxTries = 4
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -18,7 +18,7 @@
 	"rockcleat/table"
 )
 
-// Bounds of the operators' interface; chosen, not measured.
+// Bounds of the operators' interface.
 const (
 	// saveTimeout bounds the saving of an edit.
 	saveTimeout = 10 * time.Second
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -9,7 +9,7 @@
 	"rockcleat/quarantine"
 )
 
-// quarantineSweep is the time between two looks for quarantines that are over. Chosen, not measured.
+// quarantineSweep is the time between two looks for quarantines that are over.
 const quarantineSweep = time.Second
 
 // quarantineChanged logs the begin or the end of a request's quarantine.
--- a/internal/entry/stream_copy.go
+++ b/internal/entry/stream_copy.go
@@ -15,7 +15,7 @@
 )
 
 // heldAnswer is the longest answer that is read whole before any of it is passed on, so that one
-// cut before its end can be had elsewhere; in bytes. Chosen, not measured.
+// cut before its end can be had elsewhere; in bytes.
 const heldAnswer = 1 << 20
 
 // pass gives an answer to the caller and reports whether the call is over.
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -19,8 +19,7 @@
 	"rockcleat/table"
 )
 
-// Times and counts of the spreading of state; chosen, not measured. docs/CAPACITY.md has its
-// traffic.
+// Times and counts of the spreading of state. docs/CAPACITY.md has its traffic.
 const (
 	// syncTimeout bounds the time until another entry answers, and each time in which no more
 	// of its answer arrives: an answer may carry the whole table.
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -12,11 +12,11 @@
 // revokeShare is the part of the time in which a key that was taken away must open nothing up to which a
 // gateway relies on a configuration that it has heard nothing of. A request is judged when its header has
 // been read, so that the rest need only cover clocks that differ in rate and the time from there to the
-// server. Chosen, not measured: a larger part serves callers for longer while the store is away.
+// server.
 const revokeShare = 0.8
 
 // retryBehind is when a caller should come back whose key cannot be judged: news that was late by one watch
-// of the leader has come by then, and other gateways may know already. Chosen, not measured.
+// of the leader has come by then, and other gateways may know already.
 const retryBehind = 500 * time.Millisecond
 
 // An access judges callers' keys by the configuration, and whether that is recent enough to do so.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,7 +10,7 @@
 )
 
 // maxHeldAnswer bounds an answer that is read whole before any of it is passed on, in
-// bytes: until then a server's loss can be made good elsewhere. Chosen, not measured.
+// bytes: until then a server's loss can be made good elsewhere.
 const maxHeldAnswer = 256 << 10
 
 // passWhole passes an answer on that is no stream, and reports whether the request is over.
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -208,8 +208,7 @@
 	_ = c.TCPConn.Close()
 }
 
-// refusalTime bounds the sending of a refusal that nobody may be reading. Chosen, not
-// measured.
+// refusalTime bounds the sending of a refusal that nobody may be reading.
 const refusalTime = 50 * time.Millisecond
 
 // hasUnread reports whether bytes have come on a connection that nobody has read. One whose
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -23,16 +23,16 @@
 	// that time, so that the end of each goes down the tree at once.
 	feedSteps = 4
 	// feedHoldShare is the part of the age that a view may have for which a question waits for
-	// something new. Chosen, not measured.
+	// something new.
 	feedHoldShare = 0.6
 	// feedSlack is how long a gateway may take to answer beside that, and the bound of each time in
-	// which no more of the answer arrives. Chosen, not measured.
+	// which no more of the answer arrives.
 	feedSlack = 500 * time.Millisecond
 	// feedRest is the least time between two questions, so that changes which come close together
-	// cost one. Chosen, not measured.
+	// cost one.
 	feedRest = 100 * time.Millisecond
 	// feedAvoid is the mean time for which a gateway that gave no answer, or none that is fresh, is
-	// not asked again, with jitter of half to one and a half. Chosen, not measured.
+	// not asked again, with jitter of half to one and a half.
 	feedAvoid = time.Second
 )
 
--- a/internal/gateway/fleet_keeper.go
+++ b/internal/gateway/fleet_keeper.go
@@ -22,7 +22,7 @@
 // keyGateways is where the store has the list of gateways, among the product's own keys.
 const keyGateways = "gateways"
 
-// Pace of keeping the list of gateways. Chosen, not measured.
+// Pace of keeping the list of gateways.
 const (
 	// fleetKeepInterval is the time between two looks at the list.
 	fleetKeepInterval = 100 * time.Millisecond
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -87,8 +87,7 @@
 // callerGone reports whether the caller no longer waits.
 func (f *forwarder) callerGone() bool { return f.in.Context().Err() != nil }
 
-// Pauses between sends that servers refuse, and how many refusals end a request. Chosen
-// with the first path (docs/MEASUREMENTS.md, P1), not measured alone.
+// Pauses between sends that servers refuse, and how many refusals end a request.
 const (
 	// refusedPause doubles with each send.
 	refusedPause = 30 * time.Millisecond
@@ -96,10 +95,10 @@
 	maxRefusals = 4
 )
 
-// maxRefusalBody bounds what is read of a server's refusal, in bytes. Chosen, not measured.
+// maxRefusalBody bounds what is read of a server's refusal, in bytes.
 const maxRefusalBody = 4 << 10
 
-// maxUnsent bounds the servers that one request could not be sent to. Chosen, not measured.
+// maxUnsent bounds the servers that one request could not be sent to.
 const maxUnsent = 6
 
 // notSent handles a send that did not reach its server, and reports whether the request is over.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,11 +125,10 @@
 	return g
 }
 
-// expireInterval is the time between two looks for what is too old. Chosen, not measured.
+// expireInterval is the time between two looks for what is too old.
 const expireInterval = 200 * time.Millisecond
 
 // sweepInterval is the time between two looks for connections that are over their bounds.
-// Chosen, not measured.
 const sweepInterval = time.Second
 
 // Start binds the listeners and starts the gateway's parts.
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -169,7 +169,6 @@
 }
 
 // maxPresized bounds the buffer that is made for a body by its announced length alone.
-// Chosen, not measured.
 const maxPresized = 1 << 20
 
 // readAll reads to the end, into one buffer if the size is announced.
@@ -188,7 +187,6 @@
 }
 
 // defaultTimeout is how long a request may take whose route and caller set no limit.
-// Chosen, not measured.
 const defaultTimeout = time.Minute
 
 // deadlineOf returns when a request ends: after the shorter of the route's time and the
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -55,7 +55,7 @@
 }
 
 // retryUnknownLimit is when a caller should come back while nobody can say whether its organisation is inside
-// its limit: about what it takes until another gateway leads or grants. Chosen, not measured.
+// its limit: about what it takes until another gateway leads or grants.
 const retryUnknownLimit = 500 * time.Millisecond
 
 // charge counts a request against its organisation's limit, or refuses it before it costs a server, an
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -17,7 +17,6 @@
 )
 
 // Bounds of callers' connections that net/http sets before the configuration is known.
-// Chosen, not measured.
 const (
 	// headerTime bounds the reading of a header.
 	headerTime = 10 * time.Second
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -8,8 +8,7 @@
 	"rockcleat/dispatch"
 )
 
-// How long a request may wait for a server before it is sent. Chosen with the first path
-// (docs/MEASUREMENTS.md, P1 and P6), not measured alone.
+// How long a request may wait for a server before it is sent.
 const (
 	// minPatience is the shortest time after which callers leave a stream that has sent
 	// nothing.
--- a/internal/gateway/outgoing.go
+++ b/internal/gateway/outgoing.go
@@ -25,9 +25,7 @@
 // every request: first sends, retries and resumed streams, to engines and plain servers.
 //
 // The caller's headers are passed on but for those of one connection and those that only
-// the system may set (wire.Names.Reserved): engines obey them whoever sent them. Of the
-// requests of one calm day 6.3 % were refused while callers' made-up reservations reached
-// engines, and 0.2 % since (one play each).
+// the system may set (wire.Names.Reserved): engines obey them whoever sent them.
 func (f *forwarder) outgoingHeader(server string) http.Header {
 	names := f.proxy.names
 	h := f.in.Header.Clone()
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -18,9 +18,8 @@
 	"rockcleat/serverlimit"
 )
 
-// utilization is the part of an engine's slots and memory that is used: at full use
-// running streams are preempted. Chosen with the first path (docs/MEASUREMENTS.md, P1); all
-// of it was no better (G3a).
+// utilization is the part of an engine's slots and memory that is used: at full use running
+// streams are preempted.
 const utilization = 0.92
 
 // leaseName is the name of the leader's lease in the store.
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -38,7 +38,7 @@
 // Bounds of calls between gateways.
 const (
 	// reportTimeout bounds the time until a report is answered, and each time in which no more
-	// of the answer arrives. Chosen with the first path (docs/MEASUREMENTS.md, P1).
+	// of the answer arrives.
 	reportTimeout = 700 * time.Millisecond
 	// configTimeout is the same for a request for the configuration. It is the time after which
 	// the store is read instead, so it is as short as that of a report.
@@ -46,7 +46,7 @@
 	// admissionTimeout bounds one request for admission; it takes 1.4 to 3 ms
 	// (docs/design/0009).
 	admissionTimeout = 150 * time.Millisecond
-	// grantTimeout bounds one request for a grant, which takes as long. Chosen, not measured.
+	// grantTimeout bounds one request for a grant, which takes as long.
 	grantTimeout = 150 * time.Millisecond
 )
 
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -9,21 +9,20 @@
 const (
 	// levelPatience is the part of the age that a view may have by which each level of the tree waits
 	// longer before it asks the store itself: the level above has asked by then and hands on what it
-	// got. Chosen, not measured: on the third level a view may be 1.5 times as old, so that changes
-	// are still known within the time of a whole watch.
+	// got.
 	levelPatience = 0.25
 	// listPatience is how long a gateway that starts waits for the list of servers and the
-	// configuration from others, firstListPatience the same when the whole system starts for the
-	// first time, without callers yet. A gateway that runs answers within some 50 ms; where all have
+	// configuration from others, firstListPatience the same when the whole system starts for the first
+	// time, without callers yet. A gateway that runs answers within some 50 ms; where all have
 	// restarted together nobody does, and callers wait: with 0.6 s 126 requests instead of 311 were in
-	// time in the 2 s after all had lost their power. Chosen between the two, not measured.
+	// time in the 2 s after all had lost their power.
 	listPatience      = 150 * time.Millisecond
 	firstListPatience = 600 * time.Millisecond
 	// contentionStep is how much longer each level leaves a free lease to the one above, with as much
-	// jitter: some ten times what it takes to write the record and hand it on. Chosen, not measured.
+	// jitter: some ten times what it takes to write the record and hand it on.
 	contentionStep = 300 * time.Millisecond
 	// fleetProbes is the number of calls a second that all gateways below the first level make
-	// together to a store that fails. Chosen, not measured.
+	// together to a store that fails.
 	fleetProbes = 8
 )
 
--- a/internal/gateway/process_pause.go
+++ b/internal/gateway/process_pause.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 )
 
-// Noticing that the process was paused. Chosen, not measured.
+// Noticing that the process was paused.
 const (
 	// pauseCheckInterval is the time between two checks.
 	pauseCheckInterval = 500 * time.Millisecond
--- a/internal/gateway/quarantine_role.go
+++ b/internal/gateway/quarantine_role.go
@@ -10,8 +10,7 @@
 	"rockcleat/quarantine"
 )
 
-// Learning after a start what is in quarantine. Chosen, not measured: another gateway answers within some
-// milliseconds.
+// Learning after a start what is in quarantine.
 const (
 	// informTime is after which time without one that knows the store is read.
 	informTime = 300 * time.Millisecond
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -18,7 +18,7 @@
 // quarantinePrefix is the prefix of the requests in quarantine among the product's own keys.
 const quarantinePrefix = "quarantine/"
 
-// keepInterval is the time between two looks for what the store does not have yet. Chosen, not measured.
+// keepInterval is the time between two looks for what the store does not have yet.
 const keepInterval = 250 * time.Millisecond
 
 // A storedQuarantine is the value of a request's key in the store.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -41,8 +41,7 @@
 }
 
 // lateResult is the result of a late answer for load shedding, between 0 for none and 1 for
-// one in time: it still serves its caller, but less than half as well. With 0, the share of
-// requests in time alone, 14 days were no better (docs/MEASUREMENTS.md, L2 and R1).
+// one in time: it still serves its caller, but less than half as well.
 const lateResult = 0.3
 
 // result returns how well the request was served, from 0 (not at all) to 1 (in time), and
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -44,14 +44,13 @@
 }
 
 // Times to come back. Under load capacity comes free with each request that ends, and a
-// request that comes back waits here again and is served as soon as there is some, or as
-// its model has been loaded: so soon is best for its caller. 1 to 3 s instead were no better
-// (docs/MEASUREMENTS.md, G3b).
+// request that comes back waits here again and is served as soon as there is some, or as its
+// model has been loaded: so soon is best for its caller.
 const (
 	// retrySoon is the least time to come back.
 	retrySoon = 200 * time.Millisecond
 	// retryUnready is the time to come back while there is no configuration: a gateway
-	// reads it within half a second of its start. Chosen, not measured.
+	// reads it within half a second of its start.
 	retryUnready = 500 * time.Millisecond
 	// retryConfigured is the time to come back for a model that is not configured: a
 	// configuration that another gateway knows already is in force here by then.
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -20,7 +20,7 @@
 )
 
 // minReportInterval is the time between two reports when something is urgent, such as a request that
-// waits for a model that no server holds. Chosen with the first path (docs/MEASUREMENTS.md, P1).
+// waits for a model that no server holds.
 const minReportInterval = 40 * time.Millisecond
 
 // A signal wakes a loop; sending never blocks, and signals that come together are one.
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -78,8 +78,7 @@
 	fieldPerSecond = "per_second"
 )
 
-// Rates of lines, in lines per second and lines together. Chosen, not measured: a line has
-// some 500 bytes, and a gateway ends some 12.6 requests a second (docs/CAPACITY.md).
+// Rates of lines, in lines per second and lines together.
 const (
 	// answeredRate and answeredBurst bound the lines on answered requests.
 	answeredRate  = 20
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -11,7 +11,7 @@
 )
 
 // retryReserve is the part of the retry budget that is used, since gateways count at
-// slightly different times. Chosen with the first path (docs/MEASUREMENTS.md, P1).
+// slightly different times.
 const retryReserve = 0.8
 
 // retryBudgets hold the budget of retries of each service, which all gateways share: each
@@ -44,7 +44,7 @@
 }
 
 // countMemory is for how many windows the largest number of gateways counts: those that are cut off,
-// or that a new leader has not heard of, still use their part. Chosen, not measured.
+// or that a new leader has not heard of, still use their part.
 const countMemory = 6
 
 // share returns the part of the fixed number that is this gateway's own, 0 to 1: none in the first
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -15,7 +15,7 @@
 	"rockcleat/quarantine"
 )
 
-// Finding out whether a server has ended. Chosen, not measured.
+// Finding out whether a server has ended.
 const (
 	// endWait is for how long after a break a server that goes off the list counts as ended: three
 	// heartbeats of 1.2 s and the time in which the change is noticed.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -12,7 +12,7 @@
 )
 
 // How long a server may send nothing before a request that may be sent again leaves it
-// (docs/design/0010, stalled servers). Chosen with the first path (docs/MEASUREMENTS.md, P1).
+// (docs/design/0010, stalled servers).
 const (
 	// stallShare is the part of the objective for the first byte that a plain request
 	// waits for it.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -15,13 +15,12 @@
 // that each that the balancer still sends is answered.
 const (
 	// noticeTime is how long a stopping gateway still takes new connections, so that the
-	// balancer learns of the stop first. Chosen with the first path
-	// (docs/MEASUREMENTS.md, P1).
+	// balancer learns of the stop first.
 	noticeTime = 2500 * time.Millisecond
 	// lastAnswers is left of the time to stop for answers to requests that have none
-	// yet (docs/MEASUREMENTS.md, P3; docs/FINDINGS.md, LOST).
+	// yet.
 	lastAnswers = 400 * time.Millisecond
-	// drainPause is the pause between two looks for open connections. Chosen, not measured.
+	// drainPause is the pause between two looks for open connections.
 	drainPause = 10 * time.Millisecond
 	// processEnd is left of the grace for the process's own end
 	// (docs/FINDINGS.md, killed at the end of the grace).
--- a/internal/gateway/store_copy.go
+++ b/internal/gateway/store_copy.go
@@ -9,7 +9,7 @@
 )
 
 // serverWriteTime is within what time each backend server that lives writes its record again after the store came
-// back from a copy: the users say about two seconds. Chosen, not measured.
+// back from a copy: the users say about two seconds.
 const serverWriteTime = 3 * time.Second
 
 // serverRecords are the records of backend servers, which write them again and again.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,7 +14,7 @@
 	"rockcleat/dispatch"
 )
 
-// maxEvent bounds one event of a stream, in bytes. Chosen, not measured.
+// maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 64 << 10
 
 // errEventTooLong says that an event is over maxEvent.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -55,10 +55,10 @@
 }
 
 // callTimeout bounds the time until the platform answers a call, and each time in which no more
-// of the answer arrives. Chosen, not measured.
+// of the answer arrives.
 const callTimeout = 3 * time.Second
 
-// maxAnswer bounds an answer of the platform, in bytes. Chosen, not measured.
+// maxAnswer bounds an answer of the platform, in bytes.
 const maxAnswer = 16 << 20
 
 // A Client reads the list of VMs and the weight store's catalogue over HTTP.
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -93,7 +93,7 @@
 }
 
 // Ports of the lab's processes lie below those that the system gives to outgoing connections,
-// which could otherwise take one before its process listens; chosen, not measured.
+// which could otherwise take one before its process listens.
 const (
 	// firstPort is the first of the ports, portCount their number.
 	firstPort = 10000
@@ -123,7 +123,7 @@
 	return "", eris.New("lab: no free port")
 }
 
-// pollEvery is the time between two looks at a condition. Chosen, not measured.
+// pollEvery is the time between two looks at a condition.
 const pollEvery = 10 * time.Millisecond
 
 // Until waits until the condition holds or ctx ends.
--- a/internal/lab/system.go
+++ b/internal/lab/system.go
@@ -107,7 +107,7 @@
 	all []*Process
 }
 
-// startTime bounds the start of one process. Chosen, not measured.
+// startTime bounds the start of one process.
 const startTime = 30 * time.Second
 
 // Start starts a lab and waits until its entries are ready and every row has a place.
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -62,7 +62,7 @@
 	return b.String()
 }
 
-// Estimates of a request's tokens; chosen, not measured.
+// Estimates of a request's tokens.
 const (
 	// bytesPerToken is a rough ratio for estimating prompts.
 	bytesPerToken = 4
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -15,8 +15,7 @@
 )
 
 // How measured demand follows what is asked: it rises soon and falls slowly, so that
-// replicas stay through a lull. Demand moves within 4 to 6 s on the users' sites. Chosen
-// with the first path (docs/MEASUREMENTS.md, P1), not measured alone.
+// replicas stay through a lull. Demand moves within 4 to 6 s on the users' sites.
 const (
 	// demandRiseTime is the time constant of a rise.
 	demandRiseTime = 1500 * time.Millisecond
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -10,8 +10,7 @@
 	"rockcleat/table"
 )
 
-// Times of orders. Those without another source were chosen with the first path
-// (docs/MEASUREMENTS.md, P1), not measured alone.
+// Times of orders.
 const (
 	// retireNotice is how long gateways have to learn that a model goes before the
 	// engine is ordered to unload it: some four reports.
@@ -29,11 +28,10 @@
 	// engines' reports are some hundred milliseconds old, and a call may take as long.
 	reportLag = 1500 * time.Millisecond
 	// cacheUnknownTime is how long after a load reports may be older than what it pushed
-	// out of the machine's caches (docs/MEASUREMENTS.md, P15).
+	// out of the machine's caches.
 	cacheUnknownTime = 700 * time.Millisecond
 	// maxLoadWait is how long a load may wait for the memory that is made for it: longer
-	// than the 12 s that an order without an answer may take to be carried out
-	// (docs/MEASUREMENTS.md, L1; 4 s was worse, L1a).
+	// than the 12 s that an order without an answer may take to be carried out.
 	maxLoadWait = 13 * time.Second
 	// orderRetryDelay is the pause after an order without an answer.
 	orderRetryDelay = 300 * time.Millisecond
--- a/internal/placer/leadership.go
+++ b/internal/placer/leadership.go
@@ -8,11 +8,11 @@
 
 // firstLeaderDelay is how long the first leader of the first start waits before its first
 // order, so that servers have listed themselves and their models do not count as missing:
-// three heartbeats. Chosen, not measured.
+// three heartbeats.
 const firstLeaderDelay = 4 * time.Second
 
 // nonLeaderReplyMaxAge is how old the last leader's word may be that it no longer leads:
-// some six reports of a gateway. Chosen, not measured (docs/MEASUREMENTS.md, P11).
+// some six reports of a gateway.
 const nonLeaderReplyMaxAge = 500 * time.Millisecond
 
 // A leadership is a placer's hold of the lease and when it may issue orders under it.
--- a/internal/placer/load_totals.go
+++ b/internal/placer/load_totals.go
@@ -9,8 +9,7 @@
 	"rockcleat/dispatch"
 )
 
-// Bounds of the loads in a reply. Chosen for growth (docs/design/0009, many servers), not
-// measured alone.
+// Bounds of the loads in a reply.
 const (
 	// maxReportedServers bounds the servers whose load a gateway is sent: with more of
 	// them it gets the busiest, and learns of the others when it asks for admission.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -18,11 +18,9 @@
 
 // Pace of the placer's steps.
 const (
-	// tick is the time between two steps. Chosen with the first path
-	// (docs/MEASUREMENTS.md, P1).
+	// tick is the time between two steps.
 	tick = 100 * time.Millisecond
-	// minStepInterval is the least time between two steps that reports cause. Chosen for
-	// growth (docs/design/0009, many servers), not measured alone.
+	// minStepInterval is the least time between two steps that reports cause.
 	minStepInterval = 25 * time.Millisecond
 )
 
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -11,8 +11,7 @@
 	"rockcleat/table"
 )
 
-// maxPlanInterval is the longest time between two plans of a service. Chosen for growth
-// (docs/design/0009, many servers), not measured alone.
+// maxPlanInterval is the longest time between two plans of a service.
 const maxPlanInterval = time.Second
 
 // planInterval returns the time between two plans for a number of engines: a plan costs as
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -9,12 +9,11 @@
 )
 
 // publishEvery is the least time between two looks at what engines hold, for gateways.
-// Chosen for growth (docs/design/0009, many servers), not measured alone.
 const publishEvery = 25 * time.Millisecond
 
 // versionBits is the part of a residency's version that counts changes; the rest is of the
 // leader's token, so that versions of two leaders differ. A million changes in a term are
-// more than a leader makes in days. Chosen, not measured.
+// more than a leader makes in days.
 const versionBits = 20
 
 // termBits is how much of a token a version has room for: two leaders have the same only if their terms began at
--- a/internal/placer/report_interval.go
+++ b/internal/placer/report_interval.go
@@ -2,8 +2,7 @@
 
 import "time"
 
-// Pace of gateways' reports to the leader (docs/MEASUREMENTS.md, P4, P6 and G5;
-// docs/design/0009, many servers).
+// Pace of gateways' reports to the leader.
 const (
 	// reportEvery is the time between two reports of a gateway.
 	reportEvery = 80 * time.Millisecond
--- a/internal/placer/speeds.go
+++ b/internal/placer/speeds.go
@@ -8,7 +8,7 @@
 )
 
 // publishedChange is the part by which a model's speed must differ from the one published for
-// gateways to be sent it. Chosen, not measured: one sample moves it by 0.025 to 0.075.
+// gateways to be sent it.
 const publishedChange = 0.1
 
 // A speedTable learns how long models take to prefill from the samples of all gateways, and keeps
--- a/internal/placer/store_loads.go
+++ b/internal/placer/store_loads.go
@@ -10,7 +10,7 @@
 
 // The rate of loads from the weight store. The store allows 1.1 times its rate in any five
 // seconds and 3 loads more; both margins below are for orders that engines carry out late,
-// so that loads bunch (docs/MEASUREMENTS.md, P5 and P15; docs/FINDINGS.md, CEILING).
+// so that loads bunch.
 const (
 	// storeRateShare is the part of the store's rate that is used.
 	storeRateShare = 0.8
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -16,8 +16,7 @@
 	"rockcleat/quarantine"
 )
 
-// Times of a cell's planning; chosen, not measured, but for what docs/CAPACITY.md says of
-// their cost.
+// Times of a cell's planning; docs/CAPACITY.md says what they cost.
 const (
 	// planEvery is the time between two plans after the cell's own records have changed.
 	planEvery = 500 * time.Millisecond
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -51,7 +51,6 @@
 }
 
 // demandStep is by how many levels a row's demand must change to be published: 1.7 times.
-// Chosen, not measured.
 const demandStep = 2
 
 // publishDemand adds up the agents' demand, publishes what has changed much, and
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -25,11 +25,10 @@
 )
 
 // contenders is the number of entries that contend for one cell, so that one of them is there
-// when two have failed. Chosen, not measured.
+// when two have failed.
 const contenders = 3
 
-// Intervals of the planner's systems; chosen, not measured, but for what docs/CAPACITY.md says
-// of their cost.
+// Intervals of the planner's systems; docs/CAPACITY.md says what they cost.
 const (
 	// leaseDivisor is how often a held lease is renewed in its ttl.
 	leaseDivisor = 3
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,7 +15,7 @@
 	"rockcleat/internal/wire"
 )
 
-// Times of a connection; chosen, not measured.
+// Times of a connection.
 const (
 	// headerTime bounds the reading of a request's header.
 	headerTime = 10 * time.Second
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -36,7 +36,7 @@
 	ReportLag time.Duration
 }
 
-// finishedKept is the number of finished orders that the engine lists. Chosen, not measured.
+// finishedKept is the number of finished orders that the engine lists.
 const finishedKept = 256
 
 // EngineStats counts what must not happen and what is measured.
@@ -216,7 +216,7 @@
 	s.finish(o.ID)
 }
 
-// fetchRetry is the pause before a load that the weight store refused is tried again. Chosen, not measured.
+// fetchRetry is the pause before a load that the weight store refused is tried again.
 const fetchRetry = 20 * time.Millisecond
 
 // fetch waits for the weight store to deliver.
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -29,7 +29,7 @@
 	start    chan bool
 }
 
-// How the engine behaves; chosen, not measured.
+// How the engine behaves.
 const (
 	// defaultTokens is the length of an answer whose request sets none.
 	defaultTokens = 16
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -14,7 +14,7 @@
 	"rockcleat/kv"
 )
 
-// maxValue is the longest value that the service holds, in bytes. Chosen, not measured.
+// maxValue is the longest value that the service holds, in bytes.
 const maxValue = 1 << 20
 
 // KVOptions configure a KV.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -56,7 +56,7 @@
 	Effect int    `json:"effect"`
 }
 
-// maxServiceBody bounds the body that a call echoes, in bytes. Chosen, not measured.
+// maxServiceBody bounds the body that a call echoes, in bytes.
 const maxServiceBody = 1 << 20
 
 // serve answers a call and counts its effect.
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -73,7 +73,7 @@
 	return c.NoContent(http.StatusOK)
 }
 
-// loadStep is how often a load's progress is counted. Chosen, not measured.
+// loadStep is how often a load's progress is counted.
 const loadStep = 5 * time.Millisecond
 
 // load takes as long as the weights need at the store's present speed.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -15,7 +15,6 @@
 )
 
 // maxRoutes bounds the routes that figures are kept for; the rest count as "other".
-// Chosen, not measured.
 const maxRoutes = 64
 
 // otherRoute is the route of figures beyond maxRoutes.
--- a/internal/telemetry/sink.go
+++ b/internal/telemetry/sink.go
@@ -13,7 +13,7 @@
 	"rockcleat/internal/config"
 )
 
-// Bounds of a Sink; chosen, not measured.
+// Bounds of a Sink.
 const (
 	// sinkBytes is what a Sink holds at most.
 	sinkBytes = 256 << 10
--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -11,7 +11,6 @@
 
 // maxTime bounds a whole transfer, so that a peer that sends a byte now and then does not hold
 // its caller for ever: 12 MB through a link of 10 Mbit/s, more than any answer that is read.
-// Chosen, not measured.
 const maxTime = 10 * time.Second
 
 // A Watch ends a call that makes no progress.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -17,7 +17,7 @@
 	"rockcleat/internal/transfer"
 )
 
-// maxMessage bounds a message between the system's processes, in bytes. Chosen, not measured.
+// maxMessage bounds a message between the system's processes, in bytes.
 const maxMessage = 16 << 20
 
 // ErrNotSent says that a message did not leave the process.
--- a/internal/wire/probe.go
+++ b/internal/wire/probe.go
@@ -9,7 +9,7 @@
 	"rockcleat/clock"
 )
 
-// Finding out whether a server has ended. Chosen, not measured.
+// Finding out whether a server has ended.
 const (
 	// connectTimeout bounds an attempt to connect.
 	connectTimeout = 300 * time.Millisecond
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Connections between the system's processes; chosen, not measured.
+// Connections between the system's processes.
 const (
 	// dialTimeout bounds the time to connect.
 	dialTimeout = time.Second
@@ -21,8 +21,7 @@
 	idlePerProcess = 64
 )
 
-// Connections to servers that are spoken to directly; chosen, not measured, but so that a silent
-// machine is noticed before the callers' deadlines.
+// Connections to servers that are spoken to directly.
 const (
 	// directDialTimeout bounds the time to connect.
 	directDialTimeout = 600 * time.Millisecond
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -8,8 +8,7 @@
 	"time"
 )
 
-// Bounds of the changes kept for one prefix. Chosen, not measured: a gateway of the grown
-// sites has 64 MB at most (docs/CAPACITY.md), and whoever is further behind lists anew.
+// Bounds of the changes kept for one prefix.
 const (
 	// maxLogEvents bounds their number.
 	maxLogEvents = 512
--- a/kv/client.go
+++ b/kv/client.go
@@ -22,8 +22,7 @@
 const maxAnswer = 16 << 20
 
 // defaultTimeout bounds the time until a call that is not a watch is answered, and each time
-// in which no more of an answer arrives. The service answers in milliseconds
-// (the brief); the margin is chosen, not measured.
+// in which no more of an answer arrives. The service answers in milliseconds (the brief).
 const defaultTimeout = 3 * time.Second
 
 // Options configure a Client.
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -10,15 +10,14 @@
 // Pace of watches of the service itself.
 const (
 	// watcherRounds is how often a watcher's watch ends within MaxAge, so that the
-	// other processes know how old its view is. Chosen, not measured.
+	// other processes know how old its view is.
 	watcherRounds = 3
 	// watcherBatchTime is how long the watcher waits after changes before its next
-	// watch, so that changes that come close together cost one call
-	// (docs/MEASUREMENTS.md, G2).
+	// watch, so that changes that come close together cost one call.
 	watcherBatchTime = 150 * time.Millisecond
-	// ownBatchTime is the same in a process that watches for itself
-	// (docs/MEASUREMENTS.md, P8). With a second in which the service reports nothing it
-	// stays under the two seconds in which a leaving server must be known.
+	// ownBatchTime is the same in a process that watches for itself. With a second in
+	// which the service reports nothing it stays under the two seconds in which a
+	// leaving server must be known.
 	ownBatchTime = 500 * time.Millisecond
 )
 
--- a/kv/follow.go
+++ b/kv/follow.go
@@ -31,9 +31,7 @@
 }
 
 // Pauses between calls that fail: the first one doubles up to the longest, each with
-// jitter of half to one and a half. Chosen, not measured: short against the two seconds
-// in which a leaving server must be known, long enough that 340 gateways do not load a
-// service that comes back (docs/CAPACITY.md).
+// jitter of half to one and a half.
 const (
 	// firstRetryPause is the mean of the first pause.
 	firstRetryPause = 100 * time.Millisecond
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -10,7 +10,7 @@
 	"rockcleat/kv"
 )
 
-// Pace of a campaign; chosen, not measured.
+// Pace of a campaign.
 const (
 	// renewalsPerTTL is how often a held lease is renewed in its ttl, so that one or two
 	// renewals may fail.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,7 +15,7 @@
 const keyPrefix = "lease/"
 
 // driftDivisor sets the part of the ttl, a fifth, by which a holder stops acting before the
-// service ends its lease, for drift between the two clocks. Chosen, not measured.
+// service ends its lease, for drift between the two clocks.
 const driftDivisor = 5
 
 // A Store is the part of the service that a Holder needs; kv.Store describes each call.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Levels of demand; chosen, not measured: steps small against the headroom, and large enough
-// that a steady demand changes no record.
+// Levels of demand.
 const (
 	// levelFactor is the ratio between two neighbouring demand levels.
 	levelFactor = 1.3
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,7 +42,7 @@
 	MaxOrders int
 }
 
-// Defaults of Options; chosen, not measured.
+// Defaults of Options.
 const (
 	// defaultHeadroom is a part, 0 to 1.
 	defaultHeadroom = 0.7
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -17,7 +17,7 @@
 }
 
 // atResolution is the difference from which on the time of a last end is news. Each process that hands
-// a record on makes it younger by the time that the message takes. Chosen, not measured.
+// a record on makes it younger by the time that the message takes.
 const atResolution = time.Second
 
 // An entry is a record in a table.
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -8,11 +8,11 @@
 const DefaultEnds = 3
 
 // DefaultHold is how long a first quarantine lasts: a caller who repeats the request each second ends
-// three servers in that time instead of some 600. Chosen, not measured.
+// three servers in that time instead of some 600.
 const DefaultHold = 10 * time.Minute
 
 // maxEnds bounds the ends that a record keeps, and with it how often the quarantine doubles: five times,
-// to 32 times the first. Chosen, not measured.
+// to 32 times the first.
 const maxEnds = 8
 
 // From how many ends on a process tells a peer of a request.
@@ -34,7 +34,7 @@
 const keptRecords = maxRecords * 3 / 4
 
 // maxMessageRecords bounds the records of one message, to some 21 KB; those left out go with the next. A
-// record takes 84 bytes with one end and 142 with three. Chosen, not measured.
+// record takes 84 bytes with one end and 142 with three.
 const maxMessageRecords = 256
 
 // holdTime returns how long a quarantine lasts from the last end on.
--- a/quota/account.go
+++ b/quota/account.go
@@ -28,8 +28,7 @@
 	demandAt time.Time
 }
 
-// demandTime is the time constant of the average of an organisation's demand. Chosen, not measured: a burst
-// counts within a second.
+// demandTime is the time constant of the average of an organisation's demand.
 const demandTime = time.Second
 
 // note counts an amount that was asked for.
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -8,7 +8,7 @@
 	"rockcleat/rendezvous"
 )
 
-// Times of gateways. Why they are as they are: docs/design/0014; chosen, and kept by what TestLimitHolds drew.
+// Times of gateways. Why they are as they are: docs/design/0014.
 const (
 	// OwnerTime is how long after it asked a leader that replied a gateway has the parts of all gateways on
 	// the leader's list: less than the two seconds after which the leader takes a gateway that does not
@@ -18,15 +18,14 @@
 	// one after the leader's loss, and than that for which a configuration may be relied on that nobody
 	// confirms.
 	AloneTime = 8 * time.Second
-	// lendTime is for how long a gateway's part is with an owner that it has asked. With two seconds 1 of 12,000
-	// drawn cases was over the bound (TestLimitHolds).
+	// lendTime is for how long a gateway's part is with an owner that it has asked.
+	// Where it is longer, two owners have the part at once for too long.
 	lendTime = time.Second
 	// maxGrace bounds the time for which an owner without a leader goes on with the parts of all, by what
 	// the Tolerance allows an organisation beyond its limit.
 	maxGrace = 2 * time.Second
 	// graceShare is the part of the Tolerance that one owner may use up in this way: several may lose the leader
-	// one after the other. With a quarter, 1 of 139,000 drawn cases of cuts, pauses and restarts came 0.01 %
-	// over the bound; with a tenth none of 300,000 (TestLimitHolds).
+	// one after the other.
 	graceShare = 0.1
 )
 
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -32,7 +32,7 @@
 }
 
 // aheadReserve is the part of the burst that grants ahead leave in the bucket, for requests of other
-// gateways. Chosen, not measured.
+// gateways.
 const aheadReserve = 0.5
 
 // A granter has the buckets of the organisations that a gateway owns.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -13,10 +13,10 @@
 const (
 	// StockTime is how long a grant may be spent, counted from when it was asked for. What is in stock adds
 	// to the limit in a window: at most half a second of the rate, since a grant ahead is no more than the
-	// demand in that time. Chosen, not measured.
+	// demand in that time.
 	StockTime = 500 * time.Millisecond
 	// denialTime bounds the time in which an owner that granted nothing is not asked again, so that an
-	// organisation far beyond its limit costs each gateway an ask in that time. Chosen, not measured.
+	// organisation far beyond its limit costs each gateway an ask in that time.
 	denialTime = 50 * time.Millisecond
 )
 
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -8,7 +8,7 @@
 )
 
 // Width is the number of children of a process: 9 processes are one level below the root at most,
-// 73 two and 585 three. Chosen, not measured.
+// 73 two and 585 three.
 const Width = 8
 
 // A Member is a process of a tree.
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -79,12 +79,11 @@
 }
 
 // fullEnginePenalty is the cost of an engine without a free adapter slot, in requests: more
-// than an engine serves at once, so that free slots are used first. Chosen, not measured.
+// than an engine serves at once, so that free slots are used first.
 const fullEnginePenalty = 1000
 
 // minAdapterResidence is how long an adapter that was asked for stays at least, unless
-// another has been waited for as long. Chosen; the exception is from the soak, seed 1
-// (docs/FINDINGS.md).
+// another has been waited for as long.
 const minAdapterResidence = time.Second
 
 func adapterCount(e *EngineView) int {
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -2,10 +2,8 @@
 
 import "rockcleat/table"
 
-// successorShare is the part of a model's demand that the models right behind it in the
-// list are expected to get, if rises are known to follow the list. Worth of 25 days on which
-// demand moves along the list: 0.398 without a forecast, 0.407 at 0.25 for the first and 0.1
-// for the second model behind, 0.455 at this (trials).
+// successorShare is the part of a model's demand that the models right behind it in the list
+// are expected to get, if rises are known to follow the list.
 const successorShare = 0.9
 
 // Forecast returns the demands with what is expected to rise next: as far as the succession
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -170,8 +170,7 @@
 	return p.in.Demands[model].TokensPerSecond / (float64(p.replicas[model]) + replicaOffset)
 }
 
-// Penalties of a move, in seconds of loading. Chosen with the first path
-// (docs/MEASUREMENTS.md, P1), not measured alone.
+// Penalties of a move, in seconds of loading.
 const (
 	// sameHallPenalty is the cost of each replica in the same data hall, so that a hall's
 	// loss does not take all replicas of a model.
--- a/residency/replicas.go
+++ b/residency/replicas.go
@@ -9,16 +9,12 @@
 
 // replicaOffset is added to a model's number of replicas when its demand is divided by
 // them: below 1, so that a model's second replica counts for more than in proportion.
-// Chosen with the first path (docs/MEASUREMENTS.md, P1), not measured alone.
 const replicaOffset = 0.5
 
 // demandExponent is the power of demand by which the spare memory is divided: less than in
-// proportion, so that models with little demand have replicas when theirs rises, which takes
-// longer to follow than to serve what there is. With many engines, where the busiest model needs
-// some 30 replicas, the root leaves it with ten. Worth of days on which demand moves to other models
-// each 6 to 10 s, 12 engines: 0.392 at 1, 0.414 at 0.7, 0.407 at 0.5, 0.412 at 0.3 (25 plays), 0.472
-// at 0.5 and 0.470 at 0.75 (10 plays, other rules); 180 engines, two days, one play each: 0.561 at
-// 0.5, 0.583 at 1 (trials).
+// proportion, so that models with little demand have replicas when theirs rises, which takes longer
+// to follow than to serve what there is. With many engines, where the busiest model needs some 30
+// replicas, the root leaves it with ten.
 const demandExponent = 0.75
 
 // replicaTargets divides the memory of a number of engines among the models: one replica
--- a/residency/succession.go
+++ b/residency/succession.go
@@ -5,17 +5,16 @@
 // How the order in which demand rises is learned.
 const (
 	// busyShare is the part of all demand from which on a model is busy; it is no longer
-	// below idleShare. Chosen, not measured.
+	// below idleShare.
 	busyShare = 0.04
 	idleShare = 0.02
 	// successionReach is how many places behind a busy model the next one to rise is
-	// looked for: with three, worth of 25 days was 0.521 instead of 0.529 (trial).
+	// looked for.
 	successionReach = 2
 	// successionPrior is how many rises count against an order before any was seen.
-	// Chosen, not measured.
 	successionPrior = 0.5
 	// successionMemory is the part of what was learned that stays with each rise, so that
-	// some ten rises count. Chosen, not measured.
+	// some ten rises count.
 	successionMemory = 0.9
 )
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// Defaults of a Budget; chosen, not measured.
+// Defaults of a Budget.
 const (
 	// defaultRatio is the number of retries for each first try.
 	defaultRatio = 0.2
--- a/retry/window.go
+++ b/retry/window.go
@@ -6,7 +6,7 @@
 )
 
 // windowParts is the number of parts that a Window's time is counted in: counts go out of
-// the window a twentieth of its length late at most. Chosen, not measured.
+// the window a twentieth of its length late at most.
 const windowParts = 20
 
 // A Window bounds the retries in any span of a length by a ratio of the first tries in it
--- a/route/route.go
+++ b/route/route.go
@@ -10,7 +10,7 @@
 	"rockcleat/rendezvous"
 )
 
-// Constants of the choice; chosen, not measured.
+// Constants of the choice.
 const (
 	// boundFactor is how far above the mean load a preferred server may be, as a factor.
 	boundFactor = 1.25
--- a/table/check.go
+++ b/table/check.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Bounds of the columns; chosen, not measured.
+// Bounds of the columns.
 const (
 	// maxNameLength is in bytes.
 	maxNameLength = 128
--- a/table/column.go
+++ b/table/column.go
@@ -9,7 +9,7 @@
 // columnName is the column that every row must have.
 const columnName = "name"
 
-// Defaults of columns that an operator leaves empty; chosen, not measured.
+// Defaults of columns that an operator leaves empty.
 const (
 	// defaultWeight makes rows of one tier equal.
 	defaultWeight = 1
--- a/table/csv.go
+++ b/table/csv.go
@@ -11,7 +11,7 @@
 )
 
 // maxCSV bounds what ReadCSV reads, in bytes: some hundred times the table of 510 models
-// (docs/CAPACITY.md). Chosen, not measured.
+// (docs/CAPACITY.md).
 const maxCSV = 8 << 20
 
 // WriteCSV writes a header and one line a row.
--- a/table/log.go
+++ b/table/log.go
@@ -17,9 +17,7 @@
 // headKey is the key of the table's head in the platform's key-value service.
 const headKey = "table/head"
 
-// Sizes of the head's tail, in edits. Chosen, not measured: watchers read the whole head, so
-// it stays small, and a process that was away for an hour of 2,500 edits a day still finds
-// all it missed in the tail (docs/CAPACITY.md).
+// Sizes of the head's tail, in edits.
 const (
 	// maxEdits is the length from which on the tail is cut.
 	maxEdits = 64
@@ -27,7 +25,7 @@
 	keptEdits = 32
 )
 
-// Waits between tries of a save, with doubling; chosen, not measured.
+// Waits between tries of a save, with doubling.
 const (
 	// firstRetryWait is the first one: some round trips to the service.
 	firstRetryWait = 20 * time.Millisecond
--- a/table/row.go
+++ b/table/row.go
@@ -32,7 +32,7 @@
 var Kinds = []Kind{KindModel, KindAdapter, KindService}
 
 // Factors by which a tier's rows weigh more than an economy row of equal weight, without a
-// unit; chosen, not measured.
+// unit.
 const (
 	// premiumFactor is that of the premium tier.
 	premiumFactor = 16
--- a/table/table.go
+++ b/table/table.go
@@ -7,7 +7,7 @@
 )
 
 // maxRemovals bounds the removals that a table remembers for deltas: twice the rows of the
-// size that we build for (docs/CAPACITY.md). Chosen, not measured.
+// size that we build for (docs/CAPACITY.md).
 const maxRemovals = 1024
 
 // A Removal records that a row was removed in a version.
--- a/tools/lab/main.go
+++ b/tools/lab/main.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// runPort is the port of the entry that runSystem starts. Chosen, not measured.
+// runPort is the port of the entry that runSystem starts.
 const runPort = 8080
 
 func runSystem(ctx context.Context, bin, dir string) error {
--- a/tools/lab/smoke.go
+++ b/tools/lab/smoke.go
@@ -16,10 +16,10 @@
 	"rockcleat/table"
 )
 
-// smokeTime bounds the whole smoke test. Chosen, not measured.
+// smokeTime bounds the whole smoke test.
 const smokeTime = 2 * time.Minute
 
-// Lengths of the smoke test's streams, in tokens; chosen, not measured.
+// Lengths of the smoke test's streams, in tokens.
 const (
 	shortStream = 20
 	longStream  = 300
