--- a/tools/names/main.go
+++ b/tools/names/main.go
@@ -38,6 +38,7 @@
 	{regexp.MustCompile(`\bgives? way\b`), "shed"},
 	{regexp.MustCompile(`\bfor want of\b`), "without"},
 	{regexp.MustCompile(`\b(is|are|was) told\b`), "reported, published"},
+	{regexp.MustCompile(`not measured|\b[Cc]hosen with|docs/MEASUREMENTS\.md`), "the reason; figures go into the commit message or docs/CAPACITY.md"},
 	{regexp.MustCompile(`\b[vV]ictims?\b`), "evictions (the log field victims stays)"},
 	{regexp.MustCompile(`\bCustomer\b`), "Organisation (customer on the wire stays)"},
 }
