A free lease whose record was refused once is tried again

A gateway whose write of the lease's record met a conflict waited for an event that tells of another's record. Without one, as when the other's write and its end lie in a history that the service has forgotten, nobody ever led again. TestCampaignGoesOnAfterARefusal: not held after 10 s before, held within a second since: the campaign rests and asks again while it sees no record of another.

--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -41,9 +41,15 @@
 			w.signal()
 			continue
 		}
-		if _, held := h.Held(); held {
+		_, held := h.Held()
+		switch {
+		case held:
 			clock.Sleep(ctx, h.clock, h.opts.TTL/renewalsPerTTL)
 			w.signal()
+		case !w.isTaken():
+			// The service refused although no record of another has been seen: no event may ever come.
+			clock.Sleep(ctx, h.clock, callRetryPause/2+rand.N(callRetryPause))
+			w.signal()
 		}
 	}
 }
--- a/lease/campaign_test.go
+++ b/lease/campaign_test.go
@@ -80,6 +80,30 @@
 	poll.WaitOn(t, holds(a, false))
 }
 
+// TestCampaignGoesOnAfterARefusal lets the service refuse the record of a free lease for a while, with no event that
+// another one has it: nobody held the lease for good after that.
+func TestCampaignGoesOnAfterARefusal(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := kvtest.New(clocktest.Real{})
+	store.Fail(func(call string) error {
+		if call == "put" {
+			return kv.ErrConflict
+		}
+		return nil
+	})
+	a := contender(store, "a")
+	go a.Campaign(ctx, store)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if store.Calls("put") > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("nothing is refused yet")
+	})
+	store.Fail(nil)
+	poll.WaitOn(t, holds(a, true))
+}
+
 func TestCampaignOutlivesForgottenHistory(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
