The store is not listed without end when it has forgotten its history up to now

What a store saw: some 10,000 list calls a second from one gateway until something was written, if it answered a watch from its newest revision as forgotten. Cause: configsync remembers the revision whose history is gone and lists again; the list has the same revision while nothing is written, so it counted as gone too. A list's revision is watched from now, and a second answer of that kind in a row rests as before.

--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -117,10 +117,19 @@
 		shown = max(shown, s.take(e))
 	}
 	s.noteShown(shown, at.Era())
+	s.noteListed(at)
 	s.noteRead(at, began)
 	return nil
 }
 
+// noteListed notes that the store has been listed at a revision, from which it is watched next even if the history up
+// to there was forgotten: while nothing is written no list has a later one, and listing again would have no end.
+func (s *Syncer) noteListed(at kv.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = min(s.forgotten, at-1)
+}
+
 // copySettleTime is how long after its return from a copy the store is given until it has again what the operators
 // wrote, by a gateway that knows of nothing newer: they write it again within some two seconds.
 const copySettleTime = 3 * time.Second
