--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,5 +1,10 @@
 package exchange
 
+import (
+	"cmp"
+	"slices"
+)
+
 // A Log holds records of a kind and counts its changes.
 type Log[R any] interface {
 	// Epoch names the life of the log, above 0: one that starts anew has another.
@@ -92,3 +97,13 @@
 	}
 	l.seen = r.Cursor
 }
+
+// Oldest returns the keys of a log's oldest changes, at most a number of them and the oldest first, and up to which
+// version they go; that is the log's own, version, if all are among them.
+func Oldest[K any](changed []K, versionOf func(K) uint64, most int, version uint64) ([]K, uint64) {
+	slices.SortFunc(changed, func(a, b K) int { return cmp.Compare(versionOf(a), versionOf(b)) })
+	if len(changed) <= most {
+		return changed, version
+	}
+	return changed[:most], versionOf(changed[most-1])
+}
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -1,11 +1,6 @@
 package quarantine
 
-import (
-	"cmp"
-	"slices"
-
-	"rockcleat/exchange"
-)
+import "rockcleat/exchange"
 
 // A Message tells a peer what has changed here and asks for what has changed there.
 type Message = exchange.Message[Record]
@@ -54,12 +49,7 @@
 			changed = append(changed, k)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Key) int { return cmp.Compare(t.entries[a].version, t.entries[b].version) })
-	version := t.version
-	if len(changed) > maxMessageRecords {
-		changed = changed[:maxMessageRecords]
-		version = t.entries[changed[maxMessageRecords-1]].version
-	}
+	changed, version := exchange.Oldest(changed, func(k Key) uint64 { return t.entries[k].version }, maxMessageRecords, t.version)
 	now := t.opts.Clock.Now()
 	records := make([]Record, len(changed))
 	for i, k := range changed {
--- a/serverlimit/exchange.go
+++ b/serverlimit/exchange.go
@@ -1,8 +1,6 @@
 package serverlimit
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"rockcleat/exchange"
@@ -74,12 +72,8 @@
 			changed = append(changed, server)
 		}
 	}
-	slices.SortFunc(changed, func(a, b string) int { return cmp.Compare(t.entries[a].version, t.entries[b].version) })
-	version := t.version
-	if len(changed) > maxMessageRecords {
-		changed = changed[:maxMessageRecords]
-		version = t.entries[changed[maxMessageRecords-1]].version
-	}
+	versionOf := func(server string) uint64 { return t.entries[server].version }
+	changed, version := exchange.Oldest(changed, versionOf, maxMessageRecords, t.version)
 	now := t.opts.Clock.Now()
 	records := make([]Record, len(changed))
 	for i, server := range changed {
--- a/serverlimit/rules.go
+++ b/serverlimit/rules.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// needTime is how long a limit has stood before it counts for what engines hold: a load takes some seconds, and
-	// one for a need that is over is in vain.
+	// needTime is how long a limit has stood before adapters are loaded elsewhere for it: one that comes and goes
+	// moves none.
 	needTime = 2 * time.Second
 	// slotTime is about how long a request holds a slot of an engine.
 	slotTime = 4 * time.Second
--- a/serverlimit/rules_test.go
+++ b/serverlimit/rules_test.go
@@ -2,12 +2,30 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"rockcleat/serverlimit"
 )
 
+func TestIsInNeed(t *testing.T) {
+	tests := map[string]struct {
+		status serverlimit.Status
+		want   bool
+	}{
+		"few requests":                {status: serverlimit.Status{PerSecond: 1.8, Since: 3 * time.Second}, want: true},
+		"none":                        {status: serverlimit.Status{Since: 3 * time.Second}, want: true},
+		"as many as the slots take":   {status: serverlimit.Status{PerSecond: 20, Since: time.Minute}},
+		"few requests since a moment": {status: serverlimit.Status{PerSecond: 1.8, Since: time.Second}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, serverlimit.IsInNeed(test.status, 64), test.want)
+		})
+	}
+}
+
 // TestQuotaIsInsideTheUsersBound checks that what a quota and its tolerance allow together is not more than the
 // users allow: one and a half times what the server named in a window, and five requests.
 func TestQuotaIsInsideTheUsersBound(t *testing.T) {
