--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -39,7 +39,7 @@
 type pair struct {
 	log, peer *wordLog
 	link      *exchange.Link[string]
-	// messages counts those that tell or are told something.
+	// messages counts those that have a content, or whose reply has.
 	messages int
 }
 
