--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -118,9 +118,9 @@
 }
 
 // limitedWait returns how long a request waits until a server takes it, if all servers that could do so have limits
-// and bar it now; ok is false otherwise. ahead is the number of requests that wait here before it for the same
-// model or service. Where other gateways' requests wait too, as denials in a row show, this gateway gets an equal
-// part of the server's rate.
+// and bar it now; ok is false otherwise, and where another server could load the adapter that the request needs.
+// ahead is the number of requests that wait here before it for the same model or service. Where other gateways'
+// requests wait too, as denials in a row show, this gateway gets an equal part of the server's rate.
 func (d *Dispatcher) limitedWait(r *Request, ahead int, now time.Time) (wait time.Duration, ok bool) {
 	var soonest time.Time
 	perSecond := 0.0
