--- a/internal/gateway/store_calls_test.go
+++ b/internal/gateway/store_calls_test.go
@@ -12,14 +12,6 @@
 // storeCalls are all kinds of calls to the store.
 var storeCalls = []string{"get", "list", "watch", "put", "delete", "grant", "keep", "revoke"}
 
-// countCalls returns the number of calls to a world's store so far.
-func (w *world) countCalls() (n int) {
-	for _, call := range storeCalls {
-		n += w.store.Calls(call)
-	}
-	return n
-}
-
 // TestNoStoreCallWithoutRest holds what a store saw that had forgotten its history up to its newest revision: some
 // 10,000 list calls a second from one gateway, until something was written. A watch from the revision of the last list
 // was answered as forgotten, the list that followed had the same revision, and so the store was listed again at once.
@@ -63,9 +55,9 @@
 // checkCallRate checks that the store gets no more than some calls a second for a time.
 func (w *world) checkCallRate(during time.Duration, most int) {
 	w.t.Helper()
-	before := w.countCalls()
+	before := w.storeCalls()
 	<-time.After(during)
-	perSecond := float64(w.countCalls()-before) / during.Seconds()
+	perSecond := float64(w.storeCalls()-before) / during.Seconds()
 	kinds := make(map[string]int)
 	for _, c := range storeCalls {
 		kinds[c] = w.store.Calls(c)
--- a/internal/gateway/store_copy_test.go
+++ b/internal/gateway/store_copy_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -71,10 +72,44 @@
 	}, poll.WithTimeout(5*time.Second))
 }
 
+// TestPriceOfACopy counts the calls to the store in the seconds after it comes back from a copy, and after the leader
+// stops: at each number of gateways a copy costs at most twice as many.
+func TestPriceOfACopy(t *testing.T) {
+	// after covers the term without a leader and the next leader's first round.
+	const after = 6 * time.Second
+	disturbances := map[string]func(w *world){
+		"leader stops": func(w *world) { stopNow(w) },
+		"copy": func(w *world) {
+			value, err := w.store.Get(w.t.Context(), keyConfig)
+			assert.NilError(w.t, err)
+			w.store.Restore(w.store.Copy())
+			w.store.Set(keyConfig, value.Value)
+		},
+	}
+	for _, gateways := range []int{6, 24} {
+		t.Run(fmt.Sprint(gateways, " gateways"), func(t *testing.T) {
+			calls := make(map[string]int)
+			for name, disturb := range disturbances {
+				x := newWorker(t, "a", answer(http.StatusOK, "yes"))
+				w := newWorld(t, x)
+				startFleet(t, w, gateways-1)
+				w.waitLines("leadership gained", 1)
+				before := w.storeCalls()
+				disturb(w)
+				<-time.After(after)
+				w.waitLines("leadership gained", 2)
+				calls[name] = w.storeCalls() - before
+			}
+			t.Logf("calls in %s: %v", after, calls)
+			assert.Assert(t, calls["copy"] <= 2*calls["leader stops"], "%v", calls)
+		})
+	}
+}
+
 // storeCalls returns how often the store was called by all.
 func (w *world) storeCalls() int {
 	sum := 0
-	for _, call := range []string{"get", "list", "watch", "put", "delete", "grant", "keep", "revoke"} {
+	for _, call := range storeCalls {
 		sum += w.store.Calls(call)
 	}
 	return sum
