Proof of the table's record: it is read before any of it can be cut

Trace (logs of the entries): versions 1 to 65 were saved, the record's tail was cut to 34 to 65, and the edit stood at 33: an edit whose answer was lost is reported with the newest version when it is found in the record, here 34, so that the check took it for one that should still be there. No edit was lost. The record is now read before each step, so that all edits of the run are checked, also those that are cut: the check is stricter than before.

--- a/internal/proofs/history_test.go
+++ b/internal/proofs/history_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,33 +63,55 @@
 	}
 }
 
-// checkHistory checks the record of edits: versions follow each other, each
-// edit that was reported as saved stands in it once under the version reported,
-// and no row changes under an edit that had not seen its last change.
-func (tr *trial) checkHistory(accepted map[string]uint64) {
+// An editRecord collects the edits that stand in the record, by version: the oldest are cut from time to time.
+type editRecord struct{ byVersion map[uint64]table.Edit }
+
+// read adds what stands in the record now. A version never gets another edit.
+func (r *editRecord) read(tr *trial) {
 	var h wire.HistoryAnswer
 	tr.must(lab.Client().Get(tr.ctx, tr.liveEntry(0).Control, wire.PathHistory, &h))
+	if r.byVersion == nil {
+		r.byVersion = make(map[uint64]table.Edit)
+	}
+	for _, e := range h.Edits {
+		if before, ok := r.byVersion[e.Version]; ok && before.ID != e.ID {
+			tr.violation("version %d was edit %s and is %s", e.Version, before.ID, e.ID)
+		}
+		r.byVersion[e.Version] = e
+	}
+}
+
+// checkHistory checks the record of edits: versions follow each other, each
+// edit that was reported as saved stands in it once under the version reported
+// or an earlier one, and no row changes under an edit that had not seen its last change.
+//
+// An edit that is saved again after an answer was lost is reported with the newest version, so that nothing says
+// whether it is older than what was cut. The record is therefore read before any of it can be cut.
+func (tr *trial) checkHistory(record *editRecord, accepted map[string]uint64) {
+	record.read(tr)
 	seen := make(map[string]uint64)
 	lastOf := make(map[string]uint64)
-	for i, e := range h.Edits {
-		if i > 0 && e.Version != h.Edits[i-1].Version+1 {
-			tr.violation("version %d follows %d", e.Version, h.Edits[i-1].Version)
+	last := uint64(0)
+	for _, version := range slices.Sorted(maps.Keys(record.byVersion)) {
+		if last > 0 && version != last+1 {
+			tr.violation("version %d follows %d", version, last)
 		}
+		last = version
+		e := record.byVersion[version]
 		if _, twice := seen[e.ID]; twice {
 			tr.violation("edit %s stands twice in the record", e.ID)
 		}
-		seen[e.ID] = e.Version
+		seen[e.ID] = version
 		for _, c := range e.Changes {
-			checkSeen(tr, c, e.Version, lastOf)
+			checkSeen(tr, c, version, lastOf)
 		}
 	}
-	first := h.Edits[0].Version
 	for id, v := range accepted {
 		at, ok := seen[id]
-		if !ok && v >= first {
+		switch {
+		case !ok:
 			tr.violation("edit %s was reported as saved and is not in the record", id)
-		}
-		if ok && at > v {
+		case at > v:
 			tr.violation("edit %s was reported as version %d and is %d", id, v, at)
 		}
 	}
--- a/internal/proofs/table_test.go
+++ b/internal/proofs/table_test.go
@@ -45,7 +45,7 @@
 		tr.must(tr.AwaitVersion(tr.ctx, newest))
 		worst = max(worst, time.Since(began))
 	}
-	tr.runSteps([]step{
+	steps := []step{
 		{"two operators at once", func() { race(); settle() }},
 		{"key-value answers lost", func() {
 			tr.must(lab.Fault(tr.ctx, tr.KVURL, standin.Faults{LoseAnswers: 4}))
@@ -69,9 +69,17 @@
 			settle()
 		}},
 		{"planner killed", func() { tr.awaitPlanner().Kill(); tr.restartDead(); race(); settle() }},
-	})
+	}
+	record := &editRecord{}
+	for i, s := range steps {
+		steps[i].do = func() {
+			record.read(tr)
+			s.do()
+		}
+	}
+	tr.runSteps(steps)
 	watch()
-	tr.checkHistory(accepted)
+	tr.checkHistory(record, accepted)
 	tr.row.worst = fmt.Sprintf("%.1fs from an edit to everywhere, %d edits", worst.Seconds(), len(accepted))
 }
 
