serverlimit: an answer without a limit costs no lock while no limit stands

Each answer of a server took the table's lock and read the clock, although most name no limit and none stands. What an answer says while one stands is taken in as before.

--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -112,7 +112,8 @@
 
 // Observe takes in what an answer of a server says; sent is when its request was sent.
 func (t *Table) Observe(server string, r Reading, sent time.Time) {
-	if r.Kind == Unreadable {
+	if r.Kind == Unreadable || r.Kind == None && !t.Any() {
+		// Most answers name no limit while none stands.
 		return
 	}
 	t.change(func(now time.Time) {
