--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -37,8 +37,7 @@
 			continue
 		}
 		if err := h.Step(ctx); err != nil {
-			clock.Sleep(ctx, h.clock, callRetryPause/2+rand.N(callRetryPause))
-			w.signal()
+			w.tryAgainLater(ctx)
 			continue
 		}
 		_, held := h.Held()
@@ -48,8 +47,7 @@
 			w.signal()
 		case !w.isTaken():
 			// The service refused although no record of another has been seen: no event may ever come.
-			clock.Sleep(ctx, h.clock, callRetryPause/2+rand.N(callRetryPause))
-			w.signal()
+			w.tryAgainLater(ctx)
 		}
 	}
 }
@@ -107,6 +105,12 @@
 	}
 }
 
+// tryAgainLater makes the next await return after a pause.
+func (w *watcher) tryAgainLater(ctx context.Context) {
+	clock.Sleep(ctx, w.holder.clock, callRetryPause/2+rand.N(callRetryPause))
+	w.signal()
+}
+
 // Replace implements kv.Follower.
 func (w *watcher) Replace(entries []kv.Entry) {
 	for _, e := range entries {
