gateway: lines that are bounded and count those left out, in one type

Requests over an organisation's limit and servers' limits had the same limiter, counter and field, written twice. Two comments are wrapped anew.

--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -61,8 +61,7 @@
 }
 
 // lackTime is how long an engine that does not hold a model or adapter is not asked for it again: as
-// long as what engines hold may take to be known elsewhere. Each such send
-// takes from the retry budget.
+// long as what engines hold may take to be known elsewhere. Each such send takes from the retry budget.
 const lackTime = time.Second
 
 // noteLack notes that the engine does not hold a model or adapter.
--- /dev/null
+++ b/internal/gateway/bounded_lines.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+)
+
+// boundedLines bounds the log lines of one kind, and counts those left out for the next one that is written. It is safe
+// for concurrent use.
+type boundedLines struct {
+	limiter *rate.Limiter
+	leftOut atomic.Uint64
+}
+
+func newBoundedLines(perSecond rate.Limit, burst int) *boundedLines {
+	return &boundedLines{limiter: rate.NewLimiter(perSecond, burst)}
+}
+
+// next reports whether a line may be written now, and returns the field that tells how many were left out before it.
+func (b *boundedLines) next(now time.Time) (leftOut zap.Field, ok bool) {
+	if !b.limiter.AllowN(now, 1) {
+		b.leftOut.Add(1)
+		return zap.Skip(), false
+	}
+	if n := b.leftOut.Swap(0); n > 0 {
+		return zap.Uint64(fieldLeftOut, n), true
+	}
+	return zap.Skip(), true
+}
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -59,8 +59,7 @@
 	// informed says that this gateway knows what was in quarantine before its start.
 	informed *atomic.Bool
 	// urgent is sent when a report should not wait: a request waits for a model that no server holds,
-	// a server has ended
-	// or has named another limit than before.
+	// a server has ended, or one has named another limit than before.
 	urgent signal
 
 	// unanswered says that the last report got no reply.
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -146,14 +146,10 @@
 	// answered and quarantined bound the lines on such requests, leftOut counts the others.
 	answered    *rate.Limiter
 	quarantined *rate.Limiter
-	overLimit   *rate.Limiter
 	leftOut     atomic.Uint64
-	// overLeftOut counts requests over a limit that were not logged.
-	overLeftOut atomic.Uint64
 	malformed   *rate.Limiter
-	// serverLimit bounds the lines on servers' limits, limitsLeftOut counts the others.
-	serverLimit   *rate.Limiter
-	limitsLeftOut atomic.Uint64
+	// overLimit bounds the lines on requests over their organisation's limit, serverLimit those on servers' limits.
+	overLimit, serverLimit *boundedLines
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.Names) *requestLog {
@@ -161,9 +157,9 @@
 		log: log, metrics: m, clock: c, names: names,
 		answered:    rate.NewLimiter(answeredRate, answeredBurst),
 		quarantined: rate.NewLimiter(quarantinedRate, quarantinedBurst),
-		overLimit:   rate.NewLimiter(overLimitRate, overLimitBurst),
+		overLimit:   newBoundedLines(overLimitRate, overLimitBurst),
 		malformed:   rate.NewLimiter(malformedRate, malformedBurst),
-		serverLimit: rate.NewLimiter(serverLimitRate, serverLimitBurst),
+		serverLimit: newBoundedLines(serverLimitRate, serverLimitBurst),
 	}
 }
 
@@ -243,13 +239,10 @@
 func (l *requestLog) refusedEarly(r *http.Request, f *refusal) {
 	leftOut := zap.Skip()
 	if f.status == http.StatusTooManyRequests {
-		if !l.overLimit.AllowN(l.clock.Now(), 1) {
-			l.overLeftOut.Add(1)
+		var ok bool
+		if leftOut, ok = l.overLimit.next(l.clock.Now()); !ok {
 			return
 		}
-		if n := l.overLeftOut.Swap(0); n > 0 {
-			leftOut = zap.Uint64(fieldLeftOut, n)
-		}
 	}
 	l.log.Info(msgRefused, zap.String(fieldRequest, r.Header.Get(l.names.RequestID)), zap.String(fieldHost, r.Host),
 		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, f.status), zap.String(fieldReason, f.reason),
@@ -281,14 +274,10 @@
 // serverLimitChanged counts a limit that a server has named, changed or ended, and logs it up to a rate.
 func (l *requestLog) serverLimitChanged(c serverlimit.Change) {
 	l.metrics.ServerLimit(string(c.State))
-	if !l.serverLimit.AllowN(l.clock.Now(), 1) {
-		l.limitsLeftOut.Add(1)
+	leftOut, ok := l.serverLimit.next(l.clock.Now())
+	if !ok {
 		return
 	}
-	leftOut := zap.Skip()
-	if n := l.limitsLeftOut.Swap(0); n > 0 {
-		leftOut = zap.Uint64(fieldLeftOut, n)
-	}
 	l.log.Info(msgServerLimit, zap.String(fieldServer, c.Server), zap.String(fieldState, string(c.State)),
 		zap.Float64(fieldPerSecond, c.PerSecond), zap.String(fieldOrigin, string(c.Origin)), zap.Float64(fieldAge, c.Age.Seconds()), leftOut)
 }
