--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -194,3 +194,21 @@
 	writes := s.Stats().Writes - before
 	assert.Assert(t, writes <= 50, "100 claims took %d writes", writes)
 }
+
+// TestOpenTwice checks that a claim that waits while its shard is opened again is not confirmed, since its record is
+// not written.
+func TestOpenTwice(t *testing.T) {
+	_, store := standintest.KV(t)
+	o := newOwner(t, store, "a")
+	ctx := context.Background()
+	assert.NilError(t, o.Open(ctx))
+	outcome := make(chan error, 1)
+	go func() {
+		_, _, err := o.Claim(ctx, "k", 1, "one")
+		outcome <- err
+	}()
+	<-o.Wake()
+	assert.NilError(t, o.Open(ctx))
+	assert.NilError(t, o.Flush(ctx))
+	assert.ErrorIs(t, <-outcome, claim.ErrNotOwner)
+}
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -74,8 +74,10 @@
 func (s *Shard) slotKey(n uint64) string { return fmt.Sprintf("%s%020d", s.prefix(), n) }
 
 // Open reads the shard's records and writes an empty batch to the next slot, which fences off the
-// previous owner. It must be called after the shard's lease has been acquired.
+// previous owner. It must be called after the shard's lease has been acquired. A Shard that is open is
+// closed first: its pending records belong to the lease that it held before.
 func (s *Shard) Open(ctx context.Context) error {
+	s.Close()
 	entries, err := s.store.List(ctx, s.prefix())
 	if err != nil {
 		return err
@@ -85,7 +87,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.records, s.nextSlot, s.pending = records, nextSlot, nil
+	s.records, s.nextSlot = records, nextSlot
 	s.leaseID = 0
 	s.mu.Unlock()
 	if err := s.write(ctx, nil); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,7 +21,7 @@
 // settingsFileMode is owner-only, because the settings contain the secret.
 const settingsFileMode = 0o600
 
-// maxFileSize is the number of bytes that Read reads of a settings file; any further ones are ignored.
+// maxFileSize is the maximum size of a settings file, in bytes.
 const maxFileSize = 1 << 20
 
 // A Problem is one error in a settings file.
@@ -78,10 +78,13 @@
 		return eris.Wrap(err, "config: open settings")
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxFileSize))
+	data, err := io.ReadAll(io.LimitReader(f, maxFileSize+1))
 	if err != nil {
 		return eris.Wrap(err, "config: read settings")
 	}
+	if len(data) > maxFileSize {
+		return eris.Errorf("config: settings file %s exceeds %d bytes", file, maxFileSize)
+	}
 	return Parse(file, data, into)
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -165,3 +165,13 @@
 		assert.DeepEqual(t, e, again)
 	})
 }
+
+// TestFileTooLong checks that a settings file that is too long is rejected and not cut.
+func TestFileTooLong(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("..", "..", "examples", "gateway.yaml"))
+	assert.NilError(t, err)
+	file := filepath.Join(t.TempDir(), "gateway.yaml")
+	const tooLong = 2 << 20
+	assert.NilError(t, os.WriteFile(file, append(data, strings.Repeat("\n", tooLong)...), 0o600))
+	assert.ErrorContains(t, config.Read(file, &config.Gateway{}), "exceeds")
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -28,7 +28,8 @@
 		return f.handleLost(res, cause(ctx, err))
 	}
 	f.beginResponse(resp)
-	if len(body) < maxBufferedResponse {
+	// In response to HEAD, Content-Length states the length that the body would have, and stays.
+	if len(body) < maxBufferedResponse && f.in.Method != http.MethodHead {
 		f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	f.w.WriteHeader(resp.StatusCode)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -72,10 +72,8 @@
 		f.record.outcome = outcomeCallerGone
 	case f.isCancelledByQuarantine():
 		f.refuseQuarantined()
-	case f.headerSent.Load():
-		f.abort(eris.Wrap(err, "gateway: no server to resume the stream on"))
-	case f.record.runs > 0:
-		f.refuse(outcomeUnknown, mayHaveRun("the request may have run"))
+	case f.headerSent.Load(), f.record.runs > 0:
+		f.refuseNotRun(nil, eris.Wrap(err, "gateway: no server to send the request to again"))
 	case errors.As(err, &limited):
 		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
 	case errors.Is(err, dispatch.ErrShed):
@@ -112,10 +110,23 @@
 	if f.record.unsent < maxUnsent {
 		return false
 	}
-	f.refuse(outcomeRefused, notRun("no server can be reached", retryAfterLoad()))
+	f.refuseNotRun(notRun("no server can be reached", retryAfterLoad()), err)
 	return true
 }
 
+// refuseNotRun ends a request after a send that did not run. If no earlier send may have run, the caller gets r, which
+// says so. If a part of a response has been sent, err is logged as the reason why it is aborted.
+func (f *forwarder) refuseNotRun(r *refusal, err error) {
+	if f.headerSent.Load() {
+		f.abort(err)
+	}
+	if f.record.runs > 0 {
+		f.refuse(outcomeUnknown, mayHaveRun("the request may have run"))
+		return
+	}
+	f.refuse(outcomeRefused, r)
+}
+
 // handleRefusal handles a response in which the server says that it did not run the request. It reports whether the
 // request is finished.
 func (f *forwarder) handleRefusal(res *dispatch.Reservation, resp *http.Response) bool {
@@ -123,15 +134,8 @@
 	// Reading the body lets the connection be reused; after an error it is closed.
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
 	f.proxy.requestLog.sendFailed(f, res, "refused", eris.Errorf("status %d", resp.StatusCode))
-	if f.headerSent.Load() {
-		f.abort(eris.New("gateway: server refused to resume the stream"))
-	}
-	if f.record.runs > 0 {
-		f.refuse(outcomeUnknown, mayHaveRun("the request may have run"))
-		return true
-	}
-	if f.record.sends > maxRefusals || !f.proxy.budgets.take(f.in) {
-		f.refuse(outcomeRefused, notRun("the servers are full", retryAfterLoad()))
+	if f.headerSent.Load() || f.record.runs > 0 || f.record.sends > maxRefusals || !f.proxy.budgets.take(f.in) {
+		f.refuseNotRun(notRun("the servers are full", retryAfterLoad()), eris.New("gateway: server refused to resume the stream"))
 		return true
 	}
 	// Only the last server is excluded: the others may have capacity again.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,20 +28,13 @@
 func readEvent(r *bufio.Reader, buf *bytes.Buffer) (id string, err error) {
 	buf.Reset()
 	for {
-		line, err := r.ReadSlice('\n')
-		buf.Write(line)
-		if err == bufio.ErrBufferFull && buf.Len() < maxEventBytes {
-			continue
-		}
+		line, err := readLine(r, buf)
 		if err == io.EOF && buf.Len() > 0 {
 			return "", io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return "", err
 		}
-		if buf.Len() > maxEventBytes {
-			return "", errEventTooLong
-		}
 		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
 			return id, nil
 		} else if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
@@ -50,6 +43,23 @@
 	}
 }
 
+// readLine appends one line of an event to buf and returns the line, which is valid until the next change of buf. It
+// returns errEventTooLong if buf would hold more than maxEventBytes bytes.
+func readLine(r *bufio.Reader, buf *bytes.Buffer) (line []byte, err error) {
+	start := buf.Len()
+	for {
+		part, err := r.ReadSlice('\n')
+		buf.Write(part)
+		switch {
+		case buf.Len() > maxEventBytes:
+			return nil, errEventTooLong
+		case err == bufio.ErrBufferFull:
+			continue
+		}
+		return buf.Bytes()[start:], err
+	}
+}
+
 // forwardStream forwards a stream event by event, and reports whether the request is finished.
 func (f *forwarder) forwardStream(ctx context.Context, res *dispatch.Reservation, resp *http.Response, stall *stallTimer) bool {
 	r := readerPool.Get().(*bufio.Reader)
--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -48,13 +48,25 @@
 // which distinguishes an unresponsive peer from a slow link.
 func (w *Watchdog) ReadAll(ctx context.Context, body io.Reader, limit int64) ([]byte, error) {
 	w.restartStallTimer()
-	data, err := io.ReadAll(io.LimitReader(NewProgressReader(body, w.restartStallTimer), limit))
+	data, err := ReadAll(NewProgressReader(body, w.restartStallTimer), limit)
 	if err != nil {
 		return data, eris.Wrapf(Cause(ctx, err), "transfer: %d bytes of the answer received", len(data))
 	}
 	return data, nil
 }
 
+// ErrTooLarge is returned by ReadAll if there are more bytes than allowed.
+var ErrTooLarge = errors.New("transfer: the body is too large")
+
+// ReadAll reads until EOF, at most limit bytes. If there are more, it returns the first ones and ErrTooLarge.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return data[:limit], ErrTooLarge
+	}
+	return data, err
+}
+
 // Cause returns the context's cause if err is context.Canceled and the context has ended, and err
 // otherwise.
 func Cause(ctx context.Context, err error) error {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -17,7 +17,7 @@
 	"rockcleat/internal/transfer"
 )
 
-// maxMessageSize is the number of bytes that are read of a response's body.
+// maxMessageSize is the maximum size of a response's body, in bytes.
 const maxMessageSize = 16 << 20
 
 // ErrNotSent is returned when no connection could be made, so that nothing was sent.
@@ -92,10 +92,8 @@
 	return req, nil
 }
 
-// readBody reads a response's body, up to maxMessageSize bytes.
-func readBody(body io.Reader) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(body, maxMessageSize))
-}
+// readBody reads a response's body of at most maxMessageSize bytes.
+func readBody(body io.Reader) ([]byte, error) { return transfer.ReadAll(body, maxMessageSize) }
 
 // do sends a request and decodes the response body that read returns.
 func (c *Client) do(req *http.Request, out any, read func(body io.Reader) ([]byte, error)) error {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -82,3 +82,7 @@
 func (e *entry) record(k Key, now time.Time) Record {
 	return Record{Key: k, Generation: e.generation, Servers: slices.Clone(e.servers), AgeMs: max(now.Sub(e.lastEvent).Milliseconds(), 0)}
 }
+
+// age returns the record's age. A negative age, which only an invalid record has, counts as 0, since it would prolong
+// the quarantine.
+func (r Record) age() time.Duration { return time.Duration(max(r.AgeMs, 0)) * time.Millisecond }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -106,7 +106,7 @@
 	t.change(func(now time.Time) {
 		before = t.version
 		for _, r := range records {
-			at := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+			at := now.Add(-r.age())
 			if now.Sub(at) > retentionTime(t.opts.Duration, len(r.Servers), t.opts.CrashThreshold) {
 				continue
 			}
--- a/table/csv.go
+++ b/table/csv.go
@@ -34,7 +34,8 @@
 // An invalid header or cell is reported as a CheckError. If the row has no name, the error
 // identifies it as "line N".
 func ReadCSV(r io.Reader) ([]Row, error) {
-	in := csv.NewReader(io.LimitReader(r, maxCSVBytes))
+	limited := &io.LimitedReader{R: r, N: maxCSVBytes + 1}
+	in := csv.NewReader(limited)
 	header, err := in.Read()
 	if err != nil {
 		return nil, eris.Wrap(err, "table: read csv header")
@@ -46,6 +47,9 @@
 	seen := make(map[string]int)
 	for {
 		cells, err := in.Read()
+		if limited.N == 0 {
+			return nil, eris.Errorf("table: csv exceeds %d bytes", maxCSVBytes)
+		}
 		if err == io.EOF {
 			return rows, nil
 		}
