gateway, dispatch: evacuated data halls, and regions of routes and organisations

Evacuated halls are followed like the list of servers, through the tree, so a gateway that cannot read the store or has just started knows them; a gateway uses no server before it does. A server in an evacuated hall counts as one that is leaving: it is no candidate, its owner admits nothing there, no model is planned there. An evacuation that a restored store lacks is kept until the operators have had time to write it again.

Halls outside the allowed regions are no candidates for any send of a request; a request without a server there is refused at once. The planner does not load a model for a region.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -41,7 +41,11 @@
 	// unknown.
 	residency   map[string]Residency
 	residencyAt time.Time
-	snapshot    atomic.Pointer[Snapshot]
+	// warmupTime, if not nil, returns the warm-up time of a service's servers.
+	warmupTime func(service string) time.Duration
+	// evacuated holds the evacuated data halls.
+	evacuated map[string]bool
+	snapshot  atomic.Pointer[Snapshot]
 }
 
 // Snapshot returns the current state of the known servers. It does not lock.
@@ -177,6 +181,17 @@
 	r.Apply([]Change{{Server: Server{ID: id}, Removed: true}}, now)
 }
 
+// SetEvacuated replaces the set of evacuated data halls. Their servers accept no new requests.
+func (r *Registry) SetEvacuated(halls map[string]bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if maps.Equal(halls, r.evacuated) {
+		return
+	}
+	r.evacuated = maps.Clone(halls)
+	r.rebuild(now)
+}
+
 // SetResidency replaces the leader's residency of all engines.
 func (r *Registry) SetResidency(all map[string]Residency, now time.Time) {
 	r.mu.Lock()
@@ -269,6 +284,7 @@
 	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	all, dropped := dropWithoutInstance(all)
 	for i := range all {
+		all[i].Evacuated = r.evacuated[all[i].Hall]
 		if published, ok := r.residency[all[i].ID]; ok {
 			all[i].Residents = published.Residents
 		}
--- a/backend/server.go
+++ b/backend/server.go
@@ -33,7 +33,15 @@
 	// Slots is the number of requests that the server processes concurrently.
 	Slots int
 	// Leaving is set if the server is leaving: it accepts no new requests.
-	Leaving   bool
+	Leaving bool
+	// WarmupLeft is the remaining warm-up time when the record was written. It is negative if the
+	// record does not say.
+	WarmupLeft time.Duration
+	// WarmUntil is set by the Registry to the end of the warm-up.
+	WarmUntil time.Time
+	// Evacuated is set by the Registry if the server's data hall is evacuated. It is false in
+	// records of the platform's list.
+	Evacuated bool
 	Residents []Resident
 	// CachedInMemory and CachedOnDisk name the models whose weights the server's machine has
 	// cached.
@@ -49,6 +57,10 @@
 	return s.Instance
 }
 
+// AcceptsRequests reports whether new requests may be sent to the server: it is not leaving, and its
+// data hall is not evacuated.
+func (s *Server) AcceptsRequests() bool { return !s.Leaving && !s.Evacuated }
+
 // A Listing is the part of a server's record that only the platform's list provides. It omits the
 // residents, for which the leader's residency is more current.
 type Listing struct {
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -76,7 +76,7 @@
 	now := d.opts.Clock.Now()
 	c := d.candidate(req, s, d.opts.CacheTokens(s.Service), now)
 	reply := AdmissionReply{Owned: true, Load: c.load()}
-	if s.Leaving {
+	if !s.AcceptsRequests() {
 		reply.RetryAfterMs = int(fullEngineRetry.Milliseconds())
 		return reply
 	}
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -221,13 +221,22 @@
 	assert.Assert(t, req.AdmissionsDenied > 0)
 }
 
-// TestNoAdmissionAtALeavingEngine checks that the owner of a leaving engine admits nothing there,
-// even if the other gateways do not know yet that the engine is leaving.
+// TestNoAdmissionAtALeavingEngine checks that the owner of an engine that is leaving, or in an evacuated data hall,
+// admits nothing there, even if the other gateways do not know of it yet.
 func TestNoAdmissionAtALeavingEngine(t *testing.T) {
-	c := clocktest.New(time.Unix(1000, 0))
 	leaving := engine("a")
 	leaving.Leaving = true
-	d := newGatewayGroup(c, 1, leaving).dispatchers["g0"]
-	reply := d.Admit(dispatch.AdmissionRequest{Server: "a", Model: model})
-	assert.Assert(t, reply.Owned && !reply.Admitted && reply.RetryAfterMs > 0, "%+v", reply)
+	var evacuated backend.Registry
+	evacuated.Replace([]backend.Server{engine("a")}, time.Unix(1000, 0))
+	evacuated.SetEvacuated(map[string]bool{leaving.Hall: true}, time.Unix(1000, 0))
+	tests := map[string]*backend.Snapshot{"leaving": snapshot(leaving), "evacuated": evacuated.Snapshot()}
+	for name, servers := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.New(time.Unix(1000, 0))
+			d := newGatewayGroup(c, 1).dispatchers["g0"]
+			d.SetServers(servers)
+			reply := d.Admit(dispatch.AdmissionRequest{Server: "a", Model: model})
+			assert.Assert(t, reply.Owned && !reply.Admitted && reply.RetryAfterMs > 0, "%+v", reply)
+		})
+	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,6 +13,9 @@
 var (
 	// ErrNoServer means that no server can take the request and the request may not wait.
 	ErrNoServer = errors.New("dispatch: no server can take the request")
+	// ErrNoHall means that no server in the data halls that the request allows holds its model, so
+	// that the request would wait for a server that nobody prepares.
+	ErrNoHall = errors.New("dispatch: no server in an allowed data hall can take the request")
 	// ErrShed means that the request would have to wait and is refused in favour of requests with
 	// higher priority.
 	ErrShed = errors.New("dispatch: request shed in favour of higher-priority requests")
@@ -132,8 +135,8 @@
 	return Choose(list, d.limitsFor(r, now)) >= 0
 }
 
-// CountServersHolding returns the number of servers that hold the request's model and adapter and
-// are not leaving, whether or not they have capacity.
+// CountServersHolding returns the number of servers that hold the request's model and adapter, accept
+// requests and are in a data hall that the request allows, whether or not they have capacity.
 func (d *Dispatcher) CountServersHolding(r *Request) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -143,7 +146,7 @@
 func (d *Dispatcher) holderCount(r *Request) int {
 	n := 0
 	for _, s := range d.servers.WithModel(r.Service, r.Model) {
-		if !s.Leaving && (r.Model == "" || s.Holds(r.Model, r.Adapter)) {
+		if s.AcceptsRequests() && r.allowsHall(s.Hall) && (r.Model == "" || s.Holds(r.Model, r.Adapter)) {
 			n++
 		}
 	}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -201,11 +201,10 @@
 // canLoadAdapter reports whether a server holds the request's model and only lacks its adapter,
 // which is then loaded because the request waits for it.
 func (d *Dispatcher) canLoadAdapter(r *Request, s *backend.Server) bool {
-	return r.Adapter != "" && !s.Leaving && !r.isExcluded(s.ID) && s.Holds(r.Model, "")
+	return r.Adapter != "" && r.mayUse(s) && s.Holds(r.Model, "")
 }
 
-// isEligible reports whether a server holds what the request needs, is not leaving and is not
-// excluded.
+// isEligible reports whether a server holds what the request needs and may be chosen for it.
 func (d *Dispatcher) isEligible(r *Request, s *backend.Server) bool {
-	return !s.Leaving && !r.isExcluded(s.ID) && (r.Model == "" || s.Holds(r.Model, r.Adapter))
+	return r.mayUse(s) && (r.Model == "" || s.Holds(r.Model, r.Adapter))
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"rockcleat/backend"
 )
 
 // A Request holds the properties of a client request that scheduling depends on.
@@ -29,6 +31,8 @@
 	Gap GapBudget
 	// Exclude lists the IDs of servers that must not be chosen.
 	Exclude []string
+	// Halls holds the data halls whose servers may be chosen; nil allows all halls.
+	Halls map[string]bool
 	// MayHaveRun means that a server may have processed the request already. Such a request is
 	// never late and never shed.
 	MayHaveRun bool
@@ -56,6 +60,14 @@
 
 func (r *Request) isExcluded(server string) bool { return slices.Contains(r.Exclude, server) }
 
+// mayUse reports whether the request may be sent to a server, whatever the server holds: the server
+// accepts requests, is in one of the request's data halls and is not excluded.
+func (r *Request) mayUse(s *backend.Server) bool {
+	return s.AcceptsRequests() && r.allowsHall(s.Hall) && !r.isExcluded(s.ID)
+}
+
+func (r *Request) allowsHall(hall string) bool { return r.Halls == nil || r.Halls[hall] }
+
 // targetKey returns the key of the model or adapter: MODEL or MODEL/ADAPTER.
 func (r *Request) targetKey() string {
 	if r.Adapter == "" {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -53,7 +53,7 @@
 }
 
 // Acquire reserves a server for a request and waits for one until the request's WaitUntil. The
-// error is ErrNoServer, ErrShed, ErrWaitTimeout, a *RateLimitError or the error of ctx.
+// error is ErrNoServer, ErrNoHall, ErrShed, ErrWaitTimeout, a *RateLimitError or the error of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Reservation, error) {
 	for {
 		res, err := d.reserveOrWait(ctx, r)
@@ -99,6 +99,8 @@
 		}
 	}
 	switch {
+	case r.Halls != nil && d.holderCount(r) == 0:
+		return ErrNoHall
 	case !mayWait:
 		return ErrNoServer
 	case d.shouldShed(r):
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -25,6 +25,8 @@
 	// ID is the VM's name, Hall the data hall that it is in.
 	ID   string `yaml:"id"`
 	Hall string `yaml:"hall"`
+	// Regions maps each data hall to its region.
+	Regions map[string]string `yaml:"regions"`
 	// Listen is the address for callers, ReadyListen the one for the load balancer's readiness checks,
 	// PeerListen the one for other gateways, MetricsListen the one for metrics, which may be empty.
 	Listen        string `yaml:"listen"`
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -6,8 +6,8 @@
 //
 //   - conns: callers' connections and their timeouts;
 //   - lifecycle: requests in progress, and shutdown;
-//   - configuration (kept up to date by a configsync.Syncer) and serverList (kept up to date by a serverFollower):
-//     the gateway's view of the store;
+//   - configuration (kept up to date by a configsync.Syncer) and serverList (kept up to date by a serverFollower and an
+//     evacuationFollower): the gateway's view of the store;
 //   - directory: the list of gateways, and this gateway's position in their distribution tree;
 //   - reporter: reports to the leader, and the state exchanged with it;
 //   - feed: updates of the store view, read from the parent in the tree;
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -24,6 +24,10 @@
 func (plainDecoder) ConfigKey() string    { return "config" }
 func (plainDecoder) ServerPrefix() string { return "servers/" }
 
+func (plainDecoder) EvacuationPrefix() string { return "evacuated/" }
+
+func (plainDecoder) EvacuatedHall(key string) string { return key }
+
 func (plainDecoder) Routing([]byte) (*table.Routing, error) { return nil, nil }
 
 func (plainDecoder) Server(key string, value []byte) (backend.Server, error) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -76,6 +76,8 @@
 		f.refuseNotRun(nil, eris.Wrap(err, "gateway: no server to send the request to again"))
 	case errors.As(err, &limited):
 		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
+	case errors.Is(err, dispatch.ErrNoHall):
+		f.refuse(outcomeRefused, notRun("no server in an allowed region", retryAfterLoad()))
 	case errors.Is(err, dispatch.ErrShed):
 		f.refuse(outcomeRefused, notRun("more urgent requests wait", retryAfterShed(f.in)))
 	case f.ctx.Err() != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,14 +20,18 @@
 
 // A Decoder decodes entries of the platform's store.
 type Decoder interface {
-	// ConfigKey returns the key of the configuration, ServerPrefix the key prefix of backend servers.
+	// ConfigKey returns the key of the configuration, ServerPrefix the key prefix of backend servers, EvacuationPrefix
+	// that of evacuated data halls.
 	ConfigKey() string
 	ServerPrefix() string
+	EvacuationPrefix() string
 	// Routing decodes a configuration, Server the record of a backend server.
 	Routing(value []byte) (*table.Routing, error)
 	Server(key string, value []byte) (backend.Server, error)
-	// ServerID returns the server id in the key of a backend server.
+	// ServerID returns the server id in the key of a backend server, EvacuatedHall the data hall in the key of an
+	// evacuation.
 	ServerID(key string) string
+	EvacuatedHall(key string) string
 	// IsOlderServerEntry reports whether value is an older record of the same server instance than another one. known is
 	// false if the records are of different instances.
 	IsOlderServerEntry(value, than []byte) (older, known bool)
@@ -137,6 +141,7 @@
 	}
 	go g.configs.Run(g.ctx)
 	g.follow(g.decoder.ServerPrefix(), newServerFollower(g.health, g.servers))
+	g.follow(g.decoder.EvacuationPrefix(), newEvacuationFollower(g.health, g.servers))
 	g.placer.Start()
 	go g.reporter.run(g.ctx)
 	go g.feed.run(g.ctx)
@@ -170,6 +175,8 @@
 		return false, "no configuration yet"
 	case !g.servers.isListed():
 		return false, "no servers known yet"
+	case !g.servers.knowsEvacuations():
+		return false, "evacuated data halls not known yet"
 	case !g.quarantine.isSynced(g.clock.Now()):
 		return false, "quarantine not known yet"
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -38,9 +38,10 @@
 
 // Store keys and paths of the platform that the tests simulate.
 const (
-	keyConfig = "config"
-	prefix    = "servers/"
-	readyPath = "/ready"
+	keyConfig        = "config"
+	prefix           = "servers/"
+	evacuationPrefix = "evacuated/"
+	readyPath        = "/ready"
 )
 
 // A decoder decodes the product's records from JSON.
@@ -60,6 +61,10 @@
 
 func (decoder) ServerPrefix() string { return prefix }
 
+func (decoder) EvacuationPrefix() string { return evacuationPrefix }
+
+func (decoder) EvacuatedHall(key string) string { return strings.TrimPrefix(key, evacuationPrefix) }
+
 func (decoder) ServerID(key string) string { return strings.TrimPrefix(key, prefix) }
 
 // IsOlderServerEntry reports whether value is not leaving and than is: the tests' records have no sequence number.
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -111,7 +111,7 @@
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
 		Clock: o.Clock, MaxAge: viewMaxAge(s), IsWatcher: l.isLeader,
 		OnSwitch: p.requestLog.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
-		ExtraAge: p.extraAge(s), PeriodicWriters: serverWriters(o.Decoder),
+		ExtraAge: p.extraAge(s), PeriodicWriters: writersAfterRestore(o.Decoder),
 	})
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
@@ -222,7 +222,7 @@
 	return &proxy{
 		names: o.Names, config: p.config, authenticator: p.newAuthenticator(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, requestLog: p.requestLog,
 		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, serverLimits: p.serverLimits.Table, clock: o.Clock,
-		transport: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), bodyTimeout: o.Settings.BodyTimeout.Std(),
+		transport: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), bodyTimeout: o.Settings.BodyTimeout.Std(), regions: o.Settings.Regions,
 	}
 }
 
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -32,6 +32,7 @@
 	serverLimits *serverlimit.Table
 	clock        clock.Service
 	transport    http.RoundTripper
+	regions      regionMap
 	// bodyTimeout is the timeout for reading a request body.
 	bodyTimeout time.Duration
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -26,6 +26,9 @@
 	// seed is the seed of digests, which are compared only within this process.
 	seed   maphash.Seed
 	listed atomic.Bool
+	// evacuationsKnown is set once the evacuated data halls have been read from the store. Until then the sink gets no
+	// servers.
+	evacuationsKnown atomic.Bool
 	// withoutInstance holds the servers that were last excluded because their record has no instance id. It is used
 	// only by the goroutine that follows the store.
 	withoutInstance []string
@@ -38,8 +41,22 @@
 // isListed reports whether the list has been read from the store.
 func (s *serverList) isListed() bool { return s.listed.Load() }
 
-// refresh sends the current servers to the sink.
-func (s *serverList) refresh() { s.sink.SetServers(s.registry.Snapshot()) }
+// knowsEvacuations reports whether the evacuated data halls have been read from the store.
+func (s *serverList) knowsEvacuations() bool { return s.evacuationsKnown.Load() }
+
+// refresh sends the current servers to the sink, once the evacuated data halls are known.
+func (s *serverList) refresh() {
+	if s.knowsEvacuations() {
+		s.sink.SetServers(s.registry.Snapshot())
+	}
+}
+
+// setEvacuated replaces the set of evacuated data halls.
+func (s *serverList) setEvacuated(halls map[string]bool) {
+	s.registry.SetEvacuated(halls, s.clock.Now())
+	s.evacuationsKnown.Store(true)
+	s.refresh()
+}
 
 // replace replaces the list read from the store.
 func (s *serverList) replace(list []backend.Server) {
--- a/internal/gateway/store_copy.go
+++ b/internal/gateway/store_copy.go
@@ -23,11 +23,28 @@
 // MaxWriteInterval implements kv.PeriodicWriters.
 func (serverRecords) MaxWriteInterval() time.Duration { return serverWriteInterval }
 
-// serverWriters returns a function that returns the writers of a prefix, or nil if it is not the prefix of servers.
-func serverWriters(d Decoder) func(prefix string) kv.PeriodicWriters {
+// operatorWriteInterval is the time within which operators repeat the writes that a restored store lacks.
+const operatorWriteInterval = 3 * time.Second
+
+// evacuationRecords implements kv.PeriodicWriters for the entries of evacuated data halls. Operators write an entry
+// once, and again only if a restored store lacks it.
+type evacuationRecords struct{}
+
+// IsOlder implements kv.PeriodicWriters. Entries hold no order of their own.
+func (evacuationRecords) IsOlder(_, _ kv.Entry) (older, known bool) { return false, false }
+
+// MaxWriteInterval implements kv.PeriodicWriters.
+func (evacuationRecords) MaxWriteInterval() time.Duration { return operatorWriteInterval }
+
+// writersAfterRestore returns a function that returns who writes the entries of a prefix again after the store was
+// restored from a backup, or nil if nobody does.
+func writersAfterRestore(d Decoder) func(prefix string) kv.PeriodicWriters {
 	return func(prefix string) kv.PeriodicWriters {
-		if prefix == d.ServerPrefix() {
+		switch prefix {
+		case d.ServerPrefix():
 			return serverRecords{decoder: d}
+		case d.EvacuationPrefix():
+			return evacuationRecords{}
 		}
 		return nil
 	}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -131,7 +131,7 @@
 		recent[model] = true
 	}
 	return residency.EngineView{
-		ID: e.server.ID, Hall: e.server.Hall, Residents: e.residentsAfterOrders(), Idle: e.isIdle(), Leaving: e.server.Leaving,
+		ID: e.server.ID, Hall: e.server.Hall, Residents: e.residentsAfterOrders(), Idle: e.isIdle(), Leaving: !e.server.AcceptsRequests(),
 		CachedInMemory: e.cachedInMemory, CachedOnDisk: e.cachedOnDisk, RecentlyLoaded: recent,
 	}
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -377,3 +378,28 @@
 	assert.Equal(t, first.server, "e0@2")
 	assert.Equal(t, first.order.Sequence, 0)
 }
+
+// TestModelsOfAnEvacuatedHallAreLoadedElsewhere checks that a model held only by an engine in an evacuated data hall is
+// loaded on an engine in another hall, and that nothing is loaded in the evacuated one.
+func TestModelsOfAnEvacuatedHallAreLoadedElsewhere(t *testing.T) {
+	synctest.Test(t, testModelsOfAnEvacuatedHallAreLoadedElsewhere)
+}
+
+func testModelsOfAnEvacuatedHallAreLoadedElsewhere(t *testing.T) {
+	f := newFixture(t, 2, []string{"m0"}, []string{"m1"})
+	var servers []backend.Server
+	for i, hall := range []string{"stays", "leaves"} {
+		servers = append(servers, backend.Server{
+			ID: fmt.Sprint("e", i), Service: service, Hall: hall, Residents: []backend.Resident{{Model: fmt.Sprint("m", i)}},
+		})
+	}
+	f.registry.Replace(servers, f.clock.Now())
+	f.registry.SetEvacuated(map[string]bool{"leaves": true}, f.clock.Now())
+	f.start(true)
+	f.waitUntil("load", f.ordersIssued(1))
+	f.advance(5 * time.Second)
+	for _, o := range f.engines.orders() {
+		assert.Equal(t, o.server, "e0")
+		assert.Equal(t, o.order.Model, "m1")
+	}
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -131,7 +131,7 @@
 	}
 	loaded := make(map[backend.Adapter]bool)
 	for _, e := range engines {
-		if e.server.Leaving || p.isThrottled(e) {
+		if !e.server.AcceptsRequests() || p.isThrottled(e) {
 			continue
 		}
 		for _, r := range e.residents {
--- a/table/organisation.go
+++ b/table/organisation.go
@@ -46,6 +46,9 @@
 	// Priority overrides the priority of the route if it is not nil.
 	Priority  *int
 	RateLimit RateLimit
+	// Regions lists the regions whose servers may get the organisation's requests. If it is empty, all
+	// may.
+	Regions []string
 }
 
 // WithOrganisations returns a copy of the routing with the given organisations and API keys. If the list
--- a/table/routing.go
+++ b/table/routing.go
@@ -52,6 +52,8 @@
 	Priority int
 	// Public reports whether requests need no API key.
 	Public bool
+	// Regions lists the regions whose servers may get the route's requests. If it is empty, all may.
+	Regions []string
 }
 
 // A ModelSpec describes a model that an engine can load.
