gateway: servers that warm up get requests at the rate of their service

Cause: the remaining warm-up time in a server's record was decoded and thrown away, so that a server that had just started got requests without a bound.

A server that warms up has a rate limit for all gateways together, next to the one that it may announce; both are kept by the same limiter. The end of the warm-up comes from the server's record; a server that does not tell it and has just started warms up for its service's whole time. Four fifths of the rate are granted, since grants of half a second and the burst may arrive in one second.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -144,3 +144,35 @@
 		})
 	}
 }
+
+// TestWarmup checks until when a server counts as warming up, depending on what its records say.
+func TestWarmup(t *testing.T) {
+	const unknown = -1
+	start := time.Unix(1000, 0)
+	later := start.Add(time.Second)
+	record := func(id string, left time.Duration) backend.Server {
+		return backend.Server{ID: id, Instance: "s", Service: "app", WarmupLeft: left}
+	}
+	tests := map[string]struct {
+		records []backend.Server
+		want    time.Time
+	}{
+		"says how long":                    {records: []backend.Server{record("s@1", 5*time.Second)}, want: later.Add(5 * time.Second)},
+		"says that it is warm":             {records: []backend.Server{record("s@1", 0)}},
+		"does not say and has not started": {records: []backend.Server{record("s@0", unknown)}},
+		"does not say and has started":     {records: []backend.Server{record("s@1", unknown)}, want: later.Add(3 * time.Second)},
+		"does not say any more":            {records: []backend.Server{record("s@1", time.Second), record("s@1", unknown)}, want: later.Add(time.Second)},
+		"is warm again":                    {records: []backend.Server{record("s@1", time.Second), record("s@1", 0)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r backend.Registry
+			r.SetWarmupTime(func(string) time.Duration { return 3 * time.Second })
+			r.Replace([]backend.Server{record("s@0", unknown)}, start)
+			for _, s := range test.records {
+				r.Update(s, later)
+			}
+			assert.Equal(t, r.Snapshot().WarmUntil(), test.want)
+		})
+	}
+}
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -74,7 +74,7 @@
 		case known && old.ID != s.ID:
 			restarts = append(restarts, r.endedInstances.end(old, s))
 		}
-		r.setListed(s)
+		r.setListed(s, old, len(before) > 0, now)
 	}
 	for name, s := range before {
 		if _, ok := r.listed[name]; !ok {
@@ -94,12 +94,34 @@
 	return v.Server, ok
 }
 
-// setListed sets the record of a server.
-func (r *Registry) setListed(s Server) {
+// setListed sets the record of a server. old is its previous record, or the zero Server. started
+// is set if a server without one has started since the list was first received.
+func (r *Registry) setListed(s, old Server, started bool, now time.Time) {
+	s.WarmUntil = r.warmUntil(s, old, started, now)
 	r.listed[s.Name()] = s
 	delete(r.vanished, s.Name())
 }
 
+// warmUntil returns the end of a server's warm-up. A record that does not tell the remaining time
+// leaves the end as it was; a server that has just started then takes the whole time.
+func (r *Registry) warmUntil(s, old Server, started bool, now time.Time) time.Time {
+	switch {
+	case s.WarmupLeft > 0:
+		return now.Add(s.WarmupLeft)
+	case s.WarmupLeft == 0:
+		return time.Time{}
+	case old.ID == s.ID:
+		return old.WarmUntil
+	case started && r.warmupTime != nil:
+		return now.Add(r.warmupTime(s.Service))
+	}
+	return time.Time{}
+}
+
+// SetWarmupTime sets the function that returns the warm-up time of a service's servers. It must be
+// called before the Registry is used.
+func (r *Registry) SetWarmupTime(f func(service string) time.Duration) { r.warmupTime = f }
+
 // noteVanished records a server that is no longer listed, unless it was leaving.
 func (r *Registry) noteVanished(s Server, now time.Time) {
 	if s.Leaving {
@@ -129,6 +151,7 @@
 	if r.listed == nil {
 		r.listed = make(map[string]Server)
 	}
+	started := len(r.listed) > 0
 	differs := false
 	var restarts []Restart
 	for _, c := range changes {
@@ -145,7 +168,7 @@
 		}
 		_, listed := r.listed[c.Name()]
 		differs = differs || !listed || r.isVisible(old, c.Server)
-		r.setListed(c.Server)
+		r.setListed(c.Server, old, started, now)
 	}
 	if differs {
 		r.rebuild(now)
--- a/backend/server.go
+++ b/backend/server.go
@@ -1,6 +1,9 @@
 package backend
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // A Resident is a model that an engine holds, with the adapters that it holds for the model.
 type Resident struct {
@@ -67,11 +70,14 @@
 	ID, Service, Addr, Hall string
 	Slots                   int
 	Leaving                 bool
+	WarmupLeft              time.Duration
 }
 
 // Listing returns the part of the server's record that only the platform's list provides.
 func (s *Server) Listing() Listing {
-	return Listing{ID: s.ID, Service: s.Service, Addr: s.Addr, Hall: s.Hall, Slots: s.Slots, Leaving: s.Leaving}
+	return Listing{
+		ID: s.ID, Service: s.Service, Addr: s.Addr, Hall: s.Hall, Slots: s.Slots, Leaving: s.Leaving, WarmupLeft: s.WarmupLeft,
+	}
 }
 
 // Holds reports whether the server has a model loaded and, unless it is empty, the adapter.
@@ -95,8 +101,12 @@
 	byService       map[string][]*Server
 	byModel         map[modelKey][]*Server
 	withoutInstance []string
+	warmUntil       time.Time
 }
 
+// WarmUntil returns the time from which no server is warming up.
+func (s *Snapshot) WarmUntil() time.Time { return s.warmUntil }
+
 // WithoutInstance returns the names of the servers that are left out because their records lack
 // Server.Instance while those of most servers have it.
 func (s *Snapshot) WithoutInstance() []string { return s.withoutInstance }
@@ -113,6 +123,9 @@
 	for i := range list {
 		srv := &list[i]
 		s.servers[srv.ID] = srv
+		if srv.WarmUntil.After(s.warmUntil) {
+			s.warmUntil = srv.WarmUntil
+		}
 		s.byService[srv.Service] = append(s.byService[srv.Service], srv)
 		for _, m := range srv.Residents {
 			key := modelKey{service: srv.Service, model: m.Model}
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -59,6 +59,16 @@
 	return s.Engine.CacheTokens
 }
 
+// warmupTime returns the warm-up time of a service's servers. It returns 0 while there is no configuration.
+func (c *configuration) warmupTime(service string) time.Duration {
+	r := c.current.Load()
+	if r == nil {
+		return 0
+	}
+	s, _ := r.Service(service)
+	return s.WarmupTime
+}
+
 // connLimits returns the idle timeout of callers' connections and the timeout for reading a header; 0 means no
 // limit.
 func (c *configuration) connLimits() (idle, header time.Duration) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -72,6 +72,7 @@
 		Permits: p.serverLimits,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
+	p.servers.registry.SetWarmupTime(p.config.warmupTime)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, lastCheck: o.Clock.Now()}
 	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -20,8 +20,12 @@
 // A server announces its limit in a response to one gateway, but the limit applies to all gateways. The table
 // distributes it with each report to the leader and each request for a permit. The limiter assigns each limit an
 // owner, a gateway that grants permits to all others.
+//
+// A server that is warming up has a limit as well, which each gateway derives from the list of servers. The lower of
+// the two limits applies.
 type serverLimits struct {
 	*serverlimit.Table
+	warmup  warmupLimits
 	limiter *quota.Limiter
 	metrics Metrics
 }
@@ -30,6 +34,9 @@
 // an immediate report to the leader.
 func (p *components) newServerLimits(o Options) *serverLimits {
 	l := &serverLimits{metrics: o.Metrics}
+	l.warmup = warmupLimits{
+		servers: func() *backend.Snapshot { return p.servers.registry.Snapshot() }, routing: p.config.routing, clock: o.Clock,
+	}
 	l.Table = serverlimit.New(serverlimit.Options{Clock: o.Clock, OnChange: func(c serverlimit.Change) {
 		p.requestLog.serverLimitChanged(c)
 		p.dispatcher.RateLimitChanged(c.Server)
@@ -50,10 +57,32 @@
 	return ok && serverlimit.IsThrottled(status, s.Slots)
 }
 
+// Any implements dispatch.Permits.
+func (l *serverLimits) Any() bool { return l.Table.Any() || l.warmup.any() }
+
+// Limit implements dispatch.Permits.
+func (l *serverLimits) Limit(server string) (perSecond float64, ok bool) {
+	q, ok := l.quota(server)
+	return q.Rate, ok
+}
+
+// Knows reports whether a limit of a server, or its removal, is known.
+func (l *serverLimits) Knows(server string) bool {
+	_, warmingUp := l.warmup.limit(server)
+	return warmingUp || l.Table.Knows(server)
+}
+
 // quota returns a server's rate limit in the form that the limiter takes.
 func (l *serverLimits) quota(server string) (quota.Limit, bool) {
-	perSecond, ok := l.Limit(server)
-	return serverlimit.Quota(perSecond), ok
+	announced, limited := l.Table.Limit(server)
+	warmup, warmingUp := l.warmup.limit(server)
+	switch {
+	case !limited && !warmingUp:
+		return quota.Limit{}, false
+	case !warmingUp || limited && announced < warmup:
+		return serverlimit.Quota(announced), true
+	}
+	return serverlimit.WarmupQuota(warmup), true
 }
 
 // statuses returns this gateway's state of all servers' rate limits, in no particular order.
--- a/serverlimit/rules.go
+++ b/serverlimit/rules.go
@@ -35,6 +35,15 @@
 	return quota.Limit{Rate: rate, Burst: 1 + rate*burstTime.Seconds()}
 }
 
+// warmupShare is the fraction of the rate of a server that is warming up which is granted. Within one second the
+// server may get the grants of that second, those that gateways prefetched (quota.GrantTTL), and the burst: together
+// 1.75 times the granted rate and one request, which is below one and a half times the server's rate.
+const warmupShare = 0.8
+
+// WarmupQuota returns the limit on what all processes together send to a server that is warming up and accepts
+// perSecond requests per second.
+func WarmupQuota(perSecond float64) quota.Limit { return Quota(warmupShare * perSecond) }
+
 // CountingWindow is the length of the time window in which the requests that a server receives are counted against
 // its limit.
 const CountingWindow = 4 * time.Second
--- a/table/routing.go
+++ b/table/routing.go
@@ -101,6 +101,10 @@
 	Name string
 	// Engine is nil for a service that does not run models.
 	Engine *EngineSpec
+	// WarmupTime is how long a server warms up after its start, WarmupRate the number of requests per
+	// second that it accepts from all gateways meanwhile. A rate of 0 means no limit.
+	WarmupTime time.Duration
+	WarmupRate float64
 }
 
 // RequestLimits are the limits on the size of incoming requests and on the time to receive them. A time
