gateway, placer: tell a gateway at once that a model or adapter it waits for is loaded

Cause: a gateway learned with its next report's reply that an engine holds the adapter that its requests wait for, and from 150 gateways on reports are a second apart.

A gateway whose requests wait for something that no engine holds polls the leader, which replies as soon as an engine holds it. The leader publishes an adapter when its load is due to end, not at its next step.

--- a/backend/server.go
+++ b/backend/server.go
@@ -95,6 +95,20 @@
 	Residents []Resident `json:"r"`
 }
 
+// HoldsAny reports whether the engine holds one of the models and adapters, which have the form MODEL or
+// MODEL/ADAPTER.
+func (r Residency) HoldsAny(targets []string) bool {
+	for _, target := range targets {
+		a := ParseAdapter(target)
+		for _, resident := range r.Residents {
+			if resident.Model == a.Model && resident.Has(a.Name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // A Snapshot is the state of a Registry at one time. It must not be modified.
 type Snapshot struct {
 	servers         map[string]*Server
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -143,6 +143,26 @@
 	return d.holderCount(r)
 }
 
+// MissingTargets returns the models and adapters that requests wait for and that no server holds, in the
+// form MODEL or MODEL/ADAPTER.
+func (d *Dispatcher) MissingTargets() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := make(map[string]bool)
+	var missing []string
+	for _, w := range d.queue.list {
+		target := w.req.targetKey()
+		if seen[target] {
+			continue
+		}
+		seen[target] = true
+		if d.holderCount(w.req) == 0 {
+			missing = append(missing, target)
+		}
+	}
+	return missing
+}
+
 func (d *Dispatcher) holderCount(r *Request) int {
 	n := 0
 	for _, s := range d.servers.WithModel(r.Service, r.Model) {
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -11,6 +11,7 @@
 	"rockcleat/backend"
 	"rockcleat/clock/clocktest"
 	"rockcleat/dispatch"
+	"rockcleat/internal/placer"
 	"rockcleat/kv"
 	"rockcleat/table"
 )
@@ -100,7 +101,7 @@
 	entry := func(model string) kv.Entry { return kv.Entry{Key: "s1", Value: []byte(model)} }
 	assert.Assert(t, list.digest("servers/", entry("m1")) != list.digest("servers/", entry("m2")))
 	assert.Equal(t, list.digest("servers/", entry("m1")), list.digest("servers/", entry("m1")))
-	list.setResidency(map[string]backend.Residency{"s1": {}}, true)
+	list.setResidency(placer.Reply{Residency: map[string]backend.Residency{"s1": {}}, Full: true})
 	assert.Equal(t, list.digest("servers/", entry("m1")), list.digest("servers/", entry("m2")))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	budgets         *retryBudgets
 	placer          *placer.Placer
 	reporter        *reporter
+	holderWatcher   *holderWatcher
 	feed            *feed
 	conns           *conns
 	lifecycle       *lifecycle
@@ -114,7 +115,7 @@
 		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
 		lease: p.leader.lease, prefixes: p.leader.fanout.View(p.breaker.View(o.AllKeys), false), placer: p.leader.placer,
-		reporter: p.newReporter(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, quarantineStore: p.newQuarantineStore(ctx, o),
+		reporter: p.newReporter(o), holderWatcher: p.newHolderWatcher(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, quarantineStore: p.newQuarantineStore(ctx, o),
 		fleetStore: p.fleetStore, serverLimits: p.serverLimits,
 		ctx: ctx, cancel: cancel,
 	}
@@ -144,6 +145,7 @@
 	g.follow(g.decoder.EvacuationPrefix(), newEvacuationFollower(g.health, g.servers))
 	g.placer.Start()
 	go g.reporter.run(g.ctx)
+	go g.holderWatcher.run(g.ctx)
 	go g.feed.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -103,6 +103,16 @@
 	return backend.OrderUnanswered, io.EOF
 }
 
+// Report implements backend.EngineClient.
+func (env *testEnv) Report(ctx context.Context, s *backend.Server) (backend.Report, error) {
+	return env.engines.Report(ctx, s)
+}
+
+// Order implements backend.EngineClient.
+func (env *testEnv) Order(ctx context.Context, s *backend.Server, o backend.Order) (backend.OrderOutcome, error) {
+	return env.engines.Order(ctx, s, o)
+}
+
 // A testEnv is a gateway with a store and backend servers.
 type testEnv struct {
 	t       *testing.T
@@ -114,6 +124,7 @@
 	client  *http.Client
 	clock   clock.Service
 	routing routingFile
+	engines backend.EngineClient
 	log     *zap.Logger
 	logs    *observer.ObservedLogs
 }
@@ -183,7 +194,7 @@
 // prepareTestEnvWithClock is prepareTestEnv with a given clock for the gateways.
 func prepareTestEnvWithClock(t *testing.T, c clock.Service, change func(*config.Gateway), servers ...*fakeServer) *testEnv {
 	core, logs := observer.New(zap.InfoLevel)
-	env := &testEnv{t: t, clock: c, log: zap.New(core), logs: logs, store: kvtest.New(clocktest.Real{}), client: &http.Client{Transport: &http.Transport{}}}
+	env := &testEnv{t: t, clock: c, engines: noEngines{}, log: zap.New(core), logs: logs, store: kvtest.New(clocktest.Real{}), client: &http.Client{Transport: &http.Transport{}}}
 	env.routing = routingFile{
 		Version: 1, Routes: routes(),
 		Services: []table.Service{
@@ -219,7 +230,7 @@
 func (env *testEnv) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
 	g := gateway.New(gateway.Options{
 		Settings: s, Names: names, ReadyPath: readyPath, Store: env.store, AllKeys: prefixes, ProductKeys: prefixes, Eras: env.store,
-		Decoder: decoder{}, Engines: noEngines{}, Clock: env.clock, Log: env.log,
+		Decoder: decoder{}, Engines: env, Clock: env.clock, Log: env.log,
 	})
 	assert.NilError(env.t, g.Start())
 	env.t.Cleanup(func() {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -50,8 +50,8 @@
 	fleetStore *fleetStore
 	// listMu is held while a list of gateways is applied, so that all components get the same list.
 	listMu sync.Mutex
-	// urgent triggers an immediate report to the leader.
-	urgent signal
+	// urgent triggers an immediate report to the leader, missing a poll for a model or adapter that no engine holds.
+	urgent, missing signal
 }
 
 // newComponents creates the components in dependency order. Their work ends with ctx.
@@ -60,7 +60,7 @@
 	p := &components{
 		requestLog: newRequestLog(o.Log, o.Metrics, o.Clock, o.Names), config: newConfiguration(o.Decoder, o.Log),
 		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(),
-		urgent: make(signal, 1), health: newStoreHealth(ctx, o.Log),
+		urgent: make(signal, 1), missing: make(signal, 1), health: newStoreHealth(ctx, o.Log),
 	}
 	p.conns = newConns(o.Clock, p.config.connLimits)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
@@ -68,7 +68,7 @@
 	p.serverLimits = p.newServerLimits(o)
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
-		Owners: p.peers, OnOwnerUnresponsive: p.requestLog.admissionFailed, OnModelMissing: p.urgent.send,
+		Owners: p.peers, OnOwnerUnresponsive: p.requestLog.admissionFailed, OnModelMissing: p.modelMissing,
 		Permits: p.serverLimits,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
@@ -95,6 +95,12 @@
 	return p
 }
 
+// modelMissing is called when a request begins to wait for a model or adapter that no engine holds.
+func (p *components) modelMissing() {
+	p.urgent.send()
+	p.missing.send()
+}
+
 // A leaderRole holds the components that a gateway needs to act as the leader.
 type leaderRole struct {
 	lease *lease.Holder
@@ -168,6 +174,13 @@
 	}
 }
 
+func (p *components) newHolderWatcher(o Options) *holderWatcher {
+	return &holderWatcher{
+		dispatcher: p.dispatcher, placer: p.leader.placer, servers: p.servers, peers: p.peers, leader: p.leaderAddr, clock: o.Clock,
+		missing: p.missing,
+	}
+}
+
 func (p *components) newReporter(o Options) *reporter {
 	s := o.Settings
 	return &reporter{
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -25,6 +25,8 @@
 	pathReport = "/v1/gateway"
 	// pathFeed returns changes in the store.
 	pathFeed = "/v1/feed"
+	// pathHolders returns the engines that hold models or adapters, and waits until there are some.
+	pathHolders = "/v1/holders"
 	// pathConfig returns the configuration.
 	pathConfig = "/v1/config"
 	// pathAdmission grants admission to the engines that the gateway owns.
@@ -102,6 +104,13 @@
 	return reply, err
 }
 
+// holders asks the gateway at addr which engines hold models or adapters.
+func (p *peerClient) holders(ctx context.Context, addr string, r holderRequest) (placer.Holders, error) {
+	var h placer.Holders
+	err := p.http.PostWithStallTimeout(ctx, holderTimeout, addr, pathHolders, r, &h)
+	return h, err
+}
+
 // FetchConfig implements configsync.Peers.
 func (p *peerClient) FetchConfig(ctx context.Context, addr string, r configsync.Request) (configsync.Transfer, error) {
 	var t configsync.Transfer
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -45,6 +45,7 @@
 	e := server.NewRouter()
 	e.POST(pathReport, p.handleReport)
 	e.POST(pathFeed, p.handleFeed)
+	e.POST(pathHolders, p.handleHolders)
 	e.POST(pathConfig, p.handleConfig)
 	e.POST(pathAdmission, p.handleAdmission)
 	e.POST(pathGrant, p.handleGrant)
@@ -76,6 +77,16 @@
 	return c.JSON(http.StatusOK, reply)
 }
 
+// handleHolders handles a poll for missing models and adapters. It responds as soon as an engine holds one of them, and
+// after the hold time at the latest.
+func (p *peerServer) handleHolders(c echo.Context) error {
+	var r holderRequest
+	if err := c.Bind(&r); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, p.placer.AwaitHolders(c.Request().Context(), r.Targets, holderHold))
+}
+
 // handleConfig handles a request for the configuration.
 func (p *peerServer) handleConfig(c echo.Context) error {
 	var r configsync.Request
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -240,7 +240,7 @@
 	if !reply.IsLeader {
 		return
 	}
-	r.servers.setResidency(reply.Residency, reply.Full)
+	r.servers.setResidency(reply)
 	r.recordSent(reply, demands)
 	if reply.Gateways != nil {
 		r.applyGateways(reply.Gateways)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -2,7 +2,9 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/internal/placer"
 	"rockcleat/kv"
 )
 
@@ -29,6 +32,10 @@
 	// evacuationsKnown is set once the evacuated data halls have been read from the store. Until then the sink gets no
 	// servers.
 	evacuationsKnown atomic.Bool
+	// residencyMu serializes changes of the residency. newer holds what has been received since the last reply to a
+	// report.
+	residencyMu sync.Mutex
+	newer       newerResidency
 	// withoutInstance holds the servers that were last excluded because their record has no instance id. It is used
 	// only by the goroutine that follows the store.
 	withoutInstance []string
@@ -86,14 +93,63 @@
 	s.refresh()
 }
 
-// setResidency applies the leader's record of what engines have loaded. all says that the record is complete.
-func (s *serverList) setResidency(held map[string]backend.Residency, all bool) {
+// setResidency applies the residency in the leader's reply to a report.
+func (s *serverList) setResidency(reply placer.Reply) {
+	s.residencyMu.Lock()
+	defer s.residencyMu.Unlock()
+	residency := s.newer.merge(reply.Residency, reply.ResidencyVersion)
 	now := s.clock.Now()
-	if all {
-		s.registry.SetResidency(held, now)
+	if reply.Full {
+		s.registry.SetResidency(residency, now)
 		return
 	}
-	s.registry.MergeResidency(held, now)
+	s.registry.MergeResidency(residency, now)
+}
+
+// addHolders applies the leader's reply to a poll for missing models and adapters. It is ignored until a report has
+// delivered the residency of all engines.
+func (s *serverList) addHolders(h placer.Holders) {
+	if len(h.Residency) == 0 {
+		return
+	}
+	s.residencyMu.Lock()
+	if s.registry.HasResidency() {
+		s.newer.add(h.Residency, h.Version)
+		s.registry.MergeResidency(h.Residency, s.clock.Now())
+	}
+	s.residencyMu.Unlock()
+	s.refresh()
+}
+
+// A newerResidency holds the residency of engines that is newer than the last reply to a report, with its version.
+type newerResidency struct {
+	version int64
+	byID    map[string]backend.Residency
+}
+
+// add adds the residency of engines as of a version.
+func (n *newerResidency) add(residency map[string]backend.Residency, version int64) {
+	if n.byID == nil {
+		n.byID = make(map[string]backend.Residency)
+	}
+	n.version = max(n.version, version)
+	maps.Copy(n.byID, residency)
+}
+
+// merge returns the residency in a reply as of a version, with the engines for which there is a newer one replaced. A
+// reply as of a later version or another term supersedes all of them.
+func (n *newerResidency) merge(reply map[string]backend.Residency, version int64) map[string]backend.Residency {
+	if n.byID == nil || version >= n.version || !placer.IsSameTerm(version, n.version) {
+		*n = newerResidency{}
+		return reply
+	}
+	merged := maps.Clone(reply)
+	for id := range merged {
+		if newer, ok := n.byID[id]; ok {
+			merged[id] = newer
+		}
+	}
+	return merged
 }
 
 // expire removes outdated residency and servers that left the list some time ago.
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -230,6 +230,7 @@
 	}
 	e.callInProgress = false
 	e.addAdapter(adapter, now)
+	p.opts.Clock.AfterFunc(adapterLoadTime, p.publishNow)
 	e.nextReport = now.Add(adapterCheckDelay)
 	if result.outcome == backend.OrderAlreadyDone {
 		// The engine may have held the adapter before; only a report shows whether the order was counted.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -82,6 +82,7 @@
 	storeLoadLimiter storeLoadLimiter
 	speeds           speedTable
 	residency        publishedResidency
+	waiters          residencyWaiters
 	// reportsRequested is the number of engine reports requested in this step.
 	reportsRequested int
 	lastStep         time.Time
@@ -93,7 +94,7 @@
 
 // New returns a Placer. It does nothing until Start.
 func New(o Options) *Placer {
-	p := &Placer{opts: o, demand: newDemand()}
+	p := &Placer{opts: o, demand: newDemand(), waiters: make(residencyWaiters)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -148,7 +149,7 @@
 	if r.GatewaysVersion != version {
 		reply.Gateways = gateways
 	}
-	reply.Full = !isSameTerm(r.ResidencyVersion, p.residency.version)
+	reply.Full = !IsSameTerm(r.ResidencyVersion, p.residency.version)
 	reply.Residency = p.residency.changedSince(r.ResidencyVersion, reply.Full)
 	reply.SpeedsVersion, reply.Speeds = p.speeds.version, p.speeds.changedSince(r.SpeedsVersion)
 	return reply
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -23,8 +23,8 @@
 // firstVersion returns the first version in the term with a token.
 func firstVersion(token int64) int64 { return token & (1<<termBits - 1) << changeBits }
 
-// isSameTerm reports whether two versions belong to the same term.
-func isSameTerm(a, b int64) bool { return a>>changeBits == b>>changeBits }
+// IsSameTerm reports whether two versions of the residency belong to the same term.
+func IsSameTerm(a, b int64) bool { return a>>changeBits == b>>changeBits }
 
 // A publishedResidency is what the engines hold, as sent to gateways. changedIn holds the version in which
 // each engine last changed.
@@ -66,11 +66,23 @@
 		if !ok || !slices.EqualFunc(previous.Residents, published[id].Residents, sameResident) {
 			r.changedIn[id] = nextVersion
 			r.version = nextVersion
+			for _, resident := range published[id].Residents {
+				p.waiters.notify(resident)
+			}
 		}
 	}
 	r.published = published
 }
 
+// publishNow updates the published residency if this process leads.
+func (p *Placer) publishNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leadership.token != 0 {
+		p.publish(p.opts.Clock.Now())
+	}
+}
+
 func sameResident(a, b backend.Resident) bool {
 	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
--- a/internal/placer/speeds.go
+++ b/internal/placer/speeds.go
@@ -63,7 +63,7 @@
 	if version == t.version {
 		return nil
 	}
-	all := !isSameTerm(version, t.version)
+	all := !IsSameTerm(version, t.version)
 	out := make(map[string]float64)
 	for model, speed := range t.published {
 		if all || t.changedIn[model] > version {
