configsync, kv: only the first level of the tree reads the store without a leader

Cause: a gateway of the first level that reads the store for itself waited for a change for the whole maximum age of its view, and confirmed the view only then; the levels below wait a quarter of that age longer, so all gateways read the store. A gateway that became the leader in such a watch finished it first.

The first watch of the first level is short, and a new leader ends the watch that it has begun. TestNewLeaderReadsAtOnce fails before.

--- a/internal/configsync/harness_test.go
+++ b/internal/configsync/harness_test.go
@@ -63,13 +63,39 @@
 	members []*member
 	// leader is the index of the leading member, noLeader if there is none.
 	leader atomic.Int64
+	// tree is set if, without a leader, the members after the relays report to one of these.
+	tree bool
+}
+
+// relays is the number of members after the first that are relays in a tree.
+const relays = 8
+
+// isRelay reports whether a member is a relay.
+func (f *fleet) isRelay(index int64) bool { return f.tree && index >= 1 && index <= relays }
+
+// maxAgeOf returns the maximum age of the configuration of a member. In a tree, members after the relays wait a quarter
+// longer before they read the store.
+func (f *fleet) maxAgeOf(index int64) time.Duration {
+	if f.tree && index > relays {
+		return maxAge + maxAge/4
+	}
+	return maxAge
 }
 
 const noLeader = -1
 
 // newFleet starts size gateways, of which the first leads.
 func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, store: kvtest.New(clocktest.Real{})}
+	return (&fleet{t: t, store: kvtest.New(clocktest.Real{})}).start(size)
+}
+
+// newTree starts size gateways, of which the first leads and the next ones are relays.
+func newTree(t *testing.T, size int) *fleet {
+	return (&fleet{t: t, store: kvtest.New(clocktest.Real{}), tree: true}).start(size)
+}
+
+// start starts size gateways.
+func (f *fleet) start(size int) *fleet {
 	f.write(1)
 	for range size {
 		f.join(false)
@@ -86,7 +112,8 @@
 	index := int64(len(f.members))
 	m.syncer = New(Options{
 		Store: m, Key: testKey, Applier: m, Peers: m, Health: m, Clock: clocktest.Real{}, Log: zap.NewNop(),
-		IsWatcher: func() bool { return f.leader.Load() == index }, MaxAge: func() time.Duration { return maxAge },
+		IsWatcher: func() bool { return f.leader.Load() == index }, IsRelay: func() bool { return f.isRelay(index) },
+		MaxAge:     func() time.Duration { return f.maxAgeOf(index) },
 		OnTransfer: m.count,
 	})
 	f.mu.Lock()
@@ -118,7 +145,7 @@
 	for i, m := range members {
 		target := f.leader.Load()
 		if target == noLeader {
-			target = int64((i + 1) % len(members))
+			target = f.targetWithoutLeader(i, len(members))
 		}
 		if target != int64(i) {
 			members[target].handleReport(m)
@@ -126,6 +153,18 @@
 	}
 }
 
+// targetWithoutLeader returns the member that member i reports to while there is no leader: the next one or, in a tree,
+// a relay. Relays report to nobody then.
+func (f *fleet) targetWithoutLeader(i, size int) int64 {
+	switch {
+	case !f.tree:
+		return int64((i + 1) % size)
+	case f.isRelay(int64(i)):
+		return int64(i)
+	}
+	return int64(1 + i%relays)
+}
+
 // handleReport processes the report of another member and responds with m's announcement.
 func (m *member) handleReport(other *member) {
 	m.syncer.HandleVersion(other.syncer.Announcement().Version, other.addr)
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -24,6 +24,11 @@
 // reach the other gateways before the previous ones are too old.
 const watchesPerMaxAge = 3
 
+// relayWatchesPerMaxAge is the same for a gateway that reads the store itself and whose view others get. Each of
+// them reads the store itself a quarter of MaxAge after this gateway has begun to, unless a watch has ended by
+// then.
+const relayWatchesPerMaxAge = 8
+
 // read watches the store for the next configuration, or lists it if no revision to watch from is known.
 func (s *Syncer) read(ctx context.Context) {
 	readCtx, end := s.interruptible(ctx)
@@ -171,8 +176,11 @@
 // store that stops responding during a watch is called again soon after its recovery.
 func (s *Syncer) watch(ctx context.Context, after kv.Revision) error {
 	wait := s.opts.MaxAge()
-	if s.opts.IsWatcher() {
+	switch {
+	case s.opts.IsWatcher():
 		wait /= watchesPerMaxAge
+	case s.opts.IsRelay != nil && s.opts.IsRelay():
+		wait /= relayWatchesPerMaxAge
 	}
 	began := s.opts.Clock.Now()
 	events, at, err := s.opts.Store.WatchPrefix(ctx, s.opts.Key, after, wait)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -50,6 +50,8 @@
 	Log     *zap.Logger
 	// IsWatcher reports whether this gateway watches the store on behalf of the others.
 	IsWatcher func() bool
+	// IsRelay, if not nil, reports whether other gateways get this gateway's view while there is no watcher.
+	IsRelay func() bool
 	// MaxAge returns how long ago the newest known version may have been confirmed before this gateway
 	// watches the store itself. It is also the maximum duration of one watch.
 	MaxAge func() time.Duration
@@ -198,10 +200,14 @@
 	return s.opts.MaxAge() - s.opts.Clock.Now().Sub(s.known.currentAt)
 }
 
-// Recheck makes Run call IsWatcher again.
+// Recheck makes Run call IsWatcher again. A gateway that has become the watcher ends its read of the
+// store, since the watch of a gateway that reads for itself is too long for the others.
 func (s *Syncer) Recheck() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.interrupt != nil && s.opts.IsWatcher() {
+		s.interrupt()
+	}
 	s.wake()
 }
 
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -86,7 +86,7 @@
 	p.fleetStore = p.newFleetStore(ctx, o)
 	p.configs = configsync.New(configsync.Options{
 		Store: p.breaker.View(o.AllKeys), Key: o.Decoder.ConfigKey(), Applier: p.config, Peers: p.peers,
-		Health: p.health, Clock: o.Clock, Log: o.Log, IsWatcher: p.leader.isLeader, MaxAge: p.configMaxAge(s),
+		Health: p.health, Clock: o.Clock, Log: o.Log, IsWatcher: p.leader.isLeader, IsRelay: p.isRelay, MaxAge: p.configMaxAge(s),
 		StartWait: p.gateways.listWait, IsCaughtUp: p.fleetStore.isSettled,
 		OnModeChange: p.requestLog.watchSwitched, OnTransfer: func(from configsync.Origin, bytes int, err error) {
 			o.Metrics.ConfigTransfer(string(from), bytes, err)
@@ -118,7 +118,7 @@
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
 		Clock: o.Clock, MaxAge: viewMaxAge(s), IsWatcher: l.isLeader,
 		OnSwitch: p.requestLog.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
-		ExtraAge: p.extraAge(s), PeriodicWriters: writersAfterRestore(o.Decoder),
+		ExtraAge: p.extraAge(s), IsRelay: p.isRelay, PeriodicWriters: writersAfterRestore(o.Decoder),
 	})
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
@@ -152,6 +152,9 @@
 	return p.gateways.probeBackoff(p.leaderAddr())
 }
 
+// isRelay reports whether other gateways get this gateway's view of the store while there is no leader.
+func (p *components) isRelay() bool { return p.gateways.isRelay(p.leaderAddr()) }
+
 // viewMaxAge returns the maximum age of a store view on the first level of the tree: half the duration of a watch.
 func viewMaxAge(s config.Gateway) time.Duration { return s.WatchTimeout.Std() / 2 }
 
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"rockcleat/relay"
 )
 
 // Timing of the fallback to the store, when the leader's view does not arrive.
@@ -30,6 +32,12 @@
 	return time.Duration(levelDelayFraction * float64(levels) * float64(maxAge))
 }
 
+// isRelay reports whether other gateways get this gateway's view of the store while there is no leader: it is on the
+// first level, and there are further levels.
+func (d *directory) isRelay(leader string) bool {
+	return d.count() > relay.Fanout+1 && d.depth(leader) <= 1
+}
+
 // probeBackoff returns how long this gateway waits before it calls a failed store again. It is 0 for the leader and the
 // first level.
 func (d *directory) probeBackoff(leader string) time.Duration {
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -15,6 +15,9 @@
 	// ExtraAge, if not nil, returns what this process adds to MaxAge, so that processes far from
 	// the watcher fall back to the service later than nearer ones.
 	ExtraAge func() time.Duration
+	// IsRelay, if not nil, reports whether other processes get the view of this one while there is
+	// no watcher.
+	IsRelay func() bool
 	// ListWait, if not nil, returns how long the first list of a prefix waits for forwarded data
 	// before it goes to the service.
 	ListWait func() time.Duration
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -12,6 +12,10 @@
 	// watchesPerMaxAge is the number of watches that the watcher makes per MaxAge, so that the
 	// other processes learn in time that its view is current.
 	watchesPerMaxAge = 3
+	// firstRelayWatchesPerMaxAge sets the duration of the first watch of a process that watches for
+	// itself while others get its view. Each of them goes to the service a quarter of MaxAge after
+	// this process has, unless a watch has ended by then.
+	firstRelayWatchesPerMaxAge = 8
 	// watcherBatchDelay is the minimum time between changes returned to the watcher and its next
 	// watch. Changes within that time cost one call.
 	watcherBatchDelay = 150 * time.Millisecond
@@ -161,8 +165,11 @@
 	if watcher {
 		batchDelay = watcherBatchDelay
 	}
-	if watcher && !v.selfWritten {
+	switch {
+	case watcher && !v.selfWritten:
 		wait = min(wait, f.opts.MaxAge/watchesPerMaxAge)
+	case !watcher && f.opts.IsRelay != nil && f.opts.IsRelay():
+		wait = min(wait, f.relayWait(prefix))
 	}
 	wait, relist := f.limitToMissing(prefix, wait)
 	if relist {
@@ -189,6 +196,17 @@
 	return events, at, nil
 }
 
+// relayWait returns the maximum duration of a watch by a process whose view others get while there is
+// no watcher. It is short if this process has not confirmed its view lately.
+func (f *Fanout) relayWait(prefix string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.opts.Clock.Now().Sub(f.log(prefix).currentAt) > f.opts.MaxAge/2 {
+		return f.opts.MaxAge / firstRelayWatchesPerMaxAge
+	}
+	return f.opts.MaxAge / watchesPerMaxAge
+}
+
 // cancelWhenWatcher cancels a watch of the service when this process becomes the watcher, so that
 // the next watch is short enough for the other processes. It returns when ctx ends.
 func (f *Fanout) cancelWhenWatcher(ctx context.Context, prefix string, cancel context.CancelFunc) {
