wire: compress large messages between gateways

Cause: lists of servers, residency and gateways go to each gateway as JSON. At the start of the fleet 0.32 GB cross between data halls; a new leader owes each of 356 gateways some 0.1 MB at once, which takes a link of 20 Mbit/s 15 s, in which reports stay unanswered and the lease is lost again.

Responses from 2 KB on are compressed with zstd for a client that asks for it, so old and new gateways work together. One encoder with a window of 256 KB works on one message at a time, which bounds its memory. TestCompressedResponses.

--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,22 @@
 	return e
 }
 
+// respond responds with a message, compressed if it is large.
+func respond(c echo.Context, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	body, encoding, err := wire.Compress(body, c.Request().Header)
+	if err != nil {
+		return err
+	}
+	if encoding != "" {
+		c.Response().Header().Set(echo.HeaderContentEncoding, encoding)
+	}
+	return c.JSONBlob(http.StatusOK, body)
+}
+
 // handleReport handles a report. The leader applies it and replies; any other gateway replies with the leader's
 // address. If the report shows requests waiting for a server, the leader plans at once.
 func (p *peerServer) handleReport(c echo.Context) error {
@@ -74,7 +91,7 @@
 	if reply.IsLeader && hasWaiting(m.Report) {
 		p.placer.Wake()
 	}
-	return c.JSON(http.StatusOK, reply)
+	return respond(c, reply)
 }
 
 // handleHolders handles a poll for missing models and adapters. It responds as soon as an engine holds one of them, and
@@ -84,7 +101,7 @@
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, p.placer.AwaitHolders(c.Request().Context(), r.Targets, holderHold))
+	return respond(c, p.placer.AwaitHolders(c.Request().Context(), r.Targets, holderHold))
 }
 
 // handleConfig handles a request for the configuration.
@@ -97,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, t)
+	return respond(c, t)
 }
 
 // handleFeed handles a poll for changes in the store. It responds as soon as there is a change or a newer view, and
@@ -111,7 +128,7 @@
 	requestedAt := p.clock.Now()
 	p.awaitChanges(c.Request().Context(), r, requestedAt)
 	p.markLeaseCurrent()
-	return c.JSON(http.StatusOK, feedReply{
+	return respond(c, feedReply{
 		Changes: p.fanout.Since(r.Revisions), Config: p.configs.Announcement(), HeldMs: p.clock.Now().Sub(requestedAt).Milliseconds(),
 	})
 }
@@ -153,7 +170,7 @@
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, p.dispatcher.Admit(r))
+	return respond(c, p.dispatcher.Admit(r))
 }
 
 // handleGrant handles a request for a grant of an organisation's rate limit.
@@ -162,7 +179,7 @@
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, p.limiter.Grant(r))
+	return respond(c, p.limiter.Grant(r))
 }
 
 // handlePermit handles a request for a permit of a backend server's rate limit.
@@ -171,5 +188,5 @@
 	if err := c.Bind(&m); err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, p.serverLimits.grantPermit(m))
+	return respond(c, p.serverLimits.grantPermit(m))
 }
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -99,6 +99,7 @@
 func (c *Client) do(req *http.Request, out any, read func(body io.Reader) ([]byte, error)) error {
 	// Omitting the User-Agent header makes each message smaller.
 	req.Header["User-Agent"] = nil
+	req.Header.Set("Accept-Encoding", encodingZstd)
 	if c.secret != "" {
 		req.Header.Set("Authorization", "Bearer "+c.secret)
 	}
@@ -111,6 +112,9 @@
 	if err != nil {
 		return eris.Wrap(err, "wire: read response")
 	}
+	if data, err = decompress(data, resp.Header.Get("Content-Encoding")); err != nil {
+		return err
+	}
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{Status: resp.StatusCode, Body: data}
 	}
--- /dev/null
+++ b/internal/wire/compress.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+)
+
+// encodingZstd is the name of zstd in the headers Accept-Encoding and Content-Encoding.
+const encodingZstd = "zstd"
+
+// minCompressed is the size from which a response is compressed, in bytes. Smaller ones fit into two packets.
+const minCompressed = 2 << 10
+
+// compressionWindow is the zstd window, in bytes. It bounds the memory of the encoder and covers the distance between
+// similar records of a list.
+const compressionWindow = 256 << 10
+
+// encoder and decoder are shared by all messages of the process and work on one message at a time, which bounds their
+// memory.
+var (
+	encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
+		return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+			zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(compressionWindow))
+	})
+	decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxMessageSize))
+	})
+)
+
+// Compress compresses the body of a response if it is large and the request accepts that. It returns the body to send
+// and its Content-Encoding, which is empty for an uncompressed one.
+func Compress(body []byte, request http.Header) (compressed []byte, encoding string, err error) {
+	if len(body) < minCompressed || !strings.Contains(request.Get("Accept-Encoding"), encodingZstd) {
+		return body, "", nil
+	}
+	e, err := encoder()
+	if err != nil {
+		return nil, "", eris.Wrap(err, "wire: create encoder")
+	}
+	return e.EncodeAll(body, nil), encodingZstd, nil
+}
+
+// decompress returns the body of a response with the given Content-Encoding.
+func decompress(body []byte, encoding string) ([]byte, error) {
+	if encoding == "" {
+		return body, nil
+	}
+	if encoding != encodingZstd {
+		return nil, eris.Errorf("wire: unknown content encoding %q", encoding)
+	}
+	d, err := decoder()
+	if err != nil {
+		return nil, eris.Wrap(err, "wire: create decoder")
+	}
+	data, err := d.DecodeAll(body, nil)
+	return data, eris.Wrap(err, "wire: decompress response")
+}
--- /dev/null
+++ b/internal/wire/compress_test.go
@@ -0,0 +1,59 @@
+package wire_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/internal/wire"
+)
+
+// TestCompressedResponses checks that a client decodes responses of any size, and that a large one is much smaller on
+// the wire if the client accepts that.
+func TestCompressedResponses(t *testing.T) {
+	list := make([]string, 1000)
+	for i := range list {
+		list[i] = fmt.Sprint("front-hall-", i)
+	}
+	tests := map[string]struct {
+		message        []string
+		wantCompressed bool
+	}{
+		"small": {message: list[:3]},
+		"large": {message: list, wantCompressed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			sent := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, err := json.Marshal(test.message)
+				assert.NilError(t, err)
+				out, encoding, err := wire.Compress(body, r.Header)
+				assert.NilError(t, err)
+				assert.Equal(t, encoding != "", test.wantCompressed)
+				if encoding != "" {
+					w.Header().Set("Content-Encoding", encoding)
+					assert.Assert(t, len(out) < len(body)/4, "%d of %d bytes", len(out), len(body))
+				}
+				sent = len(out)
+				_, _ = w.Write(out)
+			}))
+			defer server.Close()
+			client := wire.NewClient("", http.DefaultTransport)
+			var got []string
+			assert.NilError(t, client.Post(context.Background(), strings.TrimPrefix(server.URL, "http://"), "/", "x", &got))
+			assert.DeepEqual(t, got, test.message)
+			assert.Assert(t, sent > 0)
+		})
+	}
+	body := []byte(strings.Repeat("x", 10000))
+	out, encoding, err := wire.Compress(body, http.Header{})
+	assert.NilError(t, err)
+	assert.Assert(t, encoding == "" && len(out) == len(body), "a client that does not accept it gets the body as it is")
+}
