configsync: a start before the first configuration causes one read of the store

Cause: an announcement of a gateway that holds no configuration was ignored, so each gateway that started before there was one read the store itself: 356 of the fleet in a moment.

An announcement without a version but with a revision says that the store held none up to then. TestStartWithoutConfiguration fails before.

--- a/internal/configsync/harness_test.go
+++ b/internal/configsync/harness_test.go
@@ -65,6 +65,8 @@
 	leader atomic.Int64
 	// tree is set if, without a leader, the members after the relays report to one of these.
 	tree bool
+	// startWait is the StartWait of members.
+	startWait time.Duration
 }
 
 // relays is the number of members after the first that are relays in a tree.
@@ -97,6 +99,11 @@
 // start starts size gateways.
 func (f *fleet) start(size int) *fleet {
 	f.write(1)
+	return f.startWithoutConfig(size)
+}
+
+// startWithoutConfig starts size gateways before there is a configuration.
+func (f *fleet) startWithoutConfig(size int) *fleet {
 	for range size {
 		f.join(false)
 	}
@@ -114,7 +121,7 @@
 		Store: m, Key: testKey, Applier: m, Peers: m, Health: m, Clock: clocktest.Real{}, Log: zap.NewNop(),
 		IsWatcher: func() bool { return f.leader.Load() == index }, IsRelay: func() bool { return f.isRelay(index) },
 		MaxAge:     func() time.Duration { return f.maxAgeOf(index) },
-		OnTransfer: m.count,
+		OnTransfer: m.count, StartWait: func() time.Duration { return f.startWait },
 	})
 	f.mu.Lock()
 	f.members = append(f.members, m)
--- a/internal/configsync/news.go
+++ b/internal/configsync/news.go
@@ -8,7 +8,8 @@
 
 // An Announcement describes the configuration that one gateway holds, for other gateways.
 type Announcement struct {
-	// Version is the version held, 0 if none.
+	// Version is the version held, 0 if none. With a Revision, 0 means that the store held no
+	// configuration up to that revision.
 	Version uint64 `json:"version,omitempty"`
 	// Revision is a store revision up to which no newer version was written; 0 if unknown.
 	Revision kv.Revision `json:"revision,omitempty"`
--- a/internal/configsync/relay_test.go
+++ b/internal/configsync/relay_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rockcleat/clock/clocktest"
+	"rockcleat/kv/kvtest"
 )
 
 // TestStoreReadsWithoutLeader checks that only the relays read the store while there is no leader, so that the number
@@ -53,3 +56,24 @@
 		assert.Assert(t, time.Duration(last.syncer.Announcement().AgeMs)*time.Millisecond < maxAge/2)
 	})
 }
+
+// TestStartWithoutConfiguration checks that gateways that start before there is a configuration do not read the store
+// if the leader has, and get the first version from it.
+func TestStartWithoutConfiguration(t *testing.T) {
+	for _, size := range []int{24, 356} {
+		t.Run(fmt.Sprint(size, " gateways"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{t: t, store: kvtest.New(clocktest.Real{}), startWait: settleTime}
+				f.store.Set("other", nil)
+				f.startWithoutConfig(size)
+				f.wait(2 * maxAge)
+				for _, m := range f.members[1:] {
+					assert.Equal(t, m.lists.Load()+m.watches.Load(), int64(0), "gateway %s", m.addr)
+				}
+				f.write(1)
+				f.wait(settleTime)
+				f.checkVersion(1)
+			})
+		})
+	}
+}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -130,7 +130,7 @@
 // HandleAnnouncement processes the announcement in the response of the gateway at addr to a request sent at the
 // time sentAt.
 func (s *Syncer) HandleAnnouncement(announcement Announcement, addr string, sentAt time.Time) {
-	if announcement.Version == 0 {
+	if announcement.Version == 0 && announcement.Revision == 0 {
 		return
 	}
 	age := time.Duration(announcement.AgeMs) * time.Millisecond
