gateway: VMs that can carry the leader's load contend for the lease first

Cause: any gateway led, whatever its VM.

The settings tell the VM's cores and link. A gateway whose VM lacks a part of what a leader of the present number of gateways needs waits up to 1.5 s longer before it contends; it still leads if no other does.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -53,6 +53,9 @@
 	BodyTimeout Duration `yaml:"body_time"`
 	// Gateways is the number of gateways to assume until they have been counted.
 	Gateways int `yaml:"gateways"`
+	// Cores is the VM's share of processor cores, LinkMbps the bandwidth of its link in Mbit/s; 0 if unknown.
+	Cores    float64 `yaml:"cores"`
+	LinkMbps float64 `yaml:"link_mbps"`
 	// Seeds are the PeerListen addresses of some gateways, which may be down. A starting gateway
 	// contacts them before it reads the store.
 	Seeds      []string   `yaml:"seeds"`
@@ -113,6 +116,8 @@
 		c.require(isAddr(addr), "seeds", "must be a list of IP:PORT")
 	}
 	c.require(g.Gateways > 0, "gateways", "must be at least 1")
+	c.require(g.Cores >= 0, "cores", "must not be negative")
+	c.require(g.LinkMbps >= 0, "link_mbps", "must not be negative")
 	c.require(g.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
 	c.require(g.Retry.Fixed >= 0, "retry.fixed", "must not be negative")
 	c.require(g.Quota.Window >= 0, "quota.window", "must not be negative")
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -33,6 +33,8 @@
 	isSeed bool
 	// firstStart says that the whole system is being started for the first time.
 	firstStart bool
+	// vm is the capacity of this gateway's VM.
+	vm vmCapacity
 }
 
 // newDirectory returns a directory that assumes the given number of gateways until it receives a list. seeds are
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -20,6 +20,9 @@
 	// contentionDelayStep is the additional delay, per level of the tree, before a gateway contends for a free lease. A
 	// random delay of up to the same amount is added. It is long enough to write the record and distribute it.
 	contentionDelayStep = 300 * time.Millisecond
+	// maxShortfallDelay is the additional delay of a gateway whose VM has nothing of what a leader needs. It exceeds the
+	// delays of gateways on the first three levels, so that a VM that can lead is first.
+	maxShortfallDelay = 1500 * time.Millisecond
 	// fleetProbesPerSecond is the total number of calls per second that the gateways below the first level make to a
 	// failed store.
 	fleetProbesPerSecond = 8
@@ -48,14 +51,38 @@
 	return pause/2 + rand.N(pause)
 }
 
-// contentionDelay returns how long this gateway waits before it contends for a free lease. The delay is 0 on the first
-// level and grows with each further one, so that not all gateways contend at once.
+// contentionDelay returns how long this gateway waits before it contends for a free lease. The delay grows with each
+// level below the first, so that not all gateways contend at once, and with what the VM lacks to lead all gateways.
 func (d *directory) contentionDelay(leader string) time.Duration {
+	delay := time.Duration(d.vm.leaderShortfall(d.count()) * float64(maxShortfallDelay))
 	depth := d.depth(leader)
 	if depth <= 1 {
-		return 0
+		return delay
+	}
+	return delay + time.Duration(depth-1)*contentionDelayStep + rand.N(contentionDelayStep)
+}
+
+// What a leader needs for each gateway; docs/CAPACITY.md has the measured load.
+const (
+	// leaderCoresPerGateway is a share of a processor core.
+	leaderCoresPerGateway = 0.0012
+	// leaderMbpsPerGateway is the bandwidth of the link in Mbit/s. A new leader sends its whole state to all gateways.
+	leaderMbpsPerGateway = 0.1
+)
+
+// A vmCapacity is the capacity of a VM: its share of processor cores and the bandwidth of its link in Mbit/s. 0 means
+// that it is not known.
+type vmCapacity struct{ cores, linkMbps float64 }
+
+// leaderShortfall returns the fraction of what a leader of a number of gateways needs that the VM lacks, 0 to 1.
+func (c vmCapacity) leaderShortfall(gateways int) float64 {
+	shortfall := func(have, perGateway float64) float64 {
+		if have == 0 {
+			return 0
+		}
+		return max(1-have/(perGateway*float64(gateways)), 0)
 	}
-	return time.Duration(depth-1)*contentionDelayStep + rand.N(contentionDelayStep)
+	return max(shortfall(c.cores, leaderCoresPerGateway), shortfall(c.linkMbps, leaderMbpsPerGateway))
 }
 
 // depth returns this gateway's level in the tree. While the tree is not known, seeds and gateways that know no other
