gateway: a caller that does not read its response is given up soon after the deadline

Cause: writes to callers had no bound, so a request whose caller read nothing stayed in progress, with its connection and up to 256 KB of the response, for as long as the caller liked. Writes now end 0.5 s after the request's deadline. TestCallerThatDoesNotRead fails before (still in progress after 3 s).

--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -44,6 +44,7 @@
 		// The caller has already received a 408.
 		panic(http.ErrAbortHandler)
 	}
+	setWriteTimeout(w, defaultTimeout)
 	in, refused := p.read(w, r)
 	if refused == nil {
 		refused = p.charge(r.Context(), in)
@@ -53,6 +54,7 @@
 		p.requestLog.requestRefused(r, refused)
 		return
 	}
+	setWriteTimeout(w, in.deadline.Sub(p.clock.Now())+unreadMargin)
 	ctx, cancel := clock.WithDeadline(r.Context(), p.clock, in.deadline)
 	defer cancel(nil)
 	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.requirements}
@@ -65,6 +67,16 @@
 	f.run()
 }
 
+// unreadMargin is how long after its deadline a response may wait for a caller that does not read it.
+const unreadMargin = 500 * time.Millisecond
+
+// setWriteTimeout makes writes to the caller fail after d, so that a caller that does not read its response does not
+// hold the connection to the server and the buffers of the request.
+func setWriteTimeout(w http.ResponseWriter, d time.Duration) {
+	// It fails only on a closed connection, which the writes report.
+	_ = http.NewResponseController(w).SetWriteDeadline(clock.SystemDeadline(d))
+}
+
 // write sends a refusal. While the gateway is stopping, it also closes the connection.
 func (p *proxy) write(w http.ResponseWriter, r *refusal) {
 	r.closeConn = r.closeConn || p.lifecycle.isStopping()
