gateway: large messages between gateways are encoded one by one

Cause: a gateway that others start from, or a new leader, encoded a list for each of up to hundreds of gateways at once, and held all of them uncompressed.

--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,9 @@
 	clock  clock.Service
 	// leaseKey is the store key of the leader's lease.
 	leaseKey string
+	// encoding is held while a message that may be large is encoded. When all gateways start, or a leader's term begins,
+	// the gateways request such messages together, and their uncompressed forms must not be in memory at once.
+	encoding sync.Mutex
 }
 
 func (p *peerServer) router() http.Handler {
@@ -56,13 +60,9 @@
 	return e
 }
 
-// respond responds with a message, compressed if it is large.
-func respond(c echo.Context, message any) error {
-	body, err := json.Marshal(message)
-	if err != nil {
-		return err
-	}
-	body, encoding, err := wire.Compress(body, c.Request().Header)
+// respond responds with a message that may be large, in which case it is compressed.
+func (p *peerServer) respond(c echo.Context, message any) error {
+	body, encoding, err := p.encode(c.Request().Header, message)
 	if err != nil {
 		return err
 	}
@@ -72,6 +72,17 @@
 	return c.JSONBlob(http.StatusOK, body)
 }
 
+// encode returns the body of a response and its Content-Encoding.
+func (p *peerServer) encode(request http.Header, message any) (body []byte, encoding string, err error) {
+	p.encoding.Lock()
+	defer p.encoding.Unlock()
+	body, err = json.Marshal(message)
+	if err != nil {
+		return nil, "", err
+	}
+	return wire.Compress(body, request)
+}
+
 // handleReport handles a report. The leader applies it and replies; any other gateway replies with the leader's
 // address. If the report shows requests waiting for a server, the leader plans at once.
 func (p *peerServer) handleReport(c echo.Context) error {
@@ -91,7 +102,7 @@
 	if reply.IsLeader && hasWaiting(m.Report) {
 		p.placer.Wake()
 	}
-	return respond(c, reply)
+	return p.respond(c, reply)
 }
 
 // handleHolders handles a poll for missing models and adapters. It responds as soon as an engine holds one of them, and
@@ -101,7 +112,7 @@
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	return respond(c, p.placer.AwaitHolders(c.Request().Context(), r.Targets, holderHold))
+	return p.respond(c, p.placer.AwaitHolders(c.Request().Context(), r.Targets, holderHold))
 }
 
 // handleConfig handles a request for the configuration.
@@ -114,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	return respond(c, t)
+	return c.JSON(http.StatusOK, t)
 }
 
 // handleFeed handles a poll for changes in the store. It responds as soon as there is a change or a newer view, and
@@ -128,7 +139,7 @@
 	requestedAt := p.clock.Now()
 	p.awaitChanges(c.Request().Context(), r, requestedAt)
 	p.markLeaseCurrent()
-	return respond(c, feedReply{
+	return p.respond(c, feedReply{
 		Changes: p.fanout.Since(r.Revisions), Config: p.configs.Announcement(), HeldMs: p.clock.Now().Sub(requestedAt).Milliseconds(),
 	})
 }
@@ -170,7 +181,7 @@
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	return respond(c, p.dispatcher.Admit(r))
+	return c.JSON(http.StatusOK, p.dispatcher.Admit(r))
 }
 
 // handleGrant handles a request for a grant of an organisation's rate limit.
@@ -179,7 +190,7 @@
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	return respond(c, p.limiter.Grant(r))
+	return c.JSON(http.StatusOK, p.limiter.Grant(r))
 }
 
 // handlePermit handles a request for a permit of a backend server's rate limit.
@@ -188,5 +199,5 @@
 	if err := c.Bind(&m); err != nil {
 		return err
 	}
-	return respond(c, p.serverLimits.grantPermit(m))
+	return c.JSON(http.StatusOK, p.serverLimits.grantPermit(m))
 }
