--- a/internal/gateway/holder_watch.go
+++ b/internal/gateway/holder_watch.go
@@ -18,6 +18,11 @@
 	holderTimeout = holderHold + 500*time.Millisecond
 	// holderRetryDelay is the delay after a poll without a usable reply.
 	holderRetryDelay = 200 * time.Millisecond
+	// holderPollInterval is the minimum time between two polls, so that requests that begin to wait together cause one.
+	holderPollInterval = minReportInterval
+	// pollReportInterval is the interval between reports above which the leader is polled. Up to it the next report
+	// brings the news in time, and polls would only add to the leader's load.
+	pollReportInterval = 200 * time.Millisecond
 )
 
 // A holderRequest asks the leader which engines hold models or adapters. The leader replies as soon as one does.
@@ -26,12 +31,13 @@
 	Targets []string `json:"targets"`
 }
 
-// A holderWatcher polls the leader while requests wait for models or adapters that no engine is known to hold. The
-// reports alone would deliver the news only at their interval, which grows with the number of gateways.
+// A holderWatcher polls the leader while requests wait for models or adapters that no engine is known to hold. In a large
+// fleet the reports alone would deliver the news only at their interval, which grows with the number of gateways.
 type holderWatcher struct {
 	dispatcher *dispatch.Dispatcher
 	placer     *placer.Placer
 	servers    *serverList
+	gateways   *directory
 	peers      *peerClient
 	// leader returns the leader's address, or an empty string if it is not known.
 	leader func() string
@@ -43,7 +49,7 @@
 // run polls until ctx ends.
 func (w *holderWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		targets := w.dispatcher.MissingTargets()
+		targets := w.targets()
 		if len(targets) == 0 {
 			select {
 			case <-w.missing:
@@ -51,12 +57,22 @@
 			}
 			continue
 		}
+		pause := holderPollInterval
 		if !w.poll(ctx, targets) {
-			clock.Sleep(ctx, w.clock, holderRetryDelay)
+			pause = holderRetryDelay
 		}
+		clock.Sleep(ctx, w.clock, pause)
 	}
 }
 
+// targets returns the models and adapters to poll for. There are none while reports are frequent enough.
+func (w *holderWatcher) targets() []string {
+	if placer.ReportInterval(w.gateways.count()) <= pollReportInterval {
+		return nil
+	}
+	return w.dispatcher.MissingTargets()
+}
+
 // poll polls the leader once and applies its reply. It ends early when a request begins to wait for another target.
 // It reports whether the leader has replied, or the poll has ended early.
 func (w *holderWatcher) poll(ctx context.Context, targets []string) (ok bool) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -180,8 +180,8 @@
 
 func (p *components) newHolderWatcher(o Options) *holderWatcher {
 	return &holderWatcher{
-		dispatcher: p.dispatcher, placer: p.leader.placer, servers: p.servers, peers: p.peers, leader: p.leaderAddr, clock: o.Clock,
-		missing: p.missing,
+		dispatcher: p.dispatcher, placer: p.leader.placer, servers: p.servers, gateways: p.gateways, peers: p.peers,
+		leader: p.leaderAddr, clock: o.Clock, missing: p.missing,
 	}
 }
 
