wire: compress messages from 16 KB on

Cause: at 21 gateways of 0.144 of a core each the replies of 2 to 5 KB that go eight times a second cost processor time on both sides and save little.

--- a/internal/wire/compress.go
+++ b/internal/wire/compress.go
@@ -12,8 +12,9 @@
 // encodingZstd is the name of zstd in the headers Accept-Encoding and Content-Encoding.
 const encodingZstd = "zstd"
 
-// minCompressed is the size from which a response is compressed, in bytes. Smaller ones fit into two packets.
-const minCompressed = 2 << 10
+// minCompressed is the size from which a response is compressed, in bytes. For smaller ones the processor time costs more
+// than the transfer: 16 KB take 7 ms on a link of 20 Mbit/s.
+const minCompressed = 16 << 10
 
 // compressionWindow is the zstd window, in bytes. It bounds the memory of the encoder and covers the distance between
 // similar records of a list.
