--- a/backend/registry.go
+++ b/backend/registry.go
@@ -78,7 +78,7 @@
 	}
 	for name, s := range before {
 		if _, ok := r.listed[name]; !ok {
-			r.noteVanished(s, now)
+			r.recordVanished(s, now)
 		}
 	}
 	r.rebuild(now)
@@ -122,8 +122,8 @@
 // called before the Registry is used.
 func (r *Registry) SetWarmupTime(f func(service string) time.Duration) { r.warmupTime = f }
 
-// noteVanished records a server that is no longer listed, unless it was leaving.
-func (r *Registry) noteVanished(s Server, now time.Time) {
+// recordVanished records a server that is no longer listed, unless it was leaving.
+func (r *Registry) recordVanished(s Server, now time.Time) {
 	if s.Leaving {
 		return
 	}
@@ -181,7 +181,7 @@
 func (r *Registry) remove(c Change, now time.Time) {
 	old, known := r.listed[c.Name()]
 	if known && c.Removed {
-		r.noteVanished(old, now)
+		r.recordVanished(old, now)
 	}
 	if c.Unusable {
 		delete(r.vanished, c.Name())
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -43,7 +43,7 @@
 		return c.JSON(http.StatusOK, a.exchangeResponse(msg))
 	}
 	a.applyList(msg)
-	if !msg.Lapsed && a.isForThisIncarnation(msg) && msg.TableVersion >= a.replica.Current().Version() {
+	if !msg.LeaseExpired && a.isForThisIncarnation(msg) && msg.TableVersion >= a.replica.Current().Version() {
 		a.mu.Lock()
 		a.workload.setGrants(msg.Grants)
 		a.mu.Unlock()
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -10,12 +10,14 @@
 //     evacuationFollower): the gateway's view of the store;
 //   - directory: the list of gateways, and this gateway's position in their distribution tree;
 //   - reporter: reports to the leader, and the state exchanged with it;
+//   - holderWatcher: polls of the leader while requests wait for models that no engine holds;
 //   - feed: updates of the store view, read from the parent in the tree;
 //   - proxy: request handling, with an inbound (the parsed request), a forwarder (the retry loop) and a record (the
 //     result);
 //   - quarantineRole: requests that repeatedly make servers crash (package quarantine), with a crashDetector, which
 //     detects crashes of servers, and a quarantineStore, which persists the quarantine;
-//   - serverLimits: rate limits that backend servers announce in their responses (package serverlimit);
+//   - serverLimits: rate limits that backend servers announce in their responses (package serverlimit) or have while they
+//     warm up;
 //   - fleetStore: the list of gateways that the leader keeps in the store;
 //   - retryBudgets: the number of retries allowed;
 //   - requestLog: log lines and metrics.
--- a/internal/gateway/holder_watch.go
+++ b/internal/gateway/holder_watch.go
@@ -42,7 +42,7 @@
 	// leader returns the leader's address, or an empty string if it is not known.
 	leader func() string
 	clock  clock.Service
-	// missing is sent to when a request begins to wait for a missing model or adapter.
+	// missing wakes run when a request begins to wait for a model or adapter that no engine holds.
 	missing signal
 }
 
@@ -100,7 +100,7 @@
 	if addr == "" {
 		return placer.Holders{}
 	}
-	// An error is not logged: the reports to the same gateway fail as well and are.
+	// The error is not logged, since the reports to the same gateway fail as well and log it.
 	h, _ := w.peers.holders(ctx, addr, holderRequest{Targets: targets})
 	return h
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -119,7 +119,7 @@
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
 		Clock: o.Clock, MaxAge: viewMaxAge(s), IsWatcher: l.isLeader,
 		OnSwitch: p.requestLog.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
-		ExtraAge: p.extraAge(s), IsRelay: p.isRelay, PeriodicWriters: writersAfterRestore(o.Decoder),
+		FallbackDelay: p.fallbackDelay(s), IsRelay: p.isRelay, PeriodicWriters: writersAfterRestore(o.Decoder),
 	})
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
@@ -159,15 +159,15 @@
 // viewMaxAge returns the maximum age of a store view on the first level of the tree: half the duration of a watch.
 func viewMaxAge(s config.Gateway) time.Duration { return s.WatchTimeout.Std() / 2 }
 
-// extraAge returns a function that returns this gateway's addition to viewMaxAge.
-func (p *components) extraAge(s config.Gateway) func() time.Duration {
-	return func() time.Duration { return p.gateways.extraAge(p.leaderAddr(), viewMaxAge(s)) }
+// fallbackDelay returns a function that returns this gateway's addition to viewMaxAge.
+func (p *components) fallbackDelay(s config.Gateway) func() time.Duration {
+	return func() time.Duration { return p.gateways.fallbackDelay(p.leaderAddr(), viewMaxAge(s)) }
 }
 
 // configMaxAge returns a function that returns the maximum age of the configuration in this gateway; it is the same as
 // for all other views of the store.
 func (p *components) configMaxAge(s config.Gateway) func() time.Duration {
-	extra := p.extraAge(s)
+	extra := p.fallbackDelay(s)
 	return func() time.Duration { return viewMaxAge(s) + extra() }
 }
 
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -28,9 +28,9 @@
 	fleetProbesPerSecond = 8
 )
 
-// extraAge returns how much longer this gateway waits than the first level before it reads the store itself. maxAge
+// fallbackDelay returns how much longer this gateway waits than the first level before it reads the store itself. maxAge
 // is the maximum age of a view on the first level.
-func (d *directory) extraAge(leader string, maxAge time.Duration) time.Duration {
+func (d *directory) fallbackDelay(leader string, maxAge time.Duration) time.Duration {
 	levels := max(d.depth(leader)-1, 0)
 	return time.Duration(levelDelayFraction * float64(levels) * float64(maxAge))
 }
--- a/internal/planner/exchange.go
+++ b/internal/planner/exchange.go
@@ -21,7 +21,7 @@
 	msg := wire.Exchange{
 		From: c.Addr, Cell: c.id, Token: int64(c.token), Incarnation: a.record.Incarnation, Seen: a.recordVersion,
 		TableVersion: t.Version(), Leaving: a.vm.State == inventory.VMLeaving,
-		List: c.Members.Version(), Lapsed: !held, Pauses: a.pauses, Quarantine: a.quarantine.Message(a.id),
+		List: c.Members.Version(), LeaseExpired: !held, Pauses: a.pauses, Quarantine: a.quarantine.Message(a.id),
 	}
 	if a.hasReported {
 		msg.Table = t.DeltaSince(a.tableVersion)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -54,9 +54,9 @@
 	// Leaving reports whether the platform's list of VMs, in its version List, marks the server as leaving.
 	Leaving bool   `json:"leaving,omitempty"`
 	List    uint64 `json:"list,omitempty"`
-	// Lapsed reports whether the planner's lease has expired. If it has, the message contains no orders,
+	// LeaseExpired reports whether the planner's lease has expired. If it has, the message contains no orders,
 	// and the agent keeps its grants.
-	Lapsed bool `json:"lapsed,omitempty"`
+	LeaseExpired bool `json:"lapsed,omitempty"`
 	// Pauses is the number of the agent's pauses known to the planner.
 	Pauses int                `json:"pauses,omitempty"`
 	Orders []placement.Order  `json:"orders,omitempty"`
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -12,9 +12,9 @@
 	Clock clock.Service
 	// MaxAge is the maximum age of forwarded data that watches are served from.
 	MaxAge time.Duration
-	// ExtraAge, if not nil, returns what this process adds to MaxAge, so that processes far from
+	// FallbackDelay, if not nil, returns what this process adds to MaxAge, so that processes far from
 	// the watcher fall back to the service later than nearer ones.
-	ExtraAge func() time.Duration
+	FallbackDelay func() time.Duration
 	// IsRelay, if not nil, reports whether other processes get the view of this one while there is
 	// no watcher.
 	IsRelay func() bool
@@ -69,15 +69,15 @@
 	return &Fanout{opts: o, logs: make(map[string]*changeLog), changed: make(chan struct{})}
 }
 
-// MaxAge returns FanoutOptions.MaxAge, without ExtraAge.
+// MaxAge returns FanoutOptions.MaxAge, without FallbackDelay.
 func (f *Fanout) MaxAge() time.Duration { return f.opts.MaxAge }
 
-// maxAge returns the maximum age of forwarded data in this process, with ExtraAge.
+// maxAge returns the maximum age of forwarded data in this process, with FallbackDelay.
 func (f *Fanout) maxAge() time.Duration {
-	if f.opts.ExtraAge == nil {
+	if f.opts.FallbackDelay == nil {
 		return f.opts.MaxAge
 	}
-	return f.opts.MaxAge + f.opts.ExtraAge()
+	return f.opts.MaxAge + f.opts.FallbackDelay()
 }
 
 // View returns s seen through the Fanout. With selfWritten, the prefix is written only by the
--- a/kv/fanout_hand_on_test.go
+++ b/kv/fanout_hand_on_test.go
@@ -48,8 +48,8 @@
 	assert.Equal(t, unreachable.watches.Load(), int64(0))
 }
 
-// TestFanoutExtraAge checks that ExtraAge delays the fallback to the service.
-func TestFanoutExtraAge(t *testing.T) {
+// TestFanoutFallbackDelay checks that FallbackDelay delays the fallback to the service.
+func TestFanoutFallbackDelay(t *testing.T) {
 	tests := map[string]struct {
 		extra time.Duration
 		alone bool
--- a/kv/fanout_test.go
+++ b/kv/fanout_test.go
@@ -62,16 +62,16 @@
 	return newFanoutPairWith(ctx, t, maxAge, 0)
 }
 
-// newFanoutPairWith is newFanoutPair with an ExtraAge for other.
-func newFanoutPairWith(ctx context.Context, t *testing.T, maxAge, extraAge time.Duration) *fanoutPair {
+// newFanoutPairWith is newFanoutPair with a FallbackDelay for other.
+func newFanoutPairWith(ctx context.Context, t *testing.T, maxAge, fallbackDelay time.Duration) *fanoutPair {
 	t.Helper()
 	p := &fanoutPair{store: kvtest.New(clocktest.Real{}), sourceMirror: &mirror{}, otherMirror: &mirror{}}
 	p.sourceIsWatcher.Store(true)
 	p.watchesDirectly.Store(true)
 	p.source = kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: maxAge, IsWatcher: p.sourceIsWatcher.Load})
 	p.other = kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: maxAge, IsWatcher: func() bool { return false },
-		ExtraAge: func() time.Duration { return extraAge },
-		OnSwitch: func(_ string, direct bool) { p.watchesDirectly.Store(direct) },
+		FallbackDelay: func() time.Duration { return fallbackDelay },
+		OnSwitch:      func(_ string, direct bool) { p.watchesDirectly.Store(direct) },
 	})
 	p.store.Set("a/1", []byte("1"))
 	go kv.Follow(ctx, kv.FollowOptions{
