--- a/backend/server.go
+++ b/backend/server.go
@@ -82,12 +82,7 @@
 
 // Holds reports whether the server has a model loaded and, unless it is empty, the adapter.
 func (s *Server) Holds(model, adapter string) bool {
-	for _, r := range s.Residents {
-		if r.Model == model {
-			return r.Has(adapter)
-		}
-	}
-	return false
+	return Residency{Residents: s.Residents}.holds(model, adapter)
 }
 
 // A Residency lists the models that an engine holds, as published by the leader.
@@ -95,18 +90,22 @@
 	Residents []Resident `json:"r"`
 }
 
+func (r Residency) holds(model, adapter string) bool {
+	for _, resident := range r.Residents {
+		if resident.Model == model {
+			return resident.Has(adapter)
+		}
+	}
+	return false
+}
+
 // HoldsAny reports whether the engine holds one of the models and adapters, which have the form MODEL or
 // MODEL/ADAPTER.
 func (r Residency) HoldsAny(targets []string) bool {
-	for _, target := range targets {
+	return slices.ContainsFunc(targets, func(target string) bool {
 		a := ParseAdapter(target)
-		for _, resident := range r.Residents {
-			if resident.Model == a.Model && resident.Has(a.Name) {
-				return true
-			}
-		}
-	}
-	return false
+		return r.holds(a.Model, a.Name)
+	})
 }
 
 // A Snapshot is the state of a Registry at one time. It must not be modified.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,8 +13,8 @@
 var (
 	// ErrNoServer means that no server can take the request and the request may not wait.
 	ErrNoServer = errors.New("dispatch: no server can take the request")
-	// ErrNoHall means that no server in the data halls that the request allows holds its model, so
-	// that the request would wait for a server that nobody prepares.
+	// ErrNoHall means that no server in the data halls that the request allows holds its model. The
+	// request does not wait, since models are not loaded for a particular hall.
 	ErrNoHall = errors.New("dispatch: no server in an allowed data hall can take the request")
 	// ErrShed means that the request would have to wait and is refused in favour of requests with
 	// higher priority.
@@ -166,7 +166,7 @@
 func (d *Dispatcher) holderCount(r *Request) int {
 	n := 0
 	for _, s := range d.servers.WithModel(r.Service, r.Model) {
-		if s.AcceptsRequests() && r.allowsHall(s.Hall) && (r.Model == "" || s.Holds(r.Model, r.Adapter)) {
+		if r.allows(s) && r.isHeldBy(s) {
 			n++
 		}
 	}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -206,5 +206,5 @@
 
 // isEligible reports whether a server holds what the request needs and may be chosen for it.
 func (d *Dispatcher) isEligible(r *Request, s *backend.Server) bool {
-	return r.mayUse(s) && (r.Model == "" || s.Holds(r.Model, r.Adapter))
+	return r.mayUse(s) && r.isHeldBy(s)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -31,7 +31,7 @@
 	Gap GapBudget
 	// Exclude lists the IDs of servers that must not be chosen.
 	Exclude []string
-	// Halls holds the data halls whose servers may be chosen; nil allows all halls.
+	// Halls holds the data halls whose servers may get the request; nil allows all halls.
 	Halls map[string]bool
 	// MayHaveRun means that a server may have processed the request already. Such a request is
 	// never late and never shed.
@@ -60,13 +60,18 @@
 
 func (r *Request) isExcluded(server string) bool { return slices.Contains(r.Exclude, server) }
 
-// mayUse reports whether the request may be sent to a server, whatever the server holds: the server
-// accepts requests, is in one of the request's data halls and is not excluded.
-func (r *Request) mayUse(s *backend.Server) bool {
-	return s.AcceptsRequests() && r.allowsHall(s.Hall) && !r.isExcluded(s.ID)
+// allows reports whether a server accepts requests and is in a data hall that the request allows.
+func (r *Request) allows(s *backend.Server) bool {
+	return s.AcceptsRequests() && (r.Halls == nil || r.Halls[s.Hall])
 }
 
-func (r *Request) allowsHall(hall string) bool { return r.Halls == nil || r.Halls[hall] }
+// mayUse reports whether the request may be sent to a server, whatever the server holds.
+func (r *Request) mayUse(s *backend.Server) bool { return r.allows(s) && !r.isExcluded(s.ID) }
+
+// isHeldBy reports whether a server holds the request's model and adapter, if it needs any.
+func (r *Request) isHeldBy(s *backend.Server) bool {
+	return r.Model == "" || s.Holds(r.Model, r.Adapter)
+}
 
 // targetKey returns the key of the model or adapter: MODEL or MODEL/ADAPTER.
 func (r *Request) targetKey() string {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,8 @@
 
 	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
+
+	"rockcleat/internal/transfer"
 )
 
 // ErrInvalid matches every Error, by errors.Is.
@@ -78,12 +80,9 @@
 		return eris.Wrap(err, "config: open settings")
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxFileSize+1))
+	data, err := transfer.ReadAll(f, maxFileSize)
 	if err != nil {
-		return eris.Wrap(err, "config: read settings")
-	}
-	if len(data) > maxFileSize {
-		return eris.Errorf("config: settings file %s exceeds %d bytes", file, maxFileSize)
+		return eris.Wrapf(err, "config: read settings file %s", file)
 	}
 	return Parse(file, data, into)
 }
--- a/internal/configsync/harness_test.go
+++ b/internal/configsync/harness_test.go
@@ -161,7 +161,7 @@
 }
 
 // targetWithoutLeader returns the member that member i reports to while there is no leader: the next one or, in a tree,
-// a relay. Relays report to nobody then.
+// a relay. Relays then send no reports.
 func (f *fleet) targetWithoutLeader(i, size int) int64 {
 	switch {
 	case !f.tree:
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -48,12 +48,8 @@
 // cacheTokens returns the cache capacity, in tokens, of a service's engines. It returns 0 for a service without
 // engines and while there is no configuration.
 func (c *configuration) cacheTokens(service string) int {
-	r := c.current.Load()
-	if r == nil {
-		return 0
-	}
-	s, ok := r.Service(service)
-	if !ok || s.Engine == nil {
+	s := c.service(service)
+	if s.Engine == nil {
 		return 0
 	}
 	return s.Engine.CacheTokens
@@ -61,12 +57,21 @@
 
 // warmupTime returns the warm-up time of a service's servers. It returns 0 while there is no configuration.
 func (c *configuration) warmupTime(service string) time.Duration {
+	return c.service(service).WarmupTime
+}
+
+// warmupRate returns the requests per second that a service's server accepts while it warms up; 0 if it has no such
+// limit, and while there is no configuration.
+func (c *configuration) warmupRate(service string) float64 { return c.service(service).WarmupRate }
+
+// service returns the service with a name, or the zero Service if it is not configured.
+func (c *configuration) service(name string) table.Service {
 	r := c.current.Load()
 	if r == nil {
-		return 0
+		return table.Service{}
 	}
-	s, _ := r.Service(service)
-	return s.WarmupTime
+	s, _ := r.Service(name)
+	return s
 }
 
 // connLimits returns the idle timeout of callers' connections and the timeout for reading a header; 0 means no
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -133,3 +133,29 @@
 	assert.Equal(t, lines[625], seenBurst)
 	assert.Equal(t, lines[1250], lines[625])
 }
+
+// TestResidencyOfReplies checks that a reply to a report does not replace the residency that a later poll has brought,
+// unless it is newer or of another term.
+func TestResidencyOfReplies(t *testing.T) {
+	const term, nextTerm = int64(1) << 40, int64(2) << 40
+	polled := backend.Residency{Residents: []backend.Resident{{Model: "polled"}}}
+	replied := backend.Residency{Residents: []backend.Resident{{Model: "replied"}}}
+	tests := map[string]struct {
+		polledAt, repliedAt int64
+		want                string
+	}{
+		"the reply is older":           {polledAt: term + 5, repliedAt: term + 4, want: "polled"},
+		"the reply is as new":          {polledAt: term + 5, repliedAt: term + 5, want: "replied"},
+		"the reply is newer":           {polledAt: term + 5, repliedAt: term + 6, want: "replied"},
+		"the reply is of another term": {polledAt: nextTerm + 5, repliedAt: term + 6, want: "replied"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var n newerResidency
+			n.add(map[string]backend.Residency{"e1": polled}, test.polledAt)
+			got := n.merge(map[string]backend.Residency{"e1": replied, "e2": replied}, test.repliedAt)
+			assert.Equal(t, got["e1"].Residents[0].Model, test.want)
+			assert.Equal(t, got["e2"].Residents[0].Model, "replied")
+		})
+	}
+}
--- a/internal/gateway/peer_server_test.go
+++ b/internal/gateway/peer_server_test.go
@@ -6,18 +6,20 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
 
-// A countingMessage counts how many messages are being encoded.
-type countingMessage struct{ encoding, most *atomic.Int64 }
+// A countingMessage counts how many messages are being encoded. Its encoding ends only after all are requested.
+type countingMessage struct {
+	encoding, most *atomic.Int64
+	allRequested   <-chan struct{}
+}
 
 // MarshalJSON implements json.Marshaler.
 func (m countingMessage) MarshalJSON() ([]byte, error) {
 	m.most.Store(max(m.most.Load(), m.encoding.Add(1)))
-	time.Sleep(time.Millisecond)
+	<-m.allRequested
 	m.encoding.Add(-1)
 	return json.Marshal("x")
 }
@@ -27,14 +29,19 @@
 func TestLargeMessagesAreEncodedOneByOne(t *testing.T) {
 	for _, gateways := range []int{24, 356} {
 		var encoding, most atomic.Int64
+		allRequested := make(chan struct{})
 		p := &peerServer{}
-		var all sync.WaitGroup
+		var started, all sync.WaitGroup
+		started.Add(gateways)
 		for range gateways {
 			all.Go(func() {
-				_, _, err := p.encode(http.Header{}, countingMessage{encoding: &encoding, most: &most})
+				started.Done()
+				_, _, err := p.encode(http.Header{}, countingMessage{encoding: &encoding, most: &most, allRequested: allRequested})
 				assert.NilError(t, err)
 			})
 		}
+		started.Wait()
+		close(allRequested)
 		all.Wait()
 		assert.Equal(t, most.Load(), int64(1))
 	}
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -35,7 +35,7 @@
 func (p *components) newServerLimits(o Options) *serverLimits {
 	l := &serverLimits{metrics: o.Metrics}
 	l.warmup = warmupLimits{
-		servers: func() *backend.Snapshot { return p.servers.registry.Snapshot() }, routing: p.config.routing, clock: o.Clock,
+		servers: func() *backend.Snapshot { return p.servers.registry.Snapshot() }, rate: p.config.warmupRate, clock: o.Clock,
 	}
 	l.Table = serverlimit.New(serverlimit.Options{Clock: o.Clock, OnChange: func(c serverlimit.Change) {
 		p.requestLog.serverLimitChanged(c)
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -3,15 +3,15 @@
 import (
 	"rockcleat/backend"
 	"rockcleat/clock"
-	"rockcleat/table"
 )
 
 // warmupLimits are the rate limits of servers that are warming up. Every gateway derives them from the list of servers
 // and the configuration.
 type warmupLimits struct {
 	servers func() *backend.Snapshot
-	routing func() *table.Routing
-	clock   clock.Service
+	// rate returns the rate limit that a service's servers have while they warm up; 0 if they have none.
+	rate  func(service string) float64
+	clock clock.Service
 }
 
 // any reports whether a server may be warming up.
@@ -24,10 +24,6 @@
 	if !known || !l.clock.Now().Before(s.WarmUntil) {
 		return 0, false
 	}
-	routing := l.routing()
-	if routing == nil {
-		return 0, false
-	}
-	service, _ := routing.Service(s.Service)
-	return service.WarmupRate, service.WarmupRate > 0
+	perSecond = l.rate(s.Service)
+	return perSecond, perSecond > 0
 }
--- a/internal/placer/await.go
+++ b/internal/placer/await.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rockcleat/backend"
@@ -53,17 +54,10 @@
 // remove removes a channel that add returned.
 func (w residencyWaiters) remove(targets []string, c chan struct{}) {
 	for _, t := range targets {
-		var others []chan struct{}
-		for _, other := range w[t] {
-			if other != c {
-				others = append(others, other)
-			}
-		}
-		if len(others) == 0 {
+		w[t] = slices.DeleteFunc(w[t], func(other chan struct{}) bool { return other == c })
+		if len(w[t]) == 0 {
 			delete(w, t)
-			continue
 		}
-		w[t] = others
 	}
 }
 
--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -56,7 +56,7 @@
 }
 
 // ErrTooLarge is returned by ReadAll if there are more bytes than allowed.
-var ErrTooLarge = errors.New("transfer: the body is too large")
+var ErrTooLarge = errors.New("transfer: input exceeds its maximum size")
 
 // ReadAll reads until EOF, at most limit bytes. If there are more, it returns the first ones and ErrTooLarge.
 func ReadAll(r io.Reader, limit int64) ([]byte, error) {
