agent: no request starts after a pause of the process that was admitted before it

Four ways lead there by reading: a request that ends after the pause frees its slot, and the queue grants it at once, without a look at the clock; a tick that began before the pause uses the time from before it; a request that was granted a slot before the pause is sent after it; and a planner's message ended the refusals although it lists the agent as leaving.

Change: each of them looks for a pause first; an agent that learns after a pause that it leaves goes on refusing for the whole time of five seconds.

Between the check and the write to the server a pause is still possible: engines off the users' platform know no fence on requests.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -215,9 +215,11 @@
 
 // stepQueue refuses the waiting requests that cannot run or have exceeded their queue time, and
 // starts those for which slots are free.
-func (a *Agent) stepQueue(now time.Time) {
+// It reads the clock itself, because the process may have been paused since the tick began.
+func (a *Agent) stepQueue(time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
 	a.handlePause(now)
 	a.planner.lastTick = now
 	if a.closed() {
--- a/internal/agent/pause.go
+++ b/internal/agent/pause.go
@@ -13,7 +13,8 @@
 	// minPause is the minimum gap between two ticks that counts as a pause.
 	minPause = 2 * time.Second
 	// refusalTimeAfterPause is the maximum time after a pause during which new requests are
-	// refused. It ends earlier if the agent receives a planner's message sent after the pause.
+	// refused. It ends earlier if the agent receives a planner's message that was sent after the
+	// pause and does not list the agent as leaving.
 	refusalTimeAfterPause = 5 * time.Second
 )
 
@@ -34,13 +35,15 @@
 	pauses int
 }
 
-// accept records a planner's message and reports whether no newer planner is known.
+// accept records a planner's message and reports whether no newer planner is known. An agent that
+// began to leave during a pause goes on refusing: other servers have taken its requests over, and
+// those that still arrive were sent before the entries noticed.
 func (c *plannerContact) accept(msg wire.Exchange, now time.Time) bool {
 	if msg.Token < c.token {
 		return false
 	}
 	c.token, c.addr, c.lastExchange = msg.Token, msg.From, now
-	if msg.Pauses == c.pauses {
+	if msg.Pauses == c.pauses && !msg.Leaving {
 		c.refuseUntil = time.Time{}
 	}
 	return true
@@ -70,3 +73,12 @@
 	a.log.Warn("process was paused", zap.Duration("for", gap))
 	a.workload.queue.RefuseAll(reasonPaused)
 }
+
+// pausedSince reports whether the process was paused after it had counted the given number of
+// pauses. A request granted a slot before a pause must not be sent after it.
+func (a *Agent) pausedSince(pauses int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.handlePause(a.clock.Now())
+	return a.planner.pauses != pauses
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -64,9 +64,13 @@
 	}
 	tokens := t.Tokens
 	defer func() { a.finish(t, tokens) }()
+	if a.pausedSince(grant.pauses) {
+		stopHeartbeat()
+		return a.refuse(c, fairqueue.Refusal{Reason: reasonPaused, RetryAfter: defaultRetryAfter})
+	}
 	class := telemetry.Class{Tier: string(row.Tier), Organisation: row.Organisation}
 	a.metrics.QueueTime(class, grant.Waited.Seconds())
-	written, err := a.forward(c, grantedRequest{row: row, grant: grant, body: body, stopHeartbeat: stopHeartbeat})
+	written, err := a.forward(c, grantedRequest{row: row, grant: grant.Grant, body: body, stopHeartbeat: stopHeartbeat})
 	if row.Kind != table.KindService && written > 0 {
 		tokens = int(written / bytesPerToken)
 	}
@@ -100,32 +104,39 @@
 	return errResp.Write(c)
 }
 
+// A slotGrant is the grant of a slot, with the number of pauses of the process at that time.
+type slotGrant struct {
+	fairqueue.Grant
+	pauses int
+}
+
 // waitForSlot queues the request until it is granted a slot or refused. It returns neither a ticket
 // nor a refusal if the client has disconnected.
-func (a *Agent) waitForSlot(req *http.Request, row table.Row) (*fairqueue.Ticket, fairqueue.Grant, *fairqueue.Refusal) {
+func (a *Agent) waitForSlot(req *http.Request, row table.Row) (*fairqueue.Ticket, slotGrant, *fairqueue.Refusal) {
 	tokens, err := strconv.Atoi(req.Header.Get(wire.HeaderTokens))
 	if err != nil {
 		a.log.Debug("request has no valid token count; assuming one token", zap.String("row", row.Name), zap.Error(err))
 	}
-	granted := make(chan fairqueue.Grant, 1)
+	granted := make(chan slotGrant, 1)
 	refused := make(chan fairqueue.Refusal, 1)
 	t := &fairqueue.Ticket{
 		Row: row.Name, Tokens: max(tokens, 1),
-		Granted: func(g fairqueue.Grant) { granted <- g },
+		// The queue calls Granted while a.mu is held.
+		Granted: func(g fairqueue.Grant) { granted <- slotGrant{Grant: g, pauses: a.planner.pauses} },
 		Refused: func(r fairqueue.Refusal) { refused <- r },
 	}
 	if r := a.enqueue(t, row); r != nil {
-		return nil, fairqueue.Grant{}, r
+		return nil, slotGrant{}, r
 	}
 	select {
 	case g := <-granted:
 		return t, g, nil
 	case r := <-refused:
 		a.countRefusal(row.Name)
-		return nil, fairqueue.Grant{}, &r
+		return nil, slotGrant{}, &r
 	case <-req.Context().Done():
 		a.finish(t, 0)
-		return nil, fairqueue.Grant{}, nil
+		return nil, slotGrant{}, nil
 	}
 }
 
@@ -172,11 +183,14 @@
 	a.workload.demandOf(row).refused += refusedSmoothing
 }
 
-// finish removes a request from the queue and charges the tokens that it used.
+// finish removes a request from the queue and charges the tokens that it used. The slot that it
+// frees is granted to the next request.
 func (a *Agent) finish(t *fairqueue.Ticket, tokens int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.workload.queue.Done(t, tokens, a.clock.Now())
+	now := a.clock.Now()
+	a.handlePause(now)
+	a.workload.queue.Done(t, tokens, now)
 }
 
 // refuse responds that the request was not run.
