kv: an entry that disappears without a later revision disappears in all processes

Cause: a list read at the revision that the watcher already knows can lack an entry. The watcher and its own follower dropped it; every process that gets the watcher's view kept it, since changes are forwarded by revision. It concerns servers that left (no request may reach them) and addresses that others use again.

Change: a poll for changes also carries a hash of the keys of each prefix. A process at the same revision with other keys is sent the whole list at once, and its followers list again.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -40,9 +40,8 @@
 
 // A feedRequest polls a gateway for changes in the store.
 type feedRequest struct {
-	// Revisions holds, for each prefix that the sender follows, the revision up to which it has the changes; 0 if
-	// it has none.
-	Revisions map[string]kv.Revision `json:"seen"`
+	// Known tells what the sender knows of each prefix that it follows.
+	kv.Known
 	// ConfigVersion is the version of the sender's configuration, Addr its peer address.
 	ConfigVersion uint64 `json:"config"`
 	Addr          string `json:"addr"`
@@ -107,7 +106,7 @@
 	requested := f.clock.Now()
 	timeout := feedHold(f.fanout.MaxAge()) + feedTimeoutMargin
 	reply, err := f.peers.feed(ctx, addr, timeout, feedRequest{
-		Revisions: f.fanout.Revisions(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self,
+		Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self,
 	})
 	if err != nil {
 		f.backOff(addr, "no answer", err)
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -140,19 +140,19 @@
 	p.awaitChanges(c.Request().Context(), r, requestedAt)
 	p.markLeaseCurrent()
 	return p.respond(c, feedReply{
-		Changes: p.fanout.Since(r.Revisions), Config: p.configs.Announcement(), HeldMs: p.clock.Now().Sub(requestedAt).Milliseconds(),
+		Changes: p.fanout.Since(r.Known), Config: p.configs.Announcement(), HeldMs: p.clock.Now().Sub(requestedAt).Milliseconds(),
 	})
 }
 
 // awaitChanges waits until there is something new for the polling gateway, for at most the hold time.
 func (p *peerServer) awaitChanges(ctx context.Context, r feedRequest, requestedAt time.Time) {
-	before := p.fanout.CurrentTimes(r.Revisions)
+	before := p.fanout.CurrentTimes(r.Known)
 	maxAge := p.fanout.MaxAge()
 	end := requestedAt.Add(feedHold(maxAge))
 	for ctx.Err() == nil {
 		changed := p.fanout.Changed()
 		left := end.Sub(p.clock.Now())
-		if left <= 0 || p.fanout.HasUpdates(r.Revisions, maxAge/feedAgeSteps, before) || p.configs.Announcement().Version > r.ConfigVersion {
+		if left <= 0 || p.fanout.HasUpdates(r.Known, maxAge/feedAgeSteps, before) || p.configs.Announcement().Version > r.ConfigVersion {
 			return
 		}
 		clock.Await(ctx, p.clock, changed, left)
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/crc32"
 	"maps"
 	"slices"
 	"strings"
@@ -29,6 +30,10 @@
 	// were filtered out by the sender may be older.
 	entries  map[string]Entry
 	complete bool
+	// keyHash is a hash of the set of keys of entries. silentKeyChanges counts the keys that came or
+	// went without a revision above to.
+	keyHash          uint32
+	silentKeyChanges uint64
 	// digests are the digests of the entries, if FanoutOptions.Digest is set.
 	digests map[string]uint64
 	// filtered is set if changes after floor were filtered out, here or by the sender. This process
@@ -82,10 +87,11 @@
 func (l *changeLog) reset(entries []Entry, at Revision) {
 	l.floor, l.to, l.events, l.filtered = at, at, nil, false
 	l.entries = make(map[string]Entry, len(entries))
+	l.keyHash = 0
+	l.complete = true
 	for _, e := range entries {
-		l.entries[e.Key] = e
+		l.set(Event{Entry: e})
 	}
-	l.complete = true
 	l.digests = make(map[string]uint64)
 }
 
@@ -114,15 +120,30 @@
 	return events
 }
 
-// set applies a change to entries.
-func (l *changeLog) set(e Event) {
-	switch {
-	case !l.complete:
-	case e.Deleted:
+// set applies a change to entries. It reports whether a key was added or removed.
+func (l *changeLog) set(e Event) (changesKeys bool) {
+	if !l.complete {
+		return false
+	}
+	_, exists := l.entries[e.Entry.Key]
+	if e.Deleted {
 		delete(l.entries, e.Entry.Key)
-	default:
+	} else {
 		l.entries[e.Entry.Key] = e.Entry
 	}
+	if exists != e.Deleted {
+		return false
+	}
+	// Exclusive or makes the hash independent of the order of the changes.
+	l.keyHash ^= crc32.ChecksumIEEE([]byte(e.Entry.Key))
+	return true
+}
+
+// lacksKeyChange reports whether another process knows the revision of this log but not the same
+// keys, so that it cannot learn the difference from a later change.
+func (l *changeLog) lacksKeyChange(prefix string, other Known) bool {
+	hash, complete := other.KeyHashes[prefix]
+	return complete && l.complete && other.Revisions[prefix] == l.to && hash != l.keyHash
 }
 
 // sortedEntries returns the entries in key order.
@@ -132,14 +153,14 @@
 	return list
 }
 
-// batch returns the changes after a revision, or all entries if those changes are no longer held.
-// It reports false if it can return neither.
-func (l *changeLog) batch(after Revision, now time.Time) (Batch, bool) {
+// batch returns the changes after a revision, or all entries if those changes are no longer held or
+// full is set. It reports false if it can return neither.
+func (l *changeLog) batch(after Revision, full bool, now time.Time) (Batch, bool) {
 	b := Batch{From: after, To: max(l.to, after), Filtered: l.filtered, AgeMs: now.Sub(l.currentAt).Milliseconds()}
 	switch {
 	case l.to == 0:
 		return Batch{}, false
-	case after >= l.floor:
+	case after >= l.floor && !full:
 		b.Events = l.after(after)
 	case l.complete:
 		b.Full = true
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -64,6 +64,14 @@
 	AgeMs int64 `json:"age"`
 }
 
+// A Known tells what a Fanout knows of the prefixes that are in use.
+type Known struct {
+	// Revisions holds the revision up to which each prefix is known; 0 if nothing is known of it.
+	Revisions map[string]Revision `json:"seen"`
+	// KeyHashes holds a hash of the set of keys of each prefix that is known completely.
+	KeyHashes map[string]uint32 `json:"key_hashes,omitempty"`
+}
+
 // NewFanout returns an empty Fanout.
 func NewFanout(o FanoutOptions) *Fanout {
 	return &Fanout{opts: o, logs: make(map[string]*changeLog), changed: make(chan struct{})}
@@ -83,45 +91,50 @@
 // View returns s seen through the Fanout. With selfWritten, the prefix is written only by the
 // watcher itself, so its watches need not end early to confirm that nothing has changed.
 func (f *Fanout) View(s PrefixStore, selfWritten bool) PrefixStore {
-	return &fanoutView{fanout: f, store: s, selfWritten: selfWritten}
+	return &fanoutView{fanout: f, store: s, selfWritten: selfWritten, silentKeyChanges: make(map[string]uint64)}
 }
 
-// Revisions returns the revision up to which each prefix is known.
-func (f *Fanout) Revisions() map[string]Revision {
+// Known returns what this Fanout knows, for another Fanout's Since and HasUpdates.
+func (f *Fanout) Known() Known {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := make(map[string]Revision, len(f.logs))
+	known := Known{Revisions: make(map[string]Revision, len(f.logs)), KeyHashes: make(map[string]uint32, len(f.logs))}
 	for prefix, l := range f.logs {
-		known[prefix] = l.to
+		known.Revisions[prefix] = l.to
+		if l.complete {
+			known.KeyHashes[prefix] = l.keyHash
+		}
 	}
 	return known
 }
 
-// Since returns the changes after the given revisions of another process, or all entries of a
-// prefix for which the changes are no longer held. Prefixes not known here are omitted.
-func (f *Fanout) Since(known map[string]Revision) map[string]Batch {
+// Since returns the changes after what another process knows, or all entries of a prefix for which
+// the changes are no longer held or do not lead to the same keys. Prefixes not known here are
+// omitted.
+func (f *Fanout) Since(known Known) map[string]Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Now()
-	out := make(map[string]Batch, len(known))
-	for prefix, after := range known {
+	out := make(map[string]Batch, len(known.Revisions))
+	for prefix, after := range known.Revisions {
 		l := f.logs[prefix]
 		if l == nil {
 			continue
 		}
-		if b, ok := l.batch(after, now); ok {
+		if b, ok := l.batch(after, l.lacksKeyChange(prefix, known), now); ok {
 			out[prefix] = b
 		}
 	}
 	return out
 }
 
-// CurrentTimes returns the time at which each of the given prefixes was last known to be current.
-func (f *Fanout) CurrentTimes(prefixes map[string]Revision) map[string]time.Time {
+// CurrentTimes returns the time at which each prefix that another process uses was last known here to
+// be current.
+func (f *Fanout) CurrentTimes(known Known) map[string]time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	times := make(map[string]time.Time, len(prefixes))
-	for prefix := range prefixes {
+	times := make(map[string]time.Time, len(known.Revisions))
+	for prefix := range known.Revisions {
 		if l := f.logs[prefix]; l != nil {
 			times[prefix] = l.currentAt
 		}
@@ -130,17 +143,17 @@
 }
 
 // HasUpdates reports whether another process, with the given revisions, should be sent an update: a
-// prefix has changed, or its view is newer by at least the given duration than in before. Each
+// prefix has changed, its keys differ, or its view is newer by at least the given duration than in before. Each
 // prefix is checked by itself, since the watcher may know one of them to be current at all times.
-func (f *Fanout) HasUpdates(known map[string]Revision, newer time.Duration, before map[string]time.Time) bool {
+func (f *Fanout) HasUpdates(known Known, newer time.Duration, before map[string]time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for prefix, after := range known {
+	for prefix, after := range known.Revisions {
 		l := f.logs[prefix]
 		if l == nil || l.to == 0 {
 			continue
 		}
-		if after < l.floor && l.complete || l.isChangedAfter(after) || l.currentAt.Sub(before[prefix]) >= newer {
+		if after < l.floor && l.complete || l.lacksKeyChange(prefix, known) || l.isChangedAfter(after) || l.currentAt.Sub(before[prefix]) >= newer {
 			return true
 		}
 	}
@@ -235,9 +248,9 @@
 }
 
 // resetFromService sets a prefix to a list read from the service, which was current at currentAt,
-// and returns the entries to use. The first list of a later era is merged with the entries known
-// before.
-func (f *Fanout) resetFromService(prefix string, entries []Entry, at Revision, currentAt time.Time) []Entry {
+// and returns the entries to use and the log's silent key changes up to then. The first list of a
+// later era is merged with the entries known before.
+func (f *Fanout) resetFromService(prefix string, entries []Entry, at Revision, currentAt time.Time) ([]Entry, uint64) {
 	f.mu.Lock()
 	if l := f.log(prefix); l.complete && l.to.Era() < at.Era() && f.opts.PeriodicWriters != nil {
 		if w := f.opts.PeriodicWriters(prefix); w != nil {
@@ -246,18 +259,17 @@
 	}
 	entries = f.log(prefix).maskStale(entries)
 	f.mu.Unlock()
-	f.reset(prefix, entries, at, currentAt)
-	return entries
+	return entries, f.reset(prefix, entries, at, currentAt)
 }
 
 // reset sets a prefix to a list that was current at currentAt. It ignores a list older than the
-// log.
-func (f *Fanout) reset(prefix string, entries []Entry, at Revision, currentAt time.Time) {
+// log. It returns the number of silent key changes of the log.
+func (f *Fanout) reset(prefix string, entries []Entry, at Revision, currentAt time.Time) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.log(prefix)
 	if at < l.to {
-		return
+		return l.silentKeyChanges
 	}
 	if l.complete {
 		f.applyList(prefix, l, entries, at)
@@ -270,13 +282,18 @@
 	l.currentAt = currentAt
 	l.notify()
 	f.notify()
+	return l.silentKeyChanges
 }
 
 // applyList applies a list to a complete log as the changes that lead to it, so that other
-// processes are sent those changes and not the whole prefix again.
+// processes are sent those changes and not the whole prefix again. A key that came or went without
+// a later revision cannot be sent as a change: key hashes show it to the other processes, and
+// silentKeyChanges to the watches of this one.
 func (f *Fanout) applyList(prefix string, l *changeLog, entries []Entry, at Revision) {
 	for _, e := range l.diff(entries, at) {
-		l.set(e)
+		if changesKeys := l.set(e); changesKeys && e.Entry.Revision <= l.to {
+			l.silentKeyChanges++
+		}
 		if e.Entry.Revision <= l.to || !f.updateDigest(prefix, l, e) {
 			// The change was filtered out before, or is now.
 			l.filtered = true
--- a/kv/fanout_hand_on_test.go
+++ b/kv/fanout_hand_on_test.go
@@ -40,7 +40,7 @@
 	go kv.Follow(ctx, kv.FollowOptions{
 		Store: late.View(unreachable, false), Prefix: "a/", WatchTimeout: time.Second, Clock: clocktest.Real{}, Follower: &lateMirror,
 	})
-	stop := clocktest.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Revisions()), time.Now()) })
+	stop := clocktest.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Known()), time.Now()) })
 	defer stop()
 	poll.WaitOn(t, lateMirror.hasEntries(map[string]string{"a/1": "1"}))
 	store.Set("a/3", []byte("3"))
@@ -91,10 +91,10 @@
 	}
 	list("a/")
 	list("b/")
-	known := f.Revisions()
+	known := f.Known()
 	before := f.CurrentTimes(known)
 	assert.Assert(t, !f.HasUpdates(known, step, before))
-	assert.Assert(t, f.HasUpdates(map[string]kv.Revision{"a/": 0}, step, before), "one that knows nothing gets the whole prefix")
+	assert.Assert(t, f.HasUpdates(knownUpTo(0), step, before), "one that knows nothing gets the whole prefix")
 	f.MarkCurrent("b/")
 	c.Advance(step / 2)
 	f.MarkCurrent("b/")
@@ -103,8 +103,8 @@
 	list("a/")
 	assert.Assert(t, f.HasUpdates(known, step, before), "a newer view of one prefix counts whatever is known of the other")
 	store.Set("a/1", []byte("2"))
-	before = f.CurrentTimes(f.Revisions())
-	_, _, err := view.WatchPrefix(t.Context(), "a/", known["a/"], time.Second)
+	before = f.CurrentTimes(f.Known())
+	_, _, err := view.WatchPrefix(t.Context(), "a/", known.Revisions["a/"], time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, f.HasUpdates(known, step, before), "a change counts at once")
 }
@@ -123,7 +123,7 @@
 		store.Set(fmt.Sprint("a/", i), []byte("1"))
 	}
 	list()
-	known := f.Revisions()
+	known := f.Known()
 	store.Set("a/1", []byte("2"))
 	store.Set("a/new", []byte("1"))
 	store.Remove("a/2")
@@ -138,15 +138,15 @@
 		}
 	}
 	assert.DeepEqual(t, got, map[string]string{"a/1": "2", "a/new": "1", "a/2": "gone"})
-	assert.Equal(t, batch.To, f.Revisions()["a/"])
-	assert.Equal(t, len(f.Since(revisionsAfter(batch))["a/"].Events), 0)
-	whole := f.Since(map[string]kv.Revision{"a/": 0})["a/"]
+	assert.Equal(t, batch.To, f.Known().Revisions["a/"])
+	assert.Equal(t, len(f.Since(knownUpTo(batch.To))["a/"].Events), 0)
+	whole := f.Since(knownUpTo(0))["a/"]
 	assert.Assert(t, whole.Full)
 	assert.Equal(t, len(whole.Events), 20)
 }
 
-// revisionsAfter returns the revisions of a process that has applied a batch of the prefix a/.
-func revisionsAfter(b kv.Batch) map[string]kv.Revision { return map[string]kv.Revision{"a/": b.To} }
+// knownUpTo returns what a process knows that has the prefix a/ up to a revision.
+func knownUpTo(at kv.Revision) kv.Known { return kv.Known{Revisions: map[string]kv.Revision{"a/": at}} }
 
 // A fixedListStore returns the list that a test sets.
 type fixedListStore struct {
@@ -168,14 +168,14 @@
 	view := f.View(s, false)
 	_, _, err := view.ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
-	known := f.Revisions()
+	known := f.Known()
 	s.entries, s.at = []kv.Entry{{Key: "a/1", Revision: 9}, {Key: "a/2", Revision: 6}}, 7
 	_, _, err = view.ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
 	batch := f.Since(known)["a/"]
 	assert.Equal(t, batch.To, kv.Revision(7))
 	assert.Equal(t, len(batch.Events), 2)
-	end := revisionsAfter(batch)
+	end := knownUpTo(batch.To)
 	assert.Assert(t, !f.HasUpdates(end, time.Hour, f.CurrentTimes(end)), "nothing is left to send")
 }
 
@@ -199,7 +199,7 @@
 	options.IsWatcher = func() bool { return false }
 	options.ListWait = func() time.Duration { return time.Minute }
 	late := kv.NewFanout(options)
-	batches := source.Since(map[string]kv.Revision{"a/": 0})
+	batches := source.Since(knownUpTo(0))
 	assert.Assert(t, !batches["a/"].Full)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -208,7 +208,7 @@
 		Store: late.View(store, false), Prefix: "a/", WatchTimeout: time.Second, Clock: clocktest.Real{}, Follower: &lateMirror,
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, asked := late.Revisions()["a/"]; !asked {
+		if _, asked := late.Known().Revisions["a/"]; !asked {
 			return poll.Continue("the prefix is not asked for yet")
 		}
 		return poll.Success()
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -30,25 +30,46 @@
 	fanout      *Fanout
 	store       PrefixStore
 	selfWritten bool
+
+	// silentKeyChanges holds, for each prefix, the count of the log that the last list included.
+	// Guarded by fanout.mu.
+	silentKeyChanges map[string]uint64
 }
 
 // ListPrefix implements PrefixStore.
 func (v *fanoutView) ListPrefix(ctx context.Context, prefix string) ([]Entry, Revision, error) {
-	if entries, at, ok := v.fanout.listReceived(ctx, prefix); ok {
-		return entries, at, nil
+	if list, ok := v.fanout.listReceived(ctx, prefix); ok {
+		v.recordListed(prefix, list.silentKeyChanges)
+		return list.entries, list.at, nil
 	}
 	began := v.fanout.opts.Clock.Now()
 	entries, at, err := v.store.ListPrefix(ctx, prefix)
-	if err == nil {
-		entries = v.fanout.resetFromService(prefix, entries, at, began)
+	if err != nil {
+		return nil, at, err
 	}
-	return entries, at, err
+	entries, silent := v.fanout.resetFromService(prefix, entries, at, began)
+	v.recordListed(prefix, silent)
+	return entries, at, nil
+}
+
+// recordListed records that a list included the given number of silent key changes.
+func (v *fanoutView) recordListed(prefix string, silent uint64) {
+	v.fanout.mu.Lock()
+	defer v.fanout.mu.Unlock()
+	v.silentKeyChanges[prefix] = silent
+}
+
+// A receivedList is a list of a prefix made of forwarded data.
+type receivedList struct {
+	entries          []Entry
+	at               Revision
+	silentKeyChanges uint64
 }
 
 // listReceived returns all entries under a prefix from forwarded data that is recent enough, and
 // reports whether there is such data. While nothing is known of the prefix, it waits for such data
 // for up to FanoutOptions.ListWait.
-func (f *Fanout) listReceived(ctx context.Context, prefix string) ([]Entry, Revision, bool) {
+func (f *Fanout) listReceived(ctx context.Context, prefix string) (list receivedList, ok bool) {
 	wait := time.Duration(0)
 	if f.opts.ListWait != nil {
 		wait = f.opts.ListWait()
@@ -59,9 +80,9 @@
 		l := f.log(prefix)
 		now := f.opts.Clock.Now()
 		if l.complete && now.Sub(l.receivedAt) < f.maxAge() {
-			entries, at := l.sortedEntries(), l.to
+			list = receivedList{entries: l.sortedEntries(), at: l.to, silentKeyChanges: l.silentKeyChanges}
 			f.mu.Unlock()
-			return entries, at, true
+			return list, true
 		}
 		isKnown, changed := l.to > 0, l.changed
 		f.mu.Unlock()
@@ -70,7 +91,7 @@
 		}
 		clock.Await(ctx, f.opts.Clock, changed, end.Sub(now))
 	}
-	return nil, 0, false
+	return receivedList{}, false
 }
 
 // WatchPrefix implements PrefixStore.
@@ -80,7 +101,7 @@
 	f := v.fanout
 	end := f.opts.Clock.Now().Add(wait)
 	for ctx.Err() == nil {
-		c := f.cached(prefix, after)
+		c := v.cached(prefix, after)
 		if c.relist {
 			return nil, after, ErrCompacted
 		}
@@ -127,20 +148,25 @@
 	to     Revision
 	// validFor is how long the watch may wait for forwarded changes if there are no events.
 	validFor time.Duration
-	// relist is set if the changes are no longer held but all entries are.
+	// relist is set if the changes are no longer held but all entries are, or do not include a key
+	// that came or went.
 	relist bool
 	// changed is closed when the log changes.
 	changed <-chan struct{}
 }
 
 // cached returns the changes in the log after a revision, or how long to wait for some.
-func (f *Fanout) cached(prefix string, after Revision) cachedChanges {
+func (v *fanoutView) cached(prefix string, after Revision) cachedChanges {
+	f := v.fanout
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.logs[prefix]
 	if l == nil {
 		return cachedChanges{}
 	}
+	if l.silentKeyChanges != v.silentKeyChanges[prefix] {
+		return cachedChanges{relist: true}
+	}
 	isFresh := !f.opts.IsWatcher() && f.opts.Clock.Now().Sub(l.receivedAt) < f.maxAge()
 	if after < l.floor {
 		return cachedChanges{relist: isFresh && l.complete}
--- a/kv/follow_test.go
+++ b/kv/follow_test.go
@@ -160,3 +160,10 @@
 	assert.Assert(t, store.Calls("watch") <= 4, "%d watches", store.Calls("watch"))
 	assert.Assert(t, !errors.Is(ctx.Err(), context.Canceled))
 }
+
+func (m *mirror) has(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.entries[key]
+	return ok
+}
