serverlimit, gateway: the bound on servers that warm up comes from the settings

Cause: the share of a warming server's rate that is granted was a constant that fits a bound of one and a half times the rate and five requests. A deployment with a narrower bound would break it.

Change: the deployment template fills in `warmup` from the platform's bounds, and the granted rate is the lower of four fifths and what the bound leaves after prefetched grants and the burst. Servers without the bound are served as before.

Measured: TestWarmupQuotaWithinBound: 12 a second instead of 16 are granted of 20 with a bound of 20 + 2.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,10 +30,11 @@
 		given      bool
 		revokeTime time.Duration
 		quota      config.Quota
+		warmup     config.Warmup
 	}{
 		"all bounds": {given: true, revokeTime: 5 * time.Second, quota: config.Quota{
 			Window: config.Duration(8 * time.Second), OverRatio: 0.1, Slack: 10000,
-		}},
+		}, warmup: config.Warmup{Over: 1.5, Slack: 5}},
 		"no keys and limits": {},
 	}
 	for name, test := range tests {
@@ -42,6 +43,7 @@
 			assert.NilError(t, err)
 			text := fillSection(t, string(data), "Bounds.StrictRevoke", test.given)
 			text = fillSection(t, text, "Bounds.QuotaWindowS", test.given)
+			text = fillSection(t, text, "Bounds.ColdOver", test.given)
 			var g config.Gateway
 			assert.NilError(t, config.Parse("gateway.yaml", []byte(fill(t, text, test.given)), &g))
 			assert.Equal(t, g.Retry.Fixed, 58.0)
@@ -52,6 +54,7 @@
 			assert.DeepEqual(t, g.Regions, map[string]string{"z": "north", "y": "south"})
 			assert.Equal(t, g.MaxRevocationDelay.Std(), test.revokeTime)
 			assert.Equal(t, g.Quota, test.quota)
+			assert.Equal(t, g.Warmup, test.warmup)
 		})
 	}
 }
@@ -80,6 +83,7 @@
 	if limits {
 		maps.Copy(values, map[string]string{
 			"Bounds.RevokeMs": "5000", "Bounds.QuotaWindowS": "8", "Bounds.QuotaOver": "0.1", "Bounds.QuotaSlack": "10000",
+			"Bounds.ColdOver": "1.5", "Bounds.ColdSlack": "5",
 		})
 	}
 	for name, value := range values {
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -20,6 +20,14 @@
 	Slack     float64 `yaml:"slack"`
 }
 
+// Warmup contains the settings for how far a server that is warming up may be loaded beyond the rate that it accepts.
+type Warmup struct {
+	// Over is the largest permitted number of requests in any second, relative to the server's rate; 0 if there is no
+	// such bound. Slack is a number of requests permitted on top.
+	Over  float64 `yaml:"over"`
+	Slack float64 `yaml:"slack"`
+}
+
 // Gateway contains the settings of a gateway.
 type Gateway struct {
 	// ID is the VM's name, Hall the data hall that it is in.
@@ -62,6 +70,7 @@
 	Retry      Retry      `yaml:"retry"`
 	Quarantine Quarantine `yaml:"quarantine"`
 	Quota      Quota      `yaml:"quota"`
+	Warmup     Warmup     `yaml:"warmup"`
 	// MaxRevocationDelay is the time within which every gateway rejects a key that operators revoked, whatever
 	// has failed; 0 for no such bound.
 	MaxRevocationDelay Duration `yaml:"revoke_time"`
@@ -123,6 +132,8 @@
 	c.require(g.Quota.Window >= 0, "quota.window", "must not be negative")
 	c.require(g.Quota.OverRatio >= 0, "quota.over", "must not be negative")
 	c.require(g.Quota.Slack >= 0, "quota.slack", "must not be negative")
+	c.require(g.Warmup.Over >= 0, "warmup.over", "must not be negative")
+	c.require(g.Warmup.Slack >= 0, "warmup.slack", "must not be negative")
 	c.require(g.MaxRevocationDelay >= 0, "revoke_time", "must not be negative")
 	g.Quarantine.check(c)
 }
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -35,7 +35,8 @@
 func (p *components) newServerLimits(o Options) *serverLimits {
 	l := &serverLimits{metrics: o.Metrics}
 	l.warmup = warmupLimits{
-		servers: func() *backend.Snapshot { return p.servers.registry.Snapshot() }, rate: p.config.warmupRate, clock: o.Clock,
+		servers: func() *backend.Snapshot { return p.servers.registry.Snapshot() }, rate: p.config.warmupRate,
+		bound: serverlimit.WarmupBound(o.Settings.Warmup), clock: o.Clock,
 	}
 	l.Table = serverlimit.New(serverlimit.Options{Clock: o.Clock, OnChange: func(c serverlimit.Change) {
 		p.requestLog.serverLimitChanged(c)
@@ -74,15 +75,16 @@
 
 // quota returns a server's rate limit in the form that the limiter takes.
 func (l *serverLimits) quota(server string) (quota.Limit, bool) {
-	announced, limited := l.Table.Limit(server)
 	warmup, warmingUp := l.warmup.limit(server)
-	switch {
-	case !limited && !warmingUp:
-		return quota.Limit{}, false
-	case !warmingUp || limited && announced < warmup:
-		return serverlimit.Quota(announced), true
+	announced, limited := l.Table.Limit(server)
+	if !limited {
+		return warmup, warmingUp
+	}
+	limit := serverlimit.Quota(announced)
+	if warmingUp && warmup.Rate < limit.Rate {
+		limit = warmup
 	}
-	return serverlimit.WarmupQuota(warmup), true
+	return limit, true
 }
 
 // statuses returns this gateway's state of all servers' rate limits, in no particular order.
--- a/serverlimit/rules.go
+++ b/serverlimit/rules.go
@@ -35,14 +35,29 @@
 	return quota.Limit{Rate: rate, Burst: 1 + rate*burstTime.Seconds()}
 }
 
-// warmupShare is the fraction of the rate of a server that is warming up which is granted. Within one second the
-// server may get the grants of that second, those that gateways prefetched (quota.GrantTTL), and the burst: together
-// 1.75 times the granted rate and one request, which is below one and a half times the server's rate.
-const warmupShare = 0.8
+// A WarmupBound bounds the requests that a server that is warming up gets from all processes in any second: at most
+// Over times its rate, and Slack.
+type WarmupBound struct {
+	Over, Slack float64
+}
+
+const (
+	// maxWarmupShare is the maximum fraction of the rate of a server that is warming up which is granted.
+	maxWarmupShare = 0.8
+	// grantTimePerSecond is the time, in seconds, whose grants a server may get within one second: those of that
+	// second, those that gateways prefetched (quota.GrantTTL), and burstTime. One request of the burst comes on top.
+	grantTimePerSecond = 1 + 0.5 + 0.25
+)
 
 // WarmupQuota returns the limit on what all processes together send to a server that is warming up and accepts
-// perSecond requests per second.
-func WarmupQuota(perSecond float64) quota.Limit { return Quota(warmupShare * perSecond) }
+// perSecond requests per second. With the zero bound it grants maxWarmupShare.
+func WarmupQuota(perSecond float64, bound WarmupBound) quota.Limit {
+	rate := maxWarmupShare * perSecond
+	if bound.Over > 0 {
+		rate = min(rate, (bound.Over*perSecond+bound.Slack-1)/grantTimePerSecond)
+	}
+	return Quota(rate)
+}
 
 // CountingWindow is the length of the time window in which the requests that a server receives are counted against
 // its limit.
--- a/serverlimit/rules_test.go
+++ b/serverlimit/rules_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rockcleat/quota"
 	"rockcleat/serverlimit"
 )
 
@@ -36,3 +37,31 @@
 		assert.Assert(t, most <= allowed, "at %v a second up to %v, allowed are %v", rate, most, allowed)
 	}
 }
+
+// TestWarmupQuotaWithinBound checks that what a server that is warming up may get within one second is within the
+// bound, and that a wide bound does not raise the rate above the server's own.
+func TestWarmupQuotaWithinBound(t *testing.T) {
+	const perSecond = 20.0
+	tests := map[string]struct {
+		bound serverlimit.WarmupBound
+		rate  float64
+	}{
+		"no bound":             {rate: 16},
+		"wide bound":           {bound: serverlimit.WarmupBound{Over: 3, Slack: 10}, rate: 16},
+		"half more and five":   {bound: serverlimit.WarmupBound{Over: 1.5, Slack: 5}, rate: 16},
+		"the rate and a few":   {bound: serverlimit.WarmupBound{Over: 1, Slack: 2}, rate: 12},
+		"the rate and nothing": {bound: serverlimit.WarmupBound{Over: 1}, rate: 19 / 1.75},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := serverlimit.WarmupQuota(perSecond, test.bound)
+			assert.Equal(t, q.Rate, test.rate)
+			if test.bound.Over == 0 {
+				return
+			}
+			prefetched := q.Rate * quota.GrantTTL.Seconds()
+			most := q.Rate + prefetched + q.Burst
+			assert.Assert(t, most <= test.bound.Over*perSecond+test.bound.Slack, "up to %v requests", most)
+		})
+	}
+}
