relay, gateway: the tree of gateways stays within data halls and regions

Cause: the tree looked at names alone, so four of five of its edges passed between the five data halls: what the tree carries between halls grew with the number of gateways.

Change: each node takes its children from its own data hall while the hall's members have room below its own nodes down to the least depth, then from its region, then from elsewhere. A new root still moves few members.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -35,6 +35,8 @@
 	firstStart bool
 	// vm is the capacity of this gateway's VM.
 	vm vmCapacity
+	// regions maps each data hall to its region.
+	regions map[string]string
 }
 
 // newDirectory returns a directory that assumes the given number of gateways until it receives a list. seeds are
@@ -56,7 +58,7 @@
 	for i, g := range gateways {
 		list[i] = g.Gateway
 		addrs[g.ID] = g.Addr
-		members[i] = relay.Member{ID: g.ID, Addr: g.Addr}
+		members[i] = relay.Member{ID: g.ID, Addr: g.Addr, Hall: g.Hall, Region: d.regions[g.Hall]}
 		if g.Addr != d.self {
 			others = append(others, g.Addr)
 		}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -62,6 +62,7 @@
 		gateways: newDirectory(s.PeerListen, s.Gateways, s.Seeds, s.FirstStart), lifecycle: newLifecycle(),
 		urgent: make(signal, 1), missing: make(signal, 1), health: newStoreHealth(ctx, o.Log),
 	}
+	p.gateways.regions = s.Regions
 	p.gateways.vm = vmCapacity{cores: s.Cores, linkMbps: s.LinkMbps}
 	p.conns = newConns(o.Clock, p.config.connLimits)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
--- a/internal/gateway/position_test.go
+++ b/internal/gateway/position_test.go
@@ -9,6 +9,7 @@
 
 	"rockcleat/dispatch"
 	"rockcleat/internal/placer"
+	"rockcleat/relay"
 )
 
 // TestContentionFollowsCapacity checks at several numbers of gateways which VMs contend for a free lease first: one that
@@ -53,3 +54,25 @@
 	}
 	assert.Equal(t, vmCapacity{}.leaderShortfall(1000), 0.0, "a VM of unknown capacity can lead")
 }
+
+// TestSourcesAreNear checks that a gateway follows the store through a gateway of its own data hall.
+func TestSourcesAreNear(t *testing.T) {
+	const gateways, halls = 103, 5
+	var list []placer.Gateway
+	hallOf := make(map[string]string)
+	for i := range gateways {
+		g := placer.Gateway{Gateway: dispatch.Gateway{ID: fmt.Sprint("g", i), Hall: fmt.Sprint("hall-", i%halls)}, Addr: fmt.Sprint("g", i, ":1")}
+		hallOf[g.Addr] = g.Hall
+		list = append(list, g)
+	}
+	leader := list[0].Addr
+	far := 0
+	for _, g := range list[1:] {
+		d := newDirectory(g.Addr, 1, nil, false)
+		d.set(list)
+		if hallOf[d.sources(leader)[0]] != g.Hall {
+			far++
+		}
+	}
+	assert.Assert(t, far <= relay.Fanout, "%d of %d gateways", far, gateways)
+}
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -2,8 +2,8 @@
 // root, and each process fetches them from its parent.
 //
 // Every process computes the tree from the list of members and the root alone, so processes with
-// the same list and root agree on it without coordination. A change of the root changes the parents
-// of few members; a member that joins or leaves may change those of many. The number of children of
+// the same list and root agree on it without coordination. Members get updates from others in their
+// data hall or region as far as possible. A change of the root changes the parents of few members; a member that joins or leaves may change those of many. The number of children of
 // a process is bounded by Fanout, and an update reaches all members in a number of hops that is
 // logarithmic in their count.
 //
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -15,6 +15,23 @@
 type Member struct {
 	// ID is the unique name of the process, Addr the address at which it accepts requests.
 	ID, Addr string
+	// Hall is the data hall that the process is in, Region the region of that hall. They are empty if
+	// not known.
+	Hall, Region string
+}
+
+// farthest is the distance of members in different regions.
+const farthest = 2
+
+// distance returns 0 for members in the same data hall, 1 for those in the same region, else farthest.
+func (m Member) distance(other Member) int {
+	switch {
+	case m.Hall == other.Hall:
+		return 0
+	case m.Region == other.Region:
+		return 1
+	}
+	return farthest
 }
 
 // A Tree holds the members from which positions are computed; the root is chosen per call. It is
@@ -22,6 +39,7 @@
 type Tree struct {
 	// members are sorted by rendezvous weight, so the order depends only on their IDs.
 	members []Member
+	layout  *layout
 }
 
 // memberOrderKey is the rendezvous key by which members are ordered. Hashing separates members with
@@ -35,7 +53,7 @@
 		weights := cmp.Compare(rendezvous.Weight(b.ID, memberOrderKey), rendezvous.Weight(a.ID, memberOrderKey))
 		return cmp.Or(weights, cmp.Compare(a.ID, b.ID))
 	})
-	return &Tree{members: members}
+	return &Tree{members: members, layout: newLayout(members)}
 }
 
 // A Position locates a process in a tree.
@@ -54,16 +72,26 @@
 	if addr == root {
 		return Position{}, true
 	}
-	members := t.without(root)
-	i := indexOf(members, addr)
-	if i < 0 {
+	member := t.indexOf(addr)
+	if member < 0 {
 		return Position{}, false
 	}
-	p := Position{Depth: 1}
-	for i >= Fanout {
-		i = i/Fanout - 1
-		p.Depth++
-		p.Parents = append(p.Parents, members[i].Addr)
+	rootNode := t.indexOf(root)
+	substitute := rootNode
+	if rootNode >= 0 {
+		substitute = t.layout.substitute(rootNode)
+	}
+	node := member
+	if member == substitute {
+		node = rootNode
+	}
+	p := Position{Depth: t.layout.depths[node]}
+	for node = t.layout.parents[node]; node != noParent; node = t.layout.parents[node] {
+		member = node
+		if node == rootNode {
+			member = substitute
+		}
+		p.Parents = append(p.Parents, t.members[member].Addr)
 	}
 	if root != "" {
 		p.Parents = append(p.Parents, root)
@@ -71,21 +99,7 @@
 	return p, true
 }
 
-// without returns the members except the one at addr. The last member takes its place, so that the
-// others keep their positions.
-func (t *Tree) without(addr string) []Member {
-	i := indexOf(t.members, addr)
-	if i < 0 {
-		return t.members
-	}
-	last := len(t.members) - 1
-	members := slices.Clone(t.members[:last])
-	if i < last {
-		members[i] = t.members[last]
-	}
-	return members
-}
-
-func indexOf(members []Member, addr string) int {
-	return slices.IndexFunc(members, func(m Member) bool { return m.Addr == addr })
+// indexOf returns the index of the member at an address, or -1 if there is none.
+func (t *Tree) indexOf(addr string) int {
+	return slices.IndexFunc(t.members, func(m Member) bool { return m.Addr == addr })
 }
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -102,3 +102,61 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, p, relay.Position{Depth: 1, Parents: []string{"elsewhere"}})
 }
+
+// TestEdgesBetweenHalls checks that the number of members whose parent is in another data hall is
+// bounded by the children of the root and a few for halls of uneven size, whatever the number of
+// members, and that few of these edges pass between regions.
+func TestEdgesBetweenHalls(t *testing.T) {
+	// A layout describes where members are.
+	type layout struct{ halls, regions int }
+	tests := map[string]layout{"one region": {halls: 5, regions: 1}, "two regions": {halls: 6, regions: 2}}
+	const maxBetweenHalls = 2 * relay.Fanout
+	for name, test := range tests {
+		for _, n := range []int{22, 103, 356, 712} {
+			t.Run(fmt.Sprint(name, " ", n), func(t *testing.T) {
+				list := members(n)
+				byAddr := make(map[string]relay.Member)
+				for i := range list {
+					// The first hall has twice as many members as each other.
+					hall := max(i%(test.halls+1), 1)
+					list[i].Hall, list[i].Region = fmt.Sprint("hall-", hall), fmt.Sprint("region-", hall%test.regions)
+					byAddr[list[i].Addr] = list[i]
+				}
+				tree := relay.New(list)
+				maxDepth := 1 + depthOf(n)
+				for _, root := range []relay.Member{list[0], list[n/2], list[n-1]} {
+					betweenHalls, betweenRegions := 0, 0
+					children := make(map[string]int)
+					for _, m := range list {
+						p, ok := tree.Position(m.Addr, root.Addr)
+						assert.Assert(t, ok)
+						if p.Depth == 0 {
+							continue
+						}
+						assert.Assert(t, p.Depth <= maxDepth, "depth %d with %d members", p.Depth, n)
+						children[p.Parents[0]]++
+						assert.Assert(t, children[p.Parents[0]] <= relay.Fanout)
+						parent := byAddr[p.Parents[0]]
+						if parent.Hall != m.Hall {
+							betweenHalls++
+						}
+						if parent.Region != m.Region {
+							betweenRegions++
+						}
+					}
+					assert.Assert(t, betweenHalls <= maxBetweenHalls, "%d of %d", betweenHalls, n)
+					assert.Assert(t, betweenRegions <= relay.Fanout, "%d of %d", betweenRegions, n)
+				}
+			})
+		}
+	}
+}
+
+// depthOf returns the least depth of a tree of n members.
+func depthOf(n int) int {
+	depth := 0
+	for room := 1; room < n; room = 1 + relay.Fanout*room {
+		depth++
+	}
+	return depth
+}
