gateway: a gateway whose ancestors have a stale view asks others of the first level before the store

Cause: when the leader and a part of the first level are turned away by the store, all that follow the store through them went to it themselves, in the time for which a source with a stale view was not polled again (0.5 to 1.5 s, longer than the 0.6 s between the levels). Calls grew with the number of gateways; gateways of the first level that are turned away learned nothing until somebody led again.

Change: after a stale view the next polls go to any gateway of the first level, in turn with the nearest ancestor, and wait only as long as one level of the tree. A gateway of the first level whose own view is out of date polls the others. What a gateway replies to polls is a part of its own (feedSource).

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -23,13 +23,17 @@
 	feedAgeSteps = 4
 	// feedHoldFraction is the fraction of a view's maximum age for which a poll waits for a change.
 	feedHoldFraction = 0.6
+	// feedShortHoldFraction is the same for a gateway whose source had a stale view. It is short enough to ask a second
+	// gateway before the next level of the tree reads the store (levelDelayFraction).
+	feedShortHoldFraction = levelDelayFraction
 	// feedTimeoutMargin is added to the hold time to get a poll's timeout, which applies to the start of the response
 	// and to each read of its body.
 	feedTimeoutMargin = 500 * time.Millisecond
 	// feedMinInterval is the minimum time between two polls; changes within it are sent together.
 	feedMinInterval = 100 * time.Millisecond
-	// feedBackoff is the mean time for which a gateway that did not respond, or had a stale view, is not polled. The
-	// actual time varies between 0.5 and 1.5 times the mean.
+	// feedBackoff is the mean time for which a gateway that did not respond is not polled, and for which gateways of the
+	// first level are polled after an ancestor had a stale view. The actual time varies between 0.5 and 1.5 times the
+	// mean.
 	feedBackoff = time.Second
 )
 
@@ -38,6 +42,9 @@
 	return time.Duration(feedHoldFraction * float64(maxAge))
 }
 
+// feedBackoffTime returns a random time with the mean feedBackoff.
+func feedBackoffTime() time.Duration { return feedBackoff/2 + rand.N(feedBackoff) }
+
 // A feedRequest polls a gateway for changes in the store.
 type feedRequest struct {
 	// Known tells what the sender knows of each prefix that it follows.
@@ -45,6 +52,8 @@
 	// ConfigVersion is the version of the sender's configuration, Addr its peer address.
 	ConfigVersion uint64 `json:"config"`
 	Addr          string `json:"addr"`
+	// MaxHoldMs is how long the poll may wait, in milliseconds; 0 if the sender sets no limit.
+	MaxHoldMs int64 `json:"hold,omitempty"`
 }
 
 // A feedReply is the reply to a feedRequest.
@@ -55,13 +64,21 @@
 	HeldMs int64 `json:"held"`
 }
 
+// feedPeers polls other gateways.
+type feedPeers interface {
+	feed(ctx context.Context, addr string, timeout time.Duration, r feedRequest) (feedReply, error)
+}
+
 // A feed updates this gateway's view of the store from its parent in the tree of gateways.
+//
+// If the leader or the parent has lost the store, the first level of the tree reads it. A gateway whose ancestors have a
+// stale view then polls any gateway of the first level, since its own ancestor there may have lost the store too.
 type feed struct {
 	self     string
 	gateways *directory
 	fanout   *kv.Fanout
-	configs  *configsync.Syncer
-	peers    *peerClient
+	configs  announcer
+	peers    feedPeers
 	// isLeader reports whether this gateway is the leader. leader returns the leader's address, or an empty string
 	// if it is not known.
 	isLeader func() bool
@@ -73,6 +90,10 @@
 	// time until which a gateway is not polled.
 	source       string
 	backoffUntil map[string]time.Time
+	// staleUntil is the time until which the ancestors' views count as stale. pollsRelay says that meanwhile the next
+	// poll goes to a gateway of the first level, and not to the nearest ancestor.
+	staleUntil time.Time
+	pollsRelay bool
 }
 
 // run polls until ctx ends.
@@ -85,14 +106,22 @@
 	}
 }
 
-// nextSource returns the address to poll: that of the nearest ancestor in the tree not in backoff. It returns an empty
-// string if there is none, and on the leader.
+// nextSource returns the address to poll: that of the nearest ancestor in the tree not in backoff. While the ancestors'
+// views are stale, it returns a gateway of the first level in turn with that ancestor, and so it does on the first level
+// if this gateway's view is out of date. It returns an empty string if there is none, and on the leader.
 func (f *feed) nextSource() string {
 	if f.isLeader() {
 		return ""
 	}
 	now := f.clock.Now()
-	for _, addr := range f.gateways.sources(f.leader()) {
+	leader := f.leader()
+	ancestors := f.gateways.sources(leader)
+	var sources []string
+	if f.hasStaleAncestors(now) && f.pollsRelay || len(ancestors) == 0 && f.isBehind(now) {
+		sources = f.gateways.relays(leader)
+	}
+	sources = append(sources, ancestors...)
+	for _, addr := range sources {
 		if addr != f.self && !now.Before(f.backoffUntil[addr]) {
 			return addr
 		}
@@ -100,23 +129,40 @@
 	return ""
 }
 
-// poll sends a poll to the gateway at addr and applies its reply. A gateway that does not respond, or whose view is
-// stale, is not polled again for a while.
+// isBehind reports whether this gateway has not received a fresh view, from the store or another gateway, for longer
+// than its maximum age.
+func (f *feed) isBehind(now time.Time) bool {
+	for _, currentAt := range f.fanout.CurrentTimes(f.fanout.Known()) {
+		if now.Sub(currentAt) > f.fanout.MaxAge() {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *feed) hasStaleAncestors(now time.Time) bool { return now.Before(f.staleUntil) }
+
+// poll sends a poll to the gateway at addr and applies its reply. A gateway that does not respond is not polled again
+// for a while.
 func (f *feed) poll(ctx context.Context, addr string) {
 	requested := f.clock.Now()
-	timeout := feedHold(f.fanout.MaxAge()) + feedTimeoutMargin
-	reply, err := f.peers.feed(ctx, addr, timeout, feedRequest{
-		Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self,
-	})
+	hold := feedHold(f.fanout.MaxAge())
+	request := feedRequest{Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self}
+	if f.hasStaleAncestors(requested) {
+		hold = time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge()))
+		request.MaxHoldMs = hold.Milliseconds()
+	}
+	reply, err := f.peers.feed(ctx, addr, hold+feedTimeoutMargin, request)
 	if err != nil {
-		f.backOff(addr, "no answer", err)
+		f.backoffUntil[addr] = f.clock.Now().Add(feedBackoffTime())
+		f.sourceLost(addr, "no answer", err)
 		return
 	}
 	madeAt := requested.Add(time.Duration(reply.HeldMs) * time.Millisecond)
 	f.fanout.Apply(reply.Changes, madeAt)
 	f.configs.HandleAnnouncement(reply.Config, addr, madeAt)
 	if f.fanout.IsStale(reply.Changes) {
-		f.backOff(addr, "too old", nil)
+		f.recordStale(addr)
 		return
 	}
 	if addr != f.source {
@@ -125,9 +171,21 @@
 	}
 }
 
-// backOff excludes a gateway from polling for a while. It logs the change if that gateway was the current source.
-func (f *feed) backOff(addr, reason string, err error) {
-	f.backoffUntil[addr] = f.clock.Now().Add(feedBackoff/2 + rand.N(feedBackoff))
+// recordStale makes the next poll go to another kind of source, after a source had a stale view. A gateway below the
+// second level first gives its parent the time to find another source.
+func (f *feed) recordStale(addr string) {
+	now := f.clock.Now()
+	if f.hasStaleAncestors(now) {
+		f.pollsRelay = !f.pollsRelay
+	} else {
+		f.pollsRelay = f.gateways.depth(f.leader()) <= 2
+	}
+	f.staleUntil = now.Add(feedBackoffTime())
+	f.sourceLost(addr, "too old", nil)
+}
+
+// sourceLost logs that a gateway is no longer the source of this gateway's view.
+func (f *feed) sourceLost(addr, reason string, err error) {
 	if addr == f.source {
 		f.source = ""
 		f.log.Info("store no longer followed through", zap.String("addr", addr), zap.String("reason", reason),
--- /dev/null
+++ b/internal/gateway/feed_fleet_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
+	"rockcleat/dispatch"
+	"rockcleat/internal/configsync"
+	"rockcleat/internal/placer"
+	"rockcleat/kv"
+	"rockcleat/kv/kvtest"
+)
+
+const (
+	// feedFleetMaxAge is the maximum age of a view on the first level of a simulated tree.
+	feedFleetMaxAge = 2500 * time.Millisecond
+	feedFleetPrefix = "servers/"
+	// feedFleetHalls is the number of data halls that the gateways are in.
+	feedFleetHalls = 5
+	// feedFleetHop is the time of a message between gateways or to the store.
+	feedFleetHop = 2 * time.Millisecond
+)
+
+// A feedFleet simulates the tree of gateways that follow a prefix of the store, without processes and network. The
+// gateway at index 0 leads at first.
+type feedFleet struct {
+	t        *testing.T
+	store    *kvtest.Store
+	gateways []*feedGateway
+	byAddr   map[string]*feedGateway
+	// leader is the address of the leader; empty if there is none.
+	leader atomic.Value
+	calls  atomic.Int64
+}
+
+// A feedGateway is one gateway of a feedFleet.
+type feedGateway struct {
+	fleet  *feedFleet
+	addr   string
+	dir    *directory
+	fanout *kv.Fanout
+	source feedSource
+	// refused makes the store refuse this gateway's calls.
+	refused atomic.Bool
+	seen    seenKeys
+}
+
+// newFeedFleet starts n gateways that know each other.
+func newFeedFleet(t *testing.T, n int) *feedFleet {
+	f := &feedFleet{t: t, store: kvtest.New(clocktest.Real{}), byAddr: make(map[string]*feedGateway)}
+	f.store.Set(feedFleetPrefix+"a", []byte("1"))
+	var list []placer.Gateway
+	for i := range n {
+		addr := fmt.Sprint("g", i)
+		list = append(list, placer.Gateway{Gateway: dispatch.Gateway{ID: addr, Hall: fmt.Sprint("hall-", i%feedFleetHalls)}, Addr: addr})
+	}
+	f.leader.Store(list[0].Addr)
+	for _, member := range list {
+		g := f.newGateway(member.Addr)
+		g.dir.set(list)
+		f.gateways = append(f.gateways, g)
+		f.byAddr[g.addr] = g
+	}
+	for _, g := range f.gateways {
+		g.start(t.Context())
+	}
+	return f
+}
+
+func (f *feedFleet) newGateway(addr string) *feedGateway {
+	g := &feedGateway{fleet: f, addr: addr, dir: newDirectory(addr, 1, nil, false)}
+	g.fanout = kv.NewFanout(kv.FanoutOptions{
+		Clock: clocktest.Real{}, MaxAge: feedFleetMaxAge, IsWatcher: g.leads, ListWait: g.dir.listWait,
+		FallbackDelay: func() time.Duration { return g.dir.fallbackDelay(f.leaderAddr(), feedFleetMaxAge) },
+		IsRelay:       func() bool { return g.dir.isRelay(f.leaderAddr()) },
+	})
+	g.source = feedSource{fanout: g.fanout, configs: noConfigs{}, clock: clocktest.Real{}}
+	return g
+}
+
+func (f *feedFleet) leaderAddr() string { return f.leader.Load().(string) }
+
+func (g *feedGateway) leads() bool { return g.fleet.leaderAddr() == g.addr }
+
+// start follows the prefix and polls other gateways until ctx ends.
+func (g *feedGateway) start(ctx context.Context) {
+	go kv.Follow(ctx, kv.FollowOptions{
+		Store: g.fanout.View(g, false), Prefix: feedFleetPrefix, WatchTimeout: 2 * feedFleetMaxAge, Clock: clocktest.Real{}, Follower: &g.seen,
+	})
+	f := &feed{
+		self: g.addr, gateways: g.dir, fanout: g.fanout, configs: noConfigs{}, peers: g, isLeader: g.leads, leader: g.fleet.leaderAddr,
+		clock: clocktest.Real{}, log: zap.NewNop(), backoffUntil: make(map[string]time.Time),
+	}
+	go f.run(ctx)
+}
+
+// feed implements feedPeers.
+func (g *feedGateway) feed(ctx context.Context, addr string, _ time.Duration, r feedRequest) (feedReply, error) {
+	clock.Sleep(ctx, clocktest.Real{}, feedFleetHop)
+	source := g.fleet.byAddr[addr].source
+	requestedAt := time.Now()
+	source.awaitChanges(ctx, r, requestedAt)
+	return source.reply(r, requestedAt), ctx.Err()
+}
+
+// ListPrefix implements kv.PrefixStore.
+func (g *feedGateway) ListPrefix(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	if err := g.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	return g.fleet.store.ListPrefix(ctx, prefix)
+}
+
+// WatchPrefix implements kv.PrefixStore.
+func (g *feedGateway) WatchPrefix(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Event, kv.Revision, error) {
+	if err := g.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	return g.fleet.store.WatchPrefix(ctx, prefix, after, wait)
+}
+
+// call counts a call to the store and returns its error.
+func (g *feedGateway) call(ctx context.Context) error {
+	g.fleet.calls.Add(1)
+	clock.Sleep(ctx, clocktest.Real{}, feedFleetHop)
+	if g.refused.Load() {
+		return kv.ErrRateLimited
+	}
+	return ctx.Err()
+}
+
+// seenKeys is a follower that counts the entries that it knows.
+type seenKeys struct{ count atomic.Int64 }
+
+func (s *seenKeys) Replace(entries []kv.Entry) { s.count.Store(int64(len(entries))) }
+func (s *seenKeys) Apply(events []kv.Event) {
+	for _, e := range events {
+		if e.Deleted {
+			s.count.Add(-1)
+		} else {
+			s.count.Add(1)
+		}
+	}
+}
+func (s *seenKeys) Unreachable(error) {}
+func (s *seenKeys) Reachable()        {}
+
+// noConfigs is an announcer without a configuration.
+type noConfigs struct{}
+
+func (noConfigs) Announcement() configsync.Announcement                         { return configsync.Announcement{} }
+func (noConfigs) HandleAnnouncement(configsync.Announcement, string, time.Time) {}
+
+// wait advances the test's clock by d.
+func (f *feedFleet) wait(d time.Duration) {
+	clock.Sleep(f.t.Context(), clocktest.Real{}, d)
+	synctest.Wait()
+}
+
+// refuse makes the store refuse the calls of the leader and a share of the other gateways, and returns their number.
+func (f *feedFleet) refuse(share float64, r *rand.Rand) (refused int) {
+	for i, g := range f.gateways {
+		if i == 0 || r.Float64() < share {
+			g.refused.Store(true)
+			refused++
+		}
+	}
+	return refused
+}
+
+// countUnaware returns the number of gateways that do not know the given number of entries.
+func (f *feedFleet) countUnaware(entries int64) (unaware int) {
+	for _, g := range f.gateways {
+		if g.seen.count.Load() != entries {
+			unaware++
+		}
+	}
+	return unaware
+}
+
+// TestStoreCallsWhenTheLeaderIsRefused refuses the leader and a third of the gateways the store. The others must learn
+// of a change in time, and the calls to the store must not grow with the number of gateways, beyond those of the first
+// level and of the few below it that find no gateway with a fresh view.
+func TestStoreCallsWhenTheLeaderIsRefused(t *testing.T) {
+	const (
+		refusedShare = 0.35
+		// leaseTime is how long the refused leader stays the leader.
+		leaseTime = 3 * time.Second
+		// inForce is the time within which a change must be known to all gateways.
+		inForce = 5 * time.Second
+	)
+	calls := make(map[int]int64)
+	for _, n := range []int{24, 103, 356, 712} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(n, " gateways, seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFeedFleet(t, n)
+					f.wait(5 * time.Second)
+					refused := f.refuse(refusedShare, rand.New(rand.NewPCG(seed, uint64(n))))
+					f.calls.Store(0)
+					f.wait(leaseTime)
+					f.leader.Store("")
+					f.wait(feedFleetMaxAge)
+					f.store.Set(feedFleetPrefix+"b", []byte("1"))
+					f.wait(inForce)
+					assert.Equal(t, f.countUnaware(2), 0, "of %d gateways, %d without the store", n, refused)
+					calls[n] += f.calls.Load()
+				})
+			})
+		}
+	}
+	t.Logf("calls to the store: %v", calls)
+	// Growth is compared from 103 gateways on, where the tree has as many levels as at 356.
+	assert.Assert(t, float64(calls[356]) < 2*float64(calls[103]))
+	assert.Assert(t, float64(calls[712]) < 2*float64(calls[356]))
+}
--- /dev/null
+++ b/internal/gateway/feed_source.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"rockcleat/clock"
+	"rockcleat/internal/configsync"
+	"rockcleat/kv"
+)
+
+// An announcer announces which configuration this gateway has, and receives the announcements of others.
+type announcer interface {
+	Announcement() configsync.Announcement
+	HandleAnnouncement(a configsync.Announcement, addr string, at time.Time)
+}
+
+// A feedSource replies to the polls of other gateways with this gateway's view of the store.
+type feedSource struct {
+	fanout  *kv.Fanout
+	configs announcer
+	clock   clock.Service
+}
+
+// awaitChanges waits until there is something new for the polling gateway, for at most the hold time.
+func (s feedSource) awaitChanges(ctx context.Context, r feedRequest, requestedAt time.Time) {
+	before := s.fanout.CurrentTimes(r.Known)
+	maxAge := s.fanout.MaxAge()
+	hold := feedHold(maxAge)
+	if r.MaxHoldMs > 0 {
+		hold = min(hold, time.Duration(r.MaxHoldMs)*time.Millisecond)
+	}
+	end := requestedAt.Add(hold)
+	for ctx.Err() == nil {
+		changed := s.fanout.Changed()
+		left := end.Sub(s.clock.Now())
+		if left <= 0 || s.fanout.HasUpdates(r.Known, maxAge/feedAgeSteps, before) || s.configs.Announcement().Version > r.ConfigVersion {
+			return
+		}
+		clock.Await(ctx, s.clock, changed, left)
+	}
+}
+
+// reply returns the reply to a poll that was received at requestedAt.
+func (s feedSource) reply(r feedRequest, requestedAt time.Time) feedReply {
+	return feedReply{
+		Changes: s.fanout.Since(r.Known), Config: s.configs.Announcement(), HeldMs: s.clock.Now().Sub(requestedAt).Milliseconds(),
+	}
+}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -252,7 +252,8 @@
 
 func (p *components) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
-		placer: p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
+		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c},
+		placer:     p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
 		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, removedCount: p.limiters.removedCount,
 		synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
 	}
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -34,6 +32,7 @@
 	// left the leader's list.
 	serverLimits *serverLimits
 	removedCount func() int
+	feedSource   feedSource
 	// limits returns this gateway's state of all rate limits.
 	limits func() wire.LimitList
 	// synced says that this gateway knows the quarantine from before its start.
@@ -137,26 +136,9 @@
 	}
 	p.configs.HandleVersion(r.ConfigVersion, r.Addr)
 	requestedAt := p.clock.Now()
-	p.awaitChanges(c.Request().Context(), r, requestedAt)
+	p.feedSource.awaitChanges(c.Request().Context(), r, requestedAt)
 	p.markLeaseCurrent()
-	return p.respond(c, feedReply{
-		Changes: p.fanout.Since(r.Known), Config: p.configs.Announcement(), HeldMs: p.clock.Now().Sub(requestedAt).Milliseconds(),
-	})
-}
-
-// awaitChanges waits until there is something new for the polling gateway, for at most the hold time.
-func (p *peerServer) awaitChanges(ctx context.Context, r feedRequest, requestedAt time.Time) {
-	before := p.fanout.CurrentTimes(r.Known)
-	maxAge := p.fanout.MaxAge()
-	end := requestedAt.Add(feedHold(maxAge))
-	for ctx.Err() == nil {
-		changed := p.fanout.Changed()
-		left := end.Sub(p.clock.Now())
-		if left <= 0 || p.fanout.HasUpdates(r.Known, maxAge/feedAgeSteps, before) || p.configs.Announcement().Version > r.ConfigVersion {
-			return
-		}
-		clock.Await(ctx, p.clock, changed, left)
-	}
+	return p.respond(c, p.feedSource.reply(r, requestedAt))
 }
 
 // markLeaseCurrent records that the lease's key has not changed until now, if this gateway holds the lease.
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -121,6 +121,16 @@
 	return list
 }
 
+// relays returns the addresses of the gateways on the first level of the tree, in random order.
+func (d *directory) relays(leader string) []string {
+	d.mu.Lock()
+	tree := d.tree
+	d.mu.Unlock()
+	list := tree.FirstLevel(leader)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
 // listWait returns how long a starting gateway waits for data from other gateways before it reads the store.
 func (d *directory) listWait() time.Duration {
 	d.mu.Lock()
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -76,11 +76,7 @@
 	if member < 0 {
 		return Position{}, false
 	}
-	rootNode := t.indexOf(root)
-	substitute := rootNode
-	if rootNode >= 0 {
-		substitute = t.layout.substitute(rootNode)
-	}
+	rootNode, substitute := t.rootNode(root)
 	node := member
 	if member == substitute {
 		node = rootNode
@@ -99,6 +95,32 @@
 	return p, true
 }
 
+// FirstLevel returns the addresses of the members at depth 1 below root, which may be empty.
+func (t *Tree) FirstLevel(root string) []string {
+	rootNode, substitute := t.rootNode(root)
+	var list []string
+	for node, depth := range t.layout.depths {
+		member := node
+		if node == rootNode {
+			member = substitute
+		}
+		if depth == 1 && member != rootNode {
+			list = append(list, t.members[member].Addr)
+		}
+	}
+	return list
+}
+
+// rootNode returns the root's node in the layout and the member that takes it, which is the root itself if nobody does.
+// Both are -1 if the root is not a member.
+func (t *Tree) rootNode(root string) (node, substitute int) {
+	node = t.indexOf(root)
+	if node < 0 {
+		return -1, -1
+	}
+	return node, t.layout.substitute(node)
+}
+
 // indexOf returns the index of the member at an address, or -1 if there is none.
 func (t *Tree) indexOf(addr string) int {
 	return slices.IndexFunc(t.members, func(m Member) bool { return m.Addr == addr })
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -125,7 +125,7 @@
 				tree := relay.New(list)
 				maxDepth := 1 + depthOf(n)
 				for _, root := range []relay.Member{list[0], list[n/2], list[n-1]} {
-					betweenHalls, betweenRegions := 0, 0
+					betweenHalls, betweenRegions, first := 0, 0, 0
 					children := make(map[string]int)
 					for _, m := range list {
 						p, ok := tree.Position(m.Addr, root.Addr)
@@ -136,6 +136,9 @@
 						assert.Assert(t, p.Depth <= maxDepth, "depth %d with %d members", p.Depth, n)
 						children[p.Parents[0]]++
 						assert.Assert(t, children[p.Parents[0]] <= relay.Fanout)
+						if p.Depth == 1 {
+							first++
+						}
 						parent := byAddr[p.Parents[0]]
 						if parent.Hall != m.Hall {
 							betweenHalls++
@@ -144,6 +147,7 @@
 							betweenRegions++
 						}
 					}
+					assert.Equal(t, len(tree.FirstLevel(root.Addr)), first)
 					assert.Assert(t, betweenHalls <= maxBetweenHalls, "%d of %d", betweenHalls, n)
 					assert.Assert(t, betweenRegions <= relay.Fanout, "%d of %d", betweenRegions, n)
 				}
