gateway, kv: when all gateways start, only the first level of the tree lists the servers

Cause: a gateway that starts waits 0.15 s for others and then lists the servers itself.

Change: the list of gateways, which each of them reads from the store, gives it its place in the tree; each level below the first then waits 0.35 s longer for the one above before it lists the store itself. A long list is left out of replies to polls and requested separately, so that it is encoded once and not once for each of eight gateways. A poll of a seed ends when the list of gateways is known. A gateway that does not respond is tried again after 0.2 s while one starts.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -25,8 +25,10 @@
 	gateways []placer.Gateway
 	// leader is the address of the gateway that last replied as the leader; empty if there is none.
 	leader string
-	// tree is the distribution tree of the listed gateways.
-	tree *relay.Tree
+	// tree is the distribution tree of the listed gateways. listed is closed when there is a list.
+	tree      *relay.Tree
+	listed    chan struct{}
+	closeOnce sync.Once
 	// seeds holds the addresses of gateways from the settings, without this one. isSeed says that the settings
 	// name this gateway.
 	seeds  []string
@@ -45,7 +47,7 @@
 	others := slices.DeleteFunc(slices.Clone(seeds), func(addr string) bool { return addr == self })
 	return &directory{
 		self: self, gatewayCount: assumed, tree: relay.New(nil), seeds: others, isSeed: len(others) < len(seeds),
-		firstStart: firstStart,
+		firstStart: firstStart, listed: make(chan struct{}),
 	}
 }
 
@@ -65,6 +67,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(addrs) > 0 {
+		d.closeOnce.Do(func() { close(d.listed) })
+	}
 	d.addrs, d.others, d.gatewayCount, d.gateways, d.tree = addrs, others, len(gateways), gateways, relay.New(members)
 	return list
 }
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -35,6 +35,8 @@
 	// first level are polled after an ancestor had a stale view. The actual time varies between 0.5 and 1.5 times the
 	// mean.
 	feedBackoff = time.Second
+	// feedStartBackoff is the time for which a gateway that did not respond is not polled by one whose view is out of date.
+	feedStartBackoff = 200 * time.Millisecond
 )
 
 // feedHold returns how long a poll waits for a change, given the maximum age of a view.
@@ -54,6 +56,8 @@
 	Addr          string `json:"addr"`
 	// MaxHoldMs is how long the poll may wait, in milliseconds; 0 if the sender sets no limit.
 	MaxHoldMs int64 `json:"hold,omitempty"`
+	// RequestsLists says that the sender requests large lists separately (kv.Batch.Omitted).
+	RequestsLists bool `json:"lists,omitempty"`
 }
 
 // A feedReply is the reply to a feedRequest.
@@ -67,6 +71,7 @@
 // feedPeers polls other gateways.
 type feedPeers interface {
 	feed(ctx context.Context, addr string, timeout time.Duration, r feedRequest) (feedReply, error)
+	list(ctx context.Context, addr, prefix string) (kv.Batch, error)
 }
 
 // A feed updates this gateway's view of the store from its parent in the tree of gateways.
@@ -117,10 +122,14 @@
 	leader := f.leader()
 	ancestors := f.gateways.sources(leader)
 	var sources []string
-	if f.hasStaleAncestors(now) && f.pollsRelay || len(ancestors) == 0 && f.isBehind(now) {
-		sources = f.gateways.relays(leader)
+	switch {
+	case f.hasStaleAncestors(now) && f.pollsRelay:
+		sources = append(f.gateways.relays(leader), ancestors...)
+	case f.isBehind(now):
+		sources = append(ancestors, f.gateways.relays(leader)...)
+	default:
+		sources = ancestors
 	}
-	sources = append(sources, ancestors...)
 	for _, addr := range sources {
 		if addr != f.self && !now.Before(f.backoffUntil[addr]) {
 			return addr
@@ -147,15 +156,24 @@
 func (f *feed) poll(ctx context.Context, addr string) {
 	requested := f.clock.Now()
 	hold := feedHold(f.fanout.MaxAge())
-	request := feedRequest{Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self}
+	request := feedRequest{
+		Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self, RequestsLists: true,
+	}
 	if f.hasStaleAncestors(requested) {
 		hold = time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge()))
 		request.MaxHoldMs = hold.Milliseconds()
 	}
-	reply, err := f.peers.feed(ctx, addr, hold+feedTimeoutMargin, request)
+	pollCtx, cancel := f.untilListed(ctx)
+	defer cancel()
+	reply, err := f.peers.feed(pollCtx, addr, hold+feedTimeoutMargin, request)
+	if err == nil {
+		err = f.fetchLists(ctx, addr, reply.Changes)
+	}
+	if pollCtx.Err() != nil && ctx.Err() == nil {
+		return
+	}
 	if err != nil {
-		f.backoffUntil[addr] = f.clock.Now().Add(feedBackoffTime())
-		f.sourceLost(addr, "no answer", err)
+		f.backOff(addr, err)
 		return
 	}
 	madeAt := requested.Add(time.Duration(reply.HeldMs) * time.Millisecond)
@@ -171,6 +189,52 @@
 	}
 }
 
+// untilListed returns a context for a poll. While the list of gateways is not known, it ends when there is one: the poll
+// then goes to the parent in the tree.
+func (f *feed) untilListed(ctx context.Context) (context.Context, context.CancelFunc) {
+	pollCtx, cancel := context.WithCancel(ctx)
+	if f.gateways.isListed() {
+		return pollCtx, cancel
+	}
+	go func() {
+		select {
+		case <-f.gateways.listed:
+			cancel()
+		case <-pollCtx.Done():
+		}
+	}()
+	return pollCtx, cancel
+}
+
+// fetchLists requests the lists that the gateway at addr has left out of its reply.
+func (f *feed) fetchLists(ctx context.Context, addr string, changes map[string]kv.Batch) error {
+	for prefix, b := range changes {
+		if !b.Omitted {
+			continue
+		}
+		list, err := f.peers.list(ctx, addr, prefix)
+		if err != nil {
+			return err
+		}
+		// The list is at least as recent as the reply.
+		list.AgeMs = b.AgeMs
+		changes[prefix] = list
+	}
+	return nil
+}
+
+// backOff excludes a gateway that did not respond from polling for a while. While this gateway is starting, the others
+// may be too, so it tries again soon.
+func (f *feed) backOff(addr string, err error) {
+	now := f.clock.Now()
+	pause := feedBackoffTime()
+	if f.isBehind(now) {
+		pause = feedStartBackoff
+	}
+	f.backoffUntil[addr] = now.Add(pause)
+	f.sourceLost(addr, "no answer", err)
+}
+
 // recordStale makes the next poll go to another kind of source, after a source had a stale view. A gateway below the
 // second level first gives its parent the time to find another source.
 func (f *feed) recordStale(addr string) {
--- a/internal/gateway/feed_fleet_test.go
+++ b/internal/gateway/feed_fleet_test.go
@@ -19,6 +19,7 @@
 	"rockcleat/internal/placer"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
+	"rockcleat/relay"
 )
 
 const (
@@ -29,6 +30,8 @@
 	feedFleetHalls = 5
 	// feedFleetHop is the time of a message between gateways or to the store.
 	feedFleetHop = 2 * time.Millisecond
+	// feedFleetListTime is the time that a small VM takes to decode a list of all servers.
+	feedFleetListTime = 100 * time.Millisecond
 )
 
 // A feedFleet simulates the tree of gateways that follow a prefix of the store, without processes and network. The
@@ -40,7 +43,8 @@
 	byAddr   map[string]*feedGateway
 	// leader is the address of the leader; empty if there is none.
 	leader atomic.Value
-	calls  atomic.Int64
+	// calls counts the calls to the store, lists those of them that list the prefix.
+	calls, lists atomic.Int64
 }
 
 // A feedGateway is one gateway of a feedFleet.
@@ -57,9 +61,18 @@
 
 // newFeedFleet starts n gateways that know each other.
 func newFeedFleet(t *testing.T, n int) *feedFleet {
-	f := &feedFleet{t: t, store: kvtest.New(clocktest.Real{}), byAddr: make(map[string]*feedGateway)}
+	f, list := newIdleFeedFleet(t, n)
+	for _, g := range f.gateways {
+		g.dir.set(list)
+		g.start(t.Context())
+	}
+	return f
+}
+
+// newIdleFeedFleet returns n gateways that are not started and do not know each other, and their list.
+func newIdleFeedFleet(t *testing.T, n int) (f *feedFleet, list []placer.Gateway) {
+	f = &feedFleet{t: t, store: kvtest.New(clocktest.Real{}), byAddr: make(map[string]*feedGateway)}
 	f.store.Set(feedFleetPrefix+"a", []byte("1"))
-	var list []placer.Gateway
 	for i := range n {
 		addr := fmt.Sprint("g", i)
 		list = append(list, placer.Gateway{Gateway: dispatch.Gateway{ID: addr, Hall: fmt.Sprint("hall-", i%feedFleetHalls)}, Addr: addr})
@@ -67,20 +80,16 @@
 	f.leader.Store(list[0].Addr)
 	for _, member := range list {
 		g := f.newGateway(member.Addr)
-		g.dir.set(list)
 		f.gateways = append(f.gateways, g)
 		f.byAddr[g.addr] = g
 	}
-	for _, g := range f.gateways {
-		g.start(t.Context())
-	}
-	return f
+	return f, list
 }
 
 func (f *feedFleet) newGateway(addr string) *feedGateway {
-	g := &feedGateway{fleet: f, addr: addr, dir: newDirectory(addr, 1, nil, false)}
+	g := &feedGateway{fleet: f, addr: addr, dir: newDirectory(addr, 1, []string{"g1", "g2", "g3"}, false)}
 	g.fanout = kv.NewFanout(kv.FanoutOptions{
-		Clock: clocktest.Real{}, MaxAge: feedFleetMaxAge, IsWatcher: g.leads, ListWait: g.dir.listWait,
+		Clock: clocktest.Real{}, MaxAge: feedFleetMaxAge, IsWatcher: g.leads, ListWait: func() time.Duration { return g.dir.prefixListWait(f.leaderAddr()) },
 		FallbackDelay: func() time.Duration { return g.dir.fallbackDelay(f.leaderAddr(), feedFleetMaxAge) },
 		IsRelay:       func() bool { return g.dir.isRelay(f.leaderAddr()) },
 	})
@@ -113,8 +122,16 @@
 	return source.reply(r, requestedAt), ctx.Err()
 }
 
+// list implements feedPeers.
+func (g *feedGateway) list(ctx context.Context, addr, prefix string) (kv.Batch, error) {
+	clock.Sleep(ctx, clocktest.Real{}, feedFleetListTime)
+	b, _ := g.fleet.byAddr[addr].fanout.List(prefix)
+	return b, ctx.Err()
+}
+
 // ListPrefix implements kv.PrefixStore.
 func (g *feedGateway) ListPrefix(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	g.fleet.lists.Add(1)
 	if err := g.call(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -224,3 +241,48 @@
 	assert.Assert(t, float64(calls[356]) < 2*float64(calls[103]))
 	assert.Assert(t, float64(calls[712]) < 2*float64(calls[356]))
 }
+
+// TestStoreCallsWhenAllStart starts all gateways at once after all have stopped: nobody leads, and each reads the list
+// of gateways from the store. All must know the servers soon, and the number of lists of the servers must not grow with
+// the number of gateways.
+func TestStoreCallsWhenAllStart(t *testing.T) {
+	const (
+		servers = 640
+		// allKnow is the time within which all gateways must know the servers.
+		allKnow = 1500 * time.Millisecond
+		// startSpread is the time within which all gateways start.
+		startSpread = 300 * time.Millisecond
+		// listReadTime is when a gateway has read the list of gateways after its start.
+		listReadTime = fleetLoadDelay + fleetStepInterval
+	)
+	lists := make(map[int]int64)
+	for _, n := range []int{24, 103, 356, 712} {
+		t.Run(fmt.Sprint(n, " gateways"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, list := newIdleFeedFleet(t, n)
+				for i := range servers - 1 {
+					f.store.Set(fmt.Sprint(feedFleetPrefix, "s", i), []byte("1"))
+				}
+				// The record of the last leader is still in the store, but the gateway no longer leads.
+				f.leader.Store("")
+				r := rand.New(rand.NewPCG(1, uint64(n)))
+				for _, g := range f.gateways {
+					startsAfter := time.Duration(r.Int64N(int64(startSpread)))
+					go func() {
+						clock.Sleep(t.Context(), clocktest.Real{}, startsAfter)
+						g.start(t.Context())
+						clock.Sleep(t.Context(), clocktest.Real{}, listReadTime)
+						g.dir.set(list)
+					}()
+				}
+				f.wait(startSpread + allKnow)
+				assert.Equal(t, f.countUnaware(servers), 0)
+				lists[n] = f.lists.Load()
+			})
+		})
+	}
+	t.Logf("lists of the servers: %v", lists)
+	// From 103 gateways on there are two levels below the first, and some of their gateways start before their parents.
+	assert.Assert(t, lists[712] <= lists[103]+relay.Fanout)
+	assert.Assert(t, lists[103] <= lists[24]+2*relay.Fanout)
+}
--- a/internal/gateway/feed_source.go
+++ b/internal/gateway/feed_source.go
@@ -43,7 +43,11 @@
 
 // reply returns the reply to a poll that was received at requestedAt.
 func (s feedSource) reply(r feedRequest, requestedAt time.Time) feedReply {
+	changes := s.fanout.Since(r.Known)
+	if r.RequestsLists {
+		omitLists(changes)
+	}
 	return feedReply{
-		Changes: s.fanout.Since(r.Known), Config: s.configs.Announcement(), HeldMs: s.clock.Now().Sub(requestedAt).Milliseconds(),
+		Changes: changes, Config: s.configs.Announcement(), HeldMs: s.clock.Now().Sub(requestedAt).Milliseconds(),
 	}
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -119,7 +119,8 @@
 	})}
 	l.fanout = kv.NewFanout(kv.FanoutOptions{
 		Clock: o.Clock, MaxAge: viewMaxAge(s), IsWatcher: l.isLeader,
-		OnSwitch: p.requestLog.watchSwitched, Digest: p.servers.digest, ListWait: p.gateways.listWait,
+		OnSwitch: p.requestLog.watchSwitched, Digest: p.servers.digest,
+		ListWait:      func() time.Duration { return p.gateways.prefixListWait(p.leaderAddr()) },
 		FallbackDelay: p.fallbackDelay(s), IsRelay: p.isRelay, PeriodicWriters: writersAfterRestore(o.Decoder),
 	})
 	l.placer = placer.New(placer.Options{
@@ -253,6 +254,7 @@
 func (p *components) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
 		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c},
+		lists:      newListCache(p.leader.fanout),
 		placer:     p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
 		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, removedCount: p.limiters.removedCount,
 		synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -14,6 +14,7 @@
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
 	"rockcleat/internal/wire"
+	"rockcleat/kv"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
 	"rockcleat/serverlimit"
@@ -25,6 +26,8 @@
 	pathReport = "/v1/gateway"
 	// pathFeed returns changes in the store.
 	pathFeed = "/v1/feed"
+	// pathList returns all entries of a prefix of the store.
+	pathList = "/v1/list"
 	// pathHolders returns the engines that hold models or adapters, and waits until there are some.
 	pathHolders = "/v1/holders"
 	// pathConfig returns the configuration.
@@ -43,6 +46,8 @@
 	reportTimeout = 700 * time.Millisecond
 	// configTimeout is the same for a request for the configuration, after which the store is read instead.
 	configTimeout = 700 * time.Millisecond
+	// listTimeout is the same for a list of a prefix of the store, which takes a small VM some time to encode.
+	listTimeout = 1500 * time.Millisecond
 	// admissionTimeout is the timeout of an admission request (docs/design/0009).
 	admissionTimeout = 150 * time.Millisecond
 	// grantTimeout is the timeout of a request for a grant or a permit.
@@ -104,6 +109,13 @@
 	return reply, err
 }
 
+// list requests all entries of a prefix of the store from the gateway at addr.
+func (p *peerClient) list(ctx context.Context, addr, prefix string) (kv.Batch, error) {
+	var b kv.Batch
+	err := p.http.PostWithStallTimeout(ctx, listTimeout, addr, pathList, listRequest{Prefix: prefix}, &b)
+	return b, err
+}
+
 // holders asks the gateway at addr which engines hold models or adapters.
 func (p *peerClient) holders(ctx context.Context, addr string, r holderRequest) (placer.Holders, error) {
 	var h placer.Holders
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -33,6 +33,7 @@
 	serverLimits *serverLimits
 	removedCount func() int
 	feedSource   feedSource
+	lists        *listCache
 	// limits returns this gateway's state of all rate limits.
 	limits func() wire.LimitList
 	// synced says that this gateway knows the quarantine from before its start.
@@ -49,6 +50,7 @@
 	e := server.NewRouter()
 	e.POST(pathReport, p.handleReport)
 	e.POST(pathFeed, p.handleFeed)
+	e.POST(pathList, p.handleList)
 	e.POST(pathHolders, p.handleHolders)
 	e.POST(pathConfig, p.handleConfig)
 	e.POST(pathAdmission, p.handleAdmission)
@@ -61,23 +63,28 @@
 
 // respond responds with a message that may be large, in which case it is compressed.
 func (p *peerServer) respond(c echo.Context, message any) error {
-	body, encoding, err := p.encode(c.Request().Header, message)
+	encoded, err := p.encode(c.Request().Header, message)
 	if err != nil {
 		return err
 	}
-	if encoding != "" {
-		c.Response().Header().Set(echo.HeaderContentEncoding, encoding)
+	return respondEncoded(c, encoded)
+}
+
+// respondEncoded responds with an encoded message.
+func respondEncoded(c echo.Context, message wire.Encoded) error {
+	if message.Encoding != "" {
+		c.Response().Header().Set(echo.HeaderContentEncoding, message.Encoding)
 	}
-	return c.JSONBlob(http.StatusOK, body)
+	return c.JSONBlob(http.StatusOK, message.Body)
 }
 
-// encode returns the body of a response and its Content-Encoding.
-func (p *peerServer) encode(request http.Header, message any) (body []byte, encoding string, err error) {
+// encode returns the encoded form of a message.
+func (p *peerServer) encode(request http.Header, message any) (wire.Encoded, error) {
 	p.encoding.Lock()
 	defer p.encoding.Unlock()
-	body, err = json.Marshal(message)
+	body, err := json.Marshal(message)
 	if err != nil {
-		return nil, "", err
+		return wire.Encoded{}, err
 	}
 	return wire.Compress(body, request)
 }
@@ -141,6 +148,22 @@
 	return p.respond(c, p.feedSource.reply(r, requestedAt))
 }
 
+// handleList responds with all entries of a prefix.
+func (p *peerServer) handleList(c echo.Context) error {
+	var r listRequest
+	if err := c.Bind(&r); err != nil {
+		return err
+	}
+	message, ok, err := p.lists.list(r.Prefix)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "the prefix is not known completely")
+	}
+	return respondEncoded(c, message)
+}
+
 // markLeaseCurrent records that the lease's key has not changed until now, if this gateway holds the lease.
 func (p *peerServer) markLeaseCurrent() {
 	if _, leads := p.placer.Leader(); leads {
--- a/internal/gateway/peer_server_test.go
+++ b/internal/gateway/peer_server_test.go
@@ -36,7 +36,7 @@
 		for range gateways {
 			all.Go(func() {
 				started.Done()
-				_, _, err := p.encode(http.Header{}, countingMessage{encoding: &encoding, most: &most, allRequested: allRequested})
+				_, err := p.encode(http.Header{}, countingMessage{encoding: &encoding, most: &most, allRequested: allRequested})
 				assert.NilError(t, err)
 			})
 		}
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -17,6 +17,12 @@
 	// wait. firstListWaitTime applies when the whole system is started for the first time and has no callers yet.
 	listWaitTime      = 150 * time.Millisecond
 	firstListWaitTime = 600 * time.Millisecond
+	// treeWaitTime is how long a starting gateway waits for the list of gateways, from which it learns its place in the
+	// tree. It exceeds fleetLoadDelay by the time of a read of the store.
+	treeWaitTime = 400 * time.Millisecond
+	// levelListWaitTime is what each level of the tree below the first adds to listWaitTime: the time in which the level
+	// above receives the list of servers and sends it on, on a VM with a seventh of a core.
+	levelListWaitTime = 350 * time.Millisecond
 	// contentionDelayStep is the additional delay, per level of the tree, before a gateway contends for a free lease. A
 	// random delay of up to the same amount is added. It is long enough to write the record and distribute it.
 	contentionDelayStep = 300 * time.Millisecond
@@ -131,7 +137,26 @@
 	return list
 }
 
-// listWait returns how long a starting gateway waits for data from other gateways before it reads the store.
+// prefixListWait returns how long a starting gateway waits to get the entries of a prefix from other gateways before it
+// reads the store. If all gateways start together, the first level of the tree reads the store, and each other level
+// gets the entries from the one above. The list of gateways, which a starting gateway reads from the store if nobody
+// leads, tells the tree.
+func (d *directory) prefixListWait(leader string) time.Duration {
+	d.mu.Lock()
+	p, known := d.tree.Position(d.self, leader)
+	d.mu.Unlock()
+	base := d.listWait()
+	switch {
+	case known:
+		return base + time.Duration(max(p.Depth-1, 0))*levelListWaitTime
+	case base == 0:
+		return 0
+	}
+	return max(base, treeWaitTime)
+}
+
+// listWait returns how long a starting gateway waits for data from other gateways before it reads the store, if its place
+// in the tree does not matter.
 func (d *directory) listWait() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/wire/compress.go
+++ b/internal/wire/compress.go
@@ -32,17 +32,35 @@
 	})
 )
 
-// Compress compresses the body of a response if it is large and the request accepts that. It returns the body to send
-// and its Content-Encoding, which is empty for an uncompressed one.
-func Compress(body []byte, request http.Header) (compressed []byte, encoding string, err error) {
-	if len(body) < minCompressed || !strings.Contains(request.Get("Accept-Encoding"), encodingZstd) {
-		return body, "", nil
+// An Encoded is the body of a response with its Content-Encoding, which is empty for an uncompressed body.
+type Encoded struct {
+	Body     []byte
+	Encoding string
+}
+
+// Accepts reports whether a request accepts the encoding of compressed responses.
+func Accepts(request http.Header) bool {
+	return strings.Contains(request.Get("Accept-Encoding"), encodingZstd)
+}
+
+// Compress compresses the body of a response if it is large and the request accepts that.
+func Compress(body []byte, request http.Header) (Encoded, error) {
+	if !Accepts(request) {
+		return Encoded{Body: body}, nil
+	}
+	return Encode(body)
+}
+
+// Encode compresses the body of a response if it is large.
+func Encode(body []byte) (Encoded, error) {
+	if len(body) < minCompressed {
+		return Encoded{Body: body}, nil
 	}
 	e, err := encoder()
 	if err != nil {
-		return nil, "", eris.Wrap(err, "wire: create encoder")
+		return Encoded{}, eris.Wrap(err, "wire: create encoder")
 	}
-	return e.EncodeAll(body, nil), encodingZstd, nil
+	return Encoded{Body: e.EncodeAll(body, nil), Encoding: encodingZstd}, nil
 }
 
 // decompress returns the body of a response with the given Content-Encoding.
--- a/internal/wire/compress_test.go
+++ b/internal/wire/compress_test.go
@@ -34,15 +34,15 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				body, err := json.Marshal(test.message)
 				assert.NilError(t, err)
-				out, encoding, err := wire.Compress(body, r.Header)
+				encoded, err := wire.Compress(body, r.Header)
 				assert.NilError(t, err)
-				assert.Equal(t, encoding != "", test.wantCompressed)
-				if encoding != "" {
-					w.Header().Set("Content-Encoding", encoding)
-					assert.Assert(t, len(out) < len(body)/4, "%d of %d bytes", len(out), len(body))
+				assert.Equal(t, encoded.Encoding != "", test.wantCompressed)
+				if encoded.Encoding != "" {
+					w.Header().Set("Content-Encoding", encoded.Encoding)
+					assert.Assert(t, len(encoded.Body) < len(body)/4, "%d of %d bytes", len(encoded.Body), len(body))
 				}
-				sent = len(out)
-				_, _ = w.Write(out)
+				sent = len(encoded.Body)
+				_, _ = w.Write(encoded.Body)
 			}))
 			defer server.Close()
 			client := wire.NewClient("", http.DefaultTransport)
@@ -53,7 +53,7 @@
 		})
 	}
 	body := []byte(strings.Repeat("x", 100_000))
-	out, encoding, err := wire.Compress(body, http.Header{})
+	encoded, err := wire.Compress(body, http.Header{})
 	assert.NilError(t, err)
-	assert.Assert(t, encoding == "" && len(out) == len(body), "a client that does not accept it gets the body as it is")
+	assert.Assert(t, encoded.Encoding == "" && len(encoded.Body) == len(body), "a client that does not accept it gets the body as it is")
 }
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -19,7 +19,7 @@
 	// no watcher.
 	IsRelay func() bool
 	// ListWait, if not nil, returns how long the first list of a prefix waits for forwarded data
-	// before it goes to the service.
+	// before it goes to the service. It is evaluated again while the list waits.
 	ListWait func() time.Duration
 	// IsWatcher reports whether this process watches the service on behalf of the others. It must
 	// be safe for concurrent use.
@@ -58,6 +58,8 @@
 	Events []Event  `json:"events,omitempty"`
 	// Full is set if Events are instead all entries as of To.
 	Full bool `json:"full,omitempty"`
+	// Omitted is set if Full is set and Events are left out, to be requested separately.
+	Omitted bool `json:"omitted,omitempty"`
 	// Filtered is set if changes with an unchanged digest were left out.
 	Filtered bool `json:"left,omitempty"`
 	// AgeMs is the time since the batch was known to be complete, in milliseconds.
@@ -128,6 +130,17 @@
 	return out
 }
 
+// List returns all entries of a prefix, if the prefix is known completely.
+func (f *Fanout) List(prefix string) (b Batch, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.logs[prefix]
+	if l == nil || !l.complete {
+		return Batch{}, false
+	}
+	return l.batch(0, true, f.opts.Clock.Now())
+}
+
 // CurrentTimes returns the time at which each prefix that another process uses was last known here to
 // be current.
 func (f *Fanout) CurrentTimes(known Known) map[string]time.Time {
@@ -172,6 +185,9 @@
 // were made.
 func (f *Fanout) Apply(batches map[string]Batch, currentAsOf time.Time) {
 	for prefix, b := range batches {
+		if b.Omitted {
+			continue
+		}
 		currentAt := currentAsOf.Add(-time.Duration(b.AgeMs) * time.Millisecond)
 		if b.Full {
 			f.reset(prefix, entriesOf(b.Events), b.To, currentAt)
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -70,11 +70,7 @@
 // reports whether there is such data. While nothing is known of the prefix, it waits for such data
 // for up to FanoutOptions.ListWait.
 func (f *Fanout) listReceived(ctx context.Context, prefix string) (list receivedList, ok bool) {
-	wait := time.Duration(0)
-	if f.opts.ListWait != nil {
-		wait = f.opts.ListWait()
-	}
-	end := f.opts.Clock.Now().Add(wait)
+	began := f.opts.Clock.Now()
 	for ctx.Err() == nil && !f.opts.IsWatcher() {
 		f.mu.Lock()
 		l := f.log(prefix)
@@ -86,14 +82,26 @@
 		}
 		isKnown, changed := l.to > 0, l.changed
 		f.mu.Unlock()
-		if isKnown || !now.Before(end) {
+		left := f.listWait() - now.Sub(began)
+		if isKnown || left <= 0 {
 			break
 		}
-		clock.Await(ctx, f.opts.Clock, changed, end.Sub(now))
+		clock.Await(ctx, f.opts.Clock, changed, min(left, listWaitStep))
 	}
 	return receivedList{}, false
 }
 
+// listWaitStep is how long a list waits before it evaluates FanoutOptions.ListWait again.
+const listWaitStep = 50 * time.Millisecond
+
+// listWait returns FanoutOptions.ListWait, or 0 if it is not set.
+func (f *Fanout) listWait() time.Duration {
+	if f.opts.ListWait == nil {
+		return 0
+	}
+	return f.opts.ListWait()
+}
+
 // WatchPrefix implements PrefixStore.
 func (v *fanoutView) WatchPrefix(
 	ctx context.Context, prefix string, after Revision, wait time.Duration,
