gateway: the search for a fresh view ends when nobody has one, and passes by gateways without the store

Cause: while the store is away for all, each gateway would have gone on polling with short waits: 1.4 polls a second, half of them to the eight gateways of the first level.

Change: a gateway whose last call to the store failed replies to such a poll at once; after six stale views in a row polls wait as long as usual.

Measured: TestPollsWhileTheStoreIsAway at 24, 103, 356 gateways: 0.8 polls a second and gateway, 1.2 while all is well.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -26,6 +26,9 @@
 	// feedShortHoldFraction is the same for a gateway whose source had a stale view. It is short enough to ask a second
 	// gateway before the next level of the tree reads the store (levelDelayFraction).
 	feedShortHoldFraction = levelDelayFraction
+	// feedMaxShortHolds is the number of polls in a row with a short hold. After as many stale views, probably nobody
+	// has a fresh one.
+	feedMaxShortHolds = 6
 	// feedTimeoutMargin is added to the hold time to get a poll's timeout, which applies to the start of the response
 	// and to each read of its body.
 	feedTimeoutMargin = 500 * time.Millisecond
@@ -99,6 +102,8 @@
 	// poll goes to a gateway of the first level, and not to the nearest ancestor.
 	staleUntil time.Time
 	pollsRelay bool
+	// staleReplies is the number of stale views received since the last fresh one.
+	staleReplies int
 }
 
 // run polls until ctx ends.
@@ -159,7 +164,7 @@
 	request := feedRequest{
 		Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self, RequestsLists: true,
 	}
-	if f.hasStaleAncestors(requested) {
+	if f.staleReplies > 0 && f.staleReplies <= feedMaxShortHolds {
 		hold = time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge()))
 		request.MaxHoldMs = hold.Milliseconds()
 	}
@@ -183,6 +188,7 @@
 		f.recordStale(addr)
 		return
 	}
+	f.staleReplies = 0
 	if addr != f.source {
 		f.source = addr
 		f.log.Info("store followed through", zap.String("addr", addr))
@@ -244,6 +250,7 @@
 	} else {
 		f.pollsRelay = f.gateways.depth(f.leader()) <= 2
 	}
+	f.staleReplies++
 	f.staleUntil = now.Add(feedBackoffTime())
 	f.sourceLost(addr, "too old", nil)
 }
--- a/internal/gateway/feed_fleet_test.go
+++ b/internal/gateway/feed_fleet_test.go
@@ -45,15 +45,18 @@
 	leader atomic.Value
 	// calls counts the calls to the store, lists those of them that list the prefix.
 	calls, lists atomic.Int64
+	// polls counts the polls between gateways.
+	polls atomic.Int64
 }
 
 // A feedGateway is one gateway of a feedFleet.
 type feedGateway struct {
-	fleet  *feedFleet
-	addr   string
-	dir    *directory
-	fanout *kv.Fanout
-	source feedSource
+	fleet   *feedFleet
+	addr    string
+	dir     *directory
+	fanout  *kv.Fanout
+	breaker *kv.Breaker
+	source  feedSource
 	// refused makes the store refuse this gateway's calls.
 	refused atomic.Bool
 	seen    seenKeys
@@ -93,7 +96,8 @@
 		FallbackDelay: func() time.Duration { return g.dir.fallbackDelay(f.leaderAddr(), feedFleetMaxAge) },
 		IsRelay:       func() bool { return g.dir.isRelay(f.leaderAddr()) },
 	})
-	g.source = feedSource{fanout: g.fanout, configs: noConfigs{}, clock: clocktest.Real{}}
+	g.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: clocktest.Real{}, Cooldown: func() time.Duration { return g.dir.probeBackoff(f.leaderAddr()) }})
+	g.source = feedSource{fanout: g.fanout, configs: noConfigs{}, clock: clocktest.Real{}, storeFailed: g.breaker.IsOpen}
 	return g
 }
 
@@ -104,7 +108,7 @@
 // start follows the prefix and polls other gateways until ctx ends.
 func (g *feedGateway) start(ctx context.Context) {
 	go kv.Follow(ctx, kv.FollowOptions{
-		Store: g.fanout.View(g, false), Prefix: feedFleetPrefix, WatchTimeout: 2 * feedFleetMaxAge, Clock: clocktest.Real{}, Follower: &g.seen,
+		Store: g.fanout.View(g.breaker.View(g), false), Prefix: feedFleetPrefix, WatchTimeout: 2 * feedFleetMaxAge, Clock: clocktest.Real{}, Follower: &g.seen,
 	})
 	f := &feed{
 		self: g.addr, gateways: g.dir, fanout: g.fanout, configs: noConfigs{}, peers: g, isLeader: g.leads, leader: g.fleet.leaderAddr,
@@ -115,6 +119,7 @@
 
 // feed implements feedPeers.
 func (g *feedGateway) feed(ctx context.Context, addr string, _ time.Duration, r feedRequest) (feedReply, error) {
+	g.fleet.polls.Add(1)
 	clock.Sleep(ctx, clocktest.Real{}, feedFleetHop)
 	source := g.fleet.byAddr[addr].source
 	requestedAt := time.Now()
@@ -242,6 +247,37 @@
 	assert.Assert(t, float64(calls[712]) < 2*float64(calls[356]))
 }
 
+// TestPollsWhileTheStoreIsAway refuses all gateways the store. None can have a fresh view then, so they must not poll
+// each other more often than they do while all is well.
+func TestPollsWhileTheStoreIsAway(t *testing.T) {
+	const away = 30 * time.Second
+	for _, n := range []int{24, 103, 356} {
+		t.Run(fmt.Sprint(n, " gateways"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFeedFleet(t, n)
+				f.wait(5 * time.Second)
+				pollsIn := func(d time.Duration) float64 {
+					f.polls.Store(0)
+					f.wait(d)
+					return float64(f.polls.Load()) / float64(n) / d.Seconds()
+				}
+				before := pollsIn(10 * time.Second)
+				f.refuse(1, rand.New(rand.NewPCG(1, 1)))
+				f.leader.Store("")
+				during := pollsIn(away)
+				t.Logf("%.2f polls a second and gateway, before %.2f", during, before)
+				assert.Assert(t, during <= before)
+				for _, g := range f.gateways {
+					g.refused.Store(false)
+				}
+				f.store.Set(feedFleetPrefix+"b", []byte("1"))
+				f.wait(2 * feedFleetMaxAge)
+				assert.Equal(t, f.countUnaware(2), 0)
+			})
+		})
+	}
+}
+
 // TestStoreCallsWhenAllStart starts all gateways at once after all have stopped: nobody leads, and each reads the list
 // of gateways from the store. All must know the servers soon, and the number of lists of the servers must not grow with
 // the number of gateways.
--- a/internal/gateway/feed_source.go
+++ b/internal/gateway/feed_source.go
@@ -20,13 +20,20 @@
 	fanout  *kv.Fanout
 	configs announcer
 	clock   clock.Service
+	// storeFailed reports whether this gateway's last call to the store failed.
+	storeFailed func() bool
 }
 
-// awaitChanges waits until there is something new for the polling gateway, for at most the hold time.
+// awaitChanges waits until there is something new for the polling gateway, for at most the hold time. It does not wait
+// if the polling gateway is looking for a fresh view (feedRequest.MaxHoldMs) and the store has failed for this gateway:
+// the other should ask the next one.
 func (s feedSource) awaitChanges(ctx context.Context, r feedRequest, requestedAt time.Time) {
 	before := s.fanout.CurrentTimes(r.Known)
 	maxAge := s.fanout.MaxAge()
 	hold := feedHold(maxAge)
+	if r.MaxHoldMs > 0 && s.storeFailed() {
+		return
+	}
 	if r.MaxHoldMs > 0 {
 		hold = min(hold, time.Duration(r.MaxHoldMs)*time.Millisecond)
 	}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -253,7 +253,7 @@
 
 func (p *components) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
-		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c},
+		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c, storeFailed: p.breaker.IsOpen},
 		lists:      newListCache(p.leader.fanout),
 		placer:     p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
 		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, removedCount: p.limiters.removedCount,
--- a/kv/breaker.go
+++ b/kv/breaker.go
@@ -44,6 +44,13 @@
 // View returns s guarded by the Breaker.
 func (b *Breaker) View(s PrefixStore) PrefixStore { return breakerView{breaker: b, store: s} }
 
+// IsOpen reports whether the last call to the service failed.
+func (b *Breaker) IsOpen() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
 // allow reports whether a call may be made. If it returns true, the caller must pass the result to
 // recordResult.
 func (b *Breaker) allow() bool {
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -3,9 +3,9 @@
 //
 // Every process computes the tree from the list of members and the root alone, so processes with
 // the same list and root agree on it without coordination. Members get updates from others in their
-// data hall or region as far as possible. A change of the root changes the parents of few members; a member that joins or leaves may change those of many. The number of children of
-// a process is bounded by Fanout, and an update reaches all members in a number of hops that is
-// logarithmic in their count.
+// data hall or region as far as possible. A change of the root changes the parents of few members; a
+// member that joins or leaves may change those of many. The number of children of a process is bounded
+// by Fanout, and an update reaches all members in a number of hops that is logarithmic in their count.
 //
 // The package keeps no state and depends on no other package of this project except rendezvous. It
 // neither transfers updates nor tracks which members are alive: a process whose parent does not
