--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -74,7 +74,7 @@
 	succession.Observe(s.Engine, demands, views)
 	moves := residency.Plan(residency.Input{
 		Spec: s.Engine, Engines: views, Demands: demands, Sequence: succession,
-		StoreLoadsAllowed: p.storeLoadLimiter.availableWithin(planInterval(len(engines)), now) - pendingStoreLoads(engines),
+		StoreLoadsAllowed: p.storeLoadLimiter.available(now) - pendingStoreLoads(engines),
 	})
 	for _, m := range moves {
 		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
--- a/internal/placer/store_loads.go
+++ b/internal/placer/store_loads.go
@@ -14,7 +14,7 @@
 const (
 	// storeRateShare is the fraction of the store's rate that is used.
 	storeRateShare = 0.8
-	// storeBurst is the number of loads that may start at once, beyond those that the rate permits in a step.
+	// storeBurst is the number of loads that may start at once.
 	storeBurst = 2
 )
 
@@ -35,30 +35,18 @@
 			limit = min(limit, rate.Limit(storeRateShare*x.Engine.LoadsPerSecond))
 		}
 	}
-	burst := storeBurst
-	if limit != rate.Inf {
-		burst += int(float64(limit) * stepInterval.Seconds())
-	}
 	if s.limiter != nil {
 		s.limiter.SetLimitAt(now, limit)
-		s.limiter.SetBurstAt(now, burst)
 		return
 	}
-	s.limiter = rate.NewLimiter(limit, burst)
+	s.limiter = rate.NewLimiter(limit, storeBurst)
 	if !s.startFull {
-		s.limiter.AllowN(previous, burst)
+		s.limiter.AllowN(previous, storeBurst)
 	}
 }
 
-// availableWithin returns the number of loads that may start from now until the next plan, which is made after an
-// interval.
-func (s *storeLoadLimiter) availableWithin(interval time.Duration, now time.Time) int {
-	loads := s.limiter.TokensAt(now)
-	if limit := s.limiter.Limit(); limit != rate.Inf {
-		loads += float64(limit) * interval.Seconds()
-	}
-	return int(loads)
-}
+// available returns the number of loads that may start now.
+func (s *storeLoadLimiter) available(now time.Time) int { return int(s.limiter.TokensAt(now)) }
 
 // allow reports whether a load may start now, and counts it if so.
 func (s *storeLoadLimiter) allow(now time.Time) bool { return s.limiter.AllowN(now, 1) }
