--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -52,8 +52,8 @@
 
 // A feedRequest polls a gateway for changes in the store.
 type feedRequest struct {
-	// Known tells what the sender knows of each prefix that it follows.
-	kv.Known
+	// Progress tells how far the sender knows each prefix that it follows.
+	kv.Progress
 	// ConfigVersion is the version of the sender's configuration, Addr its peer address.
 	ConfigVersion uint64 `json:"config"`
 	Addr          string `json:"addr"`
@@ -146,7 +146,7 @@
 // isBehind reports whether this gateway has not received a fresh view, from the store or another gateway, for longer
 // than its maximum age.
 func (f *feed) isBehind(now time.Time) bool {
-	for _, currentAt := range f.fanout.CurrentTimes(f.fanout.Known()) {
+	for _, currentAt := range f.fanout.CurrentTimes(f.fanout.Progress()) {
 		if now.Sub(currentAt) > f.fanout.MaxAge() {
 			return true
 		}
@@ -162,7 +162,7 @@
 	requested := f.clock.Now()
 	hold := feedHold(f.fanout.MaxAge())
 	request := feedRequest{
-		Known: f.fanout.Known(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self, RequestsLists: true,
+		Progress: f.fanout.Progress(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self, RequestsLists: true,
 	}
 	if f.staleReplies > 0 && f.staleReplies <= feedMaxShortHolds {
 		hold = time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge()))
--- a/internal/gateway/feed_lists.go
+++ b/internal/gateway/feed_lists.go
@@ -52,7 +52,7 @@
 func (c *listCache) list(prefix string) (message wire.Encoded, ok bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.fanout.Known()
+	known := c.fanout.Progress()
 	at := known.Revisions[prefix]
 	keyHash, complete := known.KeyHashes[prefix]
 	if !complete {
--- a/internal/gateway/feed_source.go
+++ b/internal/gateway/feed_source.go
@@ -28,7 +28,7 @@
 // if the polling gateway is looking for a fresh view (feedRequest.MaxHoldMs) and the store has failed for this gateway:
 // the other should ask the next one.
 func (s feedSource) awaitChanges(ctx context.Context, r feedRequest, requestedAt time.Time) {
-	before := s.fanout.CurrentTimes(r.Known)
+	before := s.fanout.CurrentTimes(r.Progress)
 	maxAge := s.fanout.MaxAge()
 	hold := feedHold(maxAge)
 	if r.MaxHoldMs > 0 && s.storeFailed() {
@@ -41,7 +41,7 @@
 	for ctx.Err() == nil {
 		changed := s.fanout.Changed()
 		left := end.Sub(s.clock.Now())
-		if left <= 0 || s.fanout.HasUpdates(r.Known, maxAge/feedAgeSteps, before) || s.configs.Announcement().Version > r.ConfigVersion {
+		if left <= 0 || s.fanout.HasUpdates(r.Progress, maxAge/feedAgeSteps, before) || s.configs.Announcement().Version > r.ConfigVersion {
 			return
 		}
 		clock.Await(ctx, s.clock, changed, left)
@@ -50,7 +50,7 @@
 
 // reply returns the reply to a poll that was received at requestedAt.
 func (s feedSource) reply(r feedRequest, requestedAt time.Time) feedReply {
-	changes := s.fanout.Since(r.Known)
+	changes := s.fanout.Since(r.Progress)
 	if r.RequestsLists {
 		omitLists(changes)
 	}
--- a/internal/gateway/messages_test.go
+++ b/internal/gateway/messages_test.go
@@ -64,7 +64,7 @@
 				`"residency":{"s":{"r":[{"m":"m","v":4,"a":["a"]}]}},"news":{"version":8,"revision":9,"age":10}}`,
 		},
 		"request for changes of the store": {
-			message: feedRequest{Known: kv.Known{Revisions: map[string]kv.Revision{"p": 8}}, ConfigVersion: 7, Addr: "a1"},
+			message: feedRequest{Progress: kv.Progress{Revisions: map[string]kv.Revision{"p": 8}}, ConfigVersion: 7, Addr: "a1"},
 			want:    `{"seen":{"p":8},"config":7,"addr":"a1"}`,
 		},
 		"changes of the store": {
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -141,7 +141,7 @@
 
 // lacksKeyChange reports whether another process knows the revision of this log but not the same
 // keys, so that it cannot learn the difference from a later change.
-func (l *changeLog) lacksKeyChange(prefix string, other Known) bool {
+func (l *changeLog) lacksKeyChange(prefix string, other Progress) bool {
 	hash, complete := other.KeyHashes[prefix]
 	return complete && l.complete && other.Revisions[prefix] == l.to && hash != l.keyHash
 }
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -66,8 +66,8 @@
 	AgeMs int64 `json:"age"`
 }
 
-// A Known tells what a Fanout knows of the prefixes that are in use.
-type Known struct {
+// A Progress tells how far a Fanout knows the prefixes that are in use.
+type Progress struct {
 	// Revisions holds the revision up to which each prefix is known; 0 if nothing is known of it.
 	Revisions map[string]Revision `json:"seen"`
 	// KeyHashes holds a hash of the set of keys of each prefix that is known completely.
@@ -96,11 +96,11 @@
 	return &fanoutView{fanout: f, store: s, selfWritten: selfWritten, silentKeyChanges: make(map[string]uint64)}
 }
 
-// Known returns what this Fanout knows, for another Fanout's Since and HasUpdates.
-func (f *Fanout) Known() Known {
+// Progress returns how far this Fanout knows each prefix, for another Fanout's Since and HasUpdates.
+func (f *Fanout) Progress() Progress {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := Known{Revisions: make(map[string]Revision, len(f.logs)), KeyHashes: make(map[string]uint32, len(f.logs))}
+	known := Progress{Revisions: make(map[string]Revision, len(f.logs)), KeyHashes: make(map[string]uint32, len(f.logs))}
 	for prefix, l := range f.logs {
 		known.Revisions[prefix] = l.to
 		if l.complete {
@@ -113,7 +113,7 @@
 // Since returns the changes after what another process knows, or all entries of a prefix for which
 // the changes are no longer held or do not lead to the same keys. Prefixes not known here are
 // omitted.
-func (f *Fanout) Since(known Known) map[string]Batch {
+func (f *Fanout) Since(known Progress) map[string]Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Now()
@@ -143,7 +143,7 @@
 
 // CurrentTimes returns the time at which each prefix that another process uses was last known here to
 // be current.
-func (f *Fanout) CurrentTimes(known Known) map[string]time.Time {
+func (f *Fanout) CurrentTimes(known Progress) map[string]time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	times := make(map[string]time.Time, len(known.Revisions))
@@ -158,7 +158,7 @@
 // HasUpdates reports whether another process, with the given revisions, should be sent an update: a
 // prefix has changed, its keys differ, or its view is newer by at least the given duration than in before. Each
 // prefix is checked by itself, since the watcher may know one of them to be current at all times.
-func (f *Fanout) HasUpdates(known Known, newer time.Duration, before map[string]time.Time) bool {
+func (f *Fanout) HasUpdates(known Progress, newer time.Duration, before map[string]time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for prefix, after := range known.Revisions {
--- a/kv/fanout_deletion_test.go
+++ b/kv/fanout_deletion_test.go
@@ -60,7 +60,7 @@
 func (tree *fanoutTree) forward() int {
 	lists := 0
 	for i, f := range tree.fanouts[1:] {
-		batches := tree.fanouts[i/childrenPerFanout].Since(f.Known())
+		batches := tree.fanouts[i/childrenPerFanout].Since(f.Progress())
 		if batches["a/"].Full {
 			lists++
 		}
@@ -97,7 +97,7 @@
 				return poll.Success()
 			})
 			assert.NilError(t, tree.list(ctx, 5, "a/1"))
-			leaf := tree.fanouts[n-1].Known()
+			leaf := tree.fanouts[n-1].Progress()
 			parent := tree.fanouts[0]
 			assert.Assert(t, parent.HasUpdates(leaf, time.Hour, parent.CurrentTimes(leaf)), "the deletion waits for another change")
 			lists := tree.forward()
--- a/kv/fanout_hand_on_test.go
+++ b/kv/fanout_hand_on_test.go
@@ -40,7 +40,7 @@
 	go kv.Follow(ctx, kv.FollowOptions{
 		Store: late.View(unreachable, false), Prefix: "a/", WatchTimeout: time.Second, Clock: clocktest.Real{}, Follower: &lateMirror,
 	})
-	stop := clocktest.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Known()), time.Now()) })
+	stop := clocktest.Real{}.Subscribe(20*time.Millisecond, func(time.Time) { late.Apply(source.Since(late.Progress()), time.Now()) })
 	defer stop()
 	poll.WaitOn(t, lateMirror.hasEntries(map[string]string{"a/1": "1"}))
 	store.Set("a/3", []byte("3"))
@@ -91,7 +91,7 @@
 	}
 	list("a/")
 	list("b/")
-	known := f.Known()
+	known := f.Progress()
 	before := f.CurrentTimes(known)
 	assert.Assert(t, !f.HasUpdates(known, step, before))
 	assert.Assert(t, f.HasUpdates(knownUpTo(0), step, before), "one that knows nothing gets the whole prefix")
@@ -103,7 +103,7 @@
 	list("a/")
 	assert.Assert(t, f.HasUpdates(known, step, before), "a newer view of one prefix counts whatever is known of the other")
 	store.Set("a/1", []byte("2"))
-	before = f.CurrentTimes(f.Known())
+	before = f.CurrentTimes(f.Progress())
 	_, _, err := view.WatchPrefix(t.Context(), "a/", known.Revisions["a/"], time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, f.HasUpdates(known, step, before), "a change counts at once")
@@ -123,7 +123,7 @@
 		store.Set(fmt.Sprint("a/", i), []byte("1"))
 	}
 	list()
-	known := f.Known()
+	known := f.Progress()
 	store.Set("a/1", []byte("2"))
 	store.Set("a/new", []byte("1"))
 	store.Remove("a/2")
@@ -138,7 +138,7 @@
 		}
 	}
 	assert.DeepEqual(t, got, map[string]string{"a/1": "2", "a/new": "1", "a/2": "gone"})
-	assert.Equal(t, batch.To, f.Known().Revisions["a/"])
+	assert.Equal(t, batch.To, f.Progress().Revisions["a/"])
 	assert.Equal(t, len(f.Since(knownUpTo(batch.To))["a/"].Events), 0)
 	whole := f.Since(knownUpTo(0))["a/"]
 	assert.Assert(t, whole.Full)
@@ -146,7 +146,9 @@
 }
 
 // knownUpTo returns what a process knows that has the prefix a/ up to a revision.
-func knownUpTo(at kv.Revision) kv.Known { return kv.Known{Revisions: map[string]kv.Revision{"a/": at}} }
+func knownUpTo(at kv.Revision) kv.Progress {
+	return kv.Progress{Revisions: map[string]kv.Revision{"a/": at}}
+}
 
 // A fixedListStore returns the list that a test sets.
 type fixedListStore struct {
@@ -168,7 +170,7 @@
 	view := f.View(s, false)
 	_, _, err := view.ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
-	known := f.Known()
+	known := f.Progress()
 	s.entries, s.at = []kv.Entry{{Key: "a/1", Revision: 9}, {Key: "a/2", Revision: 6}}, 7
 	_, _, err = view.ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
@@ -208,7 +210,7 @@
 		Store: late.View(store, false), Prefix: "a/", WatchTimeout: time.Second, Clock: clocktest.Real{}, Follower: &lateMirror,
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, asked := late.Known().Revisions["a/"]; !asked {
+		if _, asked := late.Progress().Revisions["a/"]; !asked {
 			return poll.Continue("the prefix is not asked for yet")
 		}
 		return poll.Success()
--- a/kv/fanout_test.go
+++ b/kv/fanout_test.go
@@ -112,7 +112,7 @@
 		return
 	}
 	sent := time.Now()
-	p.other.Apply(p.source.Since(p.other.Known()), sent)
+	p.other.Apply(p.source.Since(p.other.Progress()), sent)
 }
 
 // TestFanoutDoesNotWatchService checks that other sees each change without watching the service.
@@ -203,13 +203,13 @@
 	p.store.Set("a/1", []byte("2"))
 	poll.WaitOn(t, p.otherMirror.hasEntries(map[string]string{"a/1": "2"}))
 	p.setForwardingStopped(true)
-	at := p.other.Known().Revisions["a/"]
+	at := p.other.Progress().Revisions["a/"]
 	p.other.Apply(map[string]kv.Batch{"a/": {
 		From: 0, To: at - 1, Events: []kv.Event{{Entry: kv.Entry{Key: "a/1", Value: []byte("1"), Revision: at - 1}}},
 	}}, time.Now())
 	p.store.Set("a/3", []byte("3"))
 	poll.WaitOn(t, p.otherMirror.hasEntries(map[string]string{"a/1": "2", "a/3": "3"}))
-	assert.Assert(t, p.other.Known().Revisions["a/"] > at)
+	assert.Assert(t, p.other.Progress().Revisions["a/"] > at)
 }
 
 // TestFanoutFiltersByDigest checks that a change with an unchanged digest is not
@@ -239,7 +239,7 @@
 	poll.WaitOn(t, sourceMirror.hasEntries(map[string]string{"a/1": "x2"}))
 	store.Set("a/2", []byte("y1"))
 	poll.WaitOn(t, sourceMirror.hasEntries(map[string]string{"a/1": "x2", "a/2": "y1"}))
-	other.Apply(source.Since(other.Known()), time.Now())
+	other.Apply(source.Since(other.Progress()), time.Now())
 	poll.WaitOn(t, otherMirror.hasEntries(map[string]string{"a/1": "x1", "a/2": "y1"}))
 	direct.closed.Store(false)
 	other.Invalidate()
