--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -26,9 +26,9 @@
 	// leader is the address of the gateway that last replied as the leader; empty if there is none.
 	leader string
 	// tree is the distribution tree of the listed gateways. listed is closed when there is a list.
-	tree      *relay.Tree
-	listed    chan struct{}
-	closeOnce sync.Once
+	tree       *relay.Tree
+	listed     chan struct{}
+	listedOnce sync.Once
 	// seeds holds the addresses of gateways from the settings, without this one. isSeed says that the settings
 	// name this gateway.
 	seeds  []string
@@ -68,7 +68,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(addrs) > 0 {
-		d.closeOnce.Do(func() { close(d.listed) })
+		d.listedOnce.Do(func() { close(d.listed) })
 	}
 	d.addrs, d.others, d.gatewayCount, d.gateways, d.tree = addrs, others, len(gateways), gateways, relay.New(members)
 	return list
