gateway: the bound on calls to the store goes by the growth of the fleet

The stated aim is that calls grow much slower than the fleet: at most half as fast, from 103 gateways on.

--- a/internal/gateway/feed_fleet_test.go
+++ b/internal/gateway/feed_fleet_test.go
@@ -242,9 +242,12 @@
 		}
 	}
 	t.Logf("calls to the store: %v", calls)
-	// Growth is compared from 103 gateways on, where the tree has as many levels as at 356.
-	assert.Assert(t, float64(calls[356]) < 2*float64(calls[103]))
-	assert.Assert(t, float64(calls[712]) < 2*float64(calls[356]))
+	// Growth is compared from 103 gateways on, where the tree has as many levels as at 356. A few seeds turn most of the
+	// first level away.
+	for _, n := range []int{356, 712} {
+		growth := float64(calls[n]) / float64(calls[103])
+		assert.Assert(t, growth <= float64(n)/103/2, "%d gateways make %.1f times the calls of 103", n, growth)
+	}
 }
 
 // TestPollsWhileTheStoreIsAway refuses all gateways the store. None can have a fresh view then, so they must not poll
