--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -26,7 +26,7 @@
 	// feedShortHoldFraction is the same for a gateway whose source had a stale view. It is short enough to ask a second
 	// gateway before the next level of the tree reads the store (levelDelayFraction).
 	feedShortHoldFraction = levelDelayFraction
-	// feedMaxShortHolds is the number of polls in a row with a short hold. After as many stale views, probably nobody
+	// feedMaxShortHolds is the number of polls in a row with a short hold. After as many stale views, probably no gateway
 	// has a fresh one.
 	feedMaxShortHolds = 6
 	// feedTimeoutMargin is added to the hold time to get a poll's timeout, which applies to the start of the response
--- a/internal/gateway/feed_fleet_test.go
+++ b/internal/gateway/feed_fleet_test.go
@@ -281,8 +281,8 @@
 	}
 }
 
-// TestStoreCallsWhenAllStart starts all gateways at once after all have stopped: nobody leads, and each reads the list
-// of gateways from the store. All must know the servers soon, and the number of lists of the servers must not grow with
+// TestStoreCallsWhenAllStart starts all gateways at once after all have stopped: no gateway leads, and each reads the
+// list of gateways from the store. All must know the servers soon, and the number of lists of the servers must not grow with
 // the number of gateways.
 func TestStoreCallsWhenAllStart(t *testing.T) {
 	const (
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -139,8 +139,8 @@
 
 // prefixListWait returns how long a starting gateway waits to get the entries of a prefix from other gateways before it
 // reads the store. If all gateways start together, the first level of the tree reads the store, and each other level
-// gets the entries from the one above. The list of gateways, which a starting gateway reads from the store if nobody
-// leads, tells the tree.
+// gets the entries from the one above. The tree follows from the list of gateways, which a starting gateway reads from
+// the store if no gateway leads.
 func (d *directory) prefixListWait(leader string) time.Duration {
 	d.mu.Lock()
 	p, known := d.tree.Position(d.self, leader)
