--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -59,7 +59,7 @@
 	Addr          string `json:"addr"`
 	// MaxHoldMs is how long the poll may wait, in milliseconds; 0 if the sender sets no limit.
 	MaxHoldMs int64 `json:"hold,omitempty"`
-	// RequestsLists says that the sender requests large lists separately (kv.Batch.Omitted).
+	// RequestsLists is set if the sender requests large lists separately (kv.Batch.Omitted).
 	RequestsLists bool `json:"lists,omitempty"`
 }
 
@@ -98,7 +98,7 @@
 	// time until which a gateway is not polled.
 	source       string
 	backoffUntil map[string]time.Time
-	// staleUntil is the time until which the ancestors' views count as stale. pollsRelay says that meanwhile the next
+	// staleUntil is the time until which the ancestors' views count as stale. pollsRelay is set if meanwhile the next
 	// poll goes to a gateway of the first level, and not to the nearest ancestor.
 	staleUntil time.Time
 	pollsRelay bool
--- a/internal/gateway/holder_watch.go
+++ b/internal/gateway/holder_watch.go
@@ -21,7 +21,7 @@
 	// holderPollInterval is the minimum time between two polls, so that requests that begin to wait together cause one.
 	holderPollInterval = minReportInterval
 	// pollReportInterval is the interval between reports above which the leader is polled. Up to it the next report
-	// brings the news in time, and polls would only add to the leader's load.
+	// brings the change in time, and polls would only add to the leader's load.
 	pollReportInterval = 200 * time.Millisecond
 )
 
@@ -32,7 +32,7 @@
 }
 
 // A holderWatcher polls the leader while requests wait for models or adapters that no engine is known to hold. In a large
-// fleet the reports alone would deliver the news only at their interval, which grows with the number of gateways.
+// fleet the reports alone would deliver the change only at their interval, which grows with the number of gateways.
 type holderWatcher struct {
 	dispatcher *dispatch.Dispatcher
 	placer     *placer.Placer
