lab: each test process gets its own loopback host

Processes of two test packages took ports from one range, from offsets that overlap for process IDs 20 apart, and a gateway's port is free while it is down.

The gateway's tests use the same allocator; they had a copy of the idea.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -4,12 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +21,7 @@
 	"rockcleat/clock/clocktest"
 	"rockcleat/internal/config"
 	"rockcleat/internal/gateway"
+	"rockcleat/internal/lab"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/kv/kvtest"
@@ -153,22 +151,15 @@
 	}
 }
 
-// ownHost returns a loopback address derived from the process id, so that other processes do not take its ports.
-func ownHost() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
+// freeAddr returns an address that no other call returns, in this process or another one.
+func freeAddr() string {
+	addr, err := lab.FreeAddr()
+	if err != nil {
+		panic(err)
+	}
+	return addr
 }
 
-// firstPort is the first port that tests listen on. It is below the kernel's range of ephemeral ports.
-const firstPort = 20000
-
-// allocatedPorts counts the ports allocated by freeAddr.
-var allocatedPorts atomic.Int64
-
-// freeAddr returns an address that no other call in this process returns. Asking the kernel for a free port would not
-// guarantee that, since it may return the same port again.
-func freeAddr() string { return fmt.Sprintf("%s:%d", ownHost(), firstPort+allocatedPorts.Add(1)) }
-
 // newTestEnv starts a gateway with default settings for the given servers.
 func newTestEnv(t *testing.T, servers ...*fakeServer) *testEnv {
 	return newTestEnvWith(t, func(*config.Gateway) {}, servers...)
--- /dev/null
+++ b/internal/lab/addr.go
@@ -0,0 +1,51 @@
+package lab
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// The ports lie below the range from which the system assigns ports to outgoing connections,
+// so that no connection takes a port before the process that it is meant for listens.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+// An addrAllocator returns loopback addresses. The allocators of running processes use different hosts:
+// a port stays free while the process that it is meant for has not started yet or is restarted.
+type addrAllocator struct {
+	host string
+	// next is the offset from firstPort at which the search for a free port continues.
+	next atomic.Int64
+}
+
+func newAddrAllocator(pid int) *addrAllocator {
+	return &addrAllocator{host: fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)}
+}
+
+// freeAddr returns an address whose port is free at present. It does not return the same port again before the
+// search has gone through the whole range.
+func (a *addrAllocator) freeAddr() (string, error) {
+	for range portCount {
+		port := firstPort + a.next.Add(1)%portCount
+		addr := net.JoinHostPort(a.host, strconv.FormatInt(port, 10))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		return addr, eris.Wrap(l.Close(), "lab: close the listener that probed a port")
+	}
+	return "", eris.New("lab: no free port in the lab's range")
+}
+
+var addrs = newAddrAllocator(os.Getpid())
+
+// FreeAddr returns a loopback address whose port is free at present. Running processes that call it get
+// different addresses.
+func FreeAddr() (string, error) { return addrs.freeAddr() }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -8,8 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,36 +90,6 @@
 	return 0, p.err
 }
 
-// The ports lie below the range from which the system assigns ports to outgoing connections,
-// so that no connection takes a port before the process that it is meant for listens.
-const (
-	firstPort = 10000
-	portCount = 20000
-	// portStep is the distance between the search offsets of consecutive process IDs.
-	portStep = 997
-)
-
-// nextPort is the offset at which the search for a free port continues. It starts at an offset
-// derived from the process ID, so that labs in different processes begin at different ports.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * portStep) }
-
-// FreeAddr returns a loopback address whose port is free at present. Calls in one process do not
-// return the same port again before the search has gone through the whole range.
-func FreeAddr() (string, error) {
-	for range portCount {
-		port := firstPort + nextPort.Add(1)%portCount
-		addr := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		return addr, eris.Wrap(l.Close(), "lab: close the listener that probed a port")
-	}
-	return "", eris.New("lab: no free port in the lab's range")
-}
-
 // pollInterval is the interval between two evaluations of a condition.
 const pollInterval = 10 * time.Millisecond
 
