gateway: a starting gateway waits while its source reads the list

After a loss of all gateways each level of the tree waited 0.35 s longer than the one above, whatever the size of the list. With 3,200 servers, whose list takes a small VM half a second, nearly every gateway listed the servers itself.

A reply to a poll now says which prefixes the source is about to know; a starting gateway polls often and waits as long as its source or its own transfer goes on, at most as long as a view may be old. A source whose list the store has failed, or has not answered for 1.5 s, no longer counts.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -26,6 +26,12 @@
 	// feedShortHoldFraction is the same for a gateway whose source had a stale view. It is short enough to ask a second
 	// gateway before the next level of the tree reads the store (levelDelayFraction).
 	feedShortHoldFraction = levelDelayFraction
+	// feedListHold is how long a poll of a starting gateway waits. It is short, so that the gateway learns whether its
+	// source is still reading the list that both lack.
+	feedListHold = 50 * time.Millisecond
+	// feedListingTime is how long a starting gateway counts on a source that is reading a list. It exceeds the time
+	// between two polls, also on a busy VM.
+	feedListingTime = 500 * time.Millisecond
 	// feedMaxShortHolds is the number of polls in a row with a short hold. After as many stale views, probably no gateway
 	// has a fresh one.
 	feedMaxShortHolds = 6
@@ -67,6 +73,8 @@
 type feedReply struct {
 	Changes map[string]kv.Batch     `json:"changes,omitempty"`
 	Config  configsync.Announcement `json:"news"`
+	// Listing holds the prefixes that the replying gateway is about to know, because it is reading them.
+	Listing []string `json:"listing,omitempty"`
 	// HeldMs is how long the poll waited, in milliseconds.
 	HeldMs int64 `json:"held"`
 }
@@ -160,12 +168,11 @@
 // for a while.
 func (f *feed) poll(ctx context.Context, addr string) {
 	requested := f.clock.Now()
-	hold := feedHold(f.fanout.MaxAge())
+	hold, limited := f.hold()
 	request := feedRequest{
 		Progress: f.fanout.Progress(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self, RequestsLists: true,
 	}
-	if f.staleReplies > 0 && f.staleReplies <= feedMaxShortHolds {
-		hold = time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge()))
+	if limited {
 		request.MaxHoldMs = hold.Milliseconds()
 	}
 	pollCtx, cancel := f.untilListed(ctx)
@@ -182,6 +189,7 @@
 		return
 	}
 	madeAt := requested.Add(time.Duration(reply.HeldMs) * time.Millisecond)
+	f.fanout.ExtendListWait(reply.Listing, f.clock.Now().Add(feedListingTime))
 	f.fanout.Apply(reply.Changes, madeAt)
 	f.configs.HandleAnnouncement(reply.Config, addr, madeAt)
 	if f.fanout.IsStale(reply.Changes) {
@@ -195,6 +203,18 @@
 	}
 }
 
+// hold returns how long a poll waits for a change. limited is set if that is shorter than usual: while this gateway
+// reads a list for the first time, and after a source had a stale view.
+func (f *feed) hold() (hold time.Duration, limited bool) {
+	switch {
+	case f.fanout.IsListing():
+		return feedListHold, true
+	case f.staleReplies > 0 && f.staleReplies <= feedMaxShortHolds:
+		return time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge())), true
+	}
+	return feedHold(f.fanout.MaxAge()), false
+}
+
 // untilListed returns a context for a poll. While the list of gateways is not known, it ends when there is one: the poll
 // then goes to the parent in the tree.
 func (f *feed) untilListed(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -218,8 +238,10 @@
 		if !b.Omitted {
 			continue
 		}
+		f.fanout.ExtendListWait([]string{prefix}, f.clock.Now().Add(listTimeout))
 		list, err := f.peers.list(ctx, addr, prefix)
 		if err != nil {
+			f.fanout.ExtendListWait([]string{prefix}, f.clock.Now())
 			return err
 		}
 		// The list is at least as recent as the reply.
--- a/internal/gateway/feed_fleet_test.go
+++ b/internal/gateway/feed_fleet_test.go
@@ -30,8 +30,8 @@
 	feedFleetHalls = 5
 	// feedFleetHop is the time of a message between gateways or to the store.
 	feedFleetHop = 2 * time.Millisecond
-	// feedFleetListTime is the time that a small VM takes to decode a list of all servers.
-	feedFleetListTime = 100 * time.Millisecond
+	// feedFleetEntryTime is the time that a small VM takes to receive and decode one entry of a list.
+	feedFleetEntryTime = 150 * time.Microsecond
 )
 
 // A feedFleet simulates the tree of gateways that follow a prefix of the store, without processes and network. The
@@ -129,18 +129,23 @@
 
 // list implements feedPeers.
 func (g *feedGateway) list(ctx context.Context, addr, prefix string) (kv.Batch, error) {
-	clock.Sleep(ctx, clocktest.Real{}, feedFleetListTime)
 	b, _ := g.fleet.byAddr[addr].fanout.List(prefix)
+	clock.Sleep(ctx, clocktest.Real{}, listTimeOf(len(b.Events)))
 	return b, ctx.Err()
 }
 
+// listTimeOf returns the time that a small VM takes to receive and decode a list.
+func listTimeOf(entries int) time.Duration { return time.Duration(entries) * feedFleetEntryTime }
+
 // ListPrefix implements kv.PrefixStore.
 func (g *feedGateway) ListPrefix(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
 	g.fleet.lists.Add(1)
 	if err := g.call(ctx); err != nil {
 		return nil, 0, err
 	}
-	return g.fleet.store.ListPrefix(ctx, prefix)
+	entries, at, err := g.fleet.store.ListPrefix(ctx, prefix)
+	clock.Sleep(ctx, clocktest.Real{}, listTimeOf(len(entries)))
+	return entries, at, err
 }
 
 // WatchPrefix implements kv.PrefixStore.
@@ -282,46 +287,65 @@
 }
 
 // TestStoreCallsWhenAllStart starts all gateways at once after all have stopped: no gateway leads, and each reads the
-// list of gateways from the store. All must know the servers soon, and the number of lists of the servers must not grow with
-// the number of gateways.
+// list of gateways from the store. All must know the servers soon, and the number of lists of the servers must grow
+// neither with the number of gateways nor with the number of servers.
 func TestStoreCallsWhenAllStart(t *testing.T) {
 	const (
-		servers = 640
-		// allKnow is the time within which all gateways must know the servers.
-		allKnow = 1500 * time.Millisecond
+		// allKnow is the time within which all gateways must know the servers, in addition to maxListsInTurn times the
+		// time that one list takes.
+		allKnow = 1200 * time.Millisecond
+		// maxListsInTurn is the number of levels of the largest tree, each of which reads the list from the one above or,
+		// on the first level, from the store.
+		maxListsInTurn = 3
+	)
+	lists := make(map[int]map[int]int64)
+	for _, servers := range []int{640, 3200} {
+		lists[servers] = make(map[int]int64)
+		for _, n := range []int{24, 103, 356, 712} {
+			t.Run(fmt.Sprint(n, " gateways, ", servers, " servers"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startAll(t, n, servers)
+					f.wait(allKnow + maxListsInTurn*listTimeOf(servers))
+					assert.Equal(t, f.countUnaware(int64(servers)), 0)
+					lists[servers][n] = f.lists.Load()
+				})
+			})
+		}
+	}
+	t.Logf("lists of the servers, by servers and gateways: %v", lists)
+	for servers, byGateways := range lists {
+		// From 103 gateways on there are two levels below the first, and some of their gateways start before their parents.
+		assert.Check(t, byGateways[712] <= byGateways[103]+relay.Fanout, "%d servers", servers)
+		assert.Check(t, byGateways[103] <= byGateways[24]+2*relay.Fanout, "%d servers", servers)
+		for n, count := range byGateways {
+			assert.Check(t, count <= lists[640][n]+relay.Fanout, "%d servers, %d gateways", servers, n)
+		}
+	}
+}
+
+// startAll starts n gateways that do not know each other, within a short time, and sets the given number of servers in
+// the store. The record of the last leader is still in the store, but no gateway leads.
+func startAll(t *testing.T, n, servers int) *feedFleet {
+	const (
 		// startSpread is the time within which all gateways start.
 		startSpread = 300 * time.Millisecond
 		// listReadTime is when a gateway has read the list of gateways after its start.
 		listReadTime = fleetLoadDelay + fleetStepInterval
 	)
-	lists := make(map[int]int64)
-	for _, n := range []int{24, 103, 356, 712} {
-		t.Run(fmt.Sprint(n, " gateways"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f, list := newIdleFeedFleet(t, n)
-				for i := range servers - 1 {
-					f.store.Set(fmt.Sprint(feedFleetPrefix, "s", i), []byte("1"))
-				}
-				// The record of the last leader is still in the store, but the gateway no longer leads.
-				f.leader.Store("")
-				r := rand.New(rand.NewPCG(1, uint64(n)))
-				for _, g := range f.gateways {
-					startsAfter := time.Duration(r.Int64N(int64(startSpread)))
-					go func() {
-						clock.Sleep(t.Context(), clocktest.Real{}, startsAfter)
-						g.start(t.Context())
-						clock.Sleep(t.Context(), clocktest.Real{}, listReadTime)
-						g.dir.set(list)
-					}()
-				}
-				f.wait(startSpread + allKnow)
-				assert.Equal(t, f.countUnaware(servers), 0)
-				lists[n] = f.lists.Load()
-			})
-		})
+	f, list := newIdleFeedFleet(t, n)
+	for i := range servers - 1 {
+		f.store.Set(fmt.Sprint(feedFleetPrefix, "s", i), []byte("1"))
 	}
-	t.Logf("lists of the servers: %v", lists)
-	// From 103 gateways on there are two levels below the first, and some of their gateways start before their parents.
-	assert.Assert(t, lists[712] <= lists[103]+relay.Fanout)
-	assert.Assert(t, lists[103] <= lists[24]+2*relay.Fanout)
+	f.leader.Store("")
+	r := rand.New(rand.NewPCG(1, uint64(n)))
+	for _, g := range f.gateways {
+		startsAfter := time.Duration(r.Int64N(int64(startSpread)))
+		go func() {
+			clock.Sleep(t.Context(), clocktest.Real{}, startsAfter)
+			g.start(t.Context())
+			clock.Sleep(t.Context(), clocktest.Real{}, listReadTime)
+			g.dir.set(list)
+		}()
+	}
+	return f
 }
--- a/internal/gateway/feed_source.go
+++ b/internal/gateway/feed_source.go
@@ -31,10 +31,10 @@
 	before := s.fanout.CurrentTimes(r.Progress)
 	maxAge := s.fanout.MaxAge()
 	hold := feedHold(maxAge)
-	if r.MaxHoldMs > 0 && s.storeFailed() {
-		return
-	}
 	if r.MaxHoldMs > 0 {
+		if s.storeFailed() {
+			return
+		}
 		hold = min(hold, time.Duration(r.MaxHoldMs)*time.Millisecond)
 	}
 	end := requestedAt.Add(hold)
@@ -55,6 +55,7 @@
 		omitLists(changes)
 	}
 	return feedReply{
-		Changes: changes, Config: s.configs.Announcement(), HeldMs: s.clock.Now().Sub(requestedAt).Milliseconds(),
+		Changes: changes, Config: s.configs.Announcement(), Listing: s.fanout.Listing(r.Progress),
+		HeldMs: s.clock.Now().Sub(requestedAt).Milliseconds(),
 	}
 }
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -21,7 +21,7 @@
 	// tree. It exceeds fleetLoadDelay by the time of a read of the store.
 	treeWaitTime = 400 * time.Millisecond
 	// levelListWaitTime is what each level of the tree below the first adds to listWaitTime: the time in which the level
-	// above receives the list of servers and sends it on, on a VM with a seventh of a core.
+	// above starts and responds. While that one reads the list, a gateway waits longer (kv.Fanout.ExtendListWait).
 	levelListWaitTime = 350 * time.Millisecond
 	// contentionDelayStep is the additional delay, per level of the tree, before a gateway contends for a free lease. A
 	// random delay of up to the same amount is added. It is long enough to write the record and distribute it.
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -46,6 +46,12 @@
 	stale map[string]staleEntry
 	// lastEvents is the time at which a watch of the service last returned changes.
 	lastEvents time.Time
+	// listingUntil is the time until which the first list of the prefix, which is in progress, is expected
+	// to end. listFailed is set if the service has failed to list the prefix since.
+	listingUntil time.Time
+	listFailed   bool
+	// waitUntil is the time until which the first list waits for forwarded data at least.
+	waitUntil time.Time
 	// receiving is set while watches are served from data forwarded by another process.
 	receiving bool
 	// changed is closed and replaced when any other field changes.
--- /dev/null
+++ b/kv/fanout_listing.go
@@ -0,0 +1,61 @@
+package kv
+
+import "time"
+
+// serviceListTime is how long a list by the service counts as in progress. Other processes then stop
+// waiting for it, since the service may not respond.
+const serviceListTime = 1500 * time.Millisecond
+
+// Listing returns those of the prefixes that another process uses of which this process is about to know
+// all entries: its first list of them is in progress.
+func (f *Fanout) Listing(used Progress) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Clock.Now()
+	var prefixes []string
+	for prefix := range used.Revisions {
+		if l := f.logs[prefix]; l != nil && l.isListing(now) {
+			prefixes = append(prefixes, prefix)
+		}
+	}
+	return prefixes
+}
+
+// IsListing reports whether the first list of any prefix is in progress.
+func (f *Fanout) IsListing() bool { return len(f.Listing(f.Progress())) > 0 }
+
+// ExtendListWait lets the first list of each of the given prefixes wait for forwarded data until the given
+// time, because another process is about to forward them. A time that has passed ends an earlier extension.
+func (f *Fanout) ExtendListWait(prefixes []string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, prefix := range prefixes {
+		if l := f.logs[prefix]; l != nil {
+			l.waitUntil = until
+		}
+	}
+}
+
+// isListing reports whether the first list of the prefix is in progress and may end soon.
+func (l *changeLog) isListing(now time.Time) bool {
+	return l.to == 0 && !l.listFailed && now.Before(l.listingUntil)
+}
+
+// expectList records that the first list of a prefix is expected to end by the given time.
+func (f *Fanout) expectList(prefix string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log(prefix).listingUntil = until
+}
+
+// beginServiceList records that the service is asked for a list of a prefix.
+func (f *Fanout) beginServiceList(prefix string, now time.Time) {
+	f.expectList(prefix, now.Add(serviceListTime))
+}
+
+// recordListFailed records that the service has failed to list a prefix.
+func (f *Fanout) recordListFailed(prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log(prefix).listFailed = true
+}
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -43,8 +43,10 @@
 		return list.entries, list.at, nil
 	}
 	began := v.fanout.opts.Clock.Now()
+	v.fanout.beginServiceList(prefix, began)
 	entries, at, err := v.store.ListPrefix(ctx, prefix)
 	if err != nil {
+		v.fanout.recordListFailed(prefix)
 		return nil, at, err
 	}
 	entries, silent := v.fanout.resetFromService(prefix, entries, at, began)
@@ -68,7 +70,7 @@
 
 // listReceived returns all entries under a prefix from forwarded data that is recent enough, and
 // reports whether there is such data. While nothing is known of the prefix, it waits for such data
-// for up to FanoutOptions.ListWait.
+// for up to FanoutOptions.ListWait, and longer while another process is about to have it (ExtendListWait).
 func (f *Fanout) listReceived(ctx context.Context, prefix string) (list receivedList, ok bool) {
 	began := f.opts.Clock.Now()
 	for ctx.Err() == nil && !f.opts.IsWatcher() {
@@ -80,12 +82,13 @@
 			f.mu.Unlock()
 			return list, true
 		}
-		isKnown, changed := l.to > 0, l.changed
+		isKnown, changed, extended := l.to > 0, l.changed, l.waitUntil
 		f.mu.Unlock()
-		left := f.listWait() - now.Sub(began)
+		left := f.listWaitEnd(began, extended).Sub(now)
 		if isKnown || left <= 0 {
 			break
 		}
+		f.expectList(prefix, now.Add(left))
 		clock.Await(ctx, f.opts.Clock, changed, min(left, listWaitStep))
 	}
 	return receivedList{}, false
@@ -94,6 +97,19 @@
 // listWaitStep is how long a list waits before it evaluates FanoutOptions.ListWait again.
 const listWaitStep = 50 * time.Millisecond
 
+// listWaitEnd returns the time until which a list that began at a given time waits for forwarded data. extended
+// is the time until which another process lets it wait. A list waits no longer than its data may be old.
+func (f *Fanout) listWaitEnd(began, extended time.Time) time.Time {
+	end := began.Add(f.listWait())
+	if last := began.Add(f.maxAge()); extended.After(last) {
+		extended = last
+	}
+	if extended.After(end) {
+		return extended
+	}
+	return end
+}
+
 // listWait returns FanoutOptions.ListWait, or 0 if it is not set.
 func (f *Fanout) listWait() time.Duration {
 	if f.opts.ListWait == nil {
