kv: a waiting list uses forwarded data as soon as it comes; transfers are waited for

A Fanout set forwarded entries and the time at which they were current in two steps. A list that woke between them found the entries without the time and went to the service.

A starting gateway that is receiving the list from another one no longer lists the servers itself after 1.5 s: the transfer ends by its own stall timeout.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -177,6 +177,7 @@
 	}
 	pollCtx, cancel := f.untilListed(ctx)
 	defer cancel()
+	defer f.fanout.EndTransfers()
 	reply, err := f.peers.feed(pollCtx, addr, hold+feedTimeoutMargin, request)
 	if err == nil {
 		err = f.fetchLists(ctx, addr, reply.Changes)
@@ -238,10 +239,9 @@
 		if !b.Omitted {
 			continue
 		}
-		f.fanout.ExtendListWait([]string{prefix}, f.clock.Now().Add(listTimeout))
+		f.fanout.BeginTransfer(prefix)
 		list, err := f.peers.list(ctx, addr, prefix)
 		if err != nil {
-			f.fanout.ExtendListWait([]string{prefix}, f.clock.Now())
 			return err
 		}
 		// The list is at least as recent as the reply.
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -50,14 +50,32 @@
 	// to end. listFailed is set if the service has failed to list the prefix since.
 	listingUntil time.Time
 	listFailed   bool
-	// waitUntil is the time until which the first list waits for forwarded data at least.
-	waitUntil time.Time
+	// waitUntil is the time until which the first list waits for forwarded data at least. transferring is
+	// set while another process sends all entries.
+	waitUntil    time.Time
+	transferring bool
 	// receiving is set while watches are served from data forwarded by another process.
 	receiving bool
 	// changed is closed and replaced when any other field changes.
 	changed chan struct{}
 }
 
+// An origin tells where data comes from.
+type origin struct {
+	// currentAt is a time at which the data was current.
+	currentAt time.Time
+	// forwarded is set if another process has forwarded the data.
+	forwarded bool
+}
+
+// recordOrigin records the time of forwarded data. It must be called together with the change of the log: a
+// reader that finds the data without its time would turn to the service.
+func (l *changeLog) recordOrigin(o origin) {
+	if o.forwarded && o.currentAt.After(l.receivedAt) {
+		l.receivedAt = o.currentAt
+	}
+}
+
 // trim drops the oldest events of a log that exceeds its bounds. Events of one revision are dropped
 // together.
 func (l *changeLog) trim() {
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -190,13 +190,10 @@
 		}
 		currentAt := currentAsOf.Add(-time.Duration(b.AgeMs) * time.Millisecond)
 		if b.Full {
-			f.reset(prefix, entriesOf(b.Events), b.To, currentAt)
-			f.markReceived(prefix, currentAt)
+			f.reset(prefix, entriesOf(b.Events), b.To, origin{currentAt: currentAt, forwarded: true})
 			continue
 		}
-		if f.appendBatch(prefix, b, currentAt) {
-			f.markReceived(prefix, currentAt)
-		}
+		f.appendBatch(prefix, b, origin{currentAt: currentAt, forwarded: true})
 	}
 }
 
@@ -275,16 +272,18 @@
 	}
 	entries = f.log(prefix).maskStale(entries)
 	f.mu.Unlock()
-	return entries, f.reset(prefix, entries, at, currentAt)
+	return entries, f.reset(prefix, entries, at, origin{currentAt: currentAt})
 }
 
-// reset sets a prefix to a list that was current at currentAt. It ignores a list older than the
-// log. It returns the number of silent key changes of the log.
-func (f *Fanout) reset(prefix string, entries []Entry, at Revision, currentAt time.Time) uint64 {
+// reset sets a prefix to a list. It ignores the entries of a list older than the log. It returns the
+// number of silent key changes of the log.
+func (f *Fanout) reset(prefix string, entries []Entry, at Revision, o origin) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.log(prefix)
+	l.recordOrigin(o)
 	if at < l.to {
+		l.notify()
 		return l.silentKeyChanges
 	}
 	if l.complete {
@@ -295,7 +294,7 @@
 			f.updateDigest(prefix, l, Event{Entry: e})
 		}
 	}
-	l.currentAt = currentAt
+	l.currentAt = o.currentAt
 	l.notify()
 	f.notify()
 	return l.silentKeyChanges
@@ -321,25 +320,16 @@
 	l.trim()
 }
 
-// markReceived records that the data of a prefix was forwarded and was current at currentAt.
-func (f *Fanout) markReceived(prefix string, currentAt time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if l := f.log(prefix); currentAt.After(l.receivedAt) {
-		l.receivedAt = currentAt
-		l.notify()
-	}
-}
-
-// appendBatch appends the changes of a batch that was current at currentAt and reports whether it
-// did. It ignores the batch if the prefix is not in use or the batch is older than the log.
-func (f *Fanout) appendBatch(prefix string, b Batch, currentAt time.Time) bool {
+// appendBatch appends the changes of a batch. It ignores the batch if the prefix is not in use or the
+// batch is older than the log.
+func (f *Fanout) appendBatch(prefix string, b Batch, o origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.logs[prefix]
 	if l == nil || b.To < l.to {
-		return false
+		return
 	}
+	l.recordOrigin(o)
 	if l.to == 0 && b.From == 0 {
 		// All changes since revision 0 amount to all entries.
 		l.reset(nil, 0)
@@ -363,12 +353,11 @@
 	}
 	l.to = b.To
 	l.trim()
-	if currentAt.After(l.currentAt) {
-		l.currentAt = currentAt
+	if o.currentAt.After(l.currentAt) {
+		l.currentAt = o.currentAt
 	}
 	l.notify()
 	f.notify()
-	return true
 }
 
 // updateDigest updates the entry's digest and reports whether the change must be forwarded.
--- a/kv/fanout_listing.go
+++ b/kv/fanout_listing.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// serviceListTime is how long a list by the service counts as in progress. Other processes then stop
-// waiting for it, since the service may not respond.
+// serviceListTime is how long a list by the service, or a step of a transfer, counts as in progress. Other
+// processes then stop waiting for it, since the service may not respond.
 const serviceListTime = 1500 * time.Millisecond
 
 // Listing returns those of the prefixes that another process uses of which this process is about to know
@@ -36,21 +36,60 @@
 	}
 }
 
-// isListing reports whether the first list of the prefix is in progress and may end soon.
-func (l *changeLog) isListing(now time.Time) bool {
-	return l.to == 0 && !l.listFailed && now.Before(l.listingUntil)
+// BeginTransfer records that another process begins to send all entries of a prefix. The first list of the
+// prefix waits until EndTransfers, however long that takes.
+func (f *Fanout) BeginTransfer(prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.logs[prefix]; l != nil {
+		l.transferring = true
+	}
 }
 
-// expectList records that the first list of a prefix is expected to end by the given time.
-func (f *Fanout) expectList(prefix string, until time.Time) {
+// EndTransfers records that all transfers have failed or their entries have been applied.
+func (f *Fanout) EndTransfers() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log(prefix).listingUntil = until
+	for _, l := range f.logs {
+		l.transferring = false
+	}
+}
+
+// listWaitEnd returns the time until which a first list that began at a given time waits for forwarded data.
+// f.mu must be held.
+func (f *Fanout) listWaitEnd(l *changeLog, began, now time.Time) time.Time {
+	end := began.Add(f.listWait())
+	if l.transferring {
+		return latest(end, now.Add(serviceListTime))
+	}
+	// Data that is older than maxAge would be read from the service in any case.
+	return latest(end, earliest(l.waitUntil, began.Add(f.maxAge())))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// isListing reports whether the first list of the prefix is in progress and may end soon.
+func (l *changeLog) isListing(now time.Time) bool {
+	return l.to == 0 && !l.listFailed && now.Before(l.listingUntil)
 }
 
 // beginServiceList records that the service is asked for a list of a prefix.
 func (f *Fanout) beginServiceList(prefix string, now time.Time) {
-	f.expectList(prefix, now.Add(serviceListTime))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log(prefix).listingUntil = now.Add(serviceListTime)
 }
 
 // recordListFailed records that the service has failed to list a prefix.
--- a/kv/fanout_listing_test.go
+++ b/kv/fanout_listing_test.go
@@ -25,13 +25,17 @@
 	tests := map[string]struct {
 		// extensions are the times until which the list may wait, each set at the time of the one before.
 		extensions []time.Duration
-		want       time.Duration
+		// transfer is how long another process sends the entries, in vain.
+		transfer time.Duration
+		want     time.Duration
 	}{
-		"no extension":                   {nil, listWait},
-		"one extension":                  {[]time.Duration{500 * time.Millisecond}, 500 * time.Millisecond},
-		"two extensions":                 {[]time.Duration{500 * time.Millisecond, time.Second}, time.Second},
-		"no longer than the maximum age": {[]time.Duration{time.Minute}, maxAge},
-		"an extension that ends early":   {[]time.Duration{500 * time.Millisecond, 0}, 400 * time.Millisecond},
+		"no extension":                      {nil, 0, listWait},
+		"one extension":                     {[]time.Duration{500 * time.Millisecond}, 0, 500 * time.Millisecond},
+		"two extensions":                    {[]time.Duration{500 * time.Millisecond, time.Second}, 0, time.Second},
+		"no longer than the maximum age":    {[]time.Duration{time.Minute}, 0, maxAge},
+		"an extension that ends early":      {[]time.Duration{500 * time.Millisecond, 0}, 0, 400 * time.Millisecond},
+		"a transfer that fails":             {nil, time.Second, time.Second},
+		"a transfer beyond the maximum age": {nil, 10 * time.Second, 10 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -52,6 +56,11 @@
 					f.ExtendListWait([]string{"a/"}, began.Add(extension))
 					clock.Sleep(t.Context(), clocktest.Real{}, extension-2*step-time.Since(began))
 				}
+				if test.transfer > 0 {
+					f.BeginTransfer("a/")
+					clock.Sleep(t.Context(), clocktest.Real{}, test.transfer)
+					f.EndTransfers()
+				}
 				took := <-listed
 				assert.Assert(t, took >= test.want && took <= test.want+step, "took %v", took)
 			})
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -70,7 +70,7 @@
 
 // listReceived returns all entries under a prefix from forwarded data that is recent enough, and
 // reports whether there is such data. While nothing is known of the prefix, it waits for such data
-// for up to FanoutOptions.ListWait, and longer while another process is about to have it (ExtendListWait).
+// for up to FanoutOptions.ListWait, and longer while another process is about to have it or sends it.
 func (f *Fanout) listReceived(ctx context.Context, prefix string) (list receivedList, ok bool) {
 	began := f.opts.Clock.Now()
 	for ctx.Err() == nil && !f.opts.IsWatcher() {
@@ -82,14 +82,15 @@
 			f.mu.Unlock()
 			return list, true
 		}
-		isKnown, changed, extended := l.to > 0, l.changed, l.waitUntil
-		f.mu.Unlock()
-		left := f.listWaitEnd(began, extended).Sub(now)
-		if isKnown || left <= 0 {
+		isKnown, changed := l.to > 0, l.changed
+		end := f.listWaitEnd(l, began, now)
+		if isKnown || !end.After(now) {
+			f.mu.Unlock()
 			break
 		}
-		f.expectList(prefix, now.Add(left))
-		clock.Await(ctx, f.opts.Clock, changed, min(left, listWaitStep))
+		l.listingUntil = end
+		f.mu.Unlock()
+		clock.Await(ctx, f.opts.Clock, changed, min(end.Sub(now), listWaitStep))
 	}
 	return receivedList{}, false
 }
@@ -97,19 +98,6 @@
 // listWaitStep is how long a list waits before it evaluates FanoutOptions.ListWait again.
 const listWaitStep = 50 * time.Millisecond
 
-// listWaitEnd returns the time until which a list that began at a given time waits for forwarded data. extended
-// is the time until which another process lets it wait. A list waits no longer than its data may be old.
-func (f *Fanout) listWaitEnd(began, extended time.Time) time.Time {
-	end := began.Add(f.listWait())
-	if last := began.Add(f.maxAge()); extended.After(last) {
-		extended = last
-	}
-	if extended.After(end) {
-		return extended
-	}
-	return end
-}
-
 // listWait returns FanoutOptions.ListWait, or 0 if it is not set.
 func (f *Fanout) listWait() time.Duration {
 	if f.opts.ListWait == nil {
@@ -239,7 +227,8 @@
 	if err != nil {
 		return events, at, err
 	}
-	f.appendBatch(prefix, Batch{From: after, To: at, Events: events}, WatchedUntil(began, wait, len(events) > 0, f.opts.Clock.Now()))
+	watchedUntil := WatchedUntil(began, wait, len(events) > 0, f.opts.Clock.Now())
+	f.appendBatch(prefix, Batch{From: after, To: at, Events: events}, origin{currentAt: watchedUntil})
 	if len(events) > 0 {
 		f.recordEvents(prefix)
 	}
