--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -255,7 +255,7 @@
 	return &peerServer{
 		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c, storeFailed: p.breaker.IsOpen},
 		lists:      newListCache(p.leader.fanout),
-		placer:     p.leader.placer, fanout: p.leader.fanout, configs: p.configs, gateways: p.gateways,
+		placer:     p.leader.placer, configs: p.configs, gateways: p.gateways,
 		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, removedCount: p.limiters.removedCount,
 		synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
 	}
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -14,7 +14,6 @@
 	"rockcleat/internal/placer"
 	"rockcleat/internal/server"
 	"rockcleat/internal/wire"
-	"rockcleat/kv"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
 )
@@ -22,7 +21,6 @@
 // A peerServer handles the requests of other gateways.
 type peerServer struct {
 	placer     *placer.Placer
-	fanout     *kv.Fanout
 	configs    *configsync.Syncer
 	gateways   *directory
 	dispatcher *dispatch.Dispatcher
@@ -167,7 +165,7 @@
 // markLeaseCurrent records that the lease's key has not changed until now, if this gateway holds the lease.
 func (p *peerServer) markLeaseCurrent() {
 	if _, leads := p.placer.Leader(); leads {
-		p.fanout.MarkCurrent(p.leaseKey)
+		p.feedSource.fanout.MarkCurrent(p.leaseKey)
 	}
 }
 
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -28,5 +28,8 @@
 		return quota.Limit{}, false
 	}
 	perSecond := l.rate(s.Service)
-	return serverlimit.WarmupQuota(perSecond, l.bound), perSecond > 0
+	if perSecond <= 0 {
+		return quota.Limit{}, false
+	}
+	return serverlimit.WarmupQuota(perSecond, l.bound), true
 }
--- a/kv/fanout_listing.go
+++ b/kv/fanout_listing.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// serviceListTime is how long a list by the service, or a step of a transfer, counts as in progress. Other
-// processes then stop waiting for it, since the service may not respond.
-const serviceListTime = 1500 * time.Millisecond
+// listProgressTime is how long a list by the service counts as in progress, and how long a transfer counts
+// as in progress after the last check that it goes on. Other processes then stop waiting for it: the service
+// may not respond.
+const listProgressTime = 1500 * time.Millisecond
 
 // Listing returns those of the prefixes that another process uses of which this process is about to know
 // all entries: its first list of them is in progress.
@@ -60,7 +61,7 @@
 func (f *Fanout) listWaitEnd(l *changeLog, began, now time.Time) time.Time {
 	end := began.Add(f.listWait())
 	if l.transferring {
-		return latest(end, now.Add(serviceListTime))
+		return latest(end, now.Add(listProgressTime))
 	}
 	// Data that is older than maxAge would be read from the service in any case.
 	return latest(end, earliest(l.waitUntil, began.Add(f.maxAge())))
@@ -89,7 +90,7 @@
 func (f *Fanout) beginServiceList(prefix string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log(prefix).listingUntil = now.Add(serviceListTime)
+	f.log(prefix).listingUntil = now.Add(listProgressTime)
 }
 
 // recordListFailed records that the service has failed to list a prefix.
