gateway: polls of a starting gateway keep their timeout

The timeout of a poll followed its hold, which is 50 ms while a gateway reads its first list: after 0.55 s a parent on a small VM that was decoding a list, or sending it to eight children, counted as gone.

TestPollOfStartingGateway fails before.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -178,7 +178,9 @@
 	pollCtx, cancel := f.untilListed(ctx)
 	defer cancel()
 	defer f.fanout.EndTransfers()
-	reply, err := f.peers.feed(pollCtx, addr, hold+feedTimeoutMargin, request)
+	// A short hold does not shorten the timeout: a source that reads or sends lists may respond late.
+	timeout := max(hold, feedHold(f.fanout.MaxAge())) + feedTimeoutMargin
+	reply, err := f.peers.feed(pollCtx, addr, timeout, request)
 	if err == nil {
 		err = f.fetchLists(ctx, addr, reply.Changes)
 	}
