--- a/dispatch/prefill_queue.go
+++ b/dispatch/prefill_queue.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"rockcleat/clock"
+)
 
 // A prefillSpan is the interval in which an engine is expected to prefill one prompt.
 type prefillSpan struct{ from, to time.Time }
@@ -48,18 +52,11 @@
 			s.from, s.to = s.from.Add(shift), s.to.Add(shift)
 		case s.to.After(actual) || s.to.Equal(expected):
 			s.to = actual
-			s.from = earlierOf(s.from, actual)
+			s.from = clock.Earlier(s.from, actual)
 		}
 	}
 }
 
-func earlierOf(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // busyWithin returns how long the engine prefills other prompts within a window that ends when a
 // prompt appended now would be prefilled.
 func (q *prefillQueue) busyWithin(prefill, window time.Duration, now time.Time) time.Duration {
--- a/dispatch/prefill_queue_test.go
+++ b/dispatch/prefill_queue_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rockcleat/clock"
 )
 
 func TestPrefillQueue(t *testing.T) {
@@ -61,20 +63,13 @@
 	for _, last := range all {
 		sum := time.Duration(0)
 		for _, s := range all {
-			from, to := laterOf(s.from, last.to.Add(-window)), earlierOf(s.to, last.to)
+			from, to := clock.Later(s.from, last.to.Add(-window)), clock.Earlier(s.to, last.to)
 			sum += max(to.Sub(from), 0)
 		}
 		assert.Assert(t, sum <= limit, "%v read in %v", sum, window)
 	}
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func TestPrefillQueueFollowsTheEngine(t *testing.T) {
 	tests := map[string]struct {
 		// took is the actual time for the first of two prompts that are expected to take 100 ms
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -172,19 +172,12 @@
 	switch {
 	case held == 0:
 	case held >= s.known.version:
-		s.heldCurrentAt = later(s.heldCurrentAt, s.known.currentAt)
+		s.heldCurrentAt = clock.Later(s.heldCurrentAt, s.known.currentAt)
 	case held >= update.version:
-		s.heldCurrentAt = later(s.heldCurrentAt, update.currentAt)
+		s.heldCurrentAt = clock.Later(s.heldCurrentAt, update.currentAt)
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // CurrentAt returns the latest time at which the held configuration is known to have been the newest:
 // whatever was written before it is in force here. It derives from the time at which a gateway sent its
 // request to the store, never from the arrival of the response. It is zero while no configuration is held.
--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rockcleat/clock"
 )
 
 // Bounds of a changeLog.
@@ -71,8 +73,8 @@
 // recordOrigin records the time of forwarded data. It must be called together with the change of the log: a
 // reader that finds the data without its time would turn to the service.
 func (l *changeLog) recordOrigin(o origin) {
-	if o.forwarded && o.currentAt.After(l.receivedAt) {
-		l.receivedAt = o.currentAt
+	if o.forwarded {
+		l.receivedAt = clock.Later(l.receivedAt, o.currentAt)
 	}
 }
 
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -353,9 +353,7 @@
 	}
 	l.to = b.To
 	l.trim()
-	if o.currentAt.After(l.currentAt) {
-		l.currentAt = o.currentAt
-	}
+	l.currentAt = clock.Later(l.currentAt, o.currentAt)
 	l.notify()
 	f.notify()
 }
--- a/kv/fanout_listing.go
+++ b/kv/fanout_listing.go
@@ -1,6 +1,10 @@
 package kv
 
-import "time"
+import (
+	"time"
+
+	"rockcleat/clock"
+)
 
 // listProgressTime is how long a list by the service counts as in progress, and how long a transfer counts
 // as in progress after the last check that it goes on. Other processes then stop waiting for it: the service
@@ -61,24 +65,10 @@
 func (f *Fanout) listWaitEnd(l *changeLog, began, now time.Time) time.Time {
 	end := began.Add(f.listWait())
 	if l.transferring {
-		return latest(end, now.Add(listProgressTime))
+		return clock.Later(end, now.Add(listProgressTime))
 	}
 	// Data that is older than maxAge would be read from the service in any case.
-	return latest(end, earliest(l.waitUntil, began.Add(f.maxAge())))
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	return clock.Later(end, clock.Earlier(l.waitUntil, began.Add(f.maxAge())))
 }
 
 // isListing reports whether the first list of the prefix is in progress and may end soon.
