relay: one mapping between nodes and members below a root

Position and FirstLevel each spelled out which member takes the root's node. rootSwap holds both directions. Positions stay the same (relay's tests).

--- a/relay/layout.go
+++ b/relay/layout.go
@@ -153,7 +153,7 @@
 
 // substitute returns the member that takes the node of a member which is the root: one of the deepest
 // nodes, if possible of the same data hall or region, so that the others keep their parents. If the
-// root's node is one of the deepest, nobody takes it, and substitute returns the root.
+// root's node is one of the deepest, it stays empty, and substitute returns the root.
 func (l *layout) substitute(root int) int {
 	best, bestDistance := root, farthest+1
 	if l.depths[root] == l.depth {
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -76,18 +76,11 @@
 	if member < 0 {
 		return Position{}, false
 	}
-	rootNode, substitute := t.rootNode(root)
-	node := member
-	if member == substitute {
-		node = rootNode
-	}
+	swap := t.swapFor(root)
+	node := swap.nodeOf(member)
 	p := Position{Depth: t.layout.depths[node]}
 	for node = t.layout.parents[node]; node != noParent; node = t.layout.parents[node] {
-		member = node
-		if node == rootNode {
-			member = substitute
-		}
-		p.Parents = append(p.Parents, t.members[member].Addr)
+		p.Parents = append(p.Parents, t.members[swap.memberAt(node)].Addr)
 	}
 	if root != "" {
 		p.Parents = append(p.Parents, root)
@@ -97,28 +90,45 @@
 
 // FirstLevel returns the addresses of the members at depth 1 below root, which may be empty.
 func (t *Tree) FirstLevel(root string) []string {
-	rootNode, substitute := t.rootNode(root)
+	swap := t.swapFor(root)
 	var list []string
 	for node, depth := range t.layout.depths {
-		member := node
-		if node == rootNode {
-			member = substitute
-		}
-		if depth == 1 && member != rootNode {
+		if member := swap.memberAt(node); depth == 1 && member != swap.root {
 			list = append(list, t.members[member].Addr)
 		}
 	}
 	return list
 }
 
-// rootNode returns the root's node in the layout and the member that takes it, which is the root itself if nobody does.
-// Both are -1 if the root is not a member.
-func (t *Tree) rootNode(root string) (node, substitute int) {
-	node = t.indexOf(root)
-	if node < 0 {
-		return -1, -1
+// A rootSwap tells which member takes the node that the layout assigns to the root, as the root is above all nodes.
+type rootSwap struct {
+	// root is the index of the root, substitute that of the member that takes its node. Both are the same if the
+	// root's node stays empty, and -1 if the root is not a member.
+	root, substitute int
+}
+
+func (t *Tree) swapFor(root string) rootSwap {
+	i := t.indexOf(root)
+	if i < 0 {
+		return rootSwap{root: -1, substitute: -1}
+	}
+	return rootSwap{root: i, substitute: t.layout.substitute(i)}
+}
+
+// memberAt returns the member that takes a node.
+func (s rootSwap) memberAt(node int) int {
+	if node == s.root {
+		return s.substitute
+	}
+	return node
+}
+
+// nodeOf returns the node that a member other than the root takes.
+func (s rootSwap) nodeOf(member int) int {
+	if member == s.substitute {
+		return s.root
 	}
-	return node, t.layout.substitute(node)
+	return member
 }
 
 // indexOf returns the index of the member at an address, or -1 if there is none.
