Reading: a poll's limit is one value, one failing store in kv's tests

hold returned a duration and whether it was a limit, and the timeout took the larger of it and the usual hold, which is always the usual one. wire.Accepts had one caller, in its own package. awayStore did what slowListStore does. No behaviour changes.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -35,7 +35,7 @@
 	// feedMaxShortHolds is the number of polls in a row with a short hold. After as many stale views, probably no gateway
 	// has a fresh one.
 	feedMaxShortHolds = 6
-	// feedTimeoutMargin is added to the hold time to get a poll's timeout, which applies to the start of the response
+	// feedTimeoutMargin is added to the longest hold time to get a poll's timeout, which applies to the start of the response
 	// and to each read of its body.
 	feedTimeoutMargin = 500 * time.Millisecond
 	// feedMinInterval is the minimum time between two polls; changes within it are sent together.
@@ -168,18 +168,15 @@
 // for a while.
 func (f *feed) poll(ctx context.Context, addr string) {
 	requested := f.clock.Now()
-	hold, limited := f.hold()
 	request := feedRequest{
 		Progress: f.fanout.Progress(), ConfigVersion: f.configs.Announcement().Version, Addr: f.self, RequestsLists: true,
-	}
-	if limited {
-		request.MaxHoldMs = hold.Milliseconds()
+		MaxHoldMs: f.maxHold().Milliseconds(),
 	}
 	pollCtx, cancel := f.untilListed(ctx)
 	defer cancel()
 	defer f.fanout.EndTransfers()
 	// A short hold does not shorten the timeout: a source that reads or sends lists may respond late.
-	timeout := max(hold, feedHold(f.fanout.MaxAge())) + feedTimeoutMargin
+	timeout := feedHold(f.fanout.MaxAge()) + feedTimeoutMargin
 	reply, err := f.peers.feed(pollCtx, addr, timeout, request)
 	if err == nil {
 		err = f.fetchLists(ctx, addr, reply.Changes)
@@ -206,16 +203,16 @@
 	}
 }
 
-// hold returns how long a poll waits for a change. limited is set if that is shorter than usual: while this gateway
-// reads a list for the first time, and after a source had a stale view.
-func (f *feed) hold() (hold time.Duration, limited bool) {
+// maxHold returns the limit on how long a poll waits for a change, or 0 if there is none. There is one while this
+// gateway reads a list for the first time, and after a source had a stale view.
+func (f *feed) maxHold() time.Duration {
 	switch {
 	case f.fanout.IsListing():
-		return feedListHold, true
+		return feedListHold
 	case f.staleReplies > 0 && f.staleReplies <= feedMaxShortHolds:
-		return time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge())), true
+		return time.Duration(feedShortHoldFraction * float64(f.fanout.MaxAge()))
 	}
-	return feedHold(f.fanout.MaxAge()), false
+	return 0
 }
 
 // untilListed returns a context for a poll. While the list of gateways is not known, it ends when there is one: the poll
--- a/internal/wire/compress.go
+++ b/internal/wire/compress.go
@@ -38,14 +38,9 @@
 	Encoding string
 }
 
-// Accepts reports whether a request accepts the encoding of compressed responses.
-func Accepts(request http.Header) bool {
-	return strings.Contains(request.Get("Accept-Encoding"), encodingZstd)
-}
-
 // Compress compresses the body of a response if it is large and the request accepts that.
 func Compress(body []byte, request http.Header) (Encoded, error) {
-	if !Accepts(request) {
+	if !strings.Contains(request.Get("Accept-Encoding"), encodingZstd) {
 		return Encoded{Body: body}, nil
 	}
 	return Encode(body)
--- a/kv/fanout_received_test.go
+++ b/kv/fanout_received_test.go
@@ -1,7 +1,6 @@
 package kv_test
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"testing"
@@ -17,6 +16,7 @@
 // not find it without the time at which it was current, which would send them to the service.
 func TestFanoutListUsesForwardedData(t *testing.T) {
 	const processes = 20_000
+	away := &slowListStore{err: errors.New("the service was asked")}
 	source := kv.NewFanout(kv.FanoutOptions{Clock: clocktest.Real{}, MaxAge: time.Hour, IsWatcher: func() bool { return true }})
 	_, _, err := source.View(&fixedListStore{entries: []kv.Entry{{Key: "a/1", Revision: 1}}, at: 5}, false).ListPrefix(t.Context(), "a/")
 	assert.NilError(t, err)
@@ -29,7 +29,7 @@
 			ListWait: func() time.Duration { return time.Hour },
 		})
 		lists.Go(func() {
-			_, at, err := f.View(awayStore{}, false).ListPrefix(t.Context(), "a/")
+			_, at, err := f.View(away, false).ListPrefix(t.Context(), "a/")
 			assert.Check(t, err)
 			assert.Check(t, at == kv.Revision(5))
 		})
@@ -37,11 +37,3 @@
 	}
 	lists.Wait()
 }
-
-// An awayStore is a service that cannot be reached.
-type awayStore struct{ kv.PrefixStore }
-
-// ListPrefix implements kv.PrefixStore.
-func (awayStore) ListPrefix(context.Context, string) ([]kv.Entry, kv.Revision, error) {
-	return nil, 0, errors.New("the service was asked")
-}
