--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -241,7 +241,7 @@
 func (p *components) newProxy(o Options) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, authenticator: p.newAuthenticator(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, requestLog: p.requestLog,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, serverLimits: p.serverLimits.Table, clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, observer: p.newResponseObserver(o), clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), bodyTimeout: o.Settings.BodyTimeout.Std(), regions: o.Settings.Regions,
 		buffers: newBufferMemory(o.Settings.MemoryMB),
 	}
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -10,7 +10,6 @@
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
-	"rockcleat/serverlimit"
 )
 
 // A proxy is the HTTP handler for callers' requests. It reads each request completely, forwards it to a server and
@@ -28,8 +27,8 @@
 	quarantine    *quarantine.Table
 	detector      *crashDetector
 	copies        copySerializer
-	// serverLimits receives the rate limit announced in each response.
-	serverLimits *serverlimit.Table
+	// observer evaluates what servers announce about themselves in responses.
+	observer  *responseObserver
 	clock        clock.Service
 	transport    http.RoundTripper
 	regions      regionMap
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -262,8 +262,8 @@
 	}
 }
 
-// malformedLimit logs a malformed rate limit in a server's response. The lines are rate-limited.
-func (l *requestLog) malformedLimit(server, header string, values []string) {
+// malformedAnnouncement logs a malformed header in a server's response. The lines are rate-limited.
+func (l *requestLog) malformedAnnouncement(server, header string, values []string) {
 	if l.malformed.AllowN(l.clock.Now(), 1) {
 		l.log.Info(msgMalformedHeader, zap.String(fieldServer, server), zap.String("header", header), zap.Strings("value", values))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,13 +6,11 @@
 	"io"
 	"net/http"
 	"net/url"
-	"time"
 
 	"github.com/rotisserie/eris"
 
 	"rockcleat/dispatch"
 	"rockcleat/internal/wire"
-	"rockcleat/serverlimit"
 )
 
 // errStalled cancels a send whose server has stalled.
@@ -36,7 +34,7 @@
 	}
 	defer resp.Body.Close()
 	f.record.sends++
-	f.recordServerLimit(res, resp, sent)
+	f.proxy.observer.observe(f.in, res, resp, sent)
 	if resp.Header.Get(f.proxy.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return f.handleRefusal(res, resp)
 	}
@@ -89,20 +87,6 @@
 	return nil
 }
 
-// recordServerLimit records the rate limit in a response. It ignores responses to other requests, and responses with
-// status 421, which come from a server other than the intended one. sent is when the request was sent.
-func (f *forwarder) recordServerLimit(res *dispatch.Reservation, resp *http.Response, sent time.Time) {
-	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(f.proxy.names.RequestID) != f.in.id {
-		return
-	}
-	values := resp.Header.Values(f.proxy.names.ServerLimit)
-	r := serverlimit.ParseHeader(values)
-	if r.Kind == serverlimit.Invalid {
-		f.proxy.requestLog.malformedLimit(res.Server().ID, f.proxy.names.ServerLimit, values)
-	}
-	f.proxy.serverLimits.Observe(res.Server().ID, r, sent)
-}
-
 // serverRequest returns the request to the reserved server.
 func (f *forwarder) serverRequest(ctx context.Context, res *dispatch.Reservation) *http.Request {
 	s := res.Server()
