--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -29,10 +29,10 @@
 	copies        copySerializer
 	// observer evaluates what servers announce about themselves in responses.
 	observer  *responseObserver
-	clock        clock.Service
-	transport    http.RoundTripper
-	regions      regionMap
-	buffers      *bufferMemory
+	clock     clock.Service
+	transport http.RoundTripper
+	regions   regionMap
+	buffers   *bufferMemory
 	// bodyTimeout is the timeout for reading a request body.
 	bodyTimeout time.Duration
 }
