gateway: log responses in which servers announce that they are leaving

A server that leaves says so in its responses (Server-Leaving: 1). The gateways' logs could not tell whether a response carried that: with the store away, one that missed it looked like one that ignored it. A line names the server, the request and the status; it changes no decision.

--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -28,6 +28,26 @@
 		return
 	}
 	o.observeLimit(res.Server().ID, resp.Header, sent)
+	o.observeLeaving(in, res.Server().ID, resp)
+}
+
+// observeLeaving logs that a server announces that it is leaving.
+func (o *responseObserver) observeLeaving(in *inbound, server string, resp *http.Response) {
+	values := resp.Header.Values(o.names.Leaving)
+	if len(values) == 0 {
+		return
+	}
+	if leaving, ok := parseLeaving(values); !ok {
+		o.requestLog.malformedAnnouncement(server, o.names.Leaving, values)
+	} else if leaving {
+		o.requestLog.serverLeaving(in, server, resp.StatusCode)
+	}
+}
+
+// parseLeaving parses the values of the header by which a server announces that it is leaving. Valid is a single 1.
+func parseLeaving(values []string) (leaving, ok bool) {
+	isOne := len(values) == 1 && values[0] == "1"
+	return isOne, isOne || len(values) == 0
 }
 
 // observeLimit records the rate limit that a server announces, or that it announces none.
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -31,6 +31,7 @@
 	msgMalformedHeader    = "header malformed, ignored"
 	msgServerCrashed      = "server ended"
 	msgServerLimit        = "server limit"
+	msgServerLeaving      = "server announces that it is leaving"
 )
 
 // Fields of these log lines; docs/OPERATIONS-GATEWAY.md lists them with their units.
@@ -97,6 +98,9 @@
 	// response.
 	serverLimitRate  = 5
 	serverLimitBurst = 60
+	// serverLeaveRate and serverLeaveBurst limit lines about leaving servers, of which many may leave together.
+	serverLeaveRate  = 5
+	serverLeaveBurst = 60
 )
 
 // Metrics records metrics of a gateway.
@@ -146,8 +150,9 @@
 	quarantined *rate.Limiter
 	suppressed  atomic.Uint64
 	malformed   *rate.Limiter
-	// overLimit limits the lines about requests over a rate limit, serverLimit those about servers' rate limits.
-	overLimit, serverLimit *lineLimiter
+	// overLimit limits the lines about requests over a rate limit, serverLimit those about servers' rate limits and
+	// serverLeave those about leaving servers.
+	overLimit, serverLimit, serverLeave *lineLimiter
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.HeaderNames) *requestLog {
@@ -158,6 +163,7 @@
 		overLimit:   newLineLimiter(overLimitRate, overLimitBurst),
 		malformed:   rate.NewLimiter(malformedRate, malformedBurst),
 		serverLimit: newLineLimiter(serverLimitRate, serverLimitBurst),
+		serverLeave: newLineLimiter(serverLeaveRate, serverLeaveBurst),
 	}
 }
 
@@ -280,6 +286,16 @@
 		zap.Float64(fieldPerSecond, c.PerSecond), zap.String(fieldOrigin, string(c.Origin)), zap.Float64(fieldAge, c.Age.Seconds()), suppressed)
 }
 
+// serverLeaving logs that a response announces that its server is leaving. The lines are rate-limited.
+func (l *requestLog) serverLeaving(in *inbound, server string, status int) {
+	suppressed, ok := l.serverLeave.allow(l.clock.Now())
+	if !ok {
+		return
+	}
+	l.log.Info(msgServerLeaving, zap.String(fieldServer, server), zap.String(fieldRequest, in.id), zap.Int(fieldStatus, status),
+		l.ageField(in), suppressed)
+}
+
 // recordSend counts a send, and logs it if it is a retry.
 func (l *requestLog) recordSend(f *forwarder, res *dispatch.Reservation) {
 	retry := f.record.sends > 0
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -13,6 +13,8 @@
 	// ServerLimit is set by overloaded backend servers on responses: the number of requests per second that
 	// they accept from all senders together.
 	ServerLimit string
+	// Leaving is set to 1 on all responses of a backend server that is leaving.
+	Leaving string
 	// NotRun is set on responses to requests that were not run.
 	NotRun string
 	// Model is the model's name, followed by a slash and the adapter's name if there is one.
