gateway: a server that announces in a response that it leaves gets no further requests

Callers' requests reached a server 2.4 to 2.9 s after it had told the same gateway that it was leaving. Cause: the gateway learned of that from the store's list alone, and passed the header of the response on unread; with the store away for 13 s the record never changed. The log showed fresh requests, sent once, that had waited under 1 ms, and no change of the server's state in between.

An instance cannot take it back, so no older record does; a successor has another ID.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -176,3 +176,29 @@
 		})
 	}
 }
+
+// TestAnnouncedLeaving checks that a server that has announced that it is leaving stays leaving whatever records of it
+// arrive, is not kept after it vanishes, and that its successor is not affected.
+func TestAnnouncedLeaving(t *testing.T) {
+	now := time.Unix(100, 0)
+	announced := map[string]bool{}
+	var r backend.Registry
+	r.SetAnnouncedLeaving(func(id string) bool { return announced[id] })
+	r.Replace([]backend.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, now)
+	accepts := func(id string) bool {
+		s, ok := r.Snapshot().Server(id)
+		return ok && s.AcceptsRequests()
+	}
+	announced["a"] = true
+	r.Refresh(now)
+	assert.Assert(t, !accepts("a") && accepts("b"))
+	r.Update(backend.Server{ID: "a", Service: "s", Slots: 2}, now)
+	assert.Assert(t, !accepts("a"), "an older record arrived later")
+	r.Replace([]backend.Server{{ID: "a", Service: "s"}}, now)
+	assert.Assert(t, !accepts("a"), "an older list arrived later")
+	r.Replace(nil, now)
+	_, kept := r.Snapshot().Server("a")
+	assert.Assert(t, !kept, "a server that leaves has vanished for good")
+	r.Update(backend.Server{ID: "a2", Instance: "a", Service: "s"}, now)
+	assert.Assert(t, accepts("a2"))
+}
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -45,7 +45,10 @@
 	warmupTime func(service string) time.Duration
 	// evacuated holds the evacuated data halls.
 	evacuated map[string]bool
-	snapshot  atomic.Pointer[Snapshot]
+	// hasAnnouncedLeaving, if not nil, reports whether a server instance has announced that it is
+	// leaving.
+	hasAnnouncedLeaving func(id string) bool
+	snapshot            atomic.Pointer[Snapshot]
 }
 
 // Snapshot returns the current state of the known servers. It does not lock.
@@ -122,9 +125,26 @@
 // called before the Registry is used.
 func (r *Registry) SetWarmupTime(f func(service string) time.Duration) { r.warmupTime = f }
 
+// SetAnnouncedLeaving sets the function that reports whether a server instance has announced that
+// it is leaving. Such a server is leaving whatever its record says. It must be called before the
+// Registry is used, and Refresh whenever the function's results change.
+func (r *Registry) SetAnnouncedLeaving(f func(id string) bool) { r.hasAnnouncedLeaving = f }
+
+// isLeaving reports whether a server is leaving according to its record or its own announcement.
+func (r *Registry) isLeaving(s Server) bool {
+	return s.Leaving || r.hasAnnouncedLeaving != nil && r.hasAnnouncedLeaving(s.ID)
+}
+
+// Refresh publishes a new snapshot.
+func (r *Registry) Refresh(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rebuild(now)
+}
+
 // recordVanished records a server that is no longer listed, unless it was leaving.
 func (r *Registry) recordVanished(s Server, now time.Time) {
-	if s.Leaving {
+	if r.isLeaving(s) {
 		return
 	}
 	if r.vanished == nil {
@@ -291,7 +311,7 @@
 	}
 	var list []Server
 	for _, v := range r.vanished {
-		if lost[v.Service] > 0 && now.Sub(v.since) < vanishedRetention {
+		if lost[v.Service] > 0 && now.Sub(v.since) < vanishedRetention && !r.isLeaving(v.Server) {
 			list = append(list, v.Server)
 		}
 	}
@@ -308,6 +328,7 @@
 	all, dropped := dropWithoutInstance(all)
 	for i := range all {
 		all[i].Evacuated = r.evacuated[all[i].Hall]
+		all[i].Leaving = r.isLeaving(all[i])
 		if published, ok := r.residency[all[i].ID]; ok {
 			all[i].Residents = published.Residents
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/departure"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -93,6 +94,7 @@
 	quarantineStore *quarantineStore
 	// serverLimits holds the rate limits that backend servers announce.
 	serverLimits *serverLimits
+	departures   *departure.Table
 	fleetStore   *fleetStore
 	// stops holds the functions that end the clock subscriptions.
 	stops []func()
@@ -116,7 +118,7 @@
 		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
 		lease: p.leader.lease, prefixes: p.leader.fanout.View(p.breaker.View(o.AllKeys), false), placer: p.leader.placer,
 		reporter: p.newReporter(o), holderWatcher: p.newHolderWatcher(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, quarantineStore: p.newQuarantineStore(ctx, o),
-		fleetStore: p.fleetStore, serverLimits: p.serverLimits,
+		fleetStore: p.fleetStore, serverLimits: p.serverLimits, departures: p.departures,
 		ctx: ctx, cancel: cancel,
 	}
 	if o.Eras != nil {
@@ -152,6 +154,7 @@
 	g.subscribe(pauseCheckInterval, g.pauses.check)
 	g.subscribe(fleetStepInterval, g.fleetStore.step)
 	g.stops = append(g.stops, g.serverLimits.subscribe(g.clock))
+	g.subscribe(sweepInterval, g.expireDepartures)
 	g.stops = append(g.stops, g.quarantine.subscribe(g.clock, g.quarantineStore)...)
 	g.log.Info("started", zap.String("hall", g.settings.Hall), zap.Bool("first", g.settings.FirstStart))
 	return nil
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"rockcleat/backend"
 )
 
 // leavingHeader is the header of a server that announces that it is leaving.
@@ -64,3 +66,69 @@
 		})
 	}
 }
+
+// TestMalformedLeavingHeader checks that a malformed announcement is logged and does not take a server out of use.
+func TestMalformedLeavingHeader(t *testing.T) {
+	tests := map[string][]string{
+		"empty": {""}, "zero": {"0"}, "negative": {"-1"}, "text": {"yes"}, "fraction": {"1.0"}, "huge": {"1e300"},
+		"repeated": {"1", "1"}, "contradictory": {"1", "0"},
+	}
+	for name, values := range tests {
+		t.Run(name, func(t *testing.T) {
+			headers := []string{"Content-Length: 2"}
+			for _, v := range values {
+				headers = append(headers, names.Leaving+": "+v)
+			}
+			a := newFakeServer(t, "a", func(c *call) bool {
+				c.write(c.head(http.StatusOK, headers...), "ok")
+				return true
+			})
+			env := newTestEnv(t, a)
+			for range 2 {
+				assert.Equal(t, env.post(pathUnsafe, "x").status, http.StatusOK)
+			}
+			assert.Equal(t, env.logs.FilterMessage("header malformed, ignored").Len(), 2)
+		})
+	}
+}
+
+// TestLeavingInResponseOfAnotherServer checks that neither a response to another request nor a status 421 takes a
+// server out of use.
+func TestLeavingInResponseOfAnotherServer(t *testing.T) {
+	tests := map[string]responder{
+		"response to another request": func(c *call) bool {
+			c.Header.Set(names.RequestID, "another")
+			c.write(c.head(http.StatusOK, leavingHeader, "Content-Length: 2"), "ok")
+			return true
+		},
+		"misdirected": func(c *call) bool {
+			c.write(c.head(http.StatusMisdirectedRequest, leavingHeader, "Content-Length: 0"))
+			return true
+		},
+	}
+	for name, first := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := newFakeServer(t, "a", firstThen(first, respond(http.StatusOK, "ok")))
+			env := newTestEnv(t, a)
+			_ = env.post(pathUnsafe, "first")
+			assert.Equal(t, env.logs.FilterMessage("server announces that it is leaving").Len(), 0)
+			env.awaitPath(pathSafe, http.StatusOK)
+		})
+	}
+}
+
+// TestRestartedServerIsUsedAfterItsPredecessorLeft checks that a new instance at the address of a server that left
+// gets requests, also while the list still has the old instance.
+func TestRestartedServerIsUsedAfterItsPredecessorLeft(t *testing.T) {
+	a := newFakeServer(t, "a", firstThen(func(c *call) bool {
+		c.write(c.head(http.StatusOK, leavingHeader, "Content-Length: 2"), "ok")
+		return true
+	}, respond(http.StatusOK, "ok")))
+	env := newTestEnv(t, a)
+	assert.Equal(t, env.post(pathUnsafe, "first").status, http.StatusOK)
+	assert.Equal(t, env.post(pathUnsafe, "second").status, http.StatusServiceUnavailable)
+	env.putServer(a, false)
+	assert.Equal(t, env.post(pathUnsafe, "third").status, http.StatusServiceUnavailable, "the record is older than the announcement")
+	env.putRecord(backend.Server{ID: "a2", Service: "app", Addr: a.addr, Hall: "h", Slots: 4})
+	env.awaitPath(pathSafe, http.StatusOK)
+}
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/wire"
 	"rockcleat/serverlimit"
@@ -14,11 +15,14 @@
 type responseObserver struct {
 	names        wire.HeaderNames
 	serverLimits *serverlimit.Table
+	departures   *departure.Table
 	requestLog   *requestLog
 }
 
 func (p *components) newResponseObserver(o Options) *responseObserver {
-	return &responseObserver{names: o.Names, serverLimits: p.serverLimits.Table, requestLog: p.requestLog}
+	return &responseObserver{
+		names: o.Names, serverLimits: p.serverLimits.Table, departures: p.departures, requestLog: p.requestLog,
+	}
 }
 
 // observe evaluates a response to a request that was sent at the given time. It ignores responses to other requests,
@@ -31,31 +35,31 @@
 	o.observeLeaving(in, res.Server().ID, resp)
 }
 
-// observeLeaving logs that a server announces that it is leaving.
+// observeLimit records the rate limit that a server announces, or that it announces none.
+func (o *responseObserver) observeLimit(server string, h http.Header, sent time.Time) {
+	values := h.Values(o.names.ServerLimit)
+	limit := serverlimit.ParseHeader(values)
+	if limit.Kind == serverlimit.Invalid {
+		o.requestLog.malformedAnnouncement(server, o.names.ServerLimit, values)
+	}
+	o.serverLimits.Observe(server, limit, sent)
+}
+
+// observeLeaving records that a server announces that it is leaving.
 func (o *responseObserver) observeLeaving(in *inbound, server string, resp *http.Response) {
 	values := resp.Header.Values(o.names.Leaving)
 	if len(values) == 0 {
 		return
 	}
-	if leaving, ok := parseLeaving(values); !ok {
+	if !isLeaving(values) {
 		o.requestLog.malformedAnnouncement(server, o.names.Leaving, values)
-	} else if leaving {
+		return
+	}
+	if o.departures.Observe(server) {
 		o.requestLog.serverLeaving(in, server, resp.StatusCode)
 	}
 }
 
-// parseLeaving parses the values of the header by which a server announces that it is leaving. Valid is a single 1.
-func parseLeaving(values []string) (leaving, ok bool) {
-	isOne := len(values) == 1 && values[0] == "1"
-	return isOne, isOne || len(values) == 0
-}
-
-// observeLimit records the rate limit that a server announces, or that it announces none.
-func (o *responseObserver) observeLimit(server string, h http.Header, sent time.Time) {
-	values := h.Values(o.names.ServerLimit)
-	limit := serverlimit.ParseHeader(values)
-	if limit.Kind == serverlimit.Invalid {
-		o.requestLog.malformedAnnouncement(server, o.names.ServerLimit, values)
-	}
-	o.serverLimits.Observe(server, limit, sent)
-}
+// isLeaving reports whether the values of the header by which a server announces that it is leaving are valid: a
+// single 1.
+func isLeaving(values []string) bool { return len(values) == 1 && values[0] == "1" }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockcleat/clock"
+	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
@@ -42,8 +43,10 @@
 	configs    *configsync.Syncer
 	pauses     *pauseDetector
 	quarantine quarantineRole
-	// serverLimits holds the rate limits that backend servers announce.
+	// serverLimits holds the rate limits that backend servers announce, departures the announcements of servers that
+	// they are leaving.
 	serverLimits *serverLimits
+	departures   *departure.Table
 	limiter      *quota.Limiter
 	// limiters holds all limiters, which depend on the leader and its list of gateways.
 	limiters   limiters
@@ -75,6 +78,8 @@
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.servers.registry.SetWarmupTime(p.config.warmupTime)
+	p.departures = p.newDepartures(o)
+	p.servers.registry.SetAnnouncedLeaving(p.departures.HasAnnounced)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, lastCheck: o.Clock.Now()}
 	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"rockcleat/clock"
+	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
@@ -119,6 +120,8 @@
 	QuotaCharged(organisation, outcome string, cost float64)
 	// ServerLimitChanged counts a change of a rate limit that a server announces, by state.
 	ServerLimitChanged(state string)
+	// ServerDeparture counts a server that announced that it is leaving, by origin of the announcement.
+	ServerDeparture(origin string)
 	// PermitRequested counts a request for a permit of a server's rate limit. outcome is "inside", "over" or "unknown".
 	PermitRequested(outcome string)
 	// ServerCrashed counts a crash of a server under requests, by service.
@@ -133,6 +136,7 @@
 func (noMetrics) RequestEnded(string, string, float64, float64) {}
 func (noMetrics) RequestSent(string, bool)                      {}
 func (noMetrics) ServerLimitChanged(string)                     {}
+func (noMetrics) ServerDeparture(string)                        {}
 func (noMetrics) PermitRequested(string)                        {}
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
@@ -286,14 +290,21 @@
 		zap.Float64(fieldPerSecond, c.PerSecond), zap.String(fieldOrigin, string(c.Origin)), zap.Float64(fieldAge, c.Age.Seconds()), suppressed)
 }
 
-// serverLeaving logs that a response announces that its server is leaving. The lines are rate-limited.
+// serverLeaving logs that a response to a request announced that its server is leaving.
 func (l *requestLog) serverLeaving(in *inbound, server string, status int) {
+	l.departure(departure.Announcement{Server: server, Origin: departure.OriginLocal}, zap.String(fieldRequest, in.id), zap.Int(fieldStatus, status))
+}
+
+// departure counts and logs that a server announced that it is leaving. The lines are rate-limited.
+func (l *requestLog) departure(a departure.Announcement, fields ...zap.Field) {
+	l.metrics.ServerDeparture(string(a.Origin))
 	suppressed, ok := l.serverLeave.allow(l.clock.Now())
 	if !ok {
 		return
 	}
-	l.log.Info(msgServerLeaving, zap.String(fieldServer, server), zap.String(fieldRequest, in.id), zap.Int(fieldStatus, status),
-		l.ageField(in), suppressed)
+	fields = append(fields, zap.String(fieldServer, a.Server), zap.String(fieldOrigin, string(a.Origin)),
+		zap.Float64(fieldAge, a.Age.Seconds()), suppressed)
+	l.log.Info(msgServerLeaving, fields...)
 }
 
 // recordSend counts a send, and logs it if it is a retry.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -39,6 +39,8 @@
 	serverCrashes   metric.Int64Counter
 	// serverLimits counts the limits that servers announced, changed and ended.
 	serverLimits metric.Int64Counter
+	// serverDepartures counts the servers that announced that they are leaving.
+	serverDepartures metric.Int64Counter
 	// permits counts the requests for permits at servers with limits.
 	permits metric.Int64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
@@ -76,6 +78,7 @@
 	m.configBytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
 	m.serverCrashes = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
 	m.serverLimits = b.counter("rockcleat.gateway.server_limits", "Limits that backend servers named for themselves, by what became of them.")
+	m.serverDepartures = b.counter("rockcleat.gateway.server_departures", "Backend servers that announced that they are leaving, by origin of the announcement.")
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
@@ -147,6 +150,11 @@
 	m.serverLimits.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
 }
 
+// ServerDeparture counts a backend server that announced that it is leaving, by origin of the announcement.
+func (m *GatewayMetrics) ServerDeparture(origin string) {
+	m.serverDepartures.Add(context.Background(), 1, m.attributeSet("origin", origin, "", ""))
+}
+
 // PermitRequested counts a request for a permit at a backend server with a limit, by outcome.
 func (m *GatewayMetrics) PermitRequested(outcome string) {
 	m.permits.Add(context.Background(), 1, m.attributeSet("outcome", outcome, "", ""))
