gateway: the announcement that a server leaves reaches all gateways with their reports

A response reaches one gateway, but all send requests to its server, an owner admits them there, and the leader plans models for it. The others learned of it from the store's record only, which may come long after. The announcements go with each report to the leader and its reply (package exchange), at once from the gateway that received the response; to any gateway while nobody leads.

TestAllGatewaysLearnThatServerLeaves: before, one of three gateways knew after 2 s, with the store reachable and not; now all do.

--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -7,10 +7,16 @@
 )
 
 // newDepartures returns the table of servers that announced that they are leaving. Each announcement takes effect at
-// once in this gateway.
+// once in this gateway. One that a server made to this gateway triggers an immediate report to the leader, whose reply
+// to the next report of each other gateway passes it on.
 func (p *components) newDepartures(o Options) *departure.Table {
-	return departure.New(departure.Options{Clock: o.Clock, OnAnnouncement: func(departure.Announcement) {
+	return departure.New(departure.Options{Clock: o.Clock, OnAnnouncement: func(a departure.Announcement) {
 		p.servers.recheckLeaving()
+		if a.Origin == departure.OriginLocal {
+			p.urgent.send()
+			return
+		}
+		p.requestLog.departure(a)
 	}})
 }
 
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -4,9 +4,12 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rockcleat/backend"
 )
@@ -132,3 +135,38 @@
 	env.putRecord(backend.Server{ID: "a2", Service: "app", Addr: a.addr, Hall: "h", Slots: 4})
 	env.awaitPath(pathSafe, http.StatusOK)
 }
+
+// TestAllGatewaysLearnThatServerLeaves checks that an announcement in a response to one gateway keeps all gateways from
+// the server, also while the store is unreachable.
+func TestAllGatewaysLearnThatServerLeaves(t *testing.T) {
+	tests := map[string]func(env *testEnv){
+		"store reachable":   func(*testEnv) {},
+		"store unreachable": (*testEnv).failStore,
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			var leaves atomic.Bool
+			a := newFakeServer(t, "a", func(c *call) bool {
+				if leaves.Load() {
+					c.write(c.head(http.StatusOK, leavingHeader, "Content-Length: 2"), "ok")
+					return true
+				}
+				return respond(http.StatusOK, "ok")(c)
+			})
+			b := newFakeServer(t, "b", respond(http.StatusOK, "ok"))
+			env := newTestEnv(t, a, b)
+			startFleet(t, env, 2)
+			env.awaitLines("leadership gained", 1)
+			prepare(env)
+			leaves.Store(true)
+			assert.Equal(t, env.post(pathUnsafe, "first").status, http.StatusOK)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				known := env.logs.FilterMessage("server announces that it is leaving").Len()
+				if known < 3 {
+					return poll.Continue("%d of 3 gateways know", known)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(2*time.Second))
+		})
+	}
+}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -199,7 +199,7 @@
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
 		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllRecords),
 		synced: p.quarantine.synced, limiters: p.limiters, applyGateways: p.applyGateways, urgent: p.urgent,
-		serverLimits: serverlimit.NewLink(p.serverLimits.Table),
+		serverLimits: serverlimit.NewLink(p.serverLimits.Table), departures: departure.NewLink(p.departures),
 	}
 }
 
@@ -261,7 +261,7 @@
 		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c, storeFailed: p.breaker.IsOpen},
 		lists:      newListCache(p.leader.fanout),
 		placer:     p.leader.placer, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, removedCount: p.limiters.removedCount,
+		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, departures: p.departures, removedCount: p.limiters.removedCount,
 		synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -63,6 +64,8 @@
 	Quarantine quarantine.Message `json:"quarantine,omitzero"`
 	// ServerLimits holds new information on the rate limits that backend servers announced.
 	ServerLimits serverlimit.Message `json:"limits,omitzero"`
+	// Departures holds new announcements of backend servers that they are leaving.
+	Departures departure.Message `json:"departures,omitzero"`
 	// QuarantineUnknown says that the sender does not yet know the quarantine from before its start.
 	QuarantineUnknown bool `json:"uninformed,omitempty"`
 }
@@ -78,6 +81,8 @@
 	Quarantine *quarantine.Reply `json:"quarantine,omitempty"`
 	// ServerLimits holds what the reporting gateway lacks; nil if it lacks nothing.
 	ServerLimits *serverlimit.Reply `json:"limits,omitempty"`
+	// Departures holds what the reporting gateway lacks; nil if it lacks nothing.
+	Departures *departure.Reply `json:"departures,omitempty"`
 	// RemovedGateways is the number of gateways that recently left the leader's list, for quota.Limiter.
 	RemovedGateways int `json:"lapsed,omitempty"`
 	// QuarantineKnown says, in reply to a report with QuarantineUnknown, that the replying gateway knows the quarantine.
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"rockcleat/clock"
+	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -29,6 +30,7 @@
 	// serverLimits holds the rate limits of backend servers. removedCount returns the number of gateways that recently
 	// left the leader's list.
 	serverLimits *serverLimits
+	departures   *departure.Table
 	removedCount func() int
 	feedSource   feedSource
 	lists        *listCache
@@ -98,6 +100,7 @@
 	reply := replyMessage{
 		Reply: p.placer.Report(m.Report), Config: p.configs.Announcement(), Quarantine: p.quarantine.Answer(m.Quarantine, quarantine.SharedMinCrashes),
 		QuarantineKnown: m.QuarantineUnknown && p.synced.Load(), RemovedGateways: p.removedCount(), ServerLimits: p.serverLimits.Answer(m.ServerLimits),
+		Departures: p.departures.Answer(m.Departures),
 	}
 	if !reply.IsLeader {
 		record, _ := p.placer.Leader()
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rockcleat/clock"
+	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -51,13 +52,15 @@
 	quarantine *quarantine.Link
 	// serverLimits exchanges the rate limits of backend servers with the same gateway.
 	serverLimits *serverlimit.Link
+	// departures exchanges the announcements of servers that they are leaving with the same gateway.
+	departures *departure.Link
 	// limiters are notified when the leader has replied. applyGateways applies the leader's list of gateways.
 	limiters      limiters
 	applyGateways func([]placer.Gateway)
 	// synced says that this gateway knows the quarantine from before its start.
 	synced *atomic.Bool
 	// urgent triggers an immediate report: a request waits for a model that no server has loaded, a server has
-	// crashed, or one has announced a changed rate limit.
+	// crashed, or one has announced a changed rate limit or that it is leaving.
 	urgent signal
 
 	// failing says that the last report failed.
@@ -129,6 +132,7 @@
 	reply, err := r.peers.report(ctx, addr, reportMessage{
 		Report: m, ConfigVersion: r.configs.Announcement().Version, Quarantine: r.quarantine.Message(addr),
 		ServerLimits:      r.serverLimits.Message(addr),
+		Departures:        r.departures.Message(addr),
 		QuarantineUnknown: !r.synced.Load(),
 	})
 	if err != nil {
@@ -139,6 +143,7 @@
 	r.reportSucceeded(addr)
 	r.quarantine.ApplyReply(reply.Quarantine)
 	r.serverLimits.ApplyReply(reply.ServerLimits)
+	r.departures.ApplyReply(reply.Departures)
 	if reply.QuarantineKnown {
 		r.synced.Store(true)
 	}
