dispatch: a reserved server that leaves before the send is not used

A request is reserved a server, then a permit or the admission of the engine's owner is obtained, which takes a call to another gateway. A server that began to leave meanwhile still got the request. Acquire now looks once more before it returns the reservation; if the server does not accept requests any more, the reservation and the permit are released and another server is chosen.

--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if d.obtainApprovals(ctx, res) {
+		if d.obtainApprovals(ctx, res) && d.confirm(res) {
 			return res, nil
 		}
 		if ctx.Err() != nil {
@@ -69,6 +69,22 @@
 	}
 }
 
+// confirm reports whether the reserved server still accepts requests: its approvals take time, during
+// which it may have announced that it is leaving. If it does not, the reservation has been released.
+func (d *Dispatcher) confirm(res *Reservation) bool {
+	d.mu.Lock()
+	s, ok := d.servers.Server(res.server.ID)
+	if ok && s.AcceptsRequests() {
+		d.mu.Unlock()
+		return true
+	}
+	res.release()
+	d.serveWaiting()
+	d.mu.Unlock()
+	d.releasePermit(res)
+	return false
+}
+
 // reserveOrWait reserves a server according to this gateway's state; a permit or the owner's
 // admission may still be required. Requests to plain services never wait.
 func (d *Dispatcher) reserveOrWait(ctx context.Context, r *Request) (*Reservation, error) {
