dispatch: requests are refused at once while no server of their service accepts any

When all servers of a service leave, callers of its models were held until their deadline: a request for a model that no server holds waits, since the model might be loaded, but there was no server left to load it. It is refused now when it arrives, and when the last server begins to leave while it waits, with Retry-After 1 to 2 s, in which a successor may have started. A service without any listed server still lets requests wait, as at the start of the system.

TestRequestsAreRefusedAtOnceWhenAllServersLeave failed before in both cases of all leaving (the request was held until its time to wait ended).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,6 +16,9 @@
 	// ErrNoHall means that no server in the data halls that the request allows holds its model. The
 	// request does not wait, since models are not loaded for a particular hall.
 	ErrNoHall = errors.New("dispatch: no server in an allowed data hall can take the request")
+	// ErrNoneAccepts means that no server of the service accepts requests: all are leaving or in
+	// evacuated data halls. The request does not wait, since a new server may take long to start.
+	ErrNoneAccepts = errors.New("dispatch: no server of the service accepts requests")
 	// ErrShed means that the request would have to wait and is refused in favour of requests with
 	// higher priority.
 	ErrShed = errors.New("dispatch: request shed in favour of higher-priority requests")
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rockcleat/backend"
 	"rockcleat/clock/clocktest"
@@ -72,3 +74,45 @@
 		})
 	}
 }
+
+// TestRequestsAreRefusedAtOnceWhenAllServersLeave checks requests that arrive, and requests that wait, when no server
+// of their service accepts requests.
+func TestRequestsAreRefusedAtOnceWhenAllServersLeave(t *testing.T) {
+	leaving := func(s backend.Server) backend.Server {
+		s.Leaving = true
+		return s
+	}
+	other := engine("b")
+	other.Residents = nil
+	tests := map[string]struct {
+		servers []backend.Server
+		want    error
+	}{
+		"all leave":                        {servers: []backend.Server{leaving(engine("a")), leaving(other)}, want: dispatch.ErrNoneAccepts},
+		"the others do not hold the model": {servers: []backend.Server{leaving(engine("a")), other}, want: dispatch.ErrWaitTimeout},
+		"the service has no servers yet":   {want: dispatch.ErrWaitTimeout},
+	}
+	request := func() *dispatch.Request {
+		r := request(clocktest.Real{})
+		r.WaitUntil = time.Now().Add(600 * time.Millisecond)
+		return r
+	}
+	for name, test := range tests {
+		t.Run(name+", arriving", func(t *testing.T) {
+			_, err := dispatcher(clocktest.Real{}, test.servers...).Acquire(t.Context(), request())
+			assert.Assert(t, errors.Is(err, test.want))
+		})
+		t.Run(name+", waiting", func(t *testing.T) {
+			d := dispatcher(clocktest.Real{}, other)
+			errs := make(chan error, 1)
+			go func() {
+				_, err := d.Acquire(context.Background(), request())
+				errs <- err
+			}()
+			poll.WaitOn(t, waiting(d, 1), poll.WithDelay(5*time.Millisecond))
+			d.SetServers(snapshot(test.servers...))
+			assert.Assert(t, errors.Is(<-errs, test.want))
+			assert.Equal(t, d.Demands()[model].Waiting, 0)
+		})
+	}
+}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -166,17 +166,12 @@
 // estimate finite.
 const minRate = 0.1
 
-// refuseUnservable refuses the waiting requests that only servers with rate limits could take and
-// that none of these can take in time. d.mu must be held.
+// refuseUnservable refuses the waiting requests that no server can take in time. d.mu must be held.
 func (d *Dispatcher) refuseUnservable(now time.Time) {
-	if !d.hasRateLimits() {
-		return
-	}
 	ahead := make(map[string]int)
 	for _, w := range d.queue.list {
 		target := w.req.targetKey()
-		if wait, ok := d.estimatePermitWait(w.req, ahead[target], now); ok && now.Add(wait).After(w.req.WaitUntil) {
-			w.refused = &RateLimitError{RetryAfter: wait}
+		if w.refused = d.unservable(w.req, ahead[target], now); w.refused != nil {
 			d.demand.get(w.req).Waiting--
 			close(w.ready)
 			continue
@@ -186,6 +181,21 @@
 	d.queue.removeRefused()
 }
 
+// unservable returns the reason why no server can take a waiting request in time, or nil. ahead is the
+// number of requests for the same model or adapter that are ahead in the wait queue. d.mu must be held.
+func (d *Dispatcher) unservable(r *Request, ahead int, now time.Time) error {
+	if d.noneAccepts(r.Service) {
+		return ErrNoneAccepts
+	}
+	if !d.hasRateLimits() {
+		return nil
+	}
+	if wait, ok := d.estimatePermitWait(r, ahead, now); ok && now.Add(wait).After(r.WaitUntil) {
+		return &RateLimitError{RetryAfter: wait}
+	}
+	return nil
+}
+
 // countAhead returns the number of waiting requests for the same model or adapter that are ahead of
 // r.
 func (q *waitQueue) countAhead(r *Request) int {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -14,7 +14,7 @@
 	req *Request
 	// Either reservation or refused is set before ready is closed.
 	reservation *Reservation
-	refused     *RateLimitError
+	refused     error
 	ready       chan struct{}
 }
 
@@ -53,7 +53,8 @@
 }
 
 // Acquire reserves a server for a request and waits for one until the request's WaitUntil. The
-// error is ErrNoServer, ErrNoHall, ErrShed, ErrWaitTimeout, a *RateLimitError or the error of ctx.
+// error is ErrNoServer, ErrNoHall, ErrNoneAccepts, ErrShed, ErrWaitTimeout, a *RateLimitError or the
+// error of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Reservation, error) {
 	for {
 		res, err := d.reserveOrWait(ctx, r)
@@ -115,6 +116,8 @@
 		}
 	}
 	switch {
+	case d.noneAccepts(r.Service):
+		return ErrNoneAccepts
 	case r.Halls != nil && d.holderCount(r) == 0:
 		return ErrNoHall
 	case !mayWait:
@@ -125,6 +128,13 @@
 	return nil
 }
 
+// noneAccepts reports whether the service has servers, but none of them accepts requests. d.mu must
+// be held.
+func (d *Dispatcher) noneAccepts(service string) bool {
+	servers := d.servers.Service(service)
+	return len(servers) > 0 && !slices.ContainsFunc(servers, (*backend.Server).AcceptsRequests)
+}
+
 // enqueue adds a request to the wait queue. d.mu must be held.
 func (d *Dispatcher) enqueue(w *waiter) {
 	d.queue.add(w)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -80,6 +80,8 @@
 		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
 	case errors.Is(err, dispatch.ErrNoHall):
 		f.refuse(outcomeRefused, notRun("no server in an allowed region", retryAfterLoad()))
+	case errors.Is(err, dispatch.ErrNoneAccepts):
+		f.refuse(outcomeRefused, notRun("all servers are leaving", retryAfterReplacement()))
 	case errors.Is(err, dispatch.ErrShed):
 		f.refuse(outcomeRefused, notRun("more urgent requests wait", retryAfterShed(f.in)))
 	case f.ctx.Err() != nil:
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -54,6 +54,9 @@
 	// retryAfterUnknownModel is the Retry-After for a model that is not configured. By then, a configuration that another
 	// gateway already has is in force here.
 	retryAfterUnknownModel = 2 * time.Second
+	// minReplacementTime is the shortest Retry-After while all servers of a service are leaving. Their successors have to
+	// start first.
+	minReplacementTime = time.Second
 	// shedFraction is the fraction of the first-byte objective after which a shed request may be sent again
 	// (docs/design/0010).
 	shedFraction = 0.2
@@ -63,6 +66,9 @@
 // requests refused together are not retried together.
 func retryAfterLoad() time.Duration { return minRetryAfter + rand.N(2*minRetryAfter) }
 
+// retryAfterReplacement returns the randomised Retry-After for a request to a service whose servers are all leaving.
+func retryAfterReplacement() time.Duration { return minReplacementTime + rand.N(minReplacementTime) }
+
 // retryAfterShed returns the randomised Retry-After for a request that was shed.
 func retryAfterShed(in *inbound) time.Duration {
 	wait := time.Duration(shedFraction * float64(in.route.FirstByteObjective))
