gateway: responses to orders and reports announce as well that their server leaves

The leader calls engines more often than callers reach some of them, and a server that leaves says so in all its responses. Those to orders and reports were decoded without their headers.

--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -27,6 +27,7 @@
 	}
 	client := &http.Client{Transport: wire.NewDirectTransport(s.IdleTimeout.Std())}
 	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), &http.Client{Transport: wire.NewDirectTransport(storeIdleTimeout)}, metrics.StoreCall)
+	engines := platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), client)
 	return gateway.New(gateway.Options{
 		Settings:    s,
 		Names:       platform.HeaderNames(),
@@ -36,7 +37,8 @@
 		ProductKeys: store.ProductKeys(),
 		Eras:        store,
 		Decoder:     platform.Decoder{},
-		Engines:     platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), client),
+		Engines:     engines,
+		Calls:       engines,
 		Clock:       clock.NewSystem(),
 		Log:         log,
 		Metrics:     metrics,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,12 @@
 // EraNotifier calls a function with each new era of the store. Eras only increase.
 type EraNotifier interface{ OnEraChange(f func(era int64)) }
 
+// EngineCalls calls a function with the status and header of each response of a backend server to an order or a request
+// for its report.
+type EngineCalls interface {
+	OnResponse(f func(s *backend.Server, status int, h http.Header))
+}
+
 // Options configure a Gateway.
 type Options struct {
 	Settings config.Gateway
@@ -62,6 +68,8 @@
 	Eras    EraNotifier
 	Decoder Decoder
 	Engines backend.EngineClient
+	// Calls, if not nil, reports the responses that Engines receives.
+	Calls   EngineCalls
 	Clock   clock.Service
 	Log     *zap.Logger
 	Metrics Metrics
@@ -124,9 +132,13 @@
 	if o.Eras != nil {
 		o.Eras.OnEraChange(g.storeRestored)
 	}
+	observer := p.newResponseObserver(o)
+	if o.Calls != nil {
+		o.Calls.OnResponse(observer.observeCall)
+	}
 	g.listeners = newListeners(listenerOptions{
 		settings: o.Settings, log: o.Log, conns: p.conns, ready: readyRouter(o.ReadyPath, g.ready),
-		metrics: o.Metrics.Handler(), proxy: p.newProxy(o), peers: p.newPeerServer(o.Clock).router(),
+		metrics: o.Metrics.Handler(), proxy: p.newProxy(o, observer), peers: p.newPeerServer(o.Clock).router(),
 	})
 	return g
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -111,6 +111,9 @@
 	return env.engines.Order(ctx, s, o)
 }
 
+// OnResponse implements gateway.EngineCalls.
+func (env *testEnv) OnResponse(f func(s *backend.Server, status int, h http.Header)) { env.onResponse = f }
+
 // A testEnv is a gateway with a store and backend servers.
 type testEnv struct {
 	t       *testing.T
@@ -123,6 +126,8 @@
 	clock   clock.Service
 	routing routingFile
 	engines backend.EngineClient
+	// onResponse is the function that the last gateway has set for responses to its orders and requests for reports.
+	onResponse func(s *backend.Server, status int, h http.Header)
 	log     *zap.Logger
 	logs    *observer.ObservedLogs
 }
@@ -221,7 +226,7 @@
 func (env *testEnv) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
 	g := gateway.New(gateway.Options{
 		Settings: s, Names: names, ReadyPath: readyPath, Store: env.store, AllKeys: prefixes, ProductKeys: prefixes, Eras: env.store,
-		Decoder: decoder{}, Engines: env, Clock: env.clock, Log: env.log,
+		Decoder: decoder{}, Engines: env, Calls: env, Clock: env.clock, Log: env.log,
 	})
 	assert.NilError(env.t, g.Start())
 	env.t.Cleanup(func() {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// TestNoRequestsAfterLeavingInResponseToOrder checks that a server that announces that it is leaving in a response to an
+// order or a request for its report gets no further requests.
+func TestNoRequestsAfterLeavingInResponseToOrder(t *testing.T) {
+	a, b := newFakeServer(t, "a", respond(http.StatusOK, "ok")), newFakeServer(t, "b", respond(http.StatusOK, "ok"))
+	env := newTestEnv(t, a, b)
+	env.awaitServers(2)
+	env.onResponse(&backend.Server{ID: "a"}, http.StatusAccepted, http.Header{names.Leaving: {"1"}})
+	for range 3 {
+		assert.Equal(t, env.post(pathUnsafe, "x").status, http.StatusOK)
+	}
+	assert.Equal(t, a.count(), 0)
+}
+
 // TestMalformedLeavingHeader checks that a malformed announcement is logged and does not take a server out of use.
 func TestMalformedLeavingHeader(t *testing.T) {
 	tests := map[string][]string{
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -243,10 +243,10 @@
 	p.limiters.setGateways(gatewayIDs(list))
 }
 
-func (p *components) newProxy(o Options) *proxy {
+func (p *components) newProxy(o Options, observer *responseObserver) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, authenticator: p.newAuthenticator(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, requestLog: p.requestLog,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, observer: p.newResponseObserver(o), clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, observer: observer, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), bodyTimeout: o.Settings.BodyTimeout.Std(), regions: o.Settings.Regions,
 		buffers: newBufferMemory(o.Settings.MemoryMB),
 	}
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -290,9 +290,10 @@
 		zap.Float64(fieldPerSecond, c.PerSecond), zap.String(fieldOrigin, string(c.Origin)), zap.Float64(fieldAge, c.Age.Seconds()), suppressed)
 }
 
-// serverLeaving logs that a response to a request announced that its server is leaving.
-func (l *requestLog) serverLeaving(in *inbound, server string, status int) {
-	l.departure(departure.Announcement{Server: server, Origin: departure.OriginLocal}, zap.String(fieldRequest, in.id), zap.Int(fieldStatus, status))
+// serverLeaving logs that a response to this gateway announced that its server is leaving.
+func (l *requestLog) serverLeaving(r responseHead) {
+	l.departure(departure.Announcement{Server: r.server, Origin: departure.OriginLocal},
+		zap.String(fieldRequest, r.request), zap.Int(fieldStatus, r.status))
 }
 
 // departure counts and logs that a server announced that it is leaving. The lines are rate-limited.
