--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -112,7 +112,9 @@
 }
 
 // OnResponse implements gateway.EngineCalls.
-func (env *testEnv) OnResponse(f func(s *backend.Server, status int, h http.Header)) { env.onResponse = f }
+func (env *testEnv) OnResponse(f func(s *backend.Server, status int, h http.Header)) {
+	env.onResponse = f
+}
 
 // A testEnv is a gateway with a store and backend servers.
 type testEnv struct {
@@ -128,8 +130,8 @@
 	engines backend.EngineClient
 	// onResponse is the function that the last gateway has set for responses to its orders and requests for reports.
 	onResponse func(s *backend.Server, status int, h http.Header)
-	log     *zap.Logger
-	logs    *observer.ObservedLogs
+	log        *zap.Logger
+	logs       *observer.ObservedLogs
 }
 
 // Host and path prefixes of the tests' routes.
