gateway: log the time for which a server that refuses wants no requests

A refusal with Retry-After could not be told from one without in the gateways' logs: the line of the failed send had the status only. It has the header's value now; no decision changes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -139,7 +139,7 @@
 	res.Done(refusalResult(resp))
 	// Reading the body lets the connection be reused; after an error it is closed.
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
-	f.proxy.requestLog.sendFailed(f, res, "refused", eris.Errorf("status %d", resp.StatusCode))
+	f.proxy.requestLog.sendRefused(f, res, resp)
 	if f.headerSent.Load() || f.record.runs > 0 || f.record.sends > maxRefusals || !f.proxy.budgets.take(f.in) {
 		f.refuseNotRun(notRun("the servers are full", retryAfterLoad()), eris.New("gateway: server refused to resume the stream"))
 		return true
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -29,7 +29,7 @@
 )
 
 var names = wire.HeaderNames{
-	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Expect: "X-Expect", NotRun: "X-Unrun", ServerLimit: "X-Takes", Leaving: "X-Leaving",
+	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Expect: "X-Expect", NotRun: "X-Unrun", ServerLimit: "X-Takes", Leaving: "X-Leaving", RetryAfter: "Retry-After",
 	Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix", Priority: "X-Priority",
 	Organisation: "X-Organisation", Reserved: []string{"X-Hold", "X-Pin"},
 }
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -78,6 +79,7 @@
 	fieldState               = "state"
 	fieldOrigin              = "origin"
 	fieldPerSecond           = "per_second"
+	fieldRetryAfter          = "retry_after_s"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
@@ -319,11 +321,22 @@
 		zap.String(fieldLastEvent, f.lastEvent))
 }
 
+// sendRefused logs a send that the server refused. The line contains the time for which the server wants no requests,
+// if the response states one.
+func (l *requestLog) sendRefused(f *forwarder, res *dispatch.Reservation, resp *http.Response) {
+	retryAfter := zap.Skip()
+	if v := resp.Header.Get(l.names.RetryAfter); v != "" {
+		retryAfter = zap.String(fieldRetryAfter, v)
+	}
+	l.sendFailed(f, res, "refused", eris.Errorf("status %d", resp.StatusCode), retryAfter)
+}
+
 // sendFailed logs a send without a usable response.
-func (l *requestLog) sendFailed(f *forwarder, res *dispatch.Reservation, reason string, err error) {
-	l.log.Info(msgSendFailed, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.key),
+func (l *requestLog) sendFailed(f *forwarder, res *dispatch.Reservation, reason string, err error, more ...zap.Field) {
+	fields := append(more, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.key),
 		zap.String(fieldServer, res.Server().ID), zap.String(fieldAddr, res.Server().Addr), zap.String(fieldReason, reason), zap.Int(fieldRuns, f.record.runs),
 		l.ageField(f.in), telemetry.Error(err))
+	l.log.Info(msgSendFailed, fields...)
 }
 
 // ageField returns a field with the time since the request's arrival.
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -15,6 +15,9 @@
 	ServerLimit string
 	// Leaving is set to 1 on all responses of a backend server that is leaving.
 	Leaving string
+	// RetryAfter is set by backend servers on responses with status 503: the time for which they want no more requests
+	// from this sender, in seconds.
+	RetryAfter string
 	// NotRun is set on responses to requests that were not run.
 	NotRun string
 	// Model is the model's name, followed by a slash and the adapter's name if there is one.
