gateway: a server that refuses with Retry-After gets no requests for that time

A server had asked a gateway for 3 s of rest and got eight requests from it meanwhile, each refused within 1 ms. Callers were refused or served late although other servers were free: the repeats used up the retry budget, after which every first refusal ended a request. Cause: nothing read the header, and a refusal counts neither as a failure nor as load, so it left the refusing server the best choice for the next request; only the refused request itself avoided it, for one send, and alternated between two.

The gateway's one observer of responses reads it (503 and 429; one decimal number, at most 10 minutes). dispatch keeps the pause with the load of the instance, where Acquire looks for the first send, a repeat, a request that waits and a resumed stream alike, and looks once more when the approvals of a reservation are obtained. A longer pause stands against a shorter one; a lapse of the record does not end it; a new instance begins without. Other servers are tried at once. If there are none, the end of the first pause is compared with the time that the request has: it waits in its order, requests of plain services included, or is refused at once with that end as Retry-After. After its pause a server gets one request each 250 ms until it accepts one, and gateways return spread over 5 ms each, so that neither the waiting requests of one gateway nor 356 gateways return together. A pause is no failure.

--- a/clock/clocktest/clock.go
+++ b/clock/clocktest/clock.go
@@ -36,6 +36,13 @@
 	return c.now
 }
 
+// Timers returns the number of calls that are scheduled.
+func (c *Clock) Timers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
 // Subscribe implements clock.Service. Advance calls f.
 func (c *Clock) Subscribe(interval time.Duration, f func(now time.Time)) (stop func()) {
 	s := &call{clock: c, interval: interval, f: f}
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -43,6 +43,13 @@
 	return x
 }
 
+// addWaiting changes the number of waiting requests. Requests to plain services are not counted.
+func (t *demandTable) addWaiting(r *Request, change int) {
+	if r.Model != "" {
+		t.get(r).Waiting += change
+	}
+}
+
 func (t *demandTable) snapshot() map[string]Demand {
 	out := make(map[string]Demand, len(t.byTarget))
 	for target, x := range t.byTarget {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -66,6 +66,8 @@
 	speeds      speedEstimates
 	// shedders holds the shedder of each service.
 	shedders map[string]*shedder
+	// pausedUntil is the time from which no server is paused.
+	pausedUntil time.Time
 	// nextServe is when serveWaiting is scheduled to run next; zero if it is not scheduled.
 	nextServe time.Time
 }
@@ -84,8 +86,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.servers = s
+	now := d.opts.Clock.Now()
 	for id, l := range d.loads {
-		if _, ok := s.Server(id); !ok && l.Running == 0 {
+		if _, ok := s.Server(id); !ok && l.Running == 0 && !now.Before(l.pause.endsAt) {
 			delete(d.loads, id)
 			d.owners.removeServer(id)
 		}
@@ -155,7 +158,7 @@
 	var missing []string
 	for _, w := range d.queue.list {
 		target := w.req.targetKey()
-		if seen[target] {
+		if w.req.Model == "" || seen[target] {
 			continue
 		}
 		seen[target] = true
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -4,13 +4,13 @@
 // Each engine has one owner among the gateways, which admits the requests of all gateways to it. If
 // the owner does not respond, a gateway decides from the loads that it knows. A Dispatcher combines
 // server selection (Candidate, Choose), admission to the engines that this gateway owns (Admit,
-// AdmissionRequest), permits for servers with a rate limit (Permits), the queue of waiting
-// requests, load shedding by priority, a model of each engine's prefill work (PrefillSpeeds), an
+// AdmissionRequest), permits for servers with a rate limit (Permits), the pauses that servers ask this
+// gateway for (Pause), the queue of waiting requests, load shedding by priority, a model of each engine's prefill work (PrefillSpeeds), an
 // estimate of the prefixes that each engine has cached (PrefixBlock), and counters of the demand
 // for each model (Demand).
 //
 // An engine is a backend server that runs models. A plain service has no models; requests to it
-// never wait.
+// wait only for the end of a pause.
 //
 // A Dispatcher owns the requests that this process has sent and not finished, and those that wait.
 // The caller provides the loads of other processes (SetRemoteLoads), the servers and the models that
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -56,6 +56,7 @@
 	// has denied admission.
 	admissionDeniedUntil time.Time
 	permits              permitState
+	pause                pauseState
 	// notResidentUntil holds, for each model or adapter that the engine refused because it does not
 	// hold it, the time until which no request for it is sent to the engine.
 	notResidentUntil map[string]time.Time
@@ -78,10 +79,13 @@
 // eligibleFrom returns the earliest time at which the server may be chosen for a model or
 // adapter.
 func (l *serverLoad) eligibleFrom(target string) time.Time {
-	if until := l.notResidentUntil[target]; until.After(l.admissionDeniedUntil) {
-		return until
+	from := l.admissionDeniedUntil
+	for _, other := range []time.Time{l.notResidentUntil[target], l.pause.nextTrial} {
+		if other.After(from) {
+			from = other
+		}
 	}
-	return l.admissionDeniedUntil
+	return from
 }
 
 // isStalled reports whether a first byte is outstanding and the server has sent nothing for
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -44,6 +44,11 @@
 	consecutiveDenials int
 }
 
+// isBlocked reports whether no permit may be requested now for a request that can wait.
+func (p *permitState) isBlocked(now time.Time) bool {
+	return now.Before(p.deniedUntil) || p.pending > 0
+}
+
 // rateLimitOf returns a server's rate limit in requests per second; ok is false if it has none.
 func (d *Dispatcher) rateLimitOf(server string) (perSecond float64, ok bool) {
 	if !d.hasRateLimits() {
@@ -121,45 +126,73 @@
 	}
 }
 
-// estimatePermitWait estimates how long a request has to wait if every server that could take it
-// has a rate limit and no permit may be requested for any of them now. ok is false if one of these
-// servers has no rate limit or a permit may be requested for it now, if no server could take the
-// request, or if an engine without a rate limit could load the adapter that the request needs.
+// A waitEstimate is the estimated wait of a request for a server.
+type waitEstimate struct {
+	// blocked is set if every server that could take the request is paused, or has a rate limit and no
+	// permit may be requested for it now. The other fields are set only then.
+	blocked bool
+	// wait is the estimated time until a server can take the request.
+	wait time.Duration
+	// paused is set if one of these servers has no rate limit, so that it takes any number of requests after
+	// its pause.
+	paused bool
+}
+
+// err returns the error for a request that cannot wait for that long.
+func (e waitEstimate) err() error {
+	if e.paused {
+		return &PausedError{RetryAfter: e.wait}
+	}
+	return &RateLimitError{RetryAfter: e.wait}
+}
+
+// estimateWait estimates how long a request has to wait if every server that could take it is blocked.
+// It does not apply if one of these servers is not, if no server could take the request, or if an engine
+// that is not blocked could load the adapter that the request needs.
 //
-// ahead is the number of requests for the same model or service that are ahead in the wait queue.
-// Consecutive denials show that requests of other gateways wait as well; each gateway is then
-// assumed to receive an equal share of the rate. d.mu must be held.
-func (d *Dispatcher) estimatePermitWait(r *Request, ahead int, now time.Time) (wait time.Duration, ok bool) {
+// ahead is the number of requests for the same model or service that are ahead in the wait queue. It
+// counts if all servers have rate limits. Consecutive denials show that requests of other gateways wait
+// as well; each gateway is then assumed to receive an equal share of the rate. d.mu must be held.
+func (d *Dispatcher) estimateWait(r *Request, ahead int, now time.Time) waitEstimate {
+	if !d.hasRateLimits() && !d.hasPauses(now) {
+		return waitEstimate{}
+	}
+	var e waitEstimate
 	var soonest time.Time
 	perSecond := 0.0
 	contested := true
 	for _, s := range d.servers.WithModel(r.Service, r.Model) {
 		rate, limited := d.rateLimitOf(s.ID)
-		if !limited && d.canLoadAdapter(r, s) {
-			return 0, false
+		l := d.loadOf(s.ID)
+		isPaused := now.Before(l.pause.nextTrial)
+		if !limited && !isPaused && d.canLoadAdapter(r, s) {
+			return waitEstimate{}
 		}
 		if !d.isEligible(r, s) {
 			continue
 		}
-		p := d.loadOf(s.ID).permits
-		from := p.deniedUntil
-		if !limited || !now.Before(from) && p.pending == 0 {
-			return 0, false
+		if !isPaused && !(limited && l.permits.isBlocked(now)) {
+			return waitEstimate{}
+		}
+		from := l.pause.nextTrial
+		if limited && l.permits.deniedUntil.After(from) {
+			from = l.permits.deniedUntil
 		}
-		contested = contested && p.consecutiveDenials > 1
-		if !ok || from.Before(soonest) {
-			soonest, ok = from, true
+		e.paused = e.paused || !limited
+		contested = contested && l.permits.consecutiveDenials > 1
+		if !e.blocked || from.Before(soonest) {
+			soonest, e.blocked = from, true
 		}
 		perSecond += rate
 	}
-	wait = max(soonest.Sub(now), 0)
+	e.wait = max(soonest.Sub(now), 0)
 	if contested {
 		ahead++
 	}
-	if ok && ahead > 0 {
-		wait += time.Duration(float64(ahead*max(len(d.owners.gateways), 1)) / max(perSecond, minRate) * float64(time.Second))
+	if e.blocked && !e.paused && ahead > 0 {
+		e.wait += time.Duration(float64(ahead*max(len(d.owners.gateways), 1)) / max(perSecond, minRate) * float64(time.Second))
 	}
-	return wait, ok
+	return e
 }
 
 // minRate is the lower bound of the rate used in the estimate, in requests per second. It keeps the
@@ -168,40 +201,37 @@
 
 // refuseUnservable refuses the waiting requests that no server can take in time. d.mu must be held.
 func (d *Dispatcher) refuseUnservable(now time.Time) {
-	ahead := make(map[string]int)
+	ahead := make(map[queueKey]int)
 	for _, w := range d.queue.list {
-		target := w.req.targetKey()
-		if w.refused = d.unservable(w.req, ahead[target], now); w.refused != nil {
-			d.demand.get(w.req).Waiting--
+		key := w.req.queueKey()
+		if w.refused = d.unservable(w.req, ahead[key], now); w.refused != nil {
+			d.demand.addWaiting(w.req, -1)
 			close(w.ready)
 			continue
 		}
-		ahead[target]++
+		ahead[key]++
 	}
 	d.queue.removeRefused()
 }
 
 // unservable returns the reason why no server can take a waiting request in time, or nil. ahead is the
-// number of requests for the same model or adapter that are ahead in the wait queue. d.mu must be held.
+// number of requests that need the same servers and are ahead in the wait queue. d.mu must be held.
 func (d *Dispatcher) unservable(r *Request, ahead int, now time.Time) error {
 	if d.noneAccepts(r.Service) {
 		return ErrNoneAccepts
 	}
-	if !d.hasRateLimits() {
-		return nil
-	}
-	if wait, ok := d.estimatePermitWait(r, ahead, now); ok && now.Add(wait).After(r.WaitUntil) {
-		return &RateLimitError{RetryAfter: wait}
+	if e := d.estimateWait(r, ahead, now); e.blocked && now.Add(e.wait).After(r.WaitUntil) {
+		return e.err()
 	}
 	return nil
 }
 
-// countAhead returns the number of waiting requests for the same model or adapter that are ahead of
-// r.
+// countAhead returns the number of waiting requests that need the same servers as r and are ahead of
+// it.
 func (q *waitQueue) countAhead(r *Request) int {
 	n := 0
 	for _, w := range q.list {
-		if w.req.targetKey() == r.targetKey() && (r.sequence == 0 && w.req.Priority <= r.Priority || r.sequence != 0 && w.req.isAheadOf(r)) {
+		if w.req.queueKey() == r.queueKey() && (r.sequence == 0 && w.req.Priority <= r.Priority || r.sequence != 0 && w.req.isAheadOf(r)) {
 			n++
 		}
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -81,6 +81,11 @@
 	return r.Model + "/" + r.Adapter
 }
 
+// A queueKey identifies requests that need the same servers.
+type queueKey struct{ service, target string }
+
+func (r *Request) queueKey() queueKey { return queueKey{service: r.Service, target: r.targetKey()} }
+
 // isAheadOf reports whether r is ahead of o in the wait queue.
 func (r *Request) isAheadOf(o *Request) bool {
 	if r.Priority != o.Priority {
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -50,6 +50,8 @@
 		res.permitPending = true
 		l.permits.pending++
 	}
+	l.pause.recordSend(res.sentAt)
+	d.notePause(l.pause.nextTrial)
 	l.Running++
 	l.PrefillMs += res.prefillMs
 	l.UsedTokens += res.usedTokens
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -53,8 +53,8 @@
 }
 
 // Acquire reserves a server for a request and waits for one until the request's WaitUntil. The
-// error is ErrNoServer, ErrNoHall, ErrNoneAccepts, ErrShed, ErrWaitTimeout, a *RateLimitError or the
-// error of ctx.
+// error is ErrNoServer, ErrNoHall, ErrNoneAccepts, ErrShed, ErrWaitTimeout, a *RateLimitError, a
+// *PausedError or the error of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Reservation, error) {
 	for {
 		res, err := d.reserveOrWait(ctx, r)
@@ -70,12 +70,13 @@
 	}
 }
 
-// confirm reports whether the reserved server still accepts requests: its approvals take time, during
-// which it may have announced that it is leaving. If it does not, the reservation has been released.
+// confirm reports whether the reserved server still takes requests: its approvals take time, during
+// which it may have announced that it is leaving, or have asked for a pause. If it does not, the
+// reservation has been released.
 func (d *Dispatcher) confirm(res *Reservation) bool {
 	d.mu.Lock()
 	s, ok := d.servers.Server(res.server.ID)
-	if ok && s.AcceptsRequests() {
+	if ok && s.AcceptsRequests() && !d.opts.Clock.Now().Before(res.load.pause.endsAt) {
 		d.mu.Unlock()
 		return true
 	}
@@ -87,7 +88,7 @@
 }
 
 // reserveOrWait reserves a server according to this gateway's state; a permit or the owner's
-// admission may still be required. Requests to plain services never wait.
+// admission may still be required. Requests to plain services wait only for the end of a pause.
 func (d *Dispatcher) reserveOrWait(ctx context.Context, r *Request) (*Reservation, error) {
 	d.mu.Lock()
 	if res := d.tryReserve(r); res != nil {
@@ -109,10 +110,10 @@
 func (d *Dispatcher) checkMayWait(r *Request) error {
 	now := d.opts.Clock.Now()
 	mayWait := r.Model != "" && now.Before(r.WaitUntil)
-	if d.hasRateLimits() {
-		wait, ok := d.estimatePermitWait(r, d.queue.countAhead(r), now)
-		if ok && (!mayWait || now.Add(wait).After(r.WaitUntil)) {
-			return &RateLimitError{RetryAfter: wait}
+	if e := d.estimateWait(r, d.queue.countAhead(r), now); e.blocked {
+		mayWait = mayWait || e.paused
+		if !mayWait || now.Add(e.wait).After(r.WaitUntil) {
+			return e.err()
 		}
 	}
 	switch {
@@ -138,8 +139,8 @@
 // enqueue adds a request to the wait queue. d.mu must be held.
 func (d *Dispatcher) enqueue(w *waiter) {
 	d.queue.add(w)
-	d.demand.get(w.req).Waiting++
-	if d.opts.OnModelMissing != nil && d.holderCount(w.req) == 0 {
+	d.demand.addWaiting(w.req, 1)
+	if d.opts.OnModelMissing != nil && w.req.Model != "" && d.holderCount(w.req) == 0 {
 		d.opts.OnModelMissing()
 	}
 }
@@ -163,7 +164,7 @@
 		return nil, ctx.Err()
 	}
 	d.queue.remove(w)
-	d.demand.get(w.req).Waiting--
+	d.demand.addWaiting(w.req, -1)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -177,7 +178,7 @@
 		return
 	}
 	now := d.opts.Clock.Now()
-	full := make(map[string]bool)
+	full := make(map[queueKey]bool)
 	for _, w := range d.queue.list {
 		if now.Before(w.req.SendBy) {
 			d.reserveForWaiter(w, full)
@@ -193,18 +194,18 @@
 }
 
 // reserveForWaiter reserves a server for a waiting request if one can take it. full records the
-// models and adapters for which there was none.
-func (d *Dispatcher) reserveForWaiter(w *waiter, full map[string]bool) {
-	target := w.req.targetKey()
-	if full[target] {
+// services, models and adapters for which there was none.
+func (d *Dispatcher) reserveForWaiter(w *waiter, full map[queueKey]bool) {
+	key := w.req.queueKey()
+	if full[key] {
 		return
 	}
 	res := d.tryReserve(w.req)
 	if res == nil {
-		full[target] = len(w.req.Exclude) == 0
+		full[key] = len(w.req.Exclude) == 0
 		return
 	}
-	d.demand.get(w.req).Waiting--
+	d.demand.addWaiting(w.req, -1)
 	w.reservation = res
 	close(w.ready)
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -69,6 +69,7 @@
 // endUnserved ends a request for which no server could be acquired.
 func (f *forwarder) endUnserved(err error) {
 	var limited *dispatch.RateLimitError
+	var paused *dispatch.PausedError
 	switch {
 	case f.isCallerGone():
 		f.record.outcome = outcomeCallerGone
@@ -78,6 +79,8 @@
 		f.refuseNotRun(nil, eris.Wrap(err, "gateway: no server to send the request to again"))
 	case errors.As(err, &limited):
 		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
+	case errors.As(err, &paused):
+		f.refuse(outcomeRefused, notRun("the servers want no requests now", retryAfterPause(paused.RetryAfter)))
 	case errors.Is(err, dispatch.ErrNoHall):
 		f.refuse(outcomeRefused, notRun("no server in an allowed region", retryAfterLoad()))
 	case errors.Is(err, dispatch.ErrNoneAccepts):
@@ -141,9 +144,14 @@
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
 	f.proxy.requestLog.sendRefused(f, res, resp)
 	if f.headerSent.Load() || f.record.runs > 0 || f.record.sends > maxRefusals || !f.proxy.budgets.take(f.in) {
-		f.refuseNotRun(notRun("the servers are full", retryAfterLoad()), eris.New("gateway: server refused to resume the stream"))
+		f.refuseNotRun(notRun("the servers are full", f.retryAfterRefusal()), eris.New("gateway: server refused to resume the stream"))
 		return true
 	}
+	if f.proxy.dispatcher.IsPaused(res.Server().ID) {
+		// The server gets no request before the end of its pause, so the next send is to another one, or after it.
+		f.req.Exclude = nil
+		return false
+	}
 	// Only the last server is excluded: the others may have capacity again.
 	f.req.Exclude = []string{res.Server().ID}
 	if f.record.sends > 1 {
@@ -152,6 +160,15 @@
 	return false
 }
 
+// retryAfterRefusal returns the Retry-After for a request that servers have refused: the end of the first pause if all
+// servers that could take it are paused.
+func (f *forwarder) retryAfterRefusal() time.Duration {
+	if wait := f.proxy.dispatcher.PauseRemaining(&f.req); wait > 0 {
+		return retryAfterPause(wait)
+	}
+	return retryAfterLoad()
+}
+
 // refusalResult returns the result of a refused send for the dispatcher.
 func refusalResult(resp *http.Response) dispatch.SendResult {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -7,6 +7,7 @@
 	"rockcleat/backend"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
+	"rockcleat/internal/decimal"
 	"rockcleat/internal/wire"
 	"rockcleat/serverlimit"
 )
@@ -16,6 +17,7 @@
 	names        wire.HeaderNames
 	serverLimits *serverlimit.Table
 	departures   *departure.Table
+	dispatcher   *dispatch.Dispatcher
 	requestLog   *requestLog
 }
 
@@ -31,7 +33,7 @@
 
 func (p *components) newResponseObserver(o Options) *responseObserver {
 	return &responseObserver{
-		names: o.Names, serverLimits: p.serverLimits.Table, departures: p.departures, requestLog: p.requestLog,
+		names: o.Names, serverLimits: p.serverLimits.Table, departures: p.departures, dispatcher: p.dispatcher, requestLog: p.requestLog,
 	}
 }
 
@@ -44,6 +46,7 @@
 	r := responseHead{server: res.Server().ID, status: resp.StatusCode, header: resp.Header, request: in.id}
 	o.observeLimit(r, sent)
 	o.observeLeaving(r)
+	o.observePause(r, sent)
 }
 
 // observeCall evaluates a response to an order or to a request for a report.
@@ -79,3 +82,45 @@
 // isLeaving reports whether the values of the header by which a server announces that it is leaving are valid: a
 // single 1.
 func isLeaving(values []string) bool { return len(values) == 1 && values[0] == "1" }
+
+// observePause records that a server that refuses a request wants no requests for some time, or that it has accepted
+// one.
+func (o *responseObserver) observePause(r responseHead, sent time.Time) {
+	if !isRefusal(r.status) {
+		if o.dispatcher.RecordAccepted(r.server, sent) {
+			o.requestLog.pauseEnded(r)
+		}
+		return
+	}
+	values := r.header.Values(o.names.RetryAfter)
+	if len(values) == 0 {
+		return
+	}
+	period, ok := parseRetryAfter(values)
+	if !ok {
+		o.requestLog.malformedAnnouncement(r.server, o.names.RetryAfter, values)
+		return
+	}
+	if period > 0 {
+		o.requestLog.serverPaused(r, period, o.dispatcher.Pause(r.server, period))
+	}
+}
+
+// isRefusal reports whether a response with a status may state when the server takes requests again.
+func isRefusal(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// parseRetryAfter parses the values of a Retry-After header. Valid is a single decimal number of seconds; a date is not,
+// since the clocks of servers and gateways differ.
+func parseRetryAfter(values []string) (time.Duration, bool) {
+	if len(values) != 1 {
+		return 0, false
+	}
+	seconds, ok := decimal.Parse(values[0])
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), ok
+}
+
+// maxRetryAfter is the maximum time that a server may state. It keeps an absurd value from taking a server out of use for
+// good.
+const maxRetryAfter = 10 * time.Minute
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -102,9 +103,17 @@
 }
 
 // TestNoRequestsWhileServerPauses checks that a server that refuses a request with a Retry-After gets no requests for
-// that time, and that other servers serve them meanwhile.
+// that time and is used again afterwards. Meanwhile, other servers serve the requests; if there are none, the requests
+// are refused at once, and told when a server takes requests again.
 func TestNoRequestsWhileServerPauses(t *testing.T) {
-	const pause = 2 * time.Second
+	const (
+		interval = 25 * time.Millisecond
+		pause    = 2 * time.Second
+		// refusing is how long the servers refuse requests. Their last pause ends before usedAgain.
+		refusing  = time.Second
+		usedAgain = refusing + pause + 200*time.Millisecond
+		during    = usedAgain + time.Second
+	)
 	tests := map[string]struct{ isEngine, allPause bool }{
 		"plain service, one of two": {}, "plain service, all": {allPause: true},
 		"engines, one of two": {isEngine: true}, "engines, all": {isEngine: true, allPause: true},
@@ -117,13 +126,113 @@
 				servers[1].setRetryAfter("2")
 			}
 			c := newPausingEnv(t, test.isEngine, servers...)
-			c.run(25*time.Millisecond, pause+pause/2)
+			time.AfterFunc(refusing, func() {
+				servers[0].setRetryAfter("")
+				servers[1].setRetryAfter("")
+			})
+			c.run(interval, during)
 			for _, s := range servers {
 				got := s.maxInPause(pause)
 				assert.Assert(t, got <= maxInPause, "%d requests within a pause of %s", got, pause)
 			}
-			refused := c.checkRefusals(t, 0)
-			assert.Assert(t, test.allPause || refused == 0, "%d refused, the other server takes them all", refused)
+			if !test.allPause {
+				assert.Equal(t, c.checkRefusals(t, 0), 0, "the other server takes them all")
+				return
+			}
+			c.checkRefusals(t, 0)
+			for _, r := range c.results {
+				if r.status == http.StatusOK {
+					continue
+				}
+				wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				back := r.sent + r.took + time.Duration(wait*float64(time.Second))
+				assert.Assert(t, back >= pause && r.sent < usedAgain, "sent at %s, may return at %s", r.sent, back)
+			}
+		})
+	}
+}
+
+// TestRetryAfterValues checks which values of a Retry-After take a server out of use, and that one which is malformed
+// is logged.
+func TestRetryAfterValues(t *testing.T) {
+	tests := map[string]struct {
+		values            []string
+		pauses, malformed bool
+	}{
+		"seconds":   {values: []string{"12"}, pauses: true},
+		"fraction":  {values: []string{"12.5"}, pauses: true},
+		"zero":      {values: []string{"0"}},
+		"huge":      {values: []string{"999999999999999999999"}, pauses: true},
+		"empty":     {values: []string{""}, malformed: true},
+		"negative":  {values: []string{"-1"}, malformed: true},
+		"exponent":  {values: []string{"1e300"}, malformed: true},
+		"NaN":       {values: []string{"NaN"}, malformed: true},
+		"infinite":  {values: []string{"Inf"}, malformed: true},
+		"date":      {values: []string{"Thu, 03 Dec 2026 18:00:00 GMT"}, malformed: true},
+		"two":       {values: []string{"1", "1"}, malformed: true},
+		"a comment": {values: []string{"2; soon"}, malformed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := newFakeServer(t, "a", firstThen(func(c *call) bool {
+				headers := []string{names.NotRun + ": 1", "Content-Length: 0"}
+				for _, v := range test.values {
+					headers = append(headers, names.RetryAfter+": "+v)
+				}
+				c.write(c.head(http.StatusServiceUnavailable, headers...))
+				return true
+			}, respond(http.StatusOK, "ok")))
+			env := newTestEnv(t, a)
+			_ = env.post(pathUnsafe, "first")
+			before := a.count()
+			_ = env.post(pathUnsafe, "second")
+			assert.Equal(t, a.count() == before, test.pauses)
+			assert.Equal(t, env.logs.FilterMessage("server paused").Len() > 0, test.pauses)
+			assert.Equal(t, env.logs.FilterMessage("header malformed, ignored").Len() > 0, test.malformed)
+		})
+	}
+}
+
+// TestResponsesThatDoNotPause checks that a Retry-After counts only in a refusal of this request by the intended server.
+func TestResponsesThatDoNotPause(t *testing.T) {
+	pause := names.RetryAfter + ": 5"
+	tests := map[string]responder{
+		"success": func(c *call) bool {
+			c.write(c.head(http.StatusOK, pause, "Content-Length: 2"), "ok")
+			return true
+		},
+		"client error": func(c *call) bool {
+			c.write(c.head(http.StatusConflict, pause, "Content-Length: 0"))
+			return true
+		},
+		"misdirected": func(c *call) bool {
+			c.write(c.head(http.StatusMisdirectedRequest, pause, "Content-Length: 0"))
+			return true
+		},
+		"response to another request": func(c *call) bool {
+			c.Header.Set(names.RequestID, "another")
+			c.write(c.head(http.StatusServiceUnavailable, pause, "Content-Length: 0"))
+			return true
+		},
+	}
+	for name, first := range tests {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, newFakeServer(t, "a", firstThen(first, respond(http.StatusOK, "ok"))))
+			_ = env.post(pathUnsafe, "first")
+			env.awaitPath(pathSafe, http.StatusOK)
+			assert.Equal(t, env.logs.FilterMessage("server paused").Len(), 0)
 		})
 	}
 }
+
+// TestRestartedServerIsUsedDuringPauseOfItsPredecessor checks that a pause ends with the instance that asked for it.
+func TestRestartedServerIsUsedDuringPauseOfItsPredecessor(t *testing.T) {
+	a := newPausingServer(t, "a", "60")
+	env := newTestEnv(t, a.fakeServer)
+	assert.Equal(t, env.post(pathUnsafe, "first").status, http.StatusServiceUnavailable)
+	a.setRetryAfter("")
+	assert.Equal(t, env.post(pathUnsafe, "second").status, http.StatusServiceUnavailable)
+	env.putRecord(backend.Server{ID: "a2", Instance: "a", Service: "app", Addr: a.addr, Hall: "h", Slots: 4})
+	env.awaitPath(pathSafe, http.StatusOK)
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -82,6 +82,11 @@
 	return wait + rand.N(wait)
 }
 
+// retryAfterPause returns the randomised Retry-After for a request whose servers want no requests for the given time.
+func retryAfterPause(wait time.Duration) time.Duration {
+	return max(wait, minRetryAfter) + rand.N(2*minRetryAfter)
+}
+
 // notRun returns the refusal of a request that has certainly not run.
 func notRun(reason string, retryAfter time.Duration) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason + "; not run", retryAfter: retryAfter}
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -33,6 +33,7 @@
 	msgMalformedHeader    = "header malformed, ignored"
 	msgServerCrashed      = "server ended"
 	msgServerLimit        = "server limit"
+	msgServerPaused       = "server paused"
 	msgServerLeaving      = "server announces that it is leaving"
 )
 
@@ -82,6 +83,13 @@
 	fieldRetryAfter          = "retry_after_s"
 )
 
+// States of a server's pause, as used in log lines and metrics.
+const (
+	pauseBegan    = "began"
+	pauseExtended = "extended"
+	pauseEnded    = "ended"
+)
+
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
 const (
 	// answeredRate and answeredBurst limit lines about answered requests.
@@ -104,6 +112,9 @@
 	// serverLeaveRate and serverLeaveBurst limit lines about leaving servers, of which many may leave together.
 	serverLeaveRate  = 5
 	serverLeaveBurst = 60
+	// serverPauseRate and serverPauseBurst limit lines about pauses of servers, which can change with each response.
+	serverPauseRate  = 5
+	serverPauseBurst = 60
 )
 
 // Metrics records metrics of a gateway.
@@ -122,6 +133,8 @@
 	QuotaCharged(organisation, outcome string, cost float64)
 	// ServerLimitChanged counts a change of a rate limit that a server announces, by state.
 	ServerLimitChanged(state string)
+	// ServerPause counts a change of the time for which a server wants no requests, by state.
+	ServerPause(state string)
 	// ServerDeparture counts a server that announced that it is leaving, by origin of the announcement.
 	ServerDeparture(origin string)
 	// PermitRequested counts a request for a permit of a server's rate limit. outcome is "inside", "over" or "unknown".
@@ -138,6 +151,7 @@
 func (noMetrics) RequestEnded(string, string, float64, float64) {}
 func (noMetrics) RequestSent(string, bool)                      {}
 func (noMetrics) ServerLimitChanged(string)                     {}
+func (noMetrics) ServerPause(string)                            {}
 func (noMetrics) ServerDeparture(string)                        {}
 func (noMetrics) PermitRequested(string)                        {}
 func (noMetrics) ServerCrashed(string)                          {}
@@ -156,9 +170,9 @@
 	quarantined *rate.Limiter
 	suppressed  atomic.Uint64
 	malformed   *rate.Limiter
-	// overLimit limits the lines about requests over a rate limit, serverLimit those about servers' rate limits and
-	// serverLeave those about leaving servers.
-	overLimit, serverLimit, serverLeave *lineLimiter
+	// overLimit limits the lines about requests over a rate limit, serverLimit those about servers' rate limits,
+	// serverLeave those about leaving servers and serverPause those about pauses of servers.
+	overLimit, serverLimit, serverLeave, serverPause *lineLimiter
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.HeaderNames) *requestLog {
@@ -170,6 +184,7 @@
 		malformed:   rate.NewLimiter(malformedRate, malformedBurst),
 		serverLimit: newLineLimiter(serverLimitRate, serverLimitBurst),
 		serverLeave: newLineLimiter(serverLeaveRate, serverLeaveBurst),
+		serverPause: newLineLimiter(serverPauseRate, serverPauseBurst),
 	}
 }
 
@@ -310,6 +325,30 @@
 	l.log.Info(msgServerLeaving, fields...)
 }
 
+// serverPaused counts and logs that a server wants no requests for a time. The lines are rate-limited; one is written for
+// the beginning of a pause and each extension.
+func (l *requestLog) serverPaused(r responseHead, period time.Duration, began bool) {
+	state := pauseExtended
+	if began {
+		state = pauseBegan
+	}
+	l.pauseChanged(r, state, zap.Float64(fieldRetryAfter, period.Seconds()))
+}
+
+// pauseEnded counts and logs that a server has accepted a request after a pause. The lines are rate-limited.
+func (l *requestLog) pauseEnded(r responseHead) { l.pauseChanged(r, pauseEnded) }
+
+func (l *requestLog) pauseChanged(r responseHead, state string, fields ...zap.Field) {
+	l.metrics.ServerPause(state)
+	suppressed, ok := l.serverPause.allow(l.clock.Now())
+	if !ok {
+		return
+	}
+	fields = append(fields, zap.String(fieldServer, r.server), zap.String(fieldState, state), zap.String(fieldRequest, r.request),
+		zap.Int(fieldStatus, r.status), suppressed)
+	l.log.Info(msgServerPaused, fields...)
+}
+
 // recordSend counts a send, and logs it if it is a retry.
 func (l *requestLog) recordSend(f *forwarder, res *dispatch.Reservation) {
 	retry := f.record.sends > 0
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -41,6 +41,8 @@
 	serverLimits metric.Int64Counter
 	// serverDepartures counts the servers that announced that they are leaving.
 	serverDepartures metric.Int64Counter
+	// serverPauses counts the changes of pauses that servers asked for.
+	serverPauses metric.Int64Counter
 	// permits counts the requests for permits at servers with limits.
 	permits metric.Int64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
@@ -79,6 +81,7 @@
 	m.serverCrashes = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
 	m.serverLimits = b.counter("rockcleat.gateway.server_limits", "Limits that backend servers named for themselves, by what became of them.")
 	m.serverDepartures = b.counter("rockcleat.gateway.server_departures", "Backend servers that announced that they are leaving, by origin of the announcement.")
+	m.serverPauses = b.counter("rockcleat.gateway.server_pauses", "Pauses that backend servers asked for in refusals, by state.")
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
@@ -150,6 +153,11 @@
 	m.serverLimits.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
 }
 
+// ServerPause counts a change of the time for which a backend server wants no requests, by state.
+func (m *GatewayMetrics) ServerPause(state string) {
+	m.serverPauses.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
+}
+
 // ServerDeparture counts a backend server that announced that it is leaving, by origin of the announcement.
 func (m *GatewayMetrics) ServerDeparture(origin string) {
 	m.serverDepartures.Add(context.Background(), 1, m.attributeSet("origin", origin, "", ""))
--- a/serverlimit/reading.go
+++ b/serverlimit/reading.go
@@ -1,9 +1,6 @@
 package serverlimit
 
-import (
-	"strconv"
-	"strings"
-)
+import "rockcleat/internal/decimal"
 
 // A HeaderKind says whether a response announces a limit.
 type HeaderKind int
@@ -25,12 +22,8 @@
 	PerSecond float64
 }
 
-const (
-	// maxRateLength is the maximum length of a rate in the header, in bytes.
-	maxRateLength = 24
-	// maxPerSecond is the maximum rate, in requests per second. It is above the rate of any server.
-	maxPerSecond = 1e6
-)
+// maxPerSecond is the maximum rate, in requests per second. It is above the rate of any server.
+const maxPerSecond = 1e6
 
 // ParseHeader parses the values of the limit header of a response. Valid are a single decimal number without sign or
 // exponent, or no value. A repeated header is invalid, since the values may contradict each other.
@@ -39,28 +32,15 @@
 	case 0:
 		return HeaderLimit{Kind: NoLimit}
 	case 1:
-		return parse(strings.Trim(values[0], " \t"))
+		return parse(values[0])
 	}
 	return HeaderLimit{Kind: Invalid}
 }
 
 func parse(text string) HeaderLimit {
-	if !isDecimal(text) {
-		return HeaderLimit{Kind: Invalid}
-	}
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || rate > maxPerSecond {
+	rate, ok := decimal.Parse(text)
+	if !ok || rate > maxPerSecond {
 		return HeaderLimit{Kind: Invalid}
 	}
 	return HeaderLimit{Kind: Limited, PerSecond: rate}
 }
-
-// isDecimal reports whether the text consists of digits with at most one decimal point, which is not first.
-func isDecimal(text string) bool {
-	whole, fraction, _ := strings.Cut(text, ".")
-	return len(text) <= maxRateLength && whole != "" && isDigits(whole) && isDigits(fraction)
-}
-
-func isDigits(text string) bool {
-	return strings.Trim(text, "0123456789") == ""
-}
