placer: an engine that asks for a pause gets no orders and no requests for its report either

The pause of a server that refuses with Retry-After kept callers' requests of this gateway from it, but the leader went on to order loads there and to ask for its report four times a second while it carried one out, and a refused order named no pause. An engine paused for this gateway gets no calls, and no load is planned there; the other engines are planned as ever. A refused order or report with Retry-After begins a pause like a refused request.

--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -51,7 +51,11 @@
 
 // observeCall evaluates a response to an order or to a request for a report.
 func (o *responseObserver) observeCall(s *backend.Server, status int, h http.Header) {
-	o.observeLeaving(responseHead{server: s.ID, status: status, header: h})
+	r := responseHead{server: s.ID, status: status, header: h}
+	o.observeLeaving(r)
+	if isRefusal(status) {
+		o.observeRefusal(r)
+	}
 }
 
 // observeLimit records the rate limit that a server announces, or that it announces none.
@@ -86,12 +90,16 @@
 // observePause records that a server that refuses a request wants no requests for some time, or that it has accepted
 // one.
 func (o *responseObserver) observePause(r responseHead, sent time.Time) {
-	if !isRefusal(r.status) {
-		if o.dispatcher.RecordAccepted(r.server, sent) {
-			o.requestLog.pauseEnded(r)
-		}
-		return
+	switch {
+	case isRefusal(r.status):
+		o.observeRefusal(r)
+	case o.dispatcher.RecordAccepted(r.server, sent):
+		o.requestLog.pauseEnded(r)
 	}
+}
+
+// observeRefusal records the time for which a server that refuses a request wants no requests, if it states one.
+func (o *responseObserver) observeRefusal(r responseHead) {
 	values := r.header.Values(o.names.RetryAfter)
 	if len(values) == 0 {
 		return
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -131,7 +131,7 @@
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
-		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, IsThrottled: p.serverLimits.isThrottled,
+		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
 	})
 	return l
 }
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -226,6 +226,28 @@
 	}
 }
 
+// TestRefusedOrderPauses checks that a Retry-After in the refusal of an order or of a request for a report takes the server
+// out of use, and that one in another response does not.
+func TestRefusedOrderPauses(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		pauses bool
+	}{
+		"refused":  {status: http.StatusServiceUnavailable, pauses: true},
+		"accepted": {status: http.StatusAccepted},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := newFakeServer(t, "a", respond(http.StatusOK, "ok")), newFakeServer(t, "b", respond(http.StatusOK, "ok"))
+			env := newTestEnv(t, a, b)
+			env.awaitServers(2)
+			env.onResponse(&backend.Server{ID: "a"}, test.status, http.Header{names.RetryAfter: {"5"}})
+			assert.Equal(t, env.post(pathUnsafe, "x").status, http.StatusOK)
+			assert.Equal(t, a.count() == 0, test.pauses)
+		})
+	}
+}
+
 // TestRestartedServerIsUsedDuringPauseOfItsPredecessor checks that a pause ends with the instance that asked for it.
 func TestRestartedServerIsUsedDuringPauseOfItsPredecessor(t *testing.T) {
 	a := newPausingServer(t, "a", "60")
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -63,6 +63,9 @@
 	lastAccepted time.Time
 	// callInProgress is set while a call to the engine is in progress.
 	callInProgress bool
+	// paused is set while the engine wants no calls from this process. It is updated before each use of the engine
+	// in a step.
+	paused bool
 	// otherInstance is set when the last report came from another server instance than the registered one.
 	otherInstance bool
 	// nextReport is when the next report is due, or zero if none is.
@@ -81,7 +84,9 @@
 }
 
 // isIdle reports whether a new move may be planned for the engine.
-func (e *engineState) isIdle() bool { return e.known && !e.callInProgress && len(e.pending) == 0 }
+func (e *engineState) isIdle() bool {
+	return e.known && !e.callInProgress && !e.paused && len(e.pending) == 0
+}
 
 // servable returns the models and adapters that gateways may send requests for: those that the engine holds,
 // without models about to be unloaded and adapters still being loaded.
--- a/internal/placer/harness_test.go
+++ b/internal/placer/harness_test.go
@@ -42,6 +42,8 @@
 	mu      sync.Mutex
 	engines map[string]*fakeEngine
 	issued  []issuedOrder
+	// reports is the number of reports requested.
+	reports int
 	// respond, if not nil, returns the outcome of the n-th order, whether the order is carried out, and an
 	// error.
 	respond func(n int, o backend.Order) (out backend.OrderOutcome, done bool, err error)
@@ -62,6 +64,7 @@
 func (f *fakeEngines) Report(_ context.Context, s *backend.Server) (backend.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reports++
 	e, ok := f.engines[s.ID]
 	if !ok {
 		return backend.Report{}, errors.New("no such engine")
@@ -165,6 +168,8 @@
 	secondService bool
 	// throttled names the servers for which IsThrottled reports true.
 	throttled map[string]bool
+	// paused names the servers for which IsPaused reports true.
+	paused map[string]bool
 }
 
 // newFixture returns a fixture with models of 60 GB and engines of 200 GB that hold the named models. It must
@@ -203,6 +208,7 @@
 		Lease: f.lease, Engines: f.engines, Registry: &f.registry,
 		Routing:     func() *table.Routing { return routing },
 		IsThrottled: func(s *backend.Server) bool { return f.throttled[s.ID] },
+		IsPaused:    func(server string) bool { return f.paused[server] },
 		SettleTime:  ttl, FirstStart: first, Clock: f.clock, Log: zap.NewNop(),
 	})
 	f.placer = p
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -24,10 +24,10 @@
 )
 
 // callIfDue starts the call to an engine that is due, if any: the request for a report, or the first pending
-// order.
+// order. A paused engine gets no calls.
 func (p *Placer) callIfDue(e *engineState, spec *table.EngineSpec, now time.Time) {
 	switch {
-	case e.callInProgress:
+	case e.callInProgress, e.paused:
 	case (!e.known || !e.nextReport.IsZero()) && !now.Before(e.nextReport):
 		if p.reportsRequested < maxReportsPerStep {
 			p.reportsRequested++
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -59,8 +59,11 @@
 	// IsThrottled, if not nil, reports whether a backend server currently accepts so few requests that no
 	// adapter should be placed on it.
 	IsThrottled func(*backend.Server) bool
-	Clock       clock.Service
-	Log         *zap.Logger
+	// IsPaused, if not nil, reports whether a backend server, given by its ID, wants no calls from this process
+	// now.
+	IsPaused func(server string) bool
+	Clock    clock.Service
+	Log      *zap.Logger
 }
 
 // A Placer issues orders to engines while it holds the lease. It is safe for concurrent use.
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -26,6 +26,9 @@
 // runService plans for one service and starts the calls to its engines that are due.
 func (p *Placer) runService(s table.Service, now time.Time) {
 	engines := p.engines.byService[s.Name]
+	for _, e := range engines {
+		e.paused = p.opts.IsPaused != nil && p.opts.IsPaused(e.server.ID)
+	}
 	p.abandonOverdueLoads(engines, now)
 	p.planAdapters(s, engines, now)
 	if now.Sub(p.plannedAt[s.Name]) >= planInterval(len(engines)) {
