--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -133,6 +133,7 @@
 			c.run(interval, during)
 			for _, s := range servers {
 				got := s.maxInPause(pause)
+				t.Logf("at most %d requests within a pause", got)
 				assert.Assert(t, got <= maxInPause, "%d requests within a pause of %s", got, pause)
 			}
 			if !test.allPause {
