--- a/departure/exchange.go
+++ b/departure/exchange.go
@@ -50,17 +50,7 @@
 func (t *Table) Since(after uint64) ([]Record, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if after == t.version {
-		return nil, t.version
-	}
-	var changed []string
-	for server, e := range t.entries {
-		if e.version > after {
-			changed = append(changed, server)
-		}
-	}
-	versionOf := func(server string) uint64 { return t.entries[server].version }
-	changed, version := exchange.Oldest(changed, versionOf, maxMessageRecords, t.version)
+	changed, version := exchange.Changed(t.entries, (*entry).lastChange, after, t.version, maxMessageRecords)
 	now := t.opts.Clock.Now()
 	records := make([]Record, len(changed))
 	for i, server := range changed {
--- a/departure/table.go
+++ b/departure/table.go
@@ -63,6 +63,9 @@
 	announcedAt, lastListed time.Time
 }
 
+// lastChange returns the version of the entry's last change.
+func (e *entry) lastChange() uint64 { return e.version }
+
 // New returns an empty Table.
 func New(o Options) *Table {
 	return &Table{opts: o, epoch: rand.Uint32() | 1, entries: make(map[string]*entry)}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -102,13 +102,22 @@
 	l.peerCursor = r.Cursor
 }
 
-// Oldest returns the keys of the oldest changes, at most limit of them, ordered by version. It also returns
-// the version up to which they are complete: that of the last key, or the given version if no key is left
-// out. It sorts changed in place.
-func Oldest[K any](changed []K, versionOf func(K) uint64, limit int, version uint64) ([]K, uint64) {
-	slices.SortFunc(changed, func(a, b K) int { return cmp.Compare(versionOf(a), versionOf(b)) })
+// Changed returns the keys of the entries of a log that have changed after a version, at most limit of them, the oldest
+// changes first. It also returns the version up to which they are complete: that of the last key, or current, the version
+// of the log, if no key is left out. versionOf returns the version of an entry's last change, or 0 to leave it out.
+func Changed[K comparable, E any](entries map[K]E, versionOf func(E) uint64, after, current uint64, limit int) ([]K, uint64) {
+	if after == current {
+		return nil, current
+	}
+	var changed []K
+	for k, e := range entries {
+		if versionOf(e) > after {
+			changed = append(changed, k)
+		}
+	}
+	slices.SortFunc(changed, func(a, b K) int { return cmp.Compare(versionOf(entries[a]), versionOf(entries[b])) })
 	if len(changed) <= limit {
-		return changed, version
+		return changed, current
 	}
-	return changed[:limit], versionOf(changed[limit-1])
+	return changed[:limit], versionOf(entries[changed[limit-1]])
 }
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -38,22 +38,21 @@
 // Merge implements exchange.Log.
 func (c changeLog) Merge(records []Record) (before, after uint64) { return c.table.Merge(records) }
 
+// versionOf returns the version of an entry, or 0 if it is left out.
+func (c changeLog) versionOf(e *entry) uint64 {
+	if len(e.servers) < c.minCrashes && e.generation == 0 {
+		return 0
+	}
+	return e.version
+}
+
 // Since implements exchange.Log. It leaves out requests with fewer than minCrashes crashes, unless they were cleared
 // before.
 func (c changeLog) Since(after uint64) ([]Record, uint64) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if after == t.version {
-		return nil, t.version
-	}
-	var changed []Key
-	for k, e := range t.entries {
-		if e.version > after && (len(e.servers) >= c.minCrashes || e.generation > 0) {
-			changed = append(changed, k)
-		}
-	}
-	changed, version := exchange.Oldest(changed, func(k Key) uint64 { return t.entries[k].version }, maxMessageRecords, t.version)
+	changed, version := exchange.Changed(t.entries, c.versionOf, after, t.version, maxMessageRecords)
 	now := t.opts.Clock.Now()
 	records := make([]Record, len(changed))
 	for i, k := range changed {
--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -112,6 +112,9 @@
 	return Status{Server: server, PerSecond: e.perSecond, LimitedFor: now.Sub(e.limitedSince), Age: now.Sub(e.reportedAt)}
 }
 
+// lastChange returns the version of the entry's last change.
+func (e *entry) lastChange() uint64 { return e.version }
+
 // New returns an empty Table.
 func New(o Options) *Table {
 	return &Table{opts: o, epoch: rand.Uint32() | 1, entries: make(map[string]*entry)}
