--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -5,9 +5,9 @@
 // the owner does not respond, a gateway decides from the loads that it knows. A Dispatcher combines
 // server selection (Candidate, Choose), admission to the engines that this gateway owns (Admit,
 // AdmissionRequest), permits for servers with a rate limit (Permits), the pauses that servers ask this
-// gateway for (Pause), the queue of waiting requests, load shedding by priority, a model of each engine's prefill work (PrefillSpeeds), an
-// estimate of the prefixes that each engine has cached (PrefixBlock), and counters of the demand
-// for each model (Demand).
+// gateway for (Pause), the queue of waiting requests, load shedding by priority, a model of each
+// engine's prefill work (PrefillSpeeds), an estimate of the prefixes that each engine has cached
+// (PrefixBlock), and counters of the demand for each model (Demand).
 //
 // An engine is a backend server that runs models. A plain service has no models; requests to it
 // wait only for the end of a pause.
--- a/dispatch/pause.go
+++ b/dispatch/pause.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Parameters of pauses: the times for which servers want no requests from this gateway.
+// Parameters of pauses: the times for which servers accept no requests from this gateway.
 const (
 	// pauseSpreadPerGateway sets the maximum by which this gateway extends a pause at random: a server
 	// refuses requests of all gateways at about the same time, and they must not return together.
@@ -16,7 +16,7 @@
 	trialInterval = 250 * time.Millisecond
 )
 
-// A PausedError means that all servers that could take the request want no requests from this gateway,
+// A PausedError means that all servers that could take the request accept no requests from this gateway,
 // and that none can take it before its WaitUntil.
 type PausedError struct {
 	// RetryAfter is the time until the first of them takes requests again.
@@ -25,7 +25,7 @@
 
 // Error implements the error interface.
 func (e *PausedError) Error() string {
-	return fmt.Sprintf("dispatch: the servers want no requests for %s", e.RetryAfter)
+	return fmt.Sprintf("dispatch: the servers accept no requests for %s", e.RetryAfter)
 }
 
 // A pauseState tells when a server may get requests from this gateway. The zero value means always.
@@ -60,18 +60,19 @@
 	return true
 }
 
-// Pause records that a server has refused a request and wants no requests from this gateway for the given time.
-// Waiting requests that no other server can take in time are refused. It reports whether the server was not paused
-// before.
-func (d *Dispatcher) Pause(server string, period time.Duration) (began bool) {
+// Pause records that a server has refused a request and accepts no requests from this gateway for the given time.
+// Waiting requests that no other server can take in time are refused. It returns the time until the end of the pause,
+// and reports whether the server was not paused before.
+func (d *Dispatcher) Pause(server string, period time.Duration) (remaining time.Duration, began bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.opts.Clock.Now()
 	p := &d.loadOf(server).pause
 	began = p.endsAt.IsZero()
-	p.extend(d.opts.Clock.Now().Add(period + d.pauseSpread(period)))
+	p.extend(now.Add(period + d.pauseSpread(period)))
 	d.notePause(p.nextTrial)
 	d.serveWaiting()
-	return began
+	return p.endsAt.Sub(now), began
 }
 
 // pauseSpread returns the random extension of a pause. It grows with the number of gateways, but does not exceed the
@@ -107,7 +108,7 @@
 	return true
 }
 
-// IsPaused reports whether a server wants no requests from this gateway now.
+// IsPaused reports whether a server accepts no requests from this gateway now.
 func (d *Dispatcher) IsPaused(server string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -162,28 +162,22 @@
 	perSecond := 0.0
 	contested := true
 	for _, s := range d.servers.WithModel(r.Service, r.Model) {
-		rate, limited := d.rateLimitOf(s.ID)
-		l := d.loadOf(s.ID)
-		isPaused := now.Before(l.pause.nextTrial)
-		if !limited && !isPaused && d.canLoadAdapter(r, s) {
+		b := d.blockOf(s, now)
+		if b.isUsable() && d.canLoadAdapter(r, s) {
 			return waitEstimate{}
 		}
 		if !d.isEligible(r, s) {
 			continue
 		}
-		if !isPaused && !(limited && l.permits.isBlocked(now)) {
+		if !b.blocked {
 			return waitEstimate{}
 		}
-		from := l.pause.nextTrial
-		if limited && l.permits.deniedUntil.After(from) {
-			from = l.permits.deniedUntil
+		if !e.blocked || b.until.Before(soonest) {
+			soonest, e.blocked = b.until, true
 		}
-		e.paused = e.paused || !limited
-		contested = contested && l.permits.consecutiveDenials > 1
-		if !e.blocked || from.Before(soonest) {
-			soonest, e.blocked = from, true
-		}
-		perSecond += rate
+		e.paused = e.paused || !b.limited
+		contested = contested && b.contested
+		perSecond += b.perSecond
 	}
 	e.wait = max(soonest.Sub(now), 0)
 	if contested {
@@ -195,6 +189,37 @@
 	return e
 }
 
+// A serverBlock tells whether a server may get a request that can wait, apart from its capacity.
+type serverBlock struct {
+	// blocked is set if the server is paused, or has a rate limit and no permit may be requested now, and until is when
+	// that ends.
+	blocked bool
+	until   time.Time
+	// limited is set if the server has a rate limit, which is perSecond, and contested if several permits in a row have
+	// been denied.
+	limited, contested bool
+	perSecond          float64
+}
+
+// isUsable reports whether the server is neither paused nor limited.
+func (b serverBlock) isUsable() bool { return !b.blocked && !b.limited }
+
+// blockOf returns the present block of a server. d.mu must be held.
+func (d *Dispatcher) blockOf(s *backend.Server, now time.Time) serverBlock {
+	l := d.loadOf(s.ID)
+	b := serverBlock{blocked: now.Before(l.pause.nextTrial), until: l.pause.nextTrial}
+	b.perSecond, b.limited = d.rateLimitOf(s.ID)
+	b.contested = l.permits.consecutiveDenials > 1
+	if !b.limited {
+		return b
+	}
+	b.blocked = b.blocked || l.permits.isBlocked(now)
+	if l.permits.deniedUntil.After(b.until) {
+		b.until = l.permits.deniedUntil
+	}
+	return b
+}
+
 // minRate is the lower bound of the rate used in the estimate, in requests per second. It keeps the
 // estimate finite.
 const minRate = 0.1
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -234,8 +234,8 @@
 
 // backOffAfterCompaction waits before the store is listed after a compaction, which ends the watches of all
 // gateways at the same moment. The watcher lists first, and its announcement saves the other gateways a
-// full read, which is 1.2 MB at 4,400 routes. The watcher itself waits only if compactions follow each other within retryDelay, so that
-// no response of the store makes it call in a tight loop.
+// full read, which is 1.2 MB at 4,400 routes. The watcher itself waits only if compactions follow each other
+// within retryDelay, so that no response of the store makes it call in a tight loop.
 func (s *Syncer) backOffAfterCompaction(ctx context.Context) {
 	now := s.opts.Clock.Now()
 	again := now.Sub(s.lastCompaction) < retryDelay
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -80,7 +80,7 @@
 	case errors.As(err, &limited):
 		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
 	case errors.As(err, &paused):
-		f.refuse(outcomeRefused, notRun("the servers want no requests now", retryAfterPause(paused.RetryAfter)))
+		f.refuse(outcomeRefused, notRun("the servers accept no requests now", retryAfterPause(paused.RetryAfter)))
 	case errors.Is(err, dispatch.ErrNoHall):
 		f.refuse(outcomeRefused, notRun("no server in an allowed region", retryAfterLoad()))
 	case errors.Is(err, dispatch.ErrNoneAccepts):
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -87,7 +87,7 @@
 // single 1.
 func isLeaving(values []string) bool { return len(values) == 1 && values[0] == "1" }
 
-// observePause records that a server that refuses a request wants no requests for some time, or that it has accepted
+// observePause records that a server that refuses a request accepts no requests for some time, or that it has accepted
 // one.
 func (o *responseObserver) observePause(r responseHead, sent time.Time) {
 	switch {
@@ -98,7 +98,7 @@
 	}
 }
 
-// observeRefusal records the time for which a server that refuses a request wants no requests, if it states one.
+// observeRefusal records the time for which a server that refuses a request accepts no requests, if it states one.
 func (o *responseObserver) observeRefusal(r responseHead) {
 	values := r.header.Values(o.names.RetryAfter)
 	if len(values) == 0 {
@@ -110,7 +110,8 @@
 		return
 	}
 	if period > 0 {
-		o.requestLog.serverPaused(r, period, o.dispatcher.Pause(r.server, period))
+		remaining, began := o.dispatcher.Pause(r.server, period)
+		o.requestLog.serverPaused(r, period, remaining, began)
 	}
 }
 
--- a/internal/gateway/position.go
+++ b/internal/gateway/position.go
@@ -15,7 +15,8 @@
 	// listWaitTime is how long a starting gateway waits to get the servers and the configuration from other gateways
 	// before it reads the store. A running gateway responds within some 50 ms. The time is short because, after a restart
 	// of all gateways, none can respond and callers wait: with 600 ms, under half as many requests were served in time in
-	// the 2 s after a loss of all gateways. firstListWaitTime applies when the whole system is started for the first time and has no callers yet.
+	// the 2 s after a loss of all gateways. firstListWaitTime applies when the whole system is started for the first time
+	// and has no callers yet.
 	listWaitTime      = 150 * time.Millisecond
 	firstListWaitTime = 600 * time.Millisecond
 	// treeWaitTime is how long a starting gateway waits for the list of gateways, from which it learns its place in the
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -82,7 +82,7 @@
 	return wait + rand.N(wait)
 }
 
-// retryAfterPause returns the randomised Retry-After for a request whose servers want no requests for the given time.
+// retryAfterPause returns the randomised Retry-After for a request whose servers accept no requests for the given time.
 func retryAfterPause(wait time.Duration) time.Duration {
 	return max(wait, minRetryAfter) + rand.N(2*minRetryAfter)
 }
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -81,6 +81,7 @@
 	fieldOrigin              = "origin"
 	fieldPerSecond           = "per_second"
 	fieldRetryAfter          = "retry_after_s"
+	fieldRemaining           = "remaining_s"
 )
 
 // States of a server's pause, as used in log lines and metrics.
@@ -133,7 +134,7 @@
 	QuotaCharged(organisation, outcome string, cost float64)
 	// ServerLimitChanged counts a change of a rate limit that a server announces, by state.
 	ServerLimitChanged(state string)
-	// ServerPause counts a change of the time for which a server wants no requests, by state.
+	// ServerPause counts a change of the time for which a server accepts no requests, by state.
 	ServerPause(state string)
 	// ServerDeparture counts a server that announced that it is leaving, by origin of the announcement.
 	ServerDeparture(origin string)
@@ -325,14 +326,14 @@
 	l.log.Info(msgServerLeaving, fields...)
 }
 
-// serverPaused counts and logs that a server wants no requests for a time. The lines are rate-limited; one is written for
+// serverPaused counts and logs that a server accepts no requests for a time. The lines are rate-limited; one is written for
 // the beginning of a pause and each extension.
-func (l *requestLog) serverPaused(r responseHead, period time.Duration, began bool) {
+func (l *requestLog) serverPaused(r responseHead, period, remaining time.Duration, began bool) {
 	state := pauseExtended
 	if began {
 		state = pauseBegan
 	}
-	l.pauseChanged(r, state, zap.Float64(fieldRetryAfter, period.Seconds()))
+	l.pauseChanged(r, state, zap.Float64(fieldRetryAfter, period.Seconds()), zap.Float64(fieldRemaining, remaining.Seconds()))
 }
 
 // pauseEnded counts and logs that a server has accepted a request after a pause. The lines are rate-limited.
@@ -360,7 +361,7 @@
 		zap.String(fieldLastEvent, f.lastEvent))
 }
 
-// sendRefused logs a send that the server refused. The line contains the time for which the server wants no requests,
+// sendRefused logs a send that the server refused. The line contains the time for which the server accepts no requests,
 // if the response states one.
 func (l *requestLog) sendRefused(f *forwarder, res *dispatch.Reservation, resp *http.Response) {
 	retryAfter := zap.Skip()
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -63,7 +63,7 @@
 	lastAccepted time.Time
 	// callInProgress is set while a call to the engine is in progress.
 	callInProgress bool
-	// paused is set while the engine wants no calls from this process. It is updated before each use of the engine
+	// paused is set while the engine accepts no calls from this process. It is updated before each use of the engine
 	// in a step.
 	paused bool
 	// otherInstance is set when the last report came from another server instance than the registered one.
--- a/internal/placer/pause_test.go
+++ b/internal/placer/pause_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestPausedEngineGetsNoCalls checks that an engine that wants no requests gets neither orders nor requests for its
+// TestPausedEngineGetsNoCalls checks that an engine that accepts no requests gets neither orders nor requests for its
 // report, and that what is missing is loaded on another engine, or there afterwards.
 func TestPausedEngineGetsNoCalls(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -59,7 +59,7 @@
 	// IsThrottled, if not nil, reports whether a backend server currently accepts so few requests that no
 	// adapter should be placed on it.
 	IsThrottled func(*backend.Server) bool
-	// IsPaused, if not nil, reports whether a backend server, given by its ID, wants no calls from this process
+	// IsPaused, if not nil, reports whether a backend server, given by its ID, accepts no calls from this process
 	// now.
 	IsPaused func(server string) bool
 	Clock    clock.Service
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -153,7 +153,7 @@
 	m.serverLimits.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
 }
 
-// ServerPause counts a change of the time for which a backend server wants no requests, by state.
+// ServerPause counts a change of the time for which a backend server accepts no requests, by state.
 func (m *GatewayMetrics) ServerPause(state string) {
 	m.serverPauses.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
 }
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -15,7 +15,7 @@
 	ServerLimit string
 	// Leaving is set to 1 on all responses of a backend server that is leaving.
 	Leaving string
-	// RetryAfter is set by backend servers on responses with status 503: the time for which they want no more requests
+	// RetryAfter is set by backend servers on responses with status 503: the time for which they accept no more requests
 	// from this sender, in seconds.
 	RetryAfter string
 	// NotRun is set on responses to requests that were not run.
