placer: an adapter whose engine is about to unload its model counts as missing

Callers of adapters were refused after they had waited 0.7 to 1.9 s, although another engine held the model and could have loaded the adapter in 40 ms. When a model is moved off an engine, gateways stop sending requests for it 350 ms before the unload, but the leader counted the engine's adapters as loaded until its report showed the unload as done. The adapters were loaded elsewhere only then, 0.7 s after the plan, by when the waiting requests were late and got only what late requests get.

Such a model's adapters now count as not loaded on that engine, so that they are loaded elsewhere with the next step, while the notice runs.

--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -127,7 +127,7 @@
 }
 
 // notLoaded returns the adapters that are not loaded on any usable engine. Engines that are leaving or
-// throttled are not usable.
+// throttled are not usable, and an engine that is about to unload a model is not usable for its adapters.
 func (p *Placer) notLoaded(adapters []backend.Adapter, engines []*engineState) []backend.Adapter {
 	if len(adapters) == 0 {
 		return nil
@@ -138,6 +138,9 @@
 			continue
 		}
 		for _, r := range e.residents {
+			if e.isUnloading(r.Model) {
+				continue
+			}
 			for _, name := range r.Adapters {
 				loaded[backend.Adapter{Model: r.Model, Name: name}] = true
 			}
