--- a/departure/exchange.go
+++ b/departure/exchange.go
@@ -62,18 +62,18 @@
 
 // Merge implements exchange.Log. It ignores invalid records.
 func (t *Table) Merge(records []Record) (before, after uint64) {
-	var news []Announcement
+	var added []Announcement
 	t.mu.Lock()
 	now := t.opts.Clock.Now()
 	before = t.version
 	for _, r := range records {
 		if r.isValid() && t.add(r.Server, now.Add(-r.age()), now) {
-			news = append(news, Announcement{Server: r.Server, Origin: OriginPeer, Age: r.age()})
+			added = append(added, Announcement{Server: r.Server, Origin: OriginPeer, Age: r.age()})
 		}
 	}
 	after = t.version
 	t.mu.Unlock()
-	for _, a := range news {
+	for _, a := range added {
 		t.notify(a)
 	}
 	return before, after
--- a/departure/table.go
+++ b/departure/table.go
@@ -24,7 +24,7 @@
 	OriginPeer Origin = "told"
 )
 
-// An Announcement is the news that a server is leaving.
+// An Announcement is the announcement of a server that it is leaving.
 type Announcement struct {
 	// Server is the ID of the server instance.
 	Server string
@@ -71,7 +71,8 @@
 	return &Table{opts: o, epoch: rand.Uint32() | 1, entries: make(map[string]*entry)}
 }
 
-// Observe records that a response of a server instance announced that it is leaving. It reports whether that is news.
+// Observe records that a response of a server instance announced that it is leaving. It reports whether it is the first
+// known announcement of that instance.
 func (t *Table) Observe(server string) bool {
 	t.mu.Lock()
 	now := t.opts.Clock.Now()
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -41,7 +41,7 @@
 	plain := func(id string) backend.Server { return backend.Server{ID: id, Service: "plain", Hall: "h", Slots: 8} }
 	tests := map[string]struct {
 		before, after []backend.Server
-		// needsPermit says that server a has a rate limit, so that a permit is needed; otherwise another gateway
+		// needsPermit is set if server a has a rate limit, so that a permit is needed; otherwise another gateway
 		// admits the request.
 		needsPermit bool
 	}{
--- a/internal/placer/pause_test.go
+++ b/internal/placer/pause_test.go
@@ -14,7 +14,7 @@
 	tests := map[string]struct {
 		target string
 		held   [][]string
-		// fromStart says that the engine pauses from the start, so that nothing is known about it.
+		// fromStart is set if the engine pauses from the start, so that nothing is known about it.
 		fromStart bool
 		// want is the engine that loads the target during the pause; empty if none does.
 		want string
