gateway: the line of a request names the parts of its prompt

Engines crashed under requests of which no two had the same digest. The logs did not tell whether these requests had a part of their prompts in common (one hypothesis) or only their caller (another one). With the parts in 'request ended', the digests in 'server ended' lead to them.

--- a/internal/gateway/models_test.go
+++ b/internal/gateway/models_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,3 +40,14 @@
 		})
 	}
 }
+
+// TestRequestLineNamesPromptParts checks that the log line of a request names the parts of its prompt, in order and at
+// most 16, since crashes of servers under different requests are traced by them.
+func TestRequestLineNamesPromptParts(t *testing.T) {
+	env := newTestEnv(t, newFakeServer(t, "a", respond(http.StatusOK, "ok")))
+	env.post(pathModel, "x", names.Model, "m1", names.Deadline, "600", names.Prefix, "p1:350,p2:20"+strings.Repeat(",p:1", 20))
+	env.awaitLine("request ended")
+	parts := env.logs.FilterMessage("request ended").All()[0].ContextMap()["parts"].([]any)
+	assert.Equal(t, len(parts), 16)
+	assert.DeepEqual(t, parts[:3], []any{"p1", "p2", "p"})
+}
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -85,6 +85,7 @@
 	fieldOrganisation        = "customer"
 	fieldState               = "state"
 	fieldOrigin              = "origin"
+	fieldParts               = "parts"
 	fieldPerSecond           = "per_second"
 	fieldRetryAfter          = "retry_after_s"
 	fieldRemaining           = "remaining_s"
@@ -251,9 +252,25 @@
 		zap.Float64(fieldTotal, now.Sub(in.arrived).Seconds()),
 		zap.Float64(fieldLimit, in.deadline.Sub(in.arrived).Seconds()), organisationField(in.organisation.Name), permitsDeniedField(req),
 		headerField(in, fieldResumes, l.names.Resumes), headerField(in, fieldLastEvent, headerLastEvent),
+		partsField(req),
 	}
 }
 
+// maxLoggedParts is the maximum number of prompt parts in a log line.
+const maxLoggedParts = 16
+
+// partsField returns a field with the IDs of the parts of the request's prompt, in order, if there are any.
+func partsField(req *dispatch.Request) zap.Field {
+	if len(req.Prefix) == 0 {
+		return zap.Skip()
+	}
+	ids := make([]string, 0, min(len(req.Prefix), maxLoggedParts))
+	for _, part := range req.Prefix[:cap(ids)] {
+		ids = append(ids, part.ID)
+	}
+	return zap.Strings(fieldParts, ids)
+}
+
 // headerField returns a field with the value of a header of the request, if it has one.
 func headerField(in *inbound, field, header string) zap.Field {
 	value := in.Header.Get(header)
