--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,8 +15,17 @@
 	"rockcleat/relay"
 )
 
-// poison is the body of a request that makes the server running it crash.
-const poison = "ends whoever runs it"
+// poison is the body of a request that makes the server running it crash. deadlyPart is a part of a prompt that does so
+// unless it is the last one.
+const (
+	poison     = "ends whoever runs it"
+	deadlyPart = "deadly"
+)
+
+// isPoison reports whether a call makes the server running it crash.
+func isPoison(c *call) bool {
+	return c.body == poison || strings.Contains(c.Header.Get(names.Prefix), deadlyPart+":100,")
+}
 
 // propagationTime is the maximum time until all gateways know of the third crash. maxLateSends is the number of
 // sends allowed after it. Both are requirements of the platform.
@@ -27,7 +37,7 @@
 // restartTime is the time from the crash of a server to its restart.
 const restartTime = 300 * time.Millisecond
 
-// crashingServers crash when they receive poison, and restart after restartTime as a new instance at the same address.
+// crashingServers crash when they receive a call that isPoison, and restart after restartTime as a new instance at the same address.
 // They handle all other requests with fallback.
 type crashingServers struct {
 	t        *testing.T
@@ -62,7 +72,7 @@
 	var end sync.Once
 	started := make(chan struct{})
 	server = newFakeServerAt(f.t, fmt.Sprintf("%s-%d", name, run), addr, func(c *call) bool {
-		if c.body != poison || f.fixed.Load() {
+		if !isPoison(c) || f.fixed.Load() {
 			return f.fallback(c)
 		}
 		if f.holdNext.Swap(false) {
