--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -30,6 +30,9 @@
 	suspectCost Milliseconds = 2000.0
 	// maxJitter is the upper bound of Candidate.Jitter (docs/design/0009).
 	maxJitter Milliseconds = 20.0
+	// trialRequestCost is the cost for a trial of each running request, which the crash of the server
+	// would cut off.
+	trialRequestCost Milliseconds = 100.0
 	// stallTimeout is how long a server may send nothing while a first byte is outstanding before
 	// it counts as stalled.
 	stallTimeout = 1500 * time.Millisecond
@@ -69,6 +72,12 @@
 	// Stalled means that first bytes are outstanding and the server has sent nothing for
 	// stallTimeout.
 	Stalled bool
+	// OnTrial means that the request may make the server crash. Trials is the number of such requests
+	// that this process has there.
+	OnTrial bool
+	Trials  int
+	// SoleHolder is set for a trial: no other server holds one of the server's models.
+	SoleHolder bool
 }
 
 // Limits are the limits that apply to one request at one engine.
@@ -133,7 +142,20 @@
 	if c.Stalled {
 		ms += suspectCost
 	}
-	return ms + c.Jitter + Milliseconds(c.FailureRate)*suspectCost
+	return ms + c.Jitter + Milliseconds(c.FailureRate)*suspectCost + c.trialCost()
+}
+
+// trialCost returns the cost of a server's crash for a request on trial. Two trials at one server are avoided, since its
+// crash would not tell which of them caused it.
+func (c Candidate) trialCost() Milliseconds {
+	if !c.OnTrial {
+		return 0
+	}
+	ms := Milliseconds(c.Running)*trialRequestCost + Milliseconds(c.Trials)*suspectCost
+	if c.SoleHolder {
+		ms += suspectCost
+	}
+	return ms
 }
 
 // engineCost returns the cost of an engine: its queued prompts, this prompt and its running
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -249,6 +249,9 @@
 		CacheTokens: cacheTokens, Slots: s.Slots, SameHall: s.Hall == d.opts.Hall, Owned: d.owners.owns(s),
 		FailureRate: l.failures.at(now), RequiredTokens: r.PromptTokens + r.MaxOutputTokens, Stalled: l.isStalled(now),
 	}
+	if r.OnTrial {
+		c.OnTrial, c.Trials, c.SoleHolder = true, l.trials, d.isSoleHolder(s)
+	}
 	c.NeedsAdmission = !c.Owned && r.Model != "" && d.opts.Owners != nil && d.owners.isAvailable(d.owners.ownerOf(s), now)
 	d.setLoads(&c, l, s.ID, now)
 	if _, known := d.remote[s.ID]; d.busiestOnly && !known && !c.Owned {
@@ -264,6 +267,13 @@
 	return c
 }
 
+// isSoleHolder reports whether no other server holds one of the server's models. d.mu must be held.
+func (d *Dispatcher) isSoleHolder(s *backend.Server) bool {
+	return slices.ContainsFunc(s.Residents, func(r backend.Resident) bool {
+		return len(d.servers.WithModel(s.Service, r.Model)) == 1
+	})
+}
+
 // setLoads sets the load of a candidate: the requests of this process, those that other processes
 // reported and, for an owned engine, the recent admissions. An owned engine's prefill queue is more
 // accurate than the reports, so it replaces them.
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -44,6 +44,8 @@
 	Load
 	prefixes prefixCache
 	failures failureRate
+	// trials is the number of requests on trial.
+	trials int
 	// lastResponse is when the server last sent something.
 	lastResponse time.Time
 	// awaitingFirstByte lists the reservations whose first byte is outstanding, oldest first.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -39,6 +39,9 @@
 	// MayHaveRun means that a server may have processed the request already. Such a request is
 	// never late and never shed.
 	MayHaveRun bool
+	// OnTrial means that servers have crashed under similar requests. It is sent to a server where a crash
+	// affects few others.
+	OnTrial bool
 	// AdmissionsRequested is the number of admissions requested from other gateways,
 	// AdmissionsGranted and AdmissionsDenied the numbers granted and denied; the others got no
 	// usable reply.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -29,6 +29,8 @@
 	owner string
 	// permitPending means that a permit is being requested, hasPermit that it was granted.
 	permitPending, hasPermit bool
+	// onTrial is Request.OnTrial at the time of the reservation.
+	onTrial bool
 	// firstByteSeen means that the first byte has arrived, released that the capacity was released.
 	firstByteSeen, released bool
 }
@@ -38,7 +40,7 @@
 	l := d.loadOf(s.ID)
 	res := &Reservation{
 		d: d, req: r, server: s, load: l, candidate: c, sentAt: d.opts.Clock.Now(),
-		prefillTokens: c.PrefillTokens, prefillMs: int(c.PrefillTime + 0.5), usedTokens: c.RequiredTokens,
+		onTrial: r.OnTrial, prefillTokens: c.PrefillTokens, prefillMs: int(c.PrefillTime + 0.5), usedTokens: c.RequiredTokens,
 	}
 	if c.NeedsAdmission {
 		res.owner = d.owners.ownerOf(s)
@@ -53,6 +55,9 @@
 	l.pause.recordSend(res.sentAt)
 	d.notePause(l.pause.nextTrial)
 	l.Running++
+	if res.onTrial {
+		l.trials++
+	}
 	l.PrefillMs += res.prefillMs
 	l.UsedTokens += res.usedTokens
 	l.awaitingFirstByte = append(l.awaitingFirstByte, res)
@@ -152,6 +157,9 @@
 		r.removePendingPrefill()
 	}
 	r.load.Running--
+	if r.onTrial {
+		r.load.trials--
+	}
 	r.load.UsedTokens -= r.usedTokens
 	if r.req.Model != "" {
 		r.d.demand.get(r.req).Running--
--- a/internal/agent/server_end.go
+++ b/internal/agent/server_end.go
@@ -99,6 +99,6 @@
 		d.log.Info("server ended", zap.String("run", instance))
 	}
 	d.log.Info("request recorded with the server's crash", zap.String("run", instance), zap.Stringer("digest", k))
-	d.table.RecordCrash(instance, k)
+	d.table.RecordCrash(instance, quarantine.Suspect{Trait: quarantine.ContentTrait(k)})
 	d.onCrash()
 }
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -28,12 +29,12 @@
 	return []*ffcli.Command{
 		a.command(commandHelp{
 			name: "list", usage: "quarantine list [-gateway ADDR] [-json]",
-			short:   "Print the requests under which servers have ended, and which of them are refused for that.",
+			short:   "Print the contents of requests and the parts of prompts under which servers have ended, and which are refused for that.",
 			example: "rockcleat quarantine list -gateway 10.1.0.38:8144",
 		}, listFlags, func(ctx context.Context, _ []string) error { return a.listQuarantine(ctx, gateway, *asJSON) }),
 		a.command(commandHelp{
 			name: "lift", usage: "quarantine lift [-gateway ADDR] DIGEST",
-			short:   "Serve a request again under which servers have ended. All gateways or entries follow within seconds.",
+			short:   "Serve requests again under which servers have ended. All gateways or entries follow within seconds.",
 			example: "rockcleat quarantine lift -gateway 10.1.0.38:8144 08a89246bccc4d27bab354cdd3d288b3",
 		}, flags("lift"), func(ctx context.Context, args []string) error { return a.liftQuarantine(ctx, gateway, args) }),
 	}
@@ -61,10 +62,10 @@
 		return printJSON(a.out, list)
 	}
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "DIGEST\tENDS\tLAST END\tREFUSED FOR\tSERVERS")
+	fmt.Fprintln(w, "DIGEST\tKIND\tPART\tENDS\tIN TRIALS\tLAST END\tREFUSED FOR\tSERVERS")
 	for _, item := range list.Items {
-		fmt.Fprintf(w, "%s\t%d\t%s ago\t%s\t%s\n", item.Key, len(item.Servers), roundedDuration(item.AgeMs),
-			roundedDuration(item.RemainingMs), strings.Join(item.Servers, " "))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s ago\t%s\t%s\n", item.Key, item.Kind, cmp.Or(item.Name, "-"), len(item.Servers),
+			len(item.Trials), roundedDuration(item.AgeMs), roundedDuration(item.RemainingMs), strings.Join(item.Servers, " "))
 	}
 	return w.Flush()
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -7,6 +7,7 @@
 
 	"rockcleat/fleet"
 	"rockcleat/internal/wire"
+	"rockcleat/quarantine"
 )
 
 // recordRefusal records an agent's refusal unless an earlier one has a shorter Retry-After.
@@ -112,7 +113,7 @@
 	}
 	fw.outcome = o
 	if o == wire.OutcomeAnswered {
-		fw.proxy.quarantine.Clear(fw.call.digest)
+		fw.proxy.quarantine.RecordAnswer(quarantine.ContentTrait(fw.call.digest))
 	}
 	fw.proxy.metrics.Request(fw.call.class(), string(o))
 	fw.proxy.metrics.Duration(fw.call.class(), fw.proxy.clock.Now().Sub(fw.call.arrived).Seconds())
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -27,7 +27,7 @@
 // Backend servers have crashed during copies of such a request, so no entry sends it until the
 // quarantine ends.
 func (fw *forwarder) quarantined() (wire.ErrorResponse, bool) {
-	until, ok := fw.proxy.quarantine.Until(fw.call.digest)
+	_, until, ok := fw.proxy.quarantine.Quarantine(quarantine.ContentTrait(fw.call.digest))
 	return wire.ErrorResponse{
 		Status: http.StatusServiceUnavailable, Outcome: wire.OutcomeNotRun, Type: wire.TypeServer, Code: "quarantined",
 		Message: "backend servers have ended under copies of this request; it was not run", RetryAfter: until.Sub(fw.proxy.clock.Now()),
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -28,6 +28,9 @@
 		f.reportConnFailure(res, cause(ctx, err))
 		return f.handleLost(res, cause(ctx, err))
 	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		f.recordPartsAnswered()
+	}
 	f.beginResponse(resp)
 	// In response to HEAD, Content-Length states the length that the body would have, and stays.
 	if int64(len(body)) < limit && f.in.Method != http.MethodHead {
@@ -68,7 +71,7 @@
 		return
 	}
 	res.Done(dispatch.Succeeded)
-	f.proxy.quarantine.Clear(f.in.key)
+	f.proxy.quarantine.RecordAnswer(f.in.content)
 	f.record.outcome = outcomeAnswered
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -166,6 +166,13 @@
 	return d.holderNodes
 }
 
+// ids returns the IDs of the listed gateways.
+func (d *directory) ids() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return gatewayIDs(d.gateways)
+}
+
 func gatewayIDs(list []placer.Gateway) []string {
 	ids := make([]string, len(list))
 	for i, g := range list {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/dispatch"
+	"rockcleat/quarantine"
 )
 
 // A forwarder sends one request to servers until it is finished.
@@ -40,14 +41,20 @@
 	lost []string
 	// lastEvent is the id of the last event forwarded to the caller.
 	lastEvent string
+	// traits are the traits of the request by which it may make servers crash, its content first.
+	traits []quarantine.Trait
+	// trial is the trial of the current send; nil if it has no suspected traits. partsAnswered says that the current
+	// send has brought a part of a successful response.
+	trial         *trial
+	partsAnswered bool
+	// jointTrialFrom is when several suspected parts may be tested together; zero until a server is first reserved for
+	// a trial.
+	jointTrialFrom time.Time
 }
 
 // run sends the request until it is finished.
 func (f *forwarder) run() {
 	defer f.watchQuarantine()()
-	if f.proxy.quarantine.Crashes(f.in.key) > 0 {
-		defer f.releaseCopy(f.proxy.copies.acquire(f.ctx, f.in.key))
-	}
 	if f.isQuarantined() {
 		f.refuseQuarantined()
 		return
@@ -55,6 +62,7 @@
 	f.proxy.budgets.countFirst(f.in)
 	f.proxy.dispatcher.CountArrival(&f.req)
 	for {
+		f.awaitTrial()
 		res, err := f.proxy.dispatcher.Acquire(f.ctx, &f.req)
 		if err != nil {
 			f.endUnserved(err)
@@ -65,8 +73,16 @@
 			f.refuseQuarantined()
 			return
 		}
+		if !f.beginTrial() {
+			res.Done(dispatch.Canceled)
+			clock.Sleep(f.ctx, f.proxy.clock, trialPollInterval)
+			continue
+		}
 		f.record.reservation = res
-		if finished := f.send(res); finished {
+		runs := f.record.runs
+		finished := f.send(res)
+		f.endTrial(runs)
+		if finished {
 			return
 		}
 	}
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -19,8 +19,9 @@
 type inbound struct {
 	*http.Request
 	id string
-	// key identifies the request by its content; copies of a request share it.
-	key     quarantine.Key
+	// content is shared by copies of the request, parts by requests whose prompts have a part in common.
+	content quarantine.Trait
+	parts   []quarantine.Trait
 	route   table.Route
 	service table.Service
 	// organisation owns the key that the request came with; the zero Organisation if none is needed.
@@ -80,7 +81,7 @@
 		return nil, refused
 	}
 	in := &inbound{
-		Request: r, id: ids[0], key: quarantineKey(r, body), route: route, configVersion: routing.Version(), body: body, arrived: now,
+		Request: r, id: ids[0], content: contentOf(r, body), route: route, configVersion: routing.Version(), body: body, arrived: now,
 		organisation: organisation, dropsKey: routing.RequiresKeys(),
 	}
 	if refused := p.resolveStream(r.Context(), in); refused != nil {
@@ -92,12 +93,17 @@
 	return in, nil
 }
 
-// quarantineKey returns the quarantine key of a request with the given body. The caller is identified by its
-// credentials only: the same caller may send copies from many addresses.
-func quarantineKey(r *http.Request, body []byte) quarantine.Key {
-	return quarantine.KeyOf(quarantine.Request{
+// contentOf returns the content of a request with the given body as a trait. The caller is identified by its credentials
+// only: the same caller may send copies from many addresses.
+func contentOf(r *http.Request, body []byte) quarantine.Trait {
+	return quarantine.ContentTrait(quarantine.KeyOf(quarantine.Request{
 		Caller: r.Header.Get("Authorization"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body,
-	})
+	}))
+}
+
+// traits returns all traits of the request by which it may make servers crash.
+func (in *inbound) traits() []quarantine.Trait {
+	return append([]quarantine.Trait{in.content}, in.parts...)
 }
 
 // resolve sets the request's service, deadline, cost and dispatcher request.
@@ -116,6 +122,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "the deadline is not a number of milliseconds"}
 	}
 	in.cost = p.costOf(in)
+	in.parts = quarantine.PartTraits(in.service.Name, partIDs(in.Header.Get(p.names.Prefix)))
 	in.requirements = p.requirementsOf(in)
 	return nil
 }
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -80,6 +80,22 @@
 	return n
 }
 
+// partIDs returns the IDs of the parts of a prompt from a comma-separated list of ID:TOKENS blocks. A malformed block
+// has an empty ID, which keeps the last part the last one.
+func partIDs(header string) []string {
+	if header == "" {
+		return nil
+	}
+	items := strings.Split(header, ",")
+	ids := make([]string, len(items))
+	for i, item := range items {
+		if id, _, ok := strings.Cut(strings.TrimSpace(item), ":"); ok {
+			ids[i] = id
+		}
+	}
+	return ids
+}
+
 // prefixBlocks parses a comma-separated list of ID:TOKENS blocks. Malformed blocks are skipped.
 func (p *proxy) prefixBlocks(in *inbound) []dispatch.PrefixBlock {
 	header := in.Header.Get(p.names.Prefix)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -252,7 +252,7 @@
 func (p *components) newProxy(o Options, observer *responseObserver) *proxy {
 	return &proxy{
 		names: o.Names, config: p.config, authenticator: p.newAuthenticator(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, requestLog: p.requestLog,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, origins: p.origins, observer: observer, clock: o.Clock,
+		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, trials: p.quarantine.trials, origins: p.origins, observer: observer, clock: o.Clock,
 		transport: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), bodyTimeout: o.Settings.BodyTimeout.Std(), regions: o.Settings.Regions,
 		buffers: newBufferMemory(o.Settings.MemoryMB),
 	}
@@ -268,6 +268,6 @@
 		lists:      newListCache(p.leader.fanout),
 		placer:     p.leader.placer, configs: p.configs, gateways: p.gateways,
 		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, departures: p.departures, origins: p.origins, removedCount: p.limiters.removedCount,
-		synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
+		trials: p.quarantine.trials, synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
 	}
 }
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -43,6 +43,8 @@
 	// pathOrigins receives records of where streams began, pathOrigin returns one.
 	pathOrigins = "/v1/origins"
 	pathOrigin  = "/v1/origin"
+	// pathTrial grants trials of suspected traits and receives their ends.
+	pathTrial = "/v1/trial"
 )
 
 // Timeouts of calls between gateways.
@@ -57,6 +59,8 @@
 	admissionTimeout = 150 * time.Millisecond
 	// grantTimeout is the timeout of a request for a grant or a permit.
 	grantTimeout = 150 * time.Millisecond
+	// trialRequestTimeout is the timeout of a request for a trial.
+	trialRequestTimeout = 150 * time.Millisecond
 	// originTimeout is the timeout of a query for the origin of a stream and of a message with such records.
 	originTimeout = 250 * time.Millisecond
 )
@@ -96,7 +100,7 @@
 }
 
 // A peerClient calls other gateways. It implements dispatch.Owners, configsync.Peers,
-// quota.GrantClient and originPeers.
+// quota.GrantClient, originPeers and trialPeers.
 type peerClient struct {
 	http     *wire.Client
 	gateways *directory
@@ -181,6 +185,13 @@
 	return reply, err
 }
 
+// requestTrial implements trialPeers.
+func (p *peerClient) requestTrial(ctx context.Context, gateway string, r trialRequest) (trialReply, error) {
+	var reply trialReply
+	err := p.postTo(ctx, trialRequestTimeout, gateway, pathTrial, r, &reply)
+	return reply, err
+}
+
 // wrapNotRunning adds quota.ErrNotRunning to the error of a refused connection, which shows that the other process is
 // not running.
 func wrapNotRunning(err error) error {
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -26,6 +26,7 @@
 	gateways   *directory
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Table
+	trials     *trials
 	limiter    *quota.Limiter
 	// serverLimits holds the rate limits of backend servers. removedCount returns the number of gateways that recently
 	// left the leader's list.
@@ -59,6 +60,7 @@
 	e.POST(pathPermit, p.handlePermit)
 	e.POST(pathOrigins, p.handleOrigins)
 	e.POST(pathOrigin, p.handleOrigin)
+	e.POST(pathTrial, p.handleTrial)
 	server.RegisterQuarantine(e, p.quarantine)
 	e.GET(wire.PathLimits, func(c echo.Context) error { return c.JSON(http.StatusOK, p.limits()) })
 	return e
@@ -101,7 +103,7 @@
 	}
 	p.configs.HandleVersion(m.ConfigVersion, m.Addr)
 	reply := replyMessage{
-		Reply: p.placer.Report(m.Report), Config: p.configs.Announcement(), Quarantine: p.quarantine.Answer(m.Quarantine, quarantine.SharedMinCrashes),
+		Reply: p.placer.Report(m.Report), Config: p.configs.Announcement(), Quarantine: p.quarantine.Answer(m.Quarantine, quarantine.SharedRecords),
 		QuarantineKnown: m.QuarantineUnknown && p.synced.Load(), RemovedGateways: p.removedCount(), ServerLimits: p.serverLimits.Answer(m.ServerLimits),
 		Departures: p.departures.Answer(m.Departures),
 	}
@@ -115,6 +117,15 @@
 	return p.respond(c, reply)
 }
 
+// handleTrial handles a request for a trial of a suspected trait.
+func (p *peerServer) handleTrial(c echo.Context) error {
+	var r trialRequest
+	if err := c.Bind(&r); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, p.trials.handle(r))
+}
+
 // handleHolders handles a poll for missing models and adapters. It responds as soon as an engine holds one of them, and
 // after the hold time at the latest.
 func (p *peerServer) handleHolders(c echo.Context) error {
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -27,7 +27,7 @@
 	quarantine    *quarantine.Table
 	detector      *crashDetector
 	origins       *streamOrigins
-	copies        copySerializer
+	trials        *trials
 	// observer evaluates what servers announce about themselves in responses.
 	observer  *responseObserver
 	clock     clock.Service
@@ -60,7 +60,7 @@
 	setWriteTimeout(w, in.deadline.Sub(p.clock.Now())+unreadMargin)
 	ctx, cancel := clock.WithDeadline(r.Context(), p.clock, in.deadline)
 	defer cancel(nil)
-	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.requirements, buffers: buffers}
+	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.requirements, buffers: buffers, traits: in.traits()}
 	defer p.finish(f)
 	defer context.AfterFunc(p.lifecycle.unansweredCtx, func() {
 		if !f.headerSent.Load() {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rockcleat/clock"
 	"rockcleat/dispatch"
 	"rockcleat/internal/server"
 	"rockcleat/quarantine"
@@ -20,10 +21,10 @@
 	server.LogQuarantine(l.log, c, l.clock.Now())
 }
 
-// watchQuarantine cancels the request if it is placed in quarantine before its response begins, so that copies that no
-// server has started never run. A response that has begun continues.
+// watchQuarantine cancels the request if one of its traits is placed in quarantine before its response begins, so that
+// requests that no server has started never run. A response that has begun continues.
 func (f *forwarder) watchQuarantine() (stop func()) {
-	return f.proxy.quarantine.Watch(f.in.key, func() {
+	return f.proxy.quarantine.Watch(f.traits, func() {
 		if !f.headerSent.Load() {
 			f.cancel(errQuarantined)
 		}
@@ -31,7 +32,7 @@
 }
 
 func (f *forwarder) isQuarantined() bool {
-	_, held := f.proxy.quarantine.Until(f.in.key)
+	_, _, held := f.proxy.quarantine.Quarantine(f.traits...)
 	return held
 }
 
@@ -50,14 +51,103 @@
 		f.refuse(outcomeQuarantined, mayHaveRun("servers end under this request; it may have run"))
 		return
 	}
-	until, _ := f.proxy.quarantine.Until(f.in.key)
+	trait, until, _ := f.proxy.quarantine.Quarantine(f.traits...)
 	left := max(until.Sub(f.proxy.clock.Now()), time.Second).Round(time.Second)
-	f.refuse(outcomeQuarantined, notRun("servers have ended under copies of this request", left))
+	reason := "servers have ended under copies of this request"
+	if trait.Kind == quarantine.Part {
+		reason = "servers have ended under requests with part " + trait.Name + " in their prompts"
+	}
+	f.refuse(outcomeQuarantined, notRun(reason, left))
 }
 
-// reportConnFailure reports a failed connection to the crashDetector.
+// maxJudgementTime is how long a request waits to learn whether the server that lost it has crashed.
+const maxJudgementTime = 300 * time.Millisecond
+
+// reportConnFailure reports a failed connection to the crashDetector. If the request may be sent again and no request
+// with the same parts was answered lately, it waits until it is known whether the server has crashed.
 func (f *forwarder) reportConnFailure(res *dispatch.Reservation, err error) {
-	if isConnFailure(err) {
-		f.proxy.detector.connFailed(res.Server(), f.in.key)
+	if !isConnFailure(err) {
+		return
+	}
+	judged := f.proxy.detector.connFailed(res.Server(), f.suspects())
+	if !f.partsAnswered && f.mayRetry() && !f.proxy.quarantine.AnsweredLately(f.in.parts...) {
+		clock.Await(f.ctx, f.proxy.clock, judged, maxJudgementTime)
+	}
+}
+
+// suspects returns the traits of the request that may have made the server of the current send crash. A server that has
+// begun its response has survived the parts of the prompt.
+func (f *forwarder) suspects() []quarantine.Suspect {
+	traits := f.traits
+	if f.partsAnswered {
+		traits = traits[:1]
+	}
+	list := make([]quarantine.Suspect, len(traits))
+	for i, x := range traits {
+		list[i] = quarantine.Suspect{Trait: x, OnTrial: f.trial.includes(x)}
+	}
+	return list
+}
+
+// recordPartsAnswered records that the server of the current send has produced a part of a successful response.
+func (f *forwarder) recordPartsAnswered() {
+	if f.partsAnswered {
+		return
+	}
+	f.partsAnswered = true
+	f.proxy.quarantine.RecordAnswer(f.in.parts...)
+	f.trial.recordAnswer()
+}
+
+// awaitTrial waits until no other request tests the suspected traits of this one.
+func (f *forwarder) awaitTrial() {
+	for f.ctx.Err() == nil && f.mustAwaitTrial() {
+		clock.Sleep(f.ctx, f.proxy.clock, trialPollInterval)
+	}
+}
+
+// mustAwaitTrial reports whether the request must wait for the trials of others. It also tells the dispatcher whether
+// the request is a trial itself.
+func (f *forwarder) mustAwaitTrial() bool {
+	suspects := f.proxy.quarantine.Suspects(f.traits...)
+	f.req.OnTrial = len(suspects) > 0
+	if !f.req.OnTrial {
+		return false
+	}
+	return f.proxy.trials.isBusy(suspects) || f.awaitsSeparateTrials(suspects)
+}
+
+// awaitsSeparateTrials reports whether the request has several suspected parts that other requests may still test one by
+// one.
+func (f *forwarder) awaitsSeparateTrials(suspects []quarantine.Trait) bool {
+	parts, _ := partitionParts(suspects)
+	return len(parts) > 1 && f.proxy.clock.Now().Before(f.jointTrialFrom)
+}
+
+// beginTrial is called when a server is reserved. ok is false if the request must wait for the trials of others.
+func (f *forwarder) beginTrial() (ok bool) {
+	f.trial = nil
+	suspects := f.proxy.quarantine.Suspects(f.traits...)
+	if len(suspects) == 0 {
+		return true
+	}
+	if f.jointTrialFrom.IsZero() {
+		f.jointTrialFrom = f.proxy.clock.Now().Add(jointTrialDelay)
+	}
+	if f.awaitsSeparateTrials(suspects) {
+		return false
 	}
+	f.trial, ok = f.proxy.trials.begin(f.ctx, suspects)
+	if ok && f.ctx.Err() != nil {
+		f.trial.end(true)
+		f.trial, ok = nil, false
+	}
+	return ok
+}
+
+// endTrial ends the trial of the current send, which had runs before. Unless the server has answered the request or has
+// not run it, a crash may not have been noticed yet.
+func (f *forwarder) endTrial(runs int) {
+	notRun := f.record.runs == runs && f.record.outcome != outcomeCallerGone
+	f.trial.end(notRun || f.record.outcome == outcomeAnswered)
 }
--- a/internal/gateway/quarantine_role.go
+++ b/internal/gateway/quarantine_role.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockcleat/clock"
+	"rockcleat/internal/placer"
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 )
@@ -25,6 +26,7 @@
 	// whole system is being started for the first time.
 	synced    *atomic.Bool
 	detector  *crashDetector
+	trials    *trials
 	startedAt time.Time
 }
 
@@ -43,6 +45,9 @@
 		wasPaused: p.pauses.wasPaused, onCrash: p.urgent.send, log: o.Log, metrics: o.Metrics,
 		failed: make(map[string]*failedServer),
 	}
+	r.trials = newTrials(ctx, o.Settings.ID, r.table, o.Clock)
+	r.trials.peers, r.trials.gateways = p.peers, p.gateways.ids
+	r.trials.retryDelay = func() time.Duration { return placer.ReportInterval(p.gateways.count()) }
 	return r
 }
 
@@ -55,7 +60,10 @@
 func (r *quarantineRole) subscribe(c clock.Service, store *quarantineStore) (stops []func()) {
 	return []func(){
 		c.Subscribe(expireInterval, r.detector.check),
-		c.Subscribe(sweepInterval, func(time.Time) { r.table.Expire() }),
+		c.Subscribe(sweepInterval, func(now time.Time) {
+			r.table.Expire()
+			r.trials.expire(now)
+		}),
 		c.Subscribe(quarantineStepInterval, store.step),
 	}
 }
--- a/internal/gateway/quarantine_scale_test.go
+++ b/internal/gateway/quarantine_scale_test.go
@@ -31,21 +31,30 @@
 		links = append(links, quarantine.NewLink(t, quarantine.AllRecords))
 	}
 	leader := table()
-	handleReport := func(m quarantine.Message) *quarantine.Reply { return leader.Answer(m, quarantine.SharedMinCrashes) }
+	handleReport := func(m quarantine.Message) *quarantine.Reply { return leader.Answer(m, quarantine.SharedRecords) }
 	f.simulatedFleet = newSimulatedFleet(c, handleReport, links, r)
 	return f
 }
 
 // crash records the crash of a server under requests of one gateway, and schedules an urgent report.
 func (f *quarantineFleet) crash(server string, gateway int, keys ...quarantine.Key) {
-	f.tables[gateway].RecordCrash(server, keys...)
+	f.tables[gateway].RecordCrash(server, contentSuspects(keys...)...)
 	f.reportSoon(gateway)
 }
 
+// contentSuspects returns the contents with the given keys as suspects of a crash.
+func contentSuspects(keys ...quarantine.Key) []quarantine.Suspect {
+	list := make([]quarantine.Suspect, len(keys))
+	for i, k := range keys {
+		list[i] = quarantine.Suspect{Trait: quarantine.ContentTrait(k)}
+	}
+	return list
+}
+
 // allQuarantine reports whether all gateways have a request in quarantine.
 func (f *quarantineFleet) allQuarantine(k quarantine.Key) bool {
 	for _, t := range f.tables {
-		if _, held := t.Until(k); !held {
+		if _, _, held := t.Quarantine(quarantine.ContentTrait(k)); !held {
 			return false
 		}
 	}
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -15,13 +15,13 @@
 	"rockcleat/quarantine"
 )
 
-// quarantinePrefix is the key prefix of the requests in quarantine, relative to the product's own prefix.
+// quarantinePrefix is the key prefix of the traits in quarantine, relative to the product's own prefix.
 const quarantinePrefix = "quarantine/"
 
 // quarantineStepInterval is the interval of quarantineStore.step.
 const quarantineStepInterval = 250 * time.Millisecond
 
-// A storedQuarantine is the stored value of a request in quarantine.
+// A storedQuarantine is the stored value of a trait in quarantine.
 type storedQuarantine struct {
 	quarantine.Record
 	// EndedAtMs is when the last server crashed, in Unix milliseconds. The age in Record is relative to the time of
@@ -30,7 +30,7 @@
 }
 
 // A quarantineStore persists the quarantine in the store, so that it survives the loss of all gateways. The leader
-// writes each request once, deletes it when its quarantine is over, and reads all of them when it becomes the leader.
+// writes each trait once, deletes it when its quarantine is over, and reads all of them when it becomes the leader.
 // Any other gateway reads the store only if it has just started and no other gateway has sent it the quarantine. All
 // other updates are exchanged between gateways.
 //
@@ -47,7 +47,7 @@
 
 	// term is the leader token under which the store was last read.
 	term lease.Token
-	// stored maps the requests in the store to their number of crashed servers.
+	// stored maps the traits in the store to the number of crashes in their records.
 	stored map[quarantine.Key]int
 	// failing says that the last call to the store failed.
 	failing bool
@@ -97,7 +97,7 @@
 		}
 		s.AgeMs = max(now.UnixMilli()-s.EndedAtMs, 0)
 		records = append(records, s.Record)
-		q.stored[s.Key] = len(s.Servers)
+		q.stored[s.Key] = crashCount(s.Record)
 	}
 	q.role.table.Merge(records)
 	q.role.synced.Store(true)
@@ -109,7 +109,7 @@
 	quarantined := make(map[quarantine.Key]bool)
 	for _, r := range q.role.table.Quarantined() {
 		quarantined[r.Key] = true
-		if q.stored[r.Key] == len(r.Servers) {
+		if q.stored[r.Key] == crashCount(r) {
 			continue
 		}
 		if err := q.put(ctx, r, now); err != nil {
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// put writes the entry of one request.
+// put writes the entry of one trait.
 func (q *quarantineStore) put(ctx context.Context, r quarantine.Record, now time.Time) error {
 	value, err := json.Marshal(storedQuarantine{Record: r, EndedAtMs: now.UnixMilli() - r.AgeMs})
 	if err != nil {
@@ -137,10 +137,13 @@
 	if _, err := q.store.Put(ctx, kv.Write{Key: quarantinePrefix + r.Key.String(), Value: value, Expect: kv.Any}); err != nil {
 		return err
 	}
-	q.stored[r.Key] = len(r.Servers)
+	q.stored[r.Key] = crashCount(r)
 	return nil
 }
 
+// crashCount returns the number of crashes that a record lists. It grows whenever a quarantine is prolonged.
+func crashCount(r quarantine.Record) int { return len(r.Servers) + len(r.Trials) }
+
 // logHealth logs the first failure of a series, and the first success after it.
 func (q *quarantineStore) logHealth(err error) {
 	if failing := err != nil; failing != q.failing {
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -86,6 +86,7 @@
 	fieldState               = "state"
 	fieldOrigin              = "origin"
 	fieldParts               = "parts"
+	fieldTrials              = "trials"
 	fieldPerSecond           = "per_second"
 	fieldRetryAfter          = "retry_after_s"
 	fieldRemaining           = "remaining_s"
@@ -241,7 +242,7 @@
 // endFields returns the fields of a finished request.
 func (l *requestLog) endFields(in *inbound, req *dispatch.Request, r *record, now time.Time) []zap.Field {
 	return []zap.Field{
-		zap.String(fieldRequest, in.id), zap.Stringer(fieldDigest, in.key),
+		zap.String(fieldRequest, in.id), zap.Stringer(fieldDigest, in.content.Key),
 		zap.String(fieldRoute, in.route.Name), zap.String(fieldService, in.service.Name),
 		zap.String(fieldModel, in.Header.Get(l.names.Model)), zap.String(fieldOutcome, r.outcome),
 		zap.Int(fieldStatus, r.status), zap.Uint64(fieldConfig, in.configVersion),
@@ -359,7 +360,7 @@
 
 // sendFailed logs a send without a usable response.
 func (l *requestLog) sendFailed(f *forwarder, res *dispatch.Reservation, reason string, err error, more ...zap.Field) {
-	fields := append(more, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.key),
+	fields := append(more, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.content.Key),
 		zap.String(fieldAddr, res.Server().Addr), zap.String(fieldReason, reason), zap.Int(fieldRuns, f.record.runs),
 		l.ageField(f.in), telemetry.Error(err))
 	fields = append(fields, serverFields(res.Server())...)
@@ -373,7 +374,7 @@
 
 // responseAborted logs a response that was aborted after it had begun.
 func (l *requestLog) responseAborted(f *forwarder, err error) {
-	l.log.Info(msgResponseAborted, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.key), f.serverField(),
+	l.log.Info(msgResponseAborted, zap.String(fieldRequest, f.in.id), zap.Stringer(fieldDigest, f.in.content.Key), f.serverField(),
 		zap.String(fieldLastEvent, f.lastEvent), telemetry.Error(err))
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -21,6 +21,7 @@
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	defer cancel(nil)
 	f.retryCharged.Store(false)
+	f.partsAnswered = false
 	stall := f.startStallTimer(res, cancel)
 	defer stall.stop()
 	if f.record.sends == 0 {
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +34,10 @@
 	at time.Time
 	// probing says that a probe is running, crashed that the instance has crashed.
 	probing, crashed bool
-	// suspects are the requests whose connection failed, possibly because the server crashed.
-	suspects []quarantine.Key
+	// suspects holds the suspects of each request whose connection failed, possibly because the server crashed.
+	suspects [][]quarantine.Suspect
+	// judged is closed when the probe has ended.
+	judged chan struct{}
 }
 
 // A crashDetector detects that a server has crashed, and attributes the crash to all requests whose connection failed
@@ -62,23 +65,32 @@
 	failed map[string]*failedServer
 }
 
-// connFailed records that the connection to s failed during the request with key k.
-func (d *crashDetector) connFailed(s *backend.Server, k quarantine.Key) {
+// connFailed records that the connection to s failed during a request with the given suspects. judged is closed when it
+// is known whether the server has crashed.
+func (d *crashDetector) connFailed(s *backend.Server, suspects []quarantine.Suspect) (judged <-chan struct{}) {
 	now := d.clock.Now()
 	listed, ok := d.servers.Snapshot().Server(s.ID)
 	if !ok || listed.Leaving || d.wasPaused(now) {
-		return
+		return alreadyJudged
 	}
-	if d.addSuspect(s, k, now) {
-		return
+	if judged, added := d.addSuspects(s, suspects, now); added {
+		return judged
 	}
-	d.table.RecordCrash(s.ID, k)
+	d.table.RecordCrash(s.ID, suspects...)
 	d.onCrash()
+	return alreadyJudged
 }
 
-// addSuspect adds a request to the suspects of a server, and starts a probe if none is running. It returns false if the
-// server is already known to have crashed.
-func (d *crashDetector) addSuspect(s *backend.Server, k quarantine.Key, now time.Time) (added bool) {
+// alreadyJudged is a closed channel.
+var alreadyJudged = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// addSuspects adds the suspects of a request to those of a server, and starts a probe if none is running. added is false
+// if the server is already known to have crashed.
+func (d *crashDetector) addSuspects(s *backend.Server, suspects []quarantine.Suspect, now time.Time) (judged <-chan struct{}, added bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	failed := d.failed[s.ID]
@@ -87,17 +99,18 @@
 		d.failed[s.ID] = failed
 	}
 	if failed.crashed {
-		return false
+		return nil, false
 	}
 	failed.at = now
 	if len(failed.suspects) < maxSuspects {
-		failed.suspects = append(failed.suspects, k)
+		failed.suspects = append(failed.suspects, suspects)
 	}
 	if !failed.probing {
 		failed.probing = true
+		failed.judged = make(chan struct{})
 		go d.probe(failed)
 	}
-	return true
+	return failed.judged, true
 }
 
 // probe tests whether a server is alive. If the server accepts a connection, the requests that failed before the
@@ -109,6 +122,7 @@
 		result := p.Run(d.ctx, failed.server.Addr)
 		if result == wire.ServerEnded {
 			d.recordCrash(failed)
+			close(failed.judged)
 			return
 		}
 		if !d.applyProbe(failed, before, result) {
@@ -123,8 +137,8 @@
 	return len(failed.suspects)
 }
 
-// applyProbe applies the result of a connection attempt. before is the number of suspects when the attempt began. It
-// reports whether another attempt is needed for later suspects.
+// applyProbe applies the result of a connection attempt. before is the number of requests when the attempt began. It
+// reports whether another attempt is needed for later ones.
 func (d *crashDetector) applyProbe(failed *failedServer, before int, result wire.ProbeResult) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -132,6 +146,9 @@
 		failed.suspects = failed.suspects[before:]
 	}
 	failed.probing = result == wire.ServerAlive && len(failed.suspects) > 0
+	if !failed.probing {
+		close(failed.judged)
+	}
 	return failed.probing
 }
 
@@ -142,14 +159,37 @@
 		return
 	}
 	d.metrics.ServerCrashed(failed.server.Service)
-	d.log.Info(msgServerCrashed, zap.String(fieldServer, failed.server.ID), zap.String(fieldAddr, failed.server.Addr),
-		zap.Int(fieldRequests, len(suspects)), zap.Stringers(fieldDigests, suspects[:min(len(suspects), maxLoggedDigests)]))
-	d.table.RecordCrash(failed.server.ID, suspects...)
+	all := slices.Concat(suspects...)
+	d.log.Info(msgServerCrashed, append(suspectFields(all), zap.String(fieldServer, failed.server.ID),
+		zap.String(fieldAddr, failed.server.Addr), zap.Int(fieldRequests, len(suspects)))...)
+	d.table.RecordCrash(failed.server.ID, all...)
 	d.onCrash()
 }
 
+// suspectFields returns log fields with the digests, the parts and the trials among suspects.
+func suspectFields(suspects []quarantine.Suspect) []zap.Field {
+	var digests []quarantine.Key
+	var parts, onTrial []string
+	for _, s := range suspects {
+		if s.Kind == quarantine.Content {
+			digests = append(digests, s.Key)
+			continue
+		}
+		if !slices.Contains(parts, s.Name) {
+			parts = append(parts, s.Name)
+		}
+		if s.OnTrial {
+			onTrial = append(onTrial, s.Name)
+		}
+	}
+	return []zap.Field{
+		zap.Stringers(fieldDigests, digests[:min(len(digests), maxLoggedDigests)]),
+		zap.Strings(fieldParts, parts[:min(len(parts), maxLoggedParts)]), zap.Strings(fieldTrials, onTrial[:min(len(onTrial), maxLoggedParts)]),
+	}
+}
+
 // takeSuspects marks a server as crashed and removes its suspects; first is false if it was marked before.
-func (d *crashDetector) takeSuspects(failed *failedServer) (suspects []quarantine.Key, first bool) {
+func (d *crashDetector) takeSuspects(failed *failedServer) (suspects [][]quarantine.Suspect, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if failed.crashed {
--- a/internal/gateway/server_ends_test.go
+++ b/internal/gateway/server_ends_test.go
@@ -71,7 +71,7 @@
 					return test.dial
 				},
 			}
-			d.connFailed(&server, key)
+			d.connFailed(&server, contentSuspects(key))
 			for range test.dials {
 				<-dialed
 			}
@@ -111,7 +111,7 @@
 			return nil
 		},
 	}
-	d.connFailed(&server, first)
+	d.connFailed(&server, contentSuspects(first))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -121,7 +121,7 @@
 		return poll.Success()
 	})
 	ended.Store(true)
-	d.connFailed(&server, second)
+	d.connFailed(&server, contentSuspects(second))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if d.table.Crashes(second) == 0 {
 			return poll.Continue("the end is not charged")
@@ -129,7 +129,7 @@
 		return poll.Success()
 	})
 	assert.Equal(t, d.table.Crashes(first), 0)
-	d.connFailed(&server, first)
+	d.connFailed(&server, contentSuspects(first))
 	assert.Equal(t, d.table.Crashes(first), 1, "it broke off after the end was known")
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,6 +80,7 @@
 			return f.handleLost(res, cause(ctx, err))
 		}
 		res.RecordFirstByte()
+		f.recordPartsAnswered()
 		stall.restart()
 		now := f.proxy.clock.Now()
 		if !last.IsZero() {
--- a/internal/planner/cell.go
+++ b/internal/planner/cell.go
@@ -176,7 +176,7 @@
 		}
 		a, ok := c.agents[id]
 		if !ok {
-			a = &agentState{id: id, joinedAt: now, quarantine: quarantine.NewLink(c.Quarantine, quarantine.SharedMinCrashes)}
+			a = &agentState{id: id, joinedAt: now, quarantine: quarantine.NewLink(c.Quarantine, quarantine.SharedRecords)}
 			c.agents[id] = a
 		}
 		a.urgent = a.urgent || vm.State != a.vm.State && a.vm.ID != ""
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -19,12 +19,15 @@
 
 // LogQuarantine logs that a request's quarantine began or ended, at the time now.
 func LogQuarantine(log *zap.Logger, c quarantine.Change, now time.Time) {
+	fields := []zap.Field{zap.Stringer("digest", c.Trait.Key), zap.Stringer("kind", c.Trait.Kind)}
+	if c.Trait.Name != "" {
+		fields = append(fields, zap.String("part", c.Trait.Name))
+	}
 	if c.Kind == quarantine.Began {
-		log.Warn("request quarantined", zap.Stringer("digest", c.Key), zap.Strings("servers", c.Servers),
-			zap.Duration("for", c.Until.Sub(now)))
+		log.Warn("request quarantined", append(fields, zap.Strings("servers", c.Servers), zap.Duration("for", c.Until.Sub(now)))...)
 		return
 	}
-	log.Info("quarantine ended", zap.Stringer("digest", c.Key), zap.String("reason", string(c.Kind)))
+	log.Info("quarantine ended", append(fields, zap.String("reason", string(c.Kind)))...)
 }
 
 // RegisterQuarantine registers the handlers by which operators list the requests with which servers have
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -14,22 +14,19 @@
 // A Link is the local end of the exchange with one peer at a time.
 type Link = exchange.Link[Record]
 
-// NewLink returns a Link of a table that has no peer yet. It sends the records of requests with at least the given
-// number of crashes.
-func NewLink(t *Table, minCrashes int) *Link {
-	return exchange.NewLink(changeLog{table: t, minCrashes: minCrashes})
-}
+// NewLink returns a Link of a table that has no peer yet. It sends the records of a scope.
+func NewLink(t *Table, s Scope) *Link { return exchange.NewLink(changeLog{table: t, scope: s}) }
 
-// Answer merges the records of a message and returns the records that are new for the peer, of requests with at
-// least the given number of crashes. It returns nil if there are none.
-func (t *Table) Answer(m Message, minCrashes int) *Reply {
-	return exchange.HandleMessage(changeLog{table: t, minCrashes: minCrashes}, m)
+// Answer merges the records of a message and returns the records of a scope that are new for the peer. It returns nil
+// if there are none.
+func (t *Table) Answer(m Message, s Scope) *Reply {
+	return exchange.HandleMessage(changeLog{table: t, scope: s}, m)
 }
 
-// changeLog is the exchange.Log of a table for requests with at least a number of crashes.
+// changeLog is the exchange.Log of the records of a table in a scope.
 type changeLog struct {
-	table      *Table
-	minCrashes int
+	table *Table
+	scope Scope
 }
 
 // Epoch implements exchange.Log.
@@ -40,14 +37,13 @@
 
 // versionOf returns the version of an entry, or 0 if it is left out.
 func (c changeLog) versionOf(e *entry) uint64 {
-	if len(e.servers) < c.minCrashes && e.generation == 0 {
+	if !c.scope.includes(e) {
 		return 0
 	}
 	return e.version
 }
 
-// Since implements exchange.Log. It leaves out requests with fewer than minCrashes crashes, unless they were cleared
-// before.
+// Since implements exchange.Log.
 func (c changeLog) Since(after uint64) ([]Record, uint64) {
 	t := c.table
 	t.mu.Lock()
--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -26,7 +26,7 @@
 
 // exchange sends one message to a peer and, unless lost is set, applies the reply.
 func (n *node) exchange(name string, peer *node, lost bool) {
-	reply := peer.table.Answer(n.link.Message(name), quarantine.SharedMinCrashes)
+	reply := peer.table.Answer(n.link.Message(name), quarantine.SharedRecords)
 	if !lost {
 		n.link.ApplyReply(reply)
 	}
@@ -34,7 +34,7 @@
 
 // isQuarantined reports whether the request is in quarantine at the node.
 func (n *node) isQuarantined(k quarantine.Key) bool {
-	_, quarantined := n.table.Until(k)
+	_, _, quarantined := n.table.Quarantine(quarantine.ContentTrait(k))
 	return quarantined
 }
 
@@ -44,7 +44,7 @@
 	c := clocktest.New(time.Unix(0, 0))
 	hub, nodes := newNode(c), []*node{newNode(c), newNode(c), newNode(c), newNode(c)}
 	for i, n := range nodes[:3] {
-		n.table.RecordCrash(fmt.Sprint("s", i), key(1))
+		n.table.RecordCrash(fmt.Sprint("s", i), suspects(key(1))...)
 	}
 	for range 2 {
 		for _, n := range nodes {
@@ -61,7 +61,7 @@
 	c := clocktest.New(time.Unix(0, 0))
 	hub, n := newNode(c), newNode(c)
 	for _, server := range []string{"a", "b", "c"} {
-		n.table.RecordCrash(server, key(1))
+		n.table.RecordCrash(server, suspects(key(1))...)
 	}
 	n.exchange("hub", hub, false)
 	hub = newNode(c)
@@ -77,12 +77,12 @@
 func TestNothingNew(t *testing.T) {
 	c := clocktest.New(time.Unix(0, 0))
 	hub, n := newNode(c), newNode(c)
-	n.table.RecordCrash("a", key(1))
+	n.table.RecordCrash("a", suspects(key(1))...)
 	n.exchange("hub", hub, false)
 	n.exchange("hub", hub, false)
 	m := n.link.Message("hub")
 	assert.Equal(t, len(m.Records), 0)
-	assert.Assert(t, hub.table.Answer(m, quarantine.SharedMinCrashes) == nil)
+	assert.Assert(t, hub.table.Answer(m, quarantine.SharedRecords) == nil)
 }
 
 // TestManyRecords checks that more records than fit in one message all arrive.
@@ -91,8 +91,8 @@
 	c := clocktest.New(time.Unix(0, 0))
 	hub, n, other := newNode(c), newNode(c), newNode(c)
 	for i := range requests {
-		n.table.RecordCrash("a", key(i))
-		n.table.RecordCrash("b", key(i))
+		n.table.RecordCrash("a", suspects(key(i))...)
+		n.table.RecordCrash("b", suspects(key(i))...)
 	}
 	for range 6 {
 		n.exchange("hub", hub, false)
@@ -110,7 +110,7 @@
 	c := clocktest.New(time.Unix(0, 0))
 	a, b := newNode(c), newNode(c)
 	for _, server := range []string{"a", "b", "c"} {
-		a.table.RecordCrash(server, key(1))
+		a.table.RecordCrash(server, suspects(key(1))...)
 	}
 	late := a.link.Message("b")
 	a.table.Clear(key(1))
@@ -164,7 +164,7 @@
 		switch r.IntN(8) {
 		case 0, 1:
 			server := fmt.Sprint("s", step)
-			nodes[i].table.RecordCrash(server, key(k))
+			nodes[i].table.RecordCrash(server, suspects(key(k))...)
 			h.crashed[k][server] = true
 		case 2:
 			if k == 0 && nodes[i].table.Clear(key(k)) {
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -13,11 +13,10 @@
 // keySize is the length of a Key in bytes. Finding two requests with the same Key takes some 2^64 attempts.
 const keySize = 16
 
-// A Key identifies the content of a request. Requests with the same Key are treated as the same request, even if
-// their request IDs differ.
+// A Key identifies a Trait: requests that share the trait have the same Key, even if their request IDs differ.
 type Key [keySize]byte
 
-// A Request is the part of a request that its Key is computed from. It leaves out the request ID, the deadline,
+// A Request is the part of a request that its Content is computed from. It leaves out the request ID, the deadline,
 // the connection and headers that do not identify the caller.
 type Request struct {
 	// Caller identifies the sender by its credentials; empty if there are none. It is part of the Key so that
@@ -30,15 +29,25 @@
 	Body   []byte
 }
 
-// KeyOf returns the Key of a request, a truncated SHA-256 hash.
+// KeyOf returns the Key of a request's Content, a truncated SHA-256 hash.
 func KeyOf(r Request) Key {
+	h := newHash(r.Caller, r.Method, r.Host, r.Target)
+	_, _ = h.Write(r.Body)
+	return keyFrom(h)
+}
+
+// newHash returns a hash of the lengths and the contents of some texts.
+func newHash(texts ...string) hash.Hash {
 	h := sha256.New()
-	for _, part := range []string{r.Caller, r.Method, r.Host, r.Target} {
-		writeLength(h, len(part))
+	for _, text := range texts {
+		writeLength(h, len(text))
 		// Writing to a hash never fails.
-		_, _ = io.WriteString(h, part)
+		_, _ = io.WriteString(h, text)
 	}
-	_, _ = h.Write(r.Body)
+	return h
+}
+
+func keyFrom(h hash.Hash) Key {
 	var k Key
 	copy(k[:], h.Sum(nil))
 	return k
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -5,15 +5,20 @@
 	"time"
 )
 
-// A Record is the state of one request as processes exchange it.
+// A Record is the state of one trait as processes exchange it. A process that runs an earlier version of the program
+// drops the fields that it does not know, so a record that lacks them adds nothing to those that a table has.
 type Record struct {
 	Key Key `json:"k"`
-	// Generation is the number of times that the request was cleared. Crashes of earlier
-	// generations no longer count.
+	// Kind and Name are those of the Trait.
+	Kind Kind   `json:"t,omitempty"`
+	Name string `json:"n,omitempty"`
+	// Generation is the number of times that the trait was cleared. Crashes of earlier generations no longer count.
 	Generation uint32 `json:"r,omitempty"`
-	// Servers are the IDs of the server instances that have crashed with the request in this generation.
+	// Servers are the IDs of the server instances that have crashed with the trait in this generation.
 	Servers []string `json:"s,omitempty"`
-	// AgeMs is the time since the last crash or since the request was cleared, in milliseconds.
+	// Trials are the IDs of those that crashed in a trial of the trait.
+	Trials []string `json:"x,omitempty"`
+	// AgeMs is the time since the last crash or since the trait was cleared, in milliseconds.
 	AgeMs int64 `json:"a"`
 }
 
@@ -22,12 +27,14 @@
 // a change.
 const minTimeChange = time.Second
 
-// An entry is the state of one request in a table.
+// An entry is the state of one trait in a table.
 type entry struct {
+	kind       Kind
+	name       string
 	generation uint32
-	// servers is sorted.
-	servers []string
-	// lastEvent is the time of the last crash, or the time when the request was cleared.
+	// servers and trials are sorted.
+	servers, trials []string
+	// lastEvent is the time of the last crash, or the time when the trait was cleared.
 	lastEvent time.Time
 	// version is the version of the table at the last change of the entry.
 	version uint64
@@ -35,54 +42,94 @@
 
 // add adds the crash of a server instance at a time and reports whether it was unknown. It keeps at most maxCrashes
 // instances.
-func (e *entry) add(server string, at time.Time) bool {
-	i, known := slices.BinarySearch(e.servers, server)
-	if known {
-		return false
+func (e *entry) add(server string, onTrial bool, at time.Time) (changed bool) {
+	if i, known := slices.BinarySearch(e.servers, server); !known {
+		changed = true
+		if len(e.servers) < maxCrashes {
+			e.servers = slices.Insert(e.servers, i, server)
+		}
 	}
-	if len(e.servers) < maxCrashes {
-		e.servers = slices.Insert(e.servers, i, server)
+	if i, known := slices.BinarySearch(e.trials, server); onTrial && !known {
+		changed = true
+		if len(e.trials) < maxCrashes {
+			e.trials = slices.Insert(e.trials, i, server)
+		}
 	}
-	if at.After(e.lastEvent) {
+	if changed && at.After(e.lastEvent) {
 		e.lastEvent = at
 	}
-	return true
+	return changed
 }
 
 // clear clears the crashes and begins the next generation.
 func (e *entry) clear(now time.Time) {
 	e.generation++
-	e.servers = nil
+	e.servers, e.trials = nil, nil
 	e.lastEvent = now
 }
 
+// describe sets the kind and the name of an entry if they are known.
+func (e *entry) describe(t Trait) (changed bool) {
+	if t.Kind == Content || e.kind == t.Kind {
+		return false
+	}
+	e.kind, e.name = t.Kind, t.Name
+	return true
+}
+
 // merge merges a record whose last crash was at a time and reports whether the entry has changed. A later
 // generation replaces the entry; crashes of the same generation are added; an earlier generation is ignored.
 func (e *entry) merge(r Record, at time.Time) (changed bool) {
 	if r.Generation < e.generation {
 		return false
 	}
+	changed = e.describe(r.trait())
 	if r.Generation > e.generation {
-		e.generation, e.servers, e.lastEvent = r.Generation, nil, at
+		e.generation, e.servers, e.trials, e.lastEvent = r.Generation, nil, nil, at
 		changed = true
 	}
 	if at.Sub(e.lastEvent) > minTimeChange {
 		e.lastEvent = at
 		changed = true
 	}
-	for _, server := range r.Servers {
-		if len(e.servers) < maxCrashes && e.add(server, at) {
-			changed = true
+	added := mergeCrashes(&e.servers, r.Servers)
+	added = mergeCrashes(&e.trials, r.Trials) || added
+	if added {
+		changed = true
+		if at.After(e.lastEvent) {
+			e.lastEvent = at
 		}
 	}
 	return changed
 }
 
+// mergeCrashes adds server instances to a sorted list and reports whether there were new ones. It keeps at most
+// maxCrashes.
+func mergeCrashes(list *[]string, servers []string) (changed bool) {
+	for _, server := range servers {
+		i, known := slices.BinarySearch(*list, server)
+		if known || len(*list) >= maxCrashes {
+			continue
+		}
+		*list = slices.Insert(*list, i, server)
+		changed = true
+	}
+	return changed
+}
+
 // record returns the entry in the form that is sent to other processes.
 func (e *entry) record(k Key, now time.Time) Record {
-	return Record{Key: k, Generation: e.generation, Servers: slices.Clone(e.servers), AgeMs: max(now.Sub(e.lastEvent).Milliseconds(), 0)}
+	return Record{
+		Key: k, Kind: e.kind, Name: e.name, Generation: e.generation, Servers: slices.Clone(e.servers),
+		Trials: slices.Clone(e.trials), AgeMs: max(now.Sub(e.lastEvent).Milliseconds(), 0),
+	}
 }
 
+// trait returns the trait with the given key that the entry describes.
+func (e *entry) trait(k Key) Trait { return Trait{Key: k, Kind: e.kind, Name: e.name} }
+
+func (r Record) trait() Trait { return Trait{Key: r.Key, Kind: r.Kind, Name: r.Name} }
+
 // age returns the record's age. A negative age, which only an invalid record has, counts as 0, since it would prolong
 // the quarantine.
 func (r Record) age() time.Duration { return time.Duration(max(r.AgeMs, 0)) * time.Millisecond }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -14,9 +14,9 @@
 // Options configure a Table.
 type Options struct {
 	Clock clock.Service
-	// CrashThreshold is the number of server instances that must crash with a request before it is quarantined.
+	// CrashThreshold is the number of server instances that must crash with a trait before it is quarantined.
 	CrashThreshold int
-	// Duration is the duration of the first quarantine of a request.
+	// Duration is the duration of the first quarantine of a Content; kindRules relates those of other kinds to it.
 	Duration time.Duration
 	// OnChange, if not nil, is called for each quarantine that begins or ends, without a lock held.
 	OnChange func(Change)
@@ -29,7 +29,7 @@
 const (
 	// Began says that a quarantine has begun.
 	Began ChangeKind = "began"
-	// Cleared says that a quarantine has ended because the request was cleared; see Table.Clear.
+	// Cleared says that a quarantine has ended because the trait was cleared; see Table.Clear.
 	Cleared ChangeKind = "voided"
 	// Expired says that a quarantine has ended because its time has passed or its record was evicted from a full
 	// Table.
@@ -38,15 +38,15 @@
 
 // A Change is the beginning or the end of a quarantine.
 type Change struct {
-	Key  Key
-	Kind ChangeKind
-	// Servers are the IDs of the server instances that have crashed with the request. It is set for Began only.
+	Trait Trait
+	Kind  ChangeKind
+	// Servers are the IDs of the server instances that have crashed with the trait. It is set for Began only.
 	Servers []string
 	// Until is the time at which the quarantine ends. It is set for Began only.
 	Until time.Time
 }
 
-// A Table holds the requests with which servers have crashed. It is safe for concurrent use.
+// A Table holds the traits of requests with which servers have crashed. It is safe for concurrent use.
 type Table struct {
 	opts Options
 	// epoch identifies this Table to peers; it is never 0.
@@ -56,12 +56,13 @@
 	// version is the number of changes of entries.
 	version uint64
 	entries map[Key]*entry
-	// quarantined are the requests in quarantine as of the last change.
+	// quarantined are the traits in quarantine as of the last change.
 	quarantined map[Key]struct{}
-	// changed are the requests whose entries the current change has modified.
+	// changed are the traits whose entries the current change has modified.
 	changed []Key
-	// watchers holds the watchers of each request.
+	// watchers holds the watchers of each trait.
 	watchers map[Key]map[*watcher]struct{}
+	answers  answerMemory
 }
 
 // A watcher holds a callback of Watch. Its address identifies it, since functions are not comparable.
@@ -71,62 +72,160 @@
 func New(o Options) *Table {
 	return &Table{
 		opts: o, epoch: rand.Uint32() | 1, entries: make(map[Key]*entry), quarantined: make(map[Key]struct{}),
-		watchers: make(map[Key]map[*watcher]struct{}),
+		watchers: make(map[Key]map[*watcher]struct{}), answers: make(answerMemory),
 	}
 }
 
-// RecordCrash records that a server instance crashed while it ran requests.
-func (t *Table) RecordCrash(server string, keys ...Key) {
+// RecordCrash records that a server instance crashed while it ran requests with the given suspects. It leaves out those
+// that answers outweigh.
+func (t *Table) RecordCrash(server string, suspects ...Suspect) {
 	t.change(func(now time.Time) {
-		for _, k := range keys {
-			e := t.entry(k)
-			if e.add(server, now) {
-				t.markChanged(k, e)
+		for _, s := range suspects {
+			if !s.OnTrial && t.answers.outweigh(s.Key, now) {
+				continue
+			}
+			e := t.entry(s.Key)
+			described := e.describe(s.Trait)
+			if e.add(server, s.OnTrial, now) || described {
+				t.markChanged(s.Key, e)
 			}
 		}
 	})
 }
 
-// Clear clears the crashes recorded for a request and reports whether there were any. It is called when the request
-// has completed successfully or when an operator ends its quarantine.
-func (t *Table) Clear(k Key) (known bool) {
+// RecordAnswer records that a server has answered a request with the given traits, which clears their crashes.
+func (t *Table) RecordAnswer(traits ...Trait) {
+	if !t.rememberAnswer(traits) {
+		return
+	}
 	t.change(func(now time.Time) {
-		e := t.entries[k]
-		if known = e != nil && len(e.servers) > 0; known {
-			e.clear(now)
-			t.markChanged(k, e)
+		for _, x := range traits {
+			t.clear(x.Key, now)
 		}
 	})
+}
+
+// rememberAnswer remembers an answer to a request with the given traits. It reports whether crashes are recorded for any
+// of them.
+func (t *Table) rememberAnswer(traits []Trait) (crashed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Clock.Now()
+	for _, x := range traits {
+		if ruleOf(x.Kind).remembersAnswers {
+			t.answers.add(x.Key, now)
+		}
+		e := t.entries[x.Key]
+		crashed = crashed || e != nil && len(e.servers) > 0
+	}
+	return crashed
+}
+
+// Clear clears the crashes recorded for a trait and reports whether there were any.
+func (t *Table) Clear(k Key) (known bool) {
+	t.change(func(now time.Time) { known = t.clear(k, now) })
 	return known
 }
 
+// clear clears the crashes recorded for a trait and reports whether there were any. t.mu must be held.
+func (t *Table) clear(k Key, now time.Time) (known bool) {
+	e := t.entries[k]
+	if e == nil || len(e.servers) == 0 {
+		return false
+	}
+	e.clear(now)
+	t.markChanged(k, e)
+	return true
+}
+
 // Merge merges records of another process, or records that were stored before a restart. It returns the versions of
 // the table before and after it. Records that are too old are ignored.
+//
+// Crashes that answers outweigh are cleared afterwards: the other process does not know that yet.
 func (t *Table) Merge(records []Record) (before, after uint64) {
 	t.change(func(now time.Time) {
 		before = t.version
+		var outweighed []Key
 		for _, r := range records {
-			at := now.Add(-r.age())
-			if now.Sub(at) > retentionTime(t.opts.Duration, len(r.Servers), t.opts.CrashThreshold) {
-				continue
-			}
-			if e := t.entry(r.Key); e.merge(r, at) {
-				t.markChanged(r.Key, e)
+			if t.merge(r, now) && t.answers.outweigh(r.Key, now.Add(-r.age())) {
+				outweighed = append(outweighed, r.Key)
 			}
 		}
 		after = t.version
+		for _, k := range outweighed {
+			t.clear(k, now)
+		}
 	})
 	return before, after
 }
 
-// Until returns the time at which the quarantine of a request ends, and whether the request is in quarantine.
-func (t *Table) Until(k Key) (time.Time, bool) {
+// merge merges one record and reports whether there are new crashes that answers may outweigh. t.mu must be held.
+func (t *Table) merge(r Record, now time.Time) (mayBeOutweighed bool) {
+	at := now.Add(-r.age())
+	if now.Sub(at) > t.opts.retentionTime(&entry{kind: r.Kind, servers: r.Servers, trials: r.Trials}) {
+		return false
+	}
+	e := t.entry(r.Key)
+	if !e.merge(r, at) {
+		return false
+	}
+	t.markChanged(r.Key, e)
+	return len(e.servers) > 0 && !t.opts.isConvicted(e)
+}
+
+// Record returns the record of a trait, and whether there is one.
+func (t *Table) Record(k Key) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.until(k, t.opts.Clock.Now())
+	e := t.entries[k]
+	if e == nil {
+		return Record{}, false
+	}
+	return e.record(k, t.opts.Clock.Now()), true
+}
+
+// Quarantine returns the trait whose quarantine ends last, and when it ends. quarantined is false if none of the traits is
+// in quarantine.
+func (t *Table) Quarantine(traits ...Trait) (trait Trait, until time.Time, quarantined bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Clock.Now()
+	for _, x := range traits {
+		end, ok := t.until(x.Key, now)
+		if ok && end.After(until) {
+			trait, until, quarantined = x, end, true
+		}
+	}
+	return trait, until, quarantined
+}
+
+// AnsweredLately reports whether requests with each of the traits were answered so lately that a crash would not count.
+func (t *Table) AnsweredLately(traits ...Trait) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since := t.opts.Clock.Now().Add(-answerWeight)
+	for _, x := range traits {
+		if r, ok := t.answers[x.Key]; !ok || r.at.Before(since) {
+			return false
+		}
+	}
+	return true
 }
 
-// Crashes returns the number of server instances that have crashed with a request.
+// Suspects returns those of the traits with which servers have crashed since they were last cleared.
+func (t *Table) Suspects(traits ...Trait) []Trait {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Trait
+	for _, x := range traits {
+		if e := t.entries[x.Key]; e != nil && len(e.servers) > 0 {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// Crashes returns the number of server instances that have crashed with a trait.
 func (t *Table) Crashes(k Key) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,22 +235,26 @@
 	return 0
 }
 
-// Watch calls f once when a quarantine of a request begins, unless stop is called before. f is called without a
-// lock held.
-func (t *Table) Watch(k Key, f func()) (stop func()) {
+// Watch calls f when a quarantine of any of the traits begins, once for each, unless stop is called before. f is called
+// without a lock held.
+func (t *Table) Watch(traits []Trait, f func()) (stop func()) {
 	w := &watcher{f: f}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.watchers[k] == nil {
-		t.watchers[k] = make(map[*watcher]struct{})
+	for _, x := range traits {
+		if t.watchers[x.Key] == nil {
+			t.watchers[x.Key] = make(map[*watcher]struct{})
+		}
+		t.watchers[x.Key][w] = struct{}{}
 	}
-	t.watchers[k][w] = struct{}{}
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.watchers[k], w)
-		if len(t.watchers[k]) == 0 {
-			delete(t.watchers, k)
+		for _, x := range traits {
+			delete(t.watchers[x.Key], w)
+			if len(t.watchers[x.Key]) == 0 {
+				delete(t.watchers, x.Key)
+			}
 		}
 	}
 }
@@ -159,14 +262,14 @@
 // Expire removes records that are too old and ends quarantines whose time has passed.
 func (t *Table) Expire() { t.change(t.expire) }
 
-// Counts returns the number of requests in quarantine and the number of the other requests in the table.
+// Counts returns the number of traits in quarantine and the number of the other traits in the table.
 func (t *Table) Counts() (quarantined, suspected int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.quarantined), len(t.entries) - len(t.quarantined)
 }
 
-// Quarantined returns the records of the requests in quarantine, in no particular order.
+// Quarantined returns the records of the traits in quarantine, in no particular order.
 func (t *Table) Quarantined() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,14 +283,14 @@
 	return list
 }
 
-// An Item describes one request of a Table for operators.
+// An Item describes one trait of a Table for operators.
 type Item struct {
 	Record
-	// RemainingMs is the remaining time in quarantine, in milliseconds; 0 if the request is not in quarantine.
+	// RemainingMs is the remaining time in quarantine, in milliseconds; 0 if the trait is not in quarantine.
 	RemainingMs int64 `json:"held_ms"`
 }
 
-// List returns the requests with which servers have crashed, those with the most crashes first.
+// List returns the traits with which servers have crashed, those with the most crashes first.
 func (t *Table) List() []Item {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -221,8 +324,8 @@
 	var watchers []*watcher
 	for _, c := range changes {
 		if c.Kind == Began {
-			watchers = append(watchers, slices.Collect(maps.Keys(t.watchers[c.Key]))...)
-			delete(t.watchers, c.Key)
+			watchers = append(watchers, slices.Collect(maps.Keys(t.watchers[c.Trait.Key]))...)
+			delete(t.watchers, c.Trait.Key)
 		}
 	}
 	t.mu.Unlock()
@@ -237,7 +340,7 @@
 	}
 }
 
-// entry returns the entry of a request and creates it if there is none. t.mu must be held.
+// entry returns the entry of a trait and creates it if there is none. t.mu must be held.
 func (t *Table) entry(k Key) *entry {
 	e := t.entries[k]
 	if e == nil {
@@ -247,21 +350,21 @@
 	return e
 }
 
-// markChanged marks the entry of a request as changed. t.mu must be held.
+// markChanged marks the entry of a trait as changed. t.mu must be held.
 func (t *Table) markChanged(k Key, e *entry) {
 	t.version++
 	e.version = t.version
 	t.changed = append(t.changed, k)
 }
 
-// until returns the time at which the quarantine of a request ends, and whether that is after now. t.mu must be
+// until returns the time at which the quarantine of a trait ends, and whether that is after now. t.mu must be
 // held.
 func (t *Table) until(k Key, now time.Time) (time.Time, bool) {
 	e := t.entries[k]
-	if e == nil || len(e.servers) < t.opts.CrashThreshold {
+	if e == nil || !t.opts.isConvicted(e) {
 		return time.Time{}, false
 	}
-	end := e.lastEvent.Add(quarantineTime(t.opts.Duration, len(e.servers), t.opts.CrashThreshold))
+	end := e.lastEvent.Add(t.opts.quarantineTime(e))
 	return end, now.Before(end)
 }
 
@@ -271,7 +374,8 @@
 	for _, k := range t.changed {
 		until, quarantined := t.until(k, now)
 		if _, known := t.quarantined[k]; quarantined && !known {
-			list = append(list, Change{Key: k, Kind: Began, Servers: slices.Clone(t.entries[k].servers), Until: until})
+			e := t.entries[k]
+			list = append(list, Change{Trait: e.trait(k), Kind: Began, Servers: slices.Clone(e.servers), Until: until})
 			t.quarantined[k] = struct{}{}
 		}
 	}
@@ -280,9 +384,12 @@
 			continue
 		}
 		delete(t.quarantined, k)
-		c := Change{Key: k, Kind: Cleared}
-		if e := t.entries[k]; e == nil || len(e.servers) > 0 {
-			c.Kind = Expired
+		c := Change{Trait: ContentTrait(k), Kind: Expired}
+		if e := t.entries[k]; e != nil {
+			c.Trait = e.trait(k)
+			if len(e.servers) == 0 {
+				c.Kind = Cleared
+			}
 		}
 		list = append(list, c)
 	}
@@ -292,10 +399,11 @@
 // expire removes the entries that are too old. t.mu must be held.
 func (t *Table) expire(now time.Time) {
 	for k, e := range t.entries {
-		if now.Sub(e.lastEvent) > retentionTime(t.opts.Duration, len(e.servers), t.opts.CrashThreshold) {
+		if now.Sub(e.lastEvent) > t.opts.retentionTime(e) {
 			delete(t.entries, k)
 		}
 	}
+	t.answers.expire(now)
 }
 
 // evictExcess reduces a table with more than maxRecords entries to recordsAfterEviction. Entries with the fewest
