--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rockcleat/relay"
 )
@@ -119,3 +121,34 @@
 		})
 	}
 }
+
+// TestPartQuarantineOutlastsAllGateways checks that a gateway started after the loss of all gateways refuses prompts with
+// a quarantined part as not run, and serves those that share the other parts.
+func TestPartQuarantineOutlastsAllGateways(t *testing.T) {
+	env, servers := newCrashingEnv(t, 8, respond(http.StatusOK, "fine"))
+	caller := &promptSender{env: env, path: pathUnsafe, fronts: []string{env.front}}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		caller.send("shared", deadlyPart, "rest")
+		caller.send("shared", "fine", "rest")
+		if stored, err := env.store.List(t.Context(), "quarantine/"); err != nil || len(stored) != 1 {
+			return poll.Continue("%d keys, %v", len(stored), err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	stopNow(env)
+	s := gatewaySettings(t, "next")
+	s.FirstStart = false
+	env.startGateway(s, env.store)
+	env.awaitLines("request quarantined", 2)
+	caller.fronts = []string{s.Listen}
+	before := servers.crashes.Load()
+	got := caller.send("other", deadlyPart)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, servers.crashes.Load(), before)
+	assert.Equal(t, caller.send("shared", "fine", "rest").status, http.StatusOK)
+	assert.Equal(t, caller.send("shared", "fine").status, http.StatusOK)
+	code, out := env.command("quarantine", "list", "-gateway", s.PeerListen)
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.Contains(out, deadlyPart) && strings.Contains(out, "part"), out)
+}
