gateway: a trial ends with an aborted response, a wait for one with the request's deadline

Found while reading the new code. A response that was cut midway left its trial open, so that later copies of a suspected request waited for ever; and a request whose time ended while it waited for a trial was neither answered nor given up, and kept a core busy, since a free server is reserved whatever its time. TestAbortedCopyLetsTheNextOneProceed and TestWaitForTrialEndsWithDeadline hung before (ended after 10 min and 12 s), and pass in 0.6 and 0.7 s.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -75,14 +75,15 @@
 		}
 		if !f.beginTrial() {
 			res.Done(dispatch.Canceled)
+			if f.ctx.Err() != nil {
+				f.endUnserved(f.ctx.Err())
+				return
+			}
 			clock.Sleep(f.ctx, f.proxy.clock, trialPollInterval)
 			continue
 		}
 		f.record.reservation = res
-		runs := f.record.runs
-		finished := f.send(res)
-		f.endTrial(runs)
-		if finished {
+		if finished := f.sendAndEndTrial(res); finished {
 			return
 		}
 	}
--- a/internal/gateway/quarantine_failures_test.go
+++ b/internal/gateway/quarantine_failures_test.go
@@ -282,3 +282,50 @@
 	assert.DeepEqual(t, got, map[int]int{http.StatusBadGateway: 2, http.StatusServiceUnavailable: copies - 2})
 	assert.Equal(t, servers.crashes.Load(), int64(quarantine.DefaultCrashThreshold))
 }
+
+// TestAbortedCopyLetsTheNextOneProceed checks that a copy whose response is aborted midway does not keep later copies of a
+// suspected request waiting.
+func TestAbortedCopyLetsTheNextOneProceed(t *testing.T) {
+	brokenOff := func(c *call) bool {
+		c.write(c.streamHead(), event(1), "20\r\nid: 2\n")
+		return false
+	}
+	env, servers := newCrashingEnv(t, 4, firstThen(brokenOff, stream(3)))
+	caller := &copySender{env: env, path: pathStream, fronts: []string{env.front}}
+	assert.Equal(t, caller.send().status, http.StatusBadGateway)
+	env.awaitLines("server ended", 1)
+	servers.fixed.Store(true)
+	assert.ErrorContains(t, caller.send().err, "EOF")
+	began := time.Now()
+	got := caller.send()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, time.Since(began) < 3*time.Second, "it waited %v", time.Since(began))
+}
+
+// TestWaitForTrialEndsWithDeadline checks that a copy which waits for the trial of another one is refused at its deadline.
+func TestWaitForTrialEndsWithDeadline(t *testing.T) {
+	env, servers := newCrashingEnv(t, 4, respond(http.StatusOK, "fine"))
+	caller := &copySender{env: env, path: pathUnsafe, fronts: []string{env.front}}
+	assert.Equal(t, caller.send().status, http.StatusBadGateway)
+	env.awaitLines("server ended", 1)
+	servers.holdNext.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		req := env.request(http.MethodPost, pathUnsafe, poison, names.RequestID, "held")
+		doWith(&http.Client{Transport: &http.Transport{}}, req.WithContext(ctx))
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if servers.holdNext.Load() {
+			return poll.Continue("the held copy has not come")
+		}
+		return poll.Success()
+	})
+	began := time.Now()
+	got := env.post(pathUnsafe, poison, names.RequestID, "waiting", names.Deadline, "600")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+	assert.Equal(t, servers.crashes.Load(), int64(1))
+}
