--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -60,8 +60,8 @@
 	f.refuse(outcomeQuarantined, notRun(reason, left))
 }
 
-// maxJudgementTime is how long a request waits to learn whether the server that lost it has crashed.
-const maxJudgementTime = 300 * time.Millisecond
+// maxProbeWait is how long a request waits to learn whether the server that lost it has crashed.
+const maxProbeWait = 300 * time.Millisecond
 
 // reportConnFailure reports a failed connection to the crashDetector. If the request may be sent again and no request
 // with the same parts was answered lately, it waits until it is known whether the server has crashed.
@@ -69,9 +69,9 @@
 	if !isConnFailure(err) {
 		return
 	}
-	judged := f.proxy.detector.connFailed(res.Server(), f.suspects())
+	probed := f.proxy.detector.connFailed(res.Server(), f.suspects())
 	if !f.partsAnswered && f.mayRetry() && !f.proxy.quarantine.AnsweredLately(f.in.parts...) {
-		clock.Await(f.ctx, f.proxy.clock, judged, maxJudgementTime)
+		clock.Await(f.ctx, f.proxy.clock, probed, maxProbeWait)
 	}
 }
 
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -36,8 +36,8 @@
 	probing, crashed bool
 	// suspects holds the suspects of each request whose connection failed, possibly because the server crashed.
 	suspects [][]quarantine.Suspect
-	// judged is closed when the probe has ended.
-	judged chan struct{}
+	// probed is closed when the probe has ended.
+	probed chan struct{}
 }
 
 // A crashDetector detects that a server has crashed, and attributes the crash to all requests whose connection failed
@@ -65,24 +65,24 @@
 	failed map[string]*failedServer
 }
 
-// connFailed records that the connection to s failed during a request with the given suspects. judged is closed when it
+// connFailed records that the connection to s failed during a request with the given suspects. probed is closed when it
 // is known whether the server has crashed.
-func (d *crashDetector) connFailed(s *backend.Server, suspects []quarantine.Suspect) (judged <-chan struct{}) {
+func (d *crashDetector) connFailed(s *backend.Server, suspects []quarantine.Suspect) (probed <-chan struct{}) {
 	now := d.clock.Now()
 	listed, ok := d.servers.Snapshot().Server(s.ID)
 	if !ok || listed.Leaving || d.wasPaused(now) {
-		return alreadyJudged
+		return alreadyProbed
 	}
-	if judged, added := d.addSuspects(s, suspects, now); added {
-		return judged
+	if probed, added := d.addSuspects(s, suspects, now); added {
+		return probed
 	}
 	d.table.RecordCrash(s.ID, suspects...)
 	d.onCrash()
-	return alreadyJudged
+	return alreadyProbed
 }
 
-// alreadyJudged is a closed channel.
-var alreadyJudged = func() <-chan struct{} {
+// alreadyProbed is a closed channel.
+var alreadyProbed = func() <-chan struct{} {
 	c := make(chan struct{})
 	close(c)
 	return c
@@ -90,7 +90,7 @@
 
 // addSuspects adds the suspects of a request to those of a server, and starts a probe if none is running. added is false
 // if the server is already known to have crashed.
-func (d *crashDetector) addSuspects(s *backend.Server, suspects []quarantine.Suspect, now time.Time) (judged <-chan struct{}, added bool) {
+func (d *crashDetector) addSuspects(s *backend.Server, suspects []quarantine.Suspect, now time.Time) (probed <-chan struct{}, added bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	failed := d.failed[s.ID]
@@ -107,10 +107,10 @@
 	}
 	if !failed.probing {
 		failed.probing = true
-		failed.judged = make(chan struct{})
+		failed.probed = make(chan struct{})
 		go d.probe(failed)
 	}
-	return failed.judged, true
+	return failed.probed, true
 }
 
 // probe tests whether a server is alive. If the server accepts a connection, the requests that failed before the
@@ -122,7 +122,7 @@
 		result := p.Run(d.ctx, failed.server.Addr)
 		if result == wire.ServerEnded {
 			d.recordCrash(failed)
-			close(failed.judged)
+			close(failed.probed)
 			return
 		}
 		if !d.applyProbe(failed, before, result) {
@@ -147,7 +147,7 @@
 	}
 	failed.probing = result == wire.ServerAlive && len(failed.suspects) > 0
 	if !failed.probing {
-		close(failed.judged)
+		close(failed.probed)
 	}
 	return failed.probing
 }
--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -10,9 +10,9 @@
 	// answerWeight is how long an answer outweighs a later crash. Within it, most of the requests that run on a server
 	// when it crashes have traits with which others have just been answered.
 	answerWeight = 2 * time.Second
-	// excuseTime is how long after a first crash an earlier answer outweighs further ones, so that servers may crash
-	// together. After it, only a new answer does.
-	excuseTime = 500 * time.Millisecond
+	// ignoreWindow is how long after a first crash an earlier answer outweighs further ones, so that servers may crash
+	// together. After it, only a new answer outweighs a crash.
+	ignoreWindow = 500 * time.Millisecond
 	// answerRetention is how long an answer is remembered. It covers the time until other processes report a crash.
 	answerRetention = 10 * time.Second
 	// maxAnswers is the maximum number of traits that are remembered.
@@ -22,8 +22,8 @@
 // An answerRecord is the last answer to a request with a trait.
 type answerRecord struct {
 	at time.Time
-	// excusedAt is when a server first crashed after the answer; zero if none has.
-	excusedAt time.Time
+	// firstCrashAt is when a server first crashed after the answer; zero if none has.
+	firstCrashAt time.Time
 }
 
 // An answerMemory holds the last answers by trait.
@@ -41,7 +41,7 @@
 }
 
 // outweigh reports whether an answer outweighs the crash of a server at a time: it came after the crash or shortly
-// before it, and no server had crashed since for longer than excuseTime.
+// before it, and no server had crashed since for longer than ignoreWindow.
 func (m answerMemory) outweigh(k Key, crashed time.Time) bool {
 	r, ok := m[k]
 	if !ok || r.at.Before(crashed.Add(-answerWeight)) {
@@ -50,11 +50,11 @@
 	if !r.at.Before(crashed) {
 		return true
 	}
-	if r.excusedAt.IsZero() {
-		r.excusedAt = crashed
+	if r.firstCrashAt.IsZero() {
+		r.firstCrashAt = crashed
 		m[k] = r
 	}
-	return crashed.Sub(r.excusedAt) <= excuseTime
+	return crashed.Sub(r.firstCrashAt) <= ignoreWindow
 }
 
 // expire removes answers older than answerRetention.
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -2,7 +2,7 @@
 // repeat them with new request IDs, or send others that have the crashing property in common, possibly to another process.
 //
 // A Table records which server instances have crashed while they ran requests with which traits: their whole content, or a
-// part of their prompts. kindRules says how each kind of trait is judged. A trait is in quarantine once enough server
+// part of their prompts. kindRules says what counts for each kind of trait. A trait is in quarantine once enough server
 // instances have crashed with it. No process then sends a request with it until a time has passed that doubles with each
 // further crash. All requests that run on a server when it crashes are suspected, although usually only one of them is the
 // cause; a trait is cleared when a request with it is answered.
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -12,7 +12,7 @@
 // crashes three servers in that time instead of some 600.
 const DefaultDuration = 10 * time.Minute
 
-// A kindRule says how the traits of one kind are judged.
+// A kindRule says which crashes and answers count for the traits of one kind.
 type kindRule struct {
 	// minTrials is the number of crashes in trials that a quarantine needs. A trait that many requests share rides on
 	// every server that crashes, for whatever reason, but rarely on one that crashes during its trial.
@@ -76,8 +76,8 @@
 // with one crash. The others follow in the next messages.
 const maxMessageRecords = 256
 
-// isConvicted reports whether the crashes of an entry suffice for a quarantine.
-func (o *Options) isConvicted(e *entry) bool {
+// isConfirmed reports whether the crashes of an entry suffice for a quarantine.
+func (o *Options) isConfirmed(e *entry) bool {
 	return len(e.servers) >= o.CrashThreshold && len(e.trials) >= ruleOf(e.kind).minTrials
 }
 
@@ -96,7 +96,7 @@
 // for twice the quarantine time, so that a single further crash in the second half starts the next quarantine. Other
 // records are kept for the duration of a first quarantine.
 func (o *Options) retentionTime(e *entry) time.Duration {
-	if !o.isConvicted(e) {
+	if !o.isConfirmed(e) {
 		return o.Duration / time.Duration(ruleOf(e.kind).durationDivisor)
 	}
 	return 2 * o.quarantineTime(e)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -170,7 +170,7 @@
 		return false
 	}
 	t.markChanged(r.Key, e)
-	return len(e.servers) > 0 && !t.opts.isConvicted(e)
+	return len(e.servers) > 0 && !t.opts.isConfirmed(e)
 }
 
 // Record returns the record of a trait, and whether there is one.
@@ -381,7 +381,7 @@
 // held.
 func (t *Table) until(k Key, now time.Time) (time.Time, bool) {
 	e := t.entries[k]
-	if e == nil || !t.opts.isConvicted(e) {
+	if e == nil || !t.opts.isConfirmed(e) {
 		return time.Time{}, false
 	}
 	end := e.lastEvent.Add(t.opts.quarantineTime(e))
--- a/quarantine/trait.go
+++ b/quarantine/trait.go
@@ -3,7 +3,7 @@
 // A Kind is a kind of Trait.
 type Kind string
 
-// The kinds of traits. kindRules says how each is judged.
+// The kinds of traits. kindRules holds the rule of each.
 const (
 	// Content is the whole content of a request: its copies share it.
 	Content Kind = ""
--- a/quarantine/trait_test.go
+++ b/quarantine/trait_test.go
@@ -60,8 +60,8 @@
 	assert.Assert(t, quarantine.PartTraits("llm", []string{"a", "b"})[0].Key != quarantine.PartTraits("app", []string{"a", "b"})[0].Key)
 }
 
-// TestPartVerdict checks which crashes and answers lead to the quarantine of a part.
-func TestPartVerdict(t *testing.T) {
+// TestPartQuarantine checks which crashes and answers lead to the quarantine of a part.
+func TestPartQuarantine(t *testing.T) {
 	x := parts("x")
 	tests := map[string]struct {
 		do      func(t *quarantine.Table, c *clocktest.Clock)
