quarantine: one function inserts a server into a bounded list; trials: maps.DeleteFunc

The insertion into the sorted lists of crashes stood three times, the removal of what is over was written as loops where package maps has a function. Behaviour stays: what a full list does, and when a crash counts as new, are as before.

Checked: make lint, the tests of quarantine, dispatch, entry, agent, planner, cli and docs, and those of trials and quarantine in the gateway.

--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -246,16 +247,8 @@
 func (t *trials) expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for k, until := range t.refusedUntil {
-		if !now.Before(until) {
-			delete(t.refusedUntil, k)
-		}
-	}
-	for k, g := range t.granted {
-		if !now.Before(g.until) {
-			delete(t.granted, k)
-		}
-	}
+	maps.DeleteFunc(t.refusedUntil, func(_ quarantine.Key, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.granted, func(_ quarantine.Key, g trialGrant) bool { return !now.Before(g.until) })
 }
 
 // A trial is the sending of one request with suspected traits while no other request with them is sent. A nil trial
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -43,17 +43,9 @@
 // add adds the crash of a server instance at a time and reports whether it was unknown. It keeps at most maxCrashes
 // instances.
 func (e *entry) add(server string, onTrial bool, at time.Time) (changed bool) {
-	if i, known := slices.BinarySearch(e.servers, server); !known {
+	changed = insertCrash(&e.servers, server)
+	if onTrial && insertCrash(&e.trials, server) {
 		changed = true
-		if len(e.servers) < maxCrashes {
-			e.servers = slices.Insert(e.servers, i, server)
-		}
-	}
-	if i, known := slices.BinarySearch(e.trials, server); onTrial && !known {
-		changed = true
-		if len(e.trials) < maxCrashes {
-			e.trials = slices.Insert(e.trials, i, server)
-		}
 	}
 	if changed && at.After(e.lastEvent) {
 		e.lastEvent = at
@@ -103,16 +95,23 @@
 	return changed
 }
 
+// insertCrash adds a server instance to a sorted list of at most maxCrashes and reports whether it was missing. A full list
+// stays as it is.
+func insertCrash(list *[]string, server string) (missing bool) {
+	i, known := slices.BinarySearch(*list, server)
+	if !known && len(*list) < maxCrashes {
+		*list = slices.Insert(*list, i, server)
+	}
+	return !known
+}
+
 // mergeCrashes adds server instances to a sorted list and reports whether there were new ones. It keeps at most
 // maxCrashes.
 func mergeCrashes(list *[]string, servers []string) (changed bool) {
 	for _, server := range servers {
-		i, known := slices.BinarySearch(*list, server)
-		if known || len(*list) >= maxCrashes {
-			continue
+		if len(*list) < maxCrashes && insertCrash(list, server) {
+			changed = true
 		}
-		*list = slices.Insert(*list, i, server)
-		changed = true
 	}
 	return changed
 }
