kv: forward the first write after a restore of an entry that the backup had outdated

Cause: g3 started 0.2 s after the restore and listed the store itself, whose copy said that i-5 was ready. The others knew better and kept 'leaving'. When i-5 wrote its state again, its digest was the one that they knew, so the change was left out of what they forward, at the watcher as at each relay. g3 was never told.

The first write of such an entry after a restore is now forwarded whatever its digest; the event carries a mark, so that relays forward it too. One event for each outdated entry and restore. Live servers write again within about 2 s.

TestFanoutForwardsEntryRewrittenAfterRestore failed before, from the watcher and from a relay.

--- a/kv/copy.go
+++ b/kv/copy.go
@@ -76,6 +76,16 @@
 	return merged
 }
 
+// endStale reports whether an entry is a new write of one that was ignored since a restore, which ends that.
+func (l *changeLog) endStale(e Entry) bool {
+	stale, ok := l.stale[e.Key]
+	if !ok || stale.revision == e.Revision {
+		return false
+	}
+	delete(l.stale, e.Key)
+	return true
+}
+
 // maskStale returns the list with each stale entry that has not been written again replaced by
 // the value known before the restore, or removed.
 func (l *changeLog) maskStale(entries []Entry) []Entry {
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -307,20 +307,32 @@
 // silentKeyChanges to the watches of this one.
 func (f *Fanout) applyList(prefix string, l *changeLog, entries []Entry, at Revision) {
 	for _, e := range l.diff(entries, at) {
-		if changesKeys := l.set(e); changesKeys && e.Entry.Revision <= l.to {
-			l.silentKeyChanges++
-		}
-		if e.Entry.Revision <= l.to || !f.updateDigest(prefix, l, e) {
-			// The change was filtered out before, or is now.
-			l.filtered = true
+		changesKeys := l.set(e)
+		if e.Entry.Revision > l.to {
+			f.addEvent(prefix, l, e)
 			continue
 		}
-		l.events = append(l.events, e)
+		if changesKeys {
+			l.silentKeyChanges++
+		}
+		// The change was filtered out before.
+		l.filtered = true
 	}
 	l.to = at
 	l.trim()
 }
 
+// addEvent adds a change to the events, unless other processes need not know of it.
+func (f *Fanout) addEvent(prefix string, l *changeLog, e Event) {
+	// A process that has listed the service since the restore has the outdated entry.
+	e.Rewritten = l.endStale(e.Entry) || e.Rewritten
+	if differs := f.updateDigest(prefix, l, e); !differs && !e.Rewritten {
+		l.filtered = true
+		return
+	}
+	l.events = append(l.events, e)
+}
+
 // appendBatch appends the changes of a batch. It ignores the batch if the prefix is not in use or the
 // batch is older than the log.
 func (f *Fanout) appendBatch(prefix string, b Batch, o origin) {
@@ -345,12 +357,7 @@
 		}
 		l.set(e)
 		delete(l.missing, e.Entry.Key)
-		delete(l.stale, e.Entry.Key)
-		if !f.updateDigest(prefix, l, e) {
-			l.filtered = true
-			continue
-		}
-		l.events = append(l.events, e)
+		f.addEvent(prefix, l, e)
 	}
 	l.to = b.To
 	l.trim()
--- /dev/null
+++ b/kv/fanout_restore_test.go
@@ -0,0 +1,101 @@
+package kv_test
+
+import (
+	"hash/crc32"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/clock/clocktest"
+	"rockcleat/kv"
+	"rockcleat/kv/kvtest"
+)
+
+// A fanoutMember is one process with its view of a service.
+type fanoutMember struct {
+	*kv.Fanout
+	view kv.PrefixStore
+	at   kv.Revision
+}
+
+// newFanoutMember returns a process whose digest of an entry is that of its value.
+func newFanoutMember(store *kvtest.Store, isWatcher bool) *fanoutMember {
+	f := kv.NewFanout(kv.FanoutOptions{
+		Clock: clocktest.Real{}, MaxAge: time.Second, IsWatcher: func() bool { return isWatcher },
+		Digest:          func(_ string, e kv.Entry) uint64 { return uint64(crc32.ChecksumIEEE(e.Value)) },
+		PeriodicWriters: func(string) kv.PeriodicWriters { return counterWriters{} },
+	})
+	return &fanoutMember{Fanout: f, view: f.View(store, false)}
+}
+
+// list lists the prefix and returns the value of each key.
+func (m *fanoutMember) list(t *testing.T) map[string]string {
+	t.Helper()
+	entries, at, err := m.view.ListPrefix(t.Context(), "s/")
+	assert.NilError(t, err)
+	m.at = at
+	values := make(map[string]string)
+	for _, e := range entries {
+		values[e.Key] = string(e.Value)
+	}
+	return values
+}
+
+// follow returns the changes that a watch finds, or those of a list if the watch asks for one.
+func (m *fanoutMember) follow(t *testing.T) map[string]string {
+	t.Helper()
+	events, at, err := m.view.WatchPrefix(t.Context(), "s/", m.at, 100*time.Millisecond)
+	if err != nil {
+		assert.ErrorIs(t, err, kv.ErrCompacted)
+		return m.list(t)
+	}
+	m.at = at
+	values := make(map[string]string)
+	for _, e := range events {
+		values[e.Entry.Key] = string(e.Entry.Value)
+	}
+	return values
+}
+
+// forwardTo sends another process what it lacks.
+func (m *fanoutMember) forwardTo(other *fanoutMember) {
+	other.Apply(m.Since(other.Progress()), time.Now())
+}
+
+// TestFanoutForwardsEntryRewrittenAfterRestore guards against an outdated entry of a backup that a process keeps which
+// listed the service after the restore: the writer's next write does not differ from what the other processes know.
+func TestFanoutForwardsEntryRewrittenAfterRestore(t *testing.T) {
+	tests := map[string]struct{ throughRelay bool }{
+		"from the watcher": {},
+		"from a relay":     {throughRelay: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := kvtest.New(clocktest.Real{})
+				store.Set("s/a", []byte("1"))
+				backup := store.Backup()
+				store.Set("s/a", []byte("2"))
+				watcher, relay, late := newFanoutMember(store, true), newFanoutMember(store, false), newFanoutMember(store, false)
+				watcher.list(t)
+				relay.list(t)
+				store.Restore(backup)
+				assert.DeepEqual(t, watcher.follow(t), map[string]string{"s/a": "2"})
+				watcher.forwardTo(relay)
+				assert.DeepEqual(t, late.list(t), map[string]string{"s/a": "1"})
+
+				store.Set("s/a", []byte("2"))
+				watcher.follow(t)
+				if test.throughRelay {
+					watcher.forwardTo(relay)
+					relay.forwardTo(late)
+				} else {
+					watcher.forwardTo(late)
+				}
+				assert.DeepEqual(t, late.follow(t), map[string]string{"s/a": "2"})
+			})
+		})
+	}
+}
--- a/kv/prefix.go
+++ b/kv/prefix.go
@@ -15,6 +15,8 @@
 	Entry Entry
 	// Deleted is set if the key was deleted; the entry's value is then empty.
 	Deleted bool
+	// Rewritten is set for the first write of an entry that was outdated when the service was restored from a backup.
+	Rewritten bool `json:",omitempty"`
 }
 
 // A PrefixStore lists and watches all keys under a prefix.
