kv: a forwarded list replaces an outdated entry of a backup that has the same revision

Cause: a list was compared with what is known by revision only. An entry that a restored store has outdated keeps the copy's revision with the value known before, so a process that has read the copy took it for what it had. In the trace g3 got the whole list from another gateway 0.5 s after its start, logged that i-5 is leaving, and kept it as ready.

Of two values under one revision the later one is now kept, by the writer's own order (PeriodicWriters.IsOlder); unknown orders change nothing. The watches of the process list again, as for keys that come without a revision.

TestFanoutWholePrefixReplacesEntryOfBackup failed before.

--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -32,10 +32,10 @@
 	// were filtered out by the sender may be older.
 	entries  map[string]Entry
 	complete bool
-	// keyHash is a hash of the set of keys of entries. silentKeyChanges counts the keys that came or
-	// went without a revision above to.
-	keyHash          uint32
-	silentKeyChanges uint64
+	// keyHash is a hash of the set of keys of entries. silentChanges counts the keys that came or
+	// went, and the entries that were replaced, without a revision above to.
+	keyHash       uint32
+	silentChanges uint64
 	// digests are the digests of the entries, if FanoutOptions.Digest is set.
 	digests map[string]uint64
 	// filtered is set if changes after floor were filtered out, here or by the sender. This process
@@ -125,12 +125,12 @@
 // order of their revisions. A deletion gets the revision of the list, since its own is not known.
 // An entry written while the list was read page by page gets the revision of the list at most; the
 // next watch returns it again.
-func (l *changeLog) diff(entries []Entry, at Revision) []Event {
+func (l *changeLog) diff(entries []Entry, at Revision, w PeriodicWriters) []Event {
 	var events []Event
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
-		if before, ok := l.entries[e.Key]; !ok || before.Revision != e.Revision {
+		if before, ok := l.entries[e.Key]; !ok || before.Revision != e.Revision || isSuperseded(before, e, w) {
 			e.Revision = min(e.Revision, at)
 			events = append(events, Event{Entry: e})
 		}
--- a/kv/copy.go
+++ b/kv/copy.go
@@ -86,6 +86,16 @@
 	return true
 }
 
+// isSuperseded reports whether a list holds a later write of an entry under the same revision: the entry is that of a
+// backup, and the process that has made the list ignores it.
+func isSuperseded(e, listed Entry, w PeriodicWriters) bool {
+	if w == nil || e.Revision != listed.Revision {
+		return false
+	}
+	older, known := w.IsOlder(e, listed)
+	return older && known
+}
+
 // maskStale returns the list with each stale entry that has not been written again replaced by
 // the value known before the restore, or removed.
 func (l *changeLog) maskStale(entries []Entry) []Entry {
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -93,7 +93,7 @@
 // View returns s seen through the Fanout. With selfWritten, the prefix is written only by the
 // watcher itself, so its watches need not end early to confirm that nothing has changed.
 func (f *Fanout) View(s PrefixStore, selfWritten bool) PrefixStore {
-	return &fanoutView{fanout: f, store: s, selfWritten: selfWritten, silentKeyChanges: make(map[string]uint64)}
+	return &fanoutView{fanout: f, store: s, selfWritten: selfWritten, silentChanges: make(map[string]uint64)}
 }
 
 // Progress returns how far this Fanout knows each prefix, for another Fanout's Since and HasUpdates.
@@ -260,13 +260,21 @@
 	}
 }
 
+// periodicWriters returns the periodic writers of a prefix, or nil if it has none.
+func (f *Fanout) periodicWriters(prefix string) PeriodicWriters {
+	if f.opts.PeriodicWriters == nil {
+		return nil
+	}
+	return f.opts.PeriodicWriters(prefix)
+}
+
 // resetFromService sets a prefix to a list read from the service, which was current at currentAt,
-// and returns the entries to use and the log's silent key changes up to then. The first list of a
+// and returns the entries to use and the log's silent changes up to then. The first list of a
 // later era is merged with the entries known before.
 func (f *Fanout) resetFromService(prefix string, entries []Entry, at Revision, currentAt time.Time) ([]Entry, uint64) {
 	f.mu.Lock()
-	if l := f.log(prefix); l.complete && l.to.Era() < at.Era() && f.opts.PeriodicWriters != nil {
-		if w := f.opts.PeriodicWriters(prefix); w != nil {
+	if l := f.log(prefix); l.complete && l.to.Era() < at.Era() {
+		if w := f.periodicWriters(prefix); w != nil {
 			entries = l.mergeRestored(entries, at, w, f.opts.Clock.Now())
 		}
 	}
@@ -276,7 +284,7 @@
 }
 
 // reset sets a prefix to a list. It ignores the entries of a list older than the log. It returns the
-// number of silent key changes of the log.
+// number of silent changes of the log.
 func (f *Fanout) reset(prefix string, entries []Entry, at Revision, o origin) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -284,7 +292,7 @@
 	l.recordOrigin(o)
 	if at < l.to {
 		l.notify()
-		return l.silentKeyChanges
+		return l.silentChanges
 	}
 	if l.complete {
 		f.applyList(prefix, l, entries, at)
@@ -297,25 +305,30 @@
 	l.currentAt = o.currentAt
 	l.notify()
 	f.notify()
-	return l.silentKeyChanges
+	return l.silentChanges
 }
 
 // applyList applies a list to a complete log as the changes that lead to it, so that other
 // processes are sent those changes and not the whole prefix again. With 3,000 entries and 300
 // processes, sending the prefix costs 800 MB for each list. A key that came or went without
 // a later revision cannot be sent as a change: key hashes show it to the other processes, and
-// silentKeyChanges to the watches of this one.
+// silentChanges to the watches of this one.
 func (f *Fanout) applyList(prefix string, l *changeLog, entries []Entry, at Revision) {
-	for _, e := range l.diff(entries, at) {
+	w := f.periodicWriters(prefix)
+	for _, e := range l.diff(entries, at, w) {
+		replaces := isSuperseded(l.entries[e.Entry.Key], e.Entry, w)
 		changesKeys := l.set(e)
-		if e.Entry.Revision > l.to {
+		switch {
+		case e.Entry.Revision > l.to:
 			f.addEvent(prefix, l, e)
 			continue
+		case replaces:
+			f.updateDigest(prefix, l, e)
 		}
-		if changesKeys {
-			l.silentKeyChanges++
+		if changesKeys || replaces {
+			l.silentChanges++
 		}
-		// The change was filtered out before.
+		// The change was filtered out before, or cannot be sent.
 		l.filtered = true
 	}
 	l.to = at
--- a/kv/fanout_restore_test.go
+++ b/kv/fanout_restore_test.go
@@ -99,3 +99,23 @@
 		})
 	}
 }
+
+// TestFanoutWholePrefixReplacesEntryOfBackup guards against an outdated entry of a backup that a process keeps although
+// another one has sent it the whole prefix.
+func TestFanoutWholePrefixReplacesEntryOfBackup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New(clocktest.Real{})
+		store.Set("s/a", []byte("1"))
+		backup := store.Backup()
+		store.Set("s/a", []byte("2"))
+		store.Set("s/b", []byte("1"))
+		watcher, late := newFanoutMember(store, true), newFanoutMember(store, false)
+		watcher.list(t)
+		store.Restore(backup)
+		known := map[string]string{"s/a": "2", "s/b": "1"}
+		assert.DeepEqual(t, watcher.follow(t), known)
+		assert.DeepEqual(t, late.list(t), map[string]string{"s/a": "1"})
+		watcher.forwardTo(late)
+		assert.DeepEqual(t, late.follow(t), known)
+	})
+}
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -31,15 +31,15 @@
 	store       PrefixStore
 	selfWritten bool
 
-	// silentKeyChanges holds, for each prefix, the count of the log that the last list included.
+	// silentChanges holds, for each prefix, the count of the log that the last list included.
 	// Guarded by fanout.mu.
-	silentKeyChanges map[string]uint64
+	silentChanges map[string]uint64
 }
 
 // ListPrefix implements PrefixStore.
 func (v *fanoutView) ListPrefix(ctx context.Context, prefix string) ([]Entry, Revision, error) {
 	if list, ok := v.fanout.listReceived(ctx, prefix); ok {
-		v.recordListed(prefix, list.silentKeyChanges)
+		v.recordListed(prefix, list.silentChanges)
 		return list.entries, list.at, nil
 	}
 	began := v.fanout.opts.Clock.Now()
@@ -54,18 +54,18 @@
 	return entries, at, nil
 }
 
-// recordListed records that a list included the given number of silent key changes.
+// recordListed records that a list included the given number of silent changes.
 func (v *fanoutView) recordListed(prefix string, silent uint64) {
 	v.fanout.mu.Lock()
 	defer v.fanout.mu.Unlock()
-	v.silentKeyChanges[prefix] = silent
+	v.silentChanges[prefix] = silent
 }
 
 // A receivedList is a list of a prefix made of forwarded data.
 type receivedList struct {
-	entries          []Entry
-	at               Revision
-	silentKeyChanges uint64
+	entries       []Entry
+	at            Revision
+	silentChanges uint64
 }
 
 // listReceived returns all entries under a prefix from forwarded data that is recent enough, and
@@ -78,7 +78,7 @@
 		l := f.log(prefix)
 		now := f.opts.Clock.Now()
 		if l.complete && now.Sub(l.receivedAt) < f.maxAge() {
-			list = receivedList{entries: l.sortedEntries(), at: l.to, silentKeyChanges: l.silentKeyChanges}
+			list = receivedList{entries: l.sortedEntries(), at: l.to, silentChanges: l.silentChanges}
 			f.mu.Unlock()
 			return list, true
 		}
@@ -176,7 +176,7 @@
 	if l == nil {
 		return cachedChanges{}
 	}
-	if l.silentKeyChanges != v.silentKeyChanges[prefix] {
+	if l.silentChanges != v.silentChanges[prefix] {
 		return cachedChanges{relist: true}
 	}
 	isFresh := !f.opts.IsWatcher() && f.opts.Clock.Now().Sub(l.receivedAt) < f.maxAge()
