dispatch: a reservation that is given up returns its permit

What callers saw: a request that waits for its trial, or is placed in quarantine while it waits, reserves a server and gives it up again. On a server with a rate limit each such reservation took one of the permits that all gateways share, so other requests for that server waited longer, or were refused, than its limit demands.

Cause: the forwarder ended the reservation as a canceled send, and a send that has begun has used its permit.

Reservation.Cancel ends a reservation for which nothing was sent and returns the permit. Done is unchanged. The two places in the forwarder that give up a reservation before they send use it; the other uses of Canceled come after the send.

TestCanceledReservationReturnsPermit; there is no test of it over whole gateways.

--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// TestCanceledReservationReturnsPermit guards against permits of a server's rate limit that are lost with requests which
+// were not sent.
+func TestCanceledReservationReturnsPermit(t *testing.T) {
+	tests := map[string]struct {
+		end          func(*dispatch.Reservation)
+		wantReleased int
+	}{
+		"canceled":         {end: (*dispatch.Reservation).Cancel, wantReleased: 1},
+		"canceled twice":   {end: func(r *dispatch.Reservation) { r.Cancel(); r.Cancel() }, wantReleased: 1},
+		"sent":             {end: func(r *dispatch.Reservation) { r.Done(dispatch.Canceled) }},
+		"canceled at last": {end: func(r *dispatch.Reservation) { r.Done(dispatch.Succeeded); r.Cancel() }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			permits := &testPermits{limits: map[string]float64{"a": 1}, results: map[string][]time.Duration{"a": grantResults(1)}, taken: make(map[string]int)}
+			d := limitedDispatcher(clocktest.New(time.Unix(0, 0)), permits, nil, backend.Server{ID: "a", Service: "app", Hall: "h"})
+			res, err := d.Acquire(t.Context(), &dispatch.Request{Service: "app"})
+			assert.NilError(t, err)
+			test.end(res)
+			assert.Equal(t, permits.released, test.wantReleased)
+		})
+	}
+}
+
 // TestRequestsThatNoServerCanTakeInTime checks requests for a model whose only engine has a rate
 // limit: those that can be granted a permit in time wait in order of priority, and the others are
 // refused immediately with a RetryAfter.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -121,7 +121,7 @@
 	// Misdirected means that the server does not hold the model or is a different server than
 	// expected.
 	Misdirected
-	// Canceled means that the client or the gateway canceled the send.
+	// Canceled means that the client or the gateway canceled the send after it had begun.
 	Canceled
 )
 
@@ -146,6 +146,26 @@
 	r.d.serveWaiting()
 }
 
+// Cancel gives up a reservation for which nothing was sent. Unlike Done, it also returns the permit. It has no effect
+// after Done or an earlier Cancel.
+func (r *Reservation) Cancel() {
+	if r.cancel() {
+		r.d.releasePermit(r)
+	}
+}
+
+// cancel releases the capacity and reports whether it had not been released before.
+func (r *Reservation) cancel() bool {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	if r.released {
+		return false
+	}
+	r.release()
+	r.d.serveWaiting()
+	return true
+}
+
 // release releases the capacity. d.mu must be held.
 func (r *Reservation) release() {
 	if r.released {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -69,12 +69,12 @@
 			return
 		}
 		if f.isQuarantined() {
-			res.Done(dispatch.Canceled)
+			res.Cancel()
 			f.refuseQuarantined()
 			return
 		}
 		if !f.beginTrial() {
-			res.Done(dispatch.Canceled)
+			res.Cancel()
 			if f.ctx.Err() != nil {
 				f.endUnserved(f.ctx.Err())
 				return
