--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -199,11 +198,7 @@
 	if len(ids) == 0 {
 		return []string{t.self}
 	}
-	hash := rendezvous.Key(k.String())
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Compare(rendezvous.Weight(b, hash), rendezvous.Weight(a, hash))
-	})
-	return ids[:min(len(ids), trialOwners)]
+	return rendezvous.Top(ids, rendezvous.Key(k.String()), trialOwners)
 }
 
 // handle handles a trial request as the owner.
--- a/placement/survey.go
+++ b/placement/survey.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -147,7 +146,7 @@
 func (s *plan) ownShare(name string, n int) int {
 	key := rendezvous.Key(name)
 	cells := slices.SortedFunc(slices.Values(s.cells), func(a, b cellSummary) int {
-		return cmp.Compare(rendezvous.Weight(b.id, key), rendezvous.Weight(a.id, key))
+		return rendezvous.Compare(a.id, b.id, key)
 	})
 	own := 0
 	for _, c := range cells {
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -50,8 +50,7 @@
 func New(list []Member) *Tree {
 	members := slices.Clone(list)
 	slices.SortFunc(members, func(a, b Member) int {
-		weights := cmp.Compare(rendezvous.Weight(b.ID, memberOrderKey), rendezvous.Weight(a.ID, memberOrderKey))
-		return cmp.Or(weights, cmp.Compare(a.ID, b.ID))
+		return cmp.Or(rendezvous.Compare(a.ID, b.ID, memberOrderKey), cmp.Compare(a.ID, b.ID))
 	})
 	return &Tree{members: members, layout: newLayout(members)}
 }
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -1,6 +1,10 @@
 package rendezvous
 
-import "hash/fnv"
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
 
 // Weight returns the weight of a node for a key. The key is assigned to the node with the highest
 // weight.
@@ -18,6 +22,23 @@
 	return best
 }
 
+// Top returns the n nodes with the highest weights for a key, the highest first. It returns all nodes if there are fewer.
+func Top(nodes []string, key uint64, n int) []string {
+	n = min(n, len(nodes))
+	rest := slices.Clone(nodes)
+	top := make([]string, 0, n)
+	for len(top) < n {
+		best := Owner(rest, key)
+		top = append(top, best)
+		i := slices.Index(rest, best)
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return top
+}
+
+// Compare orders nodes by their weights for a key, the highest first.
+func Compare(a, b string, key uint64) int { return cmp.Compare(Weight(b, key), Weight(a, key)) }
+
 // splitMix64 is the SplitMix64 finalizer (Steele et al., OOPSLA 2014).
 func splitMix64(z uint64) uint64 {
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,6 +33,20 @@
 	}
 }
 
+// TestTop compares the top nodes with the order of all nodes by Compare.
+func TestTop(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d", "e"}
+	for i := range 100 {
+		key := rendezvous.Key(fmt.Sprint("key", i))
+		sorted := slices.SortedFunc(slices.Values(nodes), func(a, b string) int { return rendezvous.Compare(a, b, key) })
+		for n := range len(nodes) + 2 {
+			assert.DeepEqual(t, rendezvous.Top(nodes, key, n), sorted[:min(n, len(nodes))])
+		}
+		assert.Equal(t, sorted[0], rendezvous.Owner(nodes, key))
+	}
+	assert.DeepEqual(t, nodes, []string{"a", "b", "c", "d", "e"})
+}
+
 func TestOwner(t *testing.T) {
 	assert.Equal(t, rendezvous.Owner(nil, 7), "")
 	assert.Equal(t, rendezvous.Owner([]string{"a"}, 7), "a")
