--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -22,30 +22,6 @@
 	OnChange func(Change)
 }
 
-// A ChangeKind is the kind of a Change.
-type ChangeKind string
-
-// The kinds of changes.
-const (
-	// Began says that a quarantine has begun.
-	Began ChangeKind = "began"
-	// Cleared says that a quarantine has ended because the trait was cleared; see Table.Clear.
-	Cleared ChangeKind = "voided"
-	// Expired says that a quarantine has ended because its time has passed or its record was evicted from a full
-	// Table.
-	Expired ChangeKind = "over"
-)
-
-// A Change is the beginning or the end of a quarantine.
-type Change struct {
-	Trait Trait
-	Kind  ChangeKind
-	// Servers are the IDs of the server instances that have crashed with the trait. It is set for Began only.
-	Servers []string
-	// Until is the time at which the quarantine ends. It is set for Began only.
-	Until time.Time
-}
-
 // A Table holds the traits of requests with which servers have crashed. It is safe for concurrent use.
 type Table struct {
 	opts Options
@@ -65,9 +41,6 @@
 	answers  answerMemory
 }
 
-// A watcher holds a callback of Watch. Its address identifies it, since functions are not comparable.
-type watcher struct{ f func() }
-
 // New returns an empty Table.
 func New(o Options) *Table {
 	return &Table{
@@ -255,83 +228,9 @@
 	return 0
 }
 
-// Watch calls f when a quarantine of any of the traits begins, once for each, unless stop is called before. f is called
-// without a lock held.
-func (t *Table) Watch(traits []Trait, f func()) (stop func()) {
-	w := &watcher{f: f}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, x := range traits {
-		if t.watchers[x.Key] == nil {
-			t.watchers[x.Key] = make(map[*watcher]struct{})
-		}
-		t.watchers[x.Key][w] = struct{}{}
-	}
-	return func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		for _, x := range traits {
-			delete(t.watchers[x.Key], w)
-			if len(t.watchers[x.Key]) == 0 {
-				delete(t.watchers, x.Key)
-			}
-		}
-	}
-}
-
 // Expire removes records that are too old and ends quarantines whose time has passed.
 func (t *Table) Expire() { t.change(t.expire) }
 
-// Counts returns the number of traits in quarantine and the number of the other traits in the table.
-func (t *Table) Counts() (quarantined, suspected int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.quarantined), len(t.entries) - len(t.quarantined)
-}
-
-// Quarantined returns the records of the traits in quarantine, in no particular order.
-func (t *Table) Quarantined() []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.opts.Clock.Now()
-	var list []Record
-	for k := range t.quarantined {
-		if e := t.entries[k]; e != nil {
-			list = append(list, e.record(k, now))
-		}
-	}
-	return list
-}
-
-// An Item describes one trait of a Table for operators.
-type Item struct {
-	Record
-	// RemainingMs is the remaining time in quarantine, in milliseconds; 0 if the trait is not in quarantine.
-	RemainingMs int64 `json:"held_ms"`
-}
-
-// List returns the traits with which servers have crashed, those with the most crashes first.
-func (t *Table) List() []Item {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.opts.Clock.Now()
-	var list []Item
-	for k, e := range t.entries {
-		if len(e.servers) == 0 {
-			continue
-		}
-		item := Item{Record: e.record(k, now)}
-		if until, ok := t.until(k, now); ok {
-			item.RemainingMs = until.Sub(now).Milliseconds()
-		}
-		list = append(list, item)
-	}
-	slices.SortFunc(list, func(a, b Item) int {
-		return cmp.Or(cmp.Compare(len(b.Servers), len(a.Servers)), cmp.Compare(a.AgeMs, b.AgeMs), slices.Compare(a.Key[:], b.Key[:]))
-	})
-	return list
-}
-
 // change calls f with the table locked. Then, without the lock, it calls the watchers and OnChange for the
 // quarantines that have begun or ended.
 func (t *Table) change(f func(now time.Time)) {
