--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -57,7 +57,13 @@
 )
 
 func newServerFollower(h *storeHealth, servers *serverList) *serverFollower {
-	return &serverFollower{storeHealth: h, servers: servers, known: make(map[string]bool), unusable: make(map[string]string), seenLines: newLineLimiter(seenRate, seenBurst)}
+	return &serverFollower{
+		storeHealth: h,
+		servers:     servers,
+		known:       make(map[string]bool),
+		unusable:    make(map[string]string),
+		seenLines:   newLineLimiter(seenRate, seenBurst),
+	}
 }
 
 // Replace implements kv.Follower.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,12 +122,31 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := newComponents(ctx, o)
 	g := &Gateway{
-		settings: o.Settings, decoder: o.Decoder, clock: o.Clock, log: o.Log, config: p.config, configs: p.configs,
-		health: p.health, servers: p.servers, budgets: p.budgets, conns: p.conns, lifecycle: p.lifecycle,
-		lease: p.leader.lease, prefixes: p.leader.fanout.View(p.breaker.View(o.AllKeys), false), placer: p.leader.placer,
-		reporter: p.newReporter(o), holderWatcher: p.newHolderWatcher(o), feed: p.newFeed(o), pauses: p.pauses, quarantine: &p.quarantine, quarantineStore: p.newQuarantineStore(ctx, o),
-		fleetStore: p.fleetStore, serverLimits: p.serverLimits, departures: p.departures,
-		ctx: ctx, cancel: cancel,
+		settings:        o.Settings,
+		decoder:         o.Decoder,
+		clock:           o.Clock,
+		log:             o.Log,
+		config:          p.config,
+		configs:         p.configs,
+		health:          p.health,
+		servers:         p.servers,
+		budgets:         p.budgets,
+		conns:           p.conns,
+		lifecycle:       p.lifecycle,
+		lease:           p.leader.lease,
+		prefixes:        p.leader.fanout.View(p.breaker.View(o.AllKeys), false),
+		placer:          p.leader.placer,
+		reporter:        p.newReporter(o),
+		holderWatcher:   p.newHolderWatcher(o),
+		feed:            p.newFeed(o),
+		pauses:          p.pauses,
+		quarantine:      &p.quarantine,
+		quarantineStore: p.newQuarantineStore(ctx, o),
+		fleetStore:      p.fleetStore,
+		serverLimits:    p.serverLimits,
+		departures:      p.departures,
+		ctx:             ctx,
+		cancel:          cancel,
 	}
 	if o.Eras != nil {
 		o.Eras.OnEraChange(g.storeRestored)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -218,9 +218,19 @@
 
 func (p *components) newFleetStore(ctx context.Context, o Options) *fleetStore {
 	return &fleetStore{
-		ctx: ctx, gateways: p.gateways, onLoad: p.applyStoredGateways, versions: p.servers.versions, recent: make(map[placer.Gateway]time.Time), store: o.Store, keys: p.breaker.View(o.ProductKeys),
-		lease: p.leader.lease, firstStart: o.Settings.FirstStart, startedAt: o.Clock.Now(), clock: o.Clock, log: o.Log,
-		timeout: o.Settings.StoreTimeout.Std(),
+		ctx:        ctx,
+		gateways:   p.gateways,
+		onLoad:     p.applyStoredGateways,
+		versions:   p.servers.versions,
+		recent:     make(map[placer.Gateway]time.Time),
+		store:      o.Store,
+		keys:       p.breaker.View(o.ProductKeys),
+		lease:      p.leader.lease,
+		firstStart: o.Settings.FirstStart,
+		startedAt:  o.Clock.Now(),
+		clock:      o.Clock,
+		log:        o.Log,
+		timeout:    o.Settings.StoreTimeout.Std(),
 	}
 }
 
@@ -251,10 +261,25 @@
 
 func (p *components) newProxy(o Options, observer *responseObserver) *proxy {
 	return &proxy{
-		names: o.Names, config: p.config, authenticator: p.newAuthenticator(o.Settings), limiter: p.limiter, dispatcher: p.dispatcher, budgets: p.budgets, requestLog: p.requestLog,
-		lifecycle: p.lifecycle, conns: p.conns, quarantine: p.quarantine.table, detector: p.quarantine.detector, trials: p.quarantine.trials, origins: p.origins, observer: observer, clock: o.Clock,
-		transport: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), bodyTimeout: o.Settings.BodyTimeout.Std(), regions: o.Settings.Regions,
-		buffers: newBufferMemory(o.Settings.MemoryMB),
+		names:         o.Names,
+		config:        p.config,
+		authenticator: p.newAuthenticator(o.Settings),
+		limiter:       p.limiter,
+		dispatcher:    p.dispatcher,
+		budgets:       p.budgets,
+		requestLog:    p.requestLog,
+		lifecycle:     p.lifecycle,
+		conns:         p.conns,
+		quarantine:    p.quarantine.table,
+		detector:      p.quarantine.detector,
+		trials:        p.quarantine.trials,
+		origins:       p.origins,
+		observer:      observer,
+		clock:         o.Clock,
+		transport:     wire.NewDirectTransport(o.Settings.IdleTimeout.Std()),
+		bodyTimeout:   o.Settings.BodyTimeout.Std(),
+		regions:       o.Settings.Regions,
+		buffers:       newBufferMemory(o.Settings.MemoryMB),
 	}
 }
 
@@ -264,10 +289,22 @@
 
 func (p *components) newPeerServer(c clock.Service) *peerServer {
 	return &peerServer{
-		feedSource: feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c, storeFailed: p.breaker.IsOpen},
-		lists:      newListCache(p.leader.fanout),
-		placer:     p.leader.placer, configs: p.configs, gateways: p.gateways,
-		dispatcher: p.dispatcher, quarantine: p.quarantine.table, limiter: p.limiter, limits: p.limitStatus, serverLimits: p.serverLimits, departures: p.departures, origins: p.origins, removedCount: p.limiters.removedCount,
-		trials: p.quarantine.trials, synced: p.quarantine.synced, clock: c, leaseKey: p.leader.lease.Key(),
+		feedSource:   feedSource{fanout: p.leader.fanout, configs: p.configs, clock: c, storeFailed: p.breaker.IsOpen},
+		lists:        newListCache(p.leader.fanout),
+		placer:       p.leader.placer,
+		configs:      p.configs,
+		gateways:     p.gateways,
+		dispatcher:   p.dispatcher,
+		quarantine:   p.quarantine.table,
+		limiter:      p.limiter,
+		limits:       p.limitStatus,
+		serverLimits: p.serverLimits,
+		departures:   p.departures,
+		origins:      p.origins,
+		removedCount: p.limiters.removedCount,
+		trials:       p.quarantine.trials,
+		synced:       p.quarantine.synced,
+		clock:        c,
+		leaseKey:     p.leader.lease.Key(),
 	}
 }
