--- a/kv/copy.go
+++ b/kv/copy.go
@@ -1,6 +1,9 @@
 package kv
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // PeriodicWriters describes processes that rewrite their entries under a prefix periodically for as
 // long as they run.
@@ -89,7 +92,7 @@
 // isSuperseded reports whether a list holds a later write of an entry under the same revision: the entry is that of a
 // backup, and the process that has made the list ignores it.
 func isSuperseded(e, listed Entry, w PeriodicWriters) bool {
-	if w == nil || e.Revision != listed.Revision {
+	if w == nil || e.Revision != listed.Revision || bytes.Equal(e.Value, listed.Value) {
 		return false
 	}
 	older, known := w.IsOlder(e, listed)
