--- a/internal/cli/summary_report.go
+++ b/internal/cli/summary_report.go
@@ -64,7 +64,12 @@
 		r.Rows = append(r.Rows, stats.row(name))
 	}
 	slices.SortFunc(r.Rows, func(x, y summaryRow) int {
-		return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(y.OverLimit, x.OverLimit), cmp.Compare(y.Requests, x.Requests), strings.Compare(x.Name, y.Name))
+		return cmp.Or(
+			cmp.Compare(y.Refused, x.Refused),
+			cmp.Compare(y.OverLimit, x.OverLimit),
+			cmp.Compare(y.Requests, x.Requests),
+			strings.Compare(x.Name, y.Name),
+		)
 	})
 	if maxRows > 0 && len(r.Rows) > maxRows {
 		r.Rows = r.Rows[:maxRows]
