--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"rockcleat/clock"
+	"rockcleat/clock/clocktest"
 	"rockcleat/relay"
 )
 
@@ -26,7 +29,10 @@
 }
 
 // send sends a request whose prompt begins with the given parts.
-func (p *promptSender) send(parts ...string) reply {
+func (p *promptSender) send(parts ...string) reply { return p.env.do(p.request(parts...)) }
+
+// request returns the next request, whose prompt begins with the given parts.
+func (p *promptSender) request(parts ...string) *http.Request {
 	p.sent++
 	id := fmt.Sprintf("%s-%d", p.path, p.sent)
 	header := ""
@@ -36,7 +42,7 @@
 	header += fmt.Sprintf("own-%d:10", p.sent)
 	req := p.env.request(http.MethodPost, p.path, id, names.Prefix, header, names.RequestID, id)
 	req.URL.Host = p.fronts[p.sent%len(p.fronts)]
-	return p.env.do(req)
+	return req
 }
 
 // send sends a deadly and a sound request, which share their other parts, and records what becomes of them.
@@ -152,3 +158,40 @@
 	assert.Equal(t, code, 0, out)
 	assert.Assert(t, strings.Contains(out, deadlyPart) && strings.Contains(out, "part"), out)
 }
+
+// TestRequestThatAwaitsItsTrialKeepsNoPermit guards against permits of a server's rate limit that are lost with
+// reservations which are given up: a request with two suspected parts first waits for trials of either of them.
+func TestRequestThatAwaitsItsTrialKeepsNoPermit(t *testing.T) {
+	const (
+		// refillTime is the time in which a limit of one request a second permits one request, but not two.
+		refillTime = 1300 * time.Millisecond
+		// patience is how long the caller waits: the request is not sent by then, and a returned permit is still valid.
+		patience = 200 * time.Millisecond
+	)
+	env, servers := newCrashingEnv(t, 1, respond(http.StatusOK, "fine"))
+	env.awaitServers(1)
+	servers.stop()
+	caller := &promptSender{env: env, path: pathUnsafe, fronts: []string{env.front}}
+	caller.send("shared", deadlyPart)
+	assert.Equal(t, servers.crashes.Load(), int64(1))
+	env.store.Remove(prefix + "s0-1")
+
+	limited := newThrottledServer(t, "limited", false)
+	limited.setLimit("1")
+	env.putServer(limited.fakeServer, false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := env.post(pathUnsafe, "sound"); limited.countSince(time.Time{}) == 0 || got.status != http.StatusServiceUnavailable {
+			return poll.Continue("status %d", got.status)
+		}
+		return poll.Success()
+	})
+	clock.Sleep(t.Context(), clocktest.Real{}, refillTime)
+	served := limited.countSince(time.Time{})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	got := env.do(caller.request("shared", deadlyPart).WithContext(ctx))
+	assert.ErrorIs(t, got.err, context.DeadlineExceeded)
+	assert.Equal(t, limited.countSince(time.Time{}), served)
+	got = env.post(pathUnsafe, "sound")
+	assert.Equal(t, got.status, http.StatusOK, "%+v", got)
+}
