--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -25,7 +25,7 @@
 	// limits returns the idle timeout and the header timeout; 0 means no limit.
 	limits func() (idle, header time.Duration)
 
-	// draining says that each connection is ended after its current response.
+	// draining reports whether each connection is ended after its current response.
 	draining atomic.Bool
 
 	mu   sync.Mutex
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -35,11 +35,11 @@
 	tree       *relay.Tree
 	listed     chan struct{}
 	listedOnce sync.Once
-	// seeds holds the addresses of gateways from the settings, without this one. isSeed says that the settings
+	// seeds holds the addresses of gateways from the settings, without this one. isSeed reports whether the settings
 	// name this gateway.
 	seeds  []string
 	isSeed bool
-	// firstStart says that the whole system is being started for the first time.
+	// firstStart reports whether the whole system is being started for the first time.
 	firstStart bool
 	// vm is the capacity of this gateway's VM.
 	vm vmCapacity
--- a/internal/gateway/fleet_keeper.go
+++ b/internal/gateway/fleet_keeper.go
@@ -71,7 +71,7 @@
 	pending      fleetState
 	pendingSince time.Time
 	stored       fleetState
-	// synced says that this gateway knows the previous list of gateways, if there was one. nextLoad is the
+	// synced reports whether this gateway knows the previous list of gateways, if there was one. nextLoad is the
 	// earliest time of the next read from the store.
 	synced   bool
 	nextLoad time.Time
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,9 +30,9 @@
 	record record
 	// buffers holds the memory for the request's body and for the buffered part of its response.
 	buffers *bufferReservation
-	// headerSent says that the header of a response has been sent to the caller.
+	// headerSent reports whether the header of a response has been sent to the caller.
 	headerSent atomic.Bool
-	// retryCharged says that the retry after the current send is already charged to the retry budget.
+	// retryCharged reports whether the retry after the current send is already charged to the retry budget.
 	retryCharged atomic.Bool
 	// version is the software version that can continue the stream; nil before the first event. It is that of req, for the
 	// stall timer, which runs in another goroutine.
@@ -43,7 +43,7 @@
 	lastEvent string
 	// traits are the traits of the request by which it may make servers crash, its content first.
 	traits []quarantine.Trait
-	// trial is the trial of the current send; nil if it has no suspected traits. partsAnswered says that the current
+	// trial is the trial of the current send; nil if it has no suspected traits. partsAnswered reports whether the current
 	// send has brought a part of a successful response.
 	trial         *trial
 	partsAnswered bool
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -26,7 +26,7 @@
 	service table.Service
 	// organisation owns the key that the request came with; the zero Organisation if none is needed.
 	organisation table.Organisation
-	// dropsKey says that the API key must not be forwarded to servers.
+	// dropsKey reports whether the API key must not be forwarded to servers.
 	dropsKey bool
 	// target is the requested model and adapter; empty for services without engines.
 	target backend.Adapter
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -76,7 +76,7 @@
 	ServerLimits serverlimit.Message `json:"limits,omitzero"`
 	// Departures holds new announcements of backend servers that they are leaving.
 	Departures departure.Message `json:"departures,omitzero"`
-	// QuarantineUnknown says that the sender does not yet know the quarantine from before its start.
+	// QuarantineUnknown reports whether the sender does not yet know the quarantine from before its start.
 	QuarantineUnknown bool `json:"uninformed,omitempty"`
 }
 
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -38,7 +38,7 @@
 	lists        *listCache
 	// limits returns this gateway's state of all rate limits.
 	limits func() wire.LimitList
-	// synced says that this gateway knows the quarantine from before its start.
+	// synced reports whether this gateway knows the quarantine from before its start.
 	synced *atomic.Bool
 	clock  clock.Service
 	// leaseKey is the store key of the leader's lease.
--- a/internal/gateway/quarantine_role.go
+++ b/internal/gateway/quarantine_role.go
@@ -22,7 +22,7 @@
 // A quarantineRole holds the components that a gateway needs to refuse requests under which servers have crashed.
 type quarantineRole struct {
 	table *quarantine.Table
-	// synced says that the gateway knows the quarantine from before its start. It is set from the beginning if the
+	// synced reports whether the gateway knows the quarantine from before its start. It is set from the beginning if the
 	// whole system is being started for the first time.
 	synced    *atomic.Bool
 	detector  *crashDetector
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -49,7 +49,7 @@
 	term lease.Token
 	// stored maps the traits in the store to the number of crashes in their records.
 	stored map[quarantine.Key]int
-	// failing says that the last call to the store failed.
+	// failing reports whether the last call to the store failed.
 	failing bool
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -16,9 +16,9 @@
 	reason string
 	// retryAfter is the value of the Retry-After header; 0 omits the header.
 	retryAfter time.Duration
-	// closeConn says that the connection is closed after the response.
+	// closeConn reports whether the connection is closed after the response.
 	closeConn bool
-	// challenge says that the response has a WWW-Authenticate header.
+	// challenge reports whether the response has a WWW-Authenticate header.
 	challenge bool
 	// organisation owns the key that the request came with; empty if it is not known.
 	organisation string
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -57,15 +57,15 @@
 	// limiters are notified when the leader has replied. applyGateways applies the leader's list of gateways.
 	limiters      limiters
 	applyGateways func([]placer.Gateway)
-	// synced says that this gateway knows the quarantine from before its start.
+	// synced reports whether this gateway knows the quarantine from before its start.
 	synced *atomic.Bool
 	// urgent triggers an immediate report: a request waits for a model that no server has loaded, a server has
 	// crashed, or one has announced a changed rate limit or that it is leaving.
 	urgent signal
 
-	// failing says that the last report failed.
+	// failing reports whether the last report failed.
 	failing bool
-	// wasLeader says that this gateway was the leader at the time of the last report.
+	// wasLeader reports whether this gateway was the leader at the time of the last report.
 	wasLeader bool
 	// leader is the leader's address according to the last reply; empty if it is not known.
 	leader string
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -132,7 +132,7 @@
 	// RequestEnded counts a request of a route by its outcome. first and total are the times from its arrival to the
 	// first byte and to the end, in seconds; first is 0 if there was no first byte.
 	RequestEnded(route, outcome string, first, total float64)
-	// RequestSent counts a send to a backend server; retry says that it is not the request's first.
+	// RequestSent counts a send to a backend server; retry reports whether it is not the request's first.
 	RequestSent(service string, retry bool)
 	// Admissions counts admission requests to other gateways by result; silent is the number without a reply.
 	Admissions(granted, denied, silent int)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -23,7 +23,7 @@
 	mu        sync.Mutex
 	settings  config.Retry
 	byService map[string]*retry.Window
-	// firstStart says that the whole system is being started for the first time. shareFrom is the end of the first window
+	// firstStart reports whether the whole system is being started for the first time. shareFrom is the end of the first window
 	// after a restart, before which the share of the fixed number is 0.
 	firstStart bool
 	shareFrom  time.Time
@@ -32,7 +32,7 @@
 	maxGatewaysAt time.Time
 }
 
-// newRetryBudgets returns the budgets of a gateway. firstStart says that no gateway has used a budget before.
+// newRetryBudgets returns the budgets of a gateway. firstStart reports whether no gateway has used a budget before.
 func newRetryBudgets(s config.Retry, firstStart bool, c clock.Service, gateways *directory) *retryBudgets {
 	b := &retryBudgets{
 		settings: s, clock: c, gateways: gateways, byService: make(map[string]*retry.Window),
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -32,7 +32,7 @@
 	server *backend.Server
 	// at is when the last connection failed.
 	at time.Time
-	// probing says that a probe is running, crashed that the instance has crashed.
+	// probing reports whether a probe is running, crashed whether the instance has crashed.
 	probing, crashed bool
 	// suspects holds the suspects of each request whose connection failed, possibly because the server crashed.
 	suspects [][]quarantine.Suspect
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -32,7 +32,7 @@
 type trialRequest struct {
 	Gateway string         `json:"gateway"`
 	Key     quarantine.Key `json:"key"`
-	// Ended says that a trial of the sender has ended.
+	// Ended reports whether a trial of the sender has ended.
 	Ended bool `json:"ended,omitempty"`
 	// Record is what the sender knows of the trait.
 	Record quarantine.Record `json:"record"`
--- a/quarantine/change.go
+++ b/quarantine/change.go
@@ -7,11 +7,11 @@
 
 // The kinds of changes.
 const (
-	// Began says that a quarantine has begun.
+	// Began means that a quarantine has begun.
 	Began ChangeKind = "began"
-	// Cleared says that a quarantine has ended because the trait was cleared; see Table.Clear.
+	// Cleared means that a quarantine has ended because the trait was cleared; see Table.Clear.
 	Cleared ChangeKind = "voided"
-	// Expired says that a quarantine has ended because its time has passed or its record was evicted from a full
+	// Expired means that a quarantine has ended because its time has passed or its record was evicted from a full
 	// Table.
 	Expired ChangeKind = "over"
 )
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -21,7 +21,7 @@
 	durationDivisor int
 	// sharedMinCrashes is the number of crashes from which on all processes learn of the trait.
 	sharedMinCrashes int
-	// remembersAnswers says that an answer is remembered for some time, in case a crash is reported later.
+	// remembersAnswers reports whether an answer is remembered for some time, in case a crash is reported later.
 	remembersAnswers bool
 }
 
--- a/quarantine/trait.go
+++ b/quarantine/trait.go
@@ -61,7 +61,7 @@
 // A Suspect is a trait of a request that was running on a server when it crashed.
 type Suspect struct {
 	Trait
-	// OnTrial says that the request was the only one with the trait that was being sent, since the trait was already
+	// OnTrial reports whether the request was the only one with the trait that was being sent, since the trait was already
 	// suspected.
 	OnTrial bool
 }
--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -33,13 +33,13 @@
 
 // The kinds of changes.
 const (
-	// Began says that the server has announced a limit and had none.
+	// Began means that the server has announced a limit and had none.
 	Began ChangeKind = "began"
-	// Changed says that the server has announced a different limit.
+	// Changed means that the server has announced a different limit.
 	Changed ChangeKind = "changed"
-	// Ended says that the server has sent a response without a limit.
+	// Ended means that the server has sent a response without a limit.
 	Ended ChangeKind = "ended"
-	// Expired says that the limit has expired, since no response has announced it for limitTTL.
+	// Expired means that the limit has expired, since no response has announced it for limitTTL.
 	Expired ChangeKind = "unheard"
 )
 
