--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -124,7 +124,7 @@
 // diff returns the changes that turn the entries of the log into a list of a later revision, in the
 // order of their revisions. A deletion gets the revision of the list, since its own is not known.
 // An entry written while the list was read page by page gets the revision of the list at most; the
-// next watch returns it again.
+// next watch returns it again. w, if not nil, are the periodic writers of the prefix.
 func (l *changeLog) diff(entries []Entry, at Revision, w PeriodicWriters) []Event {
 	var events []Event
 	listed := make(map[string]bool, len(entries))
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -310,34 +310,38 @@
 
 // applyList applies a list to a complete log as the changes that lead to it, so that other
 // processes are sent those changes and not the whole prefix again. With 3,000 entries and 300
-// processes, sending the prefix costs 800 MB for each list. A key that came or went without
-// a later revision cannot be sent as a change: key hashes show it to the other processes, and
-// silentChanges to the watches of this one.
+// processes, sending the prefix costs 800 MB for each list.
 func (f *Fanout) applyList(prefix string, l *changeLog, entries []Entry, at Revision) {
 	w := f.periodicWriters(prefix)
 	for _, e := range l.diff(entries, at, w) {
-		replaces := isSuperseded(l.entries[e.Entry.Key], e.Entry, w)
-		changesKeys := l.set(e)
-		switch {
-		case e.Entry.Revision > l.to:
-			f.addEvent(prefix, l, e)
+		if e.Entry.Revision <= l.to {
+			f.applySilently(prefix, l, e, w)
 			continue
-		case replaces:
-			f.updateDigest(prefix, l, e)
-		}
-		if changesKeys || replaces {
-			l.silentChanges++
 		}
-		// The change was filtered out before, or cannot be sent.
-		l.filtered = true
+		l.set(e)
+		f.addEvent(prefix, l, e)
 	}
 	l.to = at
 	l.trim()
 }
 
+// applySilently applies a change without a revision above that of the log. It cannot be sent to other processes as a
+// change, and may have been filtered out before. Key hashes show the others a key that came or went; silentChanges
+// shows the watches of this process that, and an entry that was replaced.
+func (f *Fanout) applySilently(prefix string, l *changeLog, e Event, w PeriodicWriters) {
+	l.filtered = true
+	replaces := isSuperseded(l.entries[e.Entry.Key], e.Entry, w)
+	if replaces {
+		f.updateDigest(prefix, l, e)
+	}
+	if changesKeys := l.set(e); changesKeys || replaces {
+		l.silentChanges++
+	}
+}
+
 // addEvent adds a change to the events, unless other processes need not know of it.
 func (f *Fanout) addEvent(prefix string, l *changeLog, e Event) {
-	// A process that has listed the service since the restore has the outdated entry.
+	// Another process may have listed the service since the restore, and then holds the outdated entry.
 	e.Rewritten = l.endStale(e.Entry) || e.Rewritten
 	if differs := f.updateDigest(prefix, l, e); !differs && !e.Rewritten {
 		l.filtered = true
--- a/kv/prefix.go
+++ b/kv/prefix.go
@@ -15,7 +15,8 @@
 	Entry Entry
 	// Deleted is set if the key was deleted; the entry's value is then empty.
 	Deleted bool
-	// Rewritten is set for the first write of an entry that was outdated when the service was restored from a backup.
+	// Rewritten is set for the first write of an entry that was outdated when the service was restored from a backup. A
+	// Fanout forwards it even if its digest has not changed.
 	Rewritten bool `json:",omitempty"`
 }
 
