dispatch: a reservation that is not confirmed ends with Cancel

Dispatcher.confirm had the same three steps that Reservation.Cancel got: release, serve the waiting, return the permit.

--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -74,19 +74,21 @@
 // which it may have announced that it is leaving, or have asked for a pause. If it does not, the
 // reservation has been released.
 func (d *Dispatcher) confirm(res *Reservation) bool {
-	d.mu.Lock()
-	s, ok := d.servers.Server(res.server.ID)
-	if ok && res.req.allows(s) && !d.opts.Clock.Now().Before(res.load.pause.endsAt) {
-		d.mu.Unlock()
+	if d.isStillAllowed(res) {
 		return true
 	}
-	res.release()
-	d.serveWaiting()
-	d.mu.Unlock()
-	d.releasePermit(res)
+	res.Cancel()
 	return false
 }
 
+// isStillAllowed reports whether a reserved server is listed, takes the request and has not asked for a pause.
+func (d *Dispatcher) isStillAllowed(res *Reservation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers.Server(res.server.ID)
+	return ok && res.req.allows(s) && !d.opts.Clock.Now().Before(res.load.pause.endsAt)
+}
+
 // reserveOrWait reserves a server according to this gateway's state; a permit or the owner's
 // admission may still be required. Requests to plain services wait only for the end of a pause.
 func (d *Dispatcher) reserveOrWait(ctx context.Context, r *Request) (*Reservation, error) {
