gateway: the parts of a prompt are parsed once

The header was split and cut twice for each request to an engine, for the traits and for the dispatcher. Malformed blocks are kept for the one and skipped with a log line for the other, as before.

--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -122,8 +122,9 @@
 		return &refusal{status: http.StatusBadRequest, reason: "the deadline is not a number of milliseconds"}
 	}
 	in.cost = p.costOf(in)
-	in.parts = quarantine.PartTraits(in.service.Name, partIDs(in.Header.Get(p.names.Prefix)))
-	in.requirements = p.requirementsOf(in)
+	prompt := parsePrompt(in.Header.Get(p.names.Prefix))
+	in.parts = quarantine.PartTraits(in.service.Name, partIDs(prompt))
+	in.requirements = p.requirementsOf(in, prompt)
 	return nil
 }
 
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -32,9 +32,9 @@
 	return max(min(wait, in.deadline.Sub(in.arrived)-responseReserve), 0)
 }
 
-// requirementsOf returns the dispatcher's view of a request. Malformed model headers are logged and ignored; the server
+// requirementsOf returns the dispatcher's view of a request with the given prompt. Malformed model headers are logged and ignored; the server
 // decides whether to accept them.
-func (p *proxy) requirementsOf(in *inbound) dispatch.Request {
+func (p *proxy) requirementsOf(in *inbound, prompt []promptPart) dispatch.Request {
 	req := dispatch.Request{
 		Service: in.service.Name, Priority: in.route.Priority,
 		WaitUntil: in.arrived.Add(in.maxWait()), FirstByteObjective: in.route.FirstByteObjective,
@@ -52,7 +52,7 @@
 	}
 	req.Model, req.Adapter = in.target.Model, in.target.Name
 	req.PromptTokens, req.MaxOutputTokens = p.tokenCounts(in)
-	req.Prefix = p.prefixBlocks(in)
+	req.Prefix = p.prefixBlocks(in, prompt)
 	req.Gap = dispatch.GapBudget{
 		MaxGap: dispatch.InMilliseconds(in.route.EventGapObjective), StepsPerEvent: in.service.Engine.TokensPerEvent,
 	}
@@ -80,38 +80,47 @@
 	return n
 }
 
-// partIDs returns the IDs of the parts of a prompt from a comma-separated list of ID:TOKENS blocks. A malformed block
-// has an empty ID, which keeps the last part the last one.
-func partIDs(header string) []string {
+// A promptPart is one ID:TOKENS block of a prompt as the caller sent it. A block without a colon has an empty id.
+type promptPart struct {
+	text, id, tokens string
+}
+
+// parsePrompt parses a comma-separated list of ID:TOKENS blocks. It keeps malformed blocks, so that the last part stays
+// the last one.
+func parsePrompt(header string) []promptPart {
 	if header == "" {
 		return nil
 	}
 	items := strings.Split(header, ",")
-	ids := make([]string, len(items))
+	parts := make([]promptPart, len(items))
 	for i, item := range items {
-		if id, _, ok := strings.Cut(strings.TrimSpace(item), ":"); ok {
-			ids[i] = id
+		parts[i].text = item
+		if id, tokens, ok := strings.Cut(strings.TrimSpace(item), ":"); ok {
+			parts[i].id, parts[i].tokens = id, tokens
 		}
 	}
-	return ids
+	return parts
 }
 
-// prefixBlocks parses a comma-separated list of ID:TOKENS blocks. Malformed blocks are skipped.
-func (p *proxy) prefixBlocks(in *inbound) []dispatch.PrefixBlock {
-	header := in.Header.Get(p.names.Prefix)
-	if header == "" {
-		return nil
+// partIDs returns the IDs of the parts of a prompt.
+func partIDs(parts []promptPart) []string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = part.id
 	}
-	items := strings.Split(header, ",")
-	blocks := make([]dispatch.PrefixBlock, 0, len(items))
-	for _, item := range items {
-		id, size, ok := strings.Cut(strings.TrimSpace(item), ":")
-		tokens, err := strconv.Atoi(size)
-		if !ok || err != nil {
-			p.requestLog.malformedHeader(in, p.names.Prefix, item)
+	return ids
+}
+
+// prefixBlocks returns the parts of a prompt with their sizes. Malformed ones are skipped.
+func (p *proxy) prefixBlocks(in *inbound, parts []promptPart) []dispatch.PrefixBlock {
+	blocks := make([]dispatch.PrefixBlock, 0, len(parts))
+	for _, part := range parts {
+		tokens, err := strconv.Atoi(part.tokens)
+		if err != nil {
+			p.requestLog.malformedHeader(in, p.names.Prefix, part.text)
 			continue
 		}
-		blocks = append(blocks, dispatch.PrefixBlock{ID: id, Tokens: tokens})
+		blocks = append(blocks, dispatch.PrefixBlock{ID: part.id, Tokens: tokens})
 	}
 	return blocks
 }
