--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,7 +41,7 @@
 	lost []string
 	// lastEvent is the id of the last event forwarded to the caller.
 	lastEvent string
-	// traits are the traits of the request by which it may make servers crash, its content first.
+	// traits are the traits of the request by which it may make servers crash.
 	traits []quarantine.Trait
 	// trial is the trial of the current send; nil if it has no suspected traits. partsAnswered reports whether the current
 	// send has brought a part of a successful response.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -80,7 +80,7 @@
 func (f *forwarder) suspects() []quarantine.Suspect {
 	traits := f.traits
 	if f.partsAnswered {
-		traits = traits[:1]
+		traits = []quarantine.Trait{f.in.content}
 	}
 	list := make([]quarantine.Suspect, len(traits))
 	for i, x := range traits {
