--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -64,13 +64,13 @@
 const maxProbeWait = 300 * time.Millisecond
 
 // reportConnFailure reports a failed connection to the crashDetector. If the request may be sent again and no request
-// with the same parts was answered lately, it waits until it is known whether the server has crashed.
+// with the same parts was answered recently, it waits until it is known whether the server has crashed.
 func (f *forwarder) reportConnFailure(res *dispatch.Reservation, err error) {
 	if !isConnFailure(err) {
 		return
 	}
 	probed := f.proxy.detector.connFailed(res.Server(), f.suspects())
-	if !f.partsAnswered && f.mayRetry() && !f.proxy.quarantine.AnsweredLately(f.in.parts...) {
+	if !f.partsAnswered && f.mayRetry() && !f.proxy.quarantine.AnsweredRecently(f.in.parts...) {
 		clock.Await(f.ctx, f.proxy.clock, probed, maxProbeWait)
 	}
 }
--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -174,8 +174,8 @@
 // TestRequestThatAwaitsItsTrialKeepsNoPermit guards against permits of a server's rate limit that are lost with
 // reservations which are given up: a request with two suspected parts first waits for trials of either of them.
 func TestRequestThatAwaitsItsTrialKeepsNoPermit(t *testing.T) {
-	// patience is how long the caller waits; it is shorter than the wait for other trials.
-	const patience = 200 * time.Millisecond
+	// callerTimeout is shorter than the wait for other trials.
+	const callerTimeout = 200 * time.Millisecond
 	env, servers := newCrashingEnv(t, 1, respond(http.StatusOK, "fine"))
 	env.awaitServers(1)
 	servers.stop()
@@ -189,7 +189,7 @@
 	env.putServer(limited.fakeServer, false)
 	env.awaitPath(pathUnsafe, http.StatusOK)
 	granted, spent := env.permits()
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	ctx, cancel := context.WithTimeout(t.Context(), callerTimeout)
 	defer cancel()
 	got := env.do(caller.request("shared", deadlyPart).WithContext(ctx))
 	assert.ErrorIs(t, got.err, context.DeadlineExceeded)
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -18,7 +18,7 @@
 	clock   *clocktest.Clock
 	ids     []string
 	members map[string]*trials
-	// unreachable says that no gateway reaches another one.
+	// unreachable reports whether no gateway reaches another one.
 	unreachable bool
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -172,8 +172,8 @@
 	return trait, until, quarantined
 }
 
-// AnsweredLately reports whether requests with each of the traits were answered so lately that a crash would not count.
-func (t *Table) AnsweredLately(traits ...Trait) bool {
+// AnsweredRecently reports whether requests with each of the traits were answered so recently that a crash would not count.
+func (t *Table) AnsweredRecently(traits ...Trait) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	since := t.opts.Clock.Now().Add(-answerWeight)
