--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -125,54 +125,6 @@
 	notSentBurst = 5
 )
 
-// Metrics records metrics of a gateway.
-type Metrics interface {
-	// Handler serves the metrics in text format.
-	Handler() http.Handler
-	// RequestEnded counts a request of a route by its outcome. first and total are the times from its arrival to the
-	// first byte and to the end, in seconds; first is 0 if there was no first byte.
-	RequestEnded(route, outcome string, first, total float64)
-	// RequestSent counts a send to a backend server; retry reports whether it is not the request's first.
-	RequestSent(service string, retry bool)
-	// Admissions counts admission requests to other gateways by result; silent is the number without a reply.
-	Admissions(granted, denied, silent int)
-	// QuotaCharged counts a request that was checked against an organisation's rate limit, with its cost in the limit's
-	// unit. outcome is "inside", "over" or "unknown".
-	QuotaCharged(organisation, outcome string, cost float64)
-	// ServerLimitChanged counts a change of a rate limit that a server announces, by state.
-	ServerLimitChanged(state string)
-	// ServerPause counts a change of the time for which a server accepts no requests, by state.
-	ServerPause(state string)
-	// StreamResumed counts a stream that a caller resumes, by the source of its origin.
-	StreamResumed(source string)
-	// OriginsNotSent counts records of streams that could not be sent to another gateway.
-	OriginsNotSent(records int)
-	// ServerDeparture counts a server that announced that it is leaving, by origin of the announcement.
-	ServerDeparture(origin string)
-	// PermitRequested counts a request for a permit of a server's rate limit. outcome is "inside", "over" or "unknown".
-	PermitRequested(outcome string)
-	// ServerCrashed counts a crash of a server under requests, by service.
-	ServerCrashed(service string)
-	// ConfigTransfer counts a transfer of the configuration and its size on the wire; err is not nil if it failed.
-	ConfigTransfer(from string, bytes int, err error)
-}
-
-type noMetrics struct{}
-
-func (noMetrics) Handler() http.Handler                         { return http.NotFoundHandler() }
-func (noMetrics) RequestEnded(string, string, float64, float64) {}
-func (noMetrics) RequestSent(string, bool)                      {}
-func (noMetrics) ServerLimitChanged(string)                     {}
-func (noMetrics) ServerPause(string)                            {}
-func (noMetrics) ServerDeparture(string)                        {}
-func (noMetrics) StreamResumed(string)                          {}
-func (noMetrics) OriginsNotSent(int)                            {}
-func (noMetrics) PermitRequested(string)                        {}
-func (noMetrics) ServerCrashed(string)                          {}
-func (noMetrics) QuotaCharged(string, string, float64)          {}
-func (noMetrics) Admissions(int, int, int)                      {}
-func (noMetrics) ConfigTransfer(string, int, error)             {}
-
 // A requestLog writes the log lines about requests and updates the metrics. It is safe for concurrent use.
 type requestLog struct {
 	log     *zap.Logger
