--- a/internal/gateway/quarantine_failures_test.go
+++ b/internal/gateway/quarantine_failures_test.go
@@ -88,6 +88,18 @@
 	return code, out.String()
 }
 
+// replaceQuarantinedGateway stops the only gateway, which holds a quarantine, and starts another one, which knows it from
+// the store. It returns the settings of the new one.
+func (env *testEnv) replaceQuarantinedGateway() config.Gateway {
+	env.t.Helper()
+	stopNow(env)
+	s := gatewaySettings(env.t, "next")
+	s.FirstStart = false
+	env.startGateway(s, env.store)
+	env.awaitLines("request quarantined", 2)
+	return s
+}
+
 // awaitReady waits until the gateway with settings s is ready.
 func awaitReady(t *testing.T, s config.Gateway) {
 	t.Helper()
@@ -127,11 +139,7 @@
 		}
 		return poll.Success()
 	})
-	stopNow(env)
-	s := gatewaySettings(t, "next")
-	s.FirstStart = false
-	env.startGateway(s, env.store)
-	env.awaitLines("request quarantined", 2)
+	s := env.replaceQuarantinedGateway()
 	caller.fronts = []string{s.Listen}
 	caller.checkRefused(servers)
 }
--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -141,11 +141,7 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(20*time.Second))
-	stopNow(env)
-	s := gatewaySettings(t, "next")
-	s.FirstStart = false
-	env.startGateway(s, env.store)
-	env.awaitLines("request quarantined", 2)
+	s := env.replaceQuarantinedGateway()
 	caller.fronts = []string{s.Listen}
 	before := servers.crashes.Load()
 	got := caller.send("other", deadlyPart)
