admission: an owner's account of the requests at its servers

An owner counted an admission for 400 ms and added the loads that gateways report, so that a request counted twice, or after its end. Not yet used by package dispatch.

--- /dev/null
+++ b/admission/outbox.go
@@ -0,0 +1,186 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// An Outbox holds a sender's admissions at other gateways' servers, and what their owners have not been told.
+type Outbox struct {
+	sender   string
+	epoch    int64
+	channels map[string]*outChannel
+}
+
+// NewOutbox returns an empty Outbox. The epoch must grow with each start of the sender.
+func NewOutbox(sender string, epoch int64) *Outbox {
+	return &Outbox{sender: sender, epoch: epoch, channels: make(map[string]*outChannel)}
+}
+
+// An outChannel is the state of the channel to one owner.
+type outChannel struct {
+	next ID
+	open map[ID]*outEntry
+	// ended holds the IDs that have ended, except for denied ones, until the owner has acknowledged it.
+	ended map[ID]struct{}
+	// needsFull is set until the owner has acknowledged a full message.
+	needsFull  bool
+	ownerEpoch int64
+}
+
+// An outEntry is an admission that has not ended.
+type outEntry struct {
+	server string
+	tokens int
+	until  time.Time
+	// asked is set until the owner has admitted the request, unadmitted if it is sent without being admitted
+	// and the owner has not acknowledged that yet.
+	asked, unadmitted bool
+}
+
+// Ask assigns the ID of an admission that the owner is going to be asked for. until is when the request ends at
+// the latest.
+func (o *Outbox) Ask(owner, server string, tokens int, until time.Time) ID {
+	return o.add(owner, &outEntry{server: server, tokens: tokens, until: until, asked: true})
+}
+
+// Begin assigns the ID of a request that is sent without admission.
+func (o *Outbox) Begin(owner, server string, tokens int, until time.Time) ID {
+	return o.add(owner, &outEntry{server: server, tokens: tokens, until: until, unadmitted: true})
+}
+
+func (o *Outbox) add(owner string, e *outEntry) ID {
+	c := o.channel(owner)
+	id := c.next
+	c.next++
+	c.open[id] = e
+	return id
+}
+
+// Admitted records that the owner has admitted a request. It returns false if the sender has given it up.
+func (o *Outbox) Admitted(owner string, id ID) bool {
+	e, ok := o.channel(owner).open[id]
+	if ok {
+		e.asked = false
+	}
+	return ok
+}
+
+// Denied records that the owner has denied an admission. The owner does not need to be told that it has ended.
+func (o *Outbox) Denied(owner string, id ID) { delete(o.channel(owner).open, id) }
+
+// End records that a request has ended, or that the sender has given up an admission that it asked for.
+func (o *Outbox) End(owner string, id ID) {
+	c := o.channel(owner)
+	if _, ok := c.open[id]; ok {
+		delete(c.open, id)
+		c.ended[id] = struct{}{}
+	}
+}
+
+// Message returns what the owner has not acknowledged yet.
+func (o *Outbox) Message(owner string, now time.Time) Message {
+	c := o.channel(owner)
+	m := Message{Sender: o.sender, Epoch: o.epoch, Floor: c.floor(), Next: c.next, Full: c.needsFull}
+	for _, id := range sortedIDs(c.open) {
+		e := c.open[id]
+		switch {
+		case e.asked && m.Full:
+			m.Asked = append(m.Asked, id)
+		case !e.asked && (m.Full || e.unadmitted):
+			m.Began = append(m.Began, Entry{ID: id, Server: e.server, Tokens: e.tokens, TTLMs: int(e.until.Sub(now).Milliseconds())})
+		}
+	}
+	for _, id := range sortedIDs(c.ended) {
+		if id >= m.Floor {
+			m.Ended = append(m.Ended, id)
+		}
+	}
+	return m
+}
+
+// Acknowledged records the owner's reply to a message.
+func (o *Outbox) Acknowledged(owner string, m Message, a Ack) {
+	c := o.channel(owner)
+	for id := range c.ended {
+		if id < m.Floor {
+			delete(c.ended, id)
+		}
+	}
+	for _, id := range m.Ended {
+		delete(c.ended, id)
+	}
+	for _, e := range m.Began {
+		if open, ok := c.open[e.ID]; ok {
+			open.unadmitted = false
+		}
+	}
+	switch {
+	case m.Full && !a.Resync:
+		c.needsFull, c.ownerEpoch = false, a.Epoch
+	case a.Resync || a.Epoch != c.ownerEpoch:
+		c.needsFull = true
+	}
+}
+
+// IsPending reports whether the owner has to be told something.
+func (o *Outbox) IsPending(owner string) bool {
+	c, ok := o.channels[owner]
+	if !ok {
+		return false
+	}
+	if len(c.ended) > 0 {
+		return true
+	}
+	for _, e := range c.open {
+		if e.unadmitted || c.needsFull && !e.asked {
+			return true
+		}
+	}
+	return false
+}
+
+// Reset drops everything about an owner that is not running. IDs go on, in case it still is.
+func (o *Outbox) Reset(owner string) {
+	c := o.channel(owner)
+	clear(c.open)
+	clear(c.ended)
+	c.needsFull = true
+}
+
+// Owners returns the owners that the Outbox has a channel to, in order.
+func (o *Outbox) Owners() []string {
+	list := make([]string, 0, len(o.channels))
+	for owner := range o.channels {
+		list = append(list, owner)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (o *Outbox) channel(owner string) *outChannel {
+	c := o.channels[owner]
+	if c == nil {
+		c = &outChannel{next: 1, open: make(map[ID]*outEntry), ended: make(map[ID]struct{}), needsFull: true}
+		o.channels[owner] = c
+	}
+	return c
+}
+
+// floor returns the lowest ID that has not ended.
+func (c *outChannel) floor() ID {
+	lowest := c.next
+	for id := range c.open {
+		lowest = min(lowest, id)
+	}
+	return lowest
+}
+
+func sortedIDs[V any](m map[ID]V) []ID {
+	ids := make([]ID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
