admission: epochs are not ordered

The time of day may go back between two starts of a gateway. An epoch that differs begins anew; the last epochs are remembered, so that their late messages have no effect.

--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -5,21 +5,29 @@
 	"time"
 )
 
+// maxPastEpochs is the number of earlier epochs of a sender that are remembered. Their messages are outdated within
+// the time of a call.
+const maxPastEpochs = 8
+
 // A Ledger is an owner's account of the requests of other gateways at its servers.
 type Ledger struct {
 	epoch    int64
 	channels map[string]*channel
 	loads    map[string]Load
+	onEnd    func(server string, admitted time.Time)
 }
 
-// NewLedger returns an empty Ledger. The epoch must grow with each start of the owner.
-func NewLedger(epoch int64) *Ledger {
-	return &Ledger{epoch: epoch, channels: make(map[string]*channel), loads: make(map[string]Load)}
+// NewLedger returns an empty Ledger. The epoch must be another one after each start of the owner, and not 0. onEnd is
+// called with each request that has ended: its server and when it was admitted.
+func NewLedger(epoch int64, onEnd func(server string, admitted time.Time)) *Ledger {
+	return &Ledger{epoch: epoch, channels: make(map[string]*channel), loads: make(map[string]Load), onEnd: onEnd}
 }
 
 // A channel is the state of one sender.
 type channel struct {
 	epoch int64
+	// past holds the sender's earlier epochs, the latest last.
+	past  []int64
 	floor ID
 	// synced is set once a full message has been applied.
 	synced bool
@@ -30,9 +38,9 @@
 
 // An openEntry is a request that has not ended.
 type openEntry struct {
-	server  string
-	tokens  int
-	expires time.Time
+	server            string
+	tokens            int
+	admitted, expires time.Time
 }
 
 // Load returns the load that the senders have at a server.
@@ -41,7 +49,7 @@
 // Epoch returns the owner's epoch.
 func (l *Ledger) Epoch() int64 { return l.epoch }
 
-// Apply applies a message. Messages of an earlier epoch of the sender have no effect.
+// Apply applies a message. Messages of a past epoch of the sender have no effect.
 func (l *Ledger) Apply(m Message, now time.Time) Ack {
 	c := l.channel(m.Sender, m.Epoch)
 	if c == nil {
@@ -74,7 +82,7 @@
 	}
 }
 
-// HasEnded reports whether an admission has ended, or belongs to an earlier epoch of the sender.
+// HasEnded reports whether an admission has ended, or belongs to a past epoch of the sender.
 func (l *Ledger) HasEnded(sender string, epoch int64, id ID) bool {
 	c := l.channel(sender, epoch)
 	return c == nil || c.hasEnded(id)
@@ -102,19 +110,22 @@
 	}
 }
 
-// channel returns the state of a sender, or nil if the epoch is not its latest. A later epoch drops the
-// entries of the earlier one.
+// channel returns the state of a sender, or nil if the epoch is a past one. A new epoch drops the entries of the
+// earlier one: the sender has been restarted. Epochs are not ordered, since the time of day may go back.
 func (l *Ledger) channel(sender string, epoch int64) *channel {
-	c := l.channels[sender]
-	switch {
-	case c != nil && c.epoch == epoch:
-		return c
-	case c != nil && c.epoch > epoch:
-		return nil
-	case c != nil:
-		l.clear(c)
-	}
-	c = &channel{epoch: epoch, open: make(map[ID]openEntry), ended: make(map[ID]struct{})}
+	old := l.channels[sender]
+	if old != nil && old.epoch == epoch {
+		return old
+	}
+	c := &channel{epoch: epoch, open: make(map[ID]openEntry), ended: make(map[ID]struct{})}
+	if old != nil {
+		if slices.Contains(old.past, epoch) {
+			return nil
+		}
+		l.clear(old)
+		c.past = append(old.past, old.epoch)
+		c.past = c.past[max(len(c.past)-maxPastEpochs, 0):]
+	}
 	l.channels[sender] = c
 	return c
 }
@@ -150,7 +161,9 @@
 	if _, ok := c.open[e.ID]; ok {
 		return true
 	}
-	c.open[e.ID] = openEntry{server: e.Server, tokens: e.Tokens, expires: now.Add(time.Duration(e.TTLMs) * time.Millisecond)}
+	c.open[e.ID] = openEntry{
+		server: e.Server, tokens: e.Tokens, admitted: now, expires: now.Add(time.Duration(e.TTLMs) * time.Millisecond),
+	}
 	l.count(e.Server, 1, e.Tokens)
 	return true
 }
@@ -194,6 +207,7 @@
 	}
 	delete(c.open, id)
 	l.count(e.server, -1, -e.tokens)
+	l.onEnd(e.server, e.admitted)
 }
 
 func (l *Ledger) count(server string, running, tokens int) {
--- a/admission/message.go
+++ b/admission/message.go
@@ -16,7 +16,7 @@
 // A Message tells an owner what has begun and ended at its servers.
 type Message struct {
 	Sender string `json:"g"`
-	// Epoch grows with each start of the sender.
+	// Epoch is another one after each start of the sender.
 	Epoch int64 `json:"e"`
 	// All IDs below Floor have ended. IDs from Next on were not assigned when the message was made.
 	Floor ID `json:"f"`
@@ -31,7 +31,7 @@
 
 // An Ack is an owner's reply to a Message.
 type Ack struct {
-	// Epoch grows with each start of the owner. It is 0 in the reply of a gateway that keeps no account.
+	// Epoch is another one after each start of the owner.
 	Epoch int64 `json:"e"`
 	// Resync means that the owner does not know the channel's entries and needs a full message.
 	Resync bool `json:"r,omitempty"`
--- a/admission/outbox.go
+++ b/admission/outbox.go
@@ -12,7 +12,7 @@
 	channels map[string]*outChannel
 }
 
-// NewOutbox returns an empty Outbox. The epoch must grow with each start of the sender.
+// NewOutbox returns an empty Outbox. The epoch must be another one after each start of the sender.
 func NewOutbox(sender string, epoch int64) *Outbox {
 	return &Outbox{sender: sender, epoch: epoch, channels: make(map[string]*outChannel)}
 }
