dispatch: owners count requests until their end and queue those of all gateways

Cause: an owner counted an admission for 400 ms and added reported loads, so that it believed in twice the requests that ran; senders asked again every 50 ms, and a freed slot went to whoever asked next.

Change: for services whose servers have at most admission.max_slots slots (0: none), a request for admission carries an ID and what has begun and ended (package admission). The owner counts it until its end, queues it in the order of package admitqueue, and tells the sender when it admits it (POST /v1/granted); ends travel with the next ask or in a notice (POST /v1/places). Plain services are admitted in the same way. A request that is not expected to be served in time is refused at once.

--- a/backend/server.go
+++ b/backend/server.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -170,5 +172,8 @@
 	return s.byModel[modelKey{service: service, model: model}]
 }
 
+// All returns all servers in unspecified order.
+func (s *Snapshot) All() iter.Seq[*Server] { return maps.Values(s.servers) }
+
 // Len returns the number of servers.
 func (s *Snapshot) Len() int { return len(s.servers) }
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rockcleat/admission"
 	"rockcleat/backend"
 )
 
@@ -19,6 +20,27 @@
 	Gap             GapBudget     `json:"l"`
 	// Late means that the request can no longer meet its objective.
 	Late bool `json:"t,omitempty"`
+
+	// Account is set by senders whose requests the owner counts until they end. ID is the ID of this request for
+	// admission. The fields below are set with it.
+	Account *admission.Message `json:"c,omitempty"`
+	ID      admission.ID       `json:"i,omitempty"`
+	// TTLMs is the time until the request ends at the latest, QueueMs that for which the owner may queue it, WaitMs that
+	// until it must be sent, and LeftMs that until its deadline, all in milliseconds.
+	TTLMs   int `json:"e,omitempty"`
+	QueueMs int `json:"q,omitempty"`
+	WaitMs  int `json:"w,omitempty"`
+	LeftMs  int `json:"d,omitempty"`
+	// AgeMs is the time since the request arrived, and SendByMs that until it must be sent to be in time, negative if that
+	// has passed; nil if it is always in time. Both are in milliseconds.
+	AgeMs    int  `json:"b,omitempty"`
+	SendByMs *int `json:"f,omitempty"`
+	// The fields below correspond to those of Request.
+	MayHaveRun   bool    `json:"n,omitempty"`
+	Priority     int     `json:"y,omitempty"`
+	Organisation string  `json:"g,omitempty"`
+	Weight       float64 `json:"h,omitempty"`
+	ContentKey   uint64  `json:"x,omitempty"`
 }
 
 // An AdmissionReply is the owner's reply to an AdmissionRequest.
@@ -33,6 +55,12 @@
 	// RetryAfterMs is how long to wait before asking again if the request was not admitted, in
 	// milliseconds.
 	RetryAfterMs int `json:"a,omitempty"`
+	// Ack is the reply to the request's Account; nil if the owner does not count requests.
+	Ack *admission.Ack `json:"c,omitempty"`
+	// Queued means that the owner will say when it admits the request. WaitMs is the estimated wait in milliseconds of a
+	// request that was not admitted.
+	Queued bool `json:"q,omitempty"`
+	WaitMs int  `json:"w,omitempty"`
 }
 
 // Owners requests admission from the gateways that own engines.
@@ -56,8 +84,8 @@
 	fullEngineRetry = 50 * time.Millisecond
 )
 
-// An admission records that another gateway's request was admitted to an engine.
-type admission struct {
+// A timedAdmission records that another gateway's request was admitted to an engine, for admissionTTL.
+type timedAdmission struct {
 	admittedAt     time.Time
 	requiredTokens int
 }
@@ -70,11 +98,11 @@
 	if !ok || !d.owners.owns(s) {
 		return AdmissionReply{}
 	}
-	req := &Request{
-		Service: s.Service, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
-		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, admittedLate: r.Late,
+	if r.Account != nil && d.isCounted(s.Service) {
+		return d.admitCounted(r, s)
 	}
 	now := d.opts.Clock.Now()
+	req := r.request(s, now)
 	c := d.candidate(req, s, d.opts.CacheTokens(s.Service), now)
 	reply := AdmissionReply{Owned: true, Load: c.load()}
 	if !s.AcceptsRequests() {
@@ -91,10 +119,43 @@
 	return reply
 }
 
+// request returns the request that admission to a server is requested for.
+func (r *AdmissionRequest) request(s *backend.Server, now time.Time) *Request {
+	req := &Request{
+		Service: s.Service, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
+		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, admittedLate: r.Late,
+		Organisation: r.Organisation, Weight: r.Weight, Priority: r.Priority, ContentKey: r.ContentKey, MayHaveRun: r.MayHaveRun,
+		Arrived: now.Add(-milliseconds(r.AgeMs)), WaitUntil: now.Add(milliseconds(r.WaitMs)), Deadline: now.Add(milliseconds(r.LeftMs)),
+	}
+	if r.SendByMs != nil {
+		req.SendBy = now.Add(milliseconds(*r.SendByMs))
+	}
+	return req
+}
+
+// admissionRequest returns the request for admission to a server that its owner counts.
+func (r *Request) admissionRequest(server string, now time.Time) AdmissionRequest {
+	a := AdmissionRequest{
+		Server: server, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
+		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, Late: r.isLate(now),
+		Organisation: r.Organisation, Weight: r.Weight, Priority: r.Priority, ContentKey: r.ContentKey, MayHaveRun: r.MayHaveRun,
+		TTLMs: int(r.endsBy(now).Sub(now).Milliseconds()), WaitMs: int(r.WaitUntil.Sub(now).Milliseconds()),
+		LeftMs: int(r.endsBy(now).Sub(now).Milliseconds()),
+	}
+	if !r.Arrived.IsZero() {
+		a.AgeMs = int(now.Sub(r.Arrived).Milliseconds())
+	}
+	if !r.SendBy.IsZero() {
+		sendBy := int(r.SendBy.Sub(now).Milliseconds())
+		a.SendByMs = &sendBy
+	}
+	return a
+}
+
 // recordAdmission records an admission. d.mu must be held.
 func (d *Dispatcher) recordAdmission(r *Request, s *backend.Server, c Candidate, now time.Time) {
 	l := d.loadOf(s.ID)
-	l.admissions = append(l.admissions, admission{admittedAt: now, requiredTokens: c.RequiredTokens})
+	l.admissions = append(l.admissions, timedAdmission{admittedAt: now, requiredTokens: c.RequiredTokens})
 	l.prefill.add(c.PrefillTime.Duration(), now)
 	l.prefixes.touch(r.targetKey(), r.Prefix)
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -64,6 +64,8 @@
 	Owned bool
 	// NeedsAdmission means that another gateway owns the engine and has to admit the request.
 	NeedsAdmission bool
+	// Counted means that the server's owner counts each request there.
+	Counted bool
 	// Jitter is a cost that differs between gateways, so that they do not all choose the same
 	// server when its load is unknown.
 	Jitter Milliseconds
@@ -92,7 +94,7 @@
 // candidate is known exactly, because this gateway owns the engine or its owner can be asked.
 func (c Candidate) canTake(l Limits, exact bool) bool {
 	if c.CacheTokens == 0 {
-		return true
+		return !c.Counted || c.Running < c.Slots+plainQueuedRequests
 	}
 	if !c.hasCapacity(l) {
 		return false
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"rockcleat/admission"
+	"rockcleat/admitqueue"
 	"rockcleat/backend"
 	"rockcleat/clock"
 )
@@ -43,6 +45,13 @@
 	CacheTokens func(service string) int
 	// Owners, if not nil, requests admission to engines that other gateways own.
 	Owners Owners
+	// MaxCountedSlots selects the services whose servers' owners count each request and keep the queue of all gateways:
+	// those whose servers have at most this many slots. 0 selects none.
+	MaxCountedSlots int
+	// Accounts exchanges messages about such requests. If it is nil, MaxCountedSlots has no effect.
+	Accounts Accounts
+	// Epoch identifies this run of the gateway in these messages. It must not be 0 if Accounts is set.
+	Epoch int64
 	// Permits, if not nil, grants permits for servers with a rate limit.
 	Permits Permits
 	// OnOwnerUnresponsive, if not nil, is called when an owner has not responded and is suspended,
@@ -74,15 +83,39 @@
 	pausedUntil time.Time
 	// nextServe is when serveWaiting is scheduled to run next; zero if it is not scheduled.
 	nextServe time.Time
+
+	// counted tells which services are counted; services not asked for yet are missing.
+	counted map[string]bool
+	// ledger counts the requests of other gateways at the servers that this gateway owns, outbox those of this gateway at
+	// other owners' servers. accounted holds all reservations at servers of counted services.
+	ledger    *admission.Ledger
+	outbox    *admission.Outbox
+	accounted map[*Reservation]struct{}
+	notices   map[string]*noticeState
+	// asked holds the requests that other owners have been asked for and may have queued.
+	asked map[askKey]*askedRequest
+	// queues holds the queues of owned servers, queuedAsks the requests of other gateways in them. shares divides the
+	// capacity of each service. freed lists the servers at which requests have ended since the queues were served.
+	queues     map[string]*serverQueue
+	queuedAsks map[askKey]*queuedRequest
+	shares     map[string]*admitqueue.Shares
+	returns    admitqueue.Returns
+	freed      []string
+	grants     map[grantKey][]admission.ID
 }
 
 // New returns a Dispatcher without servers.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*serverLoad),
 		remote: make(map[string]remoteLoad), demand: newDemandTable(),
 		owners: newOwnership(o.ID), shedders: make(map[string]*shedder),
+		counted: make(map[string]bool), outbox: admission.NewOutbox(o.ID, o.Epoch), accounted: make(map[*Reservation]struct{}),
+		notices: make(map[string]*noticeState), asked: make(map[askKey]*askedRequest), queues: make(map[string]*serverQueue),
+		queuedAsks: make(map[askKey]*queuedRequest), shares: make(map[string]*admitqueue.Shares), grants: make(map[grantKey][]admission.ID),
 	}
+	d.ledger = admission.NewLedger(o.Epoch, d.requestEnded)
+	return d
 }
 
 // SetServers replaces the list of servers and serves waiting requests.
@@ -90,6 +123,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.servers = s
+	clear(d.counted)
 	now := d.opts.Clock.Now()
 	for id, l := range d.loads {
 		if _, ok := s.Server(id); !ok && l.Running == 0 && !now.Before(l.pause.endsAt) {
@@ -97,6 +131,7 @@
 			d.owners.removeServer(id)
 		}
 	}
+	d.serveQueues()
 	d.serveWaiting()
 }
 
@@ -119,7 +154,10 @@
 func (d *Dispatcher) SetGateways(list []Gateway) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.owners.setGateways(list)
+	previous := d.owners
+	if d.owners.setGateways(list) {
+		d.ownershipChanged(previous.ownerOf)
+	}
 }
 
 // Loads returns the load of this process by server ID, without idle servers.
@@ -246,13 +284,13 @@
 func (d *Dispatcher) candidate(r *Request, s *backend.Server, cacheTokens int, now time.Time) Candidate {
 	l := d.loadOf(s.ID)
 	c := Candidate{
-		CacheTokens: cacheTokens, Slots: s.Slots, SameHall: s.Hall == d.opts.Hall, Owned: d.owners.owns(s),
+		CacheTokens: cacheTokens, Slots: s.Slots, SameHall: s.Hall == d.opts.Hall, Owned: d.owners.owns(s), Counted: d.isCounted(s.Service),
 		FailureRate: l.failures.at(now), RequiredTokens: r.PromptTokens + r.MaxOutputTokens, Stalled: l.isStalled(now),
 	}
 	if r.OnTrial {
 		c.OnTrial, c.Trials, c.SoleHolder = true, l.trials, d.isSoleHolder(s)
 	}
-	c.NeedsAdmission = !c.Owned && r.Model != "" && d.opts.Owners != nil && d.owners.isAvailable(d.owners.ownerOf(s), now)
+	c.NeedsAdmission = !c.Owned && (r.Model != "" || c.Counted) && d.opts.Owners != nil && d.owners.isAvailable(d.owners.ownerOf(s), now)
 	d.setLoads(&c, l, s.ID, now)
 	if _, known := d.remote[s.ID]; d.busiestOnly && !known && !c.Owned {
 		c.Jitter = d.owners.jitter(s.ID)
@@ -279,7 +317,11 @@
 // accurate than the reports, so it replaces them.
 func (d *Dispatcher) setLoads(c *Candidate, l *serverLoad, id string, now time.Time) {
 	others := d.remote[id].expectedAt(now)
-	c.Running = l.Running + others.Running
+	if c.Counted && c.Owned && d.opts.Owners != nil {
+		d.countOwned(c, l, id, others, now)
+		return
+	}
+	c.Running = l.Running + l.asking + others.Running
 	c.UsedTokens = l.UsedTokens + others.UsedTokens
 	c.PrefillAhead = Milliseconds(l.PrefillMs + others.PrefillMs)
 	if c.Owned && d.opts.Owners != nil {
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -50,8 +50,15 @@
 	lastResponse time.Time
 	// awaitingFirstByte lists the reservations whose first byte is outstanding, oldest first.
 	awaitingFirstByte []*Reservation
-	// admissions are the recent admissions of other gateways' requests.
-	admissions []admission
+	// admissions are the recent admissions of other gateways' requests that are not counted until their end.
+	admissions []timedAdmission
+	// takeoverUntil is the time until which this gateway, as the server's new owner, also counts the loads that others
+	// report.
+	takeoverUntil time.Time
+	// asking is the number of requests that this gateway is asking the server's owner for, queueWaitUntil when the owner
+	// last expected to admit a request.
+	asking         int
+	queueWaitUntil time.Time
 	// prefill holds the expected prefill times of an owned engine.
 	prefill prefillQueue
 	// admissionDeniedUntil is the time until which the engine's owner is not asked again after it
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -29,16 +29,22 @@
 }
 
 func newOwnership(self string) ownership {
-	return ownership{self: self, suspendedUntil: make(map[string]time.Time)}
+	return ownership{self: self, byServer: make(map[string]string), suspendedUntil: make(map[string]time.Time)}
 }
 
-// setGateways replaces the list of gateways.
-func (o *ownership) setGateways(list []Gateway) {
+// setGateways replaces the list of gateways and reports whether it has changed.
+func (o *ownership) setGateways(list []Gateway) bool {
 	if slices.Equal(list, o.gateways) {
-		return
+		return false
 	}
 	o.gateways = list
 	o.byServer = make(map[string]string)
+	return true
+}
+
+// isListed reports whether a gateway is on the list.
+func (o *ownership) isListed(id string) bool {
+	return slices.ContainsFunc(o.gateways, func(g Gateway) bool { return g.ID == id })
 }
 
 func (o *ownership) removeServer(server string) { delete(o.byServer, server) }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -21,6 +21,14 @@
 	FirstByteObjective time.Duration
 	// Priority orders waiting requests. A lower value is served first; 0 is the highest priority.
 	Priority int
+	// Organisation is the organisation that pays for the request; empty if there is none. Weight is its part of scarce
+	// capacity relative to other organisations.
+	Organisation string
+	Weight       float64
+	// ContentKey is the same for requests with the same content of the same caller; 0 if it is not known.
+	ContentKey uint64
+	// Arrived is when the request arrived, Deadline when it must have been answered; zero if they are not known.
+	Arrived, Deadline time.Time
 	// WaitUntil is when the request stops waiting for a server.
 	WaitUntil time.Time
 	// SendBy is the latest time at which the request can be sent and still meet its objective.
@@ -53,6 +61,18 @@
 	admittedLate bool
 	// sequence is the request's position in the order of arrival, from 1; 0 if it has never waited.
 	sequence uint64
+	// refusedBy lists the servers whose owners do not expect to admit the request in time. shortestWait is the shortest
+	// wait that they expect.
+	refusedBy    []string
+	shortestWait time.Duration
+}
+
+// tokens returns the maximum cache memory that the request uses.
+func (r *Request) tokens() int {
+	if r.Model == "" {
+		return 0
+	}
+	return r.PromptTokens + r.MaxOutputTokens
 }
 
 // isLate reports whether the request can no longer meet its objective. A request that may have run
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -27,6 +27,8 @@
 	candidateCount int
 	// owner is the gateway that has to admit the request; empty if none has to.
 	owner string
+	// account identifies the request in the account of the server's owner.
+	account account
 	// permitPending means that a permit is being requested, hasPermit that it was granted.
 	permitPending, hasPermit bool
 	// onTrial is Request.OnTrial at the time of the reservation.
@@ -52,6 +54,9 @@
 		res.permitPending = true
 		l.permits.pending++
 	}
+	if c.Counted {
+		d.accounted[res] = struct{}{}
+	}
 	l.pause.recordSend(res.sentAt)
 	d.notePause(l.pause.nextTrial)
 	l.Running++
@@ -184,4 +189,25 @@
 	if r.req.Model != "" {
 		r.d.demand.get(r.req).Running--
 	}
+	r.endAccount()
+}
+
+// endAccount records the end of the request with the server's owner. d.mu must be held.
+func (r *Reservation) endAccount() {
+	d := r.d
+	if _, ok := d.accounted[r]; !ok {
+		return
+	}
+	delete(d.accounted, r)
+	if r.account.owner != "" {
+		d.outbox.End(r.account.owner, r.account.id)
+		d.scheduleNotice(r.account.owner, d.noticeDelay(r.load, r.server))
+		return
+	}
+	if q := d.queues[r.server.ID]; q != nil {
+		if r.firstByteSeen {
+			q.durations.Observe(d.opts.Clock.Now().Sub(r.sentAt))
+		}
+		d.serveQueue(r.server.ID)
+	}
 }
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -12,12 +12,17 @@
 // A waiter is a request in the wait queue.
 type waiter struct {
 	req *Request
-	// Either reservation or refused is set before ready is closed.
+	// One of reservation, refused and chooseAgain is set before ready is closed. chooseAgain means that the request has to
+	// choose a server again.
 	reservation *Reservation
 	refused     error
+	chooseAgain bool
 	ready       chan struct{}
 }
 
+// isServed reports whether the request no longer waits and was not refused.
+func (w *waiter) isServed() bool { return w.reservation != nil || w.chooseAgain }
+
 // A waitQueue holds the waiting requests, ordered by priority and then by arrival.
 //
 // Its zero value is empty.
@@ -45,7 +50,7 @@
 }
 
 func (q *waitQueue) removeServed() {
-	q.list = slices.DeleteFunc(q.list, func(w *waiter) bool { return w.reservation != nil })
+	q.list = slices.DeleteFunc(q.list, (*waiter).isServed)
 }
 
 func (q *waitQueue) removeRefused() {
@@ -54,14 +59,14 @@
 
 // Acquire reserves a server for a request and waits for one until the request's WaitUntil. The
 // error is ErrNoServer, ErrNoHall, ErrNoneAccepts, ErrNoVersion, ErrShed, ErrWaitTimeout, a
-// *RateLimitError, a *PausedError or the error of ctx.
+// *RateLimitError, a *PausedError, a *BusyError or the error of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Reservation, error) {
 	for {
 		res, err := d.reserveOrWait(ctx, r)
 		if err != nil {
 			return nil, err
 		}
-		if d.obtainApprovals(ctx, res) && d.confirm(res) {
+		if res != nil && d.obtainApprovals(ctx, res) && d.confirm(res) {
 			return res, nil
 		}
 		if ctx.Err() != nil {
@@ -90,9 +95,14 @@
 }
 
 // reserveOrWait reserves a server according to this gateway's state; a permit or the owner's
-// admission may still be required. Requests to plain services wait only for the end of a pause.
+// admission may still be required. Requests to plain services that are not counted wait only for the end of a pause.
+// It returns neither a reservation nor an error if the request has to choose again.
 func (d *Dispatcher) reserveOrWait(ctx context.Context, r *Request) (*Reservation, error) {
 	d.mu.Lock()
+	if d.isCounted(r.Service) {
+		d.mu.Unlock()
+		return d.acquireCounted(ctx, r)
+	}
 	if res := d.tryReserve(r); res != nil {
 		d.mu.Unlock()
 		return res, nil
@@ -168,6 +178,8 @@
 		return nil, w.refused
 	case w.refused != nil:
 		return nil, ctx.Err()
+	case w.chooseAgain:
+		return nil, ctx.Err()
 	case w.reservation != nil:
 		w.reservation.release()
 		d.serveWaiting()
@@ -196,12 +208,12 @@
 		}
 	}
 	for _, w := range d.queue.list {
-		if w.reservation == nil && now.Before(w.req.SendBy) {
+		if !w.isServed() && now.Before(w.req.SendBy) {
 			d.reserveForWaiter(w, full)
 		}
 	}
 	for _, w := range d.queue.list {
-		if w.reservation == nil {
+		if !w.isServed() {
 			d.reserveForWaiter(w, full)
 		}
 	}
@@ -216,6 +228,10 @@
 	if full[key] {
 		return
 	}
+	if d.isCounted(w.req.Service) {
+		d.wakeCounted(w, full)
+		return
+	}
 	res := d.tryReserve(w.req)
 	if res == nil {
 		full[key] = !w.req.isRestricted()
@@ -226,6 +242,20 @@
 	close(w.ready)
 }
 
+// wakeCounted makes a waiting request of a counted service choose again if there is a server for it. full is that of
+// reserveForWaiter. d.mu must be held.
+func (d *Dispatcher) wakeCounted(w *waiter, full map[queueKey]bool) {
+	now := d.opts.Clock.Now()
+	servers, list := d.candidates(w.req, now)
+	if d.chooseCounted(w.req, servers, list, now) < 0 {
+		full[w.req.queueKey()] = !w.req.isRestricted()
+		return
+	}
+	d.demand.addWaiting(w.req, -1)
+	w.chooseAgain = true
+	close(w.ready)
+}
+
 // scheduleAfterPrefill schedules serveWaiting for when an engine is expected to have prefilled
 // enough to admit the request, since no event signals this.
 func (d *Dispatcher) scheduleAfterPrefill(servers []*backend.Server, list []Candidate, limits Limits, now time.Time) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -93,6 +93,7 @@
 func (f *forwarder) endUnserved(err error) {
 	var limited *dispatch.RateLimitError
 	var paused *dispatch.PausedError
+	var busy *dispatch.BusyError
 	switch {
 	case f.isCallerGone():
 		f.record.outcome = outcomeCallerGone
@@ -104,6 +105,8 @@
 		f.refuse(outcomeRefused, notRun("the servers take no more now", retryAfterLimit(limited.RetryAfter)))
 	case errors.As(err, &paused):
 		f.refuse(outcomeRefused, notRun("the servers accept no requests now", retryAfterPause(paused.RetryAfter)))
+	case errors.As(err, &busy):
+		f.refuse(outcomeRefused, notRun("no server is free in time", retryAfterBusy(busy.RetryAfter)))
 	case errors.Is(err, dispatch.ErrNoHall):
 		f.refuse(outcomeRefused, notRun("no server in an allowed region", retryAfterLoad()))
 	case errors.Is(err, dispatch.ErrNoneAccepts):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"rockcleat/backend"
 	"rockcleat/clock"
 	"rockcleat/departure"
+	"rockcleat/dispatch"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -88,6 +89,7 @@
 	configs         *configsync.Syncer
 	health          *storeHealth
 	servers         *serverList
+	dispatcher      *dispatch.Dispatcher
 	lease           *lease.Holder
 	budgets         *retryBudgets
 	placer          *placer.Placer
@@ -130,6 +132,7 @@
 		configs:         p.configs,
 		health:          p.health,
 		servers:         p.servers,
+		dispatcher:      p.dispatcher,
 		budgets:         p.budgets,
 		conns:           p.conns,
 		lifecycle:       p.lifecycle,
@@ -182,6 +185,7 @@
 	go g.feed.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
+	g.subscribe(expireInterval, g.dispatcher.Expire)
 	g.subscribe(pauseCheckInterval, g.pauses.check)
 	g.subscribe(fleetStepInterval, g.fleetStore.step)
 	g.stops = append(g.stops, g.serverLimits.subscribe(g.clock))
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 	req := dispatch.Request{
 		Service: in.service.Name, Priority: in.route.Priority,
 		WaitUntil: in.arrived.Add(in.maxWait()), FirstByteObjective: in.route.FirstByteObjective,
+		Organisation: in.organisation.Name, Weight: in.organisation.RateLimit.PerSecond, Arrived: in.arrived, Deadline: in.deadline,
+		ContentKey: binary.BigEndian.Uint64(in.content.Key[:]),
 	}
 	if objective := in.route.FirstByteObjective; objective > 0 {
 		req.SendBy = in.arrived.Add(objective * sendByPercent / 100)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -76,7 +77,7 @@
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
 		Owners: p.peers, OnOwnerUnresponsive: p.requestLog.admissionFailed, OnModelMissing: p.modelMissing,
-		Permits: p.serverLimits,
+		Permits: p.serverLimits, MaxCountedSlots: s.Admission.MaxSlots, Accounts: p.peers, Epoch: rand.Int64() + 1,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.servers.registry.SetWarmupTime(p.config.warmupTime)
--- a/internal/gateway/peer_client.go
+++ b/internal/gateway/peer_client.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rockcleat/admission"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
 	"rockcleat/internal/configsync"
@@ -36,6 +37,10 @@
 	pathConfig = "/v1/config"
 	// pathAdmission grants admission to the engines that the gateway owns.
 	pathAdmission = "/v1/place"
+	// pathAccount receives what has begun and ended at the servers that the gateway owns, pathGranted the admissions of
+	// queued requests.
+	pathAccount = "/v1/places"
+	pathGranted = "/v1/granted"
 	// pathGrant grants part of an organisation's rate limit.
 	pathGrant = "/v1/quota"
 	// pathPermit grants permits of a backend server's rate limit.
@@ -99,7 +104,7 @@
 	QuarantineKnown bool `json:"informed,omitempty"`
 }
 
-// A peerClient calls other gateways. It implements dispatch.Owners, configsync.Peers,
+// A peerClient calls other gateways. It implements dispatch.Owners, dispatch.Accounts, configsync.Peers,
 // quota.GrantClient, originPeers and trialPeers.
 type peerClient struct {
 	http     *wire.Client
@@ -153,6 +158,19 @@
 	return reply, err
 }
 
+// Notify implements dispatch.Accounts.
+func (p *peerClient) Notify(ctx context.Context, owner string, m admission.Message) (admission.Ack, error) {
+	var ack admission.Ack
+	err := p.postTo(ctx, admissionTimeout, owner, pathAccount, m, &ack)
+	return ack, err
+}
+
+// Grant implements dispatch.Accounts.
+func (p *peerClient) Grant(ctx context.Context, sender string, m dispatch.GrantMessage) error {
+	var reply struct{}
+	return p.postTo(ctx, admissionTimeout, sender, pathGranted, m, &reply)
+}
+
 // RequestGrant implements quota.GrantClient.
 func (p *peerClient) RequestGrant(ctx context.Context, gateway string, r quota.Request) (quota.Reply, error) {
 	var reply quota.Reply
--- a/internal/gateway/peer_server.go
+++ b/internal/gateway/peer_server.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"rockcleat/admission"
 	"rockcleat/clock"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
@@ -56,6 +57,8 @@
 	e.POST(pathHolders, p.handleHolders)
 	e.POST(pathConfig, p.handleConfig)
 	e.POST(pathAdmission, p.handleAdmission)
+	e.POST(pathAccount, p.handleAccount)
+	e.POST(pathGranted, p.handleGranted)
 	e.POST(pathGrant, p.handleGrant)
 	e.POST(pathPermit, p.handlePermit)
 	e.POST(pathOrigins, p.handleOrigins)
@@ -204,6 +207,25 @@
 	return c.JSON(http.StatusOK, p.dispatcher.Admit(r))
 }
 
+// handleAccount handles a notice of what has begun and ended at the servers that this gateway owns.
+func (p *peerServer) handleAccount(c echo.Context) error {
+	var m admission.Message
+	if err := c.Bind(&m); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, p.dispatcher.Notified(m))
+}
+
+// handleGranted handles the admissions of queued requests by their owner.
+func (p *peerServer) handleGranted(c echo.Context) error {
+	var m dispatch.GrantMessage
+	if err := c.Bind(&m); err != nil {
+		return err
+	}
+	p.dispatcher.Granted(m)
+	return c.JSON(http.StatusOK, struct{}{})
+}
+
 // handleGrant handles a request for a grant of an organisation's rate limit.
 func (p *peerServer) handleGrant(c echo.Context) error {
 	var r quota.Request
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -82,6 +82,12 @@
 	return wait + rand.N(wait)
 }
 
+// retryAfterBusy returns the randomised Retry-After for a request that would have waited for the given time.
+func retryAfterBusy(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	return wait + rand.N(wait/2)
+}
+
 // retryAfterPause returns the randomised Retry-After for a request whose servers accept no requests for the given time.
 func retryAfterPause(wait time.Duration) time.Duration {
 	return max(wait, minRetryAfter) + rand.N(2*minRetryAfter)
