dispatch: ends are reported within a tenth of the request's time

A notice could be 100 ms late, longer than a request of a plain service takes, so that its slot counted as taken for three times as long.

--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -171,7 +171,7 @@
 		d.outbox.Acknowledged(owner, m, *reply.Ack)
 	}
 	if d.outbox.IsPending(owner) {
-		d.scheduleNotice(owner, d.noticeDelay(l, s))
+		d.scheduleNotice(owner, busyNoticeDelay)
 	}
 	if err == nil && reply.Owned {
 		d.remote[s.ID] = remoteLoad{Load: reply.Load.minus(l.Load), reportedAt: now}
@@ -267,10 +267,12 @@
 	r.refusedBy = append(r.refusedBy, server)
 }
 
-// noticeDelay returns the delay after which the owner of a server is told of ends there. d.mu must be held.
-func (d *Dispatcher) noticeDelay(l *serverLoad, s *backend.Server) time.Duration {
+// noticeDelay returns the delay after which the owner of a server is told that a request has ended there, which took the
+// given time. d.mu must be held.
+func (d *Dispatcher) noticeDelay(l *serverLoad, s *backend.Server, took time.Duration) time.Duration {
+	longest := idleNoticeDelay
 	if 2*(l.Running+d.remote[s.ID].Running) >= s.Slots {
-		return busyNoticeDelay
+		longest = busyNoticeDelay
 	}
-	return idleNoticeDelay
+	return min(longest, time.Duration(float64(took)*noticeDelayShare))
 }
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -24,10 +24,13 @@
 }
 
 const (
-	// busyNoticeDelay is the delay after which the owner of a server of which at least half is in use is told that
-	// requests have ended, and idleNoticeDelay that for any other server. A slot of a busy server may be waited for.
+	// busyNoticeDelay is the longest delay after which the owner of a server of which at least half is in use is told
+	// that a request has ended, and idleNoticeDelay that for any other server. A slot of a busy server may be waited for.
 	busyNoticeDelay = 10 * time.Millisecond
 	idleNoticeDelay = 100 * time.Millisecond
+	// noticeDelayShare is the longest delay as a part of the request's time at the server, in which its slot counts as taken
+	// for longer.
+	noticeDelayShare = 0.1
 	// noticeRetryDelay is the delay before a notice that was not acknowledged is repeated.
 	noticeRetryDelay = 250 * time.Millisecond
 )
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -201,7 +201,7 @@
 	delete(d.accounted, r)
 	if r.account.owner != "" {
 		d.outbox.End(r.account.owner, r.account.id)
-		d.scheduleNotice(r.account.owner, d.noticeDelay(r.load, r.server))
+		d.scheduleNotice(r.account.owner, d.noticeDelay(r.load, r.server, d.opts.Clock.Now().Sub(r.sentAt)))
 		return
 	}
 	if q := d.queues[r.server.ID]; q != nil {
