gateway: owners by processor, estimates of late requests, lines and metrics about queues

A request that has become late chooses again, and is refused when the capacity that others leave does not reach it in time. Requests of plain services must be sent within half of their objective: they were served 6 ms after it. Log lines of refusals have their reason and Retry-After; 'server load' shows an owner's count while requests wait.

--- a/admitqueue/queue.go
+++ b/admitqueue/queue.go
@@ -103,6 +103,20 @@
 	return n
 }
 
+// Late returns the number of waiting requests that can no longer be in time, and when the first of them became late.
+func (q *Queue) Late(now time.Time) (n int, since time.Time) {
+	for _, w := range q.list {
+		if !w.isLate(now) {
+			continue
+		}
+		if n == 0 || w.SendBy.Before(since) {
+			since = w.SendBy
+		}
+		n++
+	}
+	return n, since
+}
+
 // compare orders the requests: those that can be in time, by priority, by the service that their organisation has
 // had, by the time by which they should be sent, and by arrival. A request that can wait longer gives its place to one
 // that cannot, since both may then be in time.
--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -117,10 +117,20 @@
 	return unknownWait
 }
 
+// queueUntil returns until when a request is queued at one server. It chooses again when it becomes late, since it is then
+// served only with the capacity that other requests leave.
+func (r *Request) queueUntil(now time.Time) time.Time {
+	until := clock.Earlier(now.Add(maxQueueTime), r.WaitUntil)
+	if r.SendBy.After(now) && !r.MayHaveRun {
+		until = clock.Earlier(until, r.SendBy)
+	}
+	return until
+}
+
 // acquireOwned reserves a slot of an owned server, or waits in its queue. It unlocks d.mu.
 func (d *Dispatcher) acquireOwned(ctx context.Context, r *Request, s *backend.Server) (*Reservation, error) {
 	now := d.opts.Clock.Now()
-	until := clock.Earlier(now.Add(maxQueueTime), r.WaitUntil)
+	until := r.queueUntil(now)
 	q := d.queueOf(s)
 	// A request that must not wait is queued for an instant.
 	x := d.newQueuedRequest(r, now, now.Add(max(until.Sub(now), time.Nanosecond)))
@@ -138,6 +148,7 @@
 		d.mu.Unlock()
 		return nil, nil
 	}
+	x.queuedAt, x.estimated = now, wait
 	return d.awaitQueued(ctx, r, x.ready, until, func() *Reservation {
 		q.remove(x)
 		return x.reservation
@@ -149,7 +160,7 @@
 func (d *Dispatcher) acquireFromOwner(ctx context.Context, r *Request, s *backend.Server) (*Reservation, error) {
 	now := d.opts.Clock.Now()
 	owner := d.owners.ownerOf(s)
-	until := clock.Earlier(now.Add(maxQueueTime), r.WaitUntil)
+	until := r.queueUntil(now)
 	x := &askedRequest{req: r, server: s, owner: owner, ready: make(chan struct{})}
 	x.id = d.outbox.Ask(owner, s.ID, r.tokens(), r.endsBy(now))
 	key := askKey{gateway: owner, id: x.id}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -57,6 +57,9 @@
 	// OnOwnerUnresponsive, if not nil, is called when an owner has not responded and is suspended,
 	// so that it is not asked for a while. It is called with the Dispatcher locked and must not block.
 	OnOwnerUnresponsive func(owner string, err error)
+	// OnQueued, if not nil, is called when a request that waited for an owned server is admitted, with the wait that was
+	// estimated when it came. It is called with the Dispatcher locked and must not block.
+	OnQueued func(service string, estimated, waited time.Duration)
 	// OnModelMissing, if not nil, is called when a request starts to wait for a model or adapter
 	// that no server holds. It is called with the Dispatcher locked and must not block.
 	OnModelMissing func()
@@ -109,11 +112,12 @@
 	d := &Dispatcher{
 		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*serverLoad),
 		remote: make(map[string]remoteLoad), demand: newDemandTable(),
-		owners: newOwnership(o.ID), shedders: make(map[string]*shedder),
-		counted: make(map[string]bool), outbox: admission.NewOutbox(o.ID, o.Epoch), accounted: make(map[*Reservation]struct{}),
+		shedders: make(map[string]*shedder),
+		counted:  make(map[string]bool), outbox: admission.NewOutbox(o.ID, o.Epoch), accounted: make(map[*Reservation]struct{}),
 		notices: make(map[string]*noticeState), asked: make(map[askKey]*askedRequest), queues: make(map[string]*serverQueue),
 		queuedAsks: make(map[askKey]*queuedRequest), shares: make(map[string]*admitqueue.Shares), grants: make(map[grantKey][]admission.ID),
 	}
+	d.owners = newOwnership(o.ID, d.isCounted)
 	d.ledger = admission.NewLedger(o.Epoch, d.requestEnded)
 	return d
 }
--- a/dispatch/owned_queue.go
+++ b/dispatch/owned_queue.go
@@ -15,6 +15,8 @@
 	requests map[*admitqueue.Waiter]*queuedRequest
 	// durations estimates waits from the time that requests take at the server.
 	durations admitqueue.Estimator
+	// lateServed is the rate at which late requests are served.
+	lateServed admitqueue.Rate
 	// nextServe is when serveQueue is scheduled; zero if it is not.
 	nextServe time.Time
 }
@@ -30,6 +32,9 @@
 	reservation *Reservation
 	ready       chan struct{}
 	served      bool
+	// queuedAt is when the request began to wait here, estimated the wait that was expected then.
+	queuedAt  time.Time
+	estimated time.Duration
 }
 
 // A queuedAsk identifies a request of another gateway.
@@ -116,13 +121,30 @@
 
 // estimateQueueWait returns the estimated time until a request is served at an owned server. d.mu must be held.
 func (d *Dispatcher) estimateQueueWait(q *serverQueue, s *backend.Server, x *queuedRequest, now time.Time) time.Duration {
-	slots := float64(d.usableSlots(s))
-	if x.req.Model != "" && x.req.isLate(now) {
-		slots *= lateShare
+	wait := q.durations.Wait(q.order.Ahead(&x.Waiter, now), d.usableSlots(s))
+	if x.req.isLate(now) {
+		wait = max(wait, q.estimateLateWait(now))
 	}
-	return q.durations.Wait(q.order.Ahead(&x.Waiter, now), int(slots))
+	return wait
 }
 
+// estimateLateWait returns the estimated wait of a request that is already late. It gets the capacity that requests in time
+// leave, which shows only in the rate at which late ones are served: at least one in the time for which they have waited.
+func (q *serverQueue) estimateLateWait(now time.Time) time.Duration {
+	n, since := q.order.Late(now)
+	if n == 0 {
+		return 0
+	}
+	if last := q.lateServed.Last(); last.After(since) {
+		since = last
+	}
+	perSecond := max(q.lateServed.PerSecond(now), 1/max(now.Sub(since).Seconds(), minLateWait.Seconds()))
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
+}
+
+// minLateWait is the least time for which late requests must have waited to tell something about their rate.
+const minLateWait = 10 * time.Millisecond
+
 // serveQueue admits requests that wait for an owned server, in their order, while it has capacity. d.mu must be held.
 func (d *Dispatcher) serveQueue(id string) {
 	q := d.queues[id]
@@ -158,6 +180,12 @@
 	d.shares[s.Service].Serve(x.Organisation, x.Cost, x.Weight)
 	d.returns.Served(x.key)
 	x.served = true
+	if d.opts.OnQueued != nil && !x.queuedAt.IsZero() {
+		d.opts.OnQueued(s.Service, x.estimated, now.Sub(x.queuedAt))
+	}
+	if x.req.isLate(now) {
+		q.lateServed.Observe(now)
+	}
 	if x.ask == nil {
 		x.reservation = d.reserve(x.req, s, c)
 		close(x.ready)
@@ -272,6 +300,7 @@
 		d.refuseQueued(x, wait, now)
 		return reply
 	}
+	x.queuedAt, x.estimated = now, wait
 	reply.Queued = true
 	return reply
 }
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -13,14 +14,18 @@
 type Gateway struct {
 	ID   string `json:"id"`
 	Hall string `json:"hall"`
+	// Cores is the processor that its VM has, in cores; 0 if it is not known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // ownership assigns each engine to one gateway by rendezvous hashing. The owner admits all requests
 // to its engine, because prompts that arrive together delay every stream there and gateways learn
 // of each other's requests only with a delay.
 type ownership struct {
-	self     string
-	gateways []Gateway
+	self string
+	// isCounted reports whether the servers of a service are counted. Their owners are chosen by capacity.
+	isCounted func(service string) bool
+	gateways  []Gateway
 	// byServer caches the owner by server ID.
 	byServer map[string]string
 	// suspendedUntil holds, for each owner that did not respond, the time until which it is not
@@ -28,8 +33,8 @@
 	suspendedUntil map[string]time.Time
 }
 
-func newOwnership(self string) ownership {
-	return ownership{self: self, byServer: make(map[string]string), suspendedUntil: make(map[string]time.Time)}
+func newOwnership(self string, isCounted func(service string) bool) ownership {
+	return ownership{self: self, isCounted: isCounted, byServer: make(map[string]string), suspendedUntil: make(map[string]time.Time)}
 }
 
 // setGateways replaces the list of gateways and reports whether it has changed.
@@ -59,7 +64,7 @@
 func (o *ownership) ownerOf(s *backend.Server) string {
 	owner, ok := o.byServer[s.ID]
 	if !ok {
-		owner = findOwner(o.gateways, s)
+		owner = findOwner(o.gateways, s, o.isCounted(s.Service))
 		o.byServer[s.ID] = owner
 	}
 	return owner
@@ -98,14 +103,21 @@
 	return maxJitter * Milliseconds(weight) / math.MaxUint64
 }
 
+// defaultCapacity is the capacity of a gateway whose processor is not known.
+const defaultCapacity = 0.1
+
 // findOwner returns the gateway with the highest rendezvous weight for the server, preferring
-// gateways in the server's data hall.
-func findOwner(list []Gateway, s *backend.Server) string {
+// gateways in the server's data hall. If byCapacity is set, the weights are in proportion to the square of the VMs'
+// processor: the requests of all gateways pass the owner, and its own already take most of a small VM.
+func findOwner(list []Gateway, s *backend.Server, byCapacity bool) string {
 	key := rendezvous.Key(s.ID)
-	best, bestSameHall, bestWeight := "", false, uint64(0)
+	best, bestSameHall, bestWeight := "", false, 0.0
 	for _, g := range list {
 		sameHall := g.Hall == s.Hall
-		weight := rendezvous.Weight(g.ID, key)
+		weight := float64(rendezvous.Weight(g.ID, key))
+		if byCapacity {
+			weight = rendezvous.Scale(rendezvous.Weight(g.ID, key), cmp.Or(g.Cores*g.Cores, defaultCapacity))
+		}
 		if best == "" || sameHall && !bestSameHall || sameHall == bestSameHall && weight > bestWeight {
 			best, bestSameHall, bestWeight = g.ID, sameHall, weight
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -282,7 +282,7 @@
 
 // refuse ends the request with a response made by the gateway.
 func (f *forwarder) refuse(outcome string, r *refusal) {
-	f.record.outcome, f.record.status = outcome, r.status
+	f.record.outcome, f.record.status, f.record.refusal = outcome, r.status, r
 	f.proxy.write(f.w, r)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,7 @@
 	health          *storeHealth
 	servers         *serverList
 	dispatcher      *dispatch.Dispatcher
+	requestLog      *requestLog
 	lease           *lease.Holder
 	budgets         *retryBudgets
 	placer          *placer.Placer
@@ -133,6 +134,7 @@
 		health:          p.health,
 		servers:         p.servers,
 		dispatcher:      p.dispatcher,
+		requestLog:      p.requestLog,
 		budgets:         p.budgets,
 		conns:           p.conns,
 		lifecycle:       p.lifecycle,
@@ -186,6 +188,7 @@
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(expireInterval, g.dispatcher.Expire)
+	g.subscribe(sweepInterval, func(time.Time) { g.requestLog.serverLoads(g.dispatcher.CountedLoads()) })
 	g.subscribe(pauseCheckInterval, g.pauses.check)
 	g.subscribe(fleetStepInterval, g.fleetStore.step)
 	g.stops = append(g.stops, g.serverLimits.subscribe(g.clock))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,9 @@
 	RequestSent(service string, retry bool)
 	// Admissions counts admission requests to other gateways by result; silent is the number without a reply.
 	Admissions(granted, denied, silent int)
+	// QueueWaited records the wait of a request in the queue of a server that this gateway owns, and the wait that was
+	// estimated, in seconds.
+	QueueWaited(service string, estimated, waited float64)
 	// QuotaCharged counts a request that was checked against an organisation's rate limit, with its cost in the limit's
 	// unit. outcome is "inside", "over" or "unknown".
 	QuotaCharged(organisation, outcome string, cost float64)
@@ -48,4 +51,5 @@
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
 func (noMetrics) Admissions(int, int, int)                      {}
+func (noMetrics) QueueWaited(string, float64, float64)          {}
 func (noMetrics) ConfigTransfer(string, int, error)             {}
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -21,6 +21,8 @@
 	queueTimeFraction = 0.8
 	// sendByPercent is the percentage of the first-byte objective within which a request must be sent to meet it.
 	sendByPercent = 70
+	// plainSendByPercent is the same for plain services, where the work takes most of the objective.
+	plainSendByPercent = 50
 	// responseReserve is the part of the deadline that is reserved for the response.
 	responseReserve = 400 * time.Millisecond
 )
@@ -33,6 +35,14 @@
 	return max(min(wait, in.deadline.Sub(in.arrived)-responseReserve), 0)
 }
 
+// sendByPercent returns the percentage of the first-byte objective within which the request must be sent to meet it.
+func (in *inbound) sendByPercent() time.Duration {
+	if in.service.Engine == nil {
+		return plainSendByPercent
+	}
+	return sendByPercent
+}
+
 // requirementsOf returns the dispatcher's view of a request with the given prompt. Malformed model headers are logged and ignored; the server
 // decides whether to accept them.
 func (p *proxy) requirementsOf(in *inbound, prompt []promptPart) dispatch.Request {
@@ -43,7 +53,7 @@
 		ContentKey: binary.BigEndian.Uint64(in.content.Key[:]),
 	}
 	if objective := in.route.FirstByteObjective; objective > 0 {
-		req.SendBy = in.arrived.Add(objective * sendByPercent / 100)
+		req.SendBy = in.arrived.Add(objective * in.sendByPercent() / 100)
 	}
 	if version := in.requiredVersion(); version != nil {
 		// A server has processed the beginning of the stream.
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -77,6 +77,9 @@
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
 		Owners: p.peers, OnOwnerUnresponsive: p.requestLog.admissionFailed, OnModelMissing: p.modelMissing,
+		OnQueued: func(service string, estimated, waited time.Duration) {
+			o.Metrics.QueueWaited(service, estimated.Seconds(), waited.Seconds())
+		},
 		Permits: p.serverLimits, MaxCountedSlots: s.Admission.MaxSlots, Accounts: p.peers, Epoch: rand.Int64() + 1,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
@@ -202,7 +205,7 @@
 func (p *components) newReporter(o Options) *reporter {
 	s := o.Settings
 	return &reporter{
-		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
+		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall, cores: s.Cores}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
 		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllRecords),
 		synced: p.quarantine.synced, limiters: p.limiters, applyGateways: p.applyGateways, urgent: p.urgent,
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -35,6 +35,8 @@
 	longestGap time.Duration
 	outcome    string
 	status     int
+	// refusal is the gateway's own response; nil if there is none.
+	refusal *refusal
 	// holders is the number of servers that had the model loaded when the request was refused.
 	holders int
 }
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -34,7 +34,10 @@
 }
 
 // A sender identifies this gateway in its reports.
-type sender struct{ id, addr, hall string }
+type sender struct {
+	id, addr, hall string
+	cores          float64
+}
 
 // A reporter reports to the leader and applies its replies. Its state belongs to the goroutine of run.
 type reporter struct {
@@ -234,7 +237,7 @@
 		}
 	}
 	return placer.Report{
-		GatewayID: r.self.id, Addr: r.self.addr, Hall: r.self.hall, ResidencyVersion: r.residencyVersion,
+		GatewayID: r.self.id, Addr: r.self.addr, Hall: r.self.hall, Cores: r.self.cores, ResidencyVersion: r.residencyVersion,
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
 		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
 	}, demands
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -29,6 +29,7 @@
 	msgServerStalled      = "server stalled, request stays"
 	msgWatchDirect        = "watching the store directly"
 	msgWatchThroughLeader = "watching the store through the leader"
+	msgServerLoad         = "server load"
 	msgMalformedHeader    = "header malformed, ignored"
 	msgServerCrashed      = "server ended"
 	msgServerLimit        = "server limit"
@@ -90,6 +91,8 @@
 	fieldPerSecond           = "per_second"
 	fieldRetryAfter          = "retry_after_s"
 	fieldRemaining           = "remaining_s"
+	fieldSlots               = "slots"
+	fieldQueued              = "queued"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
@@ -174,6 +177,9 @@
 	if r.outcome == outcomeRefused {
 		fields = append(fields, zap.Int(fieldHolders, r.holders))
 	}
+	if r.refusal != nil {
+		fields = append(fields, zap.String(fieldReason, r.refusal.reason), zap.Float64(fieldRetryAfter, r.refusal.retryAfter.Seconds()))
+	}
 	if n := l.suppressed.Swap(0); n > 0 {
 		fields = append(fields, zap.Uint64(fieldSuppressed, n))
 	}
@@ -351,6 +357,16 @@
 	l.log.Warn(msgPermitFailed, zap.String(fieldServer, server), zap.String("owner", gateway), telemetry.Error(err))
 }
 
+// serverLoads logs the load of the servers that this gateway owns and for which requests wait.
+func (l *requestLog) serverLoads(list []dispatch.CountedLoad) {
+	for _, x := range list {
+		if x.Queued > 0 {
+			l.log.Info(msgServerLoad, zap.String(fieldServer, x.Server), zap.Int(fieldRunning, x.Running),
+				zap.Int(fieldSlots, x.Slots), zap.Int(fieldQueued, x.Queued))
+		}
+	}
+}
+
 // watchSwitched logs whether a prefix is now watched at the store or through the leader.
 func (l *requestLog) watchSwitched(prefix string, direct bool) {
 	msg := msgWatchThroughLeader
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -130,7 +130,7 @@
 	gateways := make([]Gateway, 0, len(d.gateways))
 	for _, g := range d.gateways {
 		gateways = append(gateways, Gateway{
-			Gateway: dispatch.Gateway{ID: g.report.GatewayID, Hall: g.report.Hall}, Addr: g.report.Addr,
+			Gateway: dispatch.Gateway{ID: g.report.GatewayID, Hall: g.report.Hall, Cores: g.report.Cores}, Addr: g.report.Addr,
 		})
 	}
 	gateways = slices.AppendSeq(gateways, maps.Values(d.awaited))
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -12,6 +12,8 @@
 	GatewayID string `json:"from"`
 	Addr      string `json:"addr"`
 	Hall      string `json:"hall"`
+	// Cores is the processor that its VM has, in cores; 0 if it is not known.
+	Cores float64 `json:"cores,omitempty"`
 	// Loads is the gateway's load at each server.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
 	// Demands holds the counters since the gateway's start, by model or adapter. Those unchanged since the
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 
@@ -33,6 +34,9 @@
 	sends      metric.Int64Counter
 	storeCalls metric.Int64Counter
 	admissions metric.Int64Counter
+	// queueWait holds the waits of requests in servers' queues, queueWaitError how far they were from the estimates.
+	queueWait      metric.Float64Histogram
+	queueWaitError metric.Float64Histogram
 	// configTransfers and configBytes count the transfers of configurations and their bytes.
 	configTransfers metric.Int64Counter
 	configBytes     metric.Int64Counter
@@ -80,6 +84,8 @@
 	m.sends = b.counter("rockcleat.gateway.sends", "Requests sent to backend servers.")
 	m.storeCalls = b.counter("rockcleat.gateway.store_calls", "Calls to the platform's store by kind.")
 	m.admissions = b.counter("rockcleat.gateway.places", "Places at engines asked of other gateways, by result.")
+	m.queueWait = m.histogram(b, "rockcleat.gateway.queue_wait", "Time that requests waited in the queues of the servers that this gateway owns.")
+	m.queueWaitError = m.histogram(b, "rockcleat.gateway.queue_wait_error", "Difference between the estimated and the actual wait of these requests.")
 	m.configTransfers = b.counter("rockcleat.gateway.config_transfers", "Transfers of the configuration, by origin and result.")
 	m.configBytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
 	m.serverCrashes = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
@@ -137,6 +143,15 @@
 	m.admissions.Add(ctx, int64(unresponsive), m.attributeSet("result", "silent", "", ""))
 }
 
+// QueueWaited records the wait of a request in the queue of a server that this gateway owns, and how far it was from the
+// estimate, in seconds.
+func (m *GatewayMetrics) QueueWaited(service string, estimated, waited float64) {
+	ctx := context.Background()
+	byService := m.attributeSet("service", service, "", "")
+	m.queueWait.Record(ctx, waited, byService)
+	m.queueWaitError.Record(ctx, math.Abs(waited-estimated), byService)
+}
+
 // ConfigTransfer counts a transfer of the configuration from the store or another gateway, and its size
 // in bytes. err is not nil if it failed.
 func (m *GatewayMetrics) ConfigTransfer(from string, bytes int, err error) {
--- a/internal/telemetry/gateway_test.go
+++ b/internal/telemetry/gateway_test.go
@@ -24,6 +24,7 @@
 	m.StoreCall("read")
 	m.Admissions(2, 1, 4)
 	m.Admissions(1, 2, 0)
+	m.QueueWaited("llm", 0.1, 0.4)
 	m.ConfigTransfer("store", 900, nil)
 	m.ConfigTransfer("gateway", 50, nil)
 	m.ConfigTransfer("gateway", 0, errors.New("no answer"))
@@ -42,6 +43,8 @@
 		`rockcleat_gateway_config_transfers_total{from="gateway",result="failed"} 1`,
 		`rockcleat_gateway_config_transfers_total{from="store",result="complete"} 1`,
 		`rockcleat_gateway_config_bytes_total{from="gateway"} 50`,
+		`rockcleat_gateway_queue_wait_seconds_bucket{service="llm",le="0.5"} 1`,
+		`rockcleat_gateway_queue_wait_error_seconds_bucket{service="llm",le="0.2"} 0`,
 		`rockcleat_gateway_first_byte_seconds_bucket{route="r2",le="0.05"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want), "%s is not in\n%s", want, text)
