Demand in engine time, in reports and plans

Change: gateways add the engine time of requests (WorkMs) to their reports, with the Length-Hint of callers, and learn step times through the leader. The leader plans services with at most admission.max_slots slots by it.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "math"
+
 // outputTokenWeight is the cost of one generated token in prompt tokens. A decoding step of 10.5 ms
 // shared by 20 requests takes about as long as the prefill of 10 prompt tokens at 0.05 ms each
 // (docs/design/0009).
@@ -13,6 +15,9 @@
 	// WorkTokens is the work of these requests in prompt tokens: the prompts plus outputTokenWeight
 	// for each token to generate.
 	WorkTokens int `json:"t"`
+	// WorkMs is the work of these requests in milliseconds of engine time. It is 0 for services whose servers have more
+	// than Options.MaxCountedSlots slots, and in reports of builds that do not measure it.
+	WorkMs int `json:"m,omitempty"`
 	// Waiting is the current number of waiting requests.
 	Waiting int `json:"w,omitempty"`
 	// Running is the current number of requests at servers.
@@ -71,6 +76,7 @@
 	}
 	x.Arrived++
 	x.WorkTokens += r.PromptTokens + outputTokenWeight*r.MaxOutputTokens
+	x.WorkMs += int(math.Round(d.engineTime(r)))
 }
 
 // Demands returns the demand for each model and adapter. Keys have the form MODEL or MODEL/ADAPTER.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -41,6 +41,9 @@
 	// CacheTokens returns the cache memory of each engine of a service in tokens, 0 for a plain
 	// service.
 	CacheTokens func(service string) int
+	// MaxCountedSlots is the number of slots up to which the servers of a service are admitted by exact count and the
+	// demand for its models is measured in engine time; 0 if none are.
+	MaxCountedSlots int
 	// Owners, if not nil, requests admission to engines that other gateways own.
 	Owners Owners
 	// Permits, if not nil, grants permits for servers with a rate limit.
@@ -68,6 +71,7 @@
 	queue       waitQueue
 	demand      demandTable
 	speeds      speedEstimates
+	serverTime  serverTimeBook
 	// shedders holds the shedder of each service.
 	shedders map[string]*shedder
 	// pausedUntil is the time from which no server is paused.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -15,6 +15,8 @@
 	// PromptTokens is the length of the prompt, MaxOutputTokens the maximum number of tokens to
 	// generate.
 	PromptTokens, MaxOutputTokens int
+	// OutputEstimate is the caller's estimate of the number of tokens that will be generated; 0 if there is none.
+	OutputEstimate int
 	// Prefix lists the leading blocks of the prompt.
 	Prefix []PrefixBlock
 	// FirstByteObjective is the target time to first byte; 0 means none.
--- /dev/null
+++ b/dispatch/server_time.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"rockcleat/backend"
+	"rockcleat/servertime"
+)
+
+// Limits on the samples of step times. Step times change slowly, and every sample takes about 40 bytes of a report.
+const (
+	// stepSampleInterval is the minimum time between two samples of a gateway.
+	stepSampleInterval = 250 * time.Millisecond
+	// maxPendingStepSamples is the maximum number of samples kept between two calls of TakeStepSamples.
+	maxPendingStepSamples = 16
+)
+
+// A serverTimeBook holds what this gateway needs to compute the engine time of requests.
+type serverTimeBook struct {
+	steps   servertime.StepTimes
+	outputs servertime.Outputs
+	// shared contains the models whose step times were estimated from all gateways' samples.
+	shared map[string]bool
+	// pending holds this gateway's samples since the last call of TakeStepSamples, lastSample is the time of the last one.
+	pending    []servertime.StepSample
+	lastSample time.Time
+}
+
+// addSample records a sample of this gateway. It updates the model's step time only if no shared one is known.
+func (b *serverTimeBook) addSample(x servertime.StepSample, now time.Time) {
+	if !b.shared[x.Model] {
+		b.steps.Observe(x)
+	}
+	if len(b.pending) >= maxPendingStepSamples || now.Sub(b.lastSample) < stepSampleInterval {
+		return
+	}
+	b.pending = append(b.pending, x)
+	b.lastSample = now
+}
+
+// HasCountedServers reports whether all servers in a list have a known number of slots of at most maxSlots, so that
+// they are admitted by exact count and the demand for them is measured in engine time. It returns false if maxSlots is
+// 0 or the list is empty.
+func HasCountedServers(list []*backend.Server, maxSlots int) bool {
+	return len(list) > 0 && !slices.ContainsFunc(list, func(s *backend.Server) bool { return s.Slots <= 0 || s.Slots > maxSlots })
+}
+
+// engineTime returns the engine time of a request in milliseconds, or 0 if the demand for its service is measured in
+// tokens. d.mu must be held.
+func (d *Dispatcher) engineTime(r *Request) float64 {
+	servers := d.servers.Service(r.Service)
+	if !HasCountedServers(servers, d.opts.MaxCountedSlots) {
+		return 0
+	}
+	b := &d.serverTime
+	speeds := servertime.Speeds{
+		PrefillMsPerToken: d.speeds.Get(r.Model), StepMs: b.steps.Get(r.Model),
+		Sharing: d.opts.Utilization * float64(maxSlotsOf(servers)),
+	}
+	return speeds.RequestTime(r.PromptTokens, b.outputs.Expect(r.Model, r.OutputEstimate, r.MaxOutputTokens))
+}
+
+// maxSlotsOf returns the largest number of slots of a server. All models are given the same number of requests that
+// share a step, whatever their servers run now (servertime.Speeds.Sharing).
+func maxSlotsOf(list []*backend.Server) int {
+	n := 0
+	for _, s := range list {
+		n = max(n, s.Slots)
+	}
+	return n
+}
+
+// RecordStream records a complete stream: the number of tokens that it has delivered and the pauses between its events.
+// It must be called before Done. It does nothing for services whose demand is measured in tokens.
+func (r *Reservation) RecordStream(tokens int, pauses *servertime.Pauses) {
+	d := r.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.released || r.req.Model == "" || !HasCountedServers(d.servers.Service(r.req.Service), d.opts.MaxCountedSlots) {
+		return
+	}
+	b := &d.serverTime
+	b.outputs.Observe(r.req.Model, r.req.OutputEstimate, r.req.MaxOutputTokens, tokens)
+	if x, ok := servertime.NewStepSample(r.req.Model, pauses.Typical(), r.req.Gap.StepsPerEvent, r.sharing()); ok {
+		b.addSample(x, d.opts.Clock.Now())
+	}
+}
+
+// sharing returns the number of requests that shared the engine's steps: the mean of those when the request was sent and
+// those now. d.mu must be held.
+func (r *Reservation) sharing() float64 {
+	now := r.load.Running + r.d.remote[r.server.ID].Running
+	return float64(r.candidate.Running+1+now) / 2
+}
+
+// TakeStepSamples returns the step time samples recorded since the last call. Losing them only makes the estimates
+// follow more slowly.
+func (d *Dispatcher) TakeStepSamples() []servertime.StepSample {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	samples := d.serverTime.pending
+	d.serverTime.pending = nil
+	return samples
+}
+
+// SetStepTimes sets the base step times estimated from all gateways' samples, by model, in milliseconds.
+func (d *Dispatcher) SetStepTimes(times map[string]float64) {
+	if len(times) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := &d.serverTime
+	if b.shared == nil {
+		b.shared = make(map[string]bool)
+	}
+	for model, ms := range times {
+		b.shared[model] = true
+		b.steps.Set(model, ms)
+	}
+}
+
+// StepTimes returns the base step times that this gateway uses, by model, in milliseconds.
+func (d *Dispatcher) StepTimes() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.serverTime.steps.All()
+}
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -28,6 +28,12 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Admission contains the settings of admission to backend servers.
+type Admission struct {
+	// MaxSlots is the number of slots up to which the servers of a service are admitted by exact count; 0 if none are.
+	MaxSlots int `yaml:"max_slots"`
+}
+
 // Gateway contains the settings of a gateway.
 type Gateway struct {
 	// ID is the VM's name, Hall the data hall that it is in.
@@ -73,6 +79,7 @@
 	Quarantine Quarantine `yaml:"quarantine"`
 	Quota      Quota      `yaml:"quota"`
 	Warmup     Warmup     `yaml:"warmup"`
+	Admission  Admission  `yaml:"admission"`
 	// MaxRevocationDelay is the time within which every gateway rejects a key that operators revoked, whatever
 	// has failed; 0 for no such bound.
 	MaxRevocationDelay Duration `yaml:"revoke_time"`
@@ -137,6 +144,7 @@
 	c.require(g.Quota.Slack >= 0, "quota.slack", "must not be negative")
 	c.require(g.Warmup.Over >= 0, "warmup.over", "must not be negative")
 	c.require(g.Warmup.Slack >= 0, "warmup.slack", "must not be negative")
+	c.require(g.Admission.MaxSlots >= 0, "admission.max_slots", "must not be negative")
 	c.require(g.MaxRevocationDelay >= 0, "revoke_time", "must not be negative")
 	g.Quarantine.check(c)
 }
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -20,6 +20,8 @@
 	queueTimeFraction = 0.8
 	// sendByPercent is the percentage of the first-byte objective within which a request must be sent to meet it.
 	sendByPercent = 70
+	// maxOutputEstimate is the highest credible estimate of an output in tokens.
+	maxOutputEstimate = 1 << 20
 	// responseReserve is the part of the deadline that is reserved for the response.
 	responseReserve = 400 * time.Millisecond
 )
@@ -52,6 +54,7 @@
 	}
 	req.Model, req.Adapter = in.target.Model, in.target.Name
 	req.PromptTokens, req.MaxOutputTokens = p.tokenCounts(in)
+	req.OutputEstimate = p.outputEstimate(in)
 	req.Prefix = p.prefixBlocks(in, prompt)
 	req.Gap = dispatch.GapBudget{
 		MaxGap: dispatch.InMilliseconds(in.route.EventGapObjective), StepsPerEvent: in.service.Engine.TokensPerEvent,
@@ -80,6 +83,16 @@
 	return n
 }
 
+// outputEstimate returns the caller's estimate of the number of tokens that will be generated, or 0 if there is none or it
+// is malformed.
+func (p *proxy) outputEstimate(in *inbound) int {
+	n, err := strconv.Atoi(strings.TrimSpace(in.Header.Get(p.names.OutputEstimate)))
+	if err != nil || n < 0 || n > maxOutputEstimate {
+		return 0
+	}
+	return n
+}
+
 // A promptPart is one ID:TOKENS block of a prompt as the caller sent it. A block without a colon has an empty id.
 type promptPart struct {
 	text, id, tokens string
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -76,7 +76,7 @@
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
 		Owners: p.peers, OnOwnerUnresponsive: p.requestLog.admissionFailed, OnModelMissing: p.modelMissing,
-		Permits: p.serverLimits,
+		Permits: p.serverLimits, MaxCountedSlots: s.Admission.MaxSlots,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.servers.registry.SetWarmupTime(p.config.warmupTime)
@@ -137,7 +137,8 @@
 	l.placer = placer.New(placer.Options{
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
-		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
+		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, StepTimes: p.dispatcher.StepTimes,
+		MaxCountedSlots: s.Admission.MaxSlots, IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
 	})
 	return l
 }
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -77,6 +77,7 @@
 	gatewaysVersion  uint64
 	residencyVersion int64
 	speedsVersion    int64
+	stepsVersion     int64
 	reported         map[string]dispatch.Demand
 }
 
@@ -237,6 +238,7 @@
 		GatewayID: r.self.id, Addr: r.self.addr, Hall: r.self.hall, ResidencyVersion: r.residencyVersion,
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
 		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
+		StepSamples: r.dispatcher.TakeStepSamples(), StepsVersion: r.stepsVersion,
 	}, demands
 }
 
@@ -252,6 +254,7 @@
 	}
 	r.servers.refresh()
 	r.dispatcher.SetPrefillSpeeds(reply.Speeds)
+	r.dispatcher.SetStepTimes(reply.StepTimes)
 	r.dispatcher.SetRemoteLoads(reply.Loads, reply.BusiestOnly)
 }
 
@@ -261,6 +264,7 @@
 	r.residencyVersion = reply.ResidencyVersion
 	r.gatewaysVersion = reply.GatewaysVersion
 	r.speedsVersion = reply.SpeedsVersion
+	r.stepsVersion = reply.StepsVersion
 	r.reported = demands
 	if reply.Term != r.term {
 		r.term, r.reported = reply.Term, nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"rockcleat/dispatch"
+	"rockcleat/servertime"
 )
 
 // maxEventBytes is the maximum size of one event, in bytes.
@@ -70,6 +71,7 @@
 	}()
 	var buf bytes.Buffer
 	var last time.Time
+	var pauses servertime.Pauses
 	for {
 		id, err := readEvent(r, &buf)
 		if err == io.EOF {
@@ -85,6 +87,7 @@
 		now := f.proxy.clock.Now()
 		if !last.IsZero() {
 			f.record.longestGap = max(f.record.longestGap, now.Sub(last))
+			pauses.Add(float64(dispatch.InMilliseconds(now.Sub(last))))
 		}
 		last = now
 		f.bindToVersion(res.Server())
@@ -101,10 +104,18 @@
 		f.beginResponse(resp)
 		f.w.WriteHeader(resp.StatusCode)
 	}
+	f.recordStream(res, &pauses)
 	f.finish(res, resp.StatusCode)
 	return true
 }
 
+// recordStream records the output of a complete stream, unless it continues one that was interrupted.
+func (f *forwarder) recordStream(res *dispatch.Reservation, pauses *servertime.Pauses) {
+	if f.in.resumed == nil && f.record.runs == 1 && f.in.service.Engine != nil {
+		res.RecordStream(f.record.events*f.in.service.Engine.TokensPerEvent, pauses)
+	}
+}
+
 // forwardEvent sends one event to the caller, and the header before the first one. It returns an error if the caller
 // has disconnected.
 func (f *forwarder) forwardEvent(resp *http.Response, event []byte) error {
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -29,7 +29,8 @@
 	reportedAt time.Time
 }
 
-// A demandRate is a moving average of the work requested of one model, in tokens per second.
+// A demandRate is a moving average of the work requested of one model, in tokens per second or milliseconds of engine
+// time per second.
 type demandRate struct {
 	// smoothed is an exponential moving average with time constant demandRiseTime. peak is its maximum, which
 	// decays with time constant demandFallTime.
@@ -37,8 +38,8 @@
 }
 
 // update adds the work of one step.
-func (r *demandRate) update(tokens float64, step time.Duration) {
-	current := tokens / step.Seconds()
+func (r *demandRate) update(work float64, step time.Duration) {
+	current := work / step.Seconds()
 	r.smoothed += (current - r.smoothed) * (1 - math.Exp(-step.Seconds()/demandRiseTime.Seconds()))
 	r.peak = max(r.smoothed, r.peak*math.Exp(-step.Seconds()/demandFallTime.Seconds()))
 }
@@ -53,6 +54,8 @@
 	// newTokens is the work requested since the last step, in tokens by model.
 	newTokens map[string]float64
 	rates     map[string]*demandRate
+	// engineTime is the same in engine time. It stays empty if no service is planned by it.
+	engineTime engineTimeDemand
 	// adapterLastUsed is when each adapter was last requested.
 	adapterLastUsed map[backend.Adapter]time.Time
 	// loads is the total load of all gateways at each server.
@@ -87,6 +90,7 @@
 		}
 		a := backend.ParseAdapter(name)
 		d.newTokens[a.Model] += float64(current.WorkTokens - previous.WorkTokens)
+		d.engineTime.add(a.Model, current, previous)
 		if a.Name != "" {
 			d.adapterLastUsed[a] = now
 		}
@@ -145,15 +149,21 @@
 
 // step updates the rates with the work of the elapsed time.
 func (d *demand) step(elapsed time.Duration) {
-	for model := range d.newTokens {
-		if d.rates[model] == nil {
-			d.rates[model] = &demandRate{}
+	updateRates(d.rates, d.newTokens, elapsed)
+	updateRates(d.engineTime.rates, d.engineTime.newMs, elapsed)
+}
+
+// updateRates adds the work of one step to the rate of each model and clears it.
+func updateRates(rates map[string]*demandRate, work map[string]float64, elapsed time.Duration) {
+	for model := range work {
+		if rates[model] == nil {
+			rates[model] = &demandRate{}
 		}
 	}
-	for model, r := range d.rates {
-		r.update(d.newTokens[model], elapsed)
+	for model, r := range rates {
+		r.update(work[model], elapsed)
 	}
-	clear(d.newTokens)
+	clear(work)
 }
 
 // removeUnresponsive removes gateways, awaited ones included, that have not reported within the timeout.
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -3,6 +3,7 @@
 import (
 	"rockcleat/backend"
 	"rockcleat/dispatch"
+	"rockcleat/servertime"
 )
 
 // A Report is a gateway's periodic message to the leader.
@@ -27,6 +28,13 @@
 	// prefill speeds that the gateway has.
 	Samples       []dispatch.PrefillSample `json:"prefill,omitempty"`
 	SpeedsVersion int64                    `json:"speeds,omitempty"`
+	// StepSamples are the step times observed since the last report. StepsVersion is the version of the step times that
+	// the gateway has.
+	StepSamples  []servertime.StepSample `json:"step,omitempty"`
+	StepsVersion int64                   `json:"steps,omitempty"`
+	// Ended lists the IDs of registered servers that this gateway has found to have ended: connections to their
+	// addresses are refused.
+	Ended []string `json:"ended,omitempty"`
 }
 
 // A Gateway is a gateway on the leader's list.
@@ -62,4 +70,8 @@
 	// by model. SpeedsVersion is the new version.
 	SpeedsVersion int64              `json:"speeds,omitempty"`
 	Speeds        map[string]float64 `json:"prefill,omitempty"`
+	// StepTimes holds the base step times that have changed since the reported version, in milliseconds by model.
+	// StepsVersion is the new version. Both are empty unless a service is planned in engine time.
+	StepsVersion int64              `json:"steps,omitempty"`
+	StepTimes    map[string]float64 `json:"step,omitempty"`
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -56,6 +56,12 @@
 	// PrefillSpeeds, if not nil, returns the prefill speeds known to this process, in milliseconds per token
 	// by model. A new leader starts with them.
 	PrefillSpeeds func() map[string]float64
+	// StepTimes, if not nil, returns the base step times known to this process, in milliseconds by model. A new leader
+	// starts with them.
+	StepTimes func() map[string]float64
+	// MaxCountedSlots is the number of slots up to which a service's engines are planned by demand in engine time, and
+	// lost replicas are replaced first; 0 if none are.
+	MaxCountedSlots int
 	// IsThrottled, if not nil, reports whether a backend server currently accepts so few requests that no
 	// adapter should be placed on it.
 	IsThrottled func(*backend.Server) bool
@@ -84,6 +90,7 @@
 	successions      map[string]*residency.SequenceEstimator
 	storeLoadLimiter storeLoadLimiter
 	speeds           speedTable
+	steps            stepTable
 	residency        publishedResidency
 	waiters          residencyWaiters
 	// reportsRequested is the number of engine reports requested in this step.
@@ -97,7 +104,8 @@
 
 // New returns a Placer. It does nothing until Start.
 func New(o Options) *Placer {
-	p := &Placer{opts: o, demand: newDemand(), waiters: make(residencyWaiters)}
+	p := &Placer{opts: o, waiters: make(residencyWaiters)}
+	p.demand = p.newDemandTable()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -140,6 +148,7 @@
 	}
 	p.demand.apply(r, now)
 	p.speeds.observe(r.Samples)
+	p.steps.observe(r.StepSamples)
 	if p.residency.isDue(now) {
 		p.publish(now)
 	}
@@ -155,6 +164,9 @@
 	reply.Full = !IsSameTerm(r.ResidencyVersion, p.residency.version)
 	reply.Residency = p.residency.changedSince(r.ResidencyVersion, reply.Full)
 	reply.SpeedsVersion, reply.Speeds = p.speeds.version, p.speeds.changedSince(r.SpeedsVersion)
+	if p.opts.MaxCountedSlots > 0 {
+		reply.StepsVersion, reply.StepTimes = p.steps.version, p.steps.changedSince(r.StepsVersion)
+	}
 	return reply
 }
 
@@ -218,6 +230,7 @@
 	p.storeLoadLimiter = storeLoadLimiter{startFull: p.isFirst()}
 	p.residency.beginTerm(token)
 	p.speeds.beginTerm(token, p.initialSpeeds())
+	p.steps.beginTerm(token, p.initialStepTimes())
 	if p.opts.Gateways != nil {
 		p.demand.addAwaited(p.opts.Gateways(), now)
 	}
@@ -233,7 +246,7 @@
 	p.opts.Log.Info("leadership lost", zap.Int64("token", int64(p.leadership.token)))
 	p.leadership.token = 0
 	p.engines = engineTable{}
-	p.demand = newDemand()
+	p.demand = p.newDemandTable()
 	p.residency.published = nil
 }
 
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -67,7 +67,7 @@
 
 // planModels plans and queues model moves.
 func (p *Placer) planModels(s table.Service, engines []*engineState, now time.Time) {
-	demands := p.demand.modelDemands()
+	demands := p.demandsFor(s)
 	succession := p.successions[s.Name]
 	if succession == nil {
 		succession = &residency.SequenceEstimator{}
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -24,6 +24,8 @@
 	Model string
 	// Tokens is the number of prompt tokens and, after a comma, the maximum to generate.
 	Tokens string
+	// OutputEstimate is the caller's estimate of the number of tokens that will be generated.
+	OutputEstimate string
 	// Prefix lists the parts of a prompt as ID:TOKENS, separated by commas.
 	Prefix string
 	// Priority is the request's priority at the engine; 0 is the highest.
