--- a/dispatch/counted.go
+++ b/dispatch/counted.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"rockcleat/admission"
@@ -24,10 +23,7 @@
 	}
 	counted, ok := d.counted[service]
 	if !ok {
-		servers := d.servers.Service(service)
-		counted = len(servers) > 0 && !slices.ContainsFunc(servers, func(s *backend.Server) bool {
-			return s.Slots <= 0 || s.Slots > d.opts.MaxCountedSlots
-		})
+		counted = HasCountedServers(d.servers.Service(service), d.opts.MaxCountedSlots)
 		d.counted[service] = counted
 	}
 	return counted
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -45,8 +45,8 @@
 	CacheTokens func(service string) int
 	// Owners, if not nil, requests admission to engines that other gateways own.
 	Owners Owners
-	// MaxCountedSlots selects the services whose servers' owners count each request and keep the queue of all gateways:
-	// those whose servers have at most this many slots. 0 selects none.
+	// MaxCountedSlots selects the services whose servers' owners count each request and keep the queue of all gateways, and
+	// whose models' demand is measured in engine time: those whose servers have at most this many slots. 0 selects none.
 	MaxCountedSlots int
 	// Accounts exchanges messages about such requests. If it is nil, MaxCountedSlots has no effect.
 	Accounts Accounts
@@ -80,6 +80,7 @@
 	queue       waitQueue
 	demand      demandTable
 	speeds      speedEstimates
+	serverTime  serverTimeBook
 	// shedders holds the shedder of each service.
 	shedders map[string]*shedder
 	// pausedUntil is the time from which no server is paused.
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -57,6 +57,8 @@
 	serverLimits *serverlimit.Link
 	// departures exchanges the announcements of servers that they are leaving with the same gateway.
 	departures *departure.Link
+	// endedServers returns the IDs of the listed servers that have crashed, or none if the leader does not use them.
+	endedServers func() []string
 	// limiters are notified when the leader has replied. applyGateways applies the leader's list of gateways.
 	limiters      limiters
 	applyGateways func([]placer.Gateway)
@@ -80,6 +82,7 @@
 	gatewaysVersion  uint64
 	residencyVersion int64
 	speedsVersion    int64
+	stepsVersion     int64
 	reported         map[string]dispatch.Demand
 }
 
@@ -240,6 +243,7 @@
 		GatewayID: r.self.id, Addr: r.self.addr, Hall: r.self.hall, Cores: r.self.cores, ResidencyVersion: r.residencyVersion,
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
 		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
+		StepSamples: r.dispatcher.TakeStepSamples(), StepsVersion: r.stepsVersion, Ended: r.endedServers(),
 	}, demands
 }
 
@@ -255,6 +259,7 @@
 	}
 	r.servers.refresh()
 	r.dispatcher.SetPrefillSpeeds(reply.Speeds)
+	r.dispatcher.SetStepTimes(reply.StepTimes)
 	r.dispatcher.SetRemoteLoads(reply.Loads, reply.BusiestOnly)
 }
 
@@ -264,6 +269,7 @@
 	r.residencyVersion = reply.ResidencyVersion
 	r.gatewaysVersion = reply.GatewaysVersion
 	r.speedsVersion = reply.SpeedsVersion
+	r.stepsVersion = reply.StepsVersion
 	r.reported = demands
 	if reply.Term != r.term {
 		r.term, r.reported = reply.Term, nil
