--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -5,13 +5,11 @@
 	"time"
 )
 
-// maxPastEpochs is the number of earlier epochs of a sender that are remembered. Their messages are outdated within
-// the time of a call.
-const maxPastEpochs = 8
-
 // A Ledger is an owner's account of the requests of other gateways at its servers.
 type Ledger struct {
-	epoch    int64
+	epoch int64
+	// opened is the number of channels that were ever opened.
+	opened   int64
 	channels map[string]*channel
 	loads    map[string]Load
 	onEnd    func(server string, admitted time.Time)
@@ -26,9 +24,9 @@
 // A channel is the state of one sender.
 type channel struct {
 	epoch int64
-	// past holds the sender's earlier epochs, the latest last.
-	past  []int64
-	floor ID
+	// ackEpoch is the epoch of the owner's acks, another one each time that a channel is opened.
+	ackEpoch int64
+	floor    ID
 	// synced is set once a full message has been applied.
 	synced bool
 	open   map[ID]openEntry
@@ -49,11 +47,19 @@
 // Epoch returns the owner's epoch.
 func (l *Ledger) Epoch() int64 { return l.epoch }
 
-// Apply applies a message. Messages of a past epoch of the sender have no effect.
+// Apply applies a message. A message of a process of the sender that the Ledger does not know has no effect until it
+// names the process that it replaces, which the Ack asks for: it may be a late one of a process that has died.
 func (l *Ledger) Apply(m Message, now time.Time) Ack {
-	c := l.channel(m.Sender, m.Epoch)
+	c := l.channels[m.Sender]
+	if c != nil && c.epoch != m.Epoch && c.epoch == m.Replaces {
+		l.clear(c)
+		c = nil
+	}
 	if c == nil {
-		return Ack{Epoch: l.epoch}
+		c = l.openChannel(m.Sender, m.Epoch)
+	}
+	if c.epoch != m.Epoch {
+		return Ack{Epoch: c.ackEpoch, Current: c.epoch}
 	}
 	if m.Full {
 		l.reconcile(c, m)
@@ -65,11 +71,11 @@
 		l.end(c, id)
 	}
 	l.raiseFloor(c, m.Floor)
-	return Ack{Epoch: l.epoch, Resync: !c.synced}
+	return Ack{Epoch: c.ackEpoch, Resync: !c.synced}
 }
 
 // Add records that a request of a sender has been admitted. It returns false if the request must not be admitted,
-// because the sender has given it up or has been restarted.
+// because the sender has given it up or another process of the sender is known.
 func (l *Ledger) Add(sender string, epoch int64, e Entry, now time.Time) bool {
 	c := l.channel(sender, epoch)
 	return c != nil && l.add(c, e, now)
@@ -82,12 +88,22 @@
 	}
 }
 
-// HasEnded reports whether an admission has ended, or belongs to a past epoch of the sender.
+// HasEnded reports whether an admission has ended, or belongs to another process of the sender than the known one.
 func (l *Ledger) HasEnded(sender string, epoch int64, id ID) bool {
 	c := l.channel(sender, epoch)
 	return c == nil || c.hasEnded(id)
 }
 
+// IsOpen reports whether an admission is counted. An owner that gets a copy of a request for it must not deny it.
+func (l *Ledger) IsOpen(sender string, epoch int64, id ID) bool {
+	c := l.channels[sender]
+	if c == nil || c.epoch != epoch {
+		return false
+	}
+	_, open := c.open[id]
+	return open
+}
+
 // Expire drops the entries that must have ended by now.
 func (l *Ledger) Expire(now time.Time) {
 	for _, c := range l.channels {
@@ -110,22 +126,23 @@
 	}
 }
 
-// channel returns the state of a sender, or nil if the epoch is a past one. A new epoch drops the entries of the
-// earlier one: the sender has been restarted. Epochs are not ordered, since the time of day may go back.
+// channel returns the state of a sender's process, or nil if another process of the sender is known. Epochs are not
+// ordered, since the time of day may go back.
 func (l *Ledger) channel(sender string, epoch int64) *channel {
-	old := l.channels[sender]
-	if old != nil && old.epoch == epoch {
-		return old
-	}
-	c := &channel{epoch: epoch, open: make(map[ID]openEntry), ended: make(map[ID]struct{})}
-	if old != nil {
-		if slices.Contains(old.past, epoch) {
-			return nil
-		}
-		l.clear(old)
-		c.past = append(old.past, old.epoch)
-		c.past = c.past[max(len(c.past)-maxPastEpochs, 0):]
+	c := l.channels[sender]
+	if c == nil {
+		c = l.openChannel(sender, epoch)
+	}
+	if c.epoch != epoch {
+		return nil
 	}
+	return c
+}
+
+// openChannel begins the state of a sender's process.
+func (l *Ledger) openChannel(sender string, epoch int64) *channel {
+	l.opened++
+	c := &channel{epoch: epoch, ackEpoch: l.epoch + l.opened, open: make(map[ID]openEntry), ended: make(map[ID]struct{})}
 	l.channels[sender] = c
 	return c
 }
--- a/admission/message.go
+++ b/admission/message.go
@@ -16,8 +16,10 @@
 // A Message tells an owner what has begun and ended at its servers.
 type Message struct {
 	Sender string `json:"g"`
-	// Epoch is another one after each start of the sender.
+	// Epoch is another one after each start of the sender, and not 0.
 	Epoch int64 `json:"e"`
+	// Replaces is the epoch of the process that the owner took for the sender's, if it was another one.
+	Replaces int64 `json:"p,omitempty"`
 	// All IDs below Floor have ended. IDs from Next on were not assigned when the message was made.
 	Floor ID `json:"f"`
 	Next  ID `json:"n"`
@@ -27,12 +29,18 @@
 	Began []Entry `json:"b,omitempty"`
 	Asked []ID    `json:"q,omitempty"`
 	Ended []ID    `json:"x,omitempty"`
+
+	// number counts the messages of a channel at its sender.
+	number uint64
 }
 
 // An Ack is an owner's reply to a Message.
 type Ack struct {
-	// Epoch is another one after each start of the owner.
+	// Epoch is another one after each start of the owner, and after the owner has dropped the channel.
 	Epoch int64 `json:"e"`
+	// Current, if not 0, is the epoch of the process that the owner takes for the sender's. The message was not
+	// applied. A sender that is running names that epoch in its next message.
+	Current int64 `json:"c,omitempty"`
 	// Resync means that the owner does not know the channel's entries and needs a full message.
 	Resync bool `json:"r,omitempty"`
 }
