--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -216,6 +216,10 @@
 			}
 			return x.reservation
 		})
+	case reply.Ack != nil && reply.Ack.Current != 0:
+		// The owner knows the former process of this gateway. It accepts the next message.
+		delete(d.asked, key)
+		d.outbox.Denied(owner, x.id)
 	default:
 		delete(d.asked, key)
 		d.outbox.Denied(owner, x.id)
--- a/dispatch/counted_test.go
+++ b/dispatch/counted_test.go
@@ -370,3 +370,89 @@
 		assert.DeepEqual(t, order, []string{"g2", "g1", "g0"})
 	})
 }
+
+// TestRestartedGatewayIsAdmitted guards against an owner that refuses the requests of a gateway whose former process it
+// knows, and against slots that stay taken by that process.
+func TestRestartedGatewayIsAdmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer drain()
+		g := newCountedGroup(2, engine("a"))
+		owner := g.owner(t, "a")
+		other := map[string]string{"g0": "g1", "g1": "g0"}[owner]
+		for range 8 {
+			_, err := g.dispatchers[other].Acquire(context.Background(), shortRequest(g.clock))
+			assert.NilError(t, err)
+		}
+		restarted := dispatch.New(dispatch.Options{
+			ID: other, Hall: "h", Clock: g.clock, Utilization: 1, Owners: g, Accounts: g, Epoch: 99, MaxCountedSlots: 8,
+			CacheTokens: func(string) int { return cacheTokens },
+		})
+		restarted.SetServers(snapshot(engine("a")))
+		restarted.SetGateways(g.list)
+		g.mu.Lock()
+		g.dispatchers[other] = restarted
+		g.mu.Unlock()
+		assert.NilError(t, g.run(other, shortRequest(g.clock), 100*time.Millisecond))
+		time.Sleep(time.Second)
+		assert.Equal(t, g.counted("a"), 0)
+	})
+}
+
+// TestReturningCallerComesBeforeNewOnes guards against refused callers that wait behind those who come later, and against
+// callers that gain from coming back too early.
+func TestReturningCallerComesBeforeNewOnes(t *testing.T) {
+	tests := map[string]struct {
+		// after is when the caller comes back, as a part of the time after which it was asked to.
+		after float64
+		want  []string
+	}{
+		"as it was asked to": {after: 1.05, want: []string{"returned", "new"}},
+		"too early":          {after: 0.3, want: []string{"new", "returned"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer drain()
+				g := newCountedGroup(2, countedPlain("a"))
+				// All requests take as long, so that the estimate is exact.
+				for range 9 {
+					assert.NilError(t, g.run("g0", countedPlainRequest(g.clock, time.Second), 3*time.Second))
+				}
+				var callers sync.WaitGroup
+				for i := range 9 {
+					work := 6 * time.Second
+					if i == 0 {
+						work = 4500 * time.Millisecond
+					}
+					callers.Go(func() { assert.Check(t, g.run("g0", countedPlainRequest(g.clock, time.Second), work)) })
+				}
+				time.Sleep(5 * time.Millisecond)
+				impatient := func(wait time.Duration, key uint64) *dispatch.Request {
+					now := g.clock.Now()
+					return &dispatch.Request{
+						Service: "plain", Arrived: now, SendBy: now.Add(10 * time.Second), WaitUntil: now.Add(wait),
+						Deadline: now.Add(30 * time.Second), ContentKey: key,
+					}
+				}
+				_, err := g.dispatchers["g0"].Acquire(context.Background(), impatient(10*time.Millisecond, 7))
+				var busy *dispatch.BusyError
+				assert.Assert(t, errors.As(err, &busy), "%v", err)
+				time.Sleep(time.Duration(test.after * float64(busy.RetryAfter)))
+				var order []string
+				call := func(name string, r *dispatch.Request) {
+					callers.Go(func() {
+						assert.Check(t, g.run("g1", r, 100*time.Millisecond))
+						g.mu.Lock()
+						order = append(order, name)
+						g.mu.Unlock()
+					})
+					time.Sleep(5 * time.Millisecond)
+				}
+				call("new", impatient(10*time.Second, 8))
+				call("returned", impatient(10*time.Second, 7))
+				callers.Wait()
+				assert.DeepEqual(t, order, test.want)
+			})
+		})
+	}
+}
--- a/dispatch/owned_queue.go
+++ b/dispatch/owned_queue.go
@@ -269,6 +269,11 @@
 	now := d.opts.Clock.Now()
 	reply := AdmissionReply{Owned: true, Ack: &ack}
 	req := r.request(s, now)
+	if d.ledger.IsOpen(r.Account.Sender, r.Account.Epoch, r.ID) {
+		// A copy of a request for admission that was granted.
+		reply.Admitted = true
+		return reply
+	}
 	if d.ledger.HasEnded(r.Account.Sender, r.Account.Epoch, r.ID) || !s.AcceptsRequests() {
 		reply.Load = d.candidate(req, s, d.opts.CacheTokens(s.Service), now).load()
 		return reply
