--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -21,8 +21,9 @@
 	queueTimeFraction = 0.8
 	// sendByPercent is the percentage of the first-byte objective within which a request must be sent to meet it.
 	sendByPercent = 70
-	// plainSendByPercent is the same for plain services, where the work takes most of the objective.
-	plainSendByPercent = 50
+	// plainSendByPercent is the same for plain services, where the work takes most of the objective: one request in ten
+	// takes twice the mean.
+	plainSendByPercent = 40
 	// maxOutputEstimate is the highest credible estimate of an output in tokens.
 	maxOutputEstimate = 1 << 20
 	// responseReserve is the part of the deadline that is reserved for the response.
