admitqueue: mend Returns when its memory is full

Cause: each refusal searched all 4,096 entries for outdated ones while the memory was full, 137 us, and a request that was refused again was not recorded although it had an entry, so that its caller could lose its place when it came back as asked. Change: outdated entries are searched for ten times a second at most; a known request is always recorded.

--- a/admitqueue/returns.go
+++ b/admitqueue/returns.go
@@ -9,6 +9,9 @@
 	maxReturns = 4096
 	// returnTolerance is by how much a caller may come back too early. Its clock and its link are not exact.
 	returnTolerance = 50 * time.Millisecond
+	// forgetInterval is the least time between two searches for outdated entries. Each takes 0.1 ms of a processor, which
+	// is too much for each of some hundred refusals a second.
+	forgetInterval = 100 * time.Millisecond
 )
 
 // Returns holds the requests that were refused and when their callers were asked to come back. A caller that comes back
@@ -17,6 +20,8 @@
 // The zero value is empty.
 type Returns struct {
 	refused map[uint64]refusal
+	// nextForget is when outdated entries are searched for again.
+	nextForget time.Time
 }
 
 type refusal struct{ arrived, due, forgetAt time.Time }
@@ -27,10 +32,11 @@
 	if r.refused == nil {
 		r.refused = make(map[uint64]refusal)
 	}
-	if len(r.refused) >= maxReturns {
+	_, known := r.refused[key]
+	if !known && len(r.refused) >= maxReturns {
 		r.forget(now)
 	}
-	if len(r.refused) < maxReturns {
+	if known || len(r.refused) < maxReturns {
 		r.refused[key] = refusal{arrived: arrived, due: due, forgetAt: now.Add(returnRetention)}
 	}
 }
@@ -51,8 +57,12 @@
 // Served forgets a request.
 func (r *Returns) Served(key uint64) { delete(r.refused, key) }
 
-// forget drops outdated entries.
+// forget drops outdated entries, once in forgetInterval.
 func (r *Returns) forget(now time.Time) {
+	if now.Before(r.nextForget) {
+		return
+	}
+	r.nextForget = now.Add(forgetInterval)
 	for key, x := range r.refused {
 		if !now.Before(x.forgetAt) {
 			delete(r.refused, key)
