--- a/tools/slots/main_test.go
+++ b/tools/slots/main_test.go
@@ -11,7 +11,7 @@
 // TestRun guards against requests that are counted in the wrong second, at the wrong service, or not scaled by the entries
 // that were left out.
 func TestRun(t *testing.T) {
-	log, err := os.Open("testdata/day.log")
+	log, err := os.Open("testdata/day.jsonl")
 	assert.NilError(t, err)
 	defer log.Close()
 	var out strings.Builder
