dispatch: servers' speeds are observed and used

Cause: streams at the slowest third of the engines exceed their gap, since a slow engine gets as many as others. Change: with Options.LearnSpeeds, reservations record the pauses of streams, prefill times and times of plain requests; at most four samples a second wait for the reports. A server's factor scales prefill, step time in the gap, the usable slots and the running requests in the cost; an engine that is expected to exceed the gap costs 250 ms more. The placer estimates the factors, counts a replica as 1/factor and puts busy models on fast engines. The gateway's setting speeds.learn switches it; reports and replies have optional fields.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -126,7 +126,7 @@
 	if !c.hasCapacity(l) {
 		return fullEngineRetry
 	}
-	limit := l.Gap.prefillPerGap(c.Running)
+	limit := c.prefillPerGap(l.Gap)
 	if c.Owned {
 		return d.loadOf(s.ID).prefill.nextStart(c.PrefillTime.Duration(), limit.Duration(), l.Gap.MaxGap.Duration(), now)
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -78,6 +78,9 @@
 	Trials  int
 	// SoleHolder is set for a trial: no other server holds one of the server's models.
 	SoleHolder bool
+	// TimeFactor is the time that the server takes relative to the median server of its service; 0 means 1.
+	// PrefillTime includes it.
+	TimeFactor float64
 }
 
 // Limits are the limits that apply to one request at one engine.
@@ -102,11 +105,11 @@
 	}
 	switch {
 	case c.Owned || c.NeedsAdmission:
-		return c.prefillFits(l.Gap.prefillPerGap(c.Running))
+		return c.prefillFits(c.prefillPerGap(l.Gap))
 	case exact:
-		return c.fitsIdle(l.Gap.prefillPerStep(c.Running) * unadmittedPrefillShare)
+		return c.fitsIdle(c.prefillPerStep(l.Gap) * unadmittedPrefillShare)
 	}
-	return c.prefillFits(l.Gap.prefillPerStep(c.Running))
+	return c.prefillFits(c.prefillPerStep(l.Gap))
 }
 
 // hasCapacity reports whether the engine has a free slot and enough cache memory. An idle engine
@@ -115,7 +118,7 @@
 	if c.Running == 0 {
 		return true
 	}
-	if float64(c.Running+1) > l.Utilization*float64(c.Slots) {
+	if float64(c.Running+1) > l.Utilization*c.usableSlots() {
 		return false
 	}
 	return float64(c.UsedTokens+c.RequiredTokens) <= l.Utilization*float64(c.CacheTokens)
@@ -161,7 +164,7 @@
 // engineCost returns the cost of an engine: its queued prompts, this prompt and its running
 // requests.
 func (c Candidate) engineCost() Milliseconds {
-	ms := c.PrefillAhead + c.PrefillTime + Milliseconds(c.Running)*requestCost
+	ms := c.PrefillAhead + c.PrefillTime + Milliseconds(c.Running)*requestCost*c.timeFactor()
 	if !c.Owned {
 		ms += otherOwnerCost
 	}
@@ -178,6 +181,7 @@
 	if c.Slots > 0 && c.Running >= c.Slots {
 		ms += Milliseconds(c.Running-c.Slots+1) * plainRequestCost
 	}
+	ms = ms*c.timeFactor() + c.ownWorkCost()
 	if !c.SameHall {
 		ms += plainOtherHallCost
 	}
@@ -194,7 +198,7 @@
 		if !c.canTake(l, exact) {
 			continue
 		}
-		if cost := c.cost(); best < 0 || cost < bestCost {
+		if cost := c.cost() + c.gapCost(l.Gap); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,6 +51,8 @@
 	// OnModelMissing, if not nil, is called when a request starts to wait for a model or adapter
 	// that no server holds. It is called with the Dispatcher locked and must not block.
 	OnModelMissing func()
+	// LearnSpeeds enables the samples of servers' speeds and the use of their factors.
+	LearnSpeeds bool
 }
 
 // A Dispatcher reserves servers for requests. It is safe for concurrent use.
@@ -68,6 +70,8 @@
 	queue       waitQueue
 	demand      demandTable
 	speeds      speedEstimates
+	// serverSpeeds holds the speeds of servers; nil if they are not learned.
+	serverSpeeds *serverSpeeds
 	// shedders holds the shedder of each service.
 	shedders map[string]*shedder
 	// pausedUntil is the time from which no server is paused.
@@ -81,7 +85,7 @@
 	return &Dispatcher{
 		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*serverLoad),
 		remote: make(map[string]remoteLoad), demand: newDemandTable(),
-		owners: newOwnership(o.ID), shedders: make(map[string]*shedder),
+		owners: newOwnership(o.ID), shedders: make(map[string]*shedder), serverSpeeds: newServerSpeeds(o.LearnSpeeds),
 	}
 }
 
@@ -97,6 +101,7 @@
 			d.owners.removeServer(id)
 		}
 	}
+	d.serverSpeeds.retain(s)
 	d.serveWaiting()
 }
 
@@ -248,6 +253,7 @@
 	c := Candidate{
 		CacheTokens: cacheTokens, Slots: s.Slots, SameHall: s.Hall == d.opts.Hall, Owned: d.owners.owns(s),
 		FailureRate: l.failures.at(now), RequiredTokens: r.PromptTokens + r.MaxOutputTokens, Stalled: l.isStalled(now),
+		TimeFactor: d.serverSpeeds.factor(s.ID, now),
 	}
 	if r.OnTrial {
 		c.OnTrial, c.Trials, c.SoleHolder = true, l.trials, d.isSoleHolder(s)
@@ -259,7 +265,7 @@
 	}
 	if r.Model != "" {
 		c.PrefillTokens = max(r.PromptTokens-l.prefixes.cachedTokens(r.targetKey(), r.Prefix), 0)
-		c.PrefillTime = d.speeds.prefillTime(r.Model, c.PrefillTokens)
+		c.PrefillTime = d.speeds.prefillTime(r.Model, c.PrefillTokens) * c.timeFactor()
 	}
 	if c.Owned && r.Gap.MaxGap > 0 {
 		c.PrefillInGap = InMilliseconds(l.prefill.busyWithin(c.PrefillTime.Duration(), r.Gap.MaxGap.Duration(), now))
--- a/dispatch/gap.go
+++ b/dispatch/gap.go
@@ -43,12 +43,13 @@
 // prefillPerGap returns how long an engine with the given number of running requests may prefill
 // within one gap.
 func (g GapBudget) prefillPerGap(running int) Milliseconds {
-	steps := Milliseconds(max(g.StepsPerEvent, 1))
-	decoding := steps * (baseStepTime + stepTimePerRequest*Milliseconds(running))
-	return max(g.MaxGap*engineGapShare-decoding, steps*minPrefillPerStep)
+	return max(g.MaxGap*engineGapShare-g.decodingTime(running), g.steps()*minPrefillPerStep)
 }
 
-// prefillPerStep returns the prefill time allowed per decoding step.
-func (g GapBudget) prefillPerStep(running int) Milliseconds {
-	return g.prefillPerGap(running) / Milliseconds(max(g.StepsPerEvent, 1))
+// decodingTime returns the time that an engine with the given number of running requests takes to decode one event.
+func (g GapBudget) decodingTime(running int) Milliseconds {
+	return g.steps() * (baseStepTime + stepTimePerRequest*Milliseconds(running))
 }
+
+// steps returns the number of decoding steps per event, at least 1.
+func (g GapBudget) steps() Milliseconds { return Milliseconds(max(g.StepsPerEvent, 1)) }
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -33,6 +33,8 @@
 	onTrial bool
 	// firstByteSeen means that the first byte has arrived, released that the capacity was released.
 	firstByteSeen, released bool
+	// pauses holds the pauses of the stream; nil if speeds are not learned.
+	pauses *streamPauses
 }
 
 // reserve reserves capacity of a server. d.mu must be held.
@@ -80,12 +82,14 @@
 // Choice returns the candidate that was chosen and the number of candidates that were considered.
 func (r *Reservation) Choice() (c Candidate, candidates int) { return r.candidate, r.candidateCount }
 
-// RecordFirstByte records that the response has begun.
+// RecordFirstByte records that the response has begun. It is called for each event of a stream; the times between the
+// calls are samples of the server's speed.
 func (r *Reservation) RecordFirstByte() {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	now := r.d.opts.Clock.Now()
 	r.load.lastResponse = now
+	r.recordEvent(now)
 	if r.firstByteSeen || r.released {
 		return
 	}
@@ -94,8 +98,9 @@
 		r.load.prefill.correct(r.prefillEnd, now.Add(-firstDecodeTime.Duration()))
 	}
 	if x, ok := newPrefillSample(r.req.Model, r.prefillTokens, InMilliseconds(now.Sub(r.sentAt))); ok {
-		r.d.speeds.addSample(x)
+		r.d.speeds.addSample(r.separatePrefill(x))
 	}
+	r.recordWork(now)
 	r.d.serveWaiting()
 }
 
@@ -137,6 +142,7 @@
 	case Succeeded:
 		r.load.failures.observe(0, now)
 		r.load.lastResponse = now
+		r.recordStream()
 	case Failed:
 		r.load.failures.observe(1, now)
 	case Misdirected:
--- /dev/null
+++ b/dispatch/time_factor.go
@@ -0,0 +1,49 @@
+package dispatch
+
+// gapMissCost is the cost of a server that cannot keep the gap between two events of the request's stream. A stream with
+// a missed gap is as late as one whose first event comes after the shortest usual objective.
+const gapMissCost Milliseconds = 250.0
+
+// timeFactor returns TimeFactor, or 1 if it is not set.
+func (c Candidate) timeFactor() Milliseconds {
+	if c.TimeFactor == 0 {
+		return 1
+	}
+	return Milliseconds(c.TimeFactor)
+}
+
+// usableSlots returns the number of requests that the engine may run. A slow engine runs fewer, since each of its
+// requests lengthens the pauses of all streams there more than elsewhere.
+func (c Candidate) usableSlots() float64 {
+	return float64(c.Slots) / float64(max(c.timeFactor(), 1))
+}
+
+// prefillPerGap returns how long the engine may prefill within one gap.
+func (c Candidate) prefillPerGap(g GapBudget) Milliseconds {
+	factor := c.timeFactor()
+	if factor == 1 {
+		return g.prefillPerGap(c.Running)
+	}
+	least := g.steps() * minPrefillPerStep / max(factor, 1)
+	return max(g.MaxGap*engineGapShare-factor*g.decodingTime(c.Running), least)
+}
+
+// prefillPerStep returns the prefill time allowed per decoding step.
+func (c Candidate) prefillPerStep(g GapBudget) Milliseconds { return c.prefillPerGap(g) / g.steps() }
+
+// gapCost returns gapMissCost for a slow engine that is expected to exceed the gap with the request running: the
+// decoding of an event and the prefill of this prompt and of others take longer.
+func (c Candidate) gapCost(g GapBudget) Milliseconds {
+	factor := c.timeFactor()
+	if factor <= 1 || c.CacheTokens == 0 || g.MaxGap == 0 {
+		return 0
+	}
+	expected := factor*g.decodingTime(c.Running+1) + max(c.PrefillAhead, c.PrefillInGap) + c.PrefillTime
+	if expected <= g.MaxGap*engineGapShare {
+		return 0
+	}
+	return gapMissCost
+}
+
+// ownWorkCost returns by how much the time of this request at a plain server differs from that at the median server.
+func (c Candidate) ownWorkCost() Milliseconds { return plainRequestCost * (c.timeFactor() - 1) }
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -28,6 +28,12 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Speeds contains the settings for the speeds of backend servers.
+type Speeds struct {
+	// Learn is set if the speeds of servers are learned from their responses and used.
+	Learn bool `yaml:"learn"`
+}
+
 // Gateway contains the settings of a gateway.
 type Gateway struct {
 	// ID is the VM's name, Hall the data hall that it is in.
@@ -73,6 +79,7 @@
 	Quarantine Quarantine `yaml:"quarantine"`
 	Quota      Quota      `yaml:"quota"`
 	Warmup     Warmup     `yaml:"warmup"`
+	Speeds     Speeds     `yaml:"speeds"`
 	// MaxRevocationDelay is the time within which every gateway rejects a key that operators revoked, whatever
 	// has failed; 0 for no such bound.
 	MaxRevocationDelay Duration `yaml:"revoke_time"`
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,9 @@
 	ServerLimitChanged(state string)
 	// ServerPause counts a change of the time for which a server accepts no requests, by state.
 	ServerPause(state string)
+	// ServerSpeedChanged counts a server whose published speed has become distinct from the median, or the median, by
+	// state.
+	ServerSpeedChanged(state string)
 	// StreamResumed counts a stream that a caller resumes, by the source of its origin.
 	StreamResumed(source string)
 	// OriginsNotSent counts records of streams that could not be sent to another gateway.
@@ -42,6 +45,7 @@
 func (noMetrics) ServerLimitChanged(string)                     {}
 func (noMetrics) ServerPause(string)                            {}
 func (noMetrics) ServerDeparture(string)                        {}
+func (noMetrics) ServerSpeedChanged(string)                     {}
 func (noMetrics) StreamResumed(string)                          {}
 func (noMetrics) OriginsNotSent(int)                            {}
 func (noMetrics) PermitRequested(string)                        {}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -76,7 +76,7 @@
 	p.dispatcher = dispatch.New(dispatch.Options{
 		ID: s.ID, Hall: s.Hall, Clock: o.Clock, Utilization: utilization, CacheTokens: p.config.cacheTokens,
 		Owners: p.peers, OnOwnerUnresponsive: p.requestLog.admissionFailed, OnModelMissing: p.modelMissing,
-		Permits: p.serverLimits,
+		Permits: p.serverLimits, LearnSpeeds: s.Speeds.Learn,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.servers.registry.SetWarmupTime(p.config.warmupTime)
@@ -138,6 +138,7 @@
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
 		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
+		LearnSpeeds: s.Speeds.Learn, ServerFactors: p.dispatcher.ServerFactors, OnFactorChange: p.serverSpeedChanged,
 	})
 	return l
 }
@@ -198,10 +199,28 @@
 	}
 }
 
+// serverSpeedChanged logs that the published factor of a server has become 1 or other than 1.
+func (p *components) serverSpeedChanged(server string, factor float64) {
+	service := ""
+	if s, ok := p.servers.registry.Snapshot().Server(server); ok {
+		service = s.Service
+	}
+	p.requestLog.serverSpeedChanged(server, service, factor)
+}
+
+// initialFactorsVersion returns the version of the servers' factors in the first report.
+func initialFactorsVersion(s config.Gateway) int64 {
+	if s.Speeds.Learn {
+		return placer.NoFactors
+	}
+	return 0
+}
+
 func (p *components) newReporter(o Options) *reporter {
 	s := o.Settings
 	return &reporter{
-		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
+		factorsVersion: initialFactorsVersion(s),
+		self:           sender{id: s.ID, addr: s.PeerListen, hall: s.Hall}, dispatcher: p.dispatcher, configs: p.configs,
 		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
 		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllRecords),
 		synced: p.quarantine.synced, limiters: p.limiters, applyGateways: p.applyGateways, urgent: p.urgent,
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -77,7 +77,9 @@
 	gatewaysVersion  uint64
 	residencyVersion int64
 	speedsVersion    int64
-	reported         map[string]dispatch.Demand
+	// factorsVersion is the version of the servers' factors; 0 if this gateway does not use them.
+	factorsVersion int64
+	reported       map[string]dispatch.Demand
 }
 
 // run reports until ctx ends.
@@ -237,6 +239,7 @@
 		GatewayID: r.self.id, Addr: r.self.addr, Hall: r.self.hall, ResidencyVersion: r.residencyVersion,
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
 		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
+		ServerSamples: r.dispatcher.TakeServerSamples(), FactorsVersion: r.factorsVersion,
 	}, demands
 }
 
@@ -252,9 +255,19 @@
 	}
 	r.servers.refresh()
 	r.dispatcher.SetPrefillSpeeds(reply.Speeds)
+	r.applyFactors(reply)
 	r.dispatcher.SetRemoteLoads(reply.Loads, reply.BusiestOnly)
 }
 
+// applyFactors applies the servers' factors of a reply. A leader that does not learn them leaves them as they are.
+func (r *reporter) applyFactors(reply placer.Reply) {
+	if r.factorsVersion == 0 || reply.FactorsVersion == 0 {
+		return
+	}
+	r.dispatcher.SetServerFactors(reply.Factors, !placer.IsSameTerm(r.factorsVersion, reply.FactorsVersion))
+	r.factorsVersion = reply.FactorsVersion
+}
+
 // recordSent records what the leader now knows. A new leader has received only changes relative to its predecessor's
 // last reply, so the next report is complete.
 func (r *reporter) recordSent(reply placer.Reply, demands map[string]dispatch.Demand) {
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -33,6 +33,7 @@
 	msgServerCrashed      = "server ended"
 	msgServerLimit        = "server limit"
 	msgServerPaused       = "server paused"
+	msgServerSpeed        = "server speed"
 	msgServerLeaving      = "server announces that it is leaving"
 	msgStreamResumed      = "stream resumed by its caller"
 	msgOriginsNotSent     = "origins of streams not sent"
@@ -90,6 +91,7 @@
 	fieldPerSecond           = "per_second"
 	fieldRetryAfter          = "retry_after_s"
 	fieldRemaining           = "remaining_s"
+	fieldFactor              = "factor"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
@@ -117,6 +119,9 @@
 	// serverPauseRate and serverPauseBurst limit lines about pauses of servers, which can change with each response.
 	serverPauseRate  = 5
 	serverPauseBurst = 60
+	// serverSpeedRate and serverSpeedBurst limit lines about speeds of servers, of which many may be found after a start.
+	serverSpeedRate  = 5
+	serverSpeedBurst = 60
 	// resumedRate and resumedBurst limit lines about streams that callers resume, which are many when a gateway is lost.
 	resumedRate  = 20
 	resumedBurst = 200
@@ -140,6 +145,8 @@
 	// serverLeave those about leaving servers, serverPause those about pauses of servers, resumed those about resumed
 	// streams and notSent those about records of streams.
 	overLimit, serverLimit, serverLeave, serverPause, resumed, notSent *lineLimiter
+	// serverSpeed limits the lines about speeds of servers.
+	serverSpeed *lineLimiter
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.HeaderNames) *requestLog {
@@ -152,6 +159,7 @@
 		serverLimit: newLineLimiter(serverLimitRate, serverLimitBurst),
 		serverLeave: newLineLimiter(serverLeaveRate, serverLeaveBurst),
 		serverPause: newLineLimiter(serverPauseRate, serverPauseBurst),
+		serverSpeed: newLineLimiter(serverSpeedRate, serverSpeedBurst),
 		resumed:     newLineLimiter(resumedRate, resumedBurst),
 		notSent:     newLineLimiter(notSentRate, notSentBurst),
 	}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -3,6 +3,7 @@
 import (
 	"rockcleat/backend"
 	"rockcleat/dispatch"
+	"rockcleat/serverspeed"
 )
 
 // A Report is a gateway's periodic message to the leader.
@@ -27,8 +28,15 @@
 	// prefill speeds that the gateway has.
 	Samples       []dispatch.PrefillSample `json:"prefill,omitempty"`
 	SpeedsVersion int64                    `json:"speeds,omitempty"`
+	// ServerSamples are observations of the speeds of servers. FactorsVersion is the version of the servers' factors
+	// that the gateway has, NoFactors if it has none, and 0 if it does not use them.
+	ServerSamples  []serverspeed.Sample `json:"servers,omitempty"`
+	FactorsVersion int64                `json:"factors,omitempty"`
 }
 
+// NoFactors is a version of the servers' factors before that of any term.
+const NoFactors = 1
+
 // A Gateway is a gateway on the leader's list.
 type Gateway struct {
 	dispatch.Gateway
@@ -62,4 +70,8 @@
 	// by model. SpeedsVersion is the new version.
 	SpeedsVersion int64              `json:"speeds,omitempty"`
 	Speeds        map[string]float64 `json:"prefill,omitempty"`
+	// Factors holds the servers' factors that have changed since the reported version, or all that are not 1 if that
+	// version was of another term. FactorsVersion is the new version; 0 if the leader does not learn them.
+	FactorsVersion int64              `json:"factors,omitempty"`
+	Factors        map[string]float64 `json:"servers,omitempty"`
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -62,8 +62,15 @@
 	// IsPaused, if not nil, reports whether a backend server, given by its ID, accepts no calls from this process
 	// now.
 	IsPaused func(server string) bool
-	Clock    clock.Service
-	Log      *zap.Logger
+	// LearnSpeeds enables the estimates of servers' speeds. ServerFactors, if not nil, returns the factors known to this
+	// process, by server ID; a new leader starts with them.
+	LearnSpeeds   bool
+	ServerFactors func() map[string]float64
+	// OnFactorChange, if not nil, is called when the published factor of a server becomes 1 or other than 1. It must not
+	// block or call the Placer.
+	OnFactorChange func(server string, factor float64)
+	Clock          clock.Service
+	Log            *zap.Logger
 }
 
 // A Placer issues orders to engines while it holds the lease. It is safe for concurrent use.
@@ -84,8 +91,10 @@
 	successions      map[string]*residency.SequenceEstimator
 	storeLoadLimiter storeLoadLimiter
 	speeds           speedTable
-	residency        publishedResidency
-	waiters          residencyWaiters
+	// factors is nil if the speeds of servers are not learned.
+	factors   *serverFactors
+	residency publishedResidency
+	waiters   residencyWaiters
 	// reportsRequested is the number of engine reports requested in this step.
 	reportsRequested int
 	lastStep         time.Time
@@ -97,7 +106,7 @@
 
 // New returns a Placer. It does nothing until Start.
 func New(o Options) *Placer {
-	p := &Placer{opts: o, demand: newDemand(), waiters: make(residencyWaiters)}
+	p := &Placer{opts: o, demand: newDemand(), waiters: make(residencyWaiters), factors: newServerFactors(o)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -155,6 +164,7 @@
 	reply.Full = !IsSameTerm(r.ResidencyVersion, p.residency.version)
 	reply.Residency = p.residency.changedSince(r.ResidencyVersion, reply.Full)
 	reply.SpeedsVersion, reply.Speeds = p.speeds.version, p.speeds.changedSince(r.SpeedsVersion)
+	p.exchangeFactors(r, &reply)
 	return reply
 }
 
@@ -194,6 +204,7 @@
 	p.reportsRequested = 0
 	p.demand.step(elapsed)
 	p.demand.removeUnresponsive(now, gatewayTimeoutFor(len(p.demand.gateways)))
+	p.retainFactors(p.opts.Registry.Snapshot())
 	routing := p.opts.Routing()
 	if routing == nil || !p.leadership.canIssueOrders(now) {
 		return
@@ -218,6 +229,7 @@
 	p.storeLoadLimiter = storeLoadLimiter{startFull: p.isFirst()}
 	p.residency.beginTerm(token)
 	p.speeds.beginTerm(token, p.initialSpeeds())
+	p.beginFactorsTerm(token)
 	if p.opts.Gateways != nil {
 		p.demand.addAwaited(p.opts.Gateways(), now)
 	}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -55,6 +55,7 @@
 	for i, e := range engines {
 		out[i] = e.view(now)
 		out[i].Throttled = p.isThrottled(e)
+		out[i].TimeFactor = p.timeFactor(e.server.ID)
 	}
 	return out
 }
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -41,6 +41,8 @@
 	serverLimits metric.Int64Counter
 	// serverDepartures counts the servers that announced that they are leaving.
 	serverDepartures metric.Int64Counter
+	// serverSpeeds counts the servers whose speed became distinct from the median, or the median again.
+	serverSpeeds metric.Int64Counter
 	// serverPauses counts the changes of pauses that servers asked for.
 	serverPauses metric.Int64Counter
 	// streamsResumed counts the streams that callers resume, originsNotSent the records of streams that did not reach
@@ -87,6 +89,7 @@
 	m.serverDepartures = b.counter("rockcleat.gateway.server_departures", "Backend servers that announced that they are leaving, by origin of the announcement.")
 	m.streamsResumed = b.counter("rockcleat.gateway.streams_resumed", "Streams that callers resume, by the source of their origin.")
 	m.originsNotSent = b.counter("rockcleat.gateway.origins_not_sent", "Records of streams that could not be sent to another gateway.")
+	m.serverSpeeds = b.counter("rockcleat.gateway.server_speeds", "Backend servers whose speed became distinct from the median of their service, or the median again, by state.")
 	m.serverPauses = b.counter("rockcleat.gateway.server_pauses", "Pauses that backend servers asked for in refusals, by state.")
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
@@ -164,6 +167,11 @@
 	m.serverPauses.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
 }
 
+// ServerSpeedChanged counts a backend server whose speed became distinct from the median, or the median again, by state.
+func (m *GatewayMetrics) ServerSpeedChanged(state string) {
+	m.serverSpeeds.Add(context.Background(), 1, m.attributeSet("state", state, "", ""))
+}
+
 // ServerDeparture counts a backend server that announced that it is leaving, by origin of the announcement.
 func (m *GatewayMetrics) ServerDeparture(origin string) {
 	m.serverDepartures.Add(context.Background(), 1, m.attributeSet("origin", origin, "", ""))
--- a/residency/evict.go
+++ b/residency/evict.go
@@ -47,7 +47,7 @@
 	if forFirstReplica {
 		return true
 	}
-	return !e.RecentlyLoaded[model] && p.replicas[model] > p.targets[model]
+	return !e.RecentlyLoaded[model] && p.capacity[model]-engineCapacity(e) >= p.minCapacity(model)
 }
 
 // justifiesLastReplica reports whether the demand per replica of a model justifies evicting the last replica of
@@ -83,9 +83,13 @@
 	return sum
 }
 
-// demandPerReplica returns the demand that one replica of a model serves, in tokens per second.
+// demandPerReplica returns the demand that one replica of a model on an engine of median speed serves, in tokens per
+// second.
 func (p *plan) demandPerReplica(model string) float64 {
-	return p.in.Demands[model].TokensPerSecond / float64(max(p.replicas[model], 1))
+	if p.replicas[model] == 0 {
+		return p.in.Demands[model].TokensPerSecond
+	}
+	return p.in.Demands[model].TokensPerSecond / p.capacity[model]
 }
 
 // memoryShortfall returns how much memory an engine lacks for a model, in MB; it is negative if memory remains.
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -26,6 +26,8 @@
 	CachedInMemory, CachedOnDisk []string
 	// RecentlyLoaded holds the names of the models that were loaded too recently to be evicted.
 	RecentlyLoaded map[string]bool
+	// TimeFactor is the time that the engine takes relative to the median engine; 0 means 1.
+	TimeFactor float64
 }
 
 // A Demand is the demand for one model.
@@ -89,6 +91,8 @@
 	// replicas and targets hold the present and the planned number of replicas, by model.
 	replicas map[string]int
 	targets  map[string]int
+	// capacity holds the present replicas by model, each counted as engineCapacity.
+	capacity map[string]float64
 	// engines are the engines that are not leaving.
 	engines []*EngineView
 }
@@ -96,7 +100,7 @@
 // Plan returns the moves to start now, the most urgent first, at most one for each engine. It sets Idle to false in
 // in.Engines for the engines that get a move.
 func Plan(in Input) []Move {
-	p := &plan{in: in, replicas: make(map[string]int)}
+	p := &plan{in: in, replicas: make(map[string]int), capacity: make(map[string]float64)}
 	p.in.Demands = Forecast(in.Spec, in.Demands, in.Engines, in.Sequence)
 	p.policies = loadPolicies(in.Spec, p.in.Demands, in.Sequence.Confidence())
 	for i := range in.Engines {
@@ -107,6 +111,7 @@
 		p.engines = append(p.engines, e)
 		for _, r := range e.Residents {
 			p.replicas[r.Model]++
+			p.capacity[r.Model] += engineCapacity(e)
 		}
 	}
 	p.targets = replicaTargets(in.Spec, p.in.Demands, p.policies, len(p.engines))
@@ -136,7 +141,7 @@
 func (p *plan) underReplicated() []table.ModelSpec {
 	var list []table.ModelSpec
 	for _, m := range p.in.Spec.Models {
-		if p.replicas[m.Name] < p.targets[m.Name] {
+		if p.capacity[m.Name] < p.minCapacity(m.Name) {
 			list = append(list, m)
 		}
 	}
@@ -168,7 +173,7 @@
 }
 
 func (p *plan) replicaUrgency(model string) float64 {
-	return p.in.Demands[model].TokensPerSecond / (float64(p.replicas[model]) + replicaOffset)
+	return p.in.Demands[model].TokensPerSecond / (p.capacity[model] + replicaOffset)
 }
 
 // Penalties of a move, in seconds of loading.
@@ -200,7 +205,7 @@
 		if !ok {
 			continue
 		}
-		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + sameHallPenalty*float64(inHall[e.Hall])
+		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + sameHallPenalty*float64(inHall[e.Hall]) + p.slownessCost(e, m.Name)
 		if !found || cost < bestCost {
 			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Source: source}, cost, true
 		}
@@ -248,13 +253,17 @@
 
 // apply updates the working state as if the move had been completed. Its engine is no longer idle.
 func (p *plan) apply(m Move) {
+	capacity := 1.0
 	for _, e := range p.engines {
 		if e.ID == m.Engine {
 			e.Idle = false
+			capacity = engineCapacity(e)
 		}
 	}
 	p.replicas[m.Model]++
+	p.capacity[m.Model] += capacity
 	for _, evicted := range m.Evictions {
 		p.replicas[evicted]--
+		p.capacity[evicted] -= capacity
 	}
 }
--- a/serverspeed/fit.go
+++ b/serverspeed/fit.go
@@ -83,11 +83,12 @@
 	s.effect = sum / weight
 }
 
-// medians returns the median factor of the servers of each service, among those with enough samples.
+// medians returns the median factor of the servers of each service that have samples. Those with few samples count as
+// well: they are often the slow ones, which are avoided.
 func (e *Estimator) medians() map[string]float64 {
 	effects := make(map[string][]float64)
 	for _, s := range e.servers {
-		if s.samples >= minSamples {
+		if s.samples > 0 {
 			effects[s.service] = append(effects[s.service], s.effect)
 		}
 	}
@@ -114,12 +115,12 @@
 	e.publish(s)
 }
 
-// publish publishes a server's factor under a new version if it has changed enough.
+// publish publishes a server's factor, with two decimals, under a new version if it has changed enough.
 func (e *Estimator) publish(s *serverState) {
 	crosses := (s.published == 1) != (s.factor == 1)
 	if !crosses && math.Abs(s.factor-s.published) < minPublishedChange*s.published {
 		return
 	}
 	e.version++
-	s.published, s.changedIn = s.factor, e.version
+	s.published, s.changedIn = math.Round(s.factor*100)/100, e.version
 }
