--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -63,6 +63,8 @@
 	// OnModelMissing, if not nil, is called when a request starts to wait for a model or adapter
 	// that no server holds. It is called with the Dispatcher locked and must not block.
 	OnModelMissing func()
+	// LearnSpeeds enables the samples of servers' speeds and the use of their factors.
+	LearnSpeeds bool
 }
 
 // A Dispatcher reserves servers for requests. It is safe for concurrent use.
@@ -81,6 +83,8 @@
 	demand      demandTable
 	speeds      speedEstimates
 	serverTime  serverTimeBook
+	// serverSpeeds holds the speeds of servers; nil if they are not learned.
+	serverSpeeds *serverSpeeds
 	// shedders holds the shedder of each service.
 	shedders map[string]*shedder
 	// pausedUntil is the time from which no server is paused.
@@ -117,6 +121,7 @@
 		counted:  make(map[string]bool), outbox: admission.NewOutbox(o.ID, o.Epoch), accounted: make(map[*Reservation]struct{}),
 		notices: make(map[string]*noticeState), asked: make(map[askKey]*askedRequest), queues: make(map[string]*serverQueue),
 		queuedAsks: make(map[askKey]*queuedRequest), shares: make(map[string]*admitqueue.Shares), grants: make(map[grantKey][]admission.ID),
+		serverSpeeds: newServerSpeeds(o.LearnSpeeds),
 	}
 	d.owners = newOwnership(o.ID, d.isCounted)
 	d.ledger = admission.NewLedger(o.Epoch, d.requestEnded)
@@ -137,6 +142,7 @@
 		}
 	}
 	d.serveQueues()
+	d.serverSpeeds.retain(s)
 	d.serveWaiting()
 }
 
@@ -291,6 +297,7 @@
 	c := Candidate{
 		CacheTokens: cacheTokens, Slots: s.Slots, SameHall: s.Hall == d.opts.Hall, Owned: d.owners.owns(s), Counted: d.isCounted(s.Service),
 		FailureRate: l.failures.at(now), RequiredTokens: r.PromptTokens + r.MaxOutputTokens, Stalled: l.isStalled(now),
+		TimeFactor: d.serverSpeeds.factor(s.ID, now),
 	}
 	if r.OnTrial {
 		c.OnTrial, c.Trials, c.SoleHolder = true, l.trials, d.isSoleHolder(s)
@@ -302,7 +309,7 @@
 	}
 	if r.Model != "" {
 		c.PrefillTokens = max(r.PromptTokens-l.prefixes.cachedTokens(r.targetKey(), r.Prefix), 0)
-		c.PrefillTime = d.speeds.prefillTime(r.Model, c.PrefillTokens)
+		c.PrefillTime = d.speeds.prefillTime(r.Model, c.PrefillTokens) * c.timeFactor()
 	}
 	if c.Owned && r.Gap.MaxGap > 0 {
 		c.PrefillInGap = InMilliseconds(l.prefill.busyWithin(c.PrefillTime.Duration(), r.Gap.MaxGap.Duration(), now))
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -81,6 +81,7 @@
 			o.Metrics.QueueWaited(service, estimated.Seconds(), waited.Seconds())
 		},
 		Permits: p.serverLimits, MaxCountedSlots: s.Admission.MaxSlots, Accounts: p.peers, Epoch: rand.Int64() + 1,
+		LearnSpeeds: s.Speeds.Learn,
 	})
 	p.servers = newServerList(o.Decoder, o.Clock, o.Log, p.dispatcher)
 	p.servers.registry.SetWarmupTime(p.config.warmupTime)
@@ -147,6 +148,7 @@
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
 		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, StepTimes: p.dispatcher.StepTimes,
 		MaxCountedSlots: s.Admission.MaxSlots, IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
+		LearnSpeeds: s.Speeds.Learn, ServerFactors: p.dispatcher.ServerFactors, OnFactorChange: p.serverSpeedChanged,
 	})
 	return l
 }
@@ -207,11 +209,29 @@
 	}
 }
 
+// serverSpeedChanged logs that the published factor of a server has become 1 or other than 1.
+func (p *components) serverSpeedChanged(server string, factor float64) {
+	service := ""
+	if s, ok := p.servers.registry.Snapshot().Server(server); ok {
+		service = s.Service
+	}
+	p.requestLog.serverSpeedChanged(server, service, factor)
+}
+
+// initialFactorsVersion returns the version of the servers' factors in the first report.
+func initialFactorsVersion(s config.Gateway) int64 {
+	if s.Speeds.Learn {
+		return placer.NoFactors
+	}
+	return 0
+}
+
 func (p *components) newReporter(o Options) *reporter {
 	s := o.Settings
 	return &reporter{
 		self: sender{id: s.ID, addr: s.PeerListen, hall: s.Hall, cores: s.Cores}, dispatcher: p.dispatcher, configs: p.configs,
-		servers: p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
+		factorsVersion: initialFactorsVersion(s),
+		servers:        p.servers, gateways: p.gateways, placer: p.leader.placer, fanout: p.leader.fanout, peers: p.peers,
 		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllRecords),
 		synced: p.quarantine.synced, limiters: p.limiters, applyGateways: p.applyGateways, urgent: p.urgent,
 		serverLimits: serverlimit.NewLink(p.serverLimits.Table), departures: departure.NewLink(p.departures),
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -3,6 +3,7 @@
 import (
 	"rockcleat/backend"
 	"rockcleat/dispatch"
+	"rockcleat/serverspeed"
 	"rockcleat/servertime"
 )
 
@@ -37,8 +38,15 @@
 	// Ended lists the IDs of registered servers that this gateway has found to have ended: connections to their
 	// addresses are refused.
 	Ended []string `json:"ended,omitempty"`
+	// ServerSamples are observations of the speeds of servers. FactorsVersion is the version of the servers' factors
+	// that the gateway has, NoFactors if it has none, and 0 if it does not use them.
+	ServerSamples  []serverspeed.Sample `json:"servers,omitempty"`
+	FactorsVersion int64                `json:"factors,omitempty"`
 }
 
+// NoFactors is a version of the servers' factors before that of any term.
+const NoFactors = 1
+
 // A Gateway is a gateway on the leader's list.
 type Gateway struct {
 	dispatch.Gateway
@@ -76,4 +84,8 @@
 	// StepsVersion is the new version. Both are empty unless a service is planned in engine time.
 	StepsVersion int64              `json:"steps,omitempty"`
 	StepTimes    map[string]float64 `json:"step,omitempty"`
+	// Factors holds the servers' factors that have changed since the reported version, or all that are not 1 if that
+	// version was of another term. FactorsVersion is the new version; 0 if the leader does not learn them.
+	FactorsVersion int64              `json:"factors,omitempty"`
+	Factors        map[string]float64 `json:"servers,omitempty"`
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -68,8 +68,15 @@
 	// IsPaused, if not nil, reports whether a backend server, given by its ID, accepts no calls from this process
 	// now.
 	IsPaused func(server string) bool
-	Clock    clock.Service
-	Log      *zap.Logger
+	// LearnSpeeds enables the estimates of servers' speeds. ServerFactors, if not nil, returns the factors known to this
+	// process, by server ID; a new leader starts with them.
+	LearnSpeeds   bool
+	ServerFactors func() map[string]float64
+	// OnFactorChange, if not nil, is called when the published factor of a server becomes 1 or other than 1. It must not
+	// block or call the Placer.
+	OnFactorChange func(server string, factor float64)
+	Clock          clock.Service
+	Log            *zap.Logger
 }
 
 // A Placer issues orders to engines while it holds the lease. It is safe for concurrent use.
@@ -92,8 +99,10 @@
 	speeds           speedTable
 	steps            stepTable
 	replicas         replicaWatch
-	residency        publishedResidency
-	waiters          residencyWaiters
+	// factors is nil if the speeds of servers are not learned.
+	factors   *serverFactors
+	residency publishedResidency
+	waiters   residencyWaiters
 	// reportsRequested is the number of engine reports requested in this step.
 	reportsRequested int
 	lastStep         time.Time
@@ -105,7 +114,7 @@
 
 // New returns a Placer. It does nothing until Start.
 func New(o Options) *Placer {
-	p := &Placer{opts: o, waiters: make(residencyWaiters)}
+	p := &Placer{opts: o, waiters: make(residencyWaiters), factors: newServerFactors(o)}
 	p.demand = p.newDemandTable()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
@@ -169,6 +178,7 @@
 	if p.opts.MaxCountedSlots > 0 {
 		reply.StepsVersion, reply.StepTimes = p.steps.version, p.steps.changedSince(r.StepsVersion)
 	}
+	p.exchangeFactors(r, &reply)
 	return reply
 }
 
@@ -208,6 +218,7 @@
 	p.reportsRequested = 0
 	p.demand.step(elapsed)
 	p.demand.removeUnresponsive(now, gatewayTimeoutFor(len(p.demand.gateways)))
+	p.retainFactors(p.opts.Registry.Snapshot())
 	routing := p.opts.Routing()
 	if routing == nil || !p.leadership.canIssueOrders(now) {
 		return
@@ -233,6 +244,7 @@
 	p.residency.beginTerm(token)
 	p.speeds.beginTerm(token, p.initialSpeeds())
 	p.steps.beginTerm(token, p.initialStepTimes())
+	p.beginFactorsTerm(token)
 	if p.opts.Gateways != nil {
 		p.demand.addAwaited(p.opts.Gateways(), now)
 	}
