dispatch: prefill within the gap of streams whose events have many steps

For counted services whose step times are known, the gap less the steps is allowed, and 25 ms at least.

--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -93,7 +93,7 @@
 		if slices.Contains(r.refusedBy, servers[i].ID) {
 			continue
 		}
-		cost := c.cost()
+		cost := c.cost() + c.gapCost(limits.Gap)
 		if !c.canTake(limits, true) {
 			if !c.Owned && !c.NeedsAdmission {
 				continue
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -80,6 +80,9 @@
 	Trials  int
 	// SoleHolder is set for a trial: no other server holds one of the server's models.
 	SoleHolder bool
+	// StepTime is the learned time of a decoding step of the slowest model that the engine holds, on an idle engine of usual
+	// speed; 0 if it is not known.
+	StepTime Milliseconds
 	// TimeFactor is the time that the server takes relative to the median server of its service; 0 means 1.
 	// PrefillTime includes it.
 	TimeFactor float64
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -311,6 +311,9 @@
 		c.PrefillTokens = max(r.PromptTokens-l.prefixes.cachedTokens(r.targetKey(), r.Prefix), 0)
 		c.PrefillTime = d.speeds.prefillTime(r.Model, c.PrefillTokens) * c.timeFactor()
 	}
+	if c.Counted && r.Gap.MaxGap > 0 {
+		c.StepTime = d.stepTimeAt(s)
+	}
 	if c.Owned && r.Gap.MaxGap > 0 {
 		c.PrefillInGap = InMilliseconds(l.prefill.busyWithin(c.PrefillTime.Duration(), r.Gap.MaxGap.Duration(), now))
 	}
--- a/dispatch/server_time.go
+++ b/dispatch/server_time.go
@@ -127,3 +127,15 @@
 	defer d.mu.Unlock()
 	return d.serverTime.steps.All()
 }
+
+// stepTimeAt returns the base step time of the slowest model that an engine holds, or 0 if none is known. Its streams share
+// the steps. d.mu must be held.
+func (d *Dispatcher) stepTimeAt(s *backend.Server) Milliseconds {
+	longest := 0.0
+	for _, r := range s.Residents {
+		if ms, ok := d.serverTime.steps.Known(r.Model); ok {
+			longest = max(longest, ms)
+		}
+	}
+	return Milliseconds(longest)
+}
--- a/dispatch/server_time_test.go
+++ b/dispatch/server_time_test.go
@@ -95,3 +95,31 @@
 	d.SetStepTimes(map[string]float64{model: 5})
 	assert.Equal(t, d.StepTimes()[model], 5.0, "the leader's estimate replaces the gateway's own")
 }
+
+// TestPrefillLeavesTheGapOfManySteps guards against pauses longer than the gap at streams whose events have many decoding
+// steps: without the time of a step, the prefill that is allowed for each step adds up to more than the gap.
+func TestPrefillLeavesTheGapOfManySteps(t *testing.T) {
+	gap := dispatch.GapBudget{MaxGap: 200, StepsPerEvent: 8}
+	tests := map[string]struct {
+		stepTime dispatch.Milliseconds
+		factor   float64
+		ahead    dispatch.Milliseconds
+		fits     bool
+	}{
+		"not known":                             {ahead: 150, fits: true},
+		"known, within the gap":                 {stepTime: 5.5, ahead: 100, fits: true},
+		"known, beyond the gap":                 {stepTime: 5.5, ahead: 150},
+		"known, beyond the gap of a slow one":   {stepTime: 5.5, factor: 1.6, ahead: 100},
+		"known, nothing ahead of a long prompt": {stepTime: 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := dispatch.Candidate{
+				CacheTokens: cacheTokens, Slots: 24, Owned: true, SameHall: true, RequiredTokens: 1000, Counted: true,
+				PrefillTime: 20, PrefillAhead: test.ahead, StepTime: test.stepTime, TimeFactor: test.factor, Running: 4,
+			}
+			chosen := dispatch.Choose([]dispatch.Candidate{c}, dispatch.Limits{Gap: gap, Utilization: 1})
+			assert.Equal(t, chosen == 0, test.fits || test.ahead == 0)
+		})
+	}
+}
--- a/dispatch/time_factor.go
+++ b/dispatch/time_factor.go
@@ -21,6 +21,11 @@
 // prefillPerGap returns how long the engine may prefill within one gap.
 func (c Candidate) prefillPerGap(g GapBudget) Milliseconds {
 	factor := c.timeFactor()
+	if c.StepTime > 0 {
+		// The time of a step is known, so that the bound for a whole gap is that of one step otherwise: streams whose events
+		// have many steps would pause for longer than the gap.
+		return max(g.MaxGap*engineGapShare-c.decodingTime(g, c.Running), minPrefillPerStep)
+	}
 	if factor == 1 {
 		return g.prefillPerGap(c.Running)
 	}
@@ -31,19 +36,28 @@
 // prefillPerStep returns the prefill time allowed per decoding step.
 func (c Candidate) prefillPerStep(g GapBudget) Milliseconds { return c.prefillPerGap(g) / g.steps() }
 
-// gapCost returns gapMissCost for a slow engine that is expected to exceed the gap with the request running: the
+// gapCost returns gapMissCost for an engine of known speed that is expected to exceed the gap with the request running: the
 // decoding of an event and the prefill of this prompt and of others take longer.
 func (c Candidate) gapCost(g GapBudget) Milliseconds {
 	factor := c.timeFactor()
-	if factor <= 1 || c.CacheTokens == 0 || g.MaxGap == 0 {
+	if factor <= 1 && c.StepTime == 0 || c.CacheTokens == 0 || g.MaxGap == 0 {
 		return 0
 	}
-	expected := factor*g.decodingTime(c.Running+1) + max(c.PrefillAhead, c.PrefillInGap) + c.PrefillTime
+	expected := c.decodingTime(g, c.Running+1) + max(c.PrefillAhead, c.PrefillInGap) + c.PrefillTime
 	if expected <= g.MaxGap*engineGapShare {
 		return 0
 	}
 	return gapMissCost
 }
 
+// decodingTime returns the time that the engine takes to decode one event with the given number of running requests.
+func (c Candidate) decodingTime(g GapBudget, running int) Milliseconds {
+	ms := g.decodingTime(running)
+	if c.StepTime > 0 {
+		ms *= c.StepTime / baseStepTime
+	}
+	return c.timeFactor() * ms
+}
+
 // ownWorkCost returns by how much the time of this request at a plain server differs from that at the median server.
 func (c Candidate) ownWorkCost() Milliseconds { return plainRequestCost * (c.timeFactor() - 1) }
--- a/servertime/step.go
+++ b/servertime/step.go
@@ -49,6 +49,12 @@
 	return initialStepTime
 }
 
+// Known returns the base step time of a model in milliseconds, and false if there are no samples.
+func (t *StepTimes) Known(model string) (ms float64, ok bool) {
+	ms, ok = t.byModel[model]
+	return ms, ok
+}
+
 // All returns the base step times of all models that have been observed or set, in milliseconds.
 func (t *StepTimes) All() map[string]float64 { return maps.Clone(t.byModel) }
 
