config, telemetry: setting processor.max_delay and the count of refusals

Cause: part 5 of docs/HARD-LOAD.md is enabled by a setting and needs a metric.

Change: processor.max_delay is 0s (off) or at least 100 ms, the delay that a processor quota causes without load; the deployment template sets 250 ms. The metric rockcleat_gateway_processor_refusals_total counts refused requests.

Result: go test ./internal/config ./internal/telemetry pass.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,7 @@
 			assert.Equal(t, g.MaxRevocationDelay.Std(), test.revokeTime)
 			assert.Equal(t, g.Quota, test.quota)
 			assert.Equal(t, g.Warmup, test.warmup)
+			assert.Equal(t, g.Processor.MaxDelay.Std(), 250*time.Millisecond)
 		})
 	}
 }
@@ -109,6 +110,8 @@
 		"negative ratio": {"ratio: 0.1", "ratio: -1", "retry.ratio: must not be negative"},
 		"negative time":  {"revoke_time: 5s", "revoke_time: -5s", "revoke_time: must not be negative"},
 		"negative slack": {"slack: 10000", "slack: -1", "quota.slack: must not be negative"},
+		"negative delay": {"max_delay: 0s", "max_delay: -1s", "processor.max_delay: must be 0s or at least 100ms"},
+		"short delay":    {"max_delay: 0s", "max_delay: 99ms", "processor.max_delay: must be 0s or at least 100ms"},
 		"no gateways":    {"gateways: 6", "gateways: 0", "gateways: must be at least 1"},
 	}
 	for name, test := range tests {
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -28,6 +28,20 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Processor contains the settings for what a gateway does when it is short of processor time.
+type Processor struct {
+	// MaxDelay is the delay of the process's own work from which all new requests are refused. From a fifth of it on, a
+	// share of them is; 0 if none is.
+	MaxDelay Duration `yaml:"max_delay"`
+}
+
+func (p Processor) check(c *checker) {
+	c.require(p.MaxDelay == 0 || p.MaxDelay.Std() >= minProcessorDelay, "processor.max_delay", "must be 0s or at least "+minProcessorDelay.String())
+}
+
+// minProcessorDelay is the shortest delay that can be attributed to load: a processor quota alone causes up to 100 ms.
+const minProcessorDelay = 100 * time.Millisecond
+
 // Gateway contains the settings of a gateway.
 type Gateway struct {
 	// ID is the VM's name, Hall the data hall that it is in.
@@ -73,6 +87,7 @@
 	Quarantine Quarantine `yaml:"quarantine"`
 	Quota      Quota      `yaml:"quota"`
 	Warmup     Warmup     `yaml:"warmup"`
+	Processor  Processor  `yaml:"processor"`
 	// MaxRevocationDelay is the time within which every gateway rejects a key that operators revoked, whatever
 	// has failed; 0 for no such bound.
 	MaxRevocationDelay Duration `yaml:"revoke_time"`
@@ -139,4 +154,5 @@
 	c.require(g.Warmup.Slack >= 0, "warmup.slack", "must not be negative")
 	c.require(g.MaxRevocationDelay >= 0, "revoke_time", "must not be negative")
 	g.Quarantine.check(c)
+	g.Processor.check(c)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,8 @@
 	ServerDeparture(origin string)
 	// PermitRequested counts a request for a permit of a server's rate limit. outcome is "inside", "over" or "unknown".
 	PermitRequested(outcome string)
+	// ProcessorRefused counts a request that was refused because the gateway was short of processor time.
+	ProcessorRefused()
 	// ServerCrashed counts a crash of a server under requests, by service.
 	ServerCrashed(service string)
 	// ConfigTransfer counts a transfer of the configuration and its size on the wire; err is not nil if it failed.
@@ -45,6 +47,7 @@
 func (noMetrics) StreamResumed(string)                          {}
 func (noMetrics) OriginsNotSent(int)                            {}
 func (noMetrics) PermitRequested(string)                        {}
+func (noMetrics) ProcessorRefused()                             {}
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
 func (noMetrics) Admissions(int, int, int)                      {}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -49,6 +49,8 @@
 	originsNotSent metric.Int64Counter
 	// permits counts the requests for permits at servers with limits.
 	permits metric.Int64Counter
+	// processorRefusals counts the requests refused for want of processor time.
+	processorRefusals metric.Int64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
 	// of those within it.
 	charges metric.Int64Counter
@@ -89,6 +91,7 @@
 	m.originsNotSent = b.counter("rockcleat.gateway.origins_not_sent", "Records of streams that could not be sent to another gateway.")
 	m.serverPauses = b.counter("rockcleat.gateway.server_pauses", "Pauses that backend servers asked for in refusals, by state.")
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
+	m.processorRefusals = b.counter("rockcleat.gateway.processor_refusals", "Requests refused while the gateway was short of processor time.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
 	b.recordError(err)
@@ -184,6 +187,9 @@
 	m.permits.Add(context.Background(), 1, m.attributeSet("outcome", outcome, "", ""))
 }
 
+// ProcessorRefused counts a request that was refused because the gateway was short of processor time.
+func (m *GatewayMetrics) ProcessorRefused() { m.processorRefusals.Add(context.Background(), 1) }
+
 // QuotaCharged counts a request that was charged to an organisation's limit, by outcome. Requests within the
 // limit also add their cost, in the limit's unit.
 func (m *GatewayMetrics) QuotaCharged(organisation, outcome string, cost float64) {
--- a/internal/telemetry/gateway_test.go
+++ b/internal/telemetry/gateway_test.go
@@ -22,6 +22,7 @@
 	m.RequestSent("llm", false)
 	m.RequestSent("llm", true)
 	m.StoreCall("read")
+	m.ProcessorRefused()
 	m.Admissions(2, 1, 4)
 	m.Admissions(1, 2, 0)
 	m.ConfigTransfer("store", 900, nil)
@@ -36,6 +37,7 @@
 		`rockcleat_gateway_requests_total{outcome="answered",route="other"} 136`,
 		`rockcleat_gateway_sends_total{kind="repeat",service="llm"} 1`,
 		`rockcleat_gateway_store_calls_total{kind="read"} 1`,
+		`rockcleat_gateway_processor_refusals_total 1`,
 		`rockcleat_gateway_places_total{result="denied"} 3`,
 		`rockcleat_gateway_places_total{result="granted"} 3`,
 		`rockcleat_gateway_places_total{result="silent"} 4`,
