gateway: refuse new requests while the process is short of processor time

Cause: under bursts, reports, admissions and configuration of a small gateway waited behind requests.

Change: every 20 ms a tick waits for its turn once and reports its delay to overload.Monitor. ServeHTTP refuses a share of new requests (503, not run) before it parses or reads anything. Other gateways, readiness, metrics, resumed streams, a stopping gateway and the only request in progress are not refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	lifecycle       *lifecycle
 	listeners       *listeners
 	pauses          *pauseDetector
+	processor       *processorGuard
 	quarantine      *quarantineRole
 	quarantineStore *quarantineStore
 	// serverLimits holds the rate limits that backend servers announce.
@@ -140,6 +141,7 @@
 		holderWatcher:   p.newHolderWatcher(o),
 		feed:            p.newFeed(o),
 		pauses:          p.pauses,
+		processor:       p.processor,
 		quarantine:      &p.quarantine,
 		quarantineStore: p.newQuarantineStore(ctx, o),
 		fleetStore:      p.fleetStore,
@@ -183,6 +185,7 @@
 	g.subscribe(sweepInterval, g.conns.sweep)
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(pauseCheckInterval, g.pauses.check)
+	g.stops = append(g.stops, g.processor.subscribe(g.settings.Processor.MaxDelay.Std()))
 	g.subscribe(fleetStepInterval, g.fleetStore.step)
 	g.stops = append(g.stops, g.serverLimits.subscribe(g.clock))
 	g.subscribe(sweepInterval, g.expireDepartures)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -14,6 +14,7 @@
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
+	"rockcleat/overload"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
 	"rockcleat/serverlimit"
@@ -42,6 +43,7 @@
 	health     *storeHealth
 	configs    *configsync.Syncer
 	pauses     *pauseDetector
+	processor  *processorGuard
 	quarantine quarantineRole
 	// serverLimits holds the rate limits that backend servers announce, departures the announcements of servers that
 	// they are leaving.
@@ -87,6 +89,9 @@
 	p.servers.registry.SetAnnouncedLeaving(p.departures.HasAnnounced)
 	p.origins = p.newStreamOrigins(ctx, o)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, lastCheck: o.Clock.Now()}
+	p.processor = &processorGuard{
+		monitor: overload.New(s.Processor.MaxDelay.Std()), clock: o.Clock, inProgress: p.lifecycle.requests, log: p.requestLog,
+	}
 	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
 	p.leader = p.newLeaderRole(o)
@@ -269,6 +274,7 @@
 		budgets:       p.budgets,
 		requestLog:    p.requestLog,
 		lifecycle:     p.lifecycle,
+		processor:     p.processor,
 		conns:         p.conns,
 		quarantine:    p.quarantine.table,
 		detector:      p.quarantine.detector,
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -23,6 +23,7 @@
 	budgets       *retryBudgets
 	requestLog    *requestLog
 	lifecycle     *lifecycle
+	processor     *processorGuard
 	conns         *conns
 	quarantine    *quarantine.Table
 	detector      *crashDetector
@@ -46,6 +47,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	setWriteTimeout(w, defaultTimeout)
+	if p.refuseForProcessor(w, r) {
+		return
+	}
 	buffers := p.buffers.reserve()
 	defer buffers.release()
 	in, refused := p.read(w, r, buffers)
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -36,6 +36,7 @@
 	msgServerLeaving      = "server announces that it is leaving"
 	msgStreamResumed      = "stream resumed by its caller"
 	msgOriginsNotSent     = "origins of streams not sent"
+	msgProcessorShort     = "short of processor time"
 )
 
 // Fields of these log lines; docs/OPERATIONS-GATEWAY.md lists them with their units.
@@ -90,6 +91,8 @@
 	fieldPerSecond           = "per_second"
 	fieldRetryAfter          = "retry_after_s"
 	fieldRemaining           = "remaining_s"
+	fieldShare               = "share"
+	fieldDelay               = "delay_s"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
@@ -123,6 +126,13 @@
 	// notSentRate and notSentBurst limit lines about gateways to which records of streams could not be sent.
 	notSentRate  = 1
 	notSentBurst = 5
+	// processorRate and processorBurst limit lines about a shortage of processor time, which may begin and end often.
+	processorRate  = 1
+	processorBurst = 10
+	// processorRefusalRate and processorRefusalBurst limit lines about requests refused because processor time is short, since
+	// the lines take processor time too.
+	processorRefusalRate  = 5
+	processorRefusalBurst = 10
 )
 
 // A requestLog writes the log lines about requests and updates the metrics. It is safe for concurrent use.
@@ -138,8 +148,9 @@
 	malformed   *rate.Limiter
 	// overLimit limits the lines about requests over a rate limit, serverLimit those about servers' rate limits,
 	// serverLeave those about leaving servers, serverPause those about pauses of servers, resumed those about resumed
-	// streams and notSent those about records of streams.
-	overLimit, serverLimit, serverLeave, serverPause, resumed, notSent *lineLimiter
+	// streams, notSent those about records of streams, and processor and processorRefusals those about a shortage of
+	// processor time and the requests refused because of it.
+	overLimit, serverLimit, serverLeave, serverPause, resumed, notSent, processor, processorRefusals *lineLimiter
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.HeaderNames) *requestLog {
@@ -154,6 +165,9 @@
 		serverPause: newLineLimiter(serverPauseRate, serverPauseBurst),
 		resumed:     newLineLimiter(resumedRate, resumedBurst),
 		notSent:     newLineLimiter(notSentRate, notSentBurst),
+		processor:   newLineLimiter(processorRate, processorBurst),
+
+		processorRefusals: newLineLimiter(processorRefusalRate, processorRefusalBurst),
 	}
 }
 
@@ -269,9 +283,16 @@
 			return
 		}
 	}
-	l.log.Info(msgRequestRefused, zap.String(fieldRequest, r.Header.Get(l.names.RequestID)), zap.String(fieldHost, r.Host),
+	l.log.Info(msgRequestRefused, l.refusalFields(r, refused, suppressed)...)
+}
+
+// refusalFields returns the fields of a request that was refused before it waited for a server.
+func (l *requestLog) refusalFields(r *http.Request, refused *refusal, suppressed zap.Field) []zap.Field {
+	return []zap.Field{
+		zap.String(fieldRequest, r.Header.Get(l.names.RequestID)), zap.String(fieldHost, r.Host),
 		zap.String(fieldTarget, r.RequestURI), zap.Int(fieldStatus, refused.status), zap.String(fieldReason, refused.reason),
-		organisationField(refused.organisation), suppressed)
+		organisationField(refused.organisation), suppressed,
+	}
 }
 
 // organisationField returns a field with the request's organisation, if it is known.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -49,7 +49,7 @@
 	originsNotSent metric.Int64Counter
 	// permits counts the requests for permits at servers with limits.
 	permits metric.Int64Counter
-	// processorRefusals counts the requests refused for want of processor time.
+	// processorRefusals counts the requests refused because processor time is short.
 	processorRefusals metric.Int64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
 	// of those within it.
