--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -15,7 +15,7 @@
 )
 
 // named finds what a page names as package.Name or package.Type.Name.
-var named = regexp.MustCompile("`((?:dispatch|gateway|placer|residency|backend|retry|quarantine|lease|kv|entry|agent|planner|placement|route|fairqueue|claim|ledger|quota|apikey|configsync|transfer|table|wire|platform)\\.[\\w.]+)`")
+var named = regexp.MustCompile("`((?:dispatch|gateway|placer|residency|backend|retry|quarantine|lease|kv|entry|agent|planner|placement|route|fairqueue|claim|ledger|quota|apikey|overload|configsync|transfer|table|wire|platform)\\.[\\w.]+)`")
 
 // platformFile is a file of the users' platform whose name looks like one of package wire.
 const platformFile = "wire.json"
