--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	lifecycle       *lifecycle
 	listeners       *listeners
 	pauses          *pauseDetector
+	processor       *processorGuard
 	quarantine      *quarantineRole
 	quarantineStore *quarantineStore
 	// serverLimits holds the rate limits that backend servers announce.
@@ -145,6 +146,7 @@
 		holderWatcher:   p.newHolderWatcher(o),
 		feed:            p.newFeed(o),
 		pauses:          p.pauses,
+		processor:       p.processor,
 		quarantine:      &p.quarantine,
 		quarantineStore: p.newQuarantineStore(ctx, o),
 		fleetStore:      p.fleetStore,
@@ -190,6 +192,7 @@
 	g.subscribe(expireInterval, g.dispatcher.Expire)
 	g.subscribe(sweepInterval, func(time.Time) { g.requestLog.serverLoads(g.dispatcher.CountedLoads()) })
 	g.subscribe(pauseCheckInterval, g.pauses.check)
+	g.stops = append(g.stops, g.processor.subscribe(g.settings.Processor.MaxDelay.Std()))
 	g.subscribe(fleetStepInterval, g.fleetStore.step)
 	g.stops = append(g.stops, g.serverLimits.subscribe(g.clock))
 	g.subscribe(sweepInterval, g.expireDepartures)
