--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -293,8 +293,8 @@
 	r.refusedBy = append(r.refusedBy, server)
 }
 
-// noticeDelay returns the delay after which the owner of a server is told that a request has ended there, which took the
-// given time. d.mu must be held.
+// noticeDelay returns the delay of the notice that a request has ended at a server, which took the given time. d.mu must be
+// held.
 func (d *Dispatcher) noticeDelay(l *serverLoad, s *backend.Server, took time.Duration) time.Duration {
 	longest := idleNoticeDelay
 	if 2*(l.Running+d.remote[s.ID].Running) >= s.Slots {
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -24,8 +24,8 @@
 }
 
 const (
-	// busyNoticeDelay is the longest delay after which the owner of a server of which at least half is in use is told
-	// that a request has ended, and idleNoticeDelay that for any other server. A slot of a busy server may be waited for.
+	// busyNoticeDelay is the longest delay of the notice that a request has ended at a server of which at least half is in
+	// use, and idleNoticeDelay that for any other server. A slot of a busy server may be waited for.
 	busyNoticeDelay = 10 * time.Millisecond
 	idleNoticeDelay = 100 * time.Millisecond
 	// noticeDelayShare is the longest delay as a part of the request's time at the server, in which its slot counts as taken
@@ -164,7 +164,7 @@
 }
 
 // Granted reserves servers for the queued requests that an owner has admitted. Requests that no longer wait are ignored:
-// the owner is told that they have ended.
+// a notice of their end is on its way.
 func (d *Dispatcher) Granted(m GrantMessage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
