admission: more simulations at few gateways in the property tests

Cause: with 60 cases the properties alone missed most of a dozen faults that were put into the package on purpose; the table tests found each of them. Change: a case has 20 simulations at 6 gateways, 8 at 30 and 3 at 103.

--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -10,14 +10,19 @@
 	"pgregory.net/rapid"
 )
 
-// fleets are the numbers of gateways that the bounds are checked at.
-var fleets = []int{6, 30, 103, 356, 712}
+// fleets are the numbers of gateways that the bounds are checked at. A case has several simulations of small numbers, since
+// faults in the order of calls need many cases to be found but few gateways.
+var fleets = []struct{ gateways, simulations int }{{6, 20}, {30, 8}, {103, 3}, {356, 1}, {712, 1}}
 
 // checkFleets checks a property at all numbers of gateways.
 func checkFleets(t *testing.T, actions []action) {
-	for _, n := range fleets {
-		t.Run(fmt.Sprint(n, " gateways"), func(t *testing.T) {
-			rapid.Check(t, func(t *rapid.T) { simulate(t, n, actions) })
+	for _, fleet := range fleets {
+		t.Run(fmt.Sprint(fleet.gateways, " gateways"), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				for range fleet.simulations {
+					simulate(t, fleet.gateways, actions)
+				}
+			})
 		})
 	}
 }
