dispatch: fast engines first, and prefill leaves part of each gap free

At counted services an engine's time relative to the median now is a cost, and prefill may take three fifths of what decoding leaves of a gap.

--- a/dispatch/time_factor.go
+++ b/dispatch/time_factor.go
@@ -4,6 +4,10 @@
 // a missed gap is as late as one whose first event comes after the shortest usual objective.
 const gapMissCost Milliseconds = 250.0
 
+// prefillGapShare is the part of what the steps leave of a gap that may be spent on prefill. The rest is for moments in
+// which the engine is slower.
+const prefillGapShare = 0.6
+
 // timeFactor returns TimeFactor, or 1 if it is not set.
 func (c Candidate) timeFactor() Milliseconds {
 	if c.TimeFactor == 0 {
@@ -24,7 +28,7 @@
 	if c.StepTime > 0 {
 		// The time of a step is known, so that the bound for a whole gap is that of one step otherwise: streams whose events
 		// have many steps would pause for longer than the gap.
-		return max(g.MaxGap*engineGapShare-c.decodingTime(g, c.Running), minPrefillPerStep)
+		return max((g.MaxGap*engineGapShare-c.decodingTime(g, c.Running))*prefillGapShare, minPrefillPerStep)
 	}
 	if factor == 1 {
 		return g.prefillPerGap(c.Running)
@@ -36,18 +40,23 @@
 // prefillPerStep returns the prefill time allowed per decoding step.
 func (c Candidate) prefillPerStep(g GapBudget) Milliseconds { return c.prefillPerGap(g) / g.steps() }
 
-// gapCost returns gapMissCost for an engine of known speed that is expected to exceed the gap with the request running: the
-// decoding of an event and the prefill of this prompt and of others take longer.
+// gapCost returns the cost of pauses at an engine of known speed: gapMissCost if the gap is expected to be exceeded with the
+// request running, by the decoding of an event and the prefill of this prompt and of others. Otherwise it is, at a
+// counted engine, in proportion to the time that the engine takes: the slower it is, the less of a gap is left for
+// moments in which it is slower yet. It is negative for an engine that is faster than the median.
 func (c Candidate) gapCost(g GapBudget) Milliseconds {
 	factor := c.timeFactor()
-	if factor <= 1 && c.StepTime == 0 || c.CacheTokens == 0 || g.MaxGap == 0 {
+	if factor == 1 || c.CacheTokens == 0 || g.MaxGap == 0 {
 		return 0
 	}
 	expected := c.decodingTime(g, c.Running+1) + max(c.PrefillAhead, c.PrefillInGap) + c.PrefillTime
-	if expected <= g.MaxGap*engineGapShare {
-		return 0
+	switch {
+	case factor > 1 && expected > g.MaxGap*engineGapShare:
+		return gapMissCost
+	case c.Counted:
+		return gapMissCost * min(factor-1, 1)
 	}
-	return gapMissCost
+	return 0
 }
 
 // decodingTime returns the time that the engine takes to decode one event with the given number of running requests.
