--- a/serverspeed/estimator.go
+++ b/serverspeed/estimator.go
@@ -21,12 +21,14 @@
 	// effectDeviation is the standard deviation of the logarithmic factors of servers before anything is known.
 	effectDeviation = 0.5
 	// sweeps is the number of passes over all windows in one fit. A fit starts from the result of the last one.
-	sweeps = 8
-	// minFitSamples is the minimum number of samples between two fits.
+	sweeps = 4
+	// fitSamples is the number of samples per server between two fits, minFitSamples the minimum of them all. They
+	// bound the leader's work for a sample, since a fit takes time in proportion to the number of servers.
+	fitSamples    = 2
 	minFitSamples = 16
 	// maxIdleFits is the number of fits without a sample of a server after which its samples are dropped. The other
-	// servers have had that many samples each, so the server is avoided and has to be tried again.
-	maxIdleFits = 30
+	// servers have had twice as many samples each, so the server is avoided and has to be tried again.
+	maxIdleFits = 15
 	// maxWindows is the maximum number of windows of a server, two for each model that it holds or held lately.
 	maxWindows = 12
 	// maxValue bounds the samples, in milliseconds.
@@ -117,7 +119,7 @@
 	w.add(x.Value, e.sequence)
 	s.idleFits = 0
 	e.unfitted++
-	if e.unfitted >= max(len(e.servers), minFitSamples) {
+	if e.unfitted >= max(fitSamples*len(e.servers), minFitSamples) {
 		e.unfitted = 0
 		e.fit()
 	}
