admission: a reply of another process of the owner acknowledges nothing

Cause: a late reply of the owner's last process cleared the mark of a request that the present one had not been told of. A full message was pending then, so the account became right with it, but until then the request was missing without a notice of its own. Change: only replies with the acknowledged epoch, or to the full message that is waited for, count.

--- a/admission/outbox.go
+++ b/admission/outbox.go
@@ -125,7 +125,8 @@
 // ttlMs rounds a time up to milliseconds, so that an entry does not expire before its request ends.
 func ttlMs(d time.Duration) int { return int((d + time.Millisecond - 1) / time.Millisecond) }
 
-// Acknowledged records the owner's reply to a message. Replies may be late.
+// Acknowledged records the owner's reply to a message. Replies may be late: one of another process of the owner says nothing
+// about what the present one knows.
 func (o *Outbox) Acknowledged(owner string, m Message, a Ack) {
 	c := o.channel(owner)
 	if a.Current != 0 {
@@ -133,12 +134,14 @@
 		c.requireFull()
 		return
 	}
-	c.forget(m)
 	switch {
 	case c.needsFull && m.Full && m.number > c.fullAfter && !a.Resync:
+		c.forget(m)
 		c.completed(m, a.Epoch)
 	case a.Resync || a.Epoch != c.ownerEpoch:
 		c.requireFull()
+	default:
+		c.forget(m)
 	}
 }
 
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -329,3 +329,19 @@
 	assert.Equal(t, len(m.Began)+len(m.Ended), 0)
 	assert.DeepEqual(t, p.box.Owners(), []string{owner})
 }
+
+// TestReplyOfAnotherProcess guards against a reply of the owner's last process that is taken for one of the present process,
+// which does not know of the request.
+func TestReplyOfAnotherProcess(t *testing.T) {
+	p := newPair()
+	p.exchange()
+	id := p.begin()
+	late := p.make()
+	ack := p.ledger.Apply(late, p.now)
+	p.restartOwner(8)
+	p.box.channel(owner).ownerEpoch = p.ledger.Apply(Message{Sender: gateway, Epoch: 50, Full: true}, p.now).Epoch
+	p.box.Acknowledged(owner, late, ack)
+	assert.Assert(t, p.box.channel(owner).open[id].unadmitted)
+	p.report()
+	assert.Equal(t, p.ledger.Load(server).Running, 1)
+}
