--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// maxFullRange bounds the IDs from the floor on in a full message. A sender has far fewer requests during its longest one;
+// a malformed message must not keep its owner busy.
+const maxFullRange = 1 << 16
+
 // A Ledger is an owner's account of the requests of other gateways at its servers.
 type Ledger struct {
 	epoch int64
@@ -61,7 +65,7 @@
 	if c.epoch != m.Epoch {
 		return Ack{Epoch: c.ackEpoch, Current: c.epoch}
 	}
-	if m.Full {
+	if m.Full && m.Next-m.Floor <= maxFullRange {
 		l.reconcile(c, m)
 	}
 	for _, e := range m.Began {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -109,7 +109,9 @@
 	shares     map[string]*admitqueue.Shares
 	returns    admitqueue.Returns
 	freed      []string
-	grants     map[grantKey][]admission.ID
+	// endsReported is set while a message is applied. The time that requests took is not known when their gateway is gone.
+	endsReported bool
+	grants       map[grantKey][]admission.ID
 }
 
 // New returns a Dispatcher without servers.
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -104,7 +104,9 @@
 // applyMessage applies a message to the account and serves the requests that wait for what has become free.
 // d.mu must be held.
 func (d *Dispatcher) applyMessage(m admission.Message) admission.Ack {
+	d.endsReported = true
 	ack := d.ledger.Apply(m, d.opts.Clock.Now())
+	d.endsReported = false
 	for _, id := range m.Ended {
 		d.removeQueuedAsk(askKey{gateway: m.Sender, id: id}, m.Epoch)
 	}
@@ -123,10 +125,14 @@
 
 // requestEnded is called when a request of another gateway has ended at a server. d.mu must be held.
 func (d *Dispatcher) requestEnded(server string, admitted time.Time) {
-	if q := d.queues[server]; q != nil {
+	q := d.queues[server]
+	if q == nil {
+		return
+	}
+	if d.endsReported {
 		q.durations.Observe(d.opts.Clock.Now().Sub(admitted))
-		d.freed = append(d.freed, server)
 	}
+	d.freed = append(d.freed, server)
 }
 
 // queueGrant tells a sender that a queued request was admitted. Grants that come while a message is on its way are sent
