--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -57,14 +57,7 @@
 		return nil, &BusyError{RetryAfter: r.shortestWait}
 	}
 	if i < 0 {
-		if err := d.checkMayWait(r); err != nil {
-			d.mu.Unlock()
-			return nil, err
-		}
-		w := &waiter{req: r, ready: make(chan struct{})}
-		d.enqueue(w)
-		d.mu.Unlock()
-		return d.awaitReservation(ctx, w)
+		return d.waitForServer(ctx, r)
 	}
 	s, c := servers[i], list[i]
 	switch {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -107,6 +107,11 @@
 		d.mu.Unlock()
 		return res, nil
 	}
+	return d.waitForServer(ctx, r)
+}
+
+// waitForServer waits in this gateway's queue for a server, if the request may wait. It unlocks d.mu.
+func (d *Dispatcher) waitForServer(ctx context.Context, r *Request) (*Reservation, error) {
 	if err := d.checkMayWait(r); err != nil {
 		d.mu.Unlock()
 		return nil, err
