dispatch: a takeover begins when a server is first considered

At each change of the list of gateways the owners of all servers were computed, 222,000 hashes at 356 gateways and 625 engines; when a fleet starts, the list changes with each gateway.

--- a/backend/server.go
+++ b/backend/server.go
@@ -1,8 +1,6 @@
 package backend
 
 import (
-	"iter"
-	"maps"
 	"slices"
 	"time"
 )
@@ -172,8 +170,5 @@
 	return s.byModel[modelKey{service: service, model: model}]
 }
 
-// All returns all servers in unspecified order.
-func (s *Snapshot) All() iter.Seq[*Server] { return maps.Values(s.servers) }
-
 // Len returns the number of servers.
 func (s *Snapshot) Len() int { return len(s.servers) }
--- a/dispatch/counted.go
+++ b/dispatch/counted.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"rockcleat/admission"
@@ -34,8 +36,12 @@
 	return counted
 }
 
-// countOwned adds the requests of other gateways at an owned server to a candidate's load. d.mu must be held.
+// countOwned adds the requests of other gateways at an owned server to a candidate's load. The takeover begins when the
+// server is first considered after a change of owner: at each change all servers would be too many. d.mu must be held.
 func (d *Dispatcher) countOwned(c *Candidate, l *serverLoad, id string, others Load, now time.Time) {
+	if !l.owned {
+		l.owned, l.takeoverUntil = true, now.Add(takeoverTime)
+	}
 	sum := d.ledger.Load(id)
 	legacy := l.admittedLoad(now)
 	running, tokens := sum.Running+legacy.Running, sum.Tokens+legacy.UsedTokens
@@ -46,9 +52,8 @@
 	c.PrefillAhead = max(InMilliseconds(l.prefill.end(now).Sub(now)), Milliseconds(l.PrefillMs))
 }
 
-// ownershipChanged moves the requests at servers that now have another owner to that owner's account. previous
-// returns the former owner of a server. d.mu must be held.
-func (d *Dispatcher) ownershipChanged(previous func(*backend.Server) string) {
+// ownershipChanged moves the requests at servers that now have another owner to that owner's account. d.mu must be held.
+func (d *Dispatcher) ownershipChanged() {
 	if d.opts.MaxCountedSlots == 0 || d.opts.Accounts == nil || len(d.owners.gateways) == 0 {
 		return
 	}
@@ -62,11 +67,6 @@
 		}
 	}
 	d.ledger.RetainSenders(d.owners.isListed)
-	for s := range d.servers.All() {
-		if d.isCounted(s.Service) && d.owners.owns(s) && previous(s) != d.opts.ID {
-			d.loadOf(s.ID).takeoverUntil = now.Add(takeoverTime)
-		}
-	}
 	d.serveQueues()
 }
 
@@ -126,17 +126,20 @@
 	Running, Slots, Queued int
 }
 
-// CountedLoads returns the loads of the counted servers that this gateway owns, without idle ones.
+// CountedLoads returns the loads of the counted servers that this gateway owns, without idle ones, in order of their IDs.
 func (d *Dispatcher) CountedLoads() []CountedLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	ids := slices.Concat(d.ledger.Servers(), slices.Collect(maps.Keys(d.queues)))
+	slices.Sort(ids)
 	var list []CountedLoad
-	for s := range d.servers.All() {
-		if !d.isCounted(s.Service) || !d.owners.owns(s) {
+	for _, id := range slices.Compact(ids) {
+		s, ok := d.servers.Server(id)
+		if !ok || !d.owners.owns(s) {
 			continue
 		}
-		x := CountedLoad{Server: s.ID, Running: d.loadOf(s.ID).Running + d.ledger.Load(s.ID).Running, Slots: d.usableSlots(s)}
-		if q := d.queues[s.ID]; q != nil {
+		x := CountedLoad{Server: id, Running: d.loadOf(id).Running + d.ledger.Load(id).Running, Slots: d.usableSlots(s)}
+		if q := d.queues[id]; q != nil {
 			x.Queued = q.order.Len()
 		}
 		if x.Running > 0 || x.Queued > 0 {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -167,9 +167,8 @@
 func (d *Dispatcher) SetGateways(list []Gateway) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	previous := d.owners
 	if d.owners.setGateways(list) {
-		d.ownershipChanged(previous.ownerOf)
+		d.ownershipChanged()
 	}
 }
 
@@ -347,6 +346,7 @@
 		d.countOwned(c, l, id, others, now)
 		return
 	}
+	l.owned = false
 	c.Running = l.Running + l.asking + others.Running
 	c.UsedTokens = l.UsedTokens + others.UsedTokens
 	c.PrefillAhead = Milliseconds(l.PrefillMs + others.PrefillMs)
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -52,8 +52,9 @@
 	awaitingFirstByte []*Reservation
 	// admissions are the recent admissions of other gateways' requests that are not counted until their end.
 	admissions []timedAdmission
-	// takeoverUntil is the time until which this gateway, as the server's new owner, also counts the loads that others
-	// report.
+	// owned is set if this gateway owned the counted server when it was last considered. takeoverUntil is the time until
+	// which it, as the new owner, also counts the loads that others report.
+	owned         bool
 	takeoverUntil time.Time
 	// asking is the number of requests that this gateway is asking the server's owner for, queueWaitUntil when the owner
 	// last expected to admit a request.
