--- a/dispatch/time_factor.go
+++ b/dispatch/time_factor.go
@@ -4,10 +4,6 @@
 // a missed gap is as late as one whose first event comes after the shortest usual objective.
 const gapMissCost Milliseconds = 250.0
 
-// prefillGapShare is the part of what the steps leave of a gap that may be spent on prefill. The rest is for moments in
-// which the engine is slower.
-const prefillGapShare = 0.6
-
 // timeFactor returns TimeFactor, or 1 if it is not set.
 func (c Candidate) timeFactor() Milliseconds {
 	if c.TimeFactor == 0 {
@@ -17,8 +13,12 @@
 }
 
 // usableSlots returns the number of requests that the engine may run. A slow engine runs fewer, since each of its
-// requests lengthens the pauses of all streams there more than elsewhere.
+// requests lengthens the pauses of all streams there more than elsewhere. At a counted engine, requests choose faster
+// ones first (gapCost), and a stream with long pauses is better than none when those are full.
 func (c Candidate) usableSlots() float64 {
+	if c.Counted {
+		return float64(c.Slots)
+	}
 	return float64(c.Slots) / float64(max(c.timeFactor(), 1))
 }
 
@@ -28,7 +28,7 @@
 	if c.StepTime > 0 {
 		// The time of a step is known, so that the bound for a whole gap is that of one step otherwise: streams whose events
 		// have many steps would pause for longer than the gap.
-		return max((g.MaxGap*engineGapShare-c.decodingTime(g, c.Running))*prefillGapShare, minPrefillPerStep)
+		return max(g.MaxGap*engineGapShare-c.decodingTime(g, c.Running), minPrefillPerStep)
 	}
 	if factor == 1 {
 		return g.prefillPerGap(c.Running)
