--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -118,24 +118,40 @@
 	return maxJitter * Milliseconds(weight) / math.MaxUint64
 }
 
-// defaultCapacity is the capacity of a gateway whose processor is not known.
-const defaultCapacity = 0.1
-
 // findOwner returns the gateway with the highest rendezvous weight for the server, preferring
-// gateways in the server's data hall. If byCapacity is set, the weights are in proportion to the square of the VMs'
-// processor: the requests of all gateways pass the owner, and its own already take most of a small VM.
+// gateways in the server's data hall. If byCapacity is set, only those on the larger VMs are considered.
 func findOwner(list []Gateway, s *backend.Server, byCapacity bool) string {
 	key := rendezvous.Key(s.ID)
-	best, bestSameHall, bestWeight := "", false, 0.0
+	minCores := 0.0
+	if byCapacity {
+		minCores = minOwnerCores(list, s.Hall)
+	}
+	best, bestSameHall, bestWeight := "", false, uint64(0)
 	for _, g := range list {
 		sameHall := g.Hall == s.Hall
-		weight := float64(rendezvous.Weight(g.ID, key))
-		if byCapacity {
-			weight = rendezvous.Scale(rendezvous.Weight(g.ID, key), cmp.Or(g.Cores*g.Cores, defaultCapacity))
+		if g.Cores < minCores {
+			continue
 		}
+		weight := rendezvous.Weight(g.ID, key)
 		if best == "" || sameHall && !bestSameHall || sameHall == bestSameHall && weight > bestWeight {
 			best, bestSameHall, bestWeight = g.ID, sameHall, weight
 		}
 	}
 	return best
 }
+
+// ownerCoresShare is the processor of the smallest VM that owns counted servers, as a part of the largest in its data hall. The
+// requests of all gateways pass the owner, and on a small VM its own requests already take most of the processor.
+const ownerCoresShare = 0.5
+
+// minOwnerCores returns the processor that the owner of a counted server in a data hall must have, in cores.
+func minOwnerCores(list []Gateway, hall string) float64 {
+	inHall, anywhere := 0.0, 0.0
+	for _, g := range list {
+		anywhere = max(anywhere, g.Cores)
+		if g.Hall == hall {
+			inHall = max(inHall, g.Cores)
+		}
+	}
+	return ownerCoresShare * cmp.Or(inHall, anywhere)
+}
--- a/dispatch/owners_internal_test.go
+++ b/dispatch/owners_internal_test.go
@@ -9,9 +9,9 @@
 	"rockcleat/backend"
 )
 
-// TestOwnersOfCountedServersFollowCapacity guards against owners on VMs whose processor is too small for the requests of
+// TestOwnersOfCountedServersAreLarge guards against owners on VMs whose processor is too small for the requests of
 // all gateways.
-func TestOwnersOfCountedServersFollowCapacity(t *testing.T) {
+func TestOwnersOfCountedServersAreLarge(t *testing.T) {
 	var list []Gateway
 	for i := range 11 {
 		g := Gateway{ID: fmt.Sprint("front-poa-a-", i+1), Hall: "a", Cores: 0.144}
@@ -20,14 +20,14 @@
 		}
 		list = append(list, g)
 	}
-	const servers = 2000
-	large := 0
-	for i := range servers {
-		owner := findOwner(list, &backend.Server{ID: fmt.Sprintf("i-%08x", i*7919), Hall: "a"}, true)
-		if owner == list[0].ID || owner == list[1].ID {
-			large++
-		}
+	owners := make(map[string]int)
+	for i := range 1000 {
+		owners[findOwner(list, &backend.Server{ID: fmt.Sprint("i-", i), Hall: "a"}, true)]++
 	}
-	// Their part of the squares of all cores is 0.87.
-	assert.Assert(t, large > servers*82/100 && large < servers*92/100, "%d of %d", large, servers)
+	assert.Equal(t, len(owners), 2)
+	assert.Assert(t, owners[list[0].ID] > 400 && owners[list[1].ID] > 400, "%v", owners)
+	rest := list[2:]
+	assert.Assert(t, findOwner(rest, &backend.Server{ID: "i-1", Hall: "a"}, true) != "", "the larger VMs are gone")
+	elsewhere := append([]Gateway{{ID: "g", Hall: "b", Cores: 0.8}}, rest...)
+	assert.Assert(t, findOwner(elsewhere, &backend.Server{ID: "i-1", Hall: "a"}, true) != "g", "a gateway in the data hall comes first")
 }
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"math"
 	"slices"
 )
 
@@ -37,12 +36,6 @@
 	return top
 }
 
-// Scale returns a weight of a node such that it gets a part of all keys in proportion to its capacity, which must be
-// positive. Scaled weights are compared with one another only.
-func Scale(weight uint64, capacity float64) float64 {
-	return capacity / -math.Log((float64(weight)+1)/(math.MaxUint64+1))
-}
-
 // Compare orders nodes by their weights for a key, the highest first.
 func Compare(a, b string, key uint64) int { return cmp.Compare(Weight(b, key), Weight(a, key)) }
 
