--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -73,36 +73,33 @@
 	return res, nil
 }
 
-// chooseCounted returns the candidate with the least expected time to the first byte among those that can take the request
-// now. If none can, it returns the one at which the request is expected to wait for the shortest time, and -1 if there is
-// none. Servers whose owners have refused the request are left out. d.mu must be held.
+// chooseCounted returns the candidate with the least expected time to the first byte, the wait for a slot included, or -1
+// if there is none. Servers whose owners have refused the request are left out. d.mu must be held.
 func (d *Dispatcher) chooseCounted(r *Request, servers []*backend.Server, list []Candidate, now time.Time) int {
 	if len(r.refusedBy) >= maxRefusingOwners {
 		return -1
 	}
 	limits := d.limitsFor(r, now)
-	free, full := -1, -1
-	var freeCost, fullCost Milliseconds
+	best := -1
+	bestCost := Milliseconds(0)
 	for i, c := range list {
-		switch {
-		case slices.Contains(r.refusedBy, servers[i].ID):
-		case c.canTake(limits, true):
-			if cost := c.cost() + c.gapCost(limits.Gap); free < 0 || cost < freeCost {
-				free, freeCost = i, cost
-			}
-		case c.Owned || c.NeedsAdmission:
-			if cost := c.cost() + waitCost(d.expectedWait(servers[i], c, now)); full < 0 || cost < fullCost {
-				full, fullCost = i, cost
+		if slices.Contains(r.refusedBy, servers[i].ID) {
+			continue
+		}
+		cost := c.cost()
+		if !c.canTake(limits, true) {
+			if !c.Owned && !c.NeedsAdmission {
+				// The owner is suspended.
+				d.scheduleServe(d.owners.availableFrom(servers[i]))
+				continue
 			}
-		default:
-			// The owner is suspended.
-			d.scheduleServe(d.owners.availableFrom(servers[i]))
+			cost += waitCost(d.expectedWait(servers[i], c, now))
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
-	if free >= 0 {
-		return free
-	}
-	return full
+	return best
 }
 
 // maxWaitCost is the upper bound of the cost of a wait. It is less than the cost of one failure: a server that fails requests
@@ -207,8 +204,6 @@
 		d.giveUp(x)
 	case reply.Admitted:
 		d.admitted(x)
-	case reply.Queued && d.isFreeElsewhere(r, s, now):
-		d.giveUp(x)
 	case reply.Queued:
 		return d.awaitQueued(ctx, r, x.ready, until, func() *Reservation {
 			if x.reservation == nil {
@@ -229,23 +224,6 @@
 	return d.finishAsk(ctx, x.reservation)
 }
 
-// isFreeElsewhere reports whether a server other than the given one can take the request now, as far as this gateway knows. A
-// request that was queued since the load of its server was outdated goes there, but only once. d.mu must be held.
-func (d *Dispatcher) isFreeElsewhere(r *Request, s *backend.Server, now time.Time) bool {
-	if r.movedOn {
-		return false
-	}
-	limits := d.limitsFor(r, now)
-	servers, list := d.candidates(r, now)
-	for i, c := range list {
-		if servers[i].ID != s.ID && !slices.Contains(r.refusedBy, servers[i].ID) && c.canTake(limits, true) {
-			r.movedOn = true
-			return true
-		}
-	}
-	return false
-}
-
 // finishAsk returns the reservation of a request, unless its caller has left. It unlocks d.mu.
 func (d *Dispatcher) finishAsk(ctx context.Context, res *Reservation) (*Reservation, error) {
 	defer d.mu.Unlock()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -67,8 +67,6 @@
 	// wait that they expect.
 	refusedBy    []string
 	shortestWait time.Duration
-	// movedOn is set once the request has left a server's queue for another server that looked free.
-	movedOn bool
 }
 
 // tokens returns the maximum cache memory that the request uses.
--- a/dispatch/time_factor.go
+++ b/dispatch/time_factor.go
@@ -13,8 +13,8 @@
 }
 
 // usableSlots returns the number of requests that the engine may run. A slow engine runs fewer, since each of its
-// requests lengthens the pauses of all streams there more than elsewhere. At a counted engine, requests choose faster
-// ones first (gapCost), and a stream with long pauses is better than none when those are full.
+// requests lengthens the pauses of all streams there more than elsewhere. A counted engine runs as many as others: its
+// queue holds what other engines cannot take, and a stream with long pauses is better than none.
 func (c Candidate) usableSlots() float64 {
 	if c.Counted {
 		return float64(c.Slots)
@@ -40,23 +40,17 @@
 // prefillPerStep returns the prefill time allowed per decoding step.
 func (c Candidate) prefillPerStep(g GapBudget) Milliseconds { return c.prefillPerGap(g) / g.steps() }
 
-// gapCost returns the cost of pauses at an engine of known speed: gapMissCost if the gap is expected to be exceeded with the
-// request running, by the decoding of an event and the prefill of this prompt and of others. Otherwise it is, at a
-// counted engine, in proportion to the time that the engine takes: the slower it is, the less of a gap is left for
-// moments in which it is slower yet. It is negative for an engine that is faster than the median.
+// gapCost returns gapMissCost for a slow engine that is expected to exceed the gap with the request running: the
+// decoding of an event and the prefill of this prompt and of others take longer.
 func (c Candidate) gapCost(g GapBudget) Milliseconds {
-	factor := c.timeFactor()
-	if factor == 1 || c.CacheTokens == 0 || g.MaxGap == 0 {
+	if c.timeFactor() <= 1 || c.CacheTokens == 0 || g.MaxGap == 0 {
 		return 0
 	}
 	expected := c.decodingTime(g, c.Running+1) + max(c.PrefillAhead, c.PrefillInGap) + c.PrefillTime
-	switch {
-	case factor > 1 && expected > g.MaxGap*engineGapShare:
-		return gapMissCost
-	case c.Counted:
-		return gapMissCost * min(factor-1, 1)
+	if expected <= g.MaxGap*engineGapShare {
+		return 0
 	}
-	return 0
+	return gapMissCost
 }
 
 // decodingTime returns the time that the engine takes to decode one event with the given number of running requests.
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -35,6 +35,13 @@
 	MaxSlots int `yaml:"max_slots"`
 }
 
+// Placement contains the settings for which models engines hold.
+type Placement struct {
+	// EngineTime selects, among the services that Admission selects, a plan by the engine time that is requested of each
+	// model instead of tokens, and the replacement of lost replicas before others.
+	EngineTime bool `yaml:"engine_time"`
+}
+
 // Speeds contains the settings for the speeds of backend servers.
 type Speeds struct {
 	// Learn is set if the speeds of servers are learned from their responses and used.
@@ -102,6 +109,7 @@
 	Warmup     Warmup     `yaml:"warmup"`
 	Admission  Admission  `yaml:"admission"`
 	Speeds     Speeds     `yaml:"speeds"`
+	Placement  Placement  `yaml:"placement"`
 	Processor  Processor  `yaml:"processor"`
 	// MaxRevocationDelay is the time within which every gateway rejects a key that operators revoked, whatever
 	// has failed; 0 for no such bound.
@@ -128,6 +136,14 @@
 	defaultRetryFixed  = 10
 )
 
+// EngineTimeSlots returns the number of slots up to which the servers of a service are planned in engine time; 0 if none are.
+func (g *Gateway) EngineTimeSlots() int {
+	if !g.Placement.EngineTime {
+		return 0
+	}
+	return g.Admission.MaxSlots
+}
+
 func (g *Gateway) setDefaults() {
 	*g = Gateway{
 		Log:   Log{Level: "info", Format: "json"},
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -100,7 +100,7 @@
 	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
 	p.leader = p.newLeaderRole(o)
-	if s.Admission.MaxSlots > 0 {
+	if s.EngineTimeSlots() > 0 {
 		// The leader replaces the replicas of a lost server in a plan of its own.
 		p.servers.onChange = p.leader.placer.Wake
 	}
@@ -152,7 +152,7 @@
 		Lease: l.lease, Keys: l.fanout.View(p.breaker.View(o.ProductKeys), true), Engines: o.Engines, Registry: &p.servers.registry,
 		Routing: p.config.routing, Clock: o.Clock, Log: o.Log, SettleTime: s.LeaseTTL.Std(), FirstStart: s.FirstStart,
 		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, StepTimes: p.dispatcher.StepTimes,
-		MaxCountedSlots: s.Admission.MaxSlots, IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
+		MaxCountedSlots: s.EngineTimeSlots(), IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
 		LearnSpeeds: s.Speeds.Learn, ServerFactors: p.dispatcher.ServerFactors, OnFactorChange: p.serverSpeedChanged,
 	})
 	return l
@@ -244,9 +244,9 @@
 	}
 }
 
-// endedServers returns the function that lists crashed servers in reports: none if no service is admitted by exact count.
+// endedServers returns the function that lists crashed servers in reports: none if no service is planned in engine time.
 func (p *components) endedServers(s config.Gateway) func() []string {
-	if s.Admission.MaxSlots == 0 {
+	if s.EngineTimeSlots() == 0 {
 		return func() []string { return nil }
 	}
 	return p.quarantine.detector.endedServers
