--- a/dispatch/counted_test.go
+++ b/dispatch/counted_test.go
@@ -478,3 +478,57 @@
 		callers.Wait()
 	})
 }
+
+// TestHotOrganisationDoesNotCrowdOutOthers plays an organisation that sends six times what an engine can serve, through several
+// gateways, beside two that send their usual. It guards against an order by arrival, in which all have the same part of
+// their requests served.
+func TestHotOrganisationDoesNotCrowdOutOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer drain()
+		const gateways, seconds = 6, 10
+		g := newCountedGroup(gateways, engine("a"))
+		type result struct{ sent, inTime int }
+		results := make(map[string]*result)
+		var callers sync.WaitGroup
+		send := func(organisation string, i int) {
+			r := shortRequest(g.clock)
+			r.Organisation, r.Weight, r.SendBy = organisation, 1000, r.Arrived.Add(200*time.Millisecond)
+			g.mu.Lock()
+			x := results[organisation]
+			if x == nil {
+				x = &result{}
+				results[organisation] = x
+			}
+			x.sent++
+			g.mu.Unlock()
+			callers.Go(func() {
+				err := g.run(fmt.Sprint("g", i%gateways), r, 200*time.Millisecond)
+				// The work has taken 0.2 s.
+				if err == nil && time.Since(r.Arrived) < 450*time.Millisecond {
+					g.mu.Lock()
+					x.inTime++
+					g.mu.Unlock()
+				}
+			})
+		}
+		// The engine serves 40 requests a second.
+		for i := range seconds * 240 {
+			send("hot", i)
+			if i%24 == 0 {
+				send("usual 1", i)
+				send("usual 2", i+1)
+			}
+			time.Sleep(time.Second / 240)
+		}
+		callers.Wait()
+		for _, name := range []string{"usual 1", "usual 2"} {
+			x := results[name]
+			t.Logf("%s: %d of %d in time", name, x.inTime, x.sent)
+			assert.Assert(t, x.inTime*10 >= x.sent*9, "%s: %d of %d in time", name, x.inTime, x.sent)
+		}
+		hot := results["hot"]
+		t.Logf("hot: %d of %d in time", hot.inTime, hot.sent)
+		// The others take 20 of the 40 requests a second; capacity is not left free.
+		assert.Assert(t, hot.inTime >= 15*seconds, "%d of %d in time", hot.inTime, hot.sent)
+	})
+}
