--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -251,6 +251,8 @@
 	if x.req.Model != "" {
 		res.load.prefixes.touch(x.req.targetKey(), x.req.Prefix)
 	}
+	// The server may have got another owner since.
+	d.moveAccount(res, now)
 	x.reservation = res
 	close(x.ready)
 }
--- a/dispatch/counted.go
+++ b/dispatch/counted.go
@@ -72,6 +72,9 @@
 
 // moveAccount tells the present owner of a server about a request there, if it is not in its account. d.mu must be held.
 func (d *Dispatcher) moveAccount(res *Reservation, now time.Time) {
+	if len(d.owners.gateways) == 0 {
+		return
+	}
 	owner := d.owners.ownerOf(res.server)
 	if owner == res.account.owner || owner == d.opts.ID && res.account.owner == "" {
 		return
--- a/dispatch/counted_test.go
+++ b/dispatch/counted_test.go
@@ -471,7 +471,9 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 		lose := 1
+		g.mu.Lock()
 		g.lost = func() bool { lose--; return lose >= 0 }
+		g.mu.Unlock()
 		started := time.Now()
 		assert.NilError(t, g.run(other, countedPlainRequest(g.clock, time.Second), 30*time.Millisecond))
 		assert.Assert(t, time.Since(started) < 200*time.Millisecond, "%s", time.Since(started))
