residency: one order of models for lost replicas and others

compareWithLost was a second order beside compareUrgency. Without lost replicas both are the same, since no demand is negative, so the general one serves both. The mean demand per replica for the cost of a slow engine was computed for each engine with a factor, over all models; it is computed once for each model now. Plans are unchanged.

--- a/residency/capacity.go
+++ b/residency/capacity.go
@@ -8,23 +8,23 @@
 // maxDemandRatio bounds the demand per replica of a model, relative to the average, in slownessCost.
 const maxDemandRatio = 4
 
-// engineCapacity returns what a replica on an engine counts for: 1 on the median engine, less on a slow one.
-func engineCapacity(e *EngineView) float64 {
+// timeFactor returns TimeFactor, or 1 if it is not set.
+func (e *EngineView) timeFactor() float64 {
 	if e.TimeFactor <= 0 {
 		return 1
 	}
-	return 1 / e.TimeFactor
+	return e.TimeFactor
 }
 
+// engineCapacity returns what a replica on an engine counts for: 1 on the median engine, less on a slow one.
+func engineCapacity(e *EngineView) float64 { return 1 / e.timeFactor() }
+
 // minCapacity returns the capacity from which a model has its target: less than half a replica is missing.
 func (p *plan) minCapacity(model string) float64 { return float64(p.targets[model]) - 0.5 }
 
-// slownessCost returns the cost of loading a model on a slow engine, and a negative one on a fast engine, in seconds of
-// loading. It grows with the demand per replica of the model, so that busy models get the fast engines.
-func (p *plan) slownessCost(e *EngineView, model string) float64 {
-	if e.TimeFactor <= 0 || e.TimeFactor == 1 {
-		return 0
-	}
+// slownessCost returns the cost of loading a model on an engine that takes twice as long as the median engine, in seconds
+// of loading. It grows with the demand per replica of the model, so that busy models get the fast engines.
+func (p *plan) slownessCost(model string) float64 {
 	total, replicas := 0.0, 0
 	for name, n := range p.replicas {
 		total += p.in.Demands[name].TokensPerSecond
@@ -33,6 +33,5 @@
 	if total == 0 {
 		return 0
 	}
-	ratio := min(p.demandPerReplica(model)/(total/float64(replicas)), maxDemandRatio)
-	return slownessPenalty * (e.TimeFactor - 1) * ratio
+	return slownessPenalty * min(p.demandPerReplica(model)/(total/float64(replicas)), maxDemandRatio)
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -152,23 +152,36 @@
 	return list
 }
 
-// compareUrgency orders models by the urgency of a further replica, the most urgent first. Models without a
-// replica come first, since their requests cannot be served at all, in decreasing order of missingUrgency. The
-// others follow in decreasing order of replicaUrgency.
+// compareUrgency orders models by the urgency of a further replica, the most urgent first.
 func (p *plan) compareUrgency(a, b string) int {
-	if len(p.in.Lost) > 0 {
-		return p.compareWithLost(a, b)
+	classA, urgencyA := p.urgency(a)
+	classB, urgencyB := p.urgency(b)
+	return cmp.Or(cmp.Compare(classA, classB), cmp.Compare(urgencyB, urgencyA))
+}
+
+// Classes of models by the urgency of a further replica, the most urgent first.
+const (
+	// lostOrMissing are the models whose replicas in use were lost, and the requested ones without a replica, since their
+	// requests cannot be served at all.
+	lostOrMissing = iota
+	unrequested
+	growing
+)
+
+// urgency returns the class of a model and its urgency within the class.
+func (p *plan) urgency(model string) (class int, urgency float64) {
+	lost := p.in.Lost[model]
+	if p.replicas[model] == 0 {
+		urgency = max(p.missingUrgency(model), lost)
+		if urgency > 0 {
+			return lostOrMissing, urgency
+		}
+		return unrequested, 0
 	}
-	missingA, missingB := p.replicas[a] == 0, p.replicas[b] == 0
-	switch {
-	case missingA && missingB:
-		return cmp.Compare(p.missingUrgency(b), p.missingUrgency(a))
-	case missingA:
-		return -1
-	case missingB:
-		return 1
+	if lost > 0 {
+		return lostOrMissing, lost
 	}
-	return cmp.Compare(p.replicaUrgency(b), p.replicaUrgency(a))
+	return growing, p.replicaUrgency(model)
 }
 
 // missingUrgency returns the urgency of the first replica of a model. A waiting request counts as one token
@@ -193,12 +206,13 @@
 )
 
 // cheapestMove returns the cheapest move that loads a model. The cost is the sum of the load time, the eviction
-// cost and the penalty for replicas in the engine's data hall.
+// cost, the penalty for replicas in the engine's data hall and the cost of a slow engine.
 func (p *plan) cheapestMove(m table.ModelSpec, storeAllowed bool) (Move, bool) {
 	var best Move
 	found := false
 	bestCost := 0.0
 	inHall := p.replicasByHall(m.Name)
+	slownessCost := p.slownessCost(m.Name)
 	for _, e := range p.engines {
 		if !e.Idle || holds(e, m.Name) {
 			continue
@@ -211,7 +225,7 @@
 		if !ok {
 			continue
 		}
-		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + sameHallPenalty*float64(inHall[e.Hall]) + p.slownessCost(e, m.Name)
+		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1)
 		if !found || cost < bestCost {
 			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Source: source}, cost, true
 		}
