admission, admitqueue: sorted keys of the standard library; the lowest counter once a pass

Three loops wrote slices.Sorted(maps.Keys(m)) again, and three maps.DeleteFunc. Each comparison of two waiting requests searched the counters of all organisations for the lowest one, twice; a pass over the queue does so once now. The order is unchanged.

--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -208,11 +209,7 @@
 			l.remove(c, id)
 		}
 	}
-	for id := range c.ended {
-		if id < floor {
-			delete(c.ended, id)
-		}
-	}
+	maps.DeleteFunc(c.ended, func(id ID, _ struct{}) bool { return id < floor })
 }
 
 func (l *Ledger) clear(c *channel) {
@@ -243,11 +240,4 @@
 }
 
 // Servers returns the servers at which senders have load, in order.
-func (l *Ledger) Servers() []string {
-	list := make([]string, 0, len(l.loads))
-	for server := range l.loads {
-		list = append(list, server)
-	}
-	slices.Sort(list)
-	return list
-}
+func (l *Ledger) Servers() []string { return slices.Sorted(maps.Keys(l.loads)) }
--- a/admission/outbox.go
+++ b/admission/outbox.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -105,7 +106,7 @@
 		Sender: o.sender, Epoch: o.epoch, Replaces: c.replaces, Floor: c.floor(), Next: c.next, Full: c.needsFull,
 		number: c.number,
 	}
-	for _, id := range sortedIDs(c.open) {
+	for _, id := range slices.Sorted(maps.Keys(c.open)) {
 		e := c.open[id]
 		switch {
 		case e.asked && m.Full:
@@ -114,7 +115,7 @@
 			m.Began = append(m.Began, Entry{ID: id, Server: e.server, Tokens: e.tokens, TTLMs: ttlMs(e.until.Sub(now))})
 		}
 	}
-	for _, id := range sortedIDs(c.ended) {
+	for _, id := range slices.Sorted(maps.Keys(c.ended)) {
 		if id >= m.Floor {
 			m.Ended = append(m.Ended, id)
 		}
@@ -147,11 +148,7 @@
 
 // forget drops what the owner has been told.
 func (c *outChannel) forget(m Message) {
-	for id := range c.ended {
-		if id < m.Floor {
-			delete(c.ended, id)
-		}
-	}
+	maps.DeleteFunc(c.ended, func(id ID, _ struct{}) bool { return id < m.Floor })
 	for _, id := range m.Ended {
 		delete(c.ended, id)
 	}
@@ -213,14 +210,7 @@
 }
 
 // Owners returns the owners that the Outbox has a channel to, in order.
-func (o *Outbox) Owners() []string {
-	list := make([]string, 0, len(o.channels))
-	for owner := range o.channels {
-		list = append(list, owner)
-	}
-	slices.Sort(list)
-	return list
-}
+func (o *Outbox) Owners() []string { return slices.Sorted(maps.Keys(o.channels)) }
 
 func (o *Outbox) channel(owner string) *outChannel {
 	c := o.channels[owner]
@@ -239,12 +229,3 @@
 	}
 	return lowest
 }
-
-func sortedIDs[V any](m map[ID]V) []ID {
-	ids := make([]ID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/admitqueue/queue.go
+++ b/admitqueue/queue.go
@@ -69,9 +69,10 @@
 
 // First returns the request to serve next, or nil if none waits.
 func (q *Queue) First(now time.Time) *Waiter {
+	o := q.order(now)
 	var first *Waiter
 	for _, w := range q.list {
-		if first == nil || q.compare(w, first, now) < 0 {
+		if first == nil || o.compare(w, first) < 0 {
 			first = w
 		}
 	}
@@ -94,9 +95,10 @@
 
 // Ahead returns the number of requests that would be served before w, which does not need to be in the queue.
 func (q *Queue) Ahead(w *Waiter, now time.Time) int {
+	o := q.order(now)
 	n := 0
 	for _, x := range q.list {
-		if x != w && q.compare(x, w, now) < 0 {
+		if x != w && o.compare(x, w) < 0 {
 			n++
 		}
 	}
@@ -117,14 +119,26 @@
 	return n, since
 }
 
+// An order is the order of the requests at one time, while none joins or leaves.
+type order struct {
+	shares *Shares
+	// lowest is shares.lowest(), which takes as long as there are organisations.
+	lowest float64
+	now    time.Time
+}
+
+func (q *Queue) order(now time.Time) order {
+	return order{shares: q.shares, lowest: q.shares.lowest(), now: now}
+}
+
 // compare orders the requests: those that can be in time, by priority, by the service that their organisation has
 // had, by the time by which they should be sent, and by arrival. A request that can wait longer gives its place to one
 // that cannot, since both may then be in time.
-func (q *Queue) compare(a, b *Waiter, now time.Time) int {
+func (o order) compare(a, b *Waiter) int {
 	return cmp.Or(
-		compareBools(a.isLate(now), b.isLate(now)),
+		compareBools(a.isLate(o.now), b.isLate(o.now)),
 		cmp.Compare(a.Priority, b.Priority),
-		q.shares.compare(a.Organisation, b.Organisation),
+		cmp.Compare(o.shares.service(a.Organisation, o.lowest), o.shares.service(b.Organisation, o.lowest)),
 		a.due().Compare(b.due()),
 		a.Arrived.Compare(b.Arrived),
 		cmp.Compare(a.sequence, b.sequence),
--- a/admitqueue/returns.go
+++ b/admitqueue/returns.go
@@ -1,6 +1,9 @@
 package admitqueue
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// returnRetention is how long a refused request is remembered. Callers heed a Retry-After of a few seconds.
@@ -63,9 +66,5 @@
 		return
 	}
 	r.nextForget = now.Add(forgetInterval)
-	for key, x := range r.refused {
-		if !now.Before(x.forgetAt) {
-			delete(r.refused, key)
-		}
-	}
+	maps.DeleteFunc(r.refused, func(_ uint64, x refusal) bool { return !now.Before(x.forgetAt) })
 }
--- a/admitqueue/shares.go
+++ b/admitqueue/shares.go
@@ -1,7 +1,5 @@
 package admitqueue
 
-import "cmp"
-
 // Shares divides scarce capacity among organisations. Each has a counter of the service that it has had for its
 // weight, and the one with the lowest counter is served next, as with virtual token counters. Service while no request
 // waits is not counted, since it takes nothing from others.
@@ -80,16 +78,9 @@
 	s.base = max(s.base, c.service)
 }
 
-// compare orders organisations by the service that they have had for their weight, the least first.
-func (s *Shares) compare(a, b string) int {
-	if a == b {
-		return 0
-	}
-	return cmp.Compare(s.service(a), s.service(b))
-}
-
-func (s *Shares) service(organisation string) float64 {
-	lowest := s.lowest()
+// service returns the service that an organisation has had for its weight. lowest is the result of lowest, which applies
+// to organisations that have had less.
+func (s *Shares) service(organisation string, lowest float64) float64 {
 	if c := s.counters[organisation]; c != nil {
 		return max(c.service, lowest)
 	}
