dispatch: the slots of a counted service are looked up once a list of servers

For each arrival at a counted service all its servers were searched twice, to see whether they are counted and for the most slots; admission already kept the first answer. Both now use one cache. The placer asks about a single engine without a list.

--- a/dispatch/counted.go
+++ b/dispatch/counted.go
@@ -25,15 +25,7 @@
 // isCounted reports whether the owners of a service's servers count each request there: the servers have so few
 // slots that an error of a few requests is a large part of the capacity. d.mu must be held.
 func (d *Dispatcher) isCounted(service string) bool {
-	if d.opts.MaxCountedSlots == 0 || d.opts.Accounts == nil {
-		return false
-	}
-	counted, ok := d.counted[service]
-	if !ok {
-		counted = HasCountedServers(d.servers.Service(service), d.opts.MaxCountedSlots)
-		d.counted[service] = counted
-	}
-	return counted
+	return d.opts.Accounts != nil && d.countedSlots(service) > 0
 }
 
 // countOwned adds the requests of other gateways at an owned server to a candidate's load. The takeover begins when the
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -92,8 +92,8 @@
 	// nextServe is when serveWaiting is scheduled to run next; zero if it is not scheduled.
 	nextServe time.Time
 
-	// counted tells which services are counted; services not asked for yet are missing.
-	counted map[string]bool
+	// slots caches countedSlots by service.
+	slots map[string]int
 	// ledger counts the requests of other gateways at the servers that this gateway owns, outbox those of this gateway at
 	// other owners' servers. accounted holds all reservations at servers of counted services.
 	ledger    *admission.Ledger
@@ -120,7 +120,7 @@
 		opts: o, servers: &backend.Snapshot{}, loads: make(map[string]*serverLoad),
 		remote: make(map[string]remoteLoad), demand: newDemandTable(),
 		shedders: make(map[string]*shedder),
-		counted:  make(map[string]bool), outbox: admission.NewOutbox(o.ID, o.Epoch), accounted: make(map[*Reservation]struct{}),
+		slots:    make(map[string]int), outbox: admission.NewOutbox(o.ID, o.Epoch), accounted: make(map[*Reservation]struct{}),
 		notices: make(map[string]*noticeState), asked: make(map[askKey]*askedRequest), queues: make(map[string]*serverQueue),
 		queuedAsks: make(map[askKey]*queuedRequest), shares: make(map[string]*admitqueue.Shares), grants: make(map[grantKey][]admission.ID),
 		serverSpeeds: newServerSpeeds(o.LearnSpeeds),
@@ -135,7 +135,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.servers = s
-	clear(d.counted)
+	clear(d.slots)
 	now := d.opts.Clock.Now()
 	for id, l := range d.loads {
 		if _, ok := s.Server(id); !ok && l.Running == 0 && !now.Before(l.pause.endsAt) {
--- a/dispatch/server_time.go
+++ b/dispatch/server_time.go
@@ -39,45 +39,52 @@
 	b.lastSample = now
 }
 
-// HasCountedServers reports whether all servers in a list have a known number of slots of at most maxSlots, so that
-// they are admitted by exact count and the demand for them is measured in engine time. It returns false if maxSlots is
-// 0 or the list is empty.
+// IsCounted reports whether a server has a known number of slots of at most maxSlots.
+func IsCounted(s *backend.Server, maxSlots int) bool { return s.Slots > 0 && s.Slots <= maxSlots }
+
+// HasCountedServers reports whether IsCounted holds for all servers of a service, so that they are admitted by exact count
+// and the demand for them is measured in engine time. It returns false if the list is empty.
 func HasCountedServers(list []*backend.Server, maxSlots int) bool {
-	return len(list) > 0 && !slices.ContainsFunc(list, func(s *backend.Server) bool { return s.Slots <= 0 || s.Slots > maxSlots })
+	return len(list) > 0 && !slices.ContainsFunc(list, func(s *backend.Server) bool { return !IsCounted(s, maxSlots) })
+}
+
+// countedSlots returns the largest number of slots of a service's servers if HasCountedServers holds, or 0. d.mu must be
+// held.
+func (d *Dispatcher) countedSlots(service string) int {
+	slots, ok := d.slots[service]
+	if !ok {
+		if list := d.servers.Service(service); HasCountedServers(list, d.opts.MaxCountedSlots) {
+			for _, s := range list {
+				slots = max(slots, s.Slots)
+			}
+		}
+		d.slots[service] = slots
+	}
+	return slots
 }
 
 // engineTime returns the engine time of a request in milliseconds, or 0 if the demand for its service is measured in
-// tokens. d.mu must be held.
+// tokens. All models of a service are given the same number of requests that share a step, whatever their servers run now
+// (servertime.Speeds.Sharing). d.mu must be held.
 func (d *Dispatcher) engineTime(r *Request) float64 {
-	servers := d.servers.Service(r.Service)
-	if !HasCountedServers(servers, d.opts.MaxCountedSlots) {
+	slots := d.countedSlots(r.Service)
+	if slots == 0 {
 		return 0
 	}
 	b := &d.serverTime
 	speeds := servertime.Speeds{
-		PrefillMsPerToken: d.speeds.Get(r.Model), StepMs: b.steps.Get(r.Model),
-		Sharing: d.opts.Utilization * float64(maxSlotsOf(servers)),
+		PrefillMsPerToken: d.speeds.Get(r.Model), StepMs: b.steps.Get(r.Model), Sharing: d.opts.Utilization * float64(slots),
 	}
 	return speeds.RequestTime(r.PromptTokens, b.outputs.Expect(r.Model, r.OutputEstimate, r.MaxOutputTokens))
 }
 
-// maxSlotsOf returns the largest number of slots of a server. All models are given the same number of requests that
-// share a step, whatever their servers run now (servertime.Speeds.Sharing).
-func maxSlotsOf(list []*backend.Server) int {
-	n := 0
-	for _, s := range list {
-		n = max(n, s.Slots)
-	}
-	return n
-}
-
 // RecordStream records a complete stream: the number of tokens that it has delivered and the pauses between its events.
 // It must be called before Done. It does nothing for services whose demand is measured in tokens.
 func (r *Reservation) RecordStream(tokens int, pauses *servertime.Pauses) {
 	d := r.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r.released || r.req.Model == "" || !HasCountedServers(d.servers.Service(r.req.Service), d.opts.MaxCountedSlots) {
+	if r.released || r.req.Model == "" || d.countedSlots(r.req.Service) == 0 {
 		return
 	}
 	b := &d.serverTime
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -69,7 +69,8 @@
 	// otherInstance is set when the last report came from another server instance than the registered one.
 	otherInstance bool
 	// endReported is set while a gateway reports that the server has ended, ended once the leader could not reach it
-	// either. Both are cleared by the next report of the engine.
+	// either or another server instance has replaced it. Both are cleared by the next report of the engine, and set only
+	// for engines that are planned by engine time.
 	endReported, ended bool
 	// nextReport is when the next report is due, or zero if none is.
 	nextReport time.Time
@@ -140,7 +141,7 @@
 	}
 	return residency.EngineView{
 		ID: e.server.ID, Hall: e.server.Hall, Residents: e.residentsAfterOrders(), Idle: e.isIdle(),
-		Leaving:        !e.server.AcceptsRequests() || e.hasEnded(),
+		Leaving:        !e.server.AcceptsRequests() || e.ended,
 		CachedInMemory: e.cachedInMemory, CachedOnDisk: e.cachedOnDisk, RecentlyLoaded: recent,
 	}
 }
--- a/internal/placer/lost.go
+++ b/internal/placer/lost.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"rockcleat/backend"
 	"rockcleat/dispatch"
 	"rockcleat/residency"
 	"rockcleat/table"
@@ -44,7 +43,7 @@
 func usableEngines(s table.Service, engines []*engineState) map[string]usableEngine {
 	out := make(map[string]usableEngine)
 	for _, e := range engines {
-		if !e.server.AcceptsRequests() || e.hasEnded() {
+		if !e.server.AcceptsRequests() || e.ended {
 			continue
 		}
 		u := usableEngine{service: s.Name}
@@ -164,13 +163,9 @@
 
 // isCounted reports whether an engine has few enough slots to be planned by engine time.
 func (p *Placer) isCounted(e *engineState) bool {
-	return dispatch.HasCountedServers([]*backend.Server{e.server}, p.opts.MaxCountedSlots)
+	return dispatch.IsCounted(e.server, p.opts.MaxCountedSlots)
 }
 
-// hasEnded reports whether the engine counts as ended: a gateway and the leader could not reach it, or another server
-// instance has replaced it. It is always false for engines that are not planned by engine time.
-func (e *engineState) hasEnded() bool { return e.ended }
-
 // recordReportFailure records that the leader's request for a report failed, and reports whether the engine has
 // therefore ended.
 func (e *engineState) recordReportFailure() (ended bool) {
