dispatch: one bound on prefill in a gap, one request for admission, one end of a wait

Candidate.prefillPerGap had a case for the factor 1, which its general formula includes bit for bit; with it goes GapBudget.prefillPerGap, and its test calls the Candidate. Requests for admission to engines and to counted servers were written out twice, as was the release of a reservation whose caller has left.

--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -171,7 +171,7 @@
 	key := askKey{gateway: owner, id: x.id}
 	d.asked[key] = x
 	m := d.outbox.Message(owner, now)
-	ask := r.admissionRequest(s.ID, now)
+	ask := r.countedAdmissionRequest(s.ID, now)
 	ask.Account, ask.ID, ask.QueueMs = &m, x.id, int(max(until.Sub(now), 0).Milliseconds())
 	l := d.loadOf(s.ID)
 	l.asking++
@@ -221,20 +221,8 @@
 		r.AdmissionsDenied++
 		r.refused(s.ID, milliseconds(reply.WaitMs))
 	}
-	return d.finishAsk(ctx, x.reservation)
-}
-
-// finishAsk returns the reservation of a request, unless its caller has left. It unlocks d.mu.
-func (d *Dispatcher) finishAsk(ctx context.Context, res *Reservation) (*Reservation, error) {
 	defer d.mu.Unlock()
-	if ctx.Err() == nil {
-		return res, nil
-	}
-	if res != nil {
-		res.release()
-		d.serveWaiting()
-	}
-	return nil, ctx.Err()
+	return d.finishWait(ctx, x.reservation)
 }
 
 // admitted reserves the server for a request that its owner has admitted. d.mu must be held.
@@ -279,7 +267,8 @@
 		d.mu.Unlock()
 		return nil, ErrWaitTimeout
 	}
-	return d.finishAsk(ctx, res)
+	defer d.mu.Unlock()
+	return d.finishWait(ctx, res)
 }
 
 // refused records that a server's owner does not expect to admit the request in time.
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -136,14 +136,19 @@
 	return req
 }
 
-// admissionRequest returns the request for admission to a server that its owner counts.
+// admissionRequest returns the request for admission to a server.
 func (r *Request) admissionRequest(server string, now time.Time) AdmissionRequest {
-	a := AdmissionRequest{
+	return AdmissionRequest{
 		Server: server, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
 		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, Late: r.isLate(now),
-		Organisation: r.Organisation, Weight: r.Weight, Priority: r.Priority, ContentKey: r.ContentKey, MayHaveRun: r.MayHaveRun,
-		TTLMs: int(r.endsBy(now).Sub(now).Milliseconds()), WaitMs: int(r.WaitUntil.Sub(now).Milliseconds()),
 	}
+}
+
+// countedAdmissionRequest returns the request for admission to a server that its owner counts, without the account.
+func (r *Request) countedAdmissionRequest(server string, now time.Time) AdmissionRequest {
+	a := r.admissionRequest(server, now)
+	a.Organisation, a.Weight, a.Priority, a.ContentKey, a.MayHaveRun = r.Organisation, r.Weight, r.Priority, r.ContentKey, r.MayHaveRun
+	a.TTLMs, a.WaitMs = int(r.endsBy(now).Sub(now).Milliseconds()), int(r.WaitUntil.Sub(now).Milliseconds())
 	if !r.Deadline.IsZero() {
 		a.LeftMs = int(r.Deadline.Sub(now).Milliseconds())
 	}
@@ -161,6 +166,11 @@
 func (d *Dispatcher) recordAdmission(r *Request, s *backend.Server, c Candidate, now time.Time) {
 	l := d.loadOf(s.ID)
 	l.admissions = append(l.admissions, timedAdmission{admittedAt: now, requiredTokens: c.RequiredTokens})
+	l.recordPrefill(r, c, now)
+}
+
+// recordPrefill records the prefill of another gateway's request at an owned engine.
+func (l *serverLoad) recordPrefill(r *Request, c Candidate, now time.Time) {
 	l.prefill.add(c.PrefillTime.Duration(), now)
 	l.prefixes.touch(r.targetKey(), r.Prefix)
 }
@@ -218,11 +228,7 @@
 func (d *Dispatcher) requestAdmission(ctx context.Context, res *Reservation) bool {
 	r := res.req
 	r.AdmissionsRequested++
-	late := r.isLate(d.opts.Clock.Now())
-	reply, err := d.opts.Owners.Admit(ctx, res.owner, AdmissionRequest{
-		Server: res.server.ID, Model: r.Model, Adapter: r.Adapter, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
-		MaxOutputTokens: r.MaxOutputTokens, Gap: r.Gap, Late: late,
-	})
+	reply, err := d.opts.Owners.Admit(ctx, res.owner, r.admissionRequest(res.server.ID, d.opts.Clock.Now()))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Now()
--- a/dispatch/gap.go
+++ b/dispatch/gap.go
@@ -40,12 +40,6 @@
 	minPrefillPerStep Milliseconds = 25.0
 )
 
-// prefillPerGap returns how long an engine with the given number of running requests may prefill
-// within one gap.
-func (g GapBudget) prefillPerGap(running int) Milliseconds {
-	return max(g.MaxGap*engineGapShare-g.decodingTime(running), g.steps()*minPrefillPerStep)
-}
-
 // decodingTime returns the time that an engine with the given number of running requests takes to decode one event.
 func (g GapBudget) decodingTime(running int) Milliseconds {
 	return g.steps() * (baseStepTime + stepTimePerRequest*Milliseconds(running))
--- a/dispatch/owned_queue.go
+++ b/dispatch/owned_queue.go
@@ -195,9 +195,7 @@
 		return
 	}
 	if x.req.Model != "" {
-		l := d.loadOf(s.ID)
-		l.prefill.add(c.PrefillTime.Duration(), now)
-		l.prefixes.touch(x.req.targetKey(), x.req.Prefix)
+		d.loadOf(s.ID).recordPrefill(x.req, c, now)
 	}
 	if !x.ask.replying {
 		d.queueGrant(x.ask.sender, x.ask.epoch, x.ask.entry.ID)
--- a/dispatch/prefill_queue_test.go
+++ b/dispatch/prefill_queue_test.go
@@ -107,7 +107,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := float64(test.gap.prefillPerGap(test.running))
+			got := float64(Candidate{Running: test.running}.prefillPerGap(test.gap))
 			assert.Assert(t, got > test.want-0.01 && got < test.want+0.01, "%v", got)
 		})
 	}
--- a/dispatch/time_factor.go
+++ b/dispatch/time_factor.go
@@ -24,17 +24,13 @@
 
 // prefillPerGap returns how long the engine may prefill within one gap.
 func (c Candidate) prefillPerGap(g GapBudget) Milliseconds {
-	factor := c.timeFactor()
+	least := g.steps() * minPrefillPerStep / max(c.timeFactor(), 1)
 	if c.StepTime > 0 {
 		// The time of a step is known, so that the bound for a whole gap is that of one step otherwise: streams whose events
 		// have many steps would pause for longer than the gap.
-		return max(g.MaxGap*engineGapShare-c.decodingTime(g, c.Running), minPrefillPerStep)
+		least = minPrefillPerStep
 	}
-	if factor == 1 {
-		return g.prefillPerGap(c.Running)
-	}
-	least := g.steps() * minPrefillPerStep / max(factor, 1)
-	return max(g.MaxGap*engineGapShare-factor*g.decodingTime(c.Running), least)
+	return max(g.MaxGap*engineGapShare-c.decodingTime(g, c.Running), least)
 }
 
 // prefillPerStep returns the prefill time allowed per decoding step.
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -177,18 +177,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case w.reservation != nil && ctx.Err() == nil:
-		return w.reservation, nil
 	case w.refused != nil && ctx.Err() == nil:
 		return nil, w.refused
 	case w.refused != nil:
 		return nil, ctx.Err()
-	case w.chooseAgain:
-		return nil, ctx.Err()
-	case w.reservation != nil:
-		w.reservation.release()
-		d.serveWaiting()
-		return nil, ctx.Err()
+	case w.isServed():
+		return d.finishWait(ctx, w.reservation)
 	}
 	d.queue.remove(w)
 	d.demand.addWaiting(w.req, -1)
@@ -198,6 +192,19 @@
 	return nil, ErrWaitTimeout
 }
 
+// finishWait returns the reservation of a request that has waited, or nil if it has none, unless its caller has left. d.mu
+// must be held.
+func (d *Dispatcher) finishWait(ctx context.Context, res *Reservation) (*Reservation, error) {
+	if ctx.Err() == nil {
+		return res, nil
+	}
+	if res != nil {
+		res.release()
+		d.serveWaiting()
+	}
+	return nil, ctx.Err()
+}
+
 // serveWaiting reserves servers for waiting requests: first for those that need a software version, which
 // have fewer servers to go to, then for those whose SendBy has not passed and then for the others, each
 // group in order of priority and arrival. d.mu must be held.
