--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -151,6 +151,9 @@
 	if star, ok := e.(*ast.StarExpr); ok {
 		e = star.X
 	}
+	if generic, ok := e.(*ast.IndexExpr); ok {
+		e = generic.X
+	}
 	if id, ok := e.(*ast.Ident); ok {
 		return id.Name
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -9,10 +9,12 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/dispatch"
 	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 	"rockcleat/lease"
 	"rockcleat/residency"
+	"rockcleat/servertime"
 	"rockcleat/table"
 )
 
@@ -96,9 +98,10 @@
 	// each term.
 	successions      map[string]*residency.SequenceEstimator
 	storeLoadLimiter storeLoadLimiter
-	speeds           speedTable
-	steps            stepTable
-	replicas         replicaWatch
+	// speeds holds the prefill speeds of models in milliseconds per token, steps their base step times in milliseconds.
+	speeds   estimateTable[dispatch.PrefillSample]
+	steps    estimateTable[servertime.StepSample]
+	replicas replicaWatch
 	// factors is nil if the speeds of servers are not learned.
 	factors   *serverFactors
 	residency publishedResidency
@@ -114,7 +117,11 @@
 
 // New returns a Placer. It does nothing until Start.
 func New(o Options) *Placer {
-	p := &Placer{opts: o, waiters: make(residencyWaiters), factors: newServerFactors(o)}
+	p := &Placer{
+		opts: o, waiters: make(residencyWaiters), factors: newServerFactors(o),
+		speeds: newEstimateTable(&dispatch.PrefillSpeeds{}, func(x dispatch.PrefillSample) string { return x.Model }),
+		steps:  newEstimateTable(&servertime.StepTimes{}, func(x servertime.StepSample) string { return x.Model }),
+	}
 	p.demand = p.newDemandTable()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
--- a/internal/placer/server_time.go
+++ b/internal/placer/server_time.go
@@ -65,7 +65,7 @@
 func (p *Placer) newDemandTable() *demand {
 	d := newDemand()
 	if p.opts.MaxCountedSlots > 0 {
-		d.engineTime = newEngineTimeDemand(p.speeds.speeds.Get)
+		d.engineTime = newEngineTimeDemand(p.speeds.estimates.Get)
 	}
 	return d
 }
