--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -16,7 +16,7 @@
 // asked for, begins or ends, a call is delivered, lost or duplicated, a process dies or starts.
 //
 // A call is delivered to whichever process of the owner runs then, its copies to that process only, since they belong to
-// one connection. Replies and grants reach the process that they are for, or nobody.
+// one connection. Replies and grants reach the process that they are for, or none.
 type simulation struct {
 	t       *rapid.T
 	now     time.Time
--- a/admitqueue/queue_test.go
+++ b/admitqueue/queue_test.go
@@ -215,7 +215,7 @@
 	})
 }
 
-// TestServiceWithoutWaiting guards against a charge for capacity that nobody else wanted.
+// TestServiceWithoutWaiting guards against a charge for capacity that no other organisation needed.
 func TestServiceWithoutWaiting(t *testing.T) {
 	shares := NewShares()
 	shares.Serve("a", 100, 1)
--- a/residency/lost_test.go
+++ b/residency/lost_test.go
@@ -36,7 +36,7 @@
 
 // TestLostReplicasComeFirst plays the loss of an engine that held replicas in use while the demand for m0 grows and the
 // weight store accepts one load at a time. It guards against replicas for growing demand, or replicas of models that
-// nobody asks for, before those that were lost.
+// are not requested, before those that were lost.
 func TestLostReplicasComeFirst(t *testing.T) {
 	demands := map[string]residency.Demand{"m0": {TokensPerSecond: 9000}, "m1": {TokensPerSecond: 3000}, "m2": {TokensPerSecond: 2000}}
 	tests := map[string]struct {
@@ -47,7 +47,7 @@
 		"none lost: by demand": {held: [][]string{{"m0", "m1", "m2"}, {"m3"}, {}, {}}, want: "m0"},
 		"one lost":             {lost: map[string]float64{"m2": 1000}, held: [][]string{{"m0", "m1", "m2"}, {"m3"}, {}, {}}, want: "m2"},
 		"two lost: by use":     {lost: map[string]float64{"m2": 1000, "m1": 1500}, held: [][]string{{"m0", "m1", "m2"}, {"m3"}, {}, {}}, want: "m1"},
-		"a last replica that nobody asks for": {
+		"a last replica that is not requested": {
 			lost: map[string]float64{"m2": 1000}, held: [][]string{{"m0", "m1", "m2"}, {}, {}, {}}, want: "m2",
 		},
 		"a last replica with more use": {
--- a/serverspeed/estimator.go
+++ b/serverspeed/estimator.go
@@ -29,7 +29,7 @@
 	// maxIdleFits is the number of fits without a sample of a server after which its samples are dropped. The other
 	// servers have had twice as many samples each, so the server is avoided and has to be tried again.
 	maxIdleFits = 15
-	// maxWindows is the maximum number of windows of a server, two for each model that it holds or held lately.
+	// maxWindows is the maximum number of windows of a server, two for each model that it holds or has recently held.
 	maxWindows = 12
 	// maxValue bounds the samples, in milliseconds.
 	maxValue = 1e6
--- a/serverspeed/table.go
+++ b/serverspeed/table.go
@@ -19,7 +19,7 @@
 	maxRatio = 4
 )
 
-// A shortTerm is how much longer a server has taken lately than expected; excess is 0 if it has not.
+// A shortTerm is how much longer a server has recently taken than expected; excess is 0 if it has not.
 type shortTerm struct {
 	excess    float64
 	updatedAt time.Time
--- a/tools/slots/day.go
+++ b/tools/slots/day.go
@@ -66,10 +66,7 @@
 	if e.Outcome == outcomeRefuse {
 		d.row(second(e.TS), e.Service).refused++
 	}
-	if e.Sends > 0 && e.Server != "" {
-		d.services[e.Server] = e.Service
-		d.occupy(e, 1, false)
-	}
+	d.occupy(e, 1, false)
 	if e.Outcome == outcomeAnswer {
 		d.pending[gateway] = append(d.pending[gateway], e)
 	}
@@ -96,6 +93,7 @@
 	if e.Sends == 0 || e.Server == "" {
 		return
 	}
+	d.services[e.Server] = e.Service
 	end := e.TS / 1000
 	begin := end - max(e.Total-e.Waited, 0)
 	for s := math.Floor(begin); s < end; s++ {
--- a/tools/slots/main.go
+++ b/tools/slots/main.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// nameIn returns the last word of the text before an entry.
+// nameIn returns the name of the VM in the text before an entry, which is a time and the name.
 func nameIn(prefix []byte) string {
 	var seconds, name string
 	if n, _ := fmt.Sscan(string(prefix), &seconds, &name); n < 2 {
