--- a/backend/server.go
+++ b/backend/server.go
@@ -158,6 +158,12 @@
 	return srv, ok
 }
 
+// Has reports whether a server is listed.
+func (s *Snapshot) Has(id string) bool {
+	_, ok := s.Server(id)
+	return ok
+}
+
 // Service returns the servers of a service, sorted by ID.
 func (s *Snapshot) Service(name string) []*Server { return s.byService[name] }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -138,7 +138,7 @@
 	clear(d.slots)
 	now := d.opts.Clock.Now()
 	for id, l := range d.loads {
-		if _, ok := s.Server(id); !ok && l.Running == 0 && !now.Before(l.pause.endsAt) {
+		if !s.Has(id) && l.Running == 0 && !now.Before(l.pause.endsAt) {
 			delete(d.loads, id)
 			d.owners.removeServer(id)
 		}
--- a/dispatch/owned_queue.go
+++ b/dispatch/owned_queue.go
@@ -237,7 +237,7 @@
 	d.freed = nil
 	for id, q := range d.queues {
 		d.serveQueue(id)
-		if _, ok := d.servers.Server(id); !ok && q.order.Len() == 0 {
+		if !d.servers.Has(id) && q.order.Len() == 0 {
 			delete(d.queues, id)
 		}
 	}
--- a/dispatch/server_speed.go
+++ b/dispatch/server_speed.go
@@ -79,13 +79,9 @@
 	if s == nil {
 		return
 	}
-	isListed := func(id string) bool {
-		_, ok := servers.Server(id)
-		return ok
-	}
-	s.table.Retain(isListed)
-	maps.DeleteFunc(s.work, func(id string, _ []float64) bool { return !isListed(id) })
-	maps.DeleteFunc(s.sentAt, func(id string, _ time.Time) bool { return !isListed(id) })
+	s.table.Retain(servers.Has)
+	maps.DeleteFunc(s.work, func(id string, _ []float64) bool { return !servers.Has(id) })
+	maps.DeleteFunc(s.sentAt, func(id string, _ time.Time) bool { return !servers.Has(id) })
 }
 
 // add adds a sample, with three significant digits, and replaces an earlier one of the same server and kind.
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -207,7 +207,7 @@
 	defer d.mu.Unlock()
 	var ids []string
 	for id, failed := range d.failed {
-		if _, listed := snapshot.Server(id); listed && failed.crashed {
+		if snapshot.Has(id) && failed.crashed {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/placer/engine_table.go
+++ b/internal/placer/engine_table.go
@@ -26,7 +26,7 @@
 	}
 	t.byService = make(map[string][]*engineState)
 	for id := range t.byID {
-		if _, ok := s.Server(id); !ok {
+		if !s.Has(id) {
 			delete(t.byID, id)
 		}
 	}
--- a/internal/placer/server_factors.go
+++ b/internal/placer/server_factors.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"maps"
+
 	"rockcleat/backend"
 	"rockcleat/lease"
 	"rockcleat/serverspeed"
@@ -82,16 +84,8 @@
 		return
 	}
 	p.factors.retained = s
-	isListed := func(id string) bool {
-		_, ok := s.Server(id)
-		return ok
-	}
-	p.factors.estimator.Retain(isListed)
-	for id := range p.factors.noticed {
-		if !isListed(id) {
-			delete(p.factors.noticed, id)
-		}
-	}
+	p.factors.estimator.Retain(s.Has)
+	maps.DeleteFunc(p.factors.noticed, func(id string, _ float64) bool { return !s.Has(id) })
 }
 
 // timeFactor returns the factor of a server; 1 if it is not known.
