--- a/dispatch/counted_group_test.go
+++ b/dispatch/counted_group_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"rockcleat/admission"
 	"rockcleat/backend"
 	"rockcleat/clock"
@@ -124,6 +126,15 @@
 	return nil
 }
 
+// acquire reserves slots for a number of requests of a gateway, which do not end.
+func (g *countedGroup) acquire(t *testing.T, gateway string, requests int) {
+	t.Helper()
+	for range requests {
+		_, err := g.dispatchers[gateway].Acquire(context.Background(), shortRequest(g.clock))
+		assert.NilError(t, err)
+	}
+}
+
 // stop ends a gateway: it gets no more messages and is no longer listed.
 func (g *countedGroup) stop(gateway string) {
 	g.mu.Lock()
--- a/dispatch/counted_test.go
+++ b/dispatch/counted_test.go
@@ -76,10 +76,7 @@
 		defer drain()
 		g := newCountedGroup(2, engine("a"))
 		other := g.notOwner(t, "a")
-		for range 8 {
-			_, err := g.dispatchers[other].Acquire(context.Background(), shortRequest(g.clock))
-			assert.NilError(t, err)
-		}
+		g.acquire(t, other, 8)
 		assert.Equal(t, g.counted("a"), 8)
 		g.stop(other)
 		assert.Equal(t, g.counted("a"), 0)
@@ -93,11 +90,8 @@
 		defer drain()
 		g := newCountedGroup(3, engine("a"))
 		owner := g.owner(t, "a")
-		for _, d := range g.dispatchers {
-			for range 2 {
-				_, err := d.Acquire(context.Background(), shortRequest(g.clock))
-				assert.NilError(t, err)
-			}
+		for id := range g.dispatchers {
+			g.acquire(t, id, 2)
 		}
 		assert.Equal(t, g.counted("a"), 6)
 		g.stop(owner)
@@ -201,10 +195,7 @@
 		defer drain()
 		g := newCountedGroup(2, engine("a"))
 		other := g.notOwner(t, "a")
-		for range 8 {
-			_, err := g.dispatchers[other].Acquire(context.Background(), shortRequest(g.clock))
-			assert.NilError(t, err)
-		}
+		g.acquire(t, other, 8)
 		restarted := dispatch.New(dispatch.Options{
 			ID: other, Hall: "h", Clock: g.clock, Utilization: 1, Owners: g, Accounts: g, Epoch: 99, MaxCountedSlots: 8,
 			CacheTokens: func(string) int { return cacheTokens },
