gateway: pending requests, new connections and processor time, in log and metrics

A request is pending from its connection's accept until it is sent, queued for a server or refused, but not while the caller has still to send.

--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -258,6 +258,7 @@
 	d.demand.addWaiting(r, 1)
 	wait := until.Sub(d.opts.Clock.Now())
 	d.mu.Unlock()
+	r.beginWait()
 	clock.Await(ctx, d.opts.Clock, ready, wait)
 	d.mu.Lock()
 	d.demand.addWaiting(r, -1)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -52,6 +52,8 @@
 	// OnTrial means that servers have crashed under similar requests. It is sent to a server where a crash
 	// affects few others.
 	OnTrial bool
+	// OnWait, if not nil, is called whenever the request begins to wait for a server. It must not call the Dispatcher.
+	OnWait func()
 	// AdmissionsRequested is the number of admissions requested from other gateways,
 	// AdmissionsGranted and AdmissionsDenied the numbers granted and denied; the others got no
 	// usable reply.
@@ -69,6 +71,13 @@
 	shortestWait time.Duration
 }
 
+// beginWait calls OnWait.
+func (r *Request) beginWait() {
+	if r.OnWait != nil {
+		r.OnWait()
+	}
+}
+
 // tokens returns the maximum cache memory that the request uses.
 func (r *Request) tokens() int {
 	if r.Model == "" {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -173,6 +173,7 @@
 // awaitReservation blocks until the request has a reservation or is refused, its WaitUntil has
 // passed or ctx is done.
 func (d *Dispatcher) awaitReservation(ctx context.Context, w *waiter) (*Reservation, error) {
+	w.req.beginWait()
 	clock.Await(ctx, d.opts.Clock, w.ready, w.req.WaitUntil.Sub(d.opts.Clock.Now()))
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -30,6 +30,7 @@
 	if limits.bytes > 0 && r.ContentLength > limits.bytes {
 		return nil, tooLong
 	}
+	defer p.conns.awaitBody(r.Context())()
 	// Setting the deadline fails only on a closed connection, which the read below reports.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(clock.SystemDeadline(p.bodyTimeout))
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"rockcleat/clock"
+	"rockcleat/intake"
 )
 
 type connState int
@@ -52,6 +53,8 @@
 type callerConn struct {
 	*net.TCPConn
 	clock clock.Service
+	// requests counts the pending requests of all connections.
+	requests *intake.Limiter
 
 	mu    sync.Mutex
 	state connState
@@ -60,14 +63,20 @@
 	// deadline is the read deadline that http.Server set; it applies while end is endNever.
 	deadline time.Time
 	end      connEnd
+	// pending reports whether the connection counts as a pending request: it needs work of this process before its request
+	// can be handed on.
+	pending bool
 }
 
-func newCallerConn(conn *net.TCPConn, c clock.Service) *callerConn {
-	return &callerConn{TCPConn: conn, clock: c, since: c.Now()}
+// newCallerConn returns a callerConn that is pending until its first read.
+func newCallerConn(conn *net.TCPConn, c clock.Service, requests *intake.Limiter) *callerConn {
+	requests.Begin()
+	return &callerConn{TCPConn: conn, clock: c, requests: requests, since: c.Now(), pending: true}
 }
 
 // Read reads from the connection. It returns io.EOF if the connection was ended while it waited for a request.
 func (c *callerConn) Read(p []byte) (int, error) {
+	c.beforeRead()
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
@@ -140,6 +149,66 @@
 	if c.isIdle() {
 		c.setState(connReadingHeader)
 	}
+	if c.state == connReadingHeader {
+		c.beginPending()
+	}
+}
+
+// beforeRead records that the connection waits for its caller.
+func (c *callerConn) beforeRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isIdle() || c.state == connReadingHeader {
+		c.stopPending()
+	}
+}
+
+// beginPending counts the connection as a pending request. The caller must hold c.mu.
+func (c *callerConn) beginPending() {
+	if !c.pending {
+		c.pending = true
+		c.requests.Begin()
+	}
+}
+
+// stopPending ends that without a request that was handed on. The caller must hold c.mu.
+func (c *callerConn) stopPending() {
+	if c.pending {
+		c.pending = false
+		c.requests.End()
+	}
+}
+
+// endPending is stopPending for a connection that is closed.
+func (c *callerConn) endPending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopPending()
+}
+
+// handOn records that the request on the connection is no longer pending, if it was.
+func (c *callerConn) handOn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending {
+		c.pending = false
+		c.requests.HandedOn(c.clock.Now())
+	}
+}
+
+// awaitBody records that the request waits for its body, until the returned function is called.
+func (c *callerConn) awaitBody() (arrived func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pending {
+		return func() {}
+	}
+	c.stopPending()
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.beginPending()
+	}
 }
 
 // beginRequest records that a complete request header was read, and reports whether the request may be served.
@@ -158,6 +227,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setState(connIdle)
+	c.stopPending()
 	if last {
 		c.endReads(endAlways)
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -24,6 +24,7 @@
 	clock clock.Service
 	// limits returns the idle timeout and the header timeout; 0 means no limit.
 	limits func() (idle, header time.Duration)
+	intake *connIntake
 
 	// draining reports whether each connection is ended after its current response.
 	draining atomic.Bool
@@ -32,14 +33,15 @@
 	open map[*callerConn]struct{}
 }
 
-func newConns(c clock.Service, limits func() (idle, header time.Duration)) *conns {
-	return &conns{clock: c, limits: limits, open: make(map[*callerConn]struct{})}
+func newConns(c clock.Service, limits func() (idle, header time.Duration), i *connIntake) *conns {
+	return &conns{clock: c, limits: limits, intake: i, open: make(map[*callerConn]struct{})}
 }
 
 // callerListener accepts connections and wraps each in a callerConn.
 type callerListener struct {
 	*net.TCPListener
-	clock clock.Service
+	clock  clock.Service
+	intake *connIntake
 }
 
 // Accept implements net.Listener.
@@ -48,7 +50,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(conn, l.clock), nil
+	l.intake.accept()
+	return newCallerConn(conn, l.clock, l.intake.limiter), nil
 }
 
 // stateChanged is the ConnState hook of the http.Server.
@@ -65,12 +68,31 @@
 	case http.StateIdle:
 		caller.becomeIdle(c.draining.Load())
 	case http.StateClosed, http.StateHijacked:
+		caller.endPending()
 		c.mu.Lock()
 		delete(c.open, caller)
 		c.mu.Unlock()
 	}
 }
 
+// handOn returns a function that records that the request on the connection in ctx is no longer pending.
+func (c *conns) handOn(ctx context.Context) func() {
+	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return func() {}
+	}
+	return caller.handOn
+}
+
+// awaitBody records that the request on the connection in ctx waits for its body, until the returned function is called.
+func (c *conns) awaitBody(ctx context.Context) (arrived func()) {
+	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return func() {}
+	}
+	return caller.awaitBody()
+}
+
 // beginRequest records that a complete request header was read on the connection in ctx, and reports whether the
 // request may be served.
 func (c *conns) beginRequest(ctx context.Context) bool {
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -9,12 +9,23 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"rockcleat/clock/clocktest"
+	"rockcleat/intake"
+	"rockcleat/internal/wire"
 )
 
+// newTestIntake returns a connIntake without pending requests.
+func newTestIntake() *connIntake {
+	return &connIntake{
+		limiter: intake.New(), clock: clocktest.Real{}, observedAt: time.Now(),
+		log: newRequestLog(zap.NewNop(), noMetrics{}, clocktest.Real{}, wire.HeaderNames{}),
+	}
+}
+
 // newConnPair returns both ends of a connection that c tracks.
 func newConnPair(t *testing.T, c *conns) (server *callerConn, client net.Conn) {
 	t.Helper()
@@ -23,7 +34,7 @@
 	defer l.Close()
 	client, err = net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
-	conn, err := callerListener{TCPListener: l.(*net.TCPListener), clock: clocktest.Real{}}.Accept()
+	conn, err := callerListener{TCPListener: l.(*net.TCPListener), clock: clocktest.Real{}, intake: c.intake}.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		_ = client.Close()
@@ -94,7 +105,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := newConns(clocktest.Real{}, func() (time.Duration, time.Duration) { return idle, header })
+			c := newConns(clocktest.Real{}, func() (time.Duration, time.Duration) { return idle, header }, newTestIntake())
 			server, client := newConnPair(t, c)
 			test.follow(t, c, server, client)
 			c.sweep(time.Now().Add(test.after))
@@ -122,7 +133,7 @@
 // TestRefusedConnectionServesNothing checks that a request is not served if its header is completed after it was
 // refused as too slow.
 func TestRefusedConnectionServesNothing(t *testing.T) {
-	c := newConns(clocktest.Real{}, nil)
+	c := newConns(clocktest.Real{}, nil, newTestIntake())
 	server, client := newConnPair(t, c)
 	send(t, server, client, "GET")
 	receive(t, server, "GET")
@@ -169,7 +180,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := newConns(clocktest.Real{}, nil)
+			c := newConns(clocktest.Real{}, nil, newTestIntake())
 			server, client := newConnPair(t, c)
 			test.follow(t, c, server, client)
 			assert.Equal(t, c.drain(time.Now().Add(test.after)), 1)
@@ -188,7 +199,7 @@
 // TestServerDeadlineIsRestored checks that the read deadline of http.Server is in force again after a connection that
 // was to be ended stays open.
 func TestServerDeadlineIsRestored(t *testing.T) {
-	c := newConns(clocktest.Real{}, nil)
+	c := newConns(clocktest.Real{}, nil, newTestIntake())
 	server, client := newConnPair(t, c)
 	c.stateChanged(server, http.StateIdle)
 	send(t, server, client, "GE")
@@ -198,3 +209,40 @@
 	_, err := server.Read(make([]byte, 1))
 	assert.Assert(t, isTimeout(err))
 }
+
+// TestPendingRequests checks when a connection counts as a pending request: while it waits for the process, but not while
+// it waits for its caller.
+func TestPendingRequests(t *testing.T) {
+	c := newConns(clocktest.Real{}, nil, newTestIntake())
+	server, client := newConnPair(t, c)
+	pending := func() int {
+		c.intake.limiter.TakePeak()
+		return c.intake.limiter.TakePeak()
+	}
+	assert.Equal(t, pending(), 1, "accepted and not read yet")
+	server.beforeRead()
+	assert.Equal(t, pending(), 0, "waits for the caller")
+	send(t, server, client, "POST / HTTP/1.1\r\n")
+	receive(t, server, "POST / HTTP/1.1\r\n")
+	assert.Equal(t, pending(), 1, "a part of the header has come")
+	server.beforeRead()
+	assert.Equal(t, pending(), 0, "waits for the rest of the header")
+	send(t, server, client, "\r\n")
+	receive(t, server, "\r\n")
+	assert.Assert(t, server.beginRequest())
+	assert.Equal(t, pending(), 1, "the header is complete")
+	arrived := server.awaitBody()
+	assert.Equal(t, pending(), 0, "waits for the body")
+	arrived()
+	assert.Equal(t, pending(), 1, "the body has come")
+	server.handOn()
+	server.handOn()
+	assert.Equal(t, pending(), 0, "sent")
+	assert.Assert(t, c.intake.limiter.HandedOnRate(time.Now()) > 0)
+	c.stateChanged(server, http.StateIdle)
+	send(t, server, client, "GET ")
+	receive(t, server, "GET ")
+	assert.Equal(t, pending(), 1, "the next request")
+	c.stateChanged(server, http.StateClosed)
+	assert.Equal(t, pending(), 0, "closed")
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -25,6 +25,8 @@
 	// ctx ends with the request's deadline, the caller's connection or the gateway.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// handOn is called when the request no longer waits for work of this process: it is sent, queued or held back.
+	handOn func()
 	// req is in.requirements, updated with the servers to exclude and other results of earlier sends.
 	req    dispatch.Request
 	record record
@@ -74,6 +76,7 @@
 			return
 		}
 		if !f.beginTrial() {
+			f.handOn()
 			res.Cancel()
 			if f.ctx.Err() != nil {
 				f.endUnserved(f.ctx.Err())
--- a/internal/gateway/forward_trial.go
+++ b/internal/gateway/forward_trial.go
@@ -9,6 +9,7 @@
 // awaitTrial waits until no other request tests the suspected traits of this one.
 func (f *forwarder) awaitTrial() {
 	for f.ctx.Err() == nil && f.mustAwaitTrial() {
+		f.handOn()
 		clock.Sleep(f.ctx, f.proxy.clock, trialPollInterval)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,7 @@
 	go g.holderWatcher.run(g.ctx)
 	go g.feed.run(g.ctx)
 	g.subscribe(sweepInterval, g.conns.sweep)
+	g.subscribe(sweepInterval, g.conns.intake.observe)
 	g.subscribe(expireInterval, g.servers.expire)
 	g.subscribe(expireInterval, g.dispatcher.Expire)
 	g.subscribe(sweepInterval, func(time.Time) { g.requestLog.serverLoads(g.dispatcher.CountedLoads()) })
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -55,7 +55,9 @@
 	front := newServer(o.settings.Listen, o.proxy)
 	front.server.MaxHeaderBytes = maxHeaderBytes
 	front.server.ConnState, front.server.ConnContext = o.conns.stateChanged, withConn
-	front.wrap = func(l *net.TCPListener) net.Listener { return callerListener{TCPListener: l, clock: o.conns.clock} }
+	front.wrap = func(l *net.TCPListener) net.Listener {
+		return callerListener{TCPListener: l, clock: o.conns.clock, intake: o.conns.intake}
+	}
 	servers := []boundServer{front, newServer(o.settings.ReadyListen, o.ready), newServer(o.settings.PeerListen, o.peers)}
 	if o.settings.MetricsListen != "" {
 		servers = append(servers, newServer(o.settings.MetricsListen, o.metrics))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,11 @@
 	PermitRequested(outcome string)
 	// ProcessorRefused counts a request that was refused because the gateway was short of processor time.
 	ProcessorRefused()
+	// ConnectionAccepted counts a caller's new connection by what became of it.
+	ConnectionAccepted(result string)
+	// IntakeObserved records the highest number of pending requests in the last second and the processor time that the
+	// process used in it, in seconds.
+	IntakeObserved(pending int, processorSeconds float64)
 	// ServerCrashed counts a crash of a server under requests, by service.
 	ServerCrashed(service string)
 	// ConfigTransfer counts a transfer of the configuration and its size on the wire; err is not nil if it failed.
@@ -55,6 +60,8 @@
 func (noMetrics) OriginsNotSent(int)                            {}
 func (noMetrics) PermitRequested(string)                        {}
 func (noMetrics) ProcessorRefused()                             {}
+func (noMetrics) ConnectionAccepted(string)                     {}
+func (noMetrics) IntakeObserved(int, float64)                   {}
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
 func (noMetrics) Admissions(int, int, int)                      {}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -9,6 +9,7 @@
 	"rockcleat/clock"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
+	"rockcleat/intake"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -35,6 +36,7 @@
 	gateways   *directory
 	lifecycle  *lifecycle
 	conns      *conns
+	intake     *connIntake
 	budgets    *retryBudgets
 	peers      *peerClient
 	dispatcher *dispatch.Dispatcher
@@ -72,7 +74,10 @@
 	}
 	p.gateways.regions = s.Regions
 	p.gateways.vm = vmCapacity{cores: s.Cores, linkMbps: s.LinkMbps}
-	p.conns = newConns(o.Clock, p.config.connLimits)
+	p.intake = &connIntake{
+		limiter: intake.New(), clock: o.Clock, log: p.requestLog, cores: s.Cores, observedAt: o.Clock.Now(), processorTime: processorTime(),
+	}
+	p.conns = newConns(o.Clock, p.config.connLimits, p.intake)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
 	p.peers = newPeerClient(p.gateways, o.Peers)
 	p.serverLimits = p.newServerLimits(o)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -64,7 +64,11 @@
 	setWriteTimeout(w, in.deadline.Sub(p.clock.Now())+unreadMargin)
 	ctx, cancel := clock.WithDeadline(r.Context(), p.clock, in.deadline)
 	defer cancel(nil)
-	f := &forwarder{proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.requirements, buffers: buffers, traits: in.traits()}
+	f := &forwarder{
+		proxy: p, in: in, w: w, ctx: ctx, cancel: cancel, req: in.requirements, buffers: buffers, traits: in.traits(),
+		handOn: p.conns.handOn(r.Context()),
+	}
+	f.req.OnWait = f.handOn
 	defer p.finish(f)
 	defer context.AfterFunc(p.lifecycle.unansweredCtx, func() {
 		if !f.headerSent.Load() {
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -39,6 +39,7 @@
 	msgStreamResumed      = "stream resumed by its caller"
 	msgOriginsNotSent     = "origins of streams not sent"
 	msgProcessorShort     = "short of processor time"
+	msgConnections        = "new connections"
 )
 
 // Fields of these log lines; docs/OPERATIONS-GATEWAY.md lists them with their units.
@@ -98,6 +99,9 @@
 	fieldFactor              = "factor"
 	fieldShare               = "share"
 	fieldDelay               = "delay_s"
+	fieldPending             = "pending"
+	fieldProcessorUsed       = "cores_used"
+	fieldCores               = "cores"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,6 +20,7 @@
 func (f *forwarder) send(res *dispatch.Reservation) bool {
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	defer cancel(nil)
+	f.handOn()
 	f.retryCharged.Store(false)
 	f.partsAnswered = false
 	stall := f.startStallTimer(res, cancel)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -57,6 +57,11 @@
 	permits metric.Int64Counter
 	// processorRefusals counts the requests refused because processor time is short.
 	processorRefusals metric.Int64Counter
+	// connections counts callers' new connections by what became of them. pending is the highest number of pending
+	// requests in the last second, processorTime the processor time that the process has used.
+	connections   metric.Int64Counter
+	pending       metric.Int64Gauge
+	processorTime metric.Float64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
 	// of those within it.
 	charges metric.Int64Counter
@@ -101,10 +106,15 @@
 	m.serverPauses = b.counter("rockcleat.gateway.server_pauses", "Pauses that backend servers asked for in refusals, by state.")
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.processorRefusals = b.counter("rockcleat.gateway.processor_refusals", "Requests refused while the gateway was short of processor time.")
+	m.connections = b.counter("rockcleat.gateway.connections", "New connections of callers, by what became of them.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
 	b.recordError(err)
 	m.spent = spent
+	m.pending, err = b.meter.Int64Gauge("rockcleat.gateway.pending_requests", metric.WithDescription("Highest number of requests in the last second that needed work of the gateway before they could be handed on."))
+	b.recordError(err)
+	m.processorTime, err = b.meter.Float64Counter("rockcleat.gateway.processor", metric.WithDescription("Processor time that the process has used."), metric.WithUnit("s"))
+	b.recordError(err)
 	return m, b.err
 }
 
@@ -213,6 +223,19 @@
 // ProcessorRefused counts a request that was refused because the gateway was short of processor time.
 func (m *GatewayMetrics) ProcessorRefused() { m.processorRefusals.Add(context.Background(), 1) }
 
+// ConnectionAccepted counts a caller's new connection by what became of it.
+func (m *GatewayMetrics) ConnectionAccepted(result string) {
+	m.connections.Add(context.Background(), 1, m.attributeSet("result", result, "", ""))
+}
+
+// IntakeObserved records the highest number of pending requests in the last second and the processor time that the
+// process used in it, in seconds.
+func (m *GatewayMetrics) IntakeObserved(pending int, processorSeconds float64) {
+	ctx := context.Background()
+	m.pending.Record(ctx, int64(pending))
+	m.processorTime.Add(ctx, max(processorSeconds, 0))
+}
+
 // QuotaCharged counts a request that was charged to an organisation's limit, by outcome. Requests within the
 // limit also add their cost, in the limit's unit.
 func (m *GatewayMetrics) QuotaCharged(organisation, outcome string, cost float64) {
--- a/internal/telemetry/gateway_test.go
+++ b/internal/telemetry/gateway_test.go
@@ -23,6 +23,9 @@
 	m.RequestSent("llm", true)
 	m.StoreCall("read")
 	m.ProcessorRefused()
+	m.ConnectionAccepted("taken")
+	m.IntakeObserved(7, 0.25)
+	m.IntakeObserved(5, 0.5)
 	m.Admissions(2, 1, 4)
 	m.Admissions(1, 2, 0)
 	m.QueueWaited("llm", 0.1, 0.4)
@@ -39,6 +42,9 @@
 		`rockcleat_gateway_sends_total{kind="repeat",service="llm"} 1`,
 		`rockcleat_gateway_store_calls_total{kind="read"} 1`,
 		`rockcleat_gateway_processor_refusals_total 1`,
+		`rockcleat_gateway_connections_total{result="taken"} 1`,
+		`rockcleat_gateway_pending_requests 5`,
+		`rockcleat_gateway_processor_seconds_total 0.75`,
 		`rockcleat_gateway_places_total{result="denied"} 3`,
 		`rockcleat_gateway_places_total{result="granted"} 3`,
 		`rockcleat_gateway_places_total{result="silent"} 4`,
