gateway: connections that it cannot serve are closed before anything is read

Callers saw: while the balancer sent most new connections to one gateway, a quarter of the requests were served at the first attempt that was read; the others were refused with 503 or came seconds late, while eleven of twelve gateways were idle.

Cause: a gateway read every connection and decided afterwards. Its processor guard measures delays of goroutines, acts after 0.6 s, and refuses by reading; the calls of accepted requests to the owners of servers were late as well and ended as 'no server can take it'. The class: a load that a process cannot bear is refused at a point at which it has already been paid for.

Now intake.Limiter decides at accept by the number of pending requests, against what was handed on in the last 0.3 s. A connection over that is closed unread, so that the caller's next attempt, which reaches any gateway, is the first that is read. If half of the other gateways are busy too, which reports and replies tell, requests are refused with Retry-After instead. Responses of a busy gateway end their connections: kept connections added up on it.

--- a/intake/doc.go
+++ b/intake/doc.go
@@ -6,5 +6,17 @@
 // requests on slowly, so that pending requests add up. A request that waits for bytes of its caller, for a free
 // server or for its response is not pending.
 //
+// A Limiter takes a new connection as long as the pending requests are handed on within a fraction of a maximum
+// delay, at the rate of the last moments. What it does with the others depends on the other processes of the fleet:
+//
+//   - While most of them have room, the connection is closed with nothing read, so that the caller's next attempt,
+//     which meets any process, is the first one that is read.
+//   - If most have no room, closing would only make callers connect again and again. Requests are then accepted up to
+//     the maximum delay, and beyond it refused with a time to come back.
+//   - Beyond a multiple of that, connections are closed in any case.
+//
+// With no pending request, a connection is always taken unless there are no file descriptors for it: a process that is
+// slow for another reason keeps serving.
+//
 // The package does no I/O and gets the times as arguments. Package internal/gateway reports the requests.
 package intake
--- a/intake/limiter.go
+++ b/intake/limiter.go
@@ -5,16 +5,98 @@
 	"time"
 )
 
-// A Limiter counts pending requests. It is safe for concurrent use.
+// A Decision says what becomes of a new connection.
+type Decision int
+
+const (
+	// Take: the connection is served.
+	Take Decision = iota
+	// Refuse: the first request is read and refused, with a time to come back.
+	Refuse
+	// Close: the connection is closed with nothing read, so that the caller connects to another process.
+	Close
+)
+
+const (
+	// closeFraction is the fraction of the maximum delay from which connections are closed while other processes have room:
+	// there a caller is served sooner.
+	closeFraction = 0.4
+	// flood is the multiple of the maximum delay from which connections are closed even if no other process has room, since
+	// refusals take processor time too. A caller does not wait longer than that for its request to be read.
+	flood = 4
+	// minRate is the rate at which every process is expected to hand on requests, per second. It sets the number of
+	// requests that may be pending before the rate is known.
+	minRate = 160
+	// busyTime is how long a process counts as busy after it has been so.
+	busyTime = time.Second
+)
+
+// Conditions are what a decision about a new connection depends on, besides the pending requests.
+type Conditions struct {
+	Now time.Time
+	// DelayShare is the share of connections to turn away because the process's own work is late, Random a random number
+	// in [0, 1).
+	DelayShare, Random float64
+	// Open is the number of open connections, MaxOpen the highest possible one; 0 if there is no limit.
+	Open, MaxOpen int
+	// OthersBusy reports whether a caller that is turned away probably meets another busy process, or that there is no
+	// other one.
+	OthersBusy bool
+}
+
+// A Limiter counts pending requests and decides about new connections. It is safe for concurrent use.
 type Limiter struct {
+	maxDelay time.Duration
+
 	mu sync.Mutex
 	// pending is the number of pending requests, peak its maximum since the last call of TakePeak.
 	pending, peak int
 	handedOn      rateCounter
+	// busyAt is the time at which the limiter last was over its limit.
+	busyAt time.Time
+}
+
+// New returns a Limiter that lets requests be pending for about maxDelay at most. If maxDelay is 0, it takes all
+// connections.
+func New(maxDelay time.Duration) *Limiter { return &Limiter{maxDelay: maxDelay} }
+
+// Decide decides about a new connection. For a connection that is not closed, the caller must call Begin.
+func (l *Limiter) Decide(c Conditions) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.MaxOpen > 0 && c.Open >= c.MaxOpen {
+		l.busyAt = c.Now
+		return Close
+	}
+	if l.maxDelay <= 0 || l.pending == 0 {
+		return Take
+	}
+	isLate := c.Random < c.DelayShare
+	if !isLate && l.pending < l.limit(closeFraction, c.Now) {
+		return Take
+	}
+	l.busyAt = c.Now
+	switch {
+	case !c.OthersBusy, l.pending >= l.limit(flood, c.Now):
+		return Close
+	case isLate, l.pending >= l.limit(1, c.Now):
+		return Refuse
+	}
+	return Take
 }
 
-// New returns a Limiter without pending requests.
-func New() *Limiter { return &Limiter{} }
+// limit returns the number of requests that are handed on in a fraction of the maximum delay.
+func (l *Limiter) limit(fraction float64, now time.Time) int {
+	rate := max(l.handedOn.perSecond(now), minRate)
+	return int(rate * fraction * l.maxDelay.Seconds())
+}
+
+// IsBusy reports whether the process has lately had more connections than it should take while others have room.
+func (l *Limiter) IsBusy(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.busyAt.IsZero() && now.Sub(l.busyAt) < busyTime
+}
 
 // Begin records that a request has become pending.
 func (l *Limiter) Begin() {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -13,7 +13,6 @@
 	"golang.org/x/sys/unix"
 
 	"rockcleat/clock"
-	"rockcleat/intake"
 )
 
 type connState int
@@ -52,9 +51,8 @@
 // instead.
 type callerConn struct {
 	*net.TCPConn
-	clock clock.Service
-	// requests counts the pending requests of all connections.
-	requests *intake.Limiter
+	clock  clock.Service
+	intake *connIntake
 
 	mu    sync.Mutex
 	state connState
@@ -66,12 +64,16 @@
 	// pending reports whether the connection counts as a pending request: it needs work of this process before its request
 	// can be handed on.
 	pending bool
+	// admission is what was decided about the connection, until its first request is served; empty afterwards.
+	admission connResult
+	// released is set when the connection no longer counts as open.
+	released bool
 }
 
 // newCallerConn returns a callerConn that is pending until its first read.
-func newCallerConn(conn *net.TCPConn, c clock.Service, requests *intake.Limiter) *callerConn {
-	requests.Begin()
-	return &callerConn{TCPConn: conn, clock: c, requests: requests, since: c.Now(), pending: true}
+func newCallerConn(conn *net.TCPConn, c clock.Service, i *connIntake, admission connResult) *callerConn {
+	i.limiter.Begin()
+	return &callerConn{TCPConn: conn, clock: c, intake: i, since: c.Now(), pending: true, admission: admission}
 }
 
 // Read reads from the connection. It returns io.EOF if the connection was ended while it waited for a request.
@@ -167,7 +169,7 @@
 func (c *callerConn) beginPending() {
 	if !c.pending {
 		c.pending = true
-		c.requests.Begin()
+		c.intake.limiter.Begin()
 	}
 }
 
@@ -175,15 +177,28 @@
 func (c *callerConn) stopPending() {
 	if c.pending {
 		c.pending = false
-		c.requests.End()
+		c.intake.limiter.End()
 	}
 }
 
-// endPending is stopPending for a connection that is closed.
-func (c *callerConn) endPending() {
+// release records that the connection is closed.
+func (c *callerConn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopPending()
+	if !c.released {
+		c.released = true
+		c.intake.release()
+	}
+}
+
+// takeAdmission returns what was decided about the connection, and the empty result in later calls.
+func (c *callerConn) takeAdmission() connResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	admission := c.admission
+	c.admission = ""
+	return admission
 }
 
 // handOn records that the request on the connection is no longer pending, if it was.
@@ -192,7 +207,7 @@
 	defer c.mu.Unlock()
 	if c.pending {
 		c.pending = false
-		c.requests.HandedOn(c.clock.Now())
+		c.intake.limiter.HandedOn(c.clock.Now())
 	}
 }
 
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -44,14 +44,23 @@
 	intake *connIntake
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes the connections that the gateway should not take.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		result := l.intake.accept()
+		if result == connClosed {
+			// The caller sees a reset, since the connection has or will have unread data.
+			_ = conn.Close()
+			continue
+		}
+		// Setting it fails only on a closed connection, which the first read reports.
+		_ = conn.SetKeepAlive(true)
+		return newCallerConn(conn, l.clock, l.intake, result), nil
 	}
-	l.intake.accept()
-	return newCallerConn(conn, l.clock, l.intake.limiter), nil
 }
 
 // stateChanged is the ConnState hook of the http.Server.
@@ -68,13 +77,23 @@
 	case http.StateIdle:
 		caller.becomeIdle(c.draining.Load())
 	case http.StateClosed, http.StateHijacked:
-		caller.endPending()
+		caller.release()
 		c.mu.Lock()
 		delete(c.open, caller)
 		c.mu.Unlock()
 	}
 }
 
+// firstRequest returns what was decided about the connection in ctx when it was accepted, if its current request is the
+// first one; otherwise the empty result.
+func (c *conns) firstRequest(ctx context.Context) connResult {
+	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return ""
+	}
+	return caller.takeAdmission()
+}
+
 // handOn returns a function that records that the request on the connection in ctx is no longer pending.
 func (c *conns) handOn(ctx context.Context) func() {
 	caller, ok := ctx.Value(connKey{}).(*callerConn)
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -14,16 +14,17 @@
 	"gotest.tools/v3/poll"
 
 	"rockcleat/clock/clocktest"
-	"rockcleat/intake"
+	"rockcleat/internal/config"
 	"rockcleat/internal/wire"
+	"rockcleat/overload"
 )
 
 // newTestIntake returns a connIntake without pending requests.
 func newTestIntake() *connIntake {
-	return &connIntake{
-		limiter: intake.New(), clock: clocktest.Real{}, observedAt: time.Now(),
-		log: newRequestLog(zap.NewNop(), noMetrics{}, clocktest.Real{}, wire.HeaderNames{}),
-	}
+	var s config.Gateway
+	s.Processor.MaxDelay = config.Duration(250 * time.Millisecond)
+	log := newRequestLog(zap.NewNop(), noMetrics{}, clocktest.Real{}, wire.HeaderNames{})
+	return newConnIntake(s, &fleetLoad{gateways: func() int { return 3 }}, overload.New(0), clocktest.Real{}, log)
 }
 
 // newConnPair returns both ends of a connection that c tracks.
@@ -246,3 +247,65 @@
 	c.stateChanged(server, http.StateClosed)
 	assert.Equal(t, pending(), 0, "closed")
 }
+
+// TestConnectionOverTheLimit checks what becomes of a new connection while too many requests are pending: it is closed
+// with nothing read while other gateways have room, and otherwise its request is refused.
+func TestConnectionOverTheLimit(t *testing.T) {
+	tests := map[string]struct {
+		busyGateways int
+		want         connResult
+		moves        bool
+	}{
+		"the others have room":   {want: connClosed, moves: true},
+		"one of two others":      {busyGateways: 1, want: connRefused},
+		"all gateways are alike": {busyGateways: 2, want: connRefused},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := newTestIntake()
+			i.fleet.setBusy(test.busyGateways, time.Now())
+			for range 50 {
+				i.limiter.Begin()
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			accepted := make(chan net.Conn)
+			go func() {
+				conn, err := callerListener{TCPListener: l.(*net.TCPListener), clock: clocktest.Real{}, intake: i}.Accept()
+				if err == nil {
+					accepted <- conn
+				}
+			}()
+			client, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(t, err)
+			defer client.Close()
+			_, err = io.WriteString(client, "GET / HTTP/1.1\r\n\r\n")
+			assert.NilError(t, err)
+			if test.want == connClosed {
+				_, err := client.Read(make([]byte, 1))
+				assert.Assert(t, err != nil, "the connection is open")
+				assert.Equal(t, i.closed.Load(), int64(1))
+			} else {
+				conn := (<-accepted).(*callerConn)
+				defer conn.Close()
+				assert.Equal(t, conn.takeAdmission(), test.want)
+				assert.Equal(t, conn.takeAdmission(), connResult(""), "only the first request")
+			}
+			assert.Equal(t, i.movesCallers(time.Now()), test.moves)
+		})
+	}
+}
+
+// TestOldNewsOfBusyGateways checks that a gateway without a leader closes connections again, and that one without others
+// never does.
+func TestOldNewsOfBusyGateways(t *testing.T) {
+	now := time.Now()
+	f := &fleetLoad{gateways: func() int { return 3 }}
+	assert.Assert(t, !f.isBusy(now))
+	f.setBusy(2, now)
+	assert.Assert(t, f.isBusy(now.Add(busyGatewaysTTL)))
+	assert.Assert(t, !f.isBusy(now.Add(busyGatewaysTTL+1)))
+	f.gateways = func() int { return 1 }
+	assert.Assert(t, f.isBusy(now.Add(time.Hour)))
+}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,23 +11,47 @@
 
 	"rockcleat/clock"
 	"rockcleat/intake"
+	"rockcleat/internal/config"
+	"rockcleat/overload"
 )
 
-// connTaken is the result of a connection that is served, as used in metrics.
-const connTaken = "taken"
+// A connResult is what becomes of a new connection, as used in metrics.
+type connResult string
+
+const (
+	// connTaken: its requests are served.
+	connTaken connResult = "taken"
+	// connRefused: its first request is refused.
+	connRefused connResult = "refused"
+	// connClosed: it is closed with nothing read.
+	connClosed connResult = "closed"
+)
 
 // minLoggedPeak is the number of pending requests from which a second is logged.
 const minLoggedPeak = 8
 
-// A connIntake counts callers' new connections and the requests that are pending. It is safe for concurrent use.
+const (
+	// reservedFiles is the number of file descriptors that are not for callers and their requests.
+	reservedFiles = 200
+	// filesPerConn is the number of file descriptors that a caller's connection may need: its own, and one to a server.
+	filesPerConn = 2
+)
+
+// A connIntake decides which new connections of callers are served, and counts them. It is safe for concurrent use.
 type connIntake struct {
 	limiter *intake.Limiter
+	monitor *overload.Monitor
+	fleet   *fleetLoad
 	clock   clock.Service
 	log     *requestLog
+	// maxOpen is the highest possible number of open connections; 0 if it is not known.
+	maxOpen int
 	// cores is the processor that the VM has, in cores; 0 if it is not known.
 	cores float64
-	// taken counts the connections since the last call of observe.
-	taken atomic.Int64
+	// open is the number of open connections.
+	open atomic.Int64
+	// taken, refused and closed count the connections by what became of them since the last call of observe.
+	taken, refused, closed atomic.Int64
 
 	// The following fields are used by observe only.
 
@@ -34,27 +60,59 @@
 	processorTime time.Duration
 }
 
-// accept decides about a new connection.
-func (i *connIntake) accept() {
-	i.taken.Add(1)
-	i.log.metrics.ConnectionAccepted(connTaken)
+func newConnIntake(s config.Gateway, fleet *fleetLoad, m *overload.Monitor, c clock.Service, log *requestLog) *connIntake {
+	return &connIntake{
+		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
+		maxOpen: maxOpenConns(), observedAt: c.Now(), processorTime: processorTime(),
+	}
 }
 
-// observe updates the metrics, and logs the time since the last call if many requests were pending. It is called every
-// sweepInterval.
+// accept decides about a new connection. The caller must call release for one that is not closed.
+func (i *connIntake) accept() connResult {
+	now := i.clock.Now()
+	result, count := connTaken, &i.taken
+	switch i.limiter.Decide(intake.Conditions{
+		Now: now, DelayShare: i.monitor.Share(), Random: rand.Float64(), Open: int(i.open.Load()), MaxOpen: i.maxOpen,
+		OthersBusy: i.fleet.isBusy(now),
+	}) {
+	case intake.Refuse:
+		result, count = connRefused, &i.refused
+	case intake.Close:
+		result, count = connClosed, &i.closed
+	}
+	count.Add(1)
+	i.log.metrics.ConnectionAccepted(string(result))
+	if result != connClosed {
+		i.open.Add(1)
+	}
+	return result
+}
+
+// movesCallers reports whether connections should be closed after their current response, because the gateway has more
+// connections than it should take and others have room. Their callers connect again, mostly elsewhere.
+func (i *connIntake) movesCallers(now time.Time) bool {
+	return i.limiter.IsBusy(now) && !i.fleet.isBusy(now)
+}
+
+// release records that a connection which was not closed at once is closed.
+func (i *connIntake) release() { i.open.Add(-1) }
+
+// observe updates the metrics, and logs the time since the last call if many requests were pending or connections were
+// turned away. It is called every sweepInterval.
 func (i *connIntake) observe(now time.Time) {
 	used := processorTime()
-	elapsed := now.Sub(i.observedAt)
-	last := i.processorTime
+	elapsed, last := now.Sub(i.observedAt), i.processorTime
 	i.observedAt, i.processorTime = now, used
-	peak, taken := i.limiter.TakePeak(), i.taken.Swap(0)
+	peak, taken, refused, closed := i.limiter.TakePeak(), i.taken.Swap(0), i.refused.Swap(0), i.closed.Swap(0)
 	i.log.metrics.IntakeObserved(peak, (used - last).Seconds())
-	if peak < minLoggedPeak || elapsed <= 0 {
+	if elapsed <= 0 || peak < minLoggedPeak && refused+closed == 0 {
 		return
 	}
-	i.log.log.Info(msgConnections, zap.Int64(fieldCount, taken), zap.Int(fieldPending, peak),
+	i.log.log.Info(msgConnections, zap.Int64(fieldCount, taken), zap.Int64(fieldRefused, refused), zap.Int64(fieldClosed, closed),
+		zap.Int64(fieldOpen, i.open.Load()), zap.Int(fieldPending, peak),
 		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldTotal, elapsed.Seconds()),
-		zap.Float64(fieldProcessorUsed, (used-last).Seconds()/elapsed.Seconds()), zap.Float64(fieldCores, i.cores))
+		zap.Float64(fieldProcessorUsed, (used-last).Seconds()/elapsed.Seconds()), zap.Float64(fieldCores, i.cores),
+		zap.Int(fieldBusyGateways, i.fleet.busyCount(now)))
 }
 
 // processorTime returns the processor time that the process has used so far; 0 if it is not known.
@@ -65,3 +123,55 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// maxOpenConns returns the highest number of callers' connections for which there are file descriptors; 0 if that is not
+// known.
+func maxOpenConns() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur <= reservedFiles {
+		return 0
+	}
+	const most = 1 << 20
+	return int(min(limit.Cur-reservedFiles, most)) / filesPerConn
+}
+
+const (
+	// busyGatewaysTTL is how long the number of busy gateways stays valid after the leader's reply.
+	busyGatewaysTTL = 3 * time.Second
+	// busyShare is the share of other gateways that are busy from which turning a caller away does not help it.
+	busyShare = 0.5
+)
+
+// A fleetLoad knows how many other gateways have more new connections than they should take, as the leader says. It is
+// safe for concurrent use.
+type fleetLoad struct {
+	// gateways returns the number of gateways, this one included.
+	gateways func() int
+
+	mu   sync.Mutex
+	busy int
+	at   time.Time
+}
+
+// setBusy records how many other gateways are busy.
+func (f *fleetLoad) setBusy(n int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy, f.at = n, now
+}
+
+// busyCount returns the number of other gateways that are busy, 0 if it is not known.
+func (f *fleetLoad) busyCount(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.at) > busyGatewaysTTL {
+		return 0
+	}
+	return f.busy
+}
+
+// isBusy reports whether a caller that is turned away probably meets another busy gateway, or there is no other one.
+func (f *fleetLoad) isBusy(now time.Time) bool {
+	others := f.gateways() - 1
+	return others <= 0 || float64(f.busyCount(now)) >= busyShare*float64(others)
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -68,7 +69,12 @@
 // start binds all addresses and serves them in the background.
 func (l *listeners) start() error {
 	for _, s := range l.servers {
-		bound, err := net.Listen("tcp", s.addr)
+		// Keep-alive probes are set for the connections that are taken, since that takes system calls.
+		config := net.ListenConfig{KeepAlive: -1}
+		if s.wrap == nil {
+			config = net.ListenConfig{}
+		}
+		bound, err := config.Listen(context.Background(), "tcp", s.addr)
 		if err != nil {
 			return eris.Wrapf(err, "gateway: listen on %s", s.addr)
 		}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -9,7 +9,6 @@
 	"rockcleat/clock"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
-	"rockcleat/intake"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -37,6 +36,7 @@
 	lifecycle  *lifecycle
 	conns      *conns
 	intake     *connIntake
+	fleet      *fleetLoad
 	budgets    *retryBudgets
 	peers      *peerClient
 	dispatcher *dispatch.Dispatcher
@@ -74,9 +74,9 @@
 	}
 	p.gateways.regions = s.Regions
 	p.gateways.vm = vmCapacity{cores: s.Cores, linkMbps: s.LinkMbps}
-	p.intake = &connIntake{
-		limiter: intake.New(), clock: o.Clock, log: p.requestLog, cores: s.Cores, observedAt: o.Clock.Now(), processorTime: processorTime(),
-	}
+	p.fleet = &fleetLoad{gateways: p.gateways.count}
+	monitor := overload.New(s.Processor.MaxDelay.Std())
+	p.intake = newConnIntake(s, p.fleet, monitor, o.Clock, p.requestLog)
 	p.conns = newConns(o.Clock, p.config.connLimits, p.intake)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
 	p.peers = newPeerClient(p.gateways, o.Peers)
@@ -100,7 +100,7 @@
 	p.origins = p.newStreamOrigins(ctx, o)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, lastCheck: o.Clock.Now()}
 	p.processor = &processorGuard{
-		monitor: overload.New(s.Processor.MaxDelay.Std()), clock: o.Clock, inProgress: p.lifecycle.requests, log: p.requestLog,
+		monitor: monitor, clock: o.Clock, inProgress: p.lifecycle.requests, fleet: p.fleet, log: p.requestLog,
 	}
 	p.quarantine = p.newQuarantineRole(ctx, o)
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
@@ -245,7 +245,7 @@
 		clock: o.Clock, log: o.Log, quarantine: quarantine.NewLink(p.quarantine.table, quarantine.AllRecords),
 		synced: p.quarantine.synced, limiters: p.limiters, applyGateways: p.applyGateways, urgent: p.urgent,
 		serverLimits: serverlimit.NewLink(p.serverLimits.Table), departures: departure.NewLink(p.departures),
-		endedServers: p.endedServers(s),
+		endedServers: p.endedServers(s), intake: p.intake, fleet: p.fleet,
 	}
 }
 
--- a/internal/gateway/processor.go
+++ b/internal/gateway/processor.go
@@ -22,6 +22,7 @@
 	monitor    *overload.Monitor
 	clock      clock.Service
 	inProgress func() int64
+	fleet      *fleetLoad
 	log        *requestLog
 	// refused counts the requests refused since refusals began.
 	refused atomic.Int64
@@ -97,7 +98,7 @@
 // so before it parses or reads anything. Attempts to resume a stream are served, since the caller has a part of it, and so
 // are requests while the gateway is stopping, whose end bounds the load.
 func (p *proxy) refuseForProcessor(w http.ResponseWriter, r *http.Request) bool {
-	if p.lifecycle.isStopping() || p.namesStream(r) || !p.processor.refuses() {
+	if p.lifecycle.isStopping() || p.namesStream(r) || !p.isForRefusal(r) {
 		return false
 	}
 	refused := notRun("the gateway is short of processor time", retryAfterLoad())
@@ -111,6 +112,18 @@
 	return true
 }
 
+// isForRefusal reports whether a request should be refused because processor time is short. While other gateways have
+// room, the first request of a new connection is not: the connection would not have been accepted.
+func (p *proxy) isForRefusal(r *http.Request) bool {
+	switch admission := p.conns.firstRequest(r.Context()); {
+	case admission == connRefused:
+		return true
+	case admission == connTaken && !p.processor.fleet.isBusy(p.clock.Now()):
+		return false
+	}
+	return p.processor.refuses()
+}
+
 // namesStream reports whether a request names a stream to resume. It does not look at the route, which is not known yet.
 func (p *proxy) namesStream(r *http.Request) bool {
 	return r.Header.Get(p.names.Resumes) != "" || r.Header.Get(headerLastEvent) != ""
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -57,6 +57,9 @@
 	serverLimits *serverlimit.Link
 	// departures exchanges the announcements of servers that they are leaving with the same gateway.
 	departures *departure.Link
+	// intake counts the pending requests; fleet knows how many other gateways have too many.
+	intake *connIntake
+	fleet  *fleetLoad
 	// endedServers returns the IDs of the listed servers that have crashed, or none if the leader does not use them.
 	endedServers func() []string
 	// limiters are notified when the leader has replied. applyGateways applies the leader's list of gateways.
@@ -246,7 +249,7 @@
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
 		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
 		StepSamples: r.dispatcher.TakeStepSamples(), StepsVersion: r.stepsVersion, Ended: r.endedServers(),
-		ServerSamples: r.dispatcher.TakeServerSamples(), FactorsVersion: r.factorsVersion,
+		ServerSamples: r.dispatcher.TakeServerSamples(), FactorsVersion: r.factorsVersion, Busy: r.intake.limiter.IsBusy(r.clock.Now()),
 	}, demands
 }
 
@@ -256,6 +259,7 @@
 		return
 	}
 	r.servers.setResidency(reply)
+	r.fleet.setBusy(reply.BusyGateways, r.clock.Now())
 	r.recordSent(reply, demands)
 	if reply.Gateways != nil {
 		r.applyGateways(reply.Gateways)
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -102,6 +102,10 @@
 	fieldPending             = "pending"
 	fieldProcessorUsed       = "cores_used"
 	fieldCores               = "cores"
+	fieldRefused             = "refused"
+	fieldClosed              = "closed"
+	fieldOpen                = "open"
+	fieldBusyGateways        = "gateways_busy"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
--- a/internal/placer/demand_test.go
+++ b/internal/placer/demand_test.go
@@ -64,3 +64,24 @@
 	list, _ = d.listGateways()
 	assert.Equal(t, len(list), 0)
 }
+
+// TestBusyGateways checks the number of busy gateways in replies, whatever order reports, restarts and
+// losses come in.
+func TestBusyGateways(t *testing.T) {
+	start := time.Unix(1000, 0)
+	d := newDemand()
+	report := func(id string, busy, full bool, after time.Duration) int {
+		r := Report{GatewayID: id, Addr: id + ":1", Hall: "h", Busy: busy, Full: full}
+		d.apply(r, start.Add(after))
+		return d.busyOthers(r)
+	}
+	assert.Equal(t, report("a", true, true, 0), 0, "not itself")
+	assert.Equal(t, report("b", false, true, 0), 1)
+	assert.Equal(t, report("b", true, false, 0), 1)
+	assert.Equal(t, report("b", true, true, 0), 1, "a full report replaces the last one")
+	assert.Equal(t, report("c", false, true, 2*time.Second), 2)
+	assert.Equal(t, report("b", false, false, 2*time.Second), 1)
+	d.removeUnresponsive(start.Add(2*time.Second), time.Second)
+	assert.Equal(t, report("c", false, false, 2*time.Second), 0, "a is lost")
+	assert.Equal(t, report("a", false, true, 2*time.Second), 0)
+}
