--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rockcleat/quarantine"
 	"rockcleat/relay"
 )
 
@@ -48,6 +49,8 @@
 	fixed, holdNext atomic.Bool
 	// env is where restarted servers are listed.
 	env *testEnv
+	// restartTime is the time from the crash of a server to its restart.
+	restartTime time.Duration
 	// mu guards stopped, which says that restarts must no longer be scheduled. restarts counts the pending ones.
 	mu       sync.Mutex
 	stopped  bool
@@ -56,7 +59,7 @@
 
 // newCrashingEnv starts a gateway with n crashing servers.
 func newCrashingEnv(t *testing.T, n int, fallback responder) (*testEnv, *crashingServers) {
-	f := &crashingServers{t: t, fallback: fallback}
+	f := &crashingServers{t: t, fallback: fallback, restartTime: restartTime}
 	var list []*fakeServer
 	for i := range n {
 		list = append(list, f.start(fmt.Sprint("s", i), "127.0.0.1:0", 1))
@@ -92,7 +95,7 @@
 	return server
 }
 
-// restart schedules call after restartTime.
+// restart schedules call after f.restartTime.
 func (f *crashingServers) restart(call func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,7 +103,7 @@
 		return
 	}
 	f.restarts.Add(1)
-	time.AfterFunc(restartTime, func() {
+	time.AfterFunc(f.restartTime, func() {
 		defer f.restarts.Done()
 		call()
 	})
@@ -170,3 +173,16 @@
 	}
 	assert.Assert(t, late <= maxLateSends, "%d of %d servers ended later than %s after the third", late, servers.crashes.Load(), propagationTime)
 }
+
+// TestServersThatRestartBeforeTheyAreProbed guards against crashes that are not noticed because another instance of the
+// server already listens at its address when it is probed.
+func TestServersThatRestartBeforeTheyAreProbed(t *testing.T) {
+	env, servers := newCrashingEnv(t, 8, respond(http.StatusOK, "fine"))
+	servers.restartTime = 0
+	caller := &copySender{env: env, path: pathUnsafe, fronts: []string{env.front}}
+	for range quarantine.DefaultCrashThreshold {
+		assert.Equal(t, caller.send().status, http.StatusBadGateway)
+	}
+	env.awaitLines("request quarantined", 1)
+	caller.checkRefused(servers)
+}
