kv: an entry that was unknown before a restore is no longer ignored for good

Cause: the first list after a restore hides entries that were unknown before, since they may be those of writers that have ended, until they are written again. A writer that wrote its entry between the restore and that list, and has nothing new to say, never changes it.

Evidence: TestEntryWrittenBeforeTheFirstListAfterRestore did not end before.

Such an entry is now hidden for twice the interval within which every running writer writes (6 s on the platform). The platform removes the entry of a writer that has ended after three heartbeats (3.6 s).

--- a/kv/copy.go
+++ b/kv/copy.go
@@ -26,8 +26,15 @@
 	revision Revision
 	// replacement is the value used in its place; nil means that the entry is treated as deleted.
 	replacement []byte
+	// until is when the entry is no longer ignored; the zero value means when it is written again.
+	until time.Time
 }
 
+// unknownEntryIntervals is how many times MaxWriteInterval an entry is ignored that was unknown before a restore. It may
+// be that of a writer that has ended, which the service then removes, or one of a writer that started after the restore
+// and has nothing new to write.
+const unknownEntryIntervals = 2
+
 // matches reports whether e, listed after a further restore, is the entry that was ignored before:
 // the service was restored twice from the same backup.
 func (s staleEntry) matches(e Entry) bool {
@@ -49,7 +56,7 @@
 // mergeRestored merges the service's first list after a restore with the entries known before. A
 // known entry is not replaced by an older one. An entry that the backup lacks is kept until its
 // writer has had time to write it again. An entry of the backup that was unknown or deleted before
-// is ignored until it is written again.
+// is ignored until it is written again, or for unknownEntryIntervals.
 func (l *changeLog) mergeRestored(entries []Entry, at Revision, w PeriodicWriters, now time.Time) []Entry {
 	merged := make([]Entry, 0, len(l.entries))
 	listed := make(map[string]bool, len(entries))
@@ -59,7 +66,7 @@
 		listed[e.Key] = true
 		before, known := l.entries[e.Key]
 		if !known {
-			l.stale[e.Key] = staleEntry{revision: e.Revision}
+			l.stale[e.Key] = staleEntry{revision: e.Revision, until: now.Add(unknownEntryIntervals * w.MaxWriteInterval())}
 			continue
 		}
 		if previousStale[e.Key].matches(e) || isOlder(e, before, w) {
@@ -121,8 +128,8 @@
 }
 
 // limitToMissing shortens the wait of a watch so that the watch ends when a missing entry need no
-// longer be kept. If that time has passed for one, it stops keeping all of them and returns relist:
-// the caller must list the prefix again.
+// longer be kept, or an unknown one no longer be ignored. If that time has passed for one, it stops
+// keeping or ignoring it and returns relist: the caller must list the prefix again.
 func (f *Fanout) limitToMissing(prefix string, wait time.Duration) (remaining time.Duration, relist bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -135,5 +142,19 @@
 		}
 		wait = min(wait, until.Sub(now))
 	}
+	for key, stale := range l.stale {
+		if stale.until.IsZero() {
+			continue
+		}
+		if !now.Before(stale.until) {
+			delete(l.stale, key)
+			relist = true
+			continue
+		}
+		wait = min(wait, stale.until.Sub(now))
+	}
+	if relist {
+		return 0, true
+	}
 	return wait, false
 }
--- a/kv/copy_test.go
+++ b/kv/copy_test.go
@@ -207,3 +207,24 @@
 func (noopFollower) Apply([]kv.Event)   {}
 func (noopFollower) Unreachable(error)  {}
 func (noopFollower) Reachable()         {}
+
+// TestEntryWrittenBeforeTheFirstListAfterRestore guards against an entry that is ignored for good because its writer wrote
+// it between the restore and the first list, and then had nothing new to write.
+func TestEntryWrittenBeforeTheFirstListAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestorableService(t)
+		s.store.Set("s/a", []byte("1"))
+		backup := s.store.Backup()
+		s.list()
+		s.store.Restore(backup)
+		s.store.Set("s/started", []byte("1"))
+		restored := time.Now()
+		for s.list()["s/started"] == "" {
+			assert.Assert(t, time.Since(restored) <= 3*writeInterval, "it is still ignored")
+			_, err := s.watch()
+			assert.ErrorIs(t, err, kv.ErrCompacted)
+		}
+		assert.Assert(t, time.Since(restored) >= writeInterval, "it could be that of a writer that has ended")
+		assert.DeepEqual(t, s.list(), map[string]string{"s/a": "1", "s/started": "1"})
+	})
+}
