gateway: whether to close a connection depends on the share that others turn away

Cause: a gateway took the fleet for full when half of the others were busy, and busy was one connection over the limit in a second. Near the fleet's capacity that is every gateway, while most of their connections are still taken; the favoured gateway then refused after reading.

Reports now hold the percentage of new connections over the limit, replies the mean over the others: the probability that a caller is turned away again. Below a half, connections are closed.

--- a/intake/limiter.go
+++ b/intake/limiter.go
@@ -27,8 +27,11 @@
 	// minRate is the rate at which every process is expected to hand on requests, per second. It sets the number of
 	// requests that may be pending before the rate is known.
 	minRate = 160
-	// busyTime is how long a process counts as busy after it has been so.
-	busyTime = time.Second
+	// rateWindow is the time over which the rate of requests that are handed on is measured. It is several times the period
+	// of a processor quota.
+	rateWindow = 300 * time.Millisecond
+	// decisionWindow is the time over which the share of connections that are too many is measured.
+	decisionWindow = time.Second
 )
 
 // Conditions are what a decision about a new connection depends on, besides the pending requests.
@@ -51,21 +54,27 @@
 	mu sync.Mutex
 	// pending is the number of pending requests, peak its maximum since the last call of TakePeak.
 	pending, peak int
-	handedOn      rateCounter
-	// busyAt is the time at which the limiter last was over its limit.
-	busyAt time.Time
+	handedOn      windowCounter
+	// decisions counts the new connections, excess those that were too many while other processes have room.
+	decisions, excess windowCounter
 }
 
 // New returns a Limiter that lets requests be pending for about maxDelay at most. If maxDelay is 0, it takes all
 // connections.
-func New(maxDelay time.Duration) *Limiter { return &Limiter{maxDelay: maxDelay} }
+func New(maxDelay time.Duration) *Limiter {
+	return &Limiter{
+		maxDelay: maxDelay, handedOn: windowCounter{window: rateWindow},
+		decisions: windowCounter{window: decisionWindow}, excess: windowCounter{window: decisionWindow},
+	}
+}
 
 // Decide decides about a new connection. For a connection that is not closed, the caller must call Begin.
 func (l *Limiter) Decide(c Conditions) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.decisions.add(c.Now)
 	if c.MaxOpen > 0 && c.Open >= c.MaxOpen {
-		l.busyAt = c.Now
+		l.excess.add(c.Now)
 		return Close
 	}
 	if l.maxDelay <= 0 || l.pending == 0 {
@@ -75,7 +84,7 @@
 	if !isLate && l.pending < l.limit(closeFraction, c.Now) {
 		return Take
 	}
-	l.busyAt = c.Now
+	l.excess.add(c.Now)
 	switch {
 	case !c.OthersBusy, l.pending >= l.limit(flood, c.Now):
 		return Close
@@ -91,11 +100,12 @@
 	return int(rate * fraction * l.maxDelay.Seconds())
 }
 
-// IsBusy reports whether the process has lately had more connections than it should take while others have room.
-func (l *Limiter) IsBusy(now time.Time) bool {
+// ExcessShare returns the share of the new connections in the last decisionWindow that were more than the process should
+// take while others have room, from 0 to 1. It does not depend on whether others have.
+func (l *Limiter) ExcessShare(now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.busyAt.IsZero() && now.Sub(l.busyAt) < busyTime
+	return float64(l.excess.count(now)) / float64(max(l.decisions.count(now), 1))
 }
 
 // Begin records that a request has become pending.
--- a/intake/limiter_test.go
+++ b/intake/limiter_test.go
@@ -93,8 +93,8 @@
 			}
 			test.conditions.Now = now
 			assert.Equal(t, l.Decide(test.conditions), test.want)
-			assert.Equal(t, l.IsBusy(now.Add(900*ms)), test.busy)
-			assert.Assert(t, !l.IsBusy(now.Add(time.Second)), "a process is busy for a second")
+			assert.Equal(t, l.ExcessShare(now.Add(800*ms)) == 1, test.busy)
+			assert.Equal(t, l.ExcessShare(now.Add(1100*ms)), 0.0, "it counts for a second")
 		})
 	}
 }
--- a/intake/rate.go
+++ b/intake/rate.go
@@ -2,43 +2,45 @@
 
 import "time"
 
-const (
-	// rateWindow is the time over which rates are measured. It is several times the period of a processor quota.
-	rateWindow = 300 * time.Millisecond
-	// rateBuckets is the number of parts of rateWindow whose events are counted separately.
-	rateBuckets = 10
-)
+// windowBuckets is the number of parts of a window whose events are counted separately.
+const windowBuckets = 10
 
-// A rateCounter measures the rate of events over rateWindow.
-type rateCounter struct {
-	counts [rateBuckets]int
+// A windowCounter counts the events of the last window.
+type windowCounter struct {
+	window time.Duration
+	counts [windowBuckets]int
 	// last is the number of the bucket of the last event, counted from time zero.
 	last int64
 }
 
-func (c *rateCounter) add(now time.Time) {
+func (c *windowCounter) add(now time.Time) {
 	c.advance(now)
-	c.counts[c.last%rateBuckets]++
+	c.counts[c.last%windowBuckets]++
 }
 
-// perSecond returns the rate of events per second.
-func (c *rateCounter) perSecond(now time.Time) float64 {
+// count returns the number of events in the last window.
+func (c *windowCounter) count(now time.Time) int {
 	c.advance(now)
 	sum := 0
 	for _, n := range c.counts {
 		sum += n
 	}
-	return float64(sum) / rateWindow.Seconds()
+	return sum
+}
+
+// perSecond returns the rate of events per second.
+func (c *windowCounter) perSecond(now time.Time) float64 {
+	return float64(c.count(now)) / c.window.Seconds()
 }
 
-// advance clears the buckets that are older than rateWindow.
-func (c *rateCounter) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(rateWindow/rateBuckets)
-	if bucket-c.last >= rateBuckets {
+// advance clears the buckets that are older than the window.
+func (c *windowCounter) advance(now time.Time) {
+	bucket := now.UnixNano() / int64(c.window/windowBuckets)
+	if bucket-c.last >= windowBuckets {
 		clear(c.counts[:])
 		c.last = bucket
 	}
 	for ; c.last < bucket; c.last++ {
-		c.counts[(c.last+1)%rateBuckets] = 0
+		c.counts[(c.last+1)%windowBuckets] = 0
 	}
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -252,18 +252,18 @@
 // with nothing read while other gateways have room, and otherwise its request is refused.
 func TestConnectionOverTheLimit(t *testing.T) {
 	tests := map[string]struct {
-		busyGateways int
+		othersExcess float64
 		want         connResult
 		moves        bool
 	}{
-		"the others have room":   {want: connClosed, moves: true},
-		"one of two others":      {busyGateways: 1, want: connRefused},
-		"all gateways are alike": {busyGateways: 2, want: connRefused},
+		"the others have room":              {want: connClosed, moves: true},
+		"the others turn few callers away":  {othersExcess: 0.49, want: connClosed, moves: true},
+		"the others turn half of them away": {othersExcess: 0.5, want: connRefused},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			i := newTestIntake()
-			i.fleet.setBusy(test.busyGateways, time.Now())
+			i.fleet.setExcess(test.othersExcess, time.Now())
 			for range 50 {
 				i.limiter.Begin()
 			}
@@ -297,15 +297,15 @@
 	}
 }
 
-// TestOldNewsOfBusyGateways checks that a gateway without a leader closes connections again, and that one without others
+// TestOldNewsOfOtherGateways checks that a gateway without a leader closes connections again, and that one without others
 // never does.
-func TestOldNewsOfBusyGateways(t *testing.T) {
+func TestOldNewsOfOtherGateways(t *testing.T) {
 	now := time.Now()
 	f := &fleetLoad{gateways: func() int { return 3 }}
 	assert.Assert(t, !f.isBusy(now))
-	f.setBusy(2, now)
-	assert.Assert(t, f.isBusy(now.Add(busyGatewaysTTL)))
-	assert.Assert(t, !f.isBusy(now.Add(busyGatewaysTTL+1)))
+	f.setExcess(1, now)
+	assert.Assert(t, f.isBusy(now.Add(excessTTL)))
+	assert.Assert(t, !f.isBusy(now.Add(excessTTL+1)))
 	f.gateways = func() int { return 1 }
 	assert.Assert(t, f.isBusy(now.Add(time.Hour)))
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -91,7 +91,7 @@
 // movesCallers reports whether connections should be closed after their current response, because the gateway has more
 // connections than it should take and others have room. Their callers connect again, mostly elsewhere.
 func (i *connIntake) movesCallers(now time.Time) bool {
-	return i.limiter.IsBusy(now) && !i.fleet.isBusy(now)
+	return i.limiter.ExcessShare(now) > 0 && !i.fleet.isBusy(now)
 }
 
 // release records that a connection which was not closed at once is closed.
@@ -112,7 +112,7 @@
 		zap.Int64(fieldOpen, i.open.Load()), zap.Int(fieldPending, peak),
 		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldTotal, elapsed.Seconds()),
 		zap.Float64(fieldProcessorUsed, (used-last).Seconds()/elapsed.Seconds()), zap.Float64(fieldCores, i.cores),
-		zap.Int(fieldBusyGateways, i.fleet.busyCount(now)))
+		zap.Float64(fieldOthersExcess, i.fleet.excessShare(now)))
 }
 
 // processorTime returns the processor time that the process has used so far; 0 if it is not known.
@@ -136,42 +136,41 @@
 }
 
 const (
-	// busyGatewaysTTL is how long the number of busy gateways stays valid after the leader's reply.
-	busyGatewaysTTL = 3 * time.Second
-	// busyShare is the share of other gateways that are busy from which turning a caller away does not help it.
-	busyShare = 0.5
+	// excessTTL is how long the share of connections that other gateways turn away stays valid after the leader's reply.
+	excessTTL = 3 * time.Second
+	// maxUsefulExcess is the share from which turning a caller away does not help it: others probably do the same.
+	maxUsefulExcess = 0.5
 )
 
-// A fleetLoad knows how many other gateways have more new connections than they should take, as the leader says. It is
-// safe for concurrent use.
+// A fleetLoad knows which share of new connections the other gateways turn away, as the leader says. It is safe for
+// concurrent use.
 type fleetLoad struct {
 	// gateways returns the number of gateways, this one included.
 	gateways func() int
 
-	mu   sync.Mutex
-	busy int
-	at   time.Time
+	mu     sync.Mutex
+	excess float64
+	at     time.Time
 }
 
-// setBusy records how many other gateways are busy.
-func (f *fleetLoad) setBusy(n int, now time.Time) {
+// setExcess records the share of new connections that other gateways turn away, from 0 to 1.
+func (f *fleetLoad) setExcess(share float64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.busy, f.at = n, now
+	f.excess, f.at = share, now
 }
 
-// busyCount returns the number of other gateways that are busy, 0 if it is not known.
-func (f *fleetLoad) busyCount(now time.Time) int {
+// excessShare returns the share of new connections that other gateways turn away, 0 if it is not known.
+func (f *fleetLoad) excessShare(now time.Time) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.at) > busyGatewaysTTL {
+	if now.Sub(f.at) > excessTTL {
 		return 0
 	}
-	return f.busy
+	return f.excess
 }
 
-// isBusy reports whether a caller that is turned away probably meets another busy gateway, or there is no other one.
+// isBusy reports whether a caller that is turned away is probably turned away again, or there is no other gateway.
 func (f *fleetLoad) isBusy(now time.Time) bool {
-	others := f.gateways() - 1
-	return others <= 0 || float64(f.busyCount(now)) >= busyShare*float64(others)
+	return f.gateways() <= 1 || f.excessShare(now) >= maxUsefulExcess
 }
--- a/internal/gateway/reporter.go
+++ b/internal/gateway/reporter.go
@@ -57,7 +57,7 @@
 	serverLimits *serverlimit.Link
 	// departures exchanges the announcements of servers that they are leaving with the same gateway.
 	departures *departure.Link
-	// intake counts the pending requests; fleet knows how many other gateways have too many.
+	// intake decides about new connections; fleet knows how many of theirs the other gateways turn away.
 	intake *connIntake
 	fleet  *fleetLoad
 	// endedServers returns the IDs of the listed servers that have crashed, or none if the leader does not use them.
@@ -249,7 +249,7 @@
 		GatewaysVersion: r.gatewaysVersion, Loads: r.dispatcher.Loads(), Demands: changed, Full: r.reported == nil,
 		Samples: r.dispatcher.TakePrefillSamples(), SpeedsVersion: r.speedsVersion,
 		StepSamples: r.dispatcher.TakeStepSamples(), StepsVersion: r.stepsVersion, Ended: r.endedServers(),
-		ServerSamples: r.dispatcher.TakeServerSamples(), FactorsVersion: r.factorsVersion, Busy: r.intake.limiter.IsBusy(r.clock.Now()),
+		ServerSamples: r.dispatcher.TakeServerSamples(), FactorsVersion: r.factorsVersion, ExcessPercent: int(100 * r.intake.limiter.ExcessShare(r.clock.Now())),
 	}, demands
 }
 
@@ -259,7 +259,7 @@
 		return
 	}
 	r.servers.setResidency(reply)
-	r.fleet.setBusy(reply.BusyGateways, r.clock.Now())
+	r.fleet.setExcess(float64(reply.ExcessPercent)/100, r.clock.Now())
 	r.recordSent(reply, demands)
 	if reply.Gateways != nil {
 		r.applyGateways(reply.Gateways)
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -105,7 +105,7 @@
 	fieldRefused             = "refused"
 	fieldClosed              = "closed"
 	fieldOpen                = "open"
-	fieldBusyGateways        = "gateways_busy"
+	fieldOthersExcess        = "others_turned_away"
 )
 
 // Rate limits of log lines, in lines per second, and their bursts, in lines.
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -60,8 +60,8 @@
 	adapterLastUsed map[backend.Adapter]time.Time
 	// loads is the total load of all gateways at each server.
 	loads loadTotals
-	// busy is the number of gateways whose last report has Busy set.
-	busy int
+	// excessPercents is the sum of Report.ExcessPercent of all gateways.
+	excessPercents int
 }
 
 func newDemand() *demand {
@@ -81,7 +81,7 @@
 		return
 	}
 	d.loads.update(g.report.Loads, r.Loads)
-	d.countBusy(g.report.Busy, r.Busy)
+	d.excessPercents += r.ExcessPercent - g.report.ExcessPercent
 	for name, current := range r.Demands {
 		previous := g.demands[name]
 		if current.Arrived < previous.Arrived {
@@ -105,31 +105,18 @@
 func (d *demand) reset(previous *gateway, r Report, now time.Time) {
 	if previous != nil {
 		d.loads.update(previous.report.Loads, nil)
-		d.countBusy(previous.report.Busy, false)
+		d.excessPercents -= previous.report.ExcessPercent
 	}
 	g := &gateway{demands: make(map[string]dispatch.Demand)}
 	d.gateways[r.GatewayID] = g
 	d.loads.update(nil, r.Loads)
-	d.countBusy(false, r.Busy)
+	d.excessPercents += r.ExcessPercent
 	g.apply(r, now)
 }
 
-// countBusy updates the number of busy gateways with the last state of one and its new state.
-func (d *demand) countBusy(last, current bool) {
-	if last {
-		d.busy--
-	}
-	if current {
-		d.busy++
-	}
-}
-
-// busyOthers returns the number of busy gateways without the one that sent a report, which has been applied.
-func (d *demand) busyOthers(r Report) int {
-	if r.Busy {
-		return d.busy - 1
-	}
-	return d.busy
+// excessOfOthers returns the mean of Report.ExcessPercent without the gateway that sent a report, which has been applied.
+func (d *demand) excessOfOthers(r Report) int {
+	return (d.excessPercents - r.ExcessPercent) / max(len(d.gateways)-1, 1)
 }
 
 // apply stores a report. Demands that it omits are unchanged.
@@ -197,7 +184,7 @@
 	for id, g := range d.gateways {
 		if now.Sub(g.reportedAt) > timeout {
 			d.loads.update(g.report.Loads, nil)
-			d.countBusy(g.report.Busy, false)
+			d.excessPercents -= g.report.ExcessPercent
 			delete(d.gateways, id)
 		}
 	}
--- a/internal/placer/demand_test.go
+++ b/internal/placer/demand_test.go
@@ -65,23 +65,22 @@
 	assert.Equal(t, len(list), 0)
 }
 
-// TestBusyGateways checks the number of busy gateways in replies, whatever order reports, restarts and
-// losses come in.
-func TestBusyGateways(t *testing.T) {
+// TestExcessOfOtherGateways checks the mean in replies, whatever order reports, restarts and losses come in.
+func TestExcessOfOtherGateways(t *testing.T) {
 	start := time.Unix(1000, 0)
 	d := newDemand()
-	report := func(id string, busy, full bool, after time.Duration) int {
-		r := Report{GatewayID: id, Addr: id + ":1", Hall: "h", Busy: busy, Full: full}
+	report := func(id string, percent int, full bool, after time.Duration) int {
+		r := Report{GatewayID: id, Addr: id + ":1", Hall: "h", ExcessPercent: percent, Full: full}
 		d.apply(r, start.Add(after))
-		return d.busyOthers(r)
+		return d.excessOfOthers(r)
 	}
-	assert.Equal(t, report("a", true, true, 0), 0, "not itself")
-	assert.Equal(t, report("b", false, true, 0), 1)
-	assert.Equal(t, report("b", true, false, 0), 1)
-	assert.Equal(t, report("b", true, true, 0), 1, "a full report replaces the last one")
-	assert.Equal(t, report("c", false, true, 2*time.Second), 2)
-	assert.Equal(t, report("b", false, false, 2*time.Second), 1)
+	assert.Equal(t, report("a", 90, true, 0), 0, "not itself")
+	assert.Equal(t, report("b", 0, true, 0), 90)
+	assert.Equal(t, report("b", 30, false, 0), 90)
+	assert.Equal(t, report("b", 50, true, 0), 90, "a full report replaces the last one")
+	assert.Equal(t, report("c", 0, true, 2*time.Second), 70)
+	assert.Equal(t, report("b", 0, false, 2*time.Second), 45)
 	d.removeUnresponsive(start.Add(2*time.Second), time.Second)
-	assert.Equal(t, report("c", false, false, 2*time.Second), 0, "a is lost")
-	assert.Equal(t, report("a", false, true, 2*time.Second), 0)
+	assert.Equal(t, report("c", 0, false, 2*time.Second), 0, "a is lost")
+	assert.Equal(t, report("a", 0, true, 2*time.Second), 0)
 }
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -38,8 +38,9 @@
 	// Ended lists the IDs of registered servers that this gateway has found to have ended: connections to their
 	// addresses are refused.
 	Ended []string `json:"ended,omitempty"`
-	// Busy is set while the gateway has more new connections than it should take.
-	Busy bool `json:"busy,omitempty"`
+	// ExcessPercent is the percentage of the gateway's new connections that are more than it should take while others have
+	// room.
+	ExcessPercent int `json:"excess,omitempty"`
 	// ServerSamples are observations of the speeds of servers. FactorsVersion is the version of the servers' factors
 	// that the gateway has, NoFactors if it has none, and 0 if it does not use them.
 	ServerSamples  []serverspeed.Sample `json:"servers,omitempty"`
@@ -69,8 +70,8 @@
 	// Awaited is the number of listed gateways that were known before the leader's term and have not reported
 	// in it.
 	Awaited int `json:"awaited,omitempty"`
-	// BusyGateways is the number of other gateways whose last report has Busy set.
-	BusyGateways int `json:"busy,omitempty"`
+	// ExcessPercent is the mean of Report.ExcessPercent over all other gateways.
+	ExcessPercent int `json:"excess,omitempty"`
 	// Loads is the load of the other gateways at each server. BusiestOnly reports whether the list is limited
 	// to the busiest servers.
 	Loads       map[string]dispatch.Load `json:"loads,omitempty"`
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -174,7 +174,7 @@
 	reply := Reply{IsLeader: true, Term: token, ResidencyVersion: p.residency.version}
 	reply.Loads, reply.BusiestOnly = p.demand.loads.excluding(r.Loads, now)
 	reply.Awaited = len(p.demand.awaited)
-	reply.BusyGateways = p.demand.busyOthers(r)
+	reply.ExcessPercent = p.demand.excessOfOthers(r)
 	gateways, version := p.demand.listGateways()
 	reply.GatewaysVersion = version
 	if r.GatewaysVersion != version {
