--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -90,7 +90,7 @@
 			h[name] = nil
 		}
 	}
-	if f.proxy.lifecycle.isStopping() || f.proxy.conns.intake.movesCallers(f.record.firstByte) {
+	if f.proxy.lifecycle.isStopping() || f.proxy.conns.intake.movesCaller(f.record.firstByte) {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -84,10 +84,11 @@
 	return result
 }
 
-// movesCallers reports whether connections should be closed after their current response, because the gateway has more
-// connections than it should take and others have room. Their callers connect again, mostly elsewhere.
-func (i *connIntake) movesCallers(now time.Time) bool {
-	return i.limiter.ExcessShare(now) > 0 && !i.fleet.isBusy(now)
+// movesCaller reports whether a connection should be closed after its current response, because the gateway has more
+// connections than it should take and others have room. Its caller connects again, mostly elsewhere. The share of
+// connections that are moved is that of the new ones that are turned away.
+func (i *connIntake) movesCaller(now time.Time) bool {
+	return rand.Float64() < i.limiter.ExcessShare(now) && !i.fleet.isBusy(now)
 }
 
 // conditions returns the present conditions of a decision.
