gateway, placer, kv: one lookup of a caller's connection, one update of the totals, true names

Four functions looked the connection of a request up in the same words; callerOf does it for all. Loads and excess of gateways were kept in step at four places; demand.updateTotals replaces a report in both. limitToMissing also ends the time of ignored entries and is limitToRestore.

No change of behaviour. Lint, the tests of kv, placer, intake and docs, and those of the gateway's connections and processor passed.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -18,6 +18,12 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// callerOf returns the connection in the context of a request, if it is a caller's.
+func callerOf(ctx context.Context) (*callerConn, bool) {
+	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	return caller, ok
+}
+
 // conns tracks callers' open connections, and ends those that are idle for too long or send a header too slowly. Unlike
 // the timeouts of http.Server, its limits may change while a connection is open. It is safe for concurrent use.
 type conns struct {
@@ -88,7 +94,7 @@
 // firstRequest returns what was decided about the connection in ctx when it was accepted, if its current request is the
 // first one; otherwise the empty result.
 func (c *conns) firstRequest(ctx context.Context) connResult {
-	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	caller, ok := callerOf(ctx)
 	if !ok {
 		return ""
 	}
@@ -97,7 +103,7 @@
 
 // handOn returns a function that records that the request on the connection in ctx is no longer pending.
 func (c *conns) handOn(ctx context.Context) func() {
-	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	caller, ok := callerOf(ctx)
 	if !ok {
 		return func() {}
 	}
@@ -106,7 +112,7 @@
 
 // awaitBody records that the request on the connection in ctx waits for its body, until the returned function is called.
 func (c *conns) awaitBody(ctx context.Context) (arrived func()) {
-	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	caller, ok := callerOf(ctx)
 	if !ok {
 		return func() {}
 	}
@@ -116,7 +122,7 @@
 // beginRequest records that a complete request header was read on the connection in ctx, and reports whether the
 // request may be served.
 func (c *conns) beginRequest(ctx context.Context) bool {
-	caller, ok := ctx.Value(connKey{}).(*callerConn)
+	caller, ok := callerOf(ctx)
 	return !ok || caller.beginRequest()
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -69,10 +69,10 @@
 // start binds all addresses and serves them in the background.
 func (l *listeners) start() error {
 	for _, s := range l.servers {
-		// Keep-alive probes are set for the connections that are taken, since that takes system calls.
-		config := net.ListenConfig{KeepAlive: -1}
-		if s.wrap == nil {
-			config = net.ListenConfig{}
+		var config net.ListenConfig
+		if s.wrap != nil {
+			// Keep-alive probes are set for the connections that are taken, since that takes system calls.
+			config.KeepAlive = -1
 		}
 		bound, err := config.Listen(context.Background(), "tcp", s.addr)
 		if err != nil {
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -80,8 +80,7 @@
 		d.reset(g, r, now)
 		return
 	}
-	d.loads.update(g.report.Loads, r.Loads)
-	d.excessPercents += r.ExcessPercent - g.report.ExcessPercent
+	d.updateTotals(g.report, r)
 	for name, current := range r.Demands {
 		previous := g.demands[name]
 		if current.Arrived < previous.Arrived {
@@ -104,16 +103,20 @@
 // reset replaces the state of a gateway with a report. previous is the state so far, or nil.
 func (d *demand) reset(previous *gateway, r Report, now time.Time) {
 	if previous != nil {
-		d.loads.update(previous.report.Loads, nil)
-		d.excessPercents -= previous.report.ExcessPercent
+		d.updateTotals(previous.report, Report{})
 	}
 	g := &gateway{demands: make(map[string]dispatch.Demand)}
 	d.gateways[r.GatewayID] = g
-	d.loads.update(nil, r.Loads)
-	d.excessPercents += r.ExcessPercent
+	d.updateTotals(Report{}, r)
 	g.apply(r, now)
 }
 
+// updateTotals replaces a gateway's last report by the current one in the totals of all gateways.
+func (d *demand) updateTotals(last, current Report) {
+	d.loads.update(last.Loads, current.Loads)
+	d.excessPercents += current.ExcessPercent - last.ExcessPercent
+}
+
 // excessOfOthers returns the mean of Report.ExcessPercent without the gateway that sent a report, which has been applied.
 func (d *demand) excessOfOthers(r Report) int {
 	return (d.excessPercents - r.ExcessPercent) / max(len(d.gateways)-1, 1)
@@ -183,8 +186,7 @@
 	}
 	for id, g := range d.gateways {
 		if now.Sub(g.reportedAt) > timeout {
-			d.loads.update(g.report.Loads, nil)
-			d.excessPercents -= g.report.ExcessPercent
+			d.updateTotals(g.report, Report{})
 			delete(d.gateways, id)
 		}
 	}
--- a/kv/copy.go
+++ b/kv/copy.go
@@ -127,10 +127,10 @@
 	return list
 }
 
-// limitToMissing shortens the wait of a watch so that the watch ends when a missing entry need no
+// limitToRestore shortens the wait of a watch so that the watch ends when a missing entry need no
 // longer be kept, or an unknown one no longer be ignored. If that time has passed for one, it stops
 // keeping or ignoring it and returns relist: the caller must list the prefix again.
-func (f *Fanout) limitToMissing(prefix string, wait time.Duration) (remaining time.Duration, relist bool) {
+func (f *Fanout) limitToRestore(prefix string, wait time.Duration) (remaining time.Duration, relist bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.log(prefix)
--- a/kv/fanout_view.go
+++ b/kv/fanout_view.go
@@ -209,7 +209,7 @@
 	case !watcher && f.opts.IsRelay != nil && f.opts.IsRelay():
 		wait = min(wait, f.relayWait(prefix))
 	}
-	wait, relist := f.limitToMissing(prefix, wait)
+	wait, relist := f.limitToRestore(prefix, wait)
 	if relist {
 		return nil, after, ErrCompacted
 	}
