lab: a free port is not probed while a process starts

Cause: FreeAddr listens at a port, closes the listener and returns the address. A process that is started meanwhile gets a copy of the listener and keeps it until it runs its program, some milliseconds on a busy machine. Ruled out: two processes with the same host (the hosts follow from process IDs), ports of outgoing connections (the range lies below theirs).

Change: the probe holds syscall.ForkLock, which the start of a process takes until the new process runs its program.

--- a/internal/lab/addr.go
+++ b/internal/lab/addr.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -35,15 +36,25 @@
 	for range portCount {
 		port := firstPort + a.next.Add(1)%portCount
 		addr := net.JoinHostPort(a.host, strconv.FormatInt(port, 10))
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
+		if isFree(addr) {
+			return addr, nil
 		}
-		return addr, eris.Wrap(l.Close(), "lab: close the listener that probed a port")
 	}
 	return "", eris.New("lab: no free port in the lab's range")
 }
 
+// isFree reports whether a process can listen on an address. It holds the lock that delays new processes, since a process
+// that starts meanwhile would hold a copy of the listener until it runs its program.
+func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
+}
+
 var addrs = newAddrAllocator(os.Getpid())
 
 // FreeAddr returns a loopback address whose port is free at present. Running processes that call it get
--- a/internal/lab/addr_test.go
+++ b/internal/lab/addr_test.go
@@ -1,6 +1,10 @@
 package lab
 
 import (
+	"net"
+	"os"
+	"os/exec"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -37,3 +41,34 @@
 		})
 	}
 }
+
+// TestFreeAddrIsFreeWhileProcessesStart guards against a returned address that is still in use: a process that starts
+// while its port is probed holds a copy of the listener until it has replaced its program.
+func TestFreeAddrIsFreeWhileProcessesStart(t *testing.T) {
+	const addrs, starters = 20000, 4
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	for range starters {
+		running.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					// The program lists no test and exits at once.
+					assert.Check(t, exec.Command(os.Args[0], "-test.list=^$").Run())
+				}
+			}
+		})
+	}
+	defer running.Wait()
+	defer close(done)
+	a := newAddrAllocator(os.Getpid())
+	for range addrs {
+		addr, err := a.freeAddr()
+		assert.NilError(t, err)
+		l, err := net.Listen("tcp", addr)
+		assert.NilError(t, err)
+		assert.NilError(t, l.Close())
+	}
+}
