gateway: the decision about a connection applies to its first request only

What callers saw: a 503, not run, for the second request of a connection, although the gateway had processor time for it.

Cause: what is decided when a connection is accepted is taken by its first request that gets as far as the question whether to refuse it. A first request that resumes a stream, or comes to a gateway that is stopping, was served before that question, so the second one took the decision.

Why it works: each request takes the decision before anything else is asked.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -91,9 +91,9 @@
 	}
 }
 
-// firstRequest returns what was decided about the connection in ctx when it was accepted, if its current request is the
-// first one; otherwise the empty result.
-func (c *conns) firstRequest(ctx context.Context) connResult {
+// takeAdmission returns what was decided about the connection in ctx when it was accepted, and the empty result in later
+// calls.
+func (c *conns) takeAdmission(ctx context.Context) connResult {
 	caller, ok := callerOf(ctx)
 	if !ok {
 		return ""
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -309,3 +310,21 @@
 	f.gateways = func() int { return 1 }
 	assert.Assert(t, f.isBusy(now.Add(time.Hour)))
 }
+
+// TestSecondRequestOfRefusedConnection guards against a refusal of the second request of a connection that was to refuse
+// its first one, which resumed a stream and was served.
+func TestSecondRequestOfRefusedConnection(t *testing.T) {
+	i := newTestIntake()
+	c := newConns(clocktest.Real{}, nil, i)
+	server, _ := newConnPair(t, c)
+	server.admission = connRefused
+	p := &proxy{
+		names: wire.HeaderNames{Resumes: "Resumes"}, lifecycle: &lifecycle{}, conns: c, clock: clocktest.Real{},
+		processor: &processorGuard{monitor: i.monitor, fleet: i.fleet}, requestLog: i.log,
+	}
+	request := httptest.NewRequestWithContext(withConn(t.Context(), server), http.MethodGet, "/", nil)
+	resumption := request.Clone(request.Context())
+	resumption.Header.Set("Resumes", "1")
+	assert.Assert(t, !p.refuseForProcessor(httptest.NewRecorder(), resumption))
+	assert.Assert(t, !p.refuseForProcessor(httptest.NewRecorder(), request))
+}
--- a/internal/gateway/processor.go
+++ b/internal/gateway/processor.go
@@ -98,7 +98,8 @@
 // so before it parses or reads anything. Attempts to resume a stream are served, since the caller has a part of it, and so
 // are requests while the gateway is stopping, whose end bounds the load.
 func (p *proxy) refuseForProcessor(w http.ResponseWriter, r *http.Request) bool {
-	if p.lifecycle.isStopping() || p.namesStream(r) || !p.isForRefusal(r) {
+	admission := p.conns.takeAdmission(r.Context())
+	if p.lifecycle.isStopping() || p.namesStream(r) || !p.isForRefusal(admission) {
 		return false
 	}
 	refused := notRun("the gateway is short of processor time", retryAfterLoad())
@@ -112,10 +113,11 @@
 	return true
 }
 
-// isForRefusal reports whether a request should be refused because processor time is short. While other gateways have
-// room, the first request of a new connection is not: the connection would not have been accepted.
-func (p *proxy) isForRefusal(r *http.Request) bool {
-	switch admission := p.conns.firstRequest(r.Context()); {
+// isForRefusal reports whether a request should be refused because processor time is short, given what was decided about
+// its connection. While other gateways have room, the first request of a new connection is not: the connection would not
+// have been accepted.
+func (p *proxy) isForRefusal(admission connResult) bool {
+	switch {
 	case admission == connRefused:
 		return true
 	case admission == connTaken && !p.processor.fleet.isBusy(p.clock.Now()):
