gateway: a decision to refuse does not outlast the load on a connection that was not used

What callers saw: a 503 for want of processor time from a gateway whose log says that refusals have ended.

Cause: whether the first request of a connection is refused is decided when the connection is accepted. An HTTP client opens more connections than it uses while responses are slow, and keeps the others. Such a connection kept the decision until its first request, whenever that came.

Why it works: the decision lapses when the connection has waited for its caller for more than a round trip and a retransmission. Time that a request waits for the process does not count. The request is then treated as a later one of the connection: refused only if the process is short of processor time at that moment.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -64,12 +64,19 @@
 	// pending reports whether the connection counts as a pending request: it needs work of this process before its request
 	// can be handed on.
 	pending bool
-	// admission is what was decided about the connection, until its first request is served; empty afterwards.
+	// admission is what was decided about the connection, until its first request is served or admissionTTL has passed; empty
+	// afterwards.
 	admission connResult
+	// awaitedSince is the time at which the connection began to wait for its first byte.
+	awaitedSince time.Time
 	// released is set when the connection no longer counts as open.
 	released bool
 }
 
+// admissionTTL is how long the decision about a connection applies while its caller sends nothing: a round trip and a
+// retransmission. Callers that keep connections for later open more of them than they need when responses are slow.
+const admissionTTL = 500 * time.Millisecond
+
 // newCallerConn returns a callerConn that is pending until its first read.
 func newCallerConn(conn *net.TCPConn, c clock.Service, i *connIntake, admission connResult) *callerConn {
 	i.limiter.Begin()
@@ -148,6 +155,9 @@
 func (c *callerConn) received() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == connNew && c.clock.Now().Sub(c.awaitedSince) > admissionTTL {
+		c.admission = ""
+	}
 	if c.isIdle() {
 		c.setState(connReadingHeader)
 	}
@@ -160,6 +170,9 @@
 func (c *callerConn) beforeRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == connNew && c.awaitedSince.IsZero() {
+		c.awaitedSince = c.clock.Now()
+	}
 	if c.isIdle() || c.state == connReadingHeader {
 		c.stopPending()
 	}
@@ -192,7 +205,7 @@
 	}
 }
 
-// takeAdmission returns what was decided about the connection, and the empty result in later calls.
+// takeAdmission returns what was decided about the connection, if that still applies, and the empty result in later calls.
 func (c *callerConn) takeAdmission() connResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// takeAdmission returns what was decided about the connection in ctx when it was accepted, and the empty result in later
-// calls.
+// takeAdmission returns what was decided about the connection in ctx when it was accepted, if that still applies, and the
+// empty result in later calls.
 func (c *conns) takeAdmission(ctx context.Context) connResult {
 	caller, ok := callerOf(ctx)
 	if !ok {
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -328,3 +328,30 @@
 	assert.Assert(t, !p.refuseForProcessor(httptest.NewRecorder(), resumption))
 	assert.Assert(t, !p.refuseForProcessor(httptest.NewRecorder(), request))
 }
+
+// TestAdmissionOfUnusedConnection guards against a refusal for a decision that is older than the request.
+func TestAdmissionOfUnusedConnection(t *testing.T) {
+	tests := map[string]struct {
+		unread, unused time.Duration
+		want           connResult
+	}{
+		"request comes at once":                  {want: connRefused},
+		"request waits for the process":          {unread: time.Minute, want: connRefused},
+		"request comes a round trip later":       {unused: admissionTTL, want: connRefused},
+		"request comes later":                    {unused: admissionTTL + 1},
+		"read late, and the request comes later": {unread: time.Minute, unused: admissionTTL + 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := clocktest.New(time.Now())
+			server, client := newConnPair(t, newConns(clocktest.Real{}, nil, newTestIntake()))
+			server.clock, server.admission = now, connRefused
+			now.Advance(test.unread)
+			server.beforeRead()
+			now.Advance(test.unused)
+			send(t, server, client, "GET ")
+			receive(t, server, "GET ")
+			assert.Equal(t, server.takeAdmission(), test.want)
+		})
+	}
+}
--- a/internal/gateway/processor_test.go
+++ b/internal/gateway/processor_test.go
@@ -222,13 +222,16 @@
 
 // TestControlWhileProcessorIsShort keeps the only processor of a gateway busy: 150 callers send requests without a pause,
 // each of which takes processor time in the same process. It guards against readiness checks and calls of other
-// gateways that wait behind the requests, refused requests that run, and refusals that outlast the load.
+// gateways that wait behind the requests, refused requests that run, and refusals that outlast the load, also on connections that were
+// opened under it.
 func TestControlWhileProcessorIsShort(t *testing.T) {
 	const (
 		callers = 150
 		// maxWait bounds the time of a readiness check and a call of another gateway, in multiples of burnTime, so that it
 		// does not depend on the speed of the machine. Without refusals, they wait behind all callers several times.
 		maxWait = 200
+		// unusedConns is the number of connections that are opened under load and used when it has ended.
+		unusedConns = 10
 	)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	unit := burnTime()
@@ -255,6 +258,7 @@
 		resp.Body.Close()
 		waits = append(waits, time.Since(began))
 	}
+	unused := env.dial(unusedConns)
 	refused, served := load.stop()
 	slices.Sort(waits)
 	median := waits[len(waits)/2]
@@ -272,6 +276,29 @@
 		return poll.Success()
 	})
 	assert.Equal(t, env.post(pathUnsafe, "x").status, http.StatusOK)
+	for i, conn := range unused {
+		assert.Equal(t, env.postOn(conn).StatusCode, http.StatusOK, "connection %d, opened under load", i)
+	}
+}
+
+// dial opens connections to the gateway.
+func (env *testEnv) dial(n int) []net.Conn {
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		conn, err := net.Dial("tcp", env.front)
+		assert.NilError(env.t, err)
+		env.t.Cleanup(func() { _ = conn.Close() })
+		conns[i] = conn
+	}
+	return conns
+}
+
+// postOn sends a request on an open connection and returns the response.
+func (env *testEnv) postOn(conn net.Conn) *http.Response {
+	assert.NilError(env.t, env.request(http.MethodPost, pathUnsafe, "x").Write(conn))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(env.t, err)
+	return resp
 }
 
 // A load sends requests to a gateway until it is stopped.
