gateway: the end of a trial does not revoke the next trial of the same gateway

What callers saw: a sound part of prompts in quarantine, and its callers refused for two minutes, or more servers that crash under one part than trials one at a time allow.

Cause: a gateway tells the owner of a trait that its trial has ended without waiting, and may ask for the next one at once. If the second message is handled first, the first one revokes the grant of the running trial, and another gateway is granted one beside it.

Why it works: each message has the number of the trial at its gateway, and an end revokes the grant of its own trial only. Earlier builds send and know no number; between them and others all is as before.

--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -32,6 +32,8 @@
 type trialRequest struct {
 	Gateway string         `json:"gateway"`
 	Key     quarantine.Key `json:"key"`
+	// Trial numbers the trials of the sender, so that the end of one does not end the next one, which may overtake it.
+	Trial uint64 `json:"trial,omitempty"`
 	// Ended reports whether a trial of the sender has ended.
 	Ended bool `json:"ended,omitempty"`
 	// Record is what the sender knows of the trait.
@@ -67,6 +69,8 @@
 	clock      clock.Service
 
 	mu sync.Mutex
+	// begun is the number of trials that this gateway has begun.
+	begun uint64
 	// active holds the traits that requests of this gateway are testing.
 	active map[quarantine.Key]struct{}
 	// refusedUntil holds the traits whose owner has refused a trial, until it is asked again.
@@ -78,6 +82,7 @@
 // A trialGrant is a trial that a gateway may run until a time.
 type trialGrant struct {
 	gateway string
+	trial   uint64
 	until   time.Time
 }
 
@@ -106,18 +111,19 @@
 
 // begin begins a trial of the given traits. ok is false if a trial of one of them is running.
 func (t *trials) begin(ctx context.Context, traits []quarantine.Trait) (begun *trial, ok bool) {
-	if !t.activate(traits) {
+	number, ok := t.activate(traits)
+	if !ok {
 		return nil, false
 	}
 	for i, x := range traits {
-		if t.obtain(ctx, x) {
+		if t.obtain(ctx, x, number) {
 			continue
 		}
 		t.deactivate(traits[i:])
-		t.end(traits[:i])
+		t.end(traits[:i], number)
 		return nil, false
 	}
-	return &trial{trials: t, traits: traits, tested: t.tested(traits)}, true
+	return &trial{trials: t, number: number, traits: traits, tested: t.tested(traits)}, true
 }
 
 // tested returns the traits with which the crash of a server counts as one in a trial. Of several parts, it is the one that
@@ -130,17 +136,19 @@
 	return append(others, parts...)
 }
 
-// activate marks the traits as being tested by this gateway unless one of them is busy.
-func (t *trials) activate(traits []quarantine.Trait) bool {
+// activate marks the traits as being tested by this gateway, and returns the number of the trial. ok is false if one of them
+// is busy.
+func (t *trials) activate(traits []quarantine.Trait) (number uint64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.isBusyLocked(traits) {
-		return false
+		return 0, false
 	}
 	for _, x := range traits {
 		t.active[x.Key] = struct{}{}
 	}
-	return true
+	t.begun++
+	return t.begun, true
 }
 
 func (t *trials) deactivate(traits []quarantine.Trait) {
@@ -152,8 +160,8 @@
 }
 
 // obtain asks the owner of a trait for a trial.
-func (t *trials) obtain(ctx context.Context, x quarantine.Trait) bool {
-	r := trialRequest{Gateway: t.self, Key: x.Key}
+func (t *trials) obtain(ctx context.Context, x quarantine.Trait, number uint64) bool {
+	r := trialRequest{Gateway: t.self, Key: x.Key, Trial: number}
 	r.Record, _ = t.table.Record(x.Key)
 	reply, ok := t.call(ctx, r)
 	if !ok {
@@ -168,11 +176,11 @@
 	return reply.Granted
 }
 
-// end ends trials of traits and tells their owners, without waiting for them.
-func (t *trials) end(traits []quarantine.Trait) {
+// end ends the trial of traits and tells their owners, without waiting for them.
+func (t *trials) end(traits []quarantine.Trait, number uint64) {
 	t.deactivate(traits)
 	for _, x := range traits {
-		r := trialRequest{Gateway: t.self, Key: x.Key, Ended: true}
+		r := trialRequest{Gateway: t.self, Key: x.Key, Trial: number, Ended: true}
 		r.Record, _ = t.table.Record(x.Key)
 		t.clock.AfterFunc(0, func() { t.call(t.ctx, r) })
 	}
@@ -225,15 +233,15 @@
 	if g, ok := t.granted[r.Key]; ok && g.gateway != r.Gateway && now.Before(g.until) {
 		return false
 	}
-	t.granted[r.Key] = trialGrant{gateway: r.Gateway, until: now.Add(trialTimeout)}
+	t.granted[r.Key] = trialGrant{gateway: r.Gateway, trial: r.Trial, until: now.Add(trialTimeout)}
 	return true
 }
 
-// revoke ends the grant of a gateway.
+// revoke ends the grant of a trial.
 func (t *trials) revoke(r trialRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.granted[r.Key].gateway == r.Gateway {
+	if g := t.granted[r.Key]; g.gateway == r.Gateway && g.trial == r.Trial {
 		delete(t.granted, r.Key)
 	}
 }
@@ -250,6 +258,8 @@
 // tests nothing.
 type trial struct {
 	trials *trials
+	// number is the number of the trial at its gateway.
+	number uint64
 	// traits are those that no other request may have. tested are those of them that the trial tests.
 	traits, tested []quarantine.Trait
 }
@@ -264,7 +274,7 @@
 	}
 	var parts []quarantine.Trait
 	parts, t.traits = partitionParts(t.traits)
-	t.trials.end(parts)
+	t.trials.end(parts, t.number)
 }
 
 // partitionParts separates the parts from the other traits.
@@ -285,8 +295,8 @@
 		return
 	}
 	if settled {
-		t.trials.end(t.traits)
+		t.trials.end(t.traits, t.number)
 		return
 	}
-	t.trials.clock.AfterFunc(trialSettleTime, func() { t.trials.end(t.traits) })
+	t.trials.clock.AfterFunc(trialSettleTime, func() { t.trials.end(t.traits, t.number) })
 }
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// TestLateEndOfTrial guards against a message about the end of a trial that also ends the next trial of the same gateway,
+// which has overtaken it, so that another gateway begins one meanwhile.
+func TestLateEndOfTrial(t *testing.T) {
+	x := quarantine.PartTraits("llm", []string{"x", "own"})[0]
+	f := newTrialFleet("a", "b", "c", "d")
+	for _, id := range f.ids {
+		f.crash(id, "s1", false, x)
+	}
+	first, ok := f.begin("a", x)
+	assert.Assert(t, ok)
+	first.end(true)
+	_, ok = f.begin("a", x)
+	assert.Assert(t, ok)
+	f.clock.Advance(time.Millisecond)
+	for _, id := range []string{"b", "c", "d"} {
+		_, ok := f.begin(id, x)
+		assert.Assert(t, !ok, "two trials at the same time, the second one at %s", id)
+	}
+}
+
 // TestTrialOfSeveralParts checks that a trial of several parts keeps others with any of them back and tests only the part
 // that most likely makes servers crash.
 func TestTrialOfSeveralParts(t *testing.T) {
