gateway: trials of two parts do not run at one server at the same time

Cause: requests with a suspected part are sent one at a time over all gateways, but trials of different parts do not know of each other. A gateway avoids servers where it has a trial itself; trials of other gateways run there all the same. If the crashing part is on trial there too, or comes from a gateway that has not heard of it, the crash is charged to the sound part as one in its trial. Two of those are a quarantine. With two servers of a service that is likely.

Change: a trial of parts claims its server instance as well, from the gateway that a hash of its ID chooses. A request that has waited 0.5 s is sent all the same, and counts as a trial only if trials are all that a quarantine of its part lacks.

One more message for each trial.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -75,7 +75,7 @@
 			f.refuseQuarantined()
 			return
 		}
-		if !f.beginTrial() {
+		if !f.beginTrial(res.Server().ID) {
 			f.handOn()
 			res.Cancel()
 			if f.ctx.Err() != nil {
--- a/internal/gateway/forward_trial.go
+++ b/internal/gateway/forward_trial.go
@@ -33,19 +33,20 @@
 }
 
 // beginTrial is called when a server is reserved. ok is false if the request must wait for the trials of others.
-func (f *forwarder) beginTrial() (ok bool) {
+func (f *forwarder) beginTrial(server string) (ok bool) {
 	f.trial = nil
 	suspects := f.proxy.quarantine.Suspects(f.traits...)
 	if len(suspects) == 0 {
 		return true
 	}
+	now := f.proxy.clock.Now()
 	if f.jointTrialFrom.IsZero() {
-		f.jointTrialFrom = f.proxy.clock.Now().Add(jointTrialDelay)
+		f.jointTrialFrom = now.Add(jointTrialDelay)
 	}
 	if f.awaitsSeparateTrials(suspects) {
 		return false
 	}
-	f.trial, ok = f.proxy.trials.begin(f.ctx, suspects)
+	f.trial, ok = f.proxy.trials.begin(f.ctx, suspects, server, !now.Before(f.jointTrialFrom))
 	if ok && f.ctx.Err() != nil {
 		f.trial.end(true)
 		f.trial, ok = nil, false
--- a/internal/gateway/part_simulation_test.go
+++ b/internal/gateway/part_simulation_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -28,12 +29,15 @@
 
 // Times of the simulated servers.
 const (
-	simulatedPrefill  = 100 * time.Millisecond
-	simulatedStream   = 2 * time.Second
-	simulatedDowntime = 4 * time.Second
-	simulationStep    = 10 * time.Millisecond
+	simulatedPrefill = 100 * time.Millisecond
+	simulatedStream  = 2 * time.Second
+	defaultDowntime  = 4 * time.Second
+	simulationStep   = 10 * time.Millisecond
 )
 
+// defaultSharedParts is the usual number of parts that many sound requests share.
+const defaultSharedParts = 200
+
 // crashingPart is the part that makes simulated servers crash.
 const crashingPart = "crashing"
 
@@ -50,6 +54,10 @@
 	resend float64
 	// cutOff is the number of gateways that reach no other one.
 	cutOff int
+	// sharedParts is the number of parts that many sound requests share; 0 means defaultSharedParts.
+	sharedParts int
+	// downtime is how long a crashed server is down; 0 means defaultDowntime.
+	downtime time.Duration
 }
 
 // A simulatedRequest is a request on its way.
@@ -89,6 +97,7 @@
 }
 
 func newPartSimulation(w partWorkload, seed uint64) *partSimulation {
+	w.sharedParts, w.downtime = cmp.Or(w.sharedParts, defaultSharedParts), cmp.Or(w.downtime, defaultDowntime)
 	s := &partSimulation{partWorkload: w, r: rand.New(rand.NewPCG(seed, 2))}
 	c := clocktest.New(time.Unix(0, 0))
 	table := func() *quarantine.Table {
@@ -125,10 +134,10 @@
 	return s.trials[to].handle(r), nil
 }
 
-// newRequest returns a request. Prompts consist of one of 4 first parts, one of 200 parts that many share or a crashing
+// newRequest returns a request. Prompts consist of one of 4 first parts, one of sharedParts or a crashing
 // one, a part of a session with few requests, and an own part.
 func (s *partSimulation) newRequest(crashing bool) *simulatedRequest {
-	middle := fmt.Sprint("shared", s.r.IntN(200))
+	middle := fmt.Sprint("shared", s.r.IntN(s.sharedParts))
 	if crashing {
 		middle = crashingPart
 	}
@@ -186,7 +195,7 @@
 	if server < 0 {
 		return false
 	}
-	if len(suspects) > 0 && !s.beginTrial(q, suspects, now) {
+	if len(suspects) > 0 && !s.beginTrial(q, suspects, s.serverID(server), now) {
 		return false
 	}
 	q.sentAt = now
@@ -199,14 +208,19 @@
 	return true
 }
 
-func (s *partSimulation) beginTrial(q *simulatedRequest, suspects []quarantine.Trait, now time.Time) (ok bool) {
+// serverID returns the ID of the present instance of a server.
+func (s *partSimulation) serverID(server int) string {
+	return fmt.Sprintf("s%d-%d", server, s.runs[server])
+}
+
+func (s *partSimulation) beginTrial(q *simulatedRequest, suspects []quarantine.Trait, server string, now time.Time) (ok bool) {
 	if q.jointTrialFrom.IsZero() {
 		q.jointTrialFrom = now.Add(jointTrialDelay)
 	}
 	if len(suspects) > 1 && now.Before(q.jointTrialFrom) {
 		return false
 	}
-	q.trial, ok = s.trials[q.gateway].begin(context.Background(), suspects)
+	q.trial, ok = s.trials[q.gateway].begin(context.Background(), suspects, server, !now.Before(q.jointTrialFrom))
 	return ok
 }
 
@@ -247,9 +261,9 @@
 
 // crash simulates the crash of a server.
 func (s *partSimulation) crash(server int, now time.Time) {
-	id := fmt.Sprintf("s%d-%d", server, s.runs[server])
+	id := s.serverID(server)
 	s.runs[server]++
-	s.downUntil[server] = now.Add(simulatedDowntime)
+	s.downUntil[server] = now.Add(s.downtime)
 	lost := s.running[server]
 	s.running[server] = nil
 	for _, q := range lost {
@@ -371,3 +385,33 @@
 		}
 	}
 }
+
+// TestPartAttributionAtFewServers guards against sound parts in quarantine since their trials ran at the servers that the
+// crashing part made crash: with few servers, trials of different parts meet.
+func TestPartAttributionAtFewServers(t *testing.T) {
+	const seeds, duration = 100, 10 * time.Second
+	for _, servers := range []int{2, 3, 6} {
+		for _, gateways := range []int{3, 9} {
+			t.Run(fmt.Sprintf("%d servers/%d gateways", servers, gateways), func(t *testing.T) {
+				t.Parallel()
+				w := partWorkload{
+					gateways: gateways, servers: servers, soundPerSecond: 20 * float64(servers), crashingPerSecond: 2,
+					resend: 0.5, sharedParts: 5, downtime: 700 * time.Millisecond,
+				}
+				wrong := make(map[uint64][]string)
+				crashes := 0
+				for seed := range uint64(seeds) {
+					s := newPartSimulation(w, seed)
+					s.run(duration)
+					if parts := s.wronglyQuarantined(); len(parts) > 0 {
+						wrong[seed] = parts
+					}
+					crashes = max(crashes, len(s.crashedAt))
+					assert.Assert(t, s.lateSends(3*time.Second) <= 3, "seed %d: %d late of %d", seed, s.lateSends(3*time.Second), len(s.sentAt))
+				}
+				t.Logf("at most %d crashes under the part", crashes)
+				assert.Equal(t, len(wrong), 0, "sound parts in quarantine by seed: %v", wrong)
+			})
+		}
+	}
+}
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -28,10 +28,33 @@
 	trialOwners = 2
 )
 
-// A trialRequest asks the owner of a trait for a trial of it, or tells the owner that a trial has ended.
+// A trialClaim is what only one trial at a time may have: a trait or, if Server is set, a server instance.
+type trialClaim struct {
+	Key    quarantine.Key `json:"key"`
+	Server string         `json:"server,omitempty"`
+}
+
+// traitClaims returns the claims to traits.
+func traitClaims(traits []quarantine.Trait) []trialClaim {
+	claims := make([]trialClaim, len(traits))
+	for i, x := range traits {
+		claims[i] = trialClaim{Key: x.Key}
+	}
+	return claims
+}
+
+// ownerKey returns the key by which the owner of the claim is chosen.
+func (c trialClaim) ownerKey() string {
+	if c.Server != "" {
+		return c.Server
+	}
+	return c.Key.String()
+}
+
+// A trialRequest asks the owner of a claim for it, or tells the owner that the sender no longer needs it.
 type trialRequest struct {
-	Gateway string         `json:"gateway"`
-	Key     quarantine.Key `json:"key"`
+	Gateway string `json:"gateway"`
+	trialClaim
 	// Trial numbers the trials of the sender, so that the end of one does not end the next one, which may overtake it.
 	Trial uint64 `json:"trial,omitempty"`
 	// Ended reports whether a trial of the sender has ended.
@@ -54,8 +77,11 @@
 // trials lets only one request at a time be sent, over all gateways, of those that share a trait with which a server has
 // crashed. Requests that are sent together could make several servers crash before the first crash is detected.
 //
-// The owner of a trait, a gateway chosen by a hash of its key, grants its trials. A gateway that reaches no owner grants
-// its own. It is safe for concurrent use.
+// If trials of two parts ran at one server when it crashes, it would not be known which part is the cause. A trial of parts
+// therefore claims its server too.
+//
+// The owner of a claim, a gateway chosen by a hash, grants it. A gateway that reaches no owner grants its own claims. It is
+// safe for concurrent use.
 type trials struct {
 	// ctx ends with the gateway.
 	ctx   context.Context
@@ -71,15 +97,15 @@
 	mu sync.Mutex
 	// begun is the number of trials that this gateway has begun.
 	begun uint64
-	// active holds the traits that requests of this gateway are testing.
-	active map[quarantine.Key]struct{}
-	// refusedUntil holds the traits whose owner has refused a trial, until it is asked again.
-	refusedUntil map[quarantine.Key]time.Time
-	// granted holds the trials that this gateway has granted as the owner.
-	granted map[quarantine.Key]trialGrant
+	// active holds the claims of this gateway's trials.
+	active map[trialClaim]struct{}
+	// refusedUntil holds the claims that their owner has refused, until it is asked again.
+	refusedUntil map[trialClaim]time.Time
+	// granted holds the claims that this gateway has granted as the owner.
+	granted map[trialClaim]trialGrant
 }
 
-// A trialGrant is a trial that a gateway may run until a time.
+// A trialGrant is a claim that a gateway has until a time.
 type trialGrant struct {
 	gateway string
 	trial   uint64
@@ -88,8 +114,8 @@
 
 func newTrials(ctx context.Context, self string, table *quarantine.Table, c clock.Service) *trials {
 	return &trials{
-		ctx: ctx, self: self, table: table, clock: c, active: make(map[quarantine.Key]struct{}),
-		refusedUntil: make(map[quarantine.Key]time.Time), granted: make(map[quarantine.Key]trialGrant),
+		ctx: ctx, self: self, table: table, clock: c, active: make(map[trialClaim]struct{}),
+		refusedUntil: make(map[trialClaim]time.Time), granted: make(map[trialClaim]trialGrant),
 	}
 }
 
@@ -97,33 +123,39 @@
 func (t *trials) isBusy(traits []quarantine.Trait) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isBusyLocked(traits)
+	return t.isBusyLocked(traitClaims(traits))
 }
 
-// isBusyLocked is isBusy with t.mu held.
-func (t *trials) isBusyLocked(traits []quarantine.Trait) bool {
+// isBusyLocked reports whether one of the claims cannot be had now. t.mu must be held.
+func (t *trials) isBusyLocked(claims []trialClaim) bool {
 	now := t.clock.Now()
-	return slices.ContainsFunc(traits, func(x quarantine.Trait) bool {
-		_, active := t.active[x.Key]
-		return active || now.Before(t.refusedUntil[x.Key])
+	return slices.ContainsFunc(claims, func(c trialClaim) bool {
+		_, active := t.active[c]
+		return active || now.Before(t.refusedUntil[c])
 	})
 }
 
-// begin begins a trial of the given traits. ok is false if a trial of one of them is running.
-func (t *trials) begin(ctx context.Context, traits []quarantine.Trait) (begun *trial, ok bool) {
-	number, ok := t.activate(traits)
-	if !ok {
-		return nil, false
-	}
-	for i, x := range traits {
-		if t.obtain(ctx, x, number) {
-			continue
+// begin begins a trial of the given traits at a server. ok is false if a trial of one of them is running, or another trial
+// at the server. A request that must not wait for the latter is sent nevertheless, but tests a part only if trials are all
+// that its quarantine lacks: another part may be what makes the server crash.
+func (t *trials) begin(ctx context.Context, traits []quarantine.Trait, server string, mustNotWait bool) (begun *trial, ok bool) {
+	begun = &trial{trials: t, number: t.nextNumber(), tested: t.tested(traits)}
+	if parts, others := partitionParts(begun.tested); len(parts) > 0 {
+		switch {
+		case begun.claim(ctx, trialClaim{Server: server}):
+			begun.server = server
+		case !mustNotWait:
+			return nil, false
+		case !t.table.LacksOnlyTrials(parts[0].Key):
+			begun.tested = others
 		}
-		t.deactivate(traits[i:])
-		t.end(traits[:i], number)
+	}
+	if !begun.claim(ctx, traitClaims(traits)...) {
+		begun.end(true)
 		return nil, false
 	}
-	return &trial{trials: t, number: number, traits: traits, tested: t.tested(traits)}, true
+	begun.traits = traits
+	return begun, true
 }
 
 // tested returns the traits with which the crash of a server counts as one in a trial. Of several parts, it is the one that
@@ -136,59 +168,45 @@
 	return append(others, parts...)
 }
 
-// activate marks the traits as being tested by this gateway, and returns the number of the trial. ok is false if one of them
-// is busy.
-func (t *trials) activate(traits []quarantine.Trait) (number uint64, ok bool) {
+// nextNumber returns the number of the next trial of this gateway.
+func (t *trials) nextNumber() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isBusyLocked(traits) {
-		return 0, false
-	}
-	for _, x := range traits {
-		t.active[x.Key] = struct{}{}
-	}
 	t.begun++
-	return t.begun, true
+	return t.begun
 }
 
-func (t *trials) deactivate(traits []quarantine.Trait) {
+// activate marks the claims as those of a trial of this gateway, unless one of them cannot be had.
+func (t *trials) activate(claims []trialClaim) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, x := range traits {
-		delete(t.active, x.Key)
+	if t.isBusyLocked(claims) {
+		return false
+	}
+	for _, c := range claims {
+		t.active[c] = struct{}{}
 	}
+	return true
 }
 
-// obtain asks the owner of a trait for a trial.
-func (t *trials) obtain(ctx context.Context, x quarantine.Trait, number uint64) bool {
-	r := trialRequest{Gateway: t.self, Key: x.Key, Trial: number}
-	r.Record, _ = t.table.Record(x.Key)
-	reply, ok := t.call(ctx, r)
-	if !ok {
-		return true
-	}
-	t.table.Merge([]quarantine.Record{reply.Record})
-	if !reply.Granted {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.refusedUntil[x.Key] = t.clock.Now().Add(t.retryDelay())
+func (t *trials) deactivate(claims []trialClaim) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range claims {
+		delete(t.active, c)
 	}
-	return reply.Granted
 }
 
-// end ends the trial of traits and tells their owners, without waiting for them.
-func (t *trials) end(traits []quarantine.Trait, number uint64) {
-	t.deactivate(traits)
-	for _, x := range traits {
-		r := trialRequest{Gateway: t.self, Key: x.Key, Trial: number, Ended: true}
-		r.Record, _ = t.table.Record(x.Key)
-		t.clock.AfterFunc(0, func() { t.call(t.ctx, r) })
-	}
+// refused records that the owner of a claim has refused it.
+func (t *trials) refused(c trialClaim) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refusedUntil[c] = t.clock.Now().Add(t.retryDelay())
 }
 
-// call sends a request to the owner of its trait. ok is false if no owner replies.
+// call sends a request to the owner of its claim. ok is false if no owner replies.
 func (t *trials) call(ctx context.Context, r trialRequest) (reply trialReply, ok bool) {
-	for _, owner := range t.owners(r.Key) {
+	for _, owner := range t.owners(r.trialClaim) {
 		if owner == t.self {
 			return t.handle(r), true
 		}
@@ -200,40 +218,44 @@
 	return trialReply{}, false
 }
 
-// owners returns the gateways to ask for trials of a trait, in order.
-func (t *trials) owners(k quarantine.Key) []string {
+// owners returns the gateways to ask for a claim, in order.
+func (t *trials) owners(c trialClaim) []string {
 	ids := t.gateways()
 	if len(ids) == 0 {
 		return []string{t.self}
 	}
-	return rendezvous.Top(ids, rendezvous.Key(k.String()), trialOwners)
+	return rendezvous.Top(ids, rendezvous.Key(c.ownerKey()), trialOwners)
 }
 
-// handle handles a trial request as the owner.
+// handle handles a request as the owner.
 func (t *trials) handle(r trialRequest) trialReply {
+	if r.Ended {
+		t.revoke(r)
+	}
+	if r.Server != "" {
+		return trialReply{Granted: !r.Ended && t.grant(r)}
+	}
 	if len(r.Record.Servers) > 0 || r.Record.Generation > 0 {
 		t.table.Merge([]quarantine.Record{r.Record})
 	}
 	x := quarantine.Trait{Key: r.Key}
 	var reply trialReply
-	if r.Ended {
-		t.revoke(r)
-	} else if _, _, quarantined := t.table.Quarantine(x); !quarantined {
+	if _, _, quarantined := t.table.Quarantine(x); !quarantined && !r.Ended {
 		reply.Granted = len(t.table.Suspects(x)) == 0 || t.grant(r)
 	}
 	reply.Record, _ = t.table.Record(r.Key)
 	return reply
 }
 
-// grant grants a trial unless another gateway runs one.
+// grant grants a claim unless another gateway has it.
 func (t *trials) grant(r trialRequest) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	if g, ok := t.granted[r.Key]; ok && g.gateway != r.Gateway && now.Before(g.until) {
+	if g, ok := t.granted[r.trialClaim]; ok && g.gateway != r.Gateway && now.Before(g.until) {
 		return false
 	}
-	t.granted[r.Key] = trialGrant{gateway: r.Gateway, trial: r.Trial, until: now.Add(trialTimeout)}
+	t.granted[r.trialClaim] = trialGrant{gateway: r.Gateway, trial: r.Trial, until: now.Add(trialTimeout)}
 	return true
 }
 
@@ -241,8 +263,8 @@
 func (t *trials) revoke(r trialRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if g := t.granted[r.Key]; g.gateway == r.Gateway && g.trial == r.Trial {
-		delete(t.granted, r.Key)
+	if g := t.granted[r.trialClaim]; g.gateway == r.Gateway && g.trial == r.Trial {
+		delete(t.granted, r.trialClaim)
 	}
 }
 
@@ -250,8 +272,8 @@
 func (t *trials) expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.refusedUntil, func(_ quarantine.Key, until time.Time) bool { return !now.Before(until) })
-	maps.DeleteFunc(t.granted, func(_ quarantine.Key, g trialGrant) bool { return !now.Before(g.until) })
+	maps.DeleteFunc(t.refusedUntil, func(_ trialClaim, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.granted, func(_ trialClaim, g trialGrant) bool { return !now.Before(g.until) })
 }
 
 // A trial is the sending of one request with suspected traits while no other request with them is sent. A nil trial
@@ -262,6 +284,67 @@
 	number uint64
 	// traits are those that no other request may have. tested are those of them that the trial tests.
 	traits, tested []quarantine.Trait
+	// server is the server instance that no other trial of parts uses; empty if the trial has not claimed it.
+	server string
+}
+
+// claim obtains all of the claims, or none.
+func (t *trial) claim(ctx context.Context, claims ...trialClaim) bool {
+	if !t.trials.activate(claims) {
+		return false
+	}
+	for i, c := range claims {
+		if t.obtain(ctx, c) {
+			continue
+		}
+		t.trials.deactivate(claims[i:])
+		t.release(claims[:i]...)
+		return false
+	}
+	return true
+}
+
+// obtain asks the owner of a claim for it.
+func (t *trial) obtain(ctx context.Context, c trialClaim) bool {
+	reply, ok := t.trials.call(ctx, t.request(c))
+	if !ok {
+		return true
+	}
+	if c.Server == "" {
+		t.trials.table.Merge([]quarantine.Record{reply.Record})
+	}
+	if !reply.Granted {
+		t.trials.refused(c)
+	}
+	return reply.Granted
+}
+
+// release gives claims up and tells their owners, without waiting for them.
+func (t *trial) release(claims ...trialClaim) {
+	t.trials.deactivate(claims)
+	for _, c := range claims {
+		r := t.request(c)
+		r.Ended = true
+		t.trials.clock.AfterFunc(0, func() { t.trials.call(t.trials.ctx, r) })
+	}
+}
+
+// request returns a request for a claim.
+func (t *trial) request(c trialClaim) trialRequest {
+	r := trialRequest{Gateway: t.trials.self, trialClaim: c, Trial: t.number}
+	if c.Server == "" {
+		r.Record, _ = t.trials.table.Record(c.Key)
+	}
+	return r
+}
+
+// claims returns the claims of the trial.
+func (t *trial) claims() []trialClaim {
+	claims := traitClaims(t.traits)
+	if t.server != "" {
+		claims = append(claims, trialClaim{Server: t.server})
+	}
+	return claims
 }
 
 // tests reports whether the trial tests a trait.
@@ -272,9 +355,10 @@
 	if t == nil {
 		return
 	}
-	var parts []quarantine.Trait
-	parts, t.traits = partitionParts(t.traits)
-	t.trials.end(parts, t.number)
+	parts, others := partitionParts(t.traits)
+	ended := trial{traits: parts, server: t.server}
+	t.traits, t.server = others, ""
+	t.release(ended.claims()...)
 }
 
 // partitionParts separates the parts from the other traits.
@@ -295,8 +379,8 @@
 		return
 	}
 	if settled {
-		t.trials.end(t.traits, t.number)
+		t.release(t.claims()...)
 		return
 	}
-	t.trials.clock.AfterFunc(trialSettleTime, func() { t.trials.end(t.traits, t.number) })
+	t.trials.clock.AfterFunc(trialSettleTime, func() { t.release(t.claims()...) })
 }
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -42,9 +43,14 @@
 	return f.members[gateway].handle(r), nil
 }
 
-// begin begins a trial at a gateway.
+// begin begins a trial at a gateway, with a server for each gateway.
 func (f *trialFleet) begin(gateway string, traits ...quarantine.Trait) (*trial, bool) {
-	return f.members[gateway].begin(context.Background(), traits)
+	return f.beginAt(gateway, "server of "+gateway, false, traits...)
+}
+
+// beginAt begins a trial at a gateway and a server.
+func (f *trialFleet) beginAt(gateway, server string, mustNotWait bool, traits ...quarantine.Trait) (*trial, bool) {
+	return f.members[gateway].begin(context.Background(), traits, server, mustNotWait)
 }
 
 // crash records the crash of a server at a gateway.
@@ -90,7 +96,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newTrialFleet("a", "b", "c", "d")
-			owners := f.members["a"].owners(x.Key)
+			owners := f.members["a"].owners(trialClaim{Key: x.Key})
 			other := slices.IndexFunc(f.ids, func(id string) bool { return id != "a" && !slices.Contains(owners, id) })
 			second := f.ids[other]
 			f.crash("a", "s1", false, x)
@@ -130,6 +136,28 @@
 	}
 }
 
+// TestServerClaimOfLostGateway checks that a gateway may test a part at a server if the one that did so is lost, or reaches no
+// other.
+func TestServerClaimOfLostGateway(t *testing.T) {
+	traits := quarantine.PartTraits("llm", []string{"x", "y", "own"})
+	tests := map[string]func(f *trialFleet){
+		"lost":             func(f *trialFleet) { f.clock.Advance(trialTimeout) },
+		"reaches no other": func(f *trialFleet) { f.unreachable = true },
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTrialFleet("a", "b", "c", "d")
+			f.crash("a", "s0", false, traits[0])
+			f.crash("b", "s0", false, traits[1])
+			_, ok := f.beginAt("a", "s", false, traits[0])
+			assert.Assert(t, ok)
+			lose(f)
+			second, ok := f.beginAt("b", "s", false, traits[1])
+			assert.Assert(t, ok && second.tests(traits[1]))
+		})
+	}
+}
+
 // TestTrialOfSeveralParts checks that a trial of several parts keeps others with any of them back and tests only the part
 // that most likely makes servers crash.
 func TestTrialOfSeveralParts(t *testing.T) {
@@ -154,3 +182,54 @@
 		assert.Assert(t, !ok, "%s is on trial already", suspect.Name)
 	}
 }
+
+// TestTrialsAtOneServer checks that trials of two parts at one server run one after the other, over all gateways, so that the
+// crash of the server is not charged to both.
+func TestTrialsAtOneServer(t *testing.T) {
+	traits := quarantine.PartTraits("llm", []string{"x", "y", "own"})
+	x, y, content := traits[0], traits[1], quarantine.ContentTrait(quarantine.Key{1})
+	tests := map[string]struct {
+		second      quarantine.Trait
+		server      string
+		mustNotWait bool
+		// between happens between both trials.
+		between func(f *trialFleet, first *trial)
+		// crashes is the number of servers that have crashed with the second trait before.
+		crashes int
+		// begins reports whether the second trial begins, tests whether it tests its trait.
+		begins, tests bool
+	}{
+		"another part":                    {second: y, server: "s"},
+		"another part that must not wait": {second: y, server: "s", mustNotWait: true, crashes: 2, begins: true},
+		"another part that must not wait and lacks only trials": {second: y, server: "s", mustNotWait: true, crashes: 3, begins: true, tests: true},
+		"another server":                  {second: y, server: "s2", begins: true, tests: true},
+		"a content":                       {second: content, server: "s", begins: true, tests: true},
+		"the first one has been answered": {second: y, server: "s", between: func(_ *trialFleet, x *trial) { x.recordAnswer() }, begins: true, tests: true},
+		"the first one has ended":         {second: y, server: "s", between: func(_ *trialFleet, x *trial) { x.end(true) }, begins: true, tests: true},
+	}
+	for name, test := range tests {
+		for _, gateway := range []string{"a", "b"} {
+			t.Run(name+"/"+gateway, func(t *testing.T) {
+				f := newTrialFleet("a", "b", "c", "d")
+				f.crash("a", "s0", false, x)
+				for i := range max(test.crashes, 1) {
+					f.crash(gateway, fmt.Sprint("s0-", i), false, test.second)
+				}
+				first, ok := f.beginAt("a", "s", false, x)
+				assert.Assert(t, ok && first.tests(x))
+				if test.between != nil {
+					test.between(f, first)
+				}
+				f.clock.Advance(time.Millisecond)
+				second, ok := f.beginAt(gateway, test.server, test.mustNotWait, test.second)
+				assert.Equal(t, ok, test.begins)
+				assert.Equal(t, ok && second.tests(test.second), test.tests)
+				if !ok {
+					f.clock.Advance(time.Millisecond)
+					_, ok := f.beginAt(gateway, "s2", false, test.second)
+					assert.Assert(t, ok, "the part is still on trial")
+				}
+			})
+		}
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -228,6 +228,14 @@
 	return 0
 }
 
+// LacksOnlyTrials reports whether enough servers for a quarantine have crashed with a trait, but too few of them in trials.
+func (t *Table) LacksOnlyTrials(k Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[k]
+	return e != nil && len(e.servers) >= t.opts.CrashThreshold && !t.opts.isConfirmed(e)
+}
+
 // Expire removes records that are too old and ends quarantines whose time has passed.
 func (t *Table) Expire() { t.change(t.expire) }
 
