--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rockcleat/backend"
 	"rockcleat/clock"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
@@ -103,6 +104,9 @@
 		monitor: monitor, clock: o.Clock, inProgress: p.lifecycle.requests, fleet: p.fleet, log: p.requestLog,
 	}
 	p.quarantine = p.newQuarantineRole(ctx, o)
+	p.servers.onRestart = func(s backend.Server) {
+		p.quarantine.detector.restarted(s, s.Leaving || p.departures.HasAnnounced(s.ID))
+	}
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
 	p.leader = p.newLeaderRole(o)
 	if s.EngineTimeSlots() > 0 {
--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -21,6 +21,9 @@
 	// delistWindow is how long after a failed connection the server counts as crashed if the platform removes it from
 	// the list. It covers three heartbeats of 1.2 s and the time to notice the change.
 	delistWindow = 6 * time.Second
+	// restartWindow is how long after a failed connection a server counts as crashed if the platform lists another instance
+	// in its place, although something accepted connections at its address: it may have been that instance.
+	restartWindow = 3 * time.Second
 	// maxSuspects is the maximum number of requests to which the crash of one server is attributed.
 	maxSuspects = 256
 	// maxLoggedDigests is the maximum number of digests in a log line.
@@ -32,20 +35,29 @@
 	server *backend.Server
 	// at is when the last connection failed.
 	at time.Time
-	// probing reports whether a probe is running, crashed whether the instance has crashed.
-	probing, crashed bool
+	// probing reports whether a probe is running, crashed whether the instance has crashed, restarted whether the platform
+	// lists another instance in its place.
+	probing, crashed, restarted bool
 	// suspects holds the suspects of each request whose connection failed, possibly because the server crashed.
 	suspects [][]quarantine.Suspect
+	// answered holds those of requests after whose failure something accepted a connection at the address.
+	answered []answeredProbe
 	// probed is closed when the probe has ended.
 	probed chan struct{}
 }
 
+// An answeredProbe holds the suspects of a request whose connection failed before the given time.
+type answeredProbe struct {
+	at       time.Time
+	suspects []quarantine.Suspect
+}
+
 // A crashDetector detects that a server has crashed, and attributes the crash to all requests whose connection failed
 // at that time, since any of them may be the cause. It is safe for concurrent use.
 //
 // A failed connection alone does not count, because network links fail, responses are truncated and gateways are
-// paused. A server has crashed if nothing listens at its address any more or if the platform removes the instance from
-// its list soon afterwards, provided that it had not announced that it is leaving.
+// paused. A server has crashed if nothing listens at its address any more, or if the platform removes the instance from
+// its list or lists another one in its place soon afterwards, provided that it had not announced that it is leaving.
 type crashDetector struct {
 	// ctx ends with the gateway and stops the probes.
 	ctx     context.Context
@@ -70,7 +82,11 @@
 func (d *crashDetector) connFailed(s *backend.Server, suspects []quarantine.Suspect) (probed <-chan struct{}) {
 	now := d.clock.Now()
 	listed, ok := d.servers.Snapshot().Server(s.ID)
-	if !ok || listed.Leaving || d.wasPaused(now) {
+	if d.wasPaused(now) || ok && listed.Leaving {
+		return alreadyProbed
+	}
+	if !ok {
+		d.failedAfterRestart(s.ID, suspects)
 		return alreadyProbed
 	}
 	if probed, added := d.addSuspects(s, suspects, now); added {
@@ -143,7 +159,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if result == wire.ServerAlive && !failed.crashed {
-		failed.suspects = failed.suspects[before:]
+		failed.moveAnswered(before, d.clock.Now())
 	}
 	failed.probing = result == wire.ServerAlive && len(failed.suspects) > 0
 	if !failed.probing {
@@ -152,6 +168,66 @@
 	return failed.probing
 }
 
+// moveAnswered moves the suspects of the first n requests to answered.
+func (f *failedServer) moveAnswered(n int, now time.Time) {
+	for _, suspects := range f.suspects[:n] {
+		if len(f.answered) < maxSuspects {
+			f.answered = append(f.answered, answeredProbe{at: now, suspects: suspects})
+		}
+	}
+	f.suspects = f.suspects[n:]
+}
+
+// failedAfterRestart attributes the crash of a server that has restarted to a request whose connection was found to have
+// failed after that. It does nothing if the server has left the list for another reason.
+func (d *crashDetector) failedAfterRestart(id string, suspects []quarantine.Suspect) {
+	d.mu.Lock()
+	failed := d.failed[id]
+	if failed == nil || !failed.restarted {
+		d.mu.Unlock()
+		return
+	}
+	known := failed.crashed
+	if !known {
+		failed.suspects = append(failed.suspects, suspects)
+	}
+	d.mu.Unlock()
+	if !known {
+		d.recordCrash(failed)
+		return
+	}
+	d.table.RecordCrash(id, suspects...)
+	d.onCrash()
+}
+
+// restarted records that the platform lists another instance in the place of a server. If that server had not announced
+// that it is leaving, it has crashed, also if a probe has reached its successor.
+func (d *crashDetector) restarted(s backend.Server, leaving bool) {
+	now := d.clock.Now()
+	if leaving || d.wasPaused(now) {
+		return
+	}
+	d.mu.Lock()
+	failed := d.failed[s.ID]
+	if failed == nil {
+		failed = &failedServer{server: &s}
+		d.failed[s.ID] = failed
+	}
+	failed.restarted = true
+	failed.at = now
+	for _, x := range failed.answered {
+		if now.Sub(x.at) <= restartWindow {
+			failed.suspects = append(failed.suspects, x.suspects)
+		}
+	}
+	failed.answered = nil
+	found := len(failed.suspects) > 0
+	d.mu.Unlock()
+	if found {
+		d.recordCrash(failed)
+	}
+}
+
 // recordCrash attributes a server's crash to its suspects. It does nothing if that has been done before.
 func (d *crashDetector) recordCrash(failed *failedServer) {
 	suspects, first := d.takeSuspects(failed)
@@ -223,7 +299,7 @@
 	for id, failed := range d.failed {
 		s, listed := snapshot.Server(id)
 		switch {
-		case now.Sub(failed.at) > delistWindow, listed && s.Leaving && !failed.crashed:
+		case now.Sub(failed.at) > delistWindow, listed && s.Leaving && !failed.crashed && !failed.restarted:
 			delete(d.failed, id)
 		case !listed && len(failed.suspects) > 0:
 			gone = append(gone, failed)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -28,7 +28,9 @@
 	sink    serverSink
 	// onChange, if not nil, is called after a change of the platform's list that changes the snapshot.
 	onChange func()
-	registry backend.Registry
+	// onRestart, if not nil, is called with the former instance of each server that has restarted.
+	onRestart func(previous backend.Server)
+	registry  backend.Registry
 	// versions records the software versions that the listed servers have run recently.
 	versions *backend.VersionHistory
 	// seed is the seed of digests, which are compared only within this process.
@@ -93,6 +95,9 @@
 	for _, r := range restarts {
 		s.log.Info("server restarted", zap.String("server", r.Current.ID), zap.String("former", r.Previous.ID),
 			zap.String("service", r.Current.Service), zap.String("addr", r.Current.Addr))
+		if s.onRestart != nil {
+			s.onRestart(r.Previous)
+		}
 	}
 	s.versions.Observe(s.registry.Snapshot(), s.clock.Now())
 	withoutInstance := s.registry.Snapshot().WithoutInstance()
