gateway: every request that is charged with the crash of a server is in the log

What was missing: of the requests that run on a server when it crashes, those that are found to have broken off after the first one were charged without a line.

Change: 'server ended' has a line for each of them, as for the others, so that 'rockcleat trace' finds them. TestRestartOfServer checks that, and which requests the news of a restart charges, for which only tests over a whole gateway existed.

Requests and verdicts are treated as before.

--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -92,8 +92,7 @@
 	if probed, added := d.addSuspects(s, suspects, now); added {
 		return probed
 	}
-	d.table.RecordCrash(s.ID, suspects...)
-	d.onCrash()
+	d.attribute(s, suspects)
 	return alreadyProbed
 }
 
@@ -196,8 +195,7 @@
 		d.recordCrash(failed)
 		return
 	}
-	d.table.RecordCrash(id, suspects...)
-	d.onCrash()
+	d.attribute(failed.server, suspects)
 }
 
 // restarted records that the platform lists another instance in the place of a server. If that server had not announced
@@ -235,10 +233,15 @@
 		return
 	}
 	d.metrics.ServerCrashed(failed.server.Service)
+	d.attribute(failed.server, suspects...)
+}
+
+// attribute charges requests with the crash of a server.
+func (d *crashDetector) attribute(s *backend.Server, suspects ...[]quarantine.Suspect) {
 	all := slices.Concat(suspects...)
-	d.log.Info(msgServerCrashed, append(suspectFields(all), zap.String(fieldServer, failed.server.ID),
-		zap.String(fieldAddr, failed.server.Addr), zap.Int(fieldRequests, len(suspects)))...)
-	d.table.RecordCrash(failed.server.ID, all...)
+	d.log.Info(msgServerCrashed, append(suspectFields(all), zap.String(fieldServer, s.ID),
+		zap.String(fieldAddr, s.Addr), zap.Int(fieldRequests, len(suspects)))...)
+	d.table.RecordCrash(s.ID, all...)
 	d.onCrash()
 }
 
--- a/internal/gateway/server_ends_test.go
+++ b/internal/gateway/server_ends_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -112,14 +113,7 @@
 		},
 	}
 	d.connFailed(&server, contentSuspects(first))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.failed[server.ID].probing {
-			return poll.Continue("the probe is under way")
-		}
-		return poll.Success()
-	})
+	awaitProbe(t, d, server.ID)
 	ended.Store(true)
 	d.connFailed(&server, contentSuspects(second))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -133,6 +127,63 @@
 	assert.Equal(t, d.table.Crashes(first), 1, "it broke off after the end was known")
 }
 
+// awaitProbe waits until no probe of a server is running.
+func awaitProbe(t *testing.T, d *crashDetector, server string) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.failed[server].probing {
+			return poll.Continue("the probe is under way")
+		}
+		return poll.Success()
+	})
+}
+
+// TestRestartOfServer checks which requests the platform's news of a restart charges with a crash, although something accepts
+// connections at the server's address, and that each of them is logged.
+func TestRestartOfServer(t *testing.T) {
+	server := backend.Server{ID: "s", Service: "app", Addr: "10.0.0.1:1"}
+	early, late := quarantine.KeyOf(quarantine.Request{Target: "/early"}), quarantine.KeyOf(quarantine.Request{Target: "/late"})
+	tests := map[string]struct {
+		leaving bool
+		// since is the time between the probe and the news.
+		since time.Duration
+		// wantEarly and wantLate are the crashes charged to requests that failed before and after the news.
+		wantEarly, wantLate int
+	}{
+		"at once":                  {wantEarly: 1, wantLate: 1},
+		"within the window":        {since: restartWindow - time.Second, wantEarly: 1, wantLate: 1},
+		"after the window":         {since: restartWindow + time.Second, wantLate: 1},
+		"it said that it would go": {leaving: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			registry := &backend.Registry{}
+			registry.Replace([]backend.Server{server, {ID: "other", Service: "app"}, {ID: "third", Service: "app"}}, time.Now())
+			core, logs := observer.New(zap.InfoLevel)
+			d := &crashDetector{
+				ctx: t.Context(), clock: clocktest.Real{}, servers: registry, wasPaused: func(time.Time) bool { return false },
+				table:   quarantine.New(quarantine.Options{Clock: clocktest.Real{}, CrashThreshold: 3, Duration: time.Minute}),
+				onCrash: func() {}, log: zap.New(core), metrics: noMetrics{}, failed: make(map[string]*failedServer),
+				dial: func(context.Context, string) error { return nil },
+			}
+			d.connFailed(&server, contentSuspects(early))
+			awaitProbe(t, d, server.ID)
+			assert.Equal(t, d.table.Crashes(early), 0)
+			for i := range d.failed[server.ID].answered {
+				d.failed[server.ID].answered[i].at = time.Now().Add(-test.since)
+			}
+			d.restarted(server, test.leaving)
+			registry.Remove(server.ID, time.Now().Add(-time.Minute))
+			registry.Expire(time.Now())
+			d.connFailed(&server, contentSuspects(late))
+			assert.Equal(t, d.table.Crashes(early), test.wantEarly)
+			assert.Equal(t, d.table.Crashes(late), test.wantLate)
+			assert.Equal(t, logs.FilterMessage(msgServerCrashed).Len(), test.wantEarly+test.wantLate)
+		})
+	}
+}
+
 // TestIsConnFailure checks which errors of a send indicate a failed connection.
 func TestIsConnFailure(t *testing.T) {
 	tests := map[string]struct {
