intake: a process with a small quota uses its capacity

What callers saw: connections closed by a gateway that could have served them.

Cause: a gateway takes as many requests as it has handed on in 100 ms, which is one period of a processor quota. What comes while it has no processor time waits in the kernel and is accepted at once when the period begins: the gateway takes as many as in the period before, closes the rest, and is idle until the period ends. Any number of requests is in equilibrium, so that it grew by one or two a second only.

Change: connections are closed from half of the maximum delay on, 125 ms, more than a period, so that what is handed on grows by a quarter in each one. minRate falls from 160 to 128, so that 16 may be pending before the rate is known, as before.

--- a/intake/limiter.go
+++ b/intake/limiter.go
@@ -19,14 +19,15 @@
 
 const (
 	// closeFraction is the fraction of the maximum delay from which connections are closed while other processes have room:
-	// there a caller is served sooner.
-	closeFraction = 0.4
+	// there a caller is served sooner. It is more than a period of a processor quota, so that a process which hands on all
+	// that it has taken in one period takes more in the next.
+	closeFraction = 0.5
 	// flood is the multiple of the maximum delay from which connections are closed even if no other process has room, since
 	// refusals take processor time too. A caller does not wait longer than that for its request to be read.
 	flood = 4
 	// minRate is the rate at which every process is expected to hand on requests, per second. It sets the number of
 	// requests that may be pending before the rate is known.
-	minRate = 160
+	minRate = 128
 	// rateWindow is the time over which the rate of requests that are handed on is measured. It is several times the period
 	// of a processor quota.
 	rateWindow = 300 * time.Millisecond
