lab: package os tests process handles before the first probe of a port

Cause: before its first process, package os starts another one to test process handles, without the lock that isFree holds.

Change: isFree makes package os run that test before the first probe.

--- a/internal/lab/addr.go
+++ b/internal/lab/addr.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -46,6 +47,7 @@
 // isFree reports whether a process can listen on an address. It holds the lock that delays new processes, since a process
 // that starts meanwhile would hold a copy of the listener until it runs its program.
 func isFree(addr string) bool {
+	testProcessHandles()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", addr)
@@ -55,6 +57,14 @@
 	return l.Close() == nil
 }
 
+// testProcessHandles makes package os test process handles, which it does once and with a process that it starts without
+// that lock.
+var testProcessHandles = sync.OnceFunc(func() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+})
+
 var addrs = newAddrAllocator(os.Getpid())
 
 // FreeAddr returns a loopback address whose port is free at present. Running processes that call it get
