--- a/internal/gateway/server_ends.go
+++ b/internal/gateway/server_ends.go
@@ -103,16 +103,22 @@
 	return c
 }()
 
-// addSuspects adds the suspects of a request to those of a server, and starts a probe if none is running. added is false
-// if the server is already known to have crashed.
-func (d *crashDetector) addSuspects(s *backend.Server, suspects []quarantine.Suspect, now time.Time) (probed <-chan struct{}, added bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// failedServer returns the entry of a server, and creates it if there is none. d.mu must be held.
+func (d *crashDetector) failedServer(s *backend.Server) *failedServer {
 	failed := d.failed[s.ID]
 	if failed == nil {
 		failed = &failedServer{server: s}
 		d.failed[s.ID] = failed
 	}
+	return failed
+}
+
+// addSuspects adds the suspects of a request to those of a server, and starts a probe if none is running. added is false
+// if the server is already known to have crashed.
+func (d *crashDetector) addSuspects(s *backend.Server, suspects []quarantine.Suspect, now time.Time) (probed <-chan struct{}, added bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	failed := d.failedServer(s)
 	if failed.crashed {
 		return nil, false
 	}
@@ -206,11 +212,7 @@
 		return
 	}
 	d.mu.Lock()
-	failed := d.failed[s.ID]
-	if failed == nil {
-		failed = &failedServer{server: &s}
-		d.failed[s.ID] = failed
-	}
+	failed := d.failedServer(&s)
 	failed.restarted = true
 	failed.at = now
 	for _, x := range failed.answered {
--- a/internal/gateway/server_ends_test.go
+++ b/internal/gateway/server_ends_test.go
@@ -139,16 +139,16 @@
 	})
 }
 
-// TestRestartOfServer checks which requests the platform's news of a restart charges with a crash, although something accepts
-// connections at the server's address, and that each of them is logged.
+// TestRestartOfServer checks which requests are charged with a crash when the platform lists a restarted server, although
+// something accepts connections at its address, and that each of them is logged.
 func TestRestartOfServer(t *testing.T) {
 	server := backend.Server{ID: "s", Service: "app", Addr: "10.0.0.1:1"}
 	early, late := quarantine.KeyOf(quarantine.Request{Target: "/early"}), quarantine.KeyOf(quarantine.Request{Target: "/late"})
 	tests := map[string]struct {
 		leaving bool
-		// since is the time between the probe and the news.
+		// since is the time between the probe and the listing.
 		since time.Duration
-		// wantEarly and wantLate are the crashes charged to requests that failed before and after the news.
+		// wantEarly and wantLate are the crashes charged to requests that failed before and after the listing.
 		wantEarly, wantLate int
 	}{
 		"at once":                  {wantEarly: 1, wantLate: 1},
