gateway: a trial releases its claims without a second trial to list them

recordAnswer built a trial with the answered parts only to get its claims. The same messages are sent.

--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// releaseAll gives all claims of the trial up.
+func (t *trial) releaseAll() {
+	t.release(traitClaims(t.traits)...)
+	t.releaseServer()
+}
+
+// releaseServer gives the claim to the server up if the trial has it.
+func (t *trial) releaseServer() {
+	if t.server != "" {
+		t.release(trialClaim{Server: t.server})
+		t.server = ""
+	}
+}
+
 // request returns a request for a claim.
 func (t *trial) request(c trialClaim) trialRequest {
 	r := trialRequest{Gateway: t.trials.self, trialClaim: c, Trial: t.number}
@@ -69,15 +83,6 @@
 	return r
 }
 
-// claims returns the claims of the trial.
-func (t *trial) claims() []trialClaim {
-	claims := traitClaims(t.traits)
-	if t.server != "" {
-		claims = append(claims, trialClaim{Server: t.server})
-	}
-	return claims
-}
-
 // tests reports whether the trial tests a trait.
 func (t *trial) tests(x quarantine.Trait) bool { return t != nil && slices.Contains(t.tested, x) }
 
@@ -87,9 +92,9 @@
 		return
 	}
 	parts, others := partitionParts(t.traits)
-	ended := trial{traits: parts, server: t.server}
-	t.traits, t.server = others, ""
-	t.release(ended.claims()...)
+	t.release(traitClaims(parts)...)
+	t.releaseServer()
+	t.traits = others
 }
 
 // partitionParts separates the parts from the other traits.
@@ -110,8 +115,8 @@
 		return
 	}
 	if settled {
-		t.release(t.claims()...)
+		t.releaseAll()
 		return
 	}
-	t.trials.clock.AfterFunc(trialSettleTime, func() { t.release(t.claims()...) })
+	t.trials.clock.AfterFunc(trialSettleTime, t.releaseAll)
 }
