gateway: log line and counter for responses that name another request

Nothing told a refusal of another request from one of the request itself: 'send failed' has the status, but neither the request that the response names, nor its mark, nor whether the connection was reused. The line 'response to another request' has them, rate-limited; rockcleat_gateway_foreign_responses_total counts by kind.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,8 @@
 	// IntakeObserved records the highest number of pending requests in the last second and the processor time that the
 	// process used in it, in seconds.
 	IntakeObserved(pending int, processorSeconds float64)
+	// ForeignResponse counts a response of a server that was not that of the request for which it came, by kind.
+	ForeignResponse(kind string)
 	// ServerCrashed counts a crash of a server under requests, by service.
 	ServerCrashed(service string)
 	// ConfigTransfer counts a transfer of the configuration and its size on the wire; err is not nil if it failed.
@@ -62,6 +64,7 @@
 func (noMetrics) ProcessorRefused()                             {}
 func (noMetrics) ConnectionsAccepted(string, int64)             {}
 func (noMetrics) IntakeObserved(int, float64)                   {}
+func (noMetrics) ForeignResponse(string)                        {}
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
 func (noMetrics) Admissions(int, int, int)                      {}
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -50,6 +50,9 @@
 	// notSentRate and notSentBurst limit lines about gateways to which records of streams could not be sent.
 	notSentRate  = 1
 	notSentBurst = 5
+	// foreignRate and foreignBurst limit lines about responses to other requests, which a faulty server may send all the time.
+	foreignRate  = 5
+	foreignBurst = 60
 	// processorRate and processorBurst limit lines about a shortage of processor time, which may begin and end often.
 	processorRate  = 1
 	processorBurst = 10
@@ -73,8 +76,9 @@
 	// overLimit limits the lines about requests over a rate limit, serverLimit those about servers' rate limits,
 	// serverLeave those about leaving servers, serverPause those about pauses of servers, resumed those about resumed
 	// streams, notSent those about records of streams, serverSpeed those about speeds of servers, and processor and
-	// processorRefusals those about a shortage of processor time and the requests refused because of it.
-	overLimit, serverLimit, serverLeave, serverPause, resumed, notSent, serverSpeed, processor, processorRefusals *lineLimiter
+	// processorRefusals those about a shortage of processor time and the requests refused because of it, and foreign those
+	// about responses to other requests.
+	overLimit, serverLimit, serverLeave, serverPause, resumed, notSent, serverSpeed, processor, processorRefusals, foreign *lineLimiter
 }
 
 func newRequestLog(log *zap.Logger, m Metrics, c clock.Service, names wire.HeaderNames) *requestLog {
@@ -91,6 +95,7 @@
 		resumed:     newLineLimiter(resumedRate, resumedBurst),
 		notSent:     newLineLimiter(notSentRate, notSentBurst),
 		processor:   newLineLimiter(processorRate, processorBurst),
+		foreign:     newLineLimiter(foreignRate, foreignBurst),
 
 		processorRefusals: newLineLimiter(processorRefusalRate, processorRefusalBurst),
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 
 	"github.com/rotisserie/eris"
@@ -30,12 +31,17 @@
 	}
 	f.proxy.requestLog.recordSend(f, res)
 	sent := f.proxy.clock.Now()
-	resp, err := f.proxy.transport.RoundTrip(f.serverRequest(ctx, res))
+	var conn httptrace.GotConnInfo
+	traceCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i }})
+	resp, err := f.proxy.transport.RoundTrip(f.serverRequest(traceCtx, res))
 	if err != nil {
 		return f.handleNoResponse(res, cause(ctx, err))
 	}
 	defer resp.Body.Close()
 	f.record.sends++
+	if ids := resp.Header.Values(f.proxy.names.RequestID); len(ids) != 1 || ids[0] != f.in.id {
+		f.proxy.requestLog.foreignResponse(f, res, conn, resp)
+	}
 	f.proxy.observer.observe(f.in, res, resp, sent)
 	if resp.Header.Get(f.proxy.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return f.handleRefusal(res, resp)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -41,6 +41,8 @@
 	configTransfers metric.Int64Counter
 	configBytes     metric.Int64Counter
 	serverCrashes   metric.Int64Counter
+	// foreignResponses counts the responses of servers that were not those of the requests for which they came.
+	foreignResponses metric.Int64Counter
 	// serverLimits counts the limits that servers announced, changed and ended.
 	serverLimits metric.Int64Counter
 	// serverDepartures counts the servers that announced that they are leaving.
@@ -97,6 +99,7 @@
 	m.queueWaitError = m.histogram(b, "rockcleat.gateway.queue_wait_error", "Difference between the estimated and the actual wait of these requests.")
 	m.configTransfers = b.counter("rockcleat.gateway.config_transfers", "Transfers of the configuration, by origin and result.")
 	m.configBytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
+	m.foreignResponses = b.counter("rockcleat.gateway.foreign_responses", "Responses of backend servers to another request than the one for which they came, by kind.")
 	m.serverCrashes = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
 	m.serverLimits = b.counter("rockcleat.gateway.server_limits", "Limits that backend servers named for themselves, by what became of them.")
 	m.serverDepartures = b.counter("rockcleat.gateway.server_departures", "Backend servers that announced that they are leaving, by origin of the announcement.")
@@ -180,6 +183,11 @@
 	m.configBytes.Add(ctx, int64(bytes), m.attributeSet("from", from, "", ""))
 }
 
+// ForeignResponse counts a response of a backend server that was not that of the request for which it came, by kind.
+func (m *GatewayMetrics) ForeignResponse(kind string) {
+	m.foreignResponses.Add(context.Background(), 1, m.attributeSet("kind", kind, "", ""))
+}
+
 // ServerCrashed counts a backend server of a service that crashed while it ran requests.
 func (m *GatewayMetrics) ServerCrashed(service string) {
 	m.serverCrashes.Add(context.Background(), 1, m.attributeSet("service", service, "", ""))
