gateway: a refusal of another request does not refuse the next one

Callers got 503 'not run' for requests that servers ran, and requests that must run once ran at two servers. Cause: responses name their request, but the forwarder looked at the mark 'not run' and at status 421 before it compared that name; on a kept connection the surplus refusal of an earlier request was taken for the response to the next one. Its identity goes first now, in one place (verdictOf): a response that does not name this request alone says nothing of it, so the request may have run. The observer of announcements relied on a check of its own, which goes.

--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -37,10 +37,10 @@
 	}
 }
 
-// observe evaluates a response to a caller's request that was sent at the given time. It ignores responses to other
-// requests, and responses with status 421, which come from a server other than the intended one.
+// observe evaluates the response to a caller's request that was sent at the given time. It ignores responses with status
+// 421, which come from a server other than the intended one.
 func (o *responseObserver) observe(in *inbound, res *dispatch.Reservation, resp *http.Response, sent time.Time) {
-	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(o.names.RequestID) != in.id {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	r := responseHead{server: res.Server().ID, status: resp.StatusCode, header: resp.Header, request: in.id}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -39,11 +39,12 @@
 	}
 	defer resp.Body.Close()
 	f.record.sends++
-	if ids := resp.Header.Values(f.proxy.names.RequestID); len(ids) != 1 || ids[0] != f.in.id {
-		f.proxy.requestLog.foreignResponse(f, res, conn, resp)
+	v := verdictOf(f.proxy.names, f.in.id, resp)
+	if v == verdictForeign {
+		return f.handleForeign(res, conn, resp)
 	}
 	f.proxy.observer.observe(f.in, res, resp, sent)
-	if resp.Header.Get(f.proxy.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+	if v == verdictRefused {
 		return f.handleRefusal(res, resp)
 	}
 	f.record.runs++
@@ -81,10 +82,21 @@
 	return f.handleLost(res, err)
 }
 
-// validate returns an error if resp does not belong to this request, or cannot continue a response that has begun.
+// handleForeign handles a response that is not surely that of the request, and reports whether the request is finished.
+func (f *forwarder) handleForeign(res *dispatch.Reservation, i httptrace.GotConnInfo, resp *http.Response) bool {
+	f.proxy.requestLog.foreignResponse(f, res, i, resp)
+	f.record.runs++
+	return f.handleLost(res, errForeign)
+}
+
+// errForeign reports a response to another request.
+var errForeign = eris.New("gateway: response to another request")
+
+// validate returns an error if resp is not a valid response to a request that may have run, or cannot continue a response
+// that has begun.
 func (f *forwarder) validate(resp *http.Response) error {
-	if id := resp.Header.Get(f.proxy.names.RequestID); id != f.in.id {
-		return eris.Errorf("gateway: response to another request %q", id)
+	if resp.Header.Get(f.proxy.names.NotRun) != "" {
+		return eris.Errorf("gateway: status %d of a request that is marked as not run", resp.StatusCode)
 	}
 	if resp.StatusCode < 300 && resp.Header.Get(f.proxy.names.Signature) == "" {
 		return eris.New("gateway: response without a signature")
--- /dev/null
+++ b/internal/gateway/verdict.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"net/http"
+
+	"rockcleat/internal/wire"
+)
+
+// A verdict says what a backend server's response means for the request that it came for.
+type verdict int
+
+const (
+	// verdictForeign: the response is not surely that of the request, which may therefore run.
+	verdictForeign verdict = iota
+	// verdictRefused: the server has not run the request and will not.
+	verdictRefused
+	// verdictRan: the request may have run.
+	verdictRan
+)
+
+// verdictOf returns the verdict on a response to the request with the given ID. Whose response it is goes before what it
+// says: connections carry surplus responses to earlier requests.
+func verdictOf(names wire.HeaderNames, id string, resp *http.Response) verdict {
+	if ids := resp.Header.Values(names.RequestID); len(ids) != 1 || ids[0] != id {
+		return verdictForeign
+	}
+	marked := resp.Header.Get(names.NotRun) != "" && resp.StatusCode >= http.StatusBadRequest
+	if marked || resp.StatusCode == http.StatusMisdirectedRequest {
+		return verdictRefused
+	}
+	return verdictRan
+}
