gateway: a connection carries no request after a response to another one

After a surplus response without a body, the real one came in the place of the response to the next request, and so on: one surplus response cost every later request on that connection. net/http returns such a connection to its pool before the caller of RoundTrip sees the response, so closing it afterwards is too late for the request that has taken it. Package serverconn tracks the connections to servers: a request is written only after the response to the one before was accepted, and one that finds its connection discarded takes another, as a reused connection that breaks before any byte was written. It also takes over that net/http repeats nothing by itself.

--- a/internal/gateway/foreign_response.go
+++ b/internal/gateway/foreign_response.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"net/http/httptrace"
 
 	"go.uber.org/zap"
 
 	"rockcleat/dispatch"
+	"rockcleat/internal/serverconn"
 )
 
 // Kinds of responses that are not surely those of the requests for which they came, as used in log lines and metrics.
@@ -15,6 +15,8 @@
 	foreignOtherID    = "other"
 	foreignNoID       = "none"
 	foreignSeveralIDs = "several"
+	// foreignUnsolicited: the response arrived before the request was written.
+	foreignUnsolicited = "unsolicited"
 )
 
 // foreignKind returns the kind of a response with the given request IDs.
@@ -29,13 +31,19 @@
 }
 
 // foreignResponse counts and logs a response that is not surely that of the request. The lines are rate-limited.
-func (l *requestLog) foreignResponse(f *forwarder, res *dispatch.Reservation, i httptrace.GotConnInfo, resp *http.Response) {
+func (l *requestLog) foreignResponse(f *forwarder, res *dispatch.Reservation, x *serverconn.Exchange, resp *http.Response) {
 	kind := foreignKind(resp.Header.Values(l.names.RequestID))
-	fields := append(serverFields(res.Server()), zap.String(fieldRequest, f.in.id), zap.Bool(fieldConnReused, i.Reused),
-		zap.Float64(fieldConnIdle, i.IdleTime.Seconds()))
+	fields := append(serverFields(res.Server()), zap.String(fieldRequest, f.in.id), zap.Bool(fieldConnReused, x.Reused()),
+		zap.Float64(fieldConnAge, x.Age().Seconds()), zap.Float64(fieldConnIdle, x.Idle().Seconds()))
 	l.logForeign(kind, res.Server().Addr, resp, fields)
 }
 
+// unsolicitedResponse counts and logs a response that arrived from the server at an address before the request was written.
+// The lines are rate-limited.
+func (l *requestLog) unsolicitedResponse(addr string, resp *http.Response) {
+	l.logForeign(foreignUnsolicited, addr, resp, nil)
+}
+
 func (l *requestLog) logForeign(kind, addr string, resp *http.Response, fields []zap.Field) {
 	l.metrics.ForeignResponse(kind)
 	suppressed, ok := l.foreign.allow(l.clock.Now())
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -42,6 +42,7 @@
 	fieldResponseTo          = "response_to"
 	fieldNotRunMark          = "marked_not_run"
 	fieldConnReused          = "conn_reused"
+	fieldConnAge             = "conn_age_s"
 	fieldConnIdle            = "conn_idle_s"
 	fieldUnsent              = "unsent"
 	fieldRuns                = "runs"
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -13,6 +13,7 @@
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
+	"rockcleat/internal/serverconn"
 	"rockcleat/internal/wire"
 	"rockcleat/kv"
 	"rockcleat/lease"
@@ -329,10 +330,12 @@
 		origins:       p.origins,
 		observer:      observer,
 		clock:         o.Clock,
-		transport:     wire.NewDirectTransport(o.Settings.IdleTimeout.Std()),
-		bodyTimeout:   o.Settings.BodyTimeout.Std(),
-		regions:       o.Settings.Regions,
-		buffers:       newBufferMemory(o.Settings.MemoryMB),
+		transport: serverconn.New(serverconn.Options{
+			Base: wire.NewDirectTransport(o.Settings.IdleTimeout.Std()), Clock: o.Clock, OnUnsolicited: p.requestLog.unsolicitedResponse,
+		}),
+		bodyTimeout: o.Settings.BodyTimeout.Std(),
+		regions:     o.Settings.Regions,
+		buffers:     newBufferMemory(o.Settings.MemoryMB),
 	}
 }
 
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -7,6 +7,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/dispatch"
+	"rockcleat/internal/serverconn"
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
@@ -32,7 +33,7 @@
 	// observer evaluates what servers announce about themselves in responses.
 	observer  *responseObserver
 	clock     clock.Service
-	transport http.RoundTripper
+	transport *serverconn.Transport
 	regions   regionMap
 	buffers   *bufferMemory
 	// bodyTimeout is the timeout for reading a request body.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,16 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 
 	"github.com/rotisserie/eris"
 
 	"rockcleat/dispatch"
+	"rockcleat/internal/serverconn"
 	"rockcleat/internal/wire"
 )
 
@@ -31,9 +29,7 @@
 	}
 	f.proxy.requestLog.recordSend(f, res)
 	sent := f.proxy.clock.Now()
-	var conn httptrace.GotConnInfo
-	traceCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i }})
-	resp, err := f.proxy.transport.RoundTrip(f.serverRequest(traceCtx, res))
+	resp, exchange, err := f.proxy.transport.Send(f.serverRequest(ctx, res), f.in.body)
 	if err != nil {
 		return f.handleNoResponse(res, cause(ctx, err))
 	}
@@ -41,8 +37,9 @@
 	f.record.sends++
 	v := verdictOf(f.proxy.names, f.in.id, resp)
 	if v == verdictForeign {
-		return f.handleForeign(res, conn, resp)
+		return f.handleForeign(res, exchange, resp)
 	}
+	exchange.Accept()
 	f.proxy.observer.observe(f.in, res, resp, sent)
 	if v == verdictRefused {
 		return f.handleRefusal(res, resp)
@@ -82,9 +79,11 @@
 	return f.handleLost(res, err)
 }
 
-// handleForeign handles a response that is not surely that of the request, and reports whether the request is finished.
-func (f *forwarder) handleForeign(res *dispatch.Reservation, i httptrace.GotConnInfo, resp *http.Response) bool {
-	f.proxy.requestLog.foreignResponse(f, res, i, resp)
+// handleForeign handles a response that is not surely that of the request, and reports whether the request is finished. The
+// connection is closed, since the response to this request would arrive there as that to the next one.
+func (f *forwarder) handleForeign(res *dispatch.Reservation, x *serverconn.Exchange, resp *http.Response) bool {
+	x.Discard()
+	f.proxy.requestLog.foreignResponse(f, res, x, resp)
 	f.record.runs++
 	return f.handleLost(res, errForeign)
 }
@@ -114,32 +113,10 @@
 		Method: f.in.Method, URL: targetURL(f.in.RequestURI, s.Addr), Host: f.in.Host, Header: f.serverRequestHeader(s.Name()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if len(f.in.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(f.in.body))
-		out.ContentLength = int64(len(f.in.body))
-	}
 	wire.DisableRetry(out)
-	return sendOnceContext(ctx, out)
-}
-
-// sendOnceContext returns r with ctx. It keeps the transport from repeating a request without a body, which it does
-// when a reused connection breaks.
-func sendOnceContext(ctx context.Context, r *http.Request) *http.Request {
-	if r.Body == nil {
-		r.Body = emptyBody{}
-	}
-	return r.WithContext(ctx)
+	return out.WithContext(ctx)
 }
 
-// emptyBody is an empty body that the transport cannot recognise as empty.
-type emptyBody struct{}
-
-// Read implements io.Reader.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close implements io.Closer.
-func (emptyBody) Close() error { return nil }
-
 // targetURL returns a URL that transmits the caller's request target unchanged.
 func targetURL(requestURI, addr string) *url.URL {
 	return &url.URL{Scheme: "http", Host: addr, Opaque: requestURI}
--- /dev/null
+++ b/internal/serverconn/transport.go
@@ -0,0 +1,96 @@
+package serverconn
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"rockcleat/clock"
+)
+
+// Options configure a Transport.
+type Options struct {
+	// Base has the settings of the connections. It is not used itself.
+	Base  *http.Transport
+	Clock clock.Service
+	// OnUnsolicited, if not nil, is called with each response that arrives before the request that it would answer was
+	// written.
+	OnUnsolicited func(addr string, resp *http.Response)
+}
+
+// A Transport sends requests over connections that it tracks. It is safe for concurrent use.
+type Transport struct {
+	base          *http.Transport
+	clock         clock.Service
+	onUnsolicited func(addr string, resp *http.Response)
+}
+
+// New returns a Transport.
+func New(o Options) *Transport {
+	t := &Transport{base: o.Base.Clone(), clock: o.Clock, onUnsolicited: o.OnUnsolicited}
+	if t.onUnsolicited == nil {
+		t.onUnsolicited = func(string, *http.Response) {}
+	}
+	dial := t.base.DialContext
+	t.base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(c, t.clock.Now()), nil
+	}
+	return t
+}
+
+// errUnsolicited is the error of a send on a new connection whose server responds before it has got the request.
+var errUnsolicited = errors.New("serverconn: response before the request was written")
+
+// Send writes r with the given body to one connection and returns the response. r.Body is ignored.
+//
+// Unless the error is not nil, the caller must call Accept or Discard on the Exchange. The error is one of http.Transport;
+// Exchange.NotSent says whether the request may have been written. If a reused connection fails before that, Send takes another
+// one.
+func (t *Transport) Send(r *http.Request, body []byte) (*http.Response, *Exchange, error) {
+	for {
+		resp, x, err := t.sendOnce(r, body)
+		if err == nil || !x.reused || !x.NotSent() || r.Context().Err() != nil {
+			return resp, x, err
+		}
+	}
+}
+
+// sendOnce sends r over the connection that http.Transport chooses.
+func (t *Transport) sendOnce(r *http.Request, body []byte) (*http.Response, *Exchange, error) {
+	x := &Exchange{}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { x.attach(i, t.clock.Now()) }}
+	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	out.GetBody, out.Body, out.ContentLength = nil, emptyBody{}, 0
+	if len(body) > 0 {
+		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	resp, err := t.base.RoundTrip(out)
+	if err == nil && x.NotSent() {
+		t.onUnsolicited(r.URL.Host, resp)
+		err = errUnsolicited
+		defer resp.Body.Close()
+	}
+	if err != nil {
+		x.Discard()
+		return nil, x, err
+	}
+	return resp, x, nil
+}
+
+// emptyBody is an empty body that http.Transport does not recognise as empty. It would repeat a request without a body when
+// a reused connection breaks.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
