gateway: a request is not sent again over a connection that has carried it

A request that its server had truly refused ran more than once. The gateway sent it to the same server again (the only one, or after a pause) over the same connection, where a second copy of the refusal waited: it names the request, so its identity shows nothing, and the run that had begun was taken for refused. serverconn.History holds the connections that have carried a request; one of them fails before a byte is written and is closed, and the request takes another. That costs a connection only where a request meets one of its own again; of all refused requests none else.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/dispatch"
+	"rockcleat/internal/serverconn"
 	"rockcleat/quarantine"
 )
 
@@ -30,6 +31,8 @@
 	// req is in.requirements, updated with the servers to exclude and other results of earlier sends.
 	req    dispatch.Request
 	record record
+	// history remembers the connections that have carried the request.
+	history serverconn.History
 	// buffers holds the memory for the request's body and for the buffered part of its response.
 	buffers *bufferReservation
 	// headerSent reports whether the header of a response has been sent to the caller.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -29,7 +29,7 @@
 	}
 	f.proxy.requestLog.recordSend(f, res)
 	sent := f.proxy.clock.Now()
-	resp, exchange, err := f.proxy.transport.Send(f.serverRequest(ctx, res), f.in.body)
+	resp, exchange, err := f.proxy.transport.Send(f.serverRequest(ctx, res), f.in.body, &f.history)
 	if err != nil {
 		return f.handleNoResponse(res, cause(ctx, err))
 	}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -14,6 +14,8 @@
 	errDiscarded = errors.New("serverconn: connection discarded")
 	// errAbandoned: the send has ended before its request was written.
 	errAbandoned = errors.New("serverconn: send ended before the request was written")
+	// errCarried: the connection has carried the request before.
+	errCarried = errors.New("serverconn: connection has carried the request before")
 )
 
 // A conn is a connection to a server. It writes a request only after the response to the one before was accepted.
@@ -58,6 +60,8 @@
 	switch {
 	case c.discarded:
 		return errDiscarded
+	case x.carried:
+		return errCarried
 	case x.abandoned:
 		return errAbandoned
 	}
@@ -86,16 +90,19 @@
 
 	// written reports whether the request may have been written in part. abandoned reports that it will not be.
 	written, abandoned bool
+	// carried reports whether the connection has carried the request before.
+	carried bool
 	// decided reports whether the response was accepted or discarded.
 	decided bool
 }
 
 // attach makes x the next exchange of a connection.
-func (x *Exchange) attach(i httptrace.GotConnInfo, now time.Time) {
+func (x *Exchange) attach(i httptrace.GotConnInfo, now time.Time, h *History) {
 	c := i.Conn.(*conn)
 	x.conn, x.reused, x.idle, x.age = c, i.Reused, i.IdleTime, now.Sub(c.openedAt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x.carried = h.carriedBy(c)
 	if c.current != nil && !c.current.decided {
 		c.undecided = c.current
 	}
--- a/internal/serverconn/transport.go
+++ b/internal/serverconn/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 
 	"rockcleat/clock"
 )
@@ -49,14 +50,15 @@
 // errUnsolicited is the error of a send on a new connection whose server responds before it has got the request.
 var errUnsolicited = errors.New("serverconn: response before the request was written")
 
-// Send writes r with the given body to one connection and returns the response. r.Body is ignored.
+// Send writes r with the given body to one connection and returns the response. r.Body is ignored. Sends of the same request
+// must pass the same History and must not overlap.
 //
 // Unless the error is not nil, the caller must call Accept or Discard on the Exchange. The error is one of http.Transport;
 // Exchange.NotSent says whether the request may have been written. If a reused connection fails before that, Send takes another
 // one.
-func (t *Transport) Send(r *http.Request, body []byte) (*http.Response, *Exchange, error) {
+func (t *Transport) Send(r *http.Request, body []byte, h *History) (*http.Response, *Exchange, error) {
 	for {
-		resp, x, err := t.sendOnce(r, body)
+		resp, x, err := t.sendOnce(r, body, h)
 		if err == nil || !x.reused || !x.NotSent() || r.Context().Err() != nil {
 			return resp, x, err
 		}
@@ -64,9 +66,9 @@
 }
 
 // sendOnce sends r over the connection that http.Transport chooses.
-func (t *Transport) sendOnce(r *http.Request, body []byte) (*http.Response, *Exchange, error) {
+func (t *Transport) sendOnce(r *http.Request, body []byte, h *History) (*http.Response, *Exchange, error) {
 	x := &Exchange{}
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { x.attach(i, t.clock.Now()) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { x.attach(i, t.clock.Now(), h) }}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	out.GetBody, out.Body, out.ContentLength = nil, emptyBody{}, 0
 	if len(body) > 0 {
@@ -94,3 +96,15 @@
 
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
+
+// A History remembers the connections that have carried one request. The zero History is empty.
+type History struct{ conns []*conn }
+
+// carriedBy reports whether c has carried the request, and remembers c.
+func (h *History) carriedBy(c *conn) bool {
+	if slices.Contains(h.conns, c) {
+		return true
+	}
+	h.conns = append(h.conns, c)
+	return false
+}
--- a/internal/serverconn/transport_test.go
+++ b/internal/serverconn/transport_test.go
@@ -84,7 +84,7 @@
 
 // send sends a request and accepts its response.
 func (s *scriptedServer) send(t *testing.T, transport *serverconn.Transport) *serverconn.Exchange {
-	resp, x, err := transport.Send(s.request(t, t.Context()), nil)
+	resp, x, err := transport.Send(s.request(t, t.Context()), nil, &serverconn.History{})
 	assert.NilError(t, err)
 	x.Accept()
 	resp.Body.Close()
@@ -111,7 +111,7 @@
 				}
 			})
 			transport := newTransport(t)
-			resp, x, err := transport.Send(s.request(t, t.Context()), nil)
+			resp, x, err := transport.Send(s.request(t, t.Context()), nil, &serverconn.History{})
 			assert.NilError(t, err)
 			defer resp.Body.Close()
 			assert.Equal(t, <-arrived, 1)
@@ -147,7 +147,7 @@
 				s.send(t, transport)
 				r := s.request(t, t.Context())
 				r.Method = method
-				_, x, err := transport.Send(r, make([]byte, size))
+				_, x, err := transport.Send(r, make([]byte, size), &serverconn.History{})
 				assert.Assert(t, err != nil)
 				assert.Assert(t, x.Reused())
 				assert.Assert(t, !x.NotSent())
@@ -157,13 +157,41 @@
 	}
 }
 
+// TestRequestTakesAnotherConnectionEachTime checks that a request which is sent again does not use a connection that it has used
+// before, while another request may.
+func TestRequestTakesAnotherConnectionEachTime(t *testing.T) {
+	for _, size := range []int{0, 100, 100_000} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			arrived := make(chan int, 8)
+			s := newScriptedServer(t, func(n int, c *net.TCPConn, r *bufio.Reader) {
+				for readRequest(r) {
+					arrived <- n
+					fmt.Fprint(c, ok)
+				}
+			})
+			transport := newTransport(t)
+			var first, second serverconn.History
+			for i, step := range []struct {
+				history *serverconn.History
+				conn    int
+			}{{&first, 1}, {&second, 1}, {&first, 2}, {&first, 3}, {&second, 3}} {
+				resp, x, err := transport.Send(s.request(t, t.Context()), make([]byte, size), step.history)
+				assert.NilError(t, err)
+				x.Accept()
+				resp.Body.Close()
+				assert.Equal(t, <-arrived, step.conn, "step %d", i)
+			}
+		})
+	}
+}
+
 // TestRefusedConnectionIsNotSent checks that a request is known not to be sent if its server refuses connections.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &scriptedServer{addr: l.Addr().String()}
 	l.Close()
-	_, x, err := newTransport(t).Send(s.request(t, t.Context()), nil)
+	_, x, err := newTransport(t).Send(s.request(t, t.Context()), nil, &serverconn.History{})
 	assert.Assert(t, err != nil)
 	assert.Assert(t, x.NotSent())
 }
@@ -179,7 +207,7 @@
 	})
 	transport := newTransport(t)
 	for range 20 {
-		resp, x, err := transport.Send(s.request(t, t.Context()), nil)
+		resp, x, err := transport.Send(s.request(t, t.Context()), nil, &serverconn.History{})
 		if err != nil {
 			continue
 		}
@@ -200,7 +228,7 @@
 	for i := range 16 {
 		senders.Go(func() {
 			for j := range 100 {
-				resp, x, err := transport.Send(s.request(t, t.Context()), nil)
+				resp, x, err := transport.Send(s.request(t, t.Context()), nil, &serverconn.History{})
 				if err != nil {
 					t.Errorf("send %d of sender %d: %v", j, i, err)
 					return
