gateway: a server's status does not promise what the server has not said

Callers got 429, 503 or 408 for requests that had run: a server that ends a request with one of these statuses without the mark 'not run' may have run it, and the gateway passed the status on, whose meaning to callers is that nothing ran. Such a response now counts as none (validate): a request that may be repeated is sent again, others get a 502 of the gateway's own, without the server's signature. A success with the mark 'not run' contradicts itself and counts likewise.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -94,12 +94,18 @@
 // validate returns an error if resp is not a valid response to a request that may have run, or cannot continue a response
 // that has begun.
 func (f *forwarder) validate(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return eris.Errorf("gateway: status %d instead of a response", resp.StatusCode)
+	}
 	if resp.Header.Get(f.proxy.names.NotRun) != "" {
 		return eris.Errorf("gateway: status %d of a request that is marked as not run", resp.StatusCode)
 	}
 	if resp.StatusCode < 300 && resp.Header.Get(f.proxy.names.Signature) == "" {
 		return eris.New("gateway: response without a signature")
 	}
+	if isPromise(resp.StatusCode) {
+		return eris.Errorf("gateway: status %d without the mark that the request has not run", resp.StatusCode)
+	}
 	if f.headerSent.Load() && resp.StatusCode != http.StatusOK {
 		return eris.Errorf("gateway: status %d in response to a resumed stream", resp.StatusCode)
 	}
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -30,3 +30,12 @@
 	}
 	return verdictRan
 }
+
+// isPromise reports whether a status tells callers that the request has not run and will not.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
