gateway: a send counts as not sent exactly if no byte of it was written

Callers got 504 or 502 for requests that no server had received: only a connection error counted as not sent, so that a request whose time ended while it waited for a connection, or whose server responded before it was written, counted as one that may have run. serverconn.Exchange.NotSent decides it from the connection itself, for every error of the dialer, the pool and the context, and keeps a cancelled send from being written afterwards.

Evidence: TestRequestThatReachedNoServerInTimeHasNotRun failed (504) and passes; TestCancelledSendIsNotWrittenLater.

--- a/internal/gateway/not_run_test.go
+++ b/internal/gateway/not_run_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -56,6 +59,38 @@
 	}
 }
 
+// newUnacceptingServer returns a server whose machine leaves further connection requests unanswered.
+func newUnacceptingServer(t *testing.T, id string) *fakeServer {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, unix.Listen(fd, 0))
+	local, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	addr := fmt.Sprint("127.0.0.1:", local.(*unix.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return &fakeServer{t: t, id: id, addr: addr}
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
+
+// TestRequestThatReachedNoServerInTimeHasNotRun checks that a request whose time ends while it waits for a connection is told
+// apart from one that may have run.
+func TestRequestThatReachedNoServerInTimeHasNotRun(t *testing.T) {
+	for name, path := range map[string]string{"plain": pathUnsafe, "stream": pathStream} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, newUnacceptingServer(t, "a"))
+			got := env.post(path, "", names.Deadline, "150")
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Assert(t, strings.Contains(got.body, "not run"), got.body)
+		})
+	}
+}
+
 // TestResponseToHead checks that the Content-Length of a response to HEAD, which has no body, is forwarded unchanged.
 func TestResponseToHead(t *testing.T) {
 	server := newFakeServer(t, "a", func(c *call) bool {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -31,7 +31,7 @@
 	sent := f.proxy.clock.Now()
 	resp, exchange, err := f.proxy.transport.Send(f.serverRequest(ctx, res), f.in.body, &f.history)
 	if err != nil {
-		return f.handleNoResponse(res, cause(ctx, err))
+		return f.handleNoResponse(res, exchange, cause(ctx, err))
 	}
 	defer resp.Body.Close()
 	f.record.sends++
@@ -64,13 +64,13 @@
 
 // handleNoResponse handles a send that failed before a response's header arrived. It reports whether the request is
 // finished.
-func (f *forwarder) handleNoResponse(res *dispatch.Reservation, err error) bool {
+func (f *forwarder) handleNoResponse(res *dispatch.Reservation, x *serverconn.Exchange, err error) bool {
 	if f.isCallerGone() {
 		res.Done(dispatch.Canceled)
 		f.record.outcome = outcomeCallerGone
 		return true
 	}
-	if wire.IsNotSent(err) {
+	if x.NotSent() {
 		return f.handleNotSent(res, err)
 	}
 	f.record.sends++
--- a/internal/serverconn/transport_test.go
+++ b/internal/serverconn/transport_test.go
@@ -220,6 +220,31 @@
 	t.Fatal("no request was answered")
 }
 
+// TestCancelledSendIsNotWrittenLater checks that a request which is cancelled before it is written is known not to be sent and
+// is not written afterwards.
+func TestCancelledSendIsNotWrittenLater(t *testing.T) {
+	var requests atomic.Int32
+	s := newScriptedServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		for readRequest(r) {
+			requests.Add(1)
+			fmt.Fprint(c, ok)
+		}
+	})
+	transport := newTransport(t)
+	resp, undecided, err := transport.Send(s.request(t, t.Context()), nil, &serverconn.History{})
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, x, err := transport.Send(s.request(t, ctx), nil, &serverconn.History{})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Assert(t, x.Reused())
+	assert.Assert(t, x.NotSent())
+	undecided.Accept()
+	s.send(t, transport)
+	assert.Equal(t, requests.Load(), int32(2))
+}
+
 // TestConcurrentSends checks that many requests at once each get a response while some responses are discarded.
 func TestConcurrentSends(t *testing.T) {
 	s := newScriptedServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) { answerAll(c, r) })
