gateway: the body of a refusal does not hold the request

Callers waited until their time was over although another server was free: a refusal whose body did not end (cut, without a last chunk, or without a length on a connection that stays open) was read until then. The read has 50 ms, and a body that ends with its connection is not read at all.

Evidence: TestRefusalWithoutEndDoesNotHoldTheRequest failed in its three cases (503 after 5 s) and passes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -170,12 +170,11 @@
 	f.refuse(outcomeRefused, r)
 }
 
-// handleRefusal handles a response in which the server says that it did not run the request. It reports whether the
-// request is finished.
-func (f *forwarder) handleRefusal(res *dispatch.Reservation, resp *http.Response) bool {
+// handleRefusal handles a response in which the server says that it did not run the request. cancel ends the send. It
+// reports whether the request is finished.
+func (f *forwarder) handleRefusal(res *dispatch.Reservation, resp *http.Response, cancel context.CancelCauseFunc) bool {
 	res.Done(refusalResult(resp))
-	// Reading the body lets the connection be reused; after an error it is closed.
-	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
+	f.discardBody(resp, cancel)
 	f.proxy.requestLog.sendRefused(f, res, resp)
 	if !f.mayRepeatRefused() || !f.proxy.budgets.take(f.in) {
 		f.refuseNotRun(notRun("the servers are full", f.retryAfterRefusal()), eris.New("gateway: server refused to resume the stream"))
@@ -185,6 +184,20 @@
 	return false
 }
 
+// refusalBodyTimeout is how long the body of a refusal may take.
+const refusalBodyTimeout = 50 * time.Millisecond
+
+// discardBody reads the body of a refusal, so that the connection can be reused. cancel ends the send, and with it the read
+// of a body that does not end in time. A body that ends with the connection is not read.
+func (f *forwarder) discardBody(resp *http.Response, cancel context.CancelCauseFunc) {
+	if resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked") {
+		return
+	}
+	defer f.proxy.clock.AfterFunc(refusalBodyTimeout, func() { cancel(nil) }).Stop()
+	// After an error the connection is closed.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
+}
+
 // mayRepeatRefused reports whether a request may be sent again after a refusal. If an earlier send may have run, the
 // route must allow another run.
 func (f *forwarder) mayRepeatRefused() bool {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -42,7 +42,7 @@
 	exchange.Accept()
 	f.proxy.observer.observe(f.in, res, resp, sent)
 	if v == verdictRefused {
-		return f.handleRefusal(res, resp)
+		return f.handleRefusal(res, resp, cancel)
 	}
 	f.record.runs++
 	if err := f.validate(resp); err != nil {
--- a/internal/gateway/surplus_response_test.go
+++ b/internal/gateway/surplus_response_test.go
@@ -238,3 +238,32 @@
 	defer mu.Unlock()
 	assert.Equal(t, afterSurplus, 0, "requests on a connection after a response to another request")
 }
+
+// TestRefusalWithoutEndDoesNotHoldTheRequest checks that a request goes elsewhere at once if the body of its refusal does not
+// end.
+func TestRefusalWithoutEndDoesNotHoldTheRequest(t *testing.T) {
+	bodies := map[string]string{
+		"too short": "Content-Length: 10\r\n\r\nfull", "chunked": "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n", "without length": "\r\nfull",
+	}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			runs := newRunCounter()
+			refuse := func(c *call) bool {
+				c.write(strings.TrimSuffix(c.head(503, names.NotRun+": 1"), "\r\n"), body)
+				<-c.gone
+				return false
+			}
+			respond := firstThen(refuse, func(c *call) bool {
+				runs.record(c)
+				return answer(c)
+			})
+			env := newTestEnv(t, newFakeServer(t, "a", respond), newFakeServer(t, "b", respond))
+			env.awaitServers(2)
+			start := time.Now()
+			got := env.post(pathUnsafe, "")
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Equal(t, runs.count("id-1"), 1)
+			assert.Assert(t, time.Since(start) < time.Second, "%v", time.Since(start))
+		})
+	}
+}
