telemetry: lines of libraries are limited

net/http writes a line for each unsolicited response of a server, so that a server which sends many filled the log; the lines of the gateway itself are bounded.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -44,7 +44,7 @@
 		return ExitSettings
 	}
 	// Lines that the standard library logs, such as net/http about unsolicited responses.
-	defer zap.RedirectStdLog(log)()
+	defer telemetry.RedirectStdLog(log)()
 	g, err := build(s, log)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
