--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -212,7 +212,7 @@
 			env := newTestEnv(t, newFakeServer(t, "a", responders), newFakeServer(t, "b", responders))
 			got := env.post(pathResume, "x")
 			assert.NilError(t, got.err)
-			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
 			want := ""
 			for i := range 5 {
 				want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i+1, i+1)
