gateway: a refusal behind which another status line stands refuses nothing

Callers got 503 'not run' for requests that a server ran, if the head of a surplus refusal was cut in its status text or in a field and the answer came behind it. Cause: net/http reads both as one response with the status of the refusal and the fields of the answer, the request's ID among them, so the response names the request alone. A refusal whose status or a field of which contains a status line was cut there, and counts as the response to another request; the counter has the kind 'cut'. Only refusals are checked: an answer may well quote a status line, and promises nothing.

Evidence: TestAnswerBehindACutRefusal, which cuts at each byte, failed in 5 of its 7 cases (421, and 503 with the mark before the ID) and passes.

--- a/internal/gateway/foreign_response.go
+++ b/internal/gateway/foreign_response.go
@@ -15,24 +15,28 @@
 	foreignOtherID    = "other"
 	foreignNoID       = "none"
 	foreignSeveralIDs = "several"
+	// foreignCut: the response names the request, but begins with a part of another response.
+	foreignCut = "cut"
 	// foreignUnsolicited: the response arrived before the request was written.
 	foreignUnsolicited = "unsolicited"
 )
 
-// foreignKind returns the kind of a response with the given request IDs.
-func foreignKind(ids []string) string {
-	switch len(ids) {
-	case 0:
+// foreignKind returns the kind of a response with the given request IDs that came for the request with the given ID.
+func foreignKind(id string, ids []string) string {
+	switch {
+	case len(ids) == 0:
 		return foreignNoID
-	case 1:
-		return foreignOtherID
+	case len(ids) > 1:
+		return foreignSeveralIDs
+	case ids[0] == id:
+		return foreignCut
 	}
-	return foreignSeveralIDs
+	return foreignOtherID
 }
 
 // foreignResponse counts and logs a response that is not surely that of the request. The lines are rate-limited.
 func (l *requestLog) foreignResponse(f *forwarder, res *dispatch.Reservation, x *serverconn.Exchange, resp *http.Response) {
-	kind := foreignKind(resp.Header.Values(l.names.RequestID))
+	kind := foreignKind(f.in.id, resp.Header.Values(l.names.RequestID))
 	fields := append(serverFields(res.Server()), zap.String(fieldRequest, f.in.id), zap.Bool(fieldConnReused, x.Reused()),
 		zap.Float64(fieldConnAge, x.Age().Seconds()), zap.Float64(fieldConnIdle, x.Idle().Seconds()))
 	l.logForeign(kind, res.Server().Addr, resp, fields)
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
 
 	"rockcleat/internal/wire"
 )
@@ -25,10 +27,30 @@
 		return verdictForeign
 	}
 	marked := resp.Header.Get(names.NotRun) != "" && resp.StatusCode >= http.StatusBadRequest
-	if marked || resp.StatusCode == http.StatusMisdirectedRequest {
-		return verdictRefused
+	if !marked && resp.StatusCode != http.StatusMisdirectedRequest {
+		return verdictRan
 	}
-	return verdictRan
+	if containsStatusLine(resp) {
+		return verdictForeign
+	}
+	return verdictRefused
+}
+
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// containsStatusLine reports whether the status or a field of a response contains the status line of another one. The first
+// response was cut there, so the fields behind that place, such as the request's ID, are those of the second.
+func containsStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
 }
 
 // isPromise reports whether a status tells callers that the request has not run and will not.
