--- a/internal/gateway/response_order_property_test.go
+++ b/internal/gateway/response_order_property_test.go
@@ -41,8 +41,9 @@
 	informational bool
 	// before and after hold surplus responses.
 	before, after []surplus
-	// refusedTwice reports whether a refusal is written twice, pauses whether it says that the server pauses.
-	refusedTwice, pauses bool
+	// pauses reports whether a refusal says that the server pauses, refusedTwice whether it is written again, after gap.
+	pauses, refusedTwice bool
+	gap                  time.Duration
 }
 
 // A drawnCall is a planned call with what servers do with it.
@@ -74,6 +75,9 @@
 	return list
 }
 
+// pause is how long a server accepts no requests after a refusal that says so.
+const pause = 50 * time.Millisecond
+
 func drawAction(t *rapid.T) action {
 	a := action{
 		ending:  rapid.SampledFrom([]ending{answered, answered, answered, answered, refused, refused, resetBeforeRun, resetAfterRun, cutShort}).Draw(t, "ending"),
@@ -81,7 +85,7 @@
 		late:    rapid.SampledFrom([]time.Duration{0, 0, 0, 100 * time.Millisecond}).Draw(t, "late"),
 		before:  drawSurplus(t, "surplus before"), after: drawSurplus(t, "surplus after"),
 		informational: rapid.IntRange(0, 4).Draw(t, "informational") == 0, refusedTwice: rapid.Bool().Draw(t, "refused twice"),
-		pauses: rapid.Bool().Draw(t, "pauses"),
+		pauses: rapid.Bool().Draw(t, "pauses"), gap: rapid.SampledFrom([]time.Duration{0, 2 * pause, 4 * pause}).Draw(t, "gap"),
 	}
 	statuses := []int{200, 200, 200, 200, 408, 429, 503, 500}
 	if a.ending == refused {
@@ -180,6 +184,7 @@
 		text := a.refusal(c)
 		c.write(text)
 		if a.refusedTwice {
+			time.Sleep(a.gap)
 			c.write(text)
 		}
 		return true
@@ -194,7 +199,7 @@
 		lines = append(lines, names.NotRun+": 1")
 	}
 	if a.pauses {
-		lines = append(lines, names.RetryAfter+": 0.05")
+		lines = append(lines, fmt.Sprintf("%s: %g", names.RetryAfter, pause.Seconds()))
 	}
 	return c.head(a.status, lines...)
 }
