platform: an order uses a connection that carries nothing else

An order that its server answered with 409 counted as taken, and a model as being loaded: a second 202 to the order before stood first on the kept connection. Responses to orders and reports name neither, workers do not echo an ID there, and orders, reports shared one pool of connections.

Orders take a new connection each (wire.SingleUse), on which no response to anything else can arrive and net/http repeats nothing; reports get a pool of their own. Weighed against it: closing a connection after a doubtful response comes too late, since net/http returns it to its pool before RoundTrip returns; an ID in the order helps only if workers echo it; a later report corrects the sequence number, but until then the leader plans with a load that does not run. The request keeps its bytes: Connection: close would let a server end a response by closing.

Evidence: TestOrderIsAnsweredByItsOwnResponse failed in both cases ('taken' instead of 'conflict'; a report got 202) and passes, with -race.

--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -25,9 +25,8 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: wire.NewDirectTransport(s.IdleTimeout.Std())}
 	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), &http.Client{Transport: wire.NewDirectTransport(storeIdleTimeout)}, metrics.StoreCall)
-	engines := platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), client)
+	engines := platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), wire.NewDirectTransport(s.IdleTimeout.Std()))
 	return gateway.New(gateway.Options{
 		Settings:    s,
 		Names:       platform.HeaderNames(),
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// SingleUse returns a transport with the settings of t whose connections carry one request each. A response can then be
+// that of no other request, and nothing is repeated by net/http.
+//
+// It does not set DisableKeepAlives, which asks servers to close the connection: a server may then mark the end of a
+// response by that alone, and a response that is cut short looks whole.
+func SingleUse(t *http.Transport) *http.Transport {
+	t = t.Clone()
+	t.MaxIdleConnsPerHost = -1
+	return t
+}
+
 // NewTransport returns the transport for other processes of the system. Its traffic is counted by t.
 func NewTransport(t *TrafficCounter) *http.Transport {
 	return &http.Transport{
