placer: a report that states fewer orders than one before is not believed

After a second copy of a report on a kept connection the leader took its view of the engine back: orders that had been carried out counted as not carried out, models that had been unloaded as held, and a load that ran as failed, so that it was planned at another engine too. The next order under the old number got 409. Reports name no request. The guard against old reports held for 1.5 s after an accepted order only, and only while no order was without an answer.

The number of accepted orders of an instance only rises, so a report with a lower one than before, by the same instance, is a further response to an earlier request, whatever the time. An instance that keeps stating the lower number for 1.5 s is believed, so that a fault of a server cannot keep it out of use.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -26,7 +26,8 @@
 	// needs its memory.
 	minResidenceTime = 4 * time.Second
 	// maxReportLag is how long after an accepted order a report may still predate the order. It covers the
-	// age of an engine's report and the duration of the call.
+	// age of an engine's report and the duration of the call. It is also how long an engine may state fewer accepted
+	// orders than before until it is believed.
 	maxReportLag = 1500 * time.Millisecond
 	// cacheUnknownDuration is how long after a load a report may still list cached weights that the load has
 	// evicted.
@@ -45,8 +46,12 @@
 	// engines only.
 	known bool
 	// sequence is the number of orders that the engine has accepted.
-	sequence  int
-	residents []backend.Resident
+	sequence int
+	// reported is the highest sequence in a report of the server instance. fewerSince is when a lower one was first
+	// reported after it; zero if none was.
+	reported   int
+	fewerSince time.Time
+	residents  []backend.Resident
 	// cachedInMemory and cachedOnDisk name the models whose weights the machine has cached. They are empty
 	// from the end of a load until cacheUnknownUntil.
 	cachedInMemory, cachedOnDisk []string
@@ -182,15 +187,37 @@
 // This happens when the server has restarted and its new record has not been seen yet. It returns false where
 // the records or the reports do not identify the instance.
 func (e *engineState) isFromOtherInstance(r backend.Report) bool {
-	return r.ServerID != "" && e.server.Instance != "" && r.ServerID != e.server.ID
+	return e.identifiesInstance(r) && r.ServerID != e.server.ID
 }
 
-// apply updates the engine's state from a report and reports whether it did. A report that may predate the
-// last accepted order is ignored.
-func (e *engineState) apply(r backend.Report, now time.Time) bool {
+// identifiesInstance reports whether the report and the server's record both identify the server instance.
+func (e *engineState) identifiesInstance(r backend.Report) bool {
+	return r.ServerID != "" && e.server.Instance != ""
+}
+
+// isOutdated reports whether a report may predate the last accepted order or an earlier report.
+//
+// The sequence of an instance only rises, and reports name no request. One that states fewer accepted orders than another
+// before is therefore a further response to an earlier request.
+func (e *engineState) isOutdated(r backend.Report, now time.Time) bool {
 	if e.known && r.Sequence < e.sequence && now.Sub(e.lastAccepted) < maxReportLag {
+		return true
+	}
+	if !e.identifiesInstance(r) || r.Sequence >= e.reported {
+		return false
+	}
+	if e.fewerSince.IsZero() {
+		e.fewerSince = now
+	}
+	return now.Sub(e.fewerSince) < maxReportLag
+}
+
+// apply updates the engine's state from a report and reports whether it did. An outdated report is ignored.
+func (e *engineState) apply(r backend.Report, now time.Time) bool {
+	if e.isOutdated(r, now) {
 		return false
 	}
+	e.reported, e.fewerSince = r.Sequence, time.Time{}
 	e.sequence = r.Sequence
 	e.residents = r.Residents
 	for _, a := range r.LoadingAdapters {
--- a/internal/placer/engine_test.go
+++ b/internal/placer/engine_test.go
@@ -33,3 +33,46 @@
 	assert.Assert(t, e.apply(report, now.Add(cacheUnknownDuration)))
 	assert.Assert(t, !e.loadsFromStore())
 }
+
+// TestOlderReportIsIgnored guards against a second copy of an earlier report that takes the place of the present one: orders
+// that have been carried out would count as not carried out.
+func TestOlderReportIsIgnored(t *testing.T) {
+	start := time.Unix(1000, 0)
+	server := &backend.Server{ID: "e@1", Instance: "e"}
+	type report struct {
+		at       time.Duration
+		server   string
+		sequence int
+		applied  bool
+	}
+	first := report{server: "e@1", sequence: 3, applied: true}
+	tests := map[string][]report{
+		"later":  {first, {at: time.Second, server: "e@1", sequence: 4, applied: true}},
+		"same":   {first, {at: time.Second, server: "e@1", sequence: 3, applied: true}},
+		"older":  {first, {at: time.Minute, server: "e@1", sequence: 2}, {at: time.Minute, server: "e@1", sequence: 3, applied: true}},
+		"others": {{sequence: 3, applied: true}, {at: time.Second, sequence: 2, applied: true}},
+		"older again and again": {
+			first, {at: time.Minute, server: "e@1", sequence: 2}, {at: time.Minute + maxReportLag - 1, server: "e@1", sequence: 2},
+			{at: time.Minute + maxReportLag, server: "e@1", sequence: 2, applied: true}, {at: 2 * time.Minute, server: "e@1", sequence: 2, applied: true},
+		},
+		"older from time to time": {
+			first, {at: time.Minute, server: "e@1", sequence: 2}, {at: time.Minute, server: "e@1", sequence: 3, applied: true},
+			{at: 2 * time.Minute, server: "e@1", sequence: 2},
+		},
+	}
+	for name, reports := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, known := range []bool{true, false} {
+				e := newEngineState(server)
+				for i, r := range reports {
+					got := e.apply(backend.Report{ServerID: r.server, Sequence: r.sequence}, start.Add(r.at))
+					assert.Equal(t, got, r.applied, "report %d", i)
+					if r.applied {
+						assert.Equal(t, e.sequence, r.sequence)
+					}
+					e.known = e.known && known
+				}
+			}
+		})
+	}
+}
