wire: a request without a body is not repeated by net/http

Between entry and agent, and between agent and backend server, a GET, HEAD, OPTIONS or TRACE without a body went out twice if a reused connection broke, also with an Idempotency-Key, for which callers are promised that the request runs at most once. A POST without a body did so with the header X-Idempotency-Key. If the second try met a closed port, its error said that nothing had been sent, and the request that may have run was refused as not run.

net/http repeats what it knows to have no body, whatever GetBody is; DisableRetry only cleared GetBody. It replaces the body by an empty one that net/http does not recognise, and sends both names of the key in lower case. The encoding identity keeps the request as it was on the wire: without it, net/http reads the body ahead or sends it chunked. A request of these methods that finds its connection closed before anything was written is no longer repeated by net/http either, as those with a body never were.

TestDisableRetryKeepsTheRequest compares the bytes sent for all methods and bodies.

--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -97,14 +98,37 @@
 
 // DisableRetry prevents the transport of net/http from retrying a request by itself.
 //
-// That transport resends a request when a reused connection breaks, if the body can be read again and
-// the request has an idempotent method or a header with the canonical name Idempotency-Key. Here that
-// header marks requests that must not be repeated, so it is sent in lower case, which is equivalent in
-// HTTP.
+// That transport resends a request when a reused connection breaks, if it has no body or one that can be read again, and it
+// has an idempotent method or a header with the canonical name of an idempotency key. Here such headers mark requests that
+// must not be repeated, so they are sent in lower case, which is equivalent in HTTP.
 func DisableRetry(r *http.Request) {
 	r.GetBody = nil
-	if v, ok := r.Header[HeaderIdempotencyKey]; ok {
-		delete(r.Header, HeaderIdempotencyKey)
-		r.Header[strings.ToLower(HeaderIdempotencyKey)] = v
+	for _, key := range []string{HeaderIdempotencyKey, "X-Idempotency-Key"} {
+		if v, ok := r.Header[key]; ok {
+			delete(r.Header, key)
+			r.Header[strings.ToLower(key)] = v
+		}
 	}
+	if (r.Body == nil || r.Body == http.NoBody) && isRetriedWithoutBody(r.Method) {
+		// With the encoding identity, the transport sends the body as it is: as nothing.
+		r.Body, r.TransferEncoding = emptyBody{}, []string{"identity"}
+	}
+}
+
+// isRetriedWithoutBody reports whether net/http retries requests that have the method and no body.
+func isRetriedWithoutBody(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
 }
+
+// emptyBody is an empty body that net/http does not recognise as empty.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
