agent: each call to the backend server uses a connection of its own

A second response to an earlier request stood in the place of the response to the next one on the kept connection from agent to backend server. Status 404 for a model then said 'not run' for a request that ran, so that an entry sent it to another server, also with an Idempotency-Key; any other status was a foreign answer to a caller. The same for the engine's control calls: an order that the engine had fenced counted as sent, and an old status as one that was asked for after taking over. The protocol has no ID in responses, and it stays as it is.

Requests, orders and questions for the status take a connection each (wire.SingleUse). What is sent does not change.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,7 +79,8 @@
 	// incarnation identifies this run of the agent. It changes when a leaving agent is no longer
 	// leaving. Guarded by mu.
 	incarnation string
-	// backend sends requests to the backend server, entryClient sends messages to entries.
+	// backend sends requests to the backend server. Responses do not name their request, so each request uses a connection of
+	// its own. entryClient sends messages to entries.
 	backend     *http.Client
 	entryClient *wire.Client
 	replica     table.Replica
@@ -122,7 +123,7 @@
 		incarnation: uuid.NewString(),
 		server:      newServerState(),
 	}
-	a.backend = &http.Client{Transport: wire.NewTransport(&a.proxied)}
+	a.backend = &http.Client{Transport: wire.SingleUse(wire.NewTransport(&a.proxied))}
 	a.entryClient = wire.NewClient(o.Settings.Secret, wire.NewTransport(o.Traffic))
 	a.workload = newWorkload(a.server.slots, o.Settings.MaxQueued)
 	a.quarantine = quarantine.New(quarantine.Options{
--- a/internal/daemon/entry_agent.go
+++ b/internal/daemon/entry_agent.go
@@ -112,7 +112,7 @@
 	traffic := &wire.TrafficCounter{}
 	client := &http.Client{Transport: wire.NewTransport(traffic)}
 	// The backend server runs on the same VM, so calls to it are excluded from the traffic counts.
-	backendClient := &http.Client{Transport: wire.NewTransport(&wire.TrafficCounter{})}
+	backend := wire.NewTransport(&wire.TrafficCounter{})
 	var vms agent.VMLister
 	if s.VMs != "" {
 		vms = inventory.NewClient(client, s.VMs, "")
@@ -121,7 +121,7 @@
 		Settings: s,
 		VMs:      vms,
 		Store:    newStore(s.Process, client, metrics),
-		Engine:   engine.NewClient(s.Backend.URL, backendClient),
+		Engine:   engine.NewClient(s.Backend.URL, backend),
 		Clock:    clock.NewSystem(),
 		Log:      log,
 		Metrics:  metrics,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"rockcleat/fleet"
+	"rockcleat/internal/wire"
 	"rockcleat/ledger"
 )
 
@@ -67,14 +68,17 @@
 // maxStatusBytes is the maximum size of a status response, in bytes.
 const maxStatusBytes = 4 << 20
 
-// A Client sends orders to one engine and reads its status.
+// A Client sends orders to one engine and reads its status. Responses do not name their call, so each call uses a connection
+// of its own.
 type Client struct {
 	baseURL string
 	http    *http.Client
 }
 
-// NewClient returns a Client that calls the engine at the given base URL by means of c.
-func NewClient(baseURL string, c *http.Client) *Client { return &Client{baseURL: baseURL, http: c} }
+// NewClient returns a Client that calls the engine at the given base URL. Its connections have the settings of t.
+func NewClient(baseURL string, t *http.Transport) *Client {
+	return &Client{baseURL: baseURL, http: &http.Client{Transport: wire.SingleUse(t)}}
+}
 
 // Status returns the engine's current status.
 func (c *Client) Status(ctx context.Context) (Status, error) {
