entry, agent: redirects are passed on to callers

A POST of a plain service whose backend server answered with a redirect ran there, and the agent then sent a GET, or with 307 and 308 a POST without a body again, to the place that the server named. If that could not be reached, the error said that nothing had been sent: the caller got 503 with the outcome 'not-run' for a request that had run. http.Client follows redirects unless it is told not to; an entry would have done the same with those that an agent passed on. Those of a POST with a body and 307 or 308 were passed on before.

Agent and entry pass all of them on as answered. The engine's client and the messages between entries and agents follow none either.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -123,7 +123,7 @@
 		incarnation: uuid.NewString(),
 		server:      newServerState(),
 	}
-	a.backend = &http.Client{Transport: wire.SingleUse(wire.NewTransport(&a.proxied))}
+	a.backend = &http.Client{Transport: wire.SingleUse(wire.NewTransport(&a.proxied)), CheckRedirect: wire.NoRedirects}
 	a.entryClient = wire.NewClient(o.Settings.Secret, wire.NewTransport(o.Traffic))
 	a.workload = newWorkload(a.server.slots, o.Settings.MaxQueued)
 	a.quarantine = quarantine.New(quarantine.Options{
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -108,3 +109,27 @@
 		}
 	}
 }
+
+// TestRedirectOfBackend guards against a request that runs at its server and, by way of a redirect, elsewhere too, or that is
+// refused as not run because that place cannot be reached.
+func TestRedirectOfBackend(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(fmt.Sprint(method, " ", status), func(t *testing.T) {
+				closed := httptest.NewServer(nil)
+				closed.Close()
+				calls := 0
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					calls++
+					http.Redirect(w, r, closed.URL, status)
+				}))
+				defer s.Close()
+				got := newBackendFixture(t, s.Listener.Addr().String()).do(method, "s", "")
+				assert.Equal(t, calls, 1)
+				assert.Equal(t, got.StatusCode, status)
+				assert.Equal(t, got.Header.Get("Location"), closed.URL)
+				assert.Equal(t, got.Header.Get(wire.HeaderOutcome), string(wire.OutcomeAnswered))
+			})
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -77,7 +77,7 @@
 
 // NewClient returns a Client that calls the engine at the given base URL. Its connections have the settings of t.
 func NewClient(baseURL string, t *http.Transport) *Client {
-	return &Client{baseURL: baseURL, http: &http.Client{Transport: wire.SingleUse(t)}}
+	return &Client{baseURL: baseURL, http: &http.Client{Transport: wire.SingleUse(t), CheckRedirect: wire.NoRedirects}}
 }
 
 // Status returns the engine's current status.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -72,3 +73,24 @@
 		assert.ErrorIs(t, c.SendOrder(t.Context(), engine.Order{ID: "3"}), engine.ErrFenced)
 	}
 }
+
+// TestRedirectedCallsGoNowhereElse guards against an order that counts as sent because another server answers.
+func TestRedirectedCallsGoNowhereElse(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			var elsewhere atomic.Int32
+			other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				elsewhere.Add(1)
+				w.WriteHeader(http.StatusAccepted)
+			}))
+			defer other.Close()
+			s := httptest.NewServer(http.RedirectHandler(other.URL, status))
+			defer s.Close()
+			c := engine.NewClient(s.URL, &http.Transport{})
+			assert.ErrorContains(t, c.SendOrder(t.Context(), engine.Order{ID: "1"}), fmt.Sprint(status))
+			_, err := c.Status(t.Context())
+			assert.ErrorContains(t, err, fmt.Sprint(status))
+			assert.Equal(t, elsewhere.Load(), int32(0))
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,7 +93,7 @@
 	e.proxy = &proxy{
 		limits: s.Limits, secret: s.Secret, controlAddr: e.ControlAddr, ready: e.ready, leaving: e.leaving.Load,
 		replica: &e.replica, view: &e.view, members: e.members, claims: e.claims, decisions: &e.decisions,
-		agents: &http.Client{Transport: wire.NewTransport(&e.proxied)}, quarantine: e.quarantine,
+		agents: &http.Client{Transport: wire.NewTransport(&e.proxied), CheckRedirect: wire.NoRedirects}, quarantine: e.quarantine,
 		clock: o.Clock, log: o.Log, metrics: o.Metrics,
 	}
 	e.proxy.loadTable.Hall = s.Hall
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -43,7 +43,7 @@
 // NewClient returns a Client that uses the transport t, usually a NewTransport. secret is empty if the
 // processes share none.
 func NewClient(secret string, t http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: t}, secret: secret}
+	return &Client{http: &http.Client{Transport: t, CheckRedirect: NoRedirects}, secret: secret}
 }
 
 // Get requests http://ADDR/PATH and decodes the JSON response into out.
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -89,6 +89,10 @@
 	}
 }
 
+// NoRedirects is the CheckRedirect of clients that follow no redirects. A call is meant for one server: after a redirect it may
+// run at two, and the response or error of the second one says nothing of the first.
+func NoRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // IsNotSent reports whether an HTTP client's error means that no connection could be made, so that
 // nothing was sent.
 func IsNotSent(err error) bool {
--- a/internal/wire/transport_test.go
+++ b/internal/wire/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -163,3 +164,20 @@
 		})
 	}
 }
+
+// TestClientFollowsNoRedirects guards against a message that reaches a process other than the one it is meant for.
+func TestClientFollowsNoRedirects(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			closed := httptest.NewServer(nil)
+			closed.Close()
+			s := httptest.NewServer(http.RedirectHandler(closed.URL, status))
+			defer s.Close()
+			c := wire.NewClient("", wire.NewTransport(&wire.TrafficCounter{}))
+			err := c.Post(t.Context(), s.Listener.Addr().String(), "/", struct{}{}, nil)
+			var got *wire.StatusError
+			assert.Assert(t, errors.As(err, &got), "%v", err)
+			assert.Equal(t, got.Status, status)
+		})
+	}
+}
