agent: a pause while the connection is opened stops a request

The last check for a pause of the process stood before the request was passed to net/http. Since each request takes a connection of its own, the time to open it lay between that check and the write: a process that was frozen there sent a request after it was thawed. The check now follows the connection's opening, so that no more lies between it and the write than before with kept connections.

Evidence: TestNotSentAfterPauseWhileConnecting failed with the check before (the request was sent) and passes, with -race.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -80,8 +81,9 @@
 	// leaving. Guarded by mu.
 	incarnation string
 	// backend sends requests to the backend server. Responses do not name their request, so each request uses a connection of
-	// its own. entryClient sends messages to entries.
+	// its own, which dial opens. entryClient sends messages to entries.
 	backend     *http.Client
+	dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	entryClient *wire.Client
 	replica     table.Replica
 	// traffic counts the bytes of control traffic, proxied those of requests.
@@ -123,7 +125,9 @@
 		incarnation: uuid.NewString(),
 		server:      newServerState(),
 	}
-	a.backend = &http.Client{Transport: wire.SingleUse(wire.NewTransport(&a.proxied)), CheckRedirect: wire.NoRedirects}
+	backend := wire.SingleUse(wire.NewTransport(&a.proxied))
+	a.dial, backend.DialContext = backend.DialContext, a.dialBackend
+	a.backend = &http.Client{Transport: backend, CheckRedirect: wire.NoRedirects}
 	a.entryClient = wire.NewClient(o.Settings.Secret, wire.NewTransport(o.Traffic))
 	a.workload = newWorkload(a.server.slots, o.Settings.MaxQueued)
 	a.quarantine = quarantine.New(quarantine.Options{
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -133,3 +134,22 @@
 		}
 	}
 }
+
+// TestNotSentAfterPauseWhileConnecting guards against a request that is sent after a pause of the process which began while the
+// connection was being opened.
+func TestNotSentAfterPauseWhileConnecting(t *testing.T) {
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls++ }))
+	defer s.Close()
+	f := newBackendFixture(t, s.Listener.Addr().String())
+	dial := f.dial
+	f.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		f.pause()
+		return dial(ctx, network, addr)
+	}
+	got := f.do(http.MethodPost, "m", "")
+	assert.Equal(t, got.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, got.Header.Get(wire.HeaderReason), string(reasonPaused))
+	assert.Equal(t, got.Header.Get(wire.HeaderOutcome), string(wire.OutcomeNotRun))
+	assert.Equal(t, calls, 0)
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -64,13 +65,9 @@
 	}
 	tokens := t.Tokens
 	defer func() { a.finish(t, tokens) }()
-	if a.pausedSince(grant.pauses) {
-		stopHeartbeat()
-		return a.refuse(c, fairqueue.Refusal{Reason: reasonPaused, RetryAfter: defaultRetryAfter})
-	}
 	class := telemetry.Class{Tier: string(row.Tier), Organisation: row.Organisation}
 	a.metrics.QueueTime(class, grant.Waited.Seconds())
-	written, err := a.forward(c, grantedRequest{row: row, grant: grant.Grant, body: body, stopHeartbeat: stopHeartbeat})
+	written, err := a.forward(c, grantedRequest{row: row, grant: grant, body: body, stopHeartbeat: stopHeartbeat})
 	if row.Kind != table.KindService && written > 0 {
 		tokens = int(written / bytesPerToken)
 	}
@@ -223,7 +220,7 @@
 // A grantedRequest is a request that has been granted a slot.
 type grantedRequest struct {
 	row           table.Row
-	grant         fairqueue.Grant
+	grant         slotGrant
 	body          []byte
 	stopHeartbeat func()
 }
@@ -237,6 +234,9 @@
 	}
 	resp, err := a.backend.Do(out)
 	granted.stopHeartbeat()
+	if errors.Is(err, errPaused) {
+		return 0, a.refuse(c, fairqueue.Refusal{Reason: reasonPaused, RetryAfter: defaultRetryAfter})
+	}
 	if err != nil {
 		if !wire.IsNotSent(err) {
 			a.connectionLost(c.Request())
@@ -267,7 +267,8 @@
 // newBackendRequest returns the request to the backend server.
 func (a *Agent) newBackendRequest(in *http.Request, granted grantedRequest) (*http.Request, error) {
 	url := a.settings.Backend.URL + in.URL.RequestURI()
-	out, err := http.NewRequestWithContext(in.Context(), in.Method, url, bytes.NewReader(granted.body))
+	ctx := context.WithValue(in.Context(), grantKey{}, granted.grant)
+	out, err := http.NewRequestWithContext(ctx, in.Method, url, bytes.NewReader(granted.body))
 	if err != nil {
 		return nil, eris.Wrap(err, "agent: make request")
 	}
@@ -286,6 +287,27 @@
 	return out, nil
 }
 
+// grantKey is the context key of the slotGrant of a request to the backend server.
+type grantKey struct{}
+
+// errPaused is the error of a request that is not sent because the process was paused after the slot was granted.
+var errPaused = errors.New("agent: paused before the request was sent")
+
+// dialBackend opens the connection for a request to the backend server. It checks for a pause at the end, so that one while
+// it connects is noticed too.
+func (a *Agent) dialBackend(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := a.dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if grant, ok := ctx.Value(grantKey{}).(slotGrant); ok && a.pausedSince(grant.pauses) {
+		// The error does not matter: nothing was sent.
+		_ = c.Close()
+		return nil, errPaused
+	}
+	return c, nil
+}
+
 // respondBackendError responds to a request that got no response from the backend server. The
 // outcome is not run if the request was not sent, else unknown.
 func (a *Agent) respondBackendError(c echo.Context, err error) error {
