--- a/internal/wire/transport_test.go
+++ b/internal/wire/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -68,7 +69,7 @@
 func sentBytes(t *testing.T, req *http.Request) string {
 	t.Helper()
 	client, server := net.Pipe()
-	transport := &http.Transport{Dial: func(string, string) (net.Conn, error) { return client, nil }}
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return client, nil }}
 	sent := make(chan string, 1)
 	go func() {
 		defer server.Close()
