--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,7 +9,6 @@
 
 	"rockcleat/dispatch"
 	"rockcleat/internal/serverconn"
-	"rockcleat/internal/wire"
 )
 
 // errStalled cancels a send whose server has stalled.
@@ -119,7 +118,6 @@
 		Method: f.in.Method, URL: targetURL(f.in.RequestURI, s.Addr), Host: f.in.Host, Header: f.serverRequestHeader(s.Name()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	wire.DisableRetry(out)
 	return out.WithContext(ctx)
 }
 
--- a/internal/serverconn/transport.go
+++ b/internal/serverconn/transport.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"rockcleat/clock"
+	"rockcleat/internal/wire"
 )
 
 // Options configure a Transport.
@@ -70,7 +71,7 @@
 	x := &Exchange{}
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { x.attach(i, t.clock.Now(), h) }}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	out.GetBody, out.Body, out.ContentLength = nil, emptyBody{}, 0
+	out.GetBody, out.Body, out.ContentLength = nil, wire.EmptyBody{}, 0
 	if len(body) > 0 {
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}
@@ -87,16 +88,6 @@
 	return resp, x, nil
 }
 
-// emptyBody is an empty body that http.Transport does not recognise as empty. It would repeat a request without a body when
-// a reused connection breaks.
-type emptyBody struct{}
-
-// Read implements io.Reader.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close implements io.Closer.
-func (emptyBody) Close() error { return nil }
-
 // A History remembers the connections that have carried one request. The zero History is empty.
 type History struct{ conns []*conn }
 
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -115,7 +115,7 @@
 	}
 	if (r.Body == nil || r.Body == http.NoBody) && isRetriedWithoutBody(r.Method) {
 		// With the encoding identity, the transport sends the body as it is: as nothing.
-		r.Body, r.TransferEncoding = emptyBody{}, []string{"identity"}
+		r.Body, r.TransferEncoding = EmptyBody{}, []string{"identity"}
 	}
 }
 
@@ -128,11 +128,12 @@
 	return false
 }
 
-// emptyBody is an empty body that net/http does not recognise as empty.
-type emptyBody struct{}
+// An EmptyBody is the body of a request without one. net/http does not recognise it as empty, and so does not repeat the
+// request by itself.
+type EmptyBody struct{}
 
 // Read implements io.Reader.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (EmptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
 // Close implements io.Closer.
-func (emptyBody) Close() error { return nil }
+func (EmptyBody) Close() error { return nil }
