--- a/intake/limiter_test.go
+++ b/intake/limiter_test.go
@@ -242,6 +242,37 @@
 	})
 }
 
+// TestBurstAtIdleProcess guards against a process that closes connections of a burst which it could hand on in time, since it
+// has been idle and was never asked for as much before.
+func TestBurstAtIdleProcess(t *testing.T) {
+	const burst = 100
+	tests := map[string]struct {
+		// load is the rate before, as a fraction of the capacity; idle is the time without connections after it.
+		load float64
+		idle time.Duration
+	}{
+		"after a second":           {load: 0.05, idle: time.Second},
+		"after half a minute":      {load: 0.05, idle: 30 * time.Second},
+		"while a few others come":  {load: 0.05},
+		"after much, half an hour": {load: 0.5, idle: 30 * time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &process{limiter: intake.New(maxDelay), now: start, cost: ms}
+			p.load(test.load)
+			p.simulate(5 * time.Second)
+			if test.idle > 0 {
+				p.interval = 0
+				p.simulate(test.idle)
+			}
+			for range burst {
+				p.accept()
+			}
+			assert.Equal(t, p.closed, 0)
+		})
+	}
+}
+
 // TestNeverNothing checks that a process that hands on nothing for a time takes connections again once it has handed on
 // what was pending.
 func TestNeverNothing(t *testing.T) {
