intake: an idle process takes a burst that its free processor bears

Cause: what a process bears was known from what it had handed on in the last 0.3 s only.

The rate that it bears is now also estimated as its free processor divided by the processor time of a request, which is measured over seconds with at least 16 requests and stays known. For known cores the estimate is never more than the capacity, so that pending times keep their bound (TestTakesWhatItBears, unchanged, now with estimates). A process of 0.144 cores and 1 ms a request takes 18 connections at once, with a whole processor 125. If it has less of a processor than it knows of, it is pressed for longer than the maximum delay; then its measured rate is a ceiling, which doubles in 5 s. Without the ceiling TestLessProcessorThanKnown fails, without the free processor TestBurstBeyondProcessor and TestTakesWhatItBears do.

A process that has just started knows no cost and takes 16 at once, as before.

--- a/intake/doc.go
+++ b/intake/doc.go
@@ -7,7 +7,8 @@
 // server or for its response is not pending.
 //
 // A Limiter takes a new connection as long as the pending requests are handed on within a fraction of a maximum
-// delay, at the rate of the last moments. What it does with the others depends on the other processes of the fleet:
+// delay, at the rate of the last moments, or at the one that its free processor suffices for if that is higher: an idle
+// process has handed on nothing lately. What it does with the others depends on the other processes of the fleet:
 //
 //   - While most of them have room, the connection is closed with nothing read, so that the caller's next attempt,
 //     which meets any process, is the first one that is read.
--- a/intake/limiter.go
+++ b/intake/limiter.go
@@ -56,6 +56,7 @@
 	// pending is the number of pending requests, peak its maximum since the last call of TakePeak.
 	pending, peak int
 	handedOn      windowCounter
+	spare         spareRate
 	// decisions counts the new connections, excess those that were too many while other processes have room.
 	decisions, excess windowCounter
 }
@@ -73,6 +74,7 @@
 func (l *Limiter) Decide(c Conditions) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.observe(c.Now)
 	l.decisions.add(c.Now)
 	decision, isExcess := l.decide(c)
 	if isExcess {
@@ -119,12 +121,34 @@
 	return Take, true
 }
 
-// limit returns the number of requests that are handed on in a fraction of the maximum delay.
+// limit returns the number of requests that can be handed on in a fraction of the maximum delay.
 func (l *Limiter) limit(fraction float64, now time.Time) int {
-	rate := max(l.handedOn.perSecond(now), minRate)
+	return l.inDelay(fraction, max(l.knownRate(now), l.spare.perSecond(now)))
+}
+
+// inDelay returns the number of requests that are handed on at a rate in a fraction of the maximum delay.
+func (l *Limiter) inDelay(fraction, rate float64) int {
 	return int(rate * fraction * l.maxDelay.Seconds())
 }
 
+// knownRate returns the rate of the last moments, or what every process is expected to bear.
+func (l *Limiter) knownRate(now time.Time) float64 {
+	return max(l.handedOn.perSecond(now), minRate)
+}
+
+// observe checks the estimate of the spare rate against the pending requests. l.mu must be held.
+func (l *Limiter) observe(now time.Time) {
+	known := l.knownRate(now)
+	l.spare.observe(l.pending >= l.inDelay(pressedFraction, known), known, l.maxDelay, now)
+}
+
+// RecordUse records the processor time that the process has used since the last call. It is called about once a second.
+func (l *Limiter) RecordUse(u Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spare.record(u)
+}
+
 // ExcessShare returns the share of the new connections in the last decisionWindow that were more than the process should
 // take while others have room, from 0 to 1. It does not depend on whether others have.
 func (l *Limiter) ExcessShare(now time.Time) float64 {
@@ -154,6 +178,8 @@
 	defer l.mu.Unlock()
 	l.pending--
 	l.handedOn.add(now)
+	l.spare.handedOn++
+	l.observe(now)
 }
 
 // TakePeak returns the highest number of pending requests since its last call.
--- a/intake/limiter_test.go
+++ b/intake/limiter_test.go
@@ -107,10 +107,14 @@
 	cost, interval time.Duration
 	// run and pause are the lengths of the phases in which the process runs and is paused.
 	run, pause time.Duration
+	// cores is the processor that the process is told to have; it may be wrong.
+	cores float64
 	// queue holds the times at which the pending requests came, done the processor time that the first one has got.
 	queue []time.Time
 	done  time.Duration
 	next  time.Time
+	// used is the processor time used for requests since the last whole second, other that of other work in each second.
+	used, other time.Duration
 	// taken, closed and handedOn count connections and requests. longest is the longest time that a request was pending.
 	taken, closed, handedOn int
 	longest                 time.Duration
@@ -122,6 +126,10 @@
 // simulate runs the process for a time.
 func (p *process) simulate(d time.Duration) {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(step) {
+		if p.now.Sub(start)%time.Second == 0 {
+			p.limiter.RecordUse(intake.Use{Processor: p.used + p.other, Elapsed: time.Second, Cores: p.cores})
+			p.used = 0
+		}
 		if p.pause > 0 && p.now.Sub(start)%(p.run+p.pause) >= p.run {
 			continue
 		}
@@ -148,6 +156,7 @@
 		p.longest = max(p.longest, p.now.Sub(p.queue[0]))
 		p.limiter.HandedOn(p.now)
 		p.handedOn++
+		p.used += p.cost
 		p.queue = p.queue[1:]
 	}
 	if len(p.queue) == 0 {
@@ -163,16 +172,21 @@
 		p.run = time.Duration(rapid.Int64Range(int64(10*ms), int64(period-ms)).Draw(t, "run"))
 		p.pause = period - p.run
 	}
+	p.cores = p.share()
 	return p
 }
 
+// share returns the share of a processor that the process has.
+func (p *process) share() float64 {
+	if p.pause == 0 {
+		return 1
+	}
+	return float64(p.run) / float64(p.run+p.pause)
+}
+
 // capacity returns the number of requests per second that the process can hand on.
 func (p *process) capacity() float64 {
-	c := float64(time.Second) / float64(p.cost)
-	if p.pause > 0 {
-		c *= float64(p.run) / float64(p.run+p.pause)
-	}
-	return c
+	return p.share() * float64(time.Second) / float64(p.cost)
 }
 
 // load sets the number of new connections per second, as a fraction of the capacity.
@@ -219,6 +233,7 @@
 	for _, run := range []time.Duration{5 * ms, 8 * ms, 10 * ms, 12_870 * time.Microsecond, 20 * ms, 50 * ms} {
 		t.Run(run.String(), func(t *testing.T) {
 			p := &process{limiter: intake.New(maxDelay), now: start, cost: ms / 2, run: run, pause: quotaPeriod - run}
+			p.cores = p.share()
 			p.load(0.5)
 			p.simulate(time.Second)
 			p.load(1.2)
@@ -242,6 +257,26 @@
 	})
 }
 
+// TestLessProcessorThanKnown guards against a process that goes on taking what it cannot bear, since it has less of a
+// processor than it knows of.
+func TestLessProcessorThanKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawProcess(t)
+		p.cores = rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "cores")
+		p.load(rapid.Float64Range(0.01, 0.5).Draw(t, "before"))
+		p.simulate(2 * time.Second)
+		p.load(rapid.Float64Range(1.2, 20).Draw(t, "load"))
+		// What it took at first has been handed on by then.
+		p.simulate(4 * time.Second)
+		p.handedOn, p.longest = 0, 0
+		const d = 12 * time.Second
+		p.simulate(d)
+		assert.Assert(t, float64(p.handedOn) >= 0.75*p.capacity()*d.Seconds(), "%d of %.0f a second", p.handedOn, p.capacity())
+		bound := max(time.Duration(16/p.capacity()*float64(time.Second)), maxDelay) + 2*p.pause + 100*ms
+		assert.Assert(t, p.longest <= bound, "pending for %v, at most %v", p.longest, bound)
+	})
+}
+
 // TestBurstAtIdleProcess guards against a process that closes connections of a burst which it could hand on in time, since it
 // has been idle and was never asked for as much before.
 func TestBurstAtIdleProcess(t *testing.T) {
@@ -273,6 +308,41 @@
 	}
 }
 
+// TestBurstBeyondProcessor guards against an idle process that takes more of a burst than its free processor can hand on
+// in time.
+func TestBurstBeyondProcessor(t *testing.T) {
+	tests := map[string]struct {
+		cores, load float64
+		// other is the processor time that other work takes in each second.
+		other time.Duration
+		want  int
+	}{
+		"a whole processor":              {cores: 1, load: 0.05, want: 125},
+		"0.144 of a processor":           {cores: 0.144, load: 0.05, want: 18},
+		"0.05 of a processor":            {cores: 0.05, load: 0.05, want: 16},
+		"no request so far":              {cores: 1, want: 16},
+		"too few requests":               {cores: 1, load: 0.01, want: 16},
+		"most of it used for other work": {cores: 1, load: 0.05, other: 900 * ms, want: 16},
+		"not known":                      {load: 0.05, want: 125},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &process{limiter: intake.New(maxDelay), now: start, cost: ms, cores: test.cores}
+			if test.load > 0 {
+				p.load(test.load)
+			}
+			p.simulate(5 * time.Second)
+			p.interval, p.other = 0, test.other
+			p.simulate(5 * time.Second)
+			p.taken = 0
+			for range 1000 {
+				p.accept()
+			}
+			assert.Equal(t, p.taken, test.want)
+		})
+	}
+}
+
 // TestNeverNothing checks that a process that hands on nothing for a time takes connections again once it has handed on
 // what was pending.
 func TestNeverNothing(t *testing.T) {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -130,6 +130,7 @@
 	used := processorTime()
 	elapsed, last := now.Sub(i.observedAt), i.processorTime
 	i.observedAt, i.processorTime = now, used
+	i.limiter.RecordUse(intake.Use{Processor: used - last, Elapsed: elapsed, Cores: i.cores})
 	peak, taken, refused, closed := i.limiter.TakePeak(), i.taken.Swap(0), i.refused.Swap(0), i.closed.Swap(0)
 	i.log.metrics.IntakeObserved(peak, (used - last).Seconds())
 	for result, n := range map[connResult]int64{connTaken: taken, connRefused: refused, connClosed: closed} {
