intake: connections that are opened and not used do not make a process pressed

The time at which pending requests began to be many stayed when they ended without being handed on. Requests that came together much later then counted as a process that is pressed since, and the rate of the last moments became the ceiling (TestBurstAfterUnusedConnections failed: 82 of 100 closed). The line "new connections" tells what the gateway is taken to bear.

--- a/intake/limiter.go
+++ b/intake/limiter.go
@@ -123,7 +123,12 @@
 
 // limit returns the number of requests that can be handed on in a fraction of the maximum delay.
 func (l *Limiter) limit(fraction float64, now time.Time) int {
-	return l.inDelay(fraction, max(l.knownRate(now), l.spare.perSecond(now)))
+	return l.inDelay(fraction, l.rate(now))
+}
+
+// rate returns the number of requests per second that the process is taken to bear.
+func (l *Limiter) rate(now time.Time) float64 {
+	return max(l.knownRate(now), l.spare.perSecond(now))
 }
 
 // inDelay returns the number of requests that are handed on at a rate in a fraction of the maximum delay.
@@ -136,7 +141,7 @@
 	return max(l.handedOn.perSecond(now), minRate)
 }
 
-// observe checks the estimate of the spare rate against the pending requests. l.mu must be held.
+// observe records whether the process is pressed. l.mu must be held.
 func (l *Limiter) observe(now time.Time) {
 	known := l.knownRate(now)
 	l.spare.observe(l.pending >= l.inDelay(pressedFraction, known), known, l.maxDelay, now)
@@ -170,6 +175,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pending--
+	if l.pending < l.inDelay(pressedFraction, minRate) {
+		l.spare.pressedSince = time.Time{}
+	}
 }
 
 // HandedOn records that a pending request has been handed on.
@@ -191,6 +199,14 @@
 	return peak
 }
 
+// BearableRate returns the number of requests per second that the process is taken to bear: what it hands on, what any process
+// is expected to, or what its free processor suffices for.
+func (l *Limiter) BearableRate(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rate(now)
+}
+
 // HandedOnRate returns the number of requests that are handed on per second, over the last rateWindow.
 func (l *Limiter) HandedOnRate(now time.Time) float64 {
 	l.mu.Lock()
--- a/intake/limiter_test.go
+++ b/intake/limiter_test.go
@@ -308,6 +308,33 @@
 	}
 }
 
+// TestBurstAfterUnusedConnections guards against a process that takes itself for pressed since callers have opened
+// connections that they used much later.
+func TestBurstAfterUnusedConnections(t *testing.T) {
+	const unused, burst = 10, 100
+	p := &process{limiter: intake.New(maxDelay), now: start, cost: ms}
+	p.load(0.05)
+	p.simulate(5 * time.Second)
+	p.interval = 0
+	for range unused {
+		p.limiter.Decide(intake.Conditions{Now: p.now})
+		p.limiter.Begin()
+	}
+	for range unused {
+		p.limiter.End()
+	}
+	p.simulate(10 * time.Second)
+	for range unused {
+		p.limiter.Begin()
+		p.queue = append(p.queue, p.now)
+	}
+	p.simulate(time.Second)
+	for range burst {
+		p.accept()
+	}
+	assert.Equal(t, p.closed, 0)
+}
+
 // TestBurstBeyondProcessor guards against an idle process that takes more of a burst than its free processor can hand on
 // in time.
 func TestBurstBeyondProcessor(t *testing.T) {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -141,7 +141,8 @@
 	}
 	i.log.log.Info(msgConnections, zap.Int64(fieldCount, taken), zap.Int64(fieldRefused, refused), zap.Int64(fieldClosed, closed),
 		zap.Int64(fieldOpen, i.open.Load()), zap.Int(fieldPending, peak),
-		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldTotal, elapsed.Seconds()),
+		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldBearable, i.limiter.BearableRate(now)),
+		zap.Float64(fieldTotal, elapsed.Seconds()),
 		zap.Float64(fieldProcessorUsed, (used-last).Seconds()/elapsed.Seconds()), zap.Float64(fieldCores, i.cores),
 		zap.Float64(fieldOthersExcess, i.fleet.excessShare(now)))
 }
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -96,5 +96,6 @@
 	fieldRefused             = "refused"
 	fieldClosed              = "closed"
 	fieldOpen                = "open"
+	fieldBearable            = "bears_per_second"
 	fieldOthersExcess        = "others_turned_away"
 )
