--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -249,6 +249,23 @@
 	assert.Equal(t, pending(), 0, "closed")
 }
 
+// TestFreeProcessorIsKnown guards against a gateway whose free processor does not count for the connections that it takes.
+func TestFreeProcessorIsKnown(t *testing.T) {
+	i := newTestIntake()
+	// Other tests use the processors of this process too.
+	i.cores = 64
+	const requests = 10_000
+	now := time.Now()
+	for range requests {
+		i.limiter.Begin()
+		i.limiter.HandedOn(now)
+	}
+	i.observe(now.Add(time.Second))
+	idle := now.Add(2 * time.Second)
+	assert.Equal(t, i.limiter.HandedOnRate(idle), 0.0)
+	assert.Assert(t, i.limiter.BearableRate(idle) > 1000, "%.0f a second", i.limiter.BearableRate(idle))
+}
+
 // TestConnectionOverTheLimit checks what becomes of a new connection while too many requests are pending: it is closed
 // with nothing read while other gateways have room, and otherwise its request is refused.
 func TestConnectionOverTheLimit(t *testing.T) {
