--- a/intake/limiter_test.go
+++ b/intake/limiter_test.go
@@ -107,7 +107,7 @@
 	cost, interval time.Duration
 	// run and pause are the lengths of the phases in which the process runs and is paused.
 	run, pause time.Duration
-	// cores is the processor that the process is told to have; it may be wrong.
+	// cores is the processor that the process counts on; it may have less.
 	cores float64
 	// queue holds the times at which the pending requests came, done the processor time that the first one has got.
 	queue []time.Time
