--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -130,6 +130,7 @@
 	used := processorTime()
 	elapsed, last := now.Sub(i.observedAt), i.processorTime
 	i.observedAt, i.processorTime = now, used
+	i.limiter.RecordUse(intake.Use{Processor: used - last, Elapsed: elapsed, Cores: i.cores})
 	peak, taken, refused, closed := i.limiter.TakePeak(), i.taken.Swap(0), i.refused.Swap(0), i.closed.Swap(0)
 	i.log.metrics.IntakeObserved(peak, (used - last).Seconds())
 	for result, n := range map[connResult]int64{connTaken: taken, connRefused: refused, connClosed: closed} {
@@ -140,7 +141,8 @@
 	}
 	i.log.log.Info(msgConnections, zap.Int64(fieldCount, taken), zap.Int64(fieldRefused, refused), zap.Int64(fieldClosed, closed),
 		zap.Int64(fieldOpen, i.open.Load()), zap.Int(fieldPending, peak),
-		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldTotal, elapsed.Seconds()),
+		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldBearable, i.limiter.BearableRate(now)),
+		zap.Float64(fieldTotal, elapsed.Seconds()),
 		zap.Float64(fieldProcessorUsed, (used-last).Seconds()/elapsed.Seconds()), zap.Float64(fieldCores, i.cores),
 		zap.Float64(fieldOthersExcess, i.fleet.excessShare(now)))
 }
