--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -24,6 +24,10 @@
 	Running int `json:"n,omitempty"`
 	// Service is the name of the service.
 	Service string `json:"s"`
+	// StreamVersions holds the software versions that resumable streams need now, each followed by a newline: those of
+	// the servers that they run at, and those that they wait for. A version stays for streamReturnTime after the last
+	// stream. It is empty while the service's servers run one version.
+	StreamVersions string `json:"v,omitempty"`
 	// ObjectiveMs is the shortest first-byte objective of all requests in milliseconds; 0 if any
 	// request had none.
 	ObjectiveMs int `json:"o,omitempty"`
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -46,6 +46,8 @@
 	// Version is the software version that the server must run, since only it can continue the request's stream; nil
 	// allows all versions.
 	Version *string
+	// Resumable means that the request's stream can be continued after its first event, by a server of the same version.
+	Resumable bool
 	// MayHaveRun means that a server may have processed the request already. Such a request is
 	// never late and never shed.
 	MayHaveRun bool
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -13,6 +13,8 @@
 type EngineView struct {
 	ID   string
 	Hall string
+	// Version is the version of the engine's software.
+	Version string
 	// Residents are the models that are ready or being loaded.
 	Residents []backend.Resident
 	// Idle is true if no order is in progress.
@@ -40,6 +42,8 @@
 	// the first byte among its requests; 0 if one of them has none.
 	Requested bool
 	Objective time.Duration
+	// StreamVersions holds the software versions that streams of the model need: those that they run at or wait for.
+	StreamVersions map[string]bool
 }
 
 // An Input is the input of Plan.
--- /dev/null
+++ b/residency/streams_test.go
@@ -0,0 +1,149 @@
+package residency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// atVersions sets the software versions of engines.
+func atVersions(list []EngineView, versions ...string) []EngineView {
+	for i, v := range versions {
+		list[i].Version = v
+	}
+	return list
+}
+
+// needs adds versions that streams of a model need.
+func needs(byModel map[string]Demand, model string, versions ...string) map[string]Demand {
+	d := byModel[model]
+	d.StreamVersions = make(map[string]bool)
+	for _, v := range versions {
+		d.StreamVersions[v] = true
+	}
+	byModel[model] = d
+	return byModel
+}
+
+// TestPlanKeepsStreamsAtTheirVersion guards against evictions from the only engine at which streams can go on.
+func TestPlanKeepsStreamsAtTheirVersion(t *testing.T) {
+	// m0 has one replica more than its target, and m1 one less.
+	held := func() []EngineView { return engines([]string{"m0"}, []string{"m0"}, []string{"m1"}) }
+	d := func() map[string]Demand { return demands(0, 10) }
+	tests := map[string]struct {
+		engines []EngineView
+		demands map[string]Demand
+		models  int
+		want    []Move
+	}{
+		"no streams": {
+			engines: atVersions(held(), "v2", "v1", "v1"), demands: d(),
+			want: []Move{{Engine: "e0", Model: "m1", Evictions: []string{"m0"}}},
+		},
+		"streams at the version of one": {
+			engines: atVersions(held(), "v2", "v1", "v1"), demands: needs(d(), "m0", "v2"),
+			want: []Move{{Engine: "e1", Model: "m1", Evictions: []string{"m0"}}},
+		},
+		"streams at both versions": {
+			engines: atVersions(held(), "v2", "v1", "v1"), demands: needs(d(), "m0", "v1", "v2"),
+		},
+		"another engine of the version": {
+			engines: atVersions(held(), "v1", "v1", "v2"), demands: needs(d(), "m0", "v1"),
+			want: []Move{{Engine: "e0", Model: "m1", Evictions: []string{"m0"}}},
+		},
+		"the other engine of the version is leaving": {
+			engines: func() []EngineView {
+				list := atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}, []string{"m0"}), "v2", "v1", "v1", "v2")
+				list[3].Leaving = true
+				return list
+			}(),
+			demands: needs(d(), "m0", "v2"),
+			want:    []Move{{Engine: "e1", Model: "m1", Evictions: []string{"m0"}}},
+		},
+		"a missing model comes first": {
+			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v2", "v1"), demands: needs(demands(0, 0, 1), "m0", "v2"), models: 3,
+			want: []Move{{Engine: "e0", Model: "m2", Evictions: []string{"m0"}}},
+		},
+		"a missing model goes where no stream needs the eviction": {
+			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), demands: needs(demands(0, 0, 1), "m0", "v2"), models: 3,
+			want: []Move{{Engine: "e1", Model: "m2", Evictions: []string{"m0"}}},
+		},
+		"a missing model evicts what streams need if nothing else": {
+			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), demands: needs(demands(0, 0, 1), "m0", "v1", "v2"), models: 3,
+			want: []Move{{Engine: "e0", Model: "m2", Evictions: []string{"m0"}}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			sizes := []float64{150, 150, 150}[:max(test.models, 2)]
+			got := Plan(Input{Spec: spec(sizes...), Engines: test.engines, Demands: test.demands, StoreLoadsAllowed: 5})
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+// TestPlanEvictsOneOfTwoAtAVersion guards against two evictions in one plan that together take the last replica of a
+// version.
+func TestPlanEvictsOneOfTwoAtAVersion(t *testing.T) {
+	list := atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m0"}, []string{"m1"}, []string{"m2"}), "v2", "v2", "v1", "v1", "v1")
+	got := Plan(Input{Spec: spec(150, 150, 150), Engines: list, Demands: needs(demands(0, 10, 10), "m0", "v2"), StoreLoadsAllowed: 5})
+	var evictedFrom []string
+	for _, m := range got {
+		evictedFrom = append(evictedFrom, m.Engine)
+	}
+	assert.DeepEqual(t, evictedFrom, []string{"e0", "e2"})
+}
+
+// TestStreamsAreNeverEvicted guards against any plan that evicts the last replica at a version which streams need, but for
+// a model that has no replica.
+func TestStreamsAreNeverEvicted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const models = 5
+		in := Input{Spec: spec(60, 60, 60, 100, 150), Demands: make(map[string]Demand), StoreLoadsAllowed: 10}
+		names := make([]string, models)
+		for i := range names {
+			names[i] = fmt.Sprint("m", i)
+			in.Demands[names[i]] = Demand{TokensPerSecond: rapid.Float64Range(0, 1000).Draw(t, "demand")}
+			needs(in.Demands, names[i], rapid.SliceOfDistinct(rapid.SampledFrom([]string{"v1", "v2"}), rapid.ID).Draw(t, "streams")...)
+		}
+		for i := range rapid.IntRange(2, 6).Draw(t, "engines") {
+			var held []string
+			free := 200
+			for _, m := range rapid.Permutation(names).Draw(t, "held") {
+				if mb := int(in.Spec.Models[slices.Index(names, m)].WeightsMB / 1000); mb <= free {
+					held, free = append(held, m), free-mb
+				}
+			}
+			e := engines(held)[0]
+			e.ID, e.Version = fmt.Sprint("e", i), rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
+			in.Engines = append(in.Engines, e)
+		}
+		before := countAt(in.Engines)
+		lastAt := make(map[[2]string]int)
+		for _, m := range Plan(in) {
+			version := in.Engines[slices.IndexFunc(in.Engines, func(e EngineView) bool { return e.ID == m.Engine })].Version
+			isMissing := replicasOf(m.Model, in.Engines) == 0
+			for _, evicted := range m.Evictions {
+				key := [2]string{evicted, version}
+				lastAt[key]++
+				if in.Demands[evicted].StreamVersions[version] && lastAt[key] >= before[key] && !isMissing {
+					t.Fatalf("%+v evicts the last %s at %s", m, evicted, version)
+				}
+			}
+		}
+	})
+}
+
+// countAt returns the number of replicas by model and version.
+func countAt(list []EngineView) map[[2]string]int {
+	n := make(map[[2]string]int)
+	for _, e := range list {
+		for _, r := range e.Residents {
+			n[[2]string{r.Model, e.Version}]++
+		}
+	}
+	return n
+}
