placer: a model stays at a software version while streams need it there

While the servers of a service run several versions, gateways now tell with the demand for a model at which of them its resumable streams run or wait (and did within the last 3 s). residency.Plan evicts the last replica of a version that streams need only for a model that no engine holds, and then where it interrupts none if it can.

--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -255,13 +255,13 @@
 // awaitQueued waits for a queued request. It unlocks d.mu. leave, which is called with d.mu held, takes the request out of the
 // queue and returns its reservation, if it has one.
 func (d *Dispatcher) awaitQueued(ctx context.Context, r *Request, ready <-chan struct{}, until time.Time, leave func() *Reservation) (*Reservation, error) {
-	d.demand.addWaiting(r, 1)
+	d.addWaiting(r, 1)
 	wait := until.Sub(d.opts.Clock.Now())
 	d.mu.Unlock()
 	r.beginWait()
 	clock.Await(ctx, d.opts.Clock, ready, wait)
 	d.mu.Lock()
-	d.demand.addWaiting(r, -1)
+	d.addWaiting(r, -1)
 	r.refusedBy = nil
 	res := leave()
 	if res == nil && ctx.Err() == nil && !d.opts.Clock.Now().Before(r.WaitUntil) {
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -36,10 +36,12 @@
 // demandTable holds the demand for each model and adapter, by Request.targetKey.
 type demandTable struct {
 	byTarget map[string]*Demand
+	// versionNeeds holds the software versions that resumable streams need.
+	versionNeeds versionNeeds
 }
 
 func newDemandTable() demandTable {
-	return demandTable{byTarget: make(map[string]*Demand)}
+	return demandTable{byTarget: make(map[string]*Demand), versionNeeds: make(versionNeeds)}
 }
 
 // get returns the demand for the request's model or adapter, creating it if needed.
@@ -52,13 +54,6 @@
 	return x
 }
 
-// addWaiting changes the number of waiting requests. Requests to plain services are not counted.
-func (t *demandTable) addWaiting(r *Request, change int) {
-	if r.Model != "" {
-		t.get(r).Waiting += change
-	}
-}
-
 func (t *demandTable) snapshot() map[string]Demand {
 	out := make(map[string]Demand, len(t.byTarget))
 	for target, x := range t.byTarget {
@@ -87,5 +82,7 @@
 func (d *Dispatcher) Demands() map[string]Demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.demand.snapshot()
+	out := d.demand.snapshot()
+	d.addStreamVersions(out)
+	return out
 }
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -230,7 +230,7 @@
 	for _, w := range d.queue.list {
 		key := w.req.queueKey()
 		if w.refused = d.unservable(w.req, ahead[key], now); w.refused != nil {
-			d.demand.addWaiting(w.req, -1)
+			d.addWaiting(w.req, -1)
 			close(w.ready)
 			continue
 		}
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -33,6 +33,8 @@
 	permitPending, hasPermit bool
 	// onTrial is Request.OnTrial at the time of the reservation.
 	onTrial bool
+	// isStream means that the request counts as a stream that needs the server's software version.
+	isStream bool
 	// firstByteSeen means that the first byte has arrived, released that the capacity was released.
 	firstByteSeen, released bool
 	// pauses holds the pauses of the stream; nil if speeds are not learned.
@@ -75,6 +77,7 @@
 		return res
 	}
 	d.demand.get(r).Running++
+	res.beginStream()
 	if res.owner == "" {
 		l.prefixes.touch(r.targetKey(), r.Prefix)
 	}
@@ -194,6 +197,7 @@
 	r.load.UsedTokens -= r.usedTokens
 	if r.req.Model != "" {
 		r.d.demand.get(r.req).Running--
+		r.endStream()
 	}
 	r.endAccount()
 }
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -164,7 +164,7 @@
 // enqueue adds a request to the wait queue. d.mu must be held.
 func (d *Dispatcher) enqueue(w *waiter) {
 	d.queue.add(w)
-	d.demand.addWaiting(w.req, 1)
+	d.addWaiting(w.req, 1)
 	if d.opts.OnModelMissing != nil && w.req.Model != "" && d.isMissing(w.req) {
 		d.opts.OnModelMissing()
 	}
@@ -186,7 +186,7 @@
 		return d.finishWait(ctx, w.reservation)
 	}
 	d.queue.remove(w)
-	d.demand.addWaiting(w.req, -1)
+	d.addWaiting(w.req, -1)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -250,7 +250,7 @@
 		full[key] = !w.req.isRestricted()
 		return
 	}
-	d.demand.addWaiting(w.req, -1)
+	d.addWaiting(w.req, -1)
 	w.reservation = res
 	close(w.ready)
 }
@@ -264,7 +264,7 @@
 		full[w.req.queueKey()] = !w.req.isRestricted()
 		return
 	}
-	d.demand.addWaiting(w.req, -1)
+	d.addWaiting(w.req, -1)
 	w.chooseAgain = true
 	close(w.ready)
 }
--- a/internal/gateway/needs.go
+++ b/internal/gateway/needs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rockcleat/dispatch"
+	"rockcleat/table"
 )
 
 // Parameters of the time that a request may wait for a server.
@@ -58,6 +59,7 @@
 	if objective := in.route.FirstByteObjective; objective > 0 {
 		req.SendBy = in.arrived.Add(objective * in.sendByPercent() / 100)
 	}
+	req.Resumable = in.route.Retry == table.RetryResume
 	if version := in.requiredVersion(); version != nil {
 		// A server has processed the beginning of the stream.
 		req.Version, req.MayHaveRun = version, true
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -215,6 +215,7 @@
 	}
 	sum.Requested = true
 	sum.Waiting += x.Waiting
+	sum.StreamVersions = addVersions(sum.StreamVersions, x)
 	return sum
 }
 
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -140,7 +140,7 @@
 		recent[model] = true
 	}
 	return residency.EngineView{
-		ID: e.server.ID, Hall: e.server.Hall, Residents: e.residentsAfterOrders(), Idle: e.isIdle(),
+		ID: e.server.ID, Hall: e.server.Hall, Version: e.server.Version, Residents: e.residentsAfterOrders(), Idle: e.isIdle(),
 		Leaving:        !e.server.AcceptsRequests() || e.ended,
 		CachedInMemory: e.cachedInMemory, CachedOnDisk: e.cachedOnDisk, RecentlyLoaded: recent,
 	}
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -25,7 +25,7 @@
 
 // callIfDue starts the call to an engine that is due, if any: the request for a report, or the first pending
 // order. A paused engine gets no calls.
-func (p *Placer) callIfDue(e *engineState, spec *table.EngineSpec, now time.Time) {
+func (p *Placer) callIfDue(s table.Service, e *engineState, now time.Time) {
 	switch {
 	case e.callInProgress, e.paused:
 	case (!e.known || !e.nextReport.IsZero()) && !now.Before(e.nextReport):
@@ -34,7 +34,11 @@
 			p.fetchReport(e)
 		}
 	case e.known && len(e.pending) > 0 && !e.accepted && !now.Before(e.notBefore):
-		p.issueModelOrder(e, spec, now)
+		if p.interruptsStreams(s, e, now) {
+			p.withdrawMove(e)
+			return
+		}
+		p.issueModelOrder(e, s.Engine, now)
 	}
 }
 
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -37,7 +37,7 @@
 		p.planModels(s, engines, now)
 	}
 	for _, e := range engines {
-		p.callIfDue(e, s.Engine, now)
+		p.callIfDue(s, e, now)
 	}
 }
 
@@ -84,7 +84,7 @@
 	for _, m := range moves {
 		replacement := p.recordReplacement(s, m, now)
 		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
-			zap.Strings("victims", m.Evictions), zap.Stringer("source", m.Source), p.demandField(s, m), replacement)
+			zap.Strings("victims", m.Evictions), zap.Stringer("source", m.Source), p.demandField(s, m), replacement, interruptedField(m))
 		p.engines.byID[m.Engine].plan(m, now)
 	}
 }
--- a/residency/evict.go
+++ b/residency/evict.go
@@ -1,15 +1,14 @@
 package residency
 
 import (
-	"cmp"
 	"slices"
 
 	"rockcleat/backend"
 	"rockcleat/table"
 )
 
-// evictions returns the models to unload so that a model fits on an engine, in increasing order of demand
-// per replica; ok is false if the model does not fit even then.
+// evictions returns the models to unload so that a model fits on an engine, in the order of compareEviction; ok is false
+// if the model does not fit even then.
 func (p *plan) evictions(e *EngineView, m table.ModelSpec) (evictions []string, ok bool) {
 	need := p.memoryShortfall(e, m)
 	if need <= 0 {
@@ -17,7 +16,7 @@
 	}
 	list := slices.Clone(e.Residents)
 	slices.SortStableFunc(list, func(a, b backend.Resident) int {
-		return cmp.Compare(p.demandPerReplica(a.Model), p.demandPerReplica(b.Model))
+		return p.compareEviction(e, a.Model, b.Model)
 	})
 	for _, r := range list {
 		if !p.evictable(e, r.Model, m.Name) {
@@ -37,9 +36,12 @@
 // The last replica may be evicted if the model is no longer configured, or if other already has a replica and both
 // justifiesLastReplica and lastReplicaEvictable report true. One of several replicas may be evicted if
 // other has none; otherwise only if the model has more replicas than its target and the replica was not loaded
-// recently.
+// recently. A replica that streams need at its software version may be evicted only if other has none.
 func (p *plan) evictable(e *EngineView, model, other string) bool {
 	forFirstReplica := p.replicas[other] == 0
+	if !forFirstReplica && p.isNeededByStreams(e, model) {
+		return false
+	}
 	if p.replicas[model] <= 1 {
 		_, configured := p.in.Spec.Model(model)
 		return !configured || !forFirstReplica && p.justifiesLastReplica(other, model) && p.lastReplicaEvictable(e, model)
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -88,7 +88,9 @@
 	Model  string
 	// Evictions are the models to unload first.
 	Evictions []string
-	Source    Source
+	// Interrupted lists those of Evictions that streams need at the engine's software version.
+	Interrupted []string
+	Source      Source
 }
 
 // plan is the working state of one call of Plan.
@@ -98,6 +100,8 @@
 	// replicas and targets hold the present and the planned number of replicas, by model.
 	replicas map[string]int
 	targets  map[string]int
+	// replicasAt holds the present number of replicas by model and software version.
+	replicasAt map[versionedModel]int
 	// capacity holds the present replicas by model, each counted as engineCapacity.
 	capacity map[string]float64
 	// engines are the engines that are not leaving.
@@ -107,7 +111,7 @@
 // Plan returns the moves to start now, the most urgent first, at most one for each engine. It sets Idle to false in
 // in.Engines for the engines that get a move.
 func Plan(in Input) []Move {
-	p := &plan{in: in, replicas: make(map[string]int), capacity: make(map[string]float64)}
+	p := &plan{in: in, replicas: make(map[string]int), replicasAt: make(map[versionedModel]int), capacity: make(map[string]float64)}
 	p.in.Demands = Forecast(in.Spec, in.Demands, in.Engines, in.Sequence)
 	p.policies = loadPolicies(in.Spec, p.in.Demands, in.Sequence.Confidence())
 	for i := range in.Engines {
@@ -118,6 +122,7 @@
 		p.engines = append(p.engines, e)
 		for _, r := range e.Residents {
 			p.replicas[r.Model]++
+			p.replicasAt[versionedModel{r.Model, e.Version}]++
 			p.capacity[r.Model] += engineCapacity(e)
 		}
 	}
@@ -210,7 +215,7 @@
 )
 
 // cheapestMove returns the cheapest move that loads a model. The cost is the sum of the load time, the eviction
-// cost, the penalty for replicas in the engine's data hall and the cost of a slow engine.
+// cost, the penalty for replicas in the engine's data hall, the cost of a slow engine and that of interrupted streams.
 func (p *plan) cheapestMove(m table.ModelSpec, storeAllowed bool) (Move, bool) {
 	var best Move
 	found := false
@@ -229,9 +234,11 @@
 		if !ok {
 			continue
 		}
-		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1)
+		interrupted := p.neededByStreams(e, evictions)
+		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + streamEvictionCost*float64(len(interrupted)) +
+			sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1)
 		if !found || cost < bestCost {
-			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Source: source}, cost, true
+			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Interrupted: interrupted, Source: source}, cost, true
 		}
 	}
 	return best, found
@@ -277,17 +284,19 @@
 
 // apply updates the working state as if the move had been completed. Its engine is no longer idle.
 func (p *plan) apply(m Move) {
-	capacity := 1.0
+	capacity, version := 1.0, ""
 	for _, e := range p.engines {
 		if e.ID == m.Engine {
 			e.Idle = false
-			capacity = engineCapacity(e)
+			capacity, version = engineCapacity(e), e.Version
 		}
 	}
 	p.replicas[m.Model]++
+	p.replicasAt[versionedModel{m.Model, version}]++
 	p.capacity[m.Model] += capacity
 	for _, evicted := range m.Evictions {
 		p.replicas[evicted]--
+		p.replicasAt[versionedModel{evicted, version}]--
 		p.capacity[evicted] -= capacity
 	}
 }
--- /dev/null
+++ b/residency/streams.go
@@ -0,0 +1,70 @@
+package residency
+
+import "cmp"
+
+// streamEvictionCost is the cost of evicting a replica that streams need at its software version, in seconds of loading.
+// It exceeds the load of any model and all other costs, so that a missing model is loaded elsewhere if it can be.
+const streamEvictionCost = 100.0
+
+// A versionedModel is a model at one software version.
+type versionedModel struct{ model, version string }
+
+// isNeededByStreams reports whether the replica of a model on an engine is the last one at the engine's software version,
+// and streams of the model need that version.
+func (p *plan) isNeededByStreams(e *EngineView, model string) bool {
+	return p.in.Demands[model].StreamVersions[e.Version] && p.replicasAt[versionedModel{model, e.Version}] <= 1
+}
+
+// neededByStreams returns those of the evictions from an engine that streams need.
+func (p *plan) neededByStreams(e *EngineView, evictions []string) []string {
+	var needed []string
+	for _, model := range evictions {
+		if p.isNeededByStreams(e, model) {
+			needed = append(needed, model)
+		}
+	}
+	return needed
+}
+
+// compareEviction orders the replicas on an engine by which is evicted first: those that streams need last, the others in
+// increasing order of demand.
+func (p *plan) compareEviction(e *EngineView, a, b string) int {
+	return cmp.Or(compareBool(p.isNeededByStreams(e, a), p.isNeededByStreams(e, b)), cmp.Compare(p.demandPerReplica(a), p.demandPerReplica(b)))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// InterruptsStreams reports whether the unload of a model from an engine would leave streams of the model without a server
+// of their software version. The unload makes room for the model named other, as planned earlier, and engines are the views
+// after all planned moves. other is empty if the load was abandoned. InterruptsStreams returns false if other has no other
+// replica: that each model can be reached comes first.
+func InterruptsStreams(engines []EngineView, engine, model, other string, versions map[string]bool) bool {
+	version, isFirst := "", other != ""
+	for i := range engines {
+		e := &engines[i]
+		if e.ID == engine {
+			version = e.Version
+		} else if !e.Leaving && holds(e, other) {
+			isFirst = false
+		}
+	}
+	if isFirst || !versions[version] {
+		return false
+	}
+	for i := range engines {
+		e := &engines[i]
+		if e.ID != engine && e.Version == version && !e.Leaving && holds(e, model) {
+			return false
+		}
+	}
+	return true
+}
--- a/residency/streams_test.go
+++ b/residency/streams_test.go
@@ -73,7 +73,7 @@
 		},
 		"a missing model evicts what streams need if nothing else": {
 			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), demands: needs(demands(0, 0, 1), "m0", "v1", "v2"), models: 3,
-			want: []Move{{Engine: "e0", Model: "m2", Evictions: []string{"m0"}}},
+			want: []Move{{Engine: "e0", Model: "m2", Evictions: []string{"m0"}, Interrupted: []string{"m0"}}},
 		},
 	}
 	for name, test := range tests {
@@ -89,6 +89,9 @@
 // version.
 func TestPlanEvictsOneOfTwoAtAVersion(t *testing.T) {
 	list := atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m0"}, []string{"m1"}, []string{"m2"}), "v2", "v2", "v1", "v1", "v1")
+	for i := range list {
+		list[i].Hall = "h"
+	}
 	got := Plan(Input{Spec: spec(150, 150, 150), Engines: list, Demands: needs(demands(0, 10, 10), "m0", "v2"), StoreLoadsAllowed: 5})
 	var evictedFrom []string
 	for _, m := range got {
@@ -147,3 +150,50 @@
 	}
 	return n
 }
+
+// TestInterruptsStreams guards against an unload that is carried out although streams have begun since it was planned, and
+// against one that is withdrawn for no stream.
+func TestInterruptsStreams(t *testing.T) {
+	leaving := func(list []EngineView, i int) []EngineView {
+		list[i].Leaving = true
+		return list
+	}
+	tests := map[string]struct {
+		// engines are the views after the planned moves: e0 runs v2 and has m1 instead of m0.
+		engines  []EngineView
+		other    string
+		versions []string
+		want     bool
+	}{
+		"streams at the only engine": {
+			engines: atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), other: "m1", versions: []string{"v2"}, want: true,
+		},
+		"no streams": {
+			engines: atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), other: "m1",
+		},
+		"streams at another version": {
+			engines: atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), other: "m1", versions: []string{"v1"},
+		},
+		"another engine of the version": {
+			engines: atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v2", "v1"), other: "m1", versions: []string{"v2"},
+		},
+		"the other engine of the version is leaving": {
+			engines: leaving(atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v2", "v1"), 1), other: "m1", versions: []string{"v2"}, want: true,
+		},
+		"the model to load has no other replica": {
+			engines: atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m0"}), "v2", "v1", "v1"), other: "m1", versions: []string{"v2"},
+		},
+		"the other replica of the model to load is leaving": {
+			engines: leaving(atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), 2), other: "m1", versions: []string{"v2"},
+		},
+		"the load was abandoned": {
+			engines: atVersions(engines(nil, []string{"m0"}, nil), "v2", "v1", "v1"), versions: []string{"v2"}, want: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			versions := needs(map[string]Demand{}, "m0", test.versions...)["m0"].StreamVersions
+			assert.Equal(t, InterruptsStreams(test.engines, "e0", "m0", test.other, versions), test.want)
+		})
+	}
+}
