residency, placer: failing tests of adapters that streams need at their version

An adapter that is loaded at one software version counts as loaded for streams that wait for it at another one, so that they wait in vain; the adapters that streams need at a version are evicted as any other.

--- a/internal/placer/streams_test.go
+++ b/internal/placer/streams_test.go
@@ -117,3 +117,36 @@
 	}
 	return ""
 }
+
+// TestAdapterIsLoadedAtTheVersionOfItsStreams guards against streams that wait in vain because their adapter is loaded at
+// another software version only, and against loads for requests that can go anywhere.
+func TestAdapterIsLoadedAtTheVersionOfItsStreams(t *testing.T) {
+	tests := map[string]struct {
+		versions string
+		want     int
+	}{
+		"streams at the other version": {versions: "v1\n", want: 1},
+		"streams at its version":       {versions: "v2\n"},
+		"no streams":                   {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVersionedFixture(t)
+				f.engines.engines["e0"].residents[0].Adapters = []string{"a1"}
+				for range 20 {
+					f.placer.Report(placer.Report{GatewayID: "g", Demands: map[string]dispatch.Demand{
+						"m0/a1": {Arrived: 1, Waiting: 1, Service: service, StreamVersions: test.versions},
+					}})
+					f.advance(100 * time.Millisecond)
+				}
+				orders := f.engines.orders()
+				assert.Equal(t, len(orders), test.want, "%v", orders)
+				for _, o := range orders {
+					assert.Equal(t, o.server, "e1")
+					assert.Equal(t, o.order.Adapter, "a1")
+				}
+			})
+		})
+	}
+}
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -15,6 +15,12 @@
 	Evict backend.Adapter
 }
 
+// An AdapterAt is an adapter at a software version.
+type AdapterAt struct {
+	backend.Adapter
+	Version string
+}
+
 // An AdapterInput is the input of PlanAdapters.
 type AdapterInput struct {
 	// Slots is the number of adapters that an engine can hold.
@@ -24,6 +30,11 @@
 	// Missing are the adapters that requests wait for and that no engine holds, without counting engines that
 	// are leaving or accept few requests.
 	Missing []backend.Adapter
+	// MissingAt are the adapters that requests wait for, at the software versions which their streams need and at which no
+	// engine holds them, counted likewise.
+	MissingAt []AdapterAt
+	// StreamVersions holds the software versions that streams of each adapter need.
+	StreamVersions map[backend.Adapter]map[string]bool
 	// LastUsed is the time of the last request for each adapter, RequestsByAdapter the number of
 	// requests that use it now.
 	LastUsed          map[backend.Adapter]time.Time
--- a/residency/streams_test.go
+++ b/residency/streams_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"rockcleat/backend"
 )
 
 // atVersions sets the software versions of engines.
@@ -197,3 +200,66 @@
 		})
 	}
 }
+
+// TestPlanAdaptersForStreams guards against streams that cannot go on because their adapter was unloaded at their version,
+// or is loaded at other versions only.
+func TestPlanAdaptersForStreams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	adapter := func(name string) backend.Adapter { return backend.Adapter{Model: "m0", Name: name} }
+	// Each engine holds m0 with the adapters of one list.
+	holding := func(adapters ...[]string) []EngineView {
+		list := engines(make([][]string, len(adapters))...)
+		for i, names := range adapters {
+			list[i].Residents = []backend.Resident{{Model: "m0", Adapters: names}}
+		}
+		return list
+	}
+	streams := func(name string, versions ...string) map[backend.Adapter]map[string]bool {
+		return map[backend.Adapter]map[string]bool{adapter(name): needs(map[string]Demand{}, "", versions...)[""].StreamVersions}
+	}
+	missing := []backend.Adapter{adapter("new")}
+	overdue := map[backend.Adapter]time.Time{adapter("new"): now.Add(-2 * time.Second)}
+	tests := map[string]struct {
+		in   AdapterInput
+		want []AdapterMove
+	}{
+		"not in the place of one that streams need": {
+			in:   AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v2"), Missing: missing, StreamVersions: streams("a1", "v1")},
+			want: []AdapterMove{{Engine: "e1", Adapter: adapter("new"), Evict: adapter("a1")}},
+		},
+		"nowhere in the place of those that streams need": {
+			in: AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v2"), Missing: missing, StreamVersions: streams("a1", "v1", "v2")},
+		},
+		"in the place of one that another engine of the version holds": {
+			in:   AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v1"), Missing: missing, StreamVersions: streams("a1", "v1")},
+			want: []AdapterMove{{Engine: "e0", Adapter: adapter("new"), Evict: adapter("a1")}},
+		},
+		"after long waiting in the place of one that streams need": {
+			in:   AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}), "v1"), Missing: missing, StreamVersions: streams("a1", "v1"), WaitingSince: overdue},
+			want: []AdapterMove{{Engine: "e0", Adapter: adapter("new"), Evict: adapter("a1")}},
+		},
+		"after long waiting first in the place of one that no stream needs": {
+			in:   AdapterInput{Slots: 2, Engines: atVersions(holding([]string{"a1", "a2"}), "v1"), Missing: missing, StreamVersions: streams("a1", "v1"), WaitingSince: overdue},
+			want: []AdapterMove{{Engine: "e0", Adapter: adapter("new"), Evict: adapter("a2")}},
+		},
+		"loaded at the version that its streams need": {
+			in: AdapterInput{
+				Slots: 2, Engines: atVersions(holding([]string{"new"}, nil, nil), "v1", "v1", "v2"), MissingAt: []AdapterAt{{adapter("new"), "v2"}},
+				StreamVersions: streams("new", "v2"),
+			},
+			want: []AdapterMove{{Engine: "e2", Adapter: adapter("new")}},
+		},
+		"no engine of the version holds the model": {
+			in: AdapterInput{
+				Slots: 2, Engines: atVersions(engines([]string{"m0"}, []string{"m1"}), "v1", "v2"), MissingAt: []AdapterAt{{adapter("new"), "v2"}},
+				StreamVersions: streams("new", "v2"),
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.in.Now = now
+			assert.DeepEqual(t, PlanAdapters(test.in), test.want)
+		})
+	}
+}
