placer: adapters are loaded at the software version that waiting streams need

A stream that waited for its adapter at one version was refused after its wait though an engine of that version held its model: the adapter counted as loaded because an engine of another version held it. An adapter that streams need at a version is evicted last, and only for one that has been waited for longer than a second, as the rule for others in use.

Evidence: TestPlanAdaptersForStreams and TestAdapterIsLoadedAtTheVersionOfItsStreams failed and pass.

--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -219,23 +219,34 @@
 	return sum
 }
 
-// adapterDemand returns the adapters of a service that requests are waiting for, and the number of running
-// requests by adapter.
-func (d *demand) adapterDemand(service string) (waiting []backend.Adapter, running map[backend.Adapter]int) {
+// An adapterDemand is the demand for the adapters of a service.
+type adapterDemand struct {
+	// waiting lists the adapters that requests are waiting for, running counts the running requests.
+	waiting []backend.Adapter
+	running map[backend.Adapter]int
+	// streamVersions holds the software versions that streams need.
+	streamVersions map[backend.Adapter]map[string]bool
+}
+
+// adapterDemand returns the demand for the adapters of a service.
+func (d *demand) adapterDemand(service string) adapterDemand {
 	seen := make(map[backend.Adapter]bool)
-	running = make(map[backend.Adapter]int)
+	sum := adapterDemand{running: make(map[backend.Adapter]int), streamVersions: make(map[backend.Adapter]map[string]bool)}
 	for _, g := range d.gateways {
 		for name, x := range g.demands {
 			a := backend.ParseAdapter(name)
 			if a.Name == "" || x.Service != service {
 				continue
 			}
-			running[a] += x.Running
+			sum.running[a] += x.Running
+			if x.StreamVersions != "" {
+				sum.streamVersions[a] = addVersions(sum.streamVersions[a], x)
+			}
 			if x.Waiting > 0 && !seen[a] {
 				seen[a] = true
-				waiting = append(waiting, a)
+				sum.waiting = append(sum.waiting, a)
 			}
 		}
 	}
-	return waiting, running
+	return sum
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -108,10 +109,10 @@
 
 // planAdapters plans the loads of missing adapters and issues their orders.
 func (p *Placer) planAdapters(s table.Service, engines []*engineState, now time.Time) {
-	waiting, running := p.demand.adapterDemand(s.Name)
-	missing := p.notLoaded(waiting, engines)
-	p.recordMissingAdapters(missing, now)
-	if len(missing) == 0 {
+	demand := p.demand.adapterDemand(s.Name)
+	missing, missingAt := p.notLoaded(demand, engines)
+	p.recordMissingAdapters(missing, missingAt, now)
+	if len(missing)+len(missingAt) == 0 {
 		return
 	}
 	idle := slices.DeleteFunc(p.engineViews(engines, now), func(e residency.EngineView) bool { return !e.Idle })
@@ -120,22 +121,40 @@
 		requests[id] = l.Running
 	}
 	moves := residency.PlanAdapters(residency.AdapterInput{
-		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing,
-		LastUsed: p.demand.adapterLastUsed, RequestsByAdapter: running, RequestsByEngine: requests,
-		WaitingSince: p.adapterWaitingSince, Now: now,
+		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing, MissingAt: missingAt,
+		LastUsed: p.demand.adapterLastUsed, RequestsByAdapter: demand.running, RequestsByEngine: requests,
+		StreamVersions: demand.streamVersions, WaitingSince: p.adapterWaitingSince, Now: now,
 	})
 	for _, m := range moves {
 		p.issueAdapterOrders(p.engines.byID[m.Engine], m)
 	}
 }
 
-// notLoaded returns the adapters that are not loaded on any usable engine. Engines that are leaving or
-// throttled are not usable, and an engine that is about to unload a model is not usable for its adapters.
-func (p *Placer) notLoaded(adapters []backend.Adapter, engines []*engineState) []backend.Adapter {
-	if len(adapters) == 0 {
-		return nil
+// notLoaded returns the adapters that requests wait for and that are not loaded on any usable engine, and those that
+// streams need at a software version at which no usable engine has them. Engines that are leaving or throttled are not
+// usable, and an engine that is about to unload a model is not usable for its adapters.
+func (p *Placer) notLoaded(demand adapterDemand, engines []*engineState) (missing []backend.Adapter, missingAt []residency.AdapterAt) {
+	if len(demand.waiting) == 0 {
+		return nil, nil
 	}
-	loaded := make(map[backend.Adapter]bool)
+	loaded, loadedAt := p.loadedAdapters(engines)
+	for _, a := range demand.waiting {
+		if !loaded[a] {
+			missing = append(missing, a)
+			continue
+		}
+		for _, version := range slices.Sorted(maps.Keys(demand.streamVersions[a])) {
+			if at := (residency.AdapterAt{Adapter: a, Version: version}); !loadedAt[at] {
+				missingAt = append(missingAt, at)
+			}
+		}
+	}
+	return missing, missingAt
+}
+
+// loadedAdapters returns the adapters that are loaded on usable engines, at all and by software version.
+func (p *Placer) loadedAdapters(engines []*engineState) (loaded map[backend.Adapter]bool, loadedAt map[residency.AdapterAt]bool) {
+	loaded, loadedAt = make(map[backend.Adapter]bool), make(map[residency.AdapterAt]bool)
 	for _, e := range engines {
 		if !e.server.AcceptsRequests() || p.isThrottled(e) {
 			continue
@@ -145,15 +164,21 @@
 				continue
 			}
 			for _, name := range r.Adapters {
-				loaded[backend.Adapter{Model: r.Model, Name: name}] = true
+				a := backend.Adapter{Model: r.Model, Name: name}
+				loaded[a] = true
+				loadedAt[residency.AdapterAt{Adapter: a, Version: e.server.Version}] = true
 			}
 		}
 	}
-	return slices.DeleteFunc(adapters, func(a backend.Adapter) bool { return loaded[a] })
+	return loaded, loadedAt
 }
 
 // recordMissingAdapters records since when requests have been waiting for each missing adapter.
-func (p *Placer) recordMissingAdapters(missing []backend.Adapter, now time.Time) {
+func (p *Placer) recordMissingAdapters(missing []backend.Adapter, missingAt []residency.AdapterAt, now time.Time) {
+	missing = slices.Clone(missing)
+	for _, at := range missingAt {
+		missing = append(missing, at.Adapter)
+	}
 	since := make(map[backend.Adapter]time.Time, len(missing))
 	for _, a := range missing {
 		since[a] = now
--- a/internal/placer/streams_test.go
+++ b/internal/placer/streams_test.go
@@ -134,7 +134,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newVersionedFixture(t)
 				f.engines.engines["e0"].residents[0].Adapters = []string{"a1"}
-				for range 20 {
+				for range 60 {
 					f.placer.Report(placer.Report{GatewayID: "g", Demands: map[string]dispatch.Demand{
 						"m0/a1": {Arrived: 1, Waiting: 1, Service: service, StreamVersions: test.versions},
 					}})
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -50,26 +50,32 @@
 func PlanAdapters(in AdapterInput) []AdapterMove {
 	var moves []AdapterMove
 	usedEngines := make(map[string]bool)
-	for _, a := range in.Missing {
-		m, ok := in.cheapestMove(a, usedEngines)
+	add := func(a backend.Adapter, isAllowed func(*EngineView) bool) {
+		m, ok := in.cheapestMove(a, usedEngines, isAllowed)
 		if !ok {
-			continue
+			return
 		}
 		usedEngines[m.Engine] = true
 		moves = append(moves, m)
 	}
+	for _, a := range in.Missing {
+		add(a, func(*EngineView) bool { return true })
+	}
+	for _, a := range in.MissingAt {
+		add(a.Adapter, func(e *EngineView) bool { return e.Version == a.Version })
+	}
 	return moves
 }
 
-// cheapestMove returns the move to the least busy engine that holds the adapter's model. Engines with a free slot
+// cheapestMove returns the move to the least busy allowed engine that holds the adapter's model. Engines with a free slot
 // are preferred. How busy an engine is, is measured by its number of requests plus its number of adapters.
-func (in *AdapterInput) cheapestMove(a backend.Adapter, usedEngines map[string]bool) (AdapterMove, bool) {
+func (in *AdapterInput) cheapestMove(a backend.Adapter, usedEngines map[string]bool, isAllowed func(*EngineView) bool) (AdapterMove, bool) {
 	var best AdapterMove
 	found := false
 	bestCost := 0
 	for i := range in.Engines {
 		e := &in.Engines[i]
-		if e.Leaving || e.Throttled || usedEngines[e.ID] || !holds(e, a.Model) {
+		if e.Leaving || e.Throttled || usedEngines[e.ID] || !holds(e, a.Model) || !isAllowed(e) {
 			continue
 		}
 		move := AdapterMove{Engine: e.ID, Adapter: a}
@@ -108,9 +114,10 @@
 // evictionFor returns the adapter to unload for the wanted one: the least recently requested adapter that no
 // request uses or waits for and whose minAdapterResidence has passed. If requests have waited for the wanted
 // adapter for longer than minAdapterResidence, adapters may be unloaded before that, and an adapter that another
-// engine holds too is preferred, even if it is in use.
+// engine holds too is preferred, even if it is in use. An adapter that streams need at the engine's software version comes
+// last, and only in the latter case.
 func (in *AdapterInput) evictionFor(e *EngineView, wanted backend.Adapter) (backend.Adapter, bool) {
-	var unused, redundant []backend.Adapter
+	var unused, redundant, needed []backend.Adapter
 	overdue := in.Now.Sub(in.WaitingSince[wanted]) > minAdapterResidence && !in.WaitingSince[wanted].IsZero()
 	for _, r := range e.Residents {
 		for _, name := range r.Adapters {
@@ -118,6 +125,10 @@
 			pastMinResidence := overdue || in.Now.Sub(in.LastUsed[a]) > minAdapterResidence
 			switch {
 			case slices.Contains(in.Missing, a):
+			case in.isNeededByStreams(e, a):
+				if overdue && (in.replicas(a) > 1 || in.RequestsByAdapter[a] == 0) {
+					needed = append(needed, a)
+				}
 			case in.replicas(a) > 1 && overdue:
 				redundant = append(redundant, a)
 			case in.RequestsByAdapter[a] == 0 && pastMinResidence:
@@ -125,25 +136,26 @@
 			}
 		}
 	}
-	candidates := unused
-	if len(redundant) > 0 {
-		candidates = redundant
-	}
-	if len(candidates) == 0 {
-		return backend.Adapter{}, false
+	for _, candidates := range [][]backend.Adapter{redundant, unused, needed} {
+		if len(candidates) > 0 {
+			return slices.MinFunc(candidates, func(a, b backend.Adapter) int { return in.LastUsed[a].Compare(in.LastUsed[b]) }), true
+		}
 	}
-	return slices.MinFunc(candidates, func(a, b backend.Adapter) int { return in.LastUsed[a].Compare(in.LastUsed[b]) }), true
+	return backend.Adapter{}, false
 }
 
 // replicas returns the number of engines that hold the adapter, without the engines that are leaving.
 func (in *AdapterInput) replicas(a backend.Adapter) int {
 	n := 0
 	for i := range in.Engines {
-		for _, r := range in.Engines[i].Residents {
-			if !in.Engines[i].Leaving && r.Model == a.Model && r.Has(a.Name) {
-				n++
-			}
+		if holdsAdapter(&in.Engines[i], a) {
+			n++
 		}
 	}
 	return n
 }
+
+// holdsAdapter reports whether an engine that is not leaving holds an adapter.
+func holdsAdapter(e *EngineView, a backend.Adapter) bool {
+	return !e.Leaving && slices.ContainsFunc(e.Residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
+}
--- a/residency/streams.go
+++ b/residency/streams.go
@@ -1,6 +1,11 @@
 package residency
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+
+	"rockcleat/backend"
+)
 
 // streamEvictionCost is the cost of evicting a replica that streams need at its software version, in seconds of loading.
 // It exceeds the load of any model and all other costs, so that a missing model is loaded elsewhere if it can be.
@@ -68,3 +73,14 @@
 	}
 	return true
 }
+
+// isNeededByStreams reports whether streams of an adapter need the software version of an engine that holds it, and no
+// other engine of the version does.
+func (in *AdapterInput) isNeededByStreams(e *EngineView, a backend.Adapter) bool {
+	if !in.StreamVersions[a][e.Version] {
+		return false
+	}
+	return !slices.ContainsFunc(in.Engines, func(other EngineView) bool {
+		return other.ID != e.ID && other.Version == e.Version && holdsAdapter(&other, a)
+	})
+}
