residency: a model is loaded rather at the software version that its streams wait for

A load that is planned anyway (for a lost replica or for demand) preferred no version, so that streams that had lost the last replica at theirs went on waiting. It is now worth two seconds of loading there. No load is planned for streams alone.

Evidence: two cases of TestPlanKeepsStreamsAtTheirVersion failed and pass.

--- a/residency/plan.go
+++ b/residency/plan.go
@@ -215,7 +215,8 @@
 )
 
 // cheapestMove returns the cheapest move that loads a model. The cost is the sum of the load time, the eviction
-// cost, the penalty for replicas in the engine's data hall, the cost of a slow engine and that of interrupted streams.
+// cost, the penalty for replicas in the engine's data hall, the cost of a slow engine and that of interrupted streams, less
+// streamGain.
 func (p *plan) cheapestMove(m table.ModelSpec, storeAllowed bool) (Move, bool) {
 	var best Move
 	found := false
@@ -236,7 +237,7 @@
 		}
 		interrupted := p.neededByStreams(e, evictions)
 		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + streamEvictionCost*float64(len(interrupted)) +
-			sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1)
+			sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1) - p.streamGain(e, m.Name)
 		if !found || cost < bestCost {
 			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Interrupted: interrupted, Source: source}, cost, true
 		}
--- a/residency/streams.go
+++ b/residency/streams.go
@@ -11,6 +11,10 @@
 // It exceeds the load of any model and all other costs, so that a missing model is loaded elsewhere if it can be.
 const streamEvictionCost = 100.0
 
+// streamLoadGain is what a load is worth at a software version that streams need and at which no engine holds the model, in
+// seconds of loading. It exceeds sameHallPenalty, and is about as long as a stream waits.
+const streamLoadGain = 2.0
+
 // A versionedModel is a model at one software version.
 type versionedModel struct{ model, version string }
 
@@ -20,6 +24,14 @@
 	return p.in.Demands[model].StreamVersions[e.Version] && p.replicasAt[versionedModel{model, e.Version}] <= 1
 }
 
+// streamGain returns streamLoadGain if streams of a model wait for it at an engine's software version, and 0 otherwise.
+func (p *plan) streamGain(e *EngineView, model string) float64 {
+	if p.in.Demands[model].StreamVersions[e.Version] && p.replicasAt[versionedModel{model, e.Version}] == 0 {
+		return streamLoadGain
+	}
+	return 0
+}
+
 // neededByStreams returns those of the evictions from an engine that streams need.
 func (p *plan) neededByStreams(e *EngineView, evictions []string) []string {
 	var needed []string
--- a/residency/streams_test.go
+++ b/residency/streams_test.go
@@ -74,6 +74,18 @@
 			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), demands: needs(demands(0, 0, 1), "m0", "v2"), models: 3,
 			want: []Move{{Engine: "e1", Model: "m2", Evictions: []string{"m0"}}},
 		},
+		"a lost model is loaded at the version of its streams": {
+			engines: atVersions(engines(nil, nil, []string{"m1"}), "v1", "v2", "v1"), demands: needs(demands(10, 1), "m0", "v2"),
+			want: []Move{{Engine: "e1", Model: "m0"}},
+		},
+		"a further replica is loaded at the version of its streams": {
+			engines: atVersions(engines([]string{"m0"}, nil, []string{"m1"}, nil), "v1", "v1", "v1", "v2"), demands: needs(demands(10, 0), "m0", "v2"),
+			want: []Move{{Engine: "e3", Model: "m0"}},
+		},
+		"streams that have an engine at their version do not matter": {
+			engines: atVersions(engines([]string{"m0"}, nil, []string{"m1"}, nil), "v2", "v1", "v1", "v2"), demands: needs(demands(10, 0), "m0", "v2"),
+			want: []Move{{Engine: "e1", Model: "m0"}},
+		},
 		"a missing model evicts what streams need if nothing else": {
 			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v1", "v1"), demands: needs(demands(0, 0, 1), "m0", "v1", "v2"), models: 3,
 			want: []Move{{Engine: "e0", Model: "m2", Evictions: []string{"m0"}, Interrupted: []string{"m0"}}},
