--- a/residency/plan.go
+++ b/residency/plan.go
@@ -17,6 +17,8 @@
 	Version string
 	// Residents are the models that are ready or being loaded.
 	Residents []backend.Resident
+	// Loading is the model among Residents that is not ready yet; empty if all are.
+	Loading string
 	// Idle is true if no order is in progress.
 	Idle bool
 	// Leaving is true if the engine is about to shut down. Its replicas do not count.
--- a/residency/streams_test.go
+++ b/residency/streams_test.go
@@ -66,6 +66,14 @@
 			demands: needs(d(), "m0", "v2"),
 			want:    []Move{{Engine: "e1", Model: "m1", Evictions: []string{"m0"}}},
 		},
+		"the other engine of the version is loading the model": {
+			engines: func() []EngineView {
+				list := atVersions(held(), "v2", "v2", "v1")
+				list[1].Loading, list[1].Idle = "m0", false
+				return list
+			}(),
+			demands: needs(d(), "m0", "v2"),
+		},
 		"a missing model comes first": {
 			engines: atVersions(engines([]string{"m0"}, []string{"m0"}, []string{"m1"}), "v2", "v2", "v1"), demands: needs(demands(0, 0, 1), "m0", "v2"), models: 3,
 			want: []Move{{Engine: "e0", Model: "m2", Evictions: []string{"m0"}}},
@@ -195,6 +203,14 @@
 		"the other engine of the version is leaving": {
 			engines: leaving(atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v2", "v1"), 1), other: "m1", versions: []string{"v2"}, want: true,
 		},
+		"the other engine of the version is loading the model": {
+			engines: func() []EngineView {
+				list := atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m1"}), "v2", "v2", "v1")
+				list[1].Loading = "m0"
+				return list
+			}(),
+			other: "m1", versions: []string{"v2"}, want: true,
+		},
 		"the model to load has no other replica": {
 			engines: atVersions(engines([]string{"m1"}, []string{"m0"}, []string{"m0"}), "v2", "v1", "v1"), other: "m1", versions: []string{"v2"},
 		},
