--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -141,7 +141,7 @@
 	}
 	return residency.EngineView{
 		ID: e.server.ID, Hall: e.server.Hall, Version: e.server.Version, Residents: e.residentsAfterOrders(), Idle: e.isIdle(),
-		Leaving:        !e.server.AcceptsRequests() || e.ended,
+		Loading: e.plannedLoad(), Leaving: !e.server.AcceptsRequests() || e.ended,
 		CachedInMemory: e.cachedInMemory, CachedOnDisk: e.cachedOnDisk, RecentlyLoaded: recent,
 	}
 }
--- a/internal/placer/streams.go
+++ b/internal/placer/streams.go
@@ -59,14 +59,12 @@
 	return false
 }
 
-// plannedLoad returns the model that an engine with pending orders is to load last, or an empty string if the load was
-// abandoned.
+// plannedLoad returns the model that an engine is to load, or an empty string if there is none or the load was abandoned.
 func (e *engineState) plannedLoad() string {
-	last := e.pending[len(e.pending)-1]
-	if last.Unload {
-		return ""
+	if n := len(e.pending); n > 0 && !e.pending[n-1].Unload {
+		return e.pending[n-1].Model
 	}
-	return last.Model
+	return ""
 }
 
 // interruptedField returns a log field with the evicted models whose streams cannot go on meanwhile, if there are any.
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -102,7 +102,7 @@
 	// replicas and targets hold the present and the planned number of replicas, by model.
 	replicas map[string]int
 	targets  map[string]int
-	// replicasAt holds the present number of replicas by model and software version.
+	// replicasAt holds the number of replicas by model and software version, without those being loaded.
 	replicasAt map[versionedModel]int
 	// capacity holds the present replicas by model, each counted as engineCapacity.
 	capacity map[string]float64
@@ -124,7 +124,9 @@
 		p.engines = append(p.engines, e)
 		for _, r := range e.Residents {
 			p.replicas[r.Model]++
-			p.replicasAt[versionedModel{r.Model, e.Version}]++
+			if r.Model != e.Loading {
+				p.replicasAt[versionedModel{r.Model, e.Version}]++
+			}
 			p.capacity[r.Model] += engineCapacity(e)
 		}
 	}
@@ -295,7 +297,6 @@
 		}
 	}
 	p.replicas[m.Model]++
-	p.replicasAt[versionedModel{m.Model, version}]++
 	p.capacity[m.Model] += capacity
 	for _, evicted := range m.Evictions {
 		p.replicas[evicted]--
--- a/residency/streams.go
+++ b/residency/streams.go
@@ -79,7 +79,7 @@
 	}
 	for i := range engines {
 		e := &engines[i]
-		if e.ID != engine && e.Version == version && !e.Leaving && holds(e, model) {
+		if e.ID != engine && e.Version == version && !e.Leaving && e.Loading != model && holds(e, model) {
 			return false
 		}
 	}
