--- a/residency/doc.go
+++ b/residency/doc.go
@@ -8,7 +8,8 @@
 // to a power of their demand. Forecast raises the demand of the models that are expected to be requested next, to the
 // extent that demand has been observed to move along the operators' list of models (SequenceEstimator). A plan never
 // exceeds an engine's memory, never evicts the last replica of a model that needs one, and has at most one move for
-// each engine.
+// each engine. While engines run several software versions, the last replica at a version stays as long as streams need it
+// there, unless a model has no replica at all.
 //
 // The only state that the package owns is what a SequenceEstimator has observed. The caller (package placer) supplies
 // demand, the state of the engines and the number of loads that the weight store accepts, and issues the orders. Where
