--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -24,6 +24,10 @@
 	Running int `json:"n,omitempty"`
 	// Service is the name of the service.
 	Service string `json:"s"`
+	// StreamVersions holds the software versions that resumable streams need now, each followed by a newline: those of
+	// the servers that they run at, and those that they wait for. A version stays for streamReturnTime after the last
+	// stream. It is empty while the service's servers run one version.
+	StreamVersions string `json:"v,omitempty"`
 	// ObjectiveMs is the shortest first-byte objective of all requests in milliseconds; 0 if any
 	// request had none.
 	ObjectiveMs int `json:"o,omitempty"`
@@ -32,10 +36,12 @@
 // demandTable holds the demand for each model and adapter, by Request.targetKey.
 type demandTable struct {
 	byTarget map[string]*Demand
+	// versionNeeds holds the software versions that resumable streams need.
+	versionNeeds versionNeeds
 }
 
 func newDemandTable() demandTable {
-	return demandTable{byTarget: make(map[string]*Demand)}
+	return demandTable{byTarget: make(map[string]*Demand), versionNeeds: make(versionNeeds)}
 }
 
 // get returns the demand for the request's model or adapter, creating it if needed.
@@ -48,13 +54,6 @@
 	return x
 }
 
-// addWaiting changes the number of waiting requests. Requests to plain services are not counted.
-func (t *demandTable) addWaiting(r *Request, change int) {
-	if r.Model != "" {
-		t.get(r).Waiting += change
-	}
-}
-
 func (t *demandTable) snapshot() map[string]Demand {
 	out := make(map[string]Demand, len(t.byTarget))
 	for target, x := range t.byTarget {
@@ -83,5 +82,7 @@
 func (d *Dispatcher) Demands() map[string]Demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.demand.snapshot()
+	out := d.demand.snapshot()
+	d.addStreamVersions(out)
+	return out
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -13,8 +13,12 @@
 type EngineView struct {
 	ID   string
 	Hall string
+	// Version is the version of the engine's software.
+	Version string
 	// Residents are the models that are ready or being loaded.
 	Residents []backend.Resident
+	// Loading is the model among Residents that is not ready yet; empty if all are.
+	Loading string
 	// Idle is true if no order is in progress.
 	Idle bool
 	// Leaving is true if the engine is about to shut down. Its replicas do not count.
@@ -40,6 +44,8 @@
 	// the first byte among its requests; 0 if one of them has none.
 	Requested bool
 	Objective time.Duration
+	// StreamVersions holds the software versions that streams of the model need: those that they run at or wait for.
+	StreamVersions map[string]bool
 }
 
 // An Input is the input of Plan.
@@ -84,7 +90,9 @@
 	Model  string
 	// Evictions are the models to unload first.
 	Evictions []string
-	Source    Source
+	// Interrupted lists those of Evictions that streams need at the engine's software version.
+	Interrupted []string
+	Source      Source
 }
 
 // plan is the working state of one call of Plan.
@@ -94,6 +102,8 @@
 	// replicas and targets hold the present and the planned number of replicas, by model.
 	replicas map[string]int
 	targets  map[string]int
+	// replicasAt holds the number of replicas by model and software version, without those being loaded.
+	replicasAt map[versionedModel]int
 	// capacity holds the present replicas by model, each counted as engineCapacity.
 	capacity map[string]float64
 	// engines are the engines that are not leaving.
@@ -103,7 +113,7 @@
 // Plan returns the moves to start now, the most urgent first, at most one for each engine. It sets Idle to false in
 // in.Engines for the engines that get a move.
 func Plan(in Input) []Move {
-	p := &plan{in: in, replicas: make(map[string]int), capacity: make(map[string]float64)}
+	p := &plan{in: in, replicas: make(map[string]int), replicasAt: make(map[versionedModel]int), capacity: make(map[string]float64)}
 	p.in.Demands = Forecast(in.Spec, in.Demands, in.Engines, in.Sequence)
 	p.policies = loadPolicies(in.Spec, p.in.Demands, in.Sequence.Confidence())
 	for i := range in.Engines {
@@ -114,6 +124,9 @@
 		p.engines = append(p.engines, e)
 		for _, r := range e.Residents {
 			p.replicas[r.Model]++
+			if r.Model != e.Loading {
+				p.replicasAt[versionedModel{r.Model, e.Version}]++
+			}
 			p.capacity[r.Model] += engineCapacity(e)
 		}
 	}
@@ -206,7 +219,8 @@
 )
 
 // cheapestMove returns the cheapest move that loads a model. The cost is the sum of the load time, the eviction
-// cost, the penalty for replicas in the engine's data hall and the cost of a slow engine.
+// cost, the penalty for replicas in the engine's data hall, the cost of a slow engine and that of interrupted streams, less
+// streamGain.
 func (p *plan) cheapestMove(m table.ModelSpec, storeAllowed bool) (Move, bool) {
 	var best Move
 	found := false
@@ -225,9 +239,11 @@
 		if !ok {
 			continue
 		}
-		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1)
+		interrupted := p.neededByStreams(e, evictions)
+		cost := LoadTime(m, source).Seconds() + p.evictionCost(m, evictions) + streamEvictionCost*float64(len(interrupted)) +
+			sameHallPenalty*float64(inHall[e.Hall]) + slownessCost*(e.timeFactor()-1) - p.streamGain(e, m.Name)
 		if !found || cost < bestCost {
-			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Source: source}, cost, true
+			best, bestCost, found = Move{Engine: e.ID, Model: m.Name, Evictions: evictions, Interrupted: interrupted, Source: source}, cost, true
 		}
 	}
 	return best, found
@@ -273,17 +289,18 @@
 
 // apply updates the working state as if the move had been completed. Its engine is no longer idle.
 func (p *plan) apply(m Move) {
-	capacity := 1.0
+	capacity, version := 1.0, ""
 	for _, e := range p.engines {
 		if e.ID == m.Engine {
 			e.Idle = false
-			capacity = engineCapacity(e)
+			capacity, version = engineCapacity(e), e.Version
 		}
 	}
 	p.replicas[m.Model]++
 	p.capacity[m.Model] += capacity
 	for _, evicted := range m.Evictions {
 		p.replicas[evicted]--
+		p.replicasAt[versionedModel{evicted, version}]--
 		p.capacity[evicted] -= capacity
 	}
 }
