gateway: a stopped gateway may reset connections, but leaves no request that ran unanswered

TestSurplusResponsesDuringAStop/refusal_after_20_ms failed once in 4 runs with -race beside a second test: the connection of a request was reset. The test was wrong: it took a refused connection for the only end of a caller's requests, but one that is not accepted yet when the listener closes is reset.

--- a/internal/gateway/response_rows_test.go
+++ b/internal/gateway/response_rows_test.go
@@ -11,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/internal/config"
-	"rockcleat/internal/wire"
 )
 
 // surplusRows are the ways in which surplus responses come.
@@ -101,8 +100,11 @@
 	}
 }
 
-// TestSurplusResponsesDuringAStop checks requests until a stopping gateway accepts no more connections. It guards against a stop that refuses
-// requests which servers run.
+// acceptTime is how long a stopping gateway accepts connections.
+const acceptTime = 2500 * time.Millisecond
+
+// TestSurplusResponsesDuringAStop checks requests until a stopping gateway accepts no more connections. It guards against a stop
+// that refuses requests which servers run, or leaves them without an answer.
 func TestSurplusResponsesDuringAStop(t *testing.T) {
 	rows := map[string]behaviour{
 		"refusal before":          before(0, framed, refusalOf(503)),
@@ -117,12 +119,15 @@
 			env := newTestEnv(t, newFakeServer(t, "a", running(runs, row)))
 			var running sync.WaitGroup
 			results := make([][]callResult, callers)
+			unanswered, ends := make([]callResult, callers), make([]time.Time, callers)
+			began := time.Now()
 			for i := range callers {
 				running.Go(func() {
 					for n := i * 100_000; ; n++ {
 						p := &plannedCall{id: requestID(n), method: http.MethodPost, path: []string{pathUnsafe, pathStream}[n%2]}
 						r := env.call(p)
-						if wire.IsNotSent(r.reply.err) {
+						if r.reply.status == 0 {
+							unanswered[i], ends[i] = r, time.Now()
 							return
 						}
 						results[i] = append(results[i], r)
@@ -132,6 +137,10 @@
 			assert.NilError(t, <-env.stop(4*time.Second))
 			running.Wait()
 			checkReplies(t, runs, slices.Concat(results...))
+			for i, r := range unanswered {
+				assert.Assert(t, ends[i].Sub(began) >= acceptTime, "%s after %v: %v", r.id, ends[i].Sub(began), r.reply.err)
+				assert.Equal(t, runs.count(r.id), 0, "%s: %v", r.id, r.reply.err)
+			}
 		})
 	}
 }
