placer: a report from before an accepted order is not believed later either

A second copy of the last report, 1.5 s or more after an accepted order, took the engine's state back: the load that it had accepted counted as failed, and further orders carried a number that the engine refuses. The floor was the highest number in a report; it is the number of known orders now, accepted ones included. As before, an instance that keeps stating fewer for 1.5 s is believed.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -47,9 +47,7 @@
 	known bool
 	// sequence is the number of orders that the engine has accepted.
 	sequence int
-	// reported is the highest sequence in a report of the server instance. fewerSince is when a lower one was first
-	// reported after it; zero if none was.
-	reported   int
+	// fewerSince is when the server instance first reported fewer orders than that; zero if it has not.
 	fewerSince time.Time
 	residents  []backend.Resident
 	// cachedInMemory and cachedOnDisk name the models whose weights the machine has cached. They are empty
@@ -197,13 +195,16 @@
 
 // isOutdated reports whether a report may predate the last accepted order or an earlier report.
 //
-// The sequence of an instance only rises, and reports name no request. One that states fewer accepted orders than another
-// before is therefore a further response to an earlier request.
+// The sequence of an instance only rises, and reports name no request. One that states fewer accepted orders than are known
+// is therefore a further response to an earlier request.
 func (e *engineState) isOutdated(r backend.Report, now time.Time) bool {
-	if e.known && r.Sequence < e.sequence && now.Sub(e.lastAccepted) < maxReportLag {
+	if r.Sequence >= e.sequence {
+		return false
+	}
+	if e.known && now.Sub(e.lastAccepted) < maxReportLag {
 		return true
 	}
-	if !e.identifiesInstance(r) || r.Sequence >= e.reported {
+	if !e.identifiesInstance(r) {
 		return false
 	}
 	if e.fewerSince.IsZero() {
@@ -217,7 +218,7 @@
 	if e.isOutdated(r, now) {
 		return false
 	}
-	e.reported, e.fewerSince = r.Sequence, time.Time{}
+	e.fewerSince = time.Time{}
 	e.sequence = r.Sequence
 	e.residents = r.Residents
 	for _, a := range r.LoadingAdapters {
