gateway: a failure behind a success that was cut is no success

Callers got 200 for a request that its server had failed: the head of an earlier request's success was cut, and net/http read it and the failure behind it as one response, with the status of the first.

--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -26,14 +26,14 @@
 	if ids := resp.Header.Values(names.RequestID); len(ids) != 1 || ids[0] != id {
 		return verdictForeign
 	}
-	marked := resp.Header.Get(names.NotRun) != "" && resp.StatusCode >= http.StatusBadRequest
-	if !marked && resp.StatusCode != http.StatusMisdirectedRequest {
-		return verdictRan
-	}
 	if containsStatusLine(resp) {
 		return verdictForeign
 	}
-	return verdictRefused
+	marked := resp.Header.Get(names.NotRun) != "" && resp.StatusCode >= http.StatusBadRequest
+	if marked || resp.StatusCode == http.StatusMisdirectedRequest {
+		return verdictRefused
+	}
+	return verdictRan
 }
 
 // statusLine matches the beginning of a status line.
