--- a/internal/gateway/ready_servers_test.go
+++ b/internal/gateway/ready_servers_test.go
@@ -24,7 +24,9 @@
 // TestNotReadyBeforeDispatcherKnowsServers guards against a gateway that says that it is ready and refuses requests, because its
 // dispatcher has not got the servers yet.
 func TestNotReadyBeforeDispatcherKnowsServers(t *testing.T) {
-	readList := func(l *serverList) { l.replace([]backend.Server{{ID: "a", Service: "app", Addr: "127.0.0.1:1", Slots: 1}}) }
+	readList := func(l *serverList) {
+		l.replace([]backend.Server{{ID: "a", Service: "app", Addr: "127.0.0.1:1", Slots: 1}})
+	}
 	readEvacuations := func(l *serverList) { l.setEvacuated(nil) }
 	for name, steps := range map[string][]func(*serverList){
 		"list last": {readEvacuations, readList}, "evacuations last": {readList, readEvacuations},
