gateway: not ready before the dispatcher knows the servers

Callers got 503 'no server can take it' from a gateway that had just said that it was ready: the list of servers counted as known, and was logged, before the dispatcher had it, and so did the evacuated data halls. The dispatcher gets the servers first now, one list after the other. Older than the incident; found in review while a test of it failed under load, which this may explain but is not shown to.

--- a/internal/gateway/not_run_test.go
+++ b/internal/gateway/not_run_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// TestRequestThatReachedNoServerInTimeHasNotRun checks that a request whose time ends while it waits for a connection is told
-// apart from one that may have run.
+// TestRequestThatReachedNoServerInTimeHasNotRun checks that a request whose time ends while it waits for a connection does not
+// count as one that may have run.
 func TestRequestThatReachedNoServerInTimeHasNotRun(t *testing.T) {
 	for name, path := range map[string]string{"plain": pathUnsafe, "stream": pathStream} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -39,6 +39,8 @@
 	// evacuationsKnown is set once the evacuated data halls have been read from the store. Until then the sink gets no
 	// servers.
 	evacuationsKnown atomic.Bool
+	// refreshMu serializes the lists that the sink gets.
+	refreshMu sync.Mutex
 	// residencyMu serializes changes of the residency. newer holds what has been received since the last reply to a
 	// report.
 	residencyMu sync.Mutex
@@ -60,6 +62,8 @@
 
 // refresh sends the current servers to the sink, once the evacuated data halls are known.
 func (s *serverList) refresh() {
+	s.refreshMu.Lock()
+	defer s.refreshMu.Unlock()
 	if s.knowsEvacuations() {
 		s.sink.SetServers(s.registry.Snapshot())
 	}
@@ -68,16 +72,19 @@
 // setEvacuated replaces the set of evacuated data halls.
 func (s *serverList) setEvacuated(halls map[string]bool) {
 	s.registry.SetEvacuated(halls, s.clock.Now())
+	s.refreshMu.Lock()
+	defer s.refreshMu.Unlock()
+	s.sink.SetServers(s.registry.Snapshot())
+	// Readiness depends on it, so the sink has the servers before.
 	s.evacuationsKnown.Store(true)
-	s.refresh()
 }
 
 // replace replaces the list read from the store.
 func (s *serverList) replace(list []backend.Server) {
 	restarts := s.registry.Replace(list, s.clock.Now())
+	s.listChanged(restarts)
 	s.listed.Store(true)
 	s.log.Info("servers listed", zap.Int("count", len(list)))
-	s.listChanged(restarts)
 }
 
 // apply applies changes to the list.
