--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -33,6 +33,8 @@
 		return f.handleNoResponse(res, exchange, cause(ctx, err))
 	}
 	defer resp.Body.Close()
+	// It has no effect after Accept.
+	defer exchange.Discard()
 	f.record.sends++
 	v := verdictOf(f.proxy.names, f.in.id, resp)
 	if v == verdictForeign {
--- a/internal/serverconn/transport.go
+++ b/internal/serverconn/transport.go
@@ -16,7 +16,7 @@
 
 // Options configure a Transport.
 type Options struct {
-	// Base has the settings of the connections. It is not used itself.
+	// Base has the settings of the connections, without a proxy. It is not used itself.
 	Base  *http.Transport
 	Clock clock.Service
 	// OnUnsolicited, if not nil, is called with each response that arrives before the request that it would answer was
