gateway: show which charges of organisations' limits are returned, and whether their requests were written

No logic changes. A request whose caller left had 'sends: 0' in the log whether it was written to a server or not, and nothing told that its charge was returned: the status of limits shows the amount spent less refunds.

'request ended' has runs, written and refunded; a counter adds up refunds by organisation and outcome of the request; the status of limits and 'rockcleat limits' show refunds and what came from the gateway's own share.

--- a/internal/cli/limits.go
+++ b/internal/cli/limits.go
@@ -57,10 +57,10 @@
 // printLimitTable prints limits as a table. heading is the heading of the first column.
 func (a *app) printLimitTable(heading string, items []quota.Status) error {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, heading+"\tRATE/S\tBURST\tOWNER\tSHARE\tAVAILABLE\tINSIDE\tOVER\tUNKNOWN\tSPENT")
+	fmt.Fprintln(w, heading+"\tRATE/S\tBURST\tOWNER\tSHARE\tAVAILABLE\tINSIDE\tOVER\tUNKNOWN\tSPENT\tREFUNDED\tOWN SHARE")
 	for _, s := range items {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%s\t%d\t%d\t%d\t%.0f\n", s.Key, formatAmount(s.Rate), formatAmount(s.Burst), s.Owner,
-			s.Share, formatAmount(s.Available), s.Inside, s.Over, s.Unknown, s.Spent)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%s\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\n", s.Key, formatAmount(s.Rate), formatAmount(s.Burst), s.Owner,
+			s.Share, formatAmount(s.Available), s.Inside, s.Over, s.Unknown, s.Spent, s.Refunded, s.OwnShare)
 	}
 	return w.Flush()
 }
@@ -99,6 +99,8 @@
 		sum.Over += s.Over
 		sum.Unknown += s.Unknown
 		sum.Spent += s.Spent
+		sum.Refunded += s.Refunded
+		sum.OwnShare += s.OwnShare
 		sum.Share, sum.Available = max(sum.Share, s.Share), max(sum.Available, s.Available)
 	}
 }
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -79,9 +79,15 @@
 }
 
 // refund returns the charge of a request that has not run.
-func (p *proxy) refund(in *inbound) {
-	if in.organisation.Name != "" {
-		p.limiter.Refund(in.organisation.Name, in.cost)
+func (p *proxy) refund(f *forwarder) {
+	organisation := f.in.organisation
+	if organisation.Name == "" {
+		return
+	}
+	p.limiter.Refund(organisation.Name, f.in.cost)
+	if organisation.RateLimit.IsLimited() {
+		f.record.refunded = f.in.cost
+		p.requestLog.metrics.QuotaRefunded(organisation.Name, f.record.outcome, f.in.cost)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,9 @@
 	// QuotaCharged counts a request that was checked against an organisation's rate limit, with its cost in the limit's
 	// unit. outcome is "inside", "over" or "unknown".
 	QuotaCharged(organisation, outcome string, cost float64)
+	// QuotaRefunded counts a charge that was returned to an organisation's rate limit, by the outcome of the request. cost
+	// is in the limit's unit.
+	QuotaRefunded(organisation, outcome string, cost float64)
 	// ServerLimitChanged counts a change of a rate limit that a server announces, by state.
 	ServerLimitChanged(state string)
 	// ServerPause counts a change of the time for which a server accepts no requests, by state.
@@ -67,6 +70,7 @@
 func (noMetrics) ForeignResponse(string)                        {}
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
+func (noMetrics) QuotaRefunded(string, string, float64)         {}
 func (noMetrics) Admissions(int, int, int)                      {}
 func (noMetrics) QueueWaited(string, float64, float64)          {}
 func (noMetrics) ConfigTransfer(string, int, error)             {}
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -101,7 +101,7 @@
 		f.record.holders = p.dispatcher.CountServersHolding(&f.req)
 	}
 	if f.record.runs == 0 {
-		p.refund(f.in)
+		p.refund(f)
 	}
 	if result, ok := f.record.result(f.in); ok {
 		p.dispatcher.RecordResult(&f.req, result)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -24,6 +24,10 @@
 	// sends counts the sends that reached a server, runs those that may have run, and unsent those that did not
 	// reach a server.
 	sends, runs, unsent int
+	// written counts the sends of which at least one byte was written to a server.
+	written int
+	// refunded is the part of the charge that was returned to the organisation's rate limit, in the limit's unit.
+	refunded float64
 	// waited is the time from arrival to the first send.
 	waited time.Duration
 	// reservation is the last one; nil if no server was acquired.
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -145,7 +145,8 @@
 		zap.String(fieldRoute, in.route.Name), zap.String(fieldService, in.service.Name),
 		zap.String(fieldModel, in.Header.Get(l.names.Model)), zap.String(fieldOutcome, r.outcome),
 		zap.Int(fieldStatus, r.status), zap.Uint64(fieldConfig, in.configVersion),
-		zap.Int(fieldSends, r.sends), zap.Int(fieldUnsent, r.unsent),
+		zap.Int(fieldSends, r.sends), zap.Int(fieldUnsent, r.unsent), zap.Int(fieldRuns, r.runs),
+		zap.Int(fieldWritten, r.written), refundField(r),
 		zap.Float64(fieldWaited, r.waited.Seconds()), zap.Float64(fieldFirstByte, r.untilFirstByte(in).Seconds()),
 		zap.Float64(fieldLongestGap, r.longestGap.Seconds()), zap.Int(fieldEvents, r.events),
 		zap.Int(fieldAdmissionsRequested, req.AdmissionsRequested), zap.Int(fieldAdmissionsDenied, req.AdmissionsDenied),
@@ -156,6 +157,14 @@
 	}
 }
 
+// refundField returns a field with the charge that was returned to the organisation's rate limit, if any.
+func refundField(r *record) zap.Field {
+	if r.refunded == 0 {
+		return zap.Skip()
+	}
+	return zap.Float64(fieldRefunded, r.refunded)
+}
+
 // maxLoggedParts is the maximum number of prompt parts in a log line.
 const maxLoggedParts = 16
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -29,6 +29,9 @@
 	f.proxy.requestLog.recordSend(f, res)
 	sent := f.proxy.clock.Now()
 	resp, exchange, err := f.proxy.transport.Send(f.serverRequest(ctx, res), f.in.body, &f.history)
+	if !exchange.NotSent() {
+		f.record.written++
+	}
 	if err != nil {
 		return f.handleNoResponse(res, exchange, cause(ctx, err))
 	}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -65,9 +65,10 @@
 	pending       metric.Int64Gauge
 	processorTime metric.Float64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
-	// of those within it.
-	charges metric.Int64Counter
-	spent   metric.Float64Counter
+	// of those within it, and refunded the cost that was returned, by outcome of the request.
+	charges  metric.Int64Counter
+	spent    metric.Float64Counter
+	refunded metric.Float64Counter
 
 	mu            sync.Mutex
 	labelValues   map[string]bool
@@ -114,6 +115,8 @@
 	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
 	b.recordError(err)
 	m.spent = spent
+	m.refunded, err = b.meter.Float64Counter("rockcleat.gateway.refunded", metric.WithDescription("What requests inside limits have cost that was returned because they had not run, in the limit's unit, by outcome of the request."))
+	b.recordError(err)
 	m.pending, err = b.meter.Int64Gauge("rockcleat.gateway.pending_requests", metric.WithDescription("Highest number of requests in the last second that needed work of the gateway before they could be handed on."))
 	b.recordError(err)
 	m.processorTime, err = b.meter.Float64Counter("rockcleat.gateway.processor", metric.WithDescription("Processor time that the process has used."), metric.WithUnit("s"))
@@ -255,6 +258,12 @@
 	}
 }
 
+// QuotaRefunded counts a charge that was returned to an organisation's limit, by outcome of the request. cost is in the
+// limit's unit.
+func (m *GatewayMetrics) QuotaRefunded(organisation, outcome string, cost float64) {
+	m.refunded.Add(context.Background(), cost, m.attributeSet("customer", m.boundedLabel(organisation), "outcome", outcome))
+}
+
 // StoreCall counts a call to the platform's store by kind.
 func (m *GatewayMetrics) StoreCall(kind string) {
 	m.storeCalls.Add(context.Background(), 1, m.attributeSet("kind", kind, "", ""))
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -261,6 +261,7 @@
 	if !a.spendOwnShare(limit, l.gateways.ownShare(now), amount, l.delegatedUntil(a, now), now) {
 		return Decision{Outcome: Unknown}
 	}
+	a.counts.OwnShare += amount
 	return Decision{Outcome: WithinLimit}
 }
 
@@ -286,6 +287,7 @@
 	defer l.mu.Unlock()
 	a := l.account(organisation)
 	a.counts.Spent -= amount
+	a.counts.Refunded += amount
 	a.addCredit(amount, l.opts.Clock.Now().Add(GrantTTL))
 }
 
--- a/quota/status.go
+++ b/quota/status.go
@@ -7,8 +7,11 @@
 	Inside  int64 `json:"inside"`
 	Over    int64 `json:"over"`
 	Unknown int64 `json:"unknown"`
-	// Spent is the amount spent by requests within the limit, less refunds, in the limit's unit.
-	Spent float64 `json:"spent"`
+	// Spent is the amount spent by requests within the limit, less refunds, in the limit's unit. Refunded is the amount
+	// refunded, and OwnShare the part of the amounts spent that came from the gateway's own share.
+	Spent    float64 `json:"spent"`
+	Refunded float64 `json:"refunded,omitempty"`
+	OwnShare float64 `json:"own_share,omitempty"`
 }
 
 // record counts a decision.
