gateway: a request that was written to a server stays charged when its caller leaves

What callers saw: an organisation whose callers leave early had no limit.

Cause: handleNoResponse returned for a caller that has gone before it counted the send, so that a request that was written had no run, and finish refunded it. Its class: who ends a request was taken for what became of its run.

Fix: verdictOf judges each send from what was written and what came back alone, and record.count counts it, before anybody looks at why the send has ended. handleNoResponse and handleForeign no longer count.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -148,7 +148,6 @@
 func (f *forwarder) handleNotSent(res *dispatch.Reservation, err error) bool {
 	res.Done(dispatch.Failed)
 	f.proxy.requestLog.sendFailed(f, res, "not sent", err)
-	f.record.unsent++
 	f.exclude(res)
 	if f.record.unsent < maxUnsent {
 		return false
--- /dev/null
+++ b/internal/gateway/limit_ends_test.go
@@ -0,0 +1,129 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rockcleat/apikey"
+	"rockcleat/table"
+)
+
+// run returns a responder that counts the call as a run before it responds.
+func (r *runCounter) run(respond responder) responder {
+	return func(c *call) bool {
+		r.record(c)
+		return respond(c)
+	}
+}
+
+// countRequests returns the number of requests that have run.
+func (r *runCounter) countRequests() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
+// hold keeps the call unanswered until the gateway closes the connection.
+func hold(c *call) bool {
+	<-c.gone
+	return false
+}
+
+// firstOfEach returns a responder that uses first for the first call of each request and rest for all others.
+func firstOfEach(first, rest responder) responder {
+	var seen sync.Map
+	return func(c *call) bool {
+		if _, again := seen.LoadOrStore(c.id(), true); again {
+			return rest(c)
+		}
+		return first(c)
+	}
+}
+
+// TestRunsOfCallersThatLeaveStayCharged guards against an organisation that exceeds its rate limit because requests that
+// servers run are refunded, whatever ends them.
+func TestRunsOfCallersThatLeaveStayCharged(t *testing.T) {
+	const (
+		perSecond, burst = 5.0, 10.0
+		interval         = 12 * time.Millisecond
+		duration         = 3 * time.Second
+		// patience is how long a caller that leaves waits, and the deadline of one that does not.
+		patience = 25 * time.Millisecond
+	)
+	slowly := func(respond responder) responder {
+		return func(c *call) bool { time.Sleep(patience); return respond(c) }
+	}
+	tests := map[string]struct {
+		path string
+		body int
+		// stays reports whether the caller waits for its deadline.
+		stays   bool
+		respond func(*runCounter) responder
+	}{
+		"unsafe":           {path: pathUnsafe, respond: func(r *runCounter) responder { return r.run(hold) }},
+		"safe":             {path: pathSafe, respond: func(r *runCounter) responder { return r.run(hold) }},
+		"stream":           {path: pathStream, respond: func(r *runCounter) responder { return r.run(hold) }},
+		"resumable stream": {path: pathResume, respond: func(r *runCounter) responder { return r.run(hold) }},
+		"a long body":      {path: pathUnsafe, body: 4000, respond: func(r *runCounter) responder { return r.run(hold) }},
+		"the server goes on": {path: pathUnsafe, respond: func(r *runCounter) responder {
+			return r.run(func(*call) bool { time.Sleep(20 * patience); return false })
+		}},
+		"within the status line": {path: pathUnsafe, respond: func(r *runCounter) responder {
+			return r.run(func(c *call) bool { c.write("HTTP/1.1 20"); return hold(c) })
+		}},
+		"as the response comes": {path: pathUnsafe, respond: func(r *runCounter) responder {
+			return r.run(slowly(respond(http.StatusOK, "late")))
+		}},
+		"after another server refused": {path: pathUnsafe, respond: func(r *runCounter) responder {
+			return firstOfEach(refuse, r.run(hold))
+		}},
+		"after a response was lost": {path: pathSafe, respond: func(r *runCounter) responder {
+			return firstOfEach(r.run((*call).reset), r.run(hold))
+		}},
+		"the deadline": {path: pathUnsafe, stays: true, respond: func(r *runCounter) responder { return r.run(hold) }},
+		"the server closes": {path: pathUnsafe, stays: true, respond: func(r *runCounter) responder {
+			return r.run(func(*call) bool { return false })
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runs := newRunCounter()
+			respond := test.respond(runs)
+			env := newLimitEnv(t, table.RateLimit{Unit: table.UnitRequests, PerSecond: perSecond, Burst: burst},
+				newFakeServer(t, "a", respond), newFakeServer(t, "b", respond))
+			env.awaitServers(2)
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}
+			defer client.CloseIdleConnections()
+			var callers sync.WaitGroup
+			began := time.Now()
+			for i := range int(duration / interval) {
+				callers.Go(func() {
+					ctx, leave := context.WithCancel(t.Context())
+					defer leave()
+					request := env.request(http.MethodPost, test.path, strings.Repeat("x", test.body), apikey.Header, bearer(guildKey))
+					request.Header.Set(names.RequestID, fmt.Sprint("id-", i))
+					if test.stays {
+						request.Header.Set(names.Deadline, fmt.Sprint(patience.Milliseconds()))
+					} else {
+						defer time.AfterFunc(patience, leave).Stop()
+					}
+					doWith(client, request.WithContext(ctx))
+				})
+				time.Sleep(interval)
+			}
+			callers.Wait()
+			most := (perSecond*time.Since(began).Seconds() + burst) * 1.1
+			ran := runs.countRequests()
+			assert.Assert(t, ran >= burst, "only %d requests ran", ran)
+			assert.Assert(t, float64(ran) <= most, "%d requests ran, at most %.1f may", ran, most)
+		})
+	}
+}
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -46,7 +46,6 @@
 	fieldConnIdle            = "conn_idle_s"
 	fieldUnsent              = "unsent"
 	fieldRuns                = "runs"
-	fieldWritten             = "written"
 	fieldRefunded            = "refunded"
 	fieldWaited              = "waited_s"
 	fieldFirstByte           = "first_s"
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -21,11 +21,9 @@
 
 // A record holds what happened to one request.
 type record struct {
-	// sends counts the sends that reached a server, runs those that may have run, and unsent those that did not
-	// reach a server.
+	// sends counts the sends that were written to a server, at least in part, runs those of them that may have run, and
+	// unsent those of which nothing was written.
 	sends, runs, unsent int
-	// written counts the sends of which at least one byte was written to a server.
-	written int
 	// refunded is the part of the charge that was returned to the organisation's rate limit, in the limit's unit.
 	refunded float64
 	// waited is the time from arrival to the first send.
@@ -45,6 +43,18 @@
 	holders int
 }
 
+// count counts a send.
+func (r *record) count(v verdict) {
+	if v == verdictNotSent {
+		r.unsent++
+		return
+	}
+	r.sends++
+	if v != verdictRefused {
+		r.runs++
+	}
+}
+
 // lateResult is the result of a late response, for load shedding. A late response still has some value to the caller.
 const lateResult = 0.3
 
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -146,7 +146,7 @@
 		zap.String(fieldModel, in.Header.Get(l.names.Model)), zap.String(fieldOutcome, r.outcome),
 		zap.Int(fieldStatus, r.status), zap.Uint64(fieldConfig, in.configVersion),
 		zap.Int(fieldSends, r.sends), zap.Int(fieldUnsent, r.unsent), zap.Int(fieldRuns, r.runs),
-		zap.Int(fieldWritten, r.written), refundField(r),
+		refundField(r),
 		zap.Float64(fieldWaited, r.waited.Seconds()), zap.Float64(fieldFirstByte, r.untilFirstByte(in).Seconds()),
 		zap.Float64(fieldLongestGap, r.longestGap.Seconds()), zap.Int(fieldEvents, r.events),
 		zap.Int(fieldAdmissionsRequested, req.AdmissionsRequested), zap.Int(fieldAdmissionsDenied, req.AdmissionsDenied),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -29,17 +29,14 @@
 	f.proxy.requestLog.recordSend(f, res)
 	sent := f.proxy.clock.Now()
 	resp, exchange, err := f.proxy.transport.Send(f.serverRequest(ctx, res), f.in.body, &f.history)
-	if !exchange.NotSent() {
-		f.record.written++
-	}
+	v := verdictOf(f.proxy.names, f.in.id, exchange, resp)
+	f.record.count(v)
 	if err != nil {
-		return f.handleNoResponse(res, exchange, cause(ctx, err))
+		return f.handleNoResponse(res, v, cause(ctx, err))
 	}
 	defer resp.Body.Close()
 	// It has no effect after Accept.
 	defer exchange.Discard()
-	f.record.sends++
-	v := verdictOf(f.proxy.names, f.in.id, resp)
 	if v == verdictForeign {
 		return f.handleForeign(res, exchange, resp)
 	}
@@ -48,7 +45,6 @@
 	if v == verdictRefused {
 		return f.handleRefusal(res, resp, cancel)
 	}
-	f.record.runs++
 	if err := f.validate(resp); err != nil {
 		return f.handleLost(res, err)
 	}
@@ -68,17 +64,15 @@
 
 // handleNoResponse handles a send that failed before a response's header arrived. It reports whether the request is
 // finished.
-func (f *forwarder) handleNoResponse(res *dispatch.Reservation, x *serverconn.Exchange, err error) bool {
+func (f *forwarder) handleNoResponse(res *dispatch.Reservation, v verdict, err error) bool {
 	if f.isCallerGone() {
 		res.Done(dispatch.Canceled)
 		f.record.outcome = outcomeCallerGone
 		return true
 	}
-	if x.NotSent() {
+	if v == verdictNotSent {
 		return f.handleNotSent(res, err)
 	}
-	f.record.sends++
-	f.record.runs++
 	f.reportConnFailure(res, err)
 	return f.handleLost(res, err)
 }
@@ -88,7 +82,6 @@
 func (f *forwarder) handleForeign(res *dispatch.Reservation, x *serverconn.Exchange, resp *http.Response) bool {
 	x.Discard()
 	f.proxy.requestLog.foreignResponse(f, res, x, resp)
-	f.record.runs++
 	return f.handleLost(res, errForeign)
 }
 
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -5,24 +5,41 @@
 	"regexp"
 	"slices"
 
+	"rockcleat/internal/serverconn"
 	"rockcleat/internal/wire"
 )
 
-// A verdict says what a backend server's response means for the request that it came for.
+// A verdict says what is known of a send from what was written to the server and from its response.
 type verdict int
 
 const (
+	// verdictNotSent: nothing of the request was written.
+	verdictNotSent verdict = iota
+	// verdictLost: the request was written, at least in part, and there is no response. It may have run.
+	verdictLost
 	// verdictForeign: the response is not surely that of the request, which may therefore run.
-	verdictForeign verdict = iota
+	verdictForeign
 	// verdictRefused: the server has not run the request and will not.
 	verdictRefused
 	// verdictRan: the request may have run.
 	verdictRan
 )
 
-// verdictOf returns the verdict on a response to the request with the given ID. Whose response it is goes before what it
-// says: connections carry surplus responses to earlier requests.
-func verdictOf(names wire.HeaderNames, id string, resp *http.Response) verdict {
+// verdictOf returns the verdict on a send. It depends on nothing else than what was written and what came back: whoever
+// ends a send, be it the caller, a deadline or this gateway, does not end the run at the server.
+func verdictOf(names wire.HeaderNames, id string, x *serverconn.Exchange, resp *http.Response) verdict {
+	switch {
+	case resp != nil:
+		return verdictOfResponse(names, id, resp)
+	case x.NotSent():
+		return verdictNotSent
+	}
+	return verdictLost
+}
+
+// verdictOfResponse returns the verdict on a response to the request with the given ID. Whose response it is goes before
+// what it says: connections carry surplus responses to earlier requests.
+func verdictOfResponse(names wire.HeaderNames, id string, resp *http.Response) verdict {
 	if ids := resp.Header.Values(names.RequestID); len(ids) != 1 || ids[0] != id {
 		return verdictForeign
 	}
