quota: a refund returns to the bucket that granted it, as if it had never been taken

What callers saw: after a server had held an organisation's requests for 4 s and then refused them, more of the organisation's requests ran in the next seconds than its limit permits.

Cause: Limiter.Refund made the charge new credit for half a second from the time of the refund. The owner's bucket had been debited when the request came and had filled again since, so that what was charged in one window was spent in the next beside that one's own rate. Its class: an amount that comes back is dated from its return, not from when it was taken.

Fix: a Charge names the grants from which it was taken. Their bucket takes it back up to the lowest headroom that it has had since the grant, which is what it would hold more had the grant never been made; so the grants that remain keep the limit by themselves. Refunds of other gateways' grants go with the next request for a grant, or after 50 ms. A bucket of a new owner ignores them. A gateway's own share does the same. Permits of servers' limits, whose Release had the same fault, carry their charge, so that a permit granted without a limit no longer adds credit.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -219,7 +219,7 @@
 	if res.owner == "" || d.requestAdmission(ctx, res) {
 		return true
 	}
-	d.releasePermit(res)
+	res.releasePermit()
 	return false
 }
 
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -28,7 +28,7 @@
 	during func()
 }
 
-func (p *slowPermits) Take(ctx context.Context, server string) (bool, time.Duration) {
+func (p *slowPermits) Take(ctx context.Context, server string) (dispatch.Permit, time.Duration) {
 	p.during()
 	return p.testPermits.Take(ctx, server)
 }
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -15,11 +15,15 @@
 	Any() bool
 	// Limit returns a server's rate limit in requests per second; ok is false if it has none.
 	Limit(server string) (perSecond float64, ok bool)
-	// Take requests a permit to send one request to a server. If it is not granted, wait is how
+	// Take requests a permit to send one request to a server. If it is not granted, p is nil, and wait is how
 	// long to wait before asking again.
-	Take(ctx context.Context, server string) (granted bool, wait time.Duration)
-	// Release returns a permit that was granted and not used.
-	Release(server string)
+	Take(ctx context.Context, server string) (p Permit, wait time.Duration)
+}
+
+// A Permit is the right to send one request to a server.
+type Permit interface {
+	// Release returns a permit that was not used.
+	Release()
 }
 
 // A RateLimitError means that all servers that could take the request have a rate limit, and that
@@ -90,17 +94,19 @@
 	if !limited && !res.permitPending {
 		return true
 	}
-	granted, wait := true, time.Duration(0)
+	var permit Permit
+	var wait time.Duration
 	if limited {
-		granted, wait = d.opts.Permits.Take(ctx, res.server.ID)
+		permit, wait = d.opts.Permits.Take(ctx, res.server.ID)
 	}
+	granted := !limited || permit != nil
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Now()
 	p := &res.load.permits
 	res.endPermitRequest()
 	if granted {
-		res.hasPermit, p.consecutiveDenials = limited, 0
+		res.permit, p.consecutiveDenials = permit, 0
 	} else {
 		p.deniedUntil = now.Add(wait)
 		p.consecutiveDenials++
@@ -120,9 +126,9 @@
 }
 
 // releasePermit releases the permit of a send that is not made.
-func (d *Dispatcher) releasePermit(res *Reservation) {
-	if res.hasPermit {
-		d.opts.Permits.Release(res.server.ID)
+func (r *Reservation) releasePermit() {
+	if r.permit != nil {
+		r.permit.Release()
 	}
 }
 
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -33,22 +33,26 @@
 	return l, ok
 }
 
-func (p *testPermits) Take(_ context.Context, server string) (bool, time.Duration) {
+func (p *testPermits) Take(_ context.Context, server string) (dispatch.Permit, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waits := p.results[server]
 	if len(waits) == 0 {
-		return false, time.Second
+		return nil, time.Second
 	}
 	p.results[server] = waits[1:]
 	if waits[0] > 0 {
-		return false, waits[0]
+		return nil, waits[0]
 	}
 	p.taken[server]++
-	return true, 0
+	return testPermit{p}, 0
 }
 
-func (p *testPermits) Release(string) { p.released++ }
+// A testPermit is a permit that testPermits has granted.
+type testPermit struct{ permits *testPermits }
+
+// Release implements dispatch.Permit.
+func (p testPermit) Release() { p.permits.released++ }
 
 // grantResults returns n results of Take that grant a permit.
 func grantResults(n int) []time.Duration { return make([]time.Duration, n) }
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -29,8 +29,9 @@
 	owner string
 	// account identifies the request in the account of the server's owner.
 	account account
-	// permitPending means that a permit is being requested, hasPermit that it was granted.
-	permitPending, hasPermit bool
+	// permitPending means that a permit is being requested. permit is nil unless one was granted.
+	permitPending bool
+	permit        Permit
 	// onTrial is Request.OnTrial at the time of the reservation.
 	onTrial bool
 	// isStream means that the request counts as a stream that needs the server's software version.
@@ -164,7 +165,7 @@
 // after Done or an earlier Cancel.
 func (r *Reservation) Cancel() {
 	if r.cancel() {
-		r.d.releasePermit(r)
+		r.releasePermit()
 	}
 }
 
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -11,6 +11,7 @@
 	"rockcleat/backend"
 	"rockcleat/dispatch"
 	"rockcleat/quarantine"
+	"rockcleat/quota"
 	"rockcleat/resumption"
 	"rockcleat/table"
 )
@@ -43,6 +44,8 @@
 	resumed *resumedStream
 	// cost is charged to the organisation's rate limit, in the limit's unit.
 	cost float64
+	// charge is what the request has spent of that limit.
+	charge quota.Charge
 	// requirements is the initial request to the dispatcher.
 	requirements dispatch.Request
 }
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -69,6 +69,7 @@
 	}
 	switch d.Outcome {
 	case quota.WithinLimit:
+		in.charge = d.Charge
 		return nil
 	case quota.OverLimit:
 		return withOrganisation(&refusal{
@@ -80,15 +81,13 @@
 
 // refund returns the charge of a request that has not run.
 func (p *proxy) refund(f *forwarder) {
-	organisation := f.in.organisation
-	if organisation.Name == "" {
+	amount := f.in.charge.Amount()
+	if amount == 0 {
 		return
 	}
-	p.limiter.Refund(organisation.Name, f.in.cost)
-	if organisation.RateLimit.IsLimited() {
-		f.record.refunded = f.in.cost
-		p.requestLog.metrics.QuotaRefunded(organisation.Name, f.record.outcome, f.in.cost)
-	}
+	p.limiter.Refund(f.in.charge)
+	f.record.refunded = amount
+	p.requestLog.metrics.QuotaRefunded(f.in.organisation.Name, f.record.outcome, amount)
 }
 
 // costOf returns the charge of a request against its organisation's rate limit, in the limit's unit.
--- a/internal/gateway/limit_ends_test.go
+++ b/internal/gateway/limit_ends_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"rockcleat/apikey"
+	"rockcleat/backend"
 	"rockcleat/table"
 )
 
@@ -127,3 +128,50 @@
 		})
 	}
 }
+
+// TestRequestsRefusedLateDoNotLiftTheLimit guards against an organisation that exceeds its rate limit, or is refused below
+// it, after servers have held its requests for long and then refused them.
+func TestRequestsRefusedLateDoNotLiftTheLimit(t *testing.T) {
+	const (
+		perSecond, burst = 5.0, 10.0
+		interval         = 12 * time.Millisecond
+		holdTime         = 4 * time.Second
+		openTime         = 3 * time.Second
+		// held is the prefix of the IDs of requests that the server holds and refuses.
+		held = "held-"
+	)
+	runs := newRunCounter()
+	refused := make(chan struct{})
+	x := newFakeServer(t, "a", func(c *call) bool {
+		if strings.HasPrefix(c.id(), held) {
+			<-refused
+			return refuse(c)
+		}
+		return runs.run(respond(http.StatusOK, "yes"))(c)
+	})
+	env := newLimitEnv(t, table.RateLimit{Unit: table.UnitRequests, PerSecond: perSecond, Burst: burst}, x)
+	env.putRecord(backend.Server{ID: x.id, Service: "app", Addr: x.addr, Hall: "h", Slots: 1000})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	defer client.CloseIdleConnections()
+	var callers sync.WaitGroup
+	send := func(prefix string, duration time.Duration) {
+		for i := range int(duration / interval) {
+			callers.Go(func() {
+				request := env.request(http.MethodPost, pathUnsafe, "", apikey.Header, bearer(guildKey))
+				request.Header.Set(names.RequestID, fmt.Sprint(prefix, i))
+				doWith(client, request)
+			})
+			time.Sleep(interval)
+		}
+	}
+	send(held, holdTime)
+	assert.Assert(t, x.count() > 2*burst, "%d requests are held", x.count())
+	close(refused)
+	callers.Wait()
+	began := time.Now()
+	send("later-", openTime)
+	callers.Wait()
+	elapsed, ran := time.Since(began).Seconds(), float64(runs.countRequests())
+	assert.Assert(t, ran <= (perSecond*elapsed+burst)*1.1, "%.0f requests ran in %.1f s, at most %.1f may", ran, elapsed, (perSecond*elapsed+burst)*1.1)
+	assert.Assert(t, ran >= perSecond*elapsed+burst/2, "only %.0f requests ran in %.1f s", ran, elapsed)
+}
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -6,6 +6,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/clock"
+	"rockcleat/dispatch"
 	"rockcleat/quota"
 	"rockcleat/serverlimit"
 )
@@ -99,26 +100,30 @@
 }
 
 // Take implements dispatch.Permits.
-func (l *serverLimits) Take(ctx context.Context, server string) (granted bool, wait time.Duration) {
+func (l *serverLimits) Take(ctx context.Context, server string) (p dispatch.Permit, wait time.Duration) {
 	d := l.limiter.Take(ctx, server, 1)
 	_, limited := l.Limit(server)
 	switch {
-	case d.Outcome == quota.WithinLimit:
-		granted = true
-	case !limited:
-		// The owner has replied that the limit has ended.
-		granted = true
+	case d.Outcome == quota.WithinLimit, !limited:
+		// If the server has no limit any more, its owner has replied so.
+		p = permit{limiter: l.limiter, charge: d.Charge}
 	case d.Outcome == quota.OverLimit:
 		wait = d.RetryAfter
 	default:
 		wait = permitRetryDelay
 	}
 	l.metrics.PermitRequested(d.Outcome.String())
-	return granted, wait
+	return p, wait
 }
 
-// Release implements dispatch.Permits.
-func (l *serverLimits) Release(server string) { l.limiter.Refund(server, 1) }
+// A permit implements dispatch.Permit.
+type permit struct {
+	limiter *quota.Limiter
+	charge  quota.Charge
+}
+
+// Release implements dispatch.Permit.
+func (p permit) Release() { p.limiter.Refund(p.charge) }
 
 // subscribe starts the periodic work and returns the function that stops it.
 func (l *serverLimits) subscribe(c clock.Service) (stop func()) {
--- a/quota/account.go
+++ b/quota/account.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// A credit is an amount granted or refunded that has not been spent yet.
+// A credit is a granted amount that has not been spent yet.
 type credit struct {
-	amount float64
-	until  time.Time
+	portion
+	until time.Time
 }
 
 // An account holds what a gateway may spend for one organisation, and the demand it has measured for it.
@@ -23,6 +23,8 @@
 	// ownShare is the bucket of this gateway's own share of the rate while the owner cannot be reached, else
 	// nil.
 	ownShare *bucket
+	// returns holds the portions of other gateways' grants that are to be returned.
+	returns []portion
 	// counts holds the decisions since the process started.
 	counts Counts
 	// demand is the average amount requested, in the limit's unit per second, as of demandAt.
@@ -52,30 +54,30 @@
 	return expected - need
 }
 
-// addCredit adds an amount that may be spent until the given time.
-func (a *account) addCredit(amount float64, until time.Time) {
-	if amount > 0 {
-		a.credits = append(a.credits, credit{amount: amount, until: until})
+// addCredit adds a portion that may be spent until the given time.
+func (a *account) addCredit(p portion, until time.Time) {
+	if p.amount > 0 {
+		a.credits = append(a.credits, credit{portion: p, until: until})
 	}
 }
 
-// spend takes an amount from the credits, in the order in which they were added, and reports whether there
-// was enough.
-func (a *account) spend(amount float64, now time.Time) bool {
-	total := a.dropExpired(now)
-	if total < amount {
-		return false
+// spend takes an amount from the credits, in the order in which they were added, and returns what it has taken. ok is
+// false if there was not enough.
+func (a *account) spend(amount float64, now time.Time) (taken []portion, ok bool) {
+	if a.dropExpired(now) < amount {
+		return nil, false
 	}
 	for amount > 0 {
 		first := &a.credits[0]
-		if first.amount > amount {
-			first.amount -= amount
-			return true
+		part := portion{source: first.source, amount: min(first.amount, amount)}
+		taken = append(taken, part)
+		amount -= part.amount
+		first.amount -= part.amount
+		if first.amount == 0 {
+			a.credits = a.credits[1:]
 		}
-		amount -= first.amount
-		a.credits = a.credits[1:]
 	}
-	return true
+	return taken, true
 }
 
 // dropExpired removes expired amounts and returns the total of the others.
@@ -95,15 +97,36 @@
 // paused must not spend all at once what it did not spend meanwhile.
 const ownShareBurstTime = time.Second
 
-// spendOwnShare spends an amount from the gateway's own share of the rate, 0 to 1, and reports whether there
-// was enough. The bucket is empty at since. It never goes negative, because with a small burst each of many
-// gateways would otherwise overspend by the cost of a request.
-func (a *account) spendOwnShare(l Limit, share, amount float64, since, now time.Time) bool {
+// spendOwnShare spends an amount from the gateway's own share of the rate, 0 to 1, and returns what it has taken. ok is
+// false if there was not enough. The bucket is empty at since. It never goes negative, because with a small burst each of
+// many gateways would otherwise overspend by the cost of a request.
+func (a *account) spendOwnShare(l Limit, share, amount float64, since, now time.Time) (taken portion, ok bool) {
 	if a.ownShare == nil {
 		a.ownShare = newBucket(since)
 	}
-	a.ownShare.fill(Limit{Rate: l.Rate, Burst: l.Rate * share * ownShareBurstTime.Seconds()}, share, now)
-	return share > 0 && a.ownShare.amount >= amount && a.ownShare.take(l, amount)
+	a.fillOwnShare(l, share, now)
+	if share <= 0 || a.ownShare.amount < amount || !a.ownShare.take(ownShareLimit(l, share), amount) {
+		return portion{}, false
+	}
+	return portion{source: source{grant: a.ownShare.grant}, amount: amount}, true
+}
+
+// returnOwnShare returns an amount to the bucket of the gateway's own share.
+func (a *account) returnOwnShare(l Limit, share float64, r Return, now time.Time) {
+	if a.ownShare != nil {
+		a.fillOwnShare(l, share, now)
+		a.ownShare.takeBack(r)
+	}
+}
+
+// fillOwnShare fills the bucket of the gateway's own share.
+func (a *account) fillOwnShare(l Limit, share float64, now time.Time) {
+	a.ownShare.fill(ownShareLimit(l, share), share, now)
+}
+
+// ownShareLimit returns the limit that applies to a gateway's own share of the rate.
+func ownShareLimit(l Limit, share float64) Limit {
+	return Limit{Rate: l.Rate, Burst: l.Rate * share * ownShareBurstTime.Seconds()}
 }
 
 // clearOwnShare removes the bucket of the gateway's own share once an owner has replied.
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -19,6 +19,11 @@
 // together, within the Tolerance. A new owner starts with an empty bucket. A grant counts as spent when it is
 // made, and expires after GrantTTL.
 //
+// The charge of a request that has not run can be refunded however late, without exceeding the limit in any period: the
+// bucket that made the grant takes it back as if it had never been made. What would have overflowed since then is lost
+// (headroomHistory), and so is what was granted by a bucket that no longer exists. Refunds reach the owner with the next
+// request for a grant, or after returnDelay.
+//
 // A Limiter keeps its buckets, prefetched grants and shares in memory and loses them when the process ends.
 // It relies on package clock, on the caller to pass on the leader's list of gateways and the time of each
 // reply from the leader, and on a GrantClient to reach other gateways. Failures are reported as outcomes, not
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A Request requests a grant from the owner of a limit.
 type Request struct {
@@ -12,11 +15,18 @@
 	// are in the limit's unit.
 	Need     float64 `json:"need"`
 	Prefetch float64 `json:"ahead,omitempty"`
+	// Returned holds parts of earlier grants that were not spent after all. A Request without a Need only returns them.
+	Returned []Return `json:"returned,omitempty"`
 }
 
 // isValid reports whether the amounts are valid. Requests can come from other senders than gateways; a
 // negative amount would add to the bucket.
-func (r Request) isValid() bool { return r.Need > 0 && r.Prefetch >= 0 }
+func (r Request) isValid() bool {
+	if slices.ContainsFunc(r.Returned, func(x Return) bool { return x.Amount <= 0 }) {
+		return false
+	}
+	return r.Prefetch >= 0 && (r.Need > 0 || r.Need == 0 && len(r.Returned) > 0)
+}
 
 // A Reply is an owner's reply to a Request.
 type Reply struct {
@@ -26,6 +36,8 @@
 	// Granted is the amount that the requesting gateway may spend within GrantTTL of sending the request: 0,
 	// Need, or Need plus Prefetch.
 	Granted float64 `json:"granted,omitempty"`
+	// Grant identifies the grant, if there is one.
+	Grant GrantID `json:"grant,omitzero"`
 	// IsUnconfirmed reports whether the owner lacks the shares of some gateways. In that case a denial does not
 	// mean that the organisation is over its limit.
 	IsUnconfirmed bool `json:"unsure,omitempty"`
@@ -78,13 +90,19 @@
 // grant makes a grant from an organisation's bucket, which is filled by a share of the rate.
 func (g *granter) grant(r Request, l Limit, share float64, now time.Time) Reply {
 	b := g.filledBucket(r.Key, l, share, now)
-	if !b.take(l, r.Need) {
+	amount := r.Need
+	if b.amount-r.Need-r.Prefetch >= prefetchReserve*l.Burst {
+		amount += r.Prefetch
+	}
+	if !b.take(l, amount) {
 		return Reply{IsOwner: true, RetryAfterMs: b.timeUntil(l, r.Need).Milliseconds() + 1}
 	}
-	granted := r.Need
-	if b.amount-r.Prefetch >= prefetchReserve*l.Burst {
-		b.amount -= r.Prefetch
-		granted += r.Prefetch
+	return Reply{IsOwner: true, Granted: amount, Grant: b.grant}
+}
+
+// takeBack returns amounts to an organisation's bucket, which is filled by a share of the rate.
+func (g *granter) takeBack(organisation string, l Limit, share float64, returns []Return, now time.Time) {
+	if len(returns) > 0 {
+		g.filledBucket(organisation, l, share, now).takeBack(returns...)
 	}
-	return Reply{IsOwner: true, Granted: granted}
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -74,6 +74,8 @@
 	// RetryAfter is the time after which the organisation may be within its limit again, if the outcome is
 	// OverLimit.
 	RetryAfter time.Duration
+	// Charge is what the request has spent, if the outcome is WithinLimit and the organisation has a limit.
+	Charge Charge
 }
 
 // A Limiter enforces the limits of organisations together with the Limiters of other gateways. It is safe for
@@ -136,7 +138,7 @@
 	l.gateways.addFormer(ids, l.opts.Clock.Now())
 }
 
-// Grant handles a gateway's request for a grant. The reply is empty if this gateway does not own the
+// Grant handles a gateway's request for a grant and the amounts that it returns. The reply is empty if this gateway does not own the
 // organisation or the request is invalid.
 func (l *Limiter) Grant(r Request) Reply {
 	limit, ok := l.opts.Limit(r.Key)
@@ -147,6 +149,10 @@
 	}
 	now := l.opts.Clock.Now()
 	share := l.gateways.share(limit, l.opts.Tolerance, now)
+	l.granter.takeBack(r.Key, limit, share, r.Returned, now)
+	if r.Need == 0 {
+		return Reply{IsOwner: true}
+	}
 	reply := l.granter.grant(r, limit, share, now)
 	l.gateways.recordRequest(r.From, now)
 	reply.IsUnconfirmed = !l.gateways.isConfirmed(now)
@@ -173,11 +179,11 @@
 	if decided {
 		return decision
 	}
-	reply, err := l.requestGrant(ctx, request)
+	owner, reply, err := l.requestGrant(ctx, request)
 	if err != nil {
 		return l.takeOwnShare(organisation, limit, amount, errors.Is(err, ErrNotRunning))
 	}
-	return l.applyReply(organisation, request, reply, sentAt)
+	return l.applyReply(request, owner, reply, sentAt)
 }
 
 // decideLocally decides from local state, or returns the request to send to the owner.
@@ -186,8 +192,8 @@
 	defer l.mu.Unlock()
 	a := l.account(organisation)
 	a.recordDemand(amount, now)
-	if a.spend(amount, now) {
-		return Request{}, Decision{Outcome: WithinLimit}, true
+	if taken, ok := a.spend(amount, now); ok {
+		return Request{}, withinLimit(organisation, taken...), true
 	}
 	if remaining := a.deniedUntil.Sub(now); remaining > 0 && amount >= a.deniedAmount {
 		return Request{}, Decision{Outcome: OverLimit, RetryAfter: remaining}, true
@@ -198,25 +204,27 @@
 // errNoOwner means that no owner is known, or that the gateway that received the request is not the owner.
 var errNoOwner = errors.New("quota: no gateway owns the limit")
 
-// requestGrant requests a grant from the owner of a limit. It returns an error if there is no reply from an
-// owner.
-func (l *Limiter) requestGrant(ctx context.Context, r Request) (Reply, error) {
+// requestGrant requests a grant from the owner of a limit and sends it the amounts to be returned. It returns an error if
+// there is no reply from an owner.
+func (l *Limiter) requestGrant(ctx context.Context, r Request) (owner string, reply Reply, err error) {
 	l.mu.Lock()
-	owner := l.gateways.owner(r.Key)
+	owner = l.gateways.owner(r.Key)
+	r.Returned = l.takeReturns(r.Key, owner)
 	l.mu.Unlock()
 	switch owner {
 	case "":
-		return Reply{}, errNoOwner
+		return owner, Reply{}, errNoOwner
 	case l.opts.Self:
 		// A local grant needs no prefetch.
 		r.Prefetch = 0
-		return requireOwner(l.Grant(r), nil)
+		reply, err = requireOwner(l.Grant(r), nil)
+		return owner, reply, err
 	}
-	reply, err := requireOwner(l.opts.GrantClient.RequestGrant(ctx, owner, r))
+	reply, err = requireOwner(l.opts.GrantClient.RequestGrant(ctx, owner, r))
 	if err != nil {
 		l.reportUnresponsive(r.Key, owner, err)
 	}
-	return reply, err
+	return owner, reply, err
 }
 
 // requireOwner turns the reply of a gateway that is not the owner into an error.
@@ -227,17 +235,23 @@
 	return r, err
 }
 
+// withinLimit returns the decision for a request that has spent the given portions.
+func withinLimit(organisation string, taken ...portion) Decision {
+	return Decision{Outcome: WithinLimit, Charge: Charge{key: organisation, portions: taken}}
+}
+
 // applyReply applies an owner's reply.
-func (l *Limiter) applyReply(organisation string, r Request, reply Reply, sentAt time.Time) Decision {
+func (l *Limiter) applyReply(r Request, owner string, reply Reply, sentAt time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.unresponsive, organisation)
-	a := l.account(organisation)
+	delete(l.unresponsive, r.Key)
+	a := l.account(r.Key)
 	a.clearOwnShare()
 	a.delegatedAt = sentAt
 	if reply.Granted >= r.Need {
-		a.addCredit(reply.Granted-r.Need, sentAt.Add(GrantTTL))
-		return Decision{Outcome: WithinLimit}
+		from := source{owner: owner, grant: reply.Grant}
+		a.addCredit(portion{source: from, amount: reply.Granted - r.Need}, sentAt.Add(GrantTTL))
+		return withinLimit(r.Key, portion{source: from, amount: r.Need})
 	}
 	if reply.IsUnconfirmed {
 		return Decision{Outcome: Unknown}
@@ -258,11 +272,12 @@
 	if l.gateways.isConfirmed(now) && !notRunning {
 		return Decision{Outcome: Unknown}
 	}
-	if !a.spendOwnShare(limit, l.gateways.ownShare(now), amount, l.delegatedUntil(a, now), now) {
+	taken, ok := a.spendOwnShare(limit, l.gateways.ownShare(now), amount, l.delegatedUntil(a, now), now)
+	if !ok {
 		return Decision{Outcome: Unknown}
 	}
 	a.counts.OwnShare += amount
-	return Decision{Outcome: WithinLimit}
+	return withinLimit(organisation, taken)
 }
 
 // delegatedUntil returns the time until which other gateways had this gateway's share of an organisation's
@@ -277,20 +292,6 @@
 	return l.gateways.confirmedUntil
 }
 
-// Refund returns an amount spent by a request that did not run. It may be spent by this gateway within
-// GrantTTL.
-func (l *Limiter) Refund(organisation string, amount float64) {
-	if _, ok := l.opts.Limit(organisation); !ok {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := l.account(organisation)
-	a.counts.Spent -= amount
-	a.counts.Refunded += amount
-	a.addCredit(amount, l.opts.Clock.Now().Add(GrantTTL))
-}
-
 // Retain removes the state of all organisations for which wanted returns false. Without it, a Limiter whose
 // limits come and go would grow without bound.
 func (l *Limiter) Retain(wanted func(organisation string) bool) {
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -125,27 +125,7 @@
 func (s *gatewaySet) injectFaults(t *rapid.T, cost func() float64) {
 	for range rapid.IntRange(20, 80).Draw(t, "steps") {
 		s.step(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
-		i := rapid.IntRange(0, len(s.gateways)-1).Draw(t, "gateway")
-		g := s.gateways[i]
-		switch rapid.SampledFrom([]string{"", "", "", "restart", "cut", "heal", "pause", "wake"}).Draw(t, "what") {
-		case "restart":
-			s.restart(i)
-		case "cut":
-			// Each isolated gateway gets a partition of its own.
-			g.partition = i + 1
-			if s.leader == g {
-				s.loseLeader()
-			}
-		case "heal":
-			g.partition = 0
-		case "pause":
-			g.paused = true
-			if s.leader == g {
-				s.loseLeader()
-			}
-		case "wake":
-			g.paused = false
-		}
+		s.disturb(t)
 		amount := cost()
 		for j := range s.gateways {
 			for range 200 {
@@ -157,6 +137,31 @@
 	}
 }
 
+// disturb partitions, restarts or pauses a gateway at random, or changes nothing.
+func (s *gatewaySet) disturb(t *rapid.T) {
+	i := rapid.IntRange(0, len(s.gateways)-1).Draw(t, "gateway")
+	g := s.gateways[i]
+	switch rapid.SampledFrom([]string{"", "", "", "restart", "cut", "heal", "pause", "wake"}).Draw(t, "what") {
+	case "restart":
+		s.restart(i)
+	case "cut":
+		// Each isolated gateway gets a partition of its own.
+		g.partition = i + 1
+		if s.leader == g {
+			s.loseLeader()
+		}
+	case "heal":
+		g.partition = 0
+	case "pause":
+		g.paused = true
+		if s.leader == g {
+			s.loseLeader()
+		}
+	case "wake":
+		g.paused = false
+	}
+}
+
 // TestUnlistedGatewaysHaveNoShare checks that a gateway that is not listed has no share: it spends none
 // itself, and its requests add none to the owner's share.
 func TestUnlistedGatewaysHaveNoShare(t *testing.T) {
--- /dev/null
+++ b/quota/refund.go
@@ -0,0 +1,128 @@
+package quota
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// A GrantID identifies the grants that a bucket made without being filled in between.
+type GrantID struct {
+	// Bucket identifies the bucket among those of all gateways.
+	Bucket uint64 `json:"bucket"`
+	// Number counts the grants of the bucket.
+	Number uint64 `json:"number"`
+}
+
+// A Return is a part of a grant that was spent by requests that did not run.
+type Return struct {
+	Grant GrantID `json:"grant"`
+	// Amount is in the limit's unit.
+	Amount float64 `json:"amount"`
+}
+
+// A source is what an amount was taken from.
+type source struct {
+	// owner is the gateway that made the grant. It is empty if the amount was taken from the gateway's own share.
+	owner string
+	grant GrantID
+}
+
+// A portion is an amount taken from one source.
+type portion struct {
+	source
+	amount float64
+}
+
+// A Charge is an amount that a request has spent. The zero Charge is empty.
+type Charge struct {
+	key      string
+	portions []portion
+}
+
+// Amount returns the amount of the charge, in the limit's unit.
+func (c Charge) Amount() (amount float64) {
+	for _, p := range c.portions {
+		amount += p.amount
+	}
+	return amount
+}
+
+// returnDelay is how long returned amounts of another gateway's grants wait for a request for a grant that carries them.
+const returnDelay = 50 * time.Millisecond
+
+// Refund returns the charge of a request that surely has not run and will not. It goes back to the buckets from which it
+// was taken, as if it had never been taken. A bucket that no longer exists gets nothing back.
+func (l *Limiter) Refund(c Charge) {
+	if len(c.portions) == 0 {
+		return
+	}
+	limit, ok := l.opts.Limit(c.key)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(c.key)
+	for _, p := range c.portions {
+		a.counts.Spent -= p.amount
+		a.counts.Refunded += p.amount
+		l.returnPortion(c.key, a, limit, p)
+	}
+}
+
+// returnPortion returns a portion to its bucket, or has it returned by sendReturns. l.mu must be held.
+func (l *Limiter) returnPortion(key string, a *account, limit Limit, p portion) {
+	now := l.opts.Clock.Now()
+	returned := Return{Grant: p.grant, Amount: p.amount}
+	switch {
+	case p.owner == "":
+		a.returnOwnShare(limit, l.gateways.ownShare(now), returned, now)
+	case p.owner == l.opts.Self:
+		l.granter.takeBack(key, limit, l.gateways.share(limit, l.opts.Tolerance, now), []Return{returned}, now)
+	default:
+		if len(a.returns) == 0 {
+			l.opts.Clock.AfterFunc(returnDelay, func() { l.sendReturns(key) })
+		}
+		a.addReturn(p)
+	}
+}
+
+// sendReturns sends the returned amounts that no request for a grant has carried to the owner.
+func (l *Limiter) sendReturns(key string) {
+	l.mu.Lock()
+	owner := l.gateways.owner(key)
+	returns := l.takeReturns(key, owner)
+	l.mu.Unlock()
+	if len(returns) == 0 {
+		return
+	}
+	// Without a reply it is not known whether the amounts were returned, so they are not sent again.
+	_, _ = l.opts.GrantClient.RequestGrant(context.Background(), owner, Request{Key: key, From: l.opts.Self, Returned: returns})
+}
+
+// takeReturns removes the amounts to be returned and returns those that the owner granted. l.mu must be held.
+func (l *Limiter) takeReturns(key, owner string) []Return {
+	a := l.accounts[key]
+	if a == nil {
+		return nil
+	}
+	var returns []Return
+	for _, p := range a.returns {
+		if p.owner == owner {
+			returns = append(returns, Return{Grant: p.grant, Amount: p.amount})
+		}
+	}
+	a.returns = nil
+	return returns
+}
+
+// addReturn adds a portion to those to be returned to other gateways.
+func (a *account) addReturn(p portion) {
+	i := slices.IndexFunc(a.returns, func(x portion) bool { return x.source == p.source })
+	if i < 0 {
+		a.returns = append(a.returns, p)
+		return
+	}
+	a.returns[i].amount += p.amount
+}
