quota: a caller that leaves does not make the owner of its limit unresponsive

Without a leader the gateway then spent its own share beside the grant that the owner had made.

Cause: the request for a grant has the context of the caller, and its end was taken for the end of the owner.

Evidence: TestOwnerIsNotBlamedForCallersThatLeave on the code before reports an owner in contact with the leader, and decides 'inside' from the own share without one.

Fix: once the caller has left, nothing is concluded from the error. The decision is Unknown, which nobody waits for. After: the test passes.

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -180,7 +180,11 @@
 		return decision
 	}
 	owner, reply, err := l.requestGrant(ctx, request)
-	if err != nil {
+	switch {
+	case err != nil && ctx.Err() != nil:
+		// The owner may have made the grant, and no caller waits for the decision.
+		return Decision{Outcome: Unknown}
+	case err != nil:
 		return l.takeOwnShare(organisation, limit, amount, errors.Is(err, ErrNotRunning))
 	}
 	return l.applyReply(request, owner, reply, sentAt)
@@ -221,7 +225,7 @@
 		return owner, reply, err
 	}
 	reply, err = requireOwner(l.opts.GrantClient.RequestGrant(ctx, owner, r))
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		l.reportUnresponsive(r.Key, owner, err)
 	}
 	return owner, reply, err
--- a/quota/refund_test.go
+++ b/quota/refund_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"rockcleat/clock/clocktest"
 	"rockcleat/quota"
 )
 
@@ -156,3 +157,65 @@
 		})
 	}
 }
+
+// A silentOwner implements quota.GrantClient: it never replies.
+type silentOwner struct{}
+
+// RequestGrant implements quota.GrantClient.
+func (silentOwner) RequestGrant(ctx context.Context, _ string, _ quota.Request) (quota.Reply, error) {
+	<-ctx.Done()
+	return quota.Reply{}, context.Cause(ctx)
+}
+
+// TestOwnerIsNotBlamedForCallersThatLeave guards against a gateway that reports an owner as unresponsive, or spends its own
+// share beside the owner's grant, because a caller has left.
+func TestOwnerIsNotBlamedForCallersThatLeave(t *testing.T) {
+	tests := map[string]struct {
+		leaves    bool
+		outcome   quota.Outcome
+		reports   int
+		contacted time.Duration
+	}{
+		"left, in contact with the leader":     {leaves: true, outcome: quota.Unknown, contacted: time.Second},
+		"left, without a leader":               {leaves: true, outcome: quota.Unknown, contacted: 5 * time.Second},
+		"no reply, in contact with the leader": {outcome: quota.Unknown, reports: 1, contacted: time.Second},
+		"no reply, without a leader":           {outcome: quota.WithinLimit, reports: 1, contacted: 5 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.New(time.Unix(0, 0))
+			reports := 0
+			self := "g0"
+			limiter := quota.New(quota.Options{
+				Self: self, Clock: c, GrantClient: timeoutClient{silentOwner{}, 10 * time.Millisecond}, Tolerance: tolerance,
+				Limit:               func(string) (quota.Limit, bool) { return quota.Limit{Rate: 1000, Burst: 1000}, true },
+				OnOwnerUnresponsive: func(string, string, error) { reports++ },
+			})
+			limiter.RecordLeaderReply(c.Now(), quota.AbsentGateways{})
+			limiter.SetGateways([]string{self, "g1", "g2", "g3"})
+			status, _ := limiter.Status(testOrganisation)
+			assert.Assert(t, status.Owner != self)
+			c.Advance(test.contacted)
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			if test.leaves {
+				leave()
+			}
+			assert.Equal(t, limiter.Take(ctx, testOrganisation, 10).Outcome, test.outcome)
+			assert.Equal(t, reports, test.reports)
+		})
+	}
+}
+
+// A timeoutClient is a quota.GrantClient whose requests time out.
+type timeoutClient struct {
+	quota.GrantClient
+	timeout time.Duration
+}
+
+// RequestGrant implements quota.GrantClient.
+func (c timeoutClient) RequestGrant(ctx context.Context, gateway string, r quota.Request) (quota.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.GrantClient.RequestGrant(ctx, gateway, r)
+}
