--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -138,8 +138,8 @@
 	l.gateways.addFormer(ids, l.opts.Clock.Now())
 }
 
-// Grant handles a gateway's request for a grant and the amounts that it returns. The reply is empty if this gateway does not own the
-// organisation or the request is invalid.
+// Grant handles a gateway's request for a grant and the amounts that it returns. The reply is empty if this gateway
+// does not own the organisation or the request is invalid.
 func (l *Limiter) Grant(r Request) Reply {
 	limit, ok := l.opts.Limit(r.Key)
 	l.mu.Lock()
