wire: the head of a response is read up to 64 KB

What callers would see: one server that sends header lines, a status line or informational responses without end ends each gateway that sends it some twenty requests at once, and with it all its callers.

Cause: no transport set a bound, so that net/http's 10 MB held for each call: to servers, for reports and orders, to the store and between gateways.

Evidence: TestHeadWithoutEndIsNotRead reads 10,485,760 bytes of each of eight such heads on the code before. TestHeadsWithoutEndDoNotUseUpTheMemory, 120 callers at once: the heap grows by 77 to 1,141 MB, 76 to 84 requests are answered by the other server.

Fix: both constructors of transports set MaxResponseHeaderBytes. A head beyond it is a lost response, so the request may have run and the server has failed. After: both tests pass, the heap grows by 13 to 16 MB, 99 to 106 requests are answered.

--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -38,6 +38,10 @@
 	directBufferSize = 2 << 10
 )
 
+// MaxResponseHead bounds the head of a response, with all informational responses before it, in bytes. It leaves room for a
+// request's ID, which servers repeat and which may fill the header that a caller may send.
+const MaxResponseHead = 64 << 10
+
 // NewDialer returns a dialer whose connections fail within a few seconds when the peer's machine stops
 // responding.
 func NewDialer() *net.Dialer {
@@ -65,6 +69,8 @@
 		DisableCompression:  true,
 		WriteBufferSize:     directBufferSize,
 		ReadBufferSize:      directBufferSize,
+
+		MaxResponseHeaderBytes: MaxResponseHead,
 	}
 }
 
@@ -86,6 +92,8 @@
 		MaxIdleConnsPerHost: maxIdlePerProcess,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxResponseHead,
 	}
 }
 
