placer: an order that was not sent says nothing about an engine's token

Cause: send reported an order that it did not send for want of the lease as one that an engine had refused for a later token, and no order is given under such a token any more. A renewal that is answered late brings the lease back under the same token.

Fix: backend.OrderNotSent.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -64,6 +64,8 @@
 	OrderWrongServer
 	// OrderRejected means that the engine does not accept such an order.
 	OrderRejected
+	// OrderNotSent means that the order was not sent, since this process may not lead any more.
+	OrderNotSent
 )
 
 // String returns the name of the outcome in logs.
@@ -71,6 +73,7 @@
 	names := map[OrderOutcome]string{
 		OrderUnanswered: "unknown", OrderAccepted: "taken", OrderAlreadyDone: "done", OrderConflict: "conflict",
 		OrderFenced: "fenced", OrderWrongServer: "gone", OrderRejected: "rejected",
+		OrderNotSent: "not sent",
 	}
 	return names[o]
 }
--- a/internal/placer/adapters_test.go
+++ b/internal/placer/adapters_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -54,6 +55,34 @@
 	assert.Equal(t, f.engines.orders()[0].server, "e1")
 }
 
+// TestOrdersGoOnAfterTheLeaseIsBack guards against a leader that gives no order any more since one was not sent while the
+// lease had expired, and a late answer to a renewal brought it back.
+func TestOrdersGoOnAfterTheLeaseIsBack(t *testing.T) {
+	synctest.Test(t, testOrdersGoOnAfterTheLeaseIsBack)
+}
+
+func testOrdersGoOnAfterTheLeaseIsBack(t *testing.T) {
+	f := newFixture(t, 1, []string{"m0"})
+	f.engines.engines["e0"].residents[0].Adapters = []string{"a1", "a2"}
+	f.engines.respond = func(n int, _ backend.Order) (backend.OrderOutcome, bool, error) {
+		if n == 1 {
+			f.lease.set(0)
+		}
+		return backend.OrderAccepted, true, nil
+	}
+	f.startWithWaitingRequest("m0/a3")
+	assert.Assert(t, f.engines.orders()[0].order.Unload)
+	f.advance(400 * time.Millisecond)
+	assert.Equal(t, len(f.engines.orders()), 1, "an order without the lease")
+	f.lease.set(7)
+	f.waitUntil("adapter", func() bool {
+		f.reportDemand("m0/a3", 1, 1)
+		orders := f.engines.orders()
+		last := orders[len(orders)-1].order
+		return !last.Unload && last.Adapter == "a3"
+	})
+}
+
 func TestLoadingAdaptersTakeSlots(t *testing.T) {
 	synctest.Test(t, testLoadingAdaptersTakeSlots)
 }
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -145,7 +145,7 @@
 // send sends an order if the lease is certainly still held under the order's token.
 func (p *Placer) send(s *backend.Server, o backend.Order) (backend.OrderOutcome, error) {
 	if token, held := p.opts.Lease.Held(); !held || int64(token) != o.Fence {
-		return backend.OrderFenced, nil
+		return backend.OrderNotSent, nil
 	}
 	return p.opts.Engines.Order(p.ctx, s, o)
 }
