placer: a leader that may issue no orders resigns

What callers would see: no model or adapter is loaded for as long as a process leads whose token an engine has refused.

Cause: such a leader stops to issue orders, but renews its lease, so that nobody else may.

Evidence: TestFencedLeaderMakesRoom on the code before: the lease is kept.

Fix: the leader releases the lease at its next step, with a log line and a counter; the next term has a later token. After: the test passes.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	// QuotaRefunded counts a charge that was returned to an organisation's rate limit, by the outcome of the request. cost
 	// is in the limit's unit.
 	QuotaRefunded(organisation, outcome string, cost float64)
+	// LeadershipResigned counts a lease that this gateway gave up since an engine had rejected its token.
+	LeadershipResigned()
 	// ServerLimitChanged counts a change of a rate limit that a server announces, by state.
 	ServerLimitChanged(state string)
 	// ServerPause counts a change of the time for which a server accepts no requests, by state.
@@ -71,6 +73,7 @@
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
 func (noMetrics) QuotaRefunded(string, string, float64)         {}
+func (noMetrics) LeadershipResigned()                           {}
 func (noMetrics) Admissions(int, int, int)                      {}
 func (noMetrics) QueueWaited(string, float64, float64)          {}
 func (noMetrics) ConfigTransfer(string, int, error)             {}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -164,6 +164,7 @@
 		Gateways: p.gateways.list, PrefillSpeeds: p.dispatcher.PrefillSpeeds, StepTimes: p.dispatcher.StepTimes,
 		MaxCountedSlots: s.EngineTimeSlots(), IsThrottled: p.serverLimits.isThrottled, IsPaused: p.dispatcher.IsPaused,
 		LearnSpeeds: s.Speeds.Learn, ServerFactors: p.dispatcher.ServerFactors, OnFactorChange: p.serverSpeedChanged,
+		OnResign: o.Metrics.LeadershipResigned,
 	})
 	return l
 }
--- a/internal/placer/leadership.go
+++ b/internal/placer/leadership.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"rockcleat/internal/telemetry"
 	"rockcleat/lease"
 )
 
@@ -23,6 +26,8 @@
 	settleTime time.Duration
 	// fencedToken is the last token that an engine rejected. No order is issued under it any more.
 	fencedToken lease.Token
+	// resigning is set from the start of a resignation until its end.
+	resigning bool
 	// previousLeader tracks the previous leader's replies.
 	previousLeader nonLeaderReplies
 }
@@ -30,9 +35,12 @@
 // canIssueOrders reports whether orders may be issued: the settle time has passed, so that no order of the
 // previous leader is in progress, and no engine has rejected the token.
 func (l *leadership) canIssueOrders(now time.Time) bool {
-	return l.token != l.fencedToken && now.Sub(l.since) >= l.settleTime
+	return !l.isFenced() && now.Sub(l.since) >= l.settleTime
 }
 
+// isFenced reports whether an engine has rejected the token.
+func (l *leadership) isFenced() bool { return l.token != 0 && l.token == l.fencedToken }
+
 // nonLeaderReplies tracks how long the process at an address has replied, without interruption, that it does
 // not lead.
 type nonLeaderReplies struct {
@@ -76,6 +84,27 @@
 // isFirst reports whether there was no earlier leader.
 func (p *Placer) isFirst() bool { return p.opts.FirstStart && !p.opts.Lease.HasSeenOther() }
 
+// resign gives up the lease of a leader that may issue no orders, so that there is one that may. p.mu must be held.
+func (p *Placer) resign() {
+	if p.leadership.resigning {
+		return
+	}
+	p.leadership.resigning = true
+	p.opts.Log.Warn("resigning: an engine has seen a later token", zap.Int64("token", int64(p.leadership.token)))
+	if p.opts.OnResign != nil {
+		p.opts.OnResign()
+	}
+	go func() {
+		err := p.opts.Lease.Release(p.ctx)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.leadership.resigning = false
+		if err != nil {
+			p.opts.Log.Warn("lease not released; it expires after its TTL", telemetry.Error(err))
+		}
+	}()
+}
+
 // RecordPeerReply records whether the process at an address replied that it does not lead. notLeader is false
 // if the process leads or did not reply.
 func (p *Placer) RecordPeerReply(addr string, notLeader bool) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -70,6 +70,8 @@
 	// IsPaused, if not nil, reports whether a backend server, given by its ID, accepts no calls from this process
 	// now.
 	IsPaused func(server string) bool
+	// OnResign, if not nil, is called when this process gives up the lease since an engine has rejected its token.
+	OnResign func()
 	// LearnSpeeds enables the estimates of servers' speeds. ServerFactors, if not nil, returns the factors known to this
 	// process, by server ID; a new leader starts with them.
 	LearnSpeeds   bool
@@ -227,6 +229,10 @@
 	p.demand.step(elapsed)
 	p.demand.removeUnresponsive(now, gatewayTimeoutFor(len(p.demand.gateways)))
 	p.retainFactors(p.opts.Registry.Snapshot())
+	if p.leadership.isFenced() {
+		p.resign()
+		return
+	}
 	routing := p.opts.Routing()
 	if routing == nil || !p.leadership.canIssueOrders(now) {
 		return
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -151,6 +151,22 @@
 	assert.Equal(t, len(f.engines.orders()), 1, "no further order under a token that was refused")
 }
 
+// TestFencedLeaderMakesRoom guards against a leader that keeps the lease although it may issue no order.
+func TestFencedLeaderMakesRoom(t *testing.T) { synctest.Test(t, testFencedLeaderMakesRoom) }
+
+func testFencedLeaderMakesRoom(t *testing.T) {
+	f := newFixture(t, 2, []string{"m0"})
+	f.engines.engines["e0"].fence = 8
+	f.start(true)
+	f.waitUntil("load", f.ordersIssued(1))
+	f.advance(500 * time.Millisecond)
+	_, held := f.lease.Held()
+	assert.Assert(t, !held, "the lease is kept")
+	f.lease.set(9)
+	f.waitUntil("load in the next term", f.ordersIssued(2))
+	assert.Equal(t, f.engines.orders()[1].order.Fence, int64(9))
+}
+
 // TestStoreLoadsStayWithinTheRate checks that the loads started in any five seconds stay within the store's
 // rate and a small burst.
 func TestStoreLoadsStayWithinTheRate(t *testing.T) {
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -55,6 +55,8 @@
 	// another gateway.
 	streamsResumed metric.Int64Counter
 	originsNotSent metric.Int64Counter
+	// resignations counts the leases that the gateway gave up since an engine had rejected its token.
+	resignations metric.Int64Counter
 	// permits counts the requests for permits at servers with limits.
 	permits metric.Int64Counter
 	// processorRefusals counts the requests refused because processor time is short.
@@ -108,6 +110,7 @@
 	m.originsNotSent = b.counter("rockcleat.gateway.origins_not_sent", "Records of streams that could not be sent to another gateway.")
 	m.serverSpeeds = b.counter("rockcleat.gateway.server_speeds", "Backend servers whose speed became distinct from the median of their service, or the median again, by state.")
 	m.serverPauses = b.counter("rockcleat.gateway.server_pauses", "Pauses that backend servers asked for in refusals, by state.")
+	m.resignations = b.counter("rockcleat.gateway.resignations", "Leases given up since a backend server had rejected their token.")
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.processorRefusals = b.counter("rockcleat.gateway.processor_refusals", "Requests refused while the gateway was short of processor time.")
 	m.connections = b.counter("rockcleat.gateway.connections", "New connections of callers, by what became of them.")
@@ -264,6 +267,9 @@
 	m.refunded.Add(context.Background(), cost, m.attributeSet("customer", m.boundedLabel(organisation), "outcome", outcome))
 }
 
+// LeadershipResigned counts a lease that the gateway gave up since an engine had rejected its token.
+func (m *GatewayMetrics) LeadershipResigned() { m.resignations.Add(context.Background(), 1) }
+
 // StoreCall counts a call to the platform's store by kind.
 func (m *GatewayMetrics) StoreCall(kind string) {
 	m.storeCalls.Add(context.Background(), 1, m.attributeSet("kind", kind, "", ""))
