--- a/quota/headroom.go
+++ b/quota/headroom.go
@@ -5,16 +5,17 @@
 // maxHeadrooms bounds the entries of a headroomHistory.
 const maxHeadrooms = 256
 
-// A headroomHistory holds by how much a bucket could have been fuller since each of its grants without overflowing. What a
-// grant has taken can be returned up to that amount: the rest would have overflowed meanwhile, had it not been taken.
+// A headroomHistory holds by how much a bucket could have been fuller, since each of its grants, without overflowing. What
+// a grant has taken can be returned up to that amount: the rest would have overflowed meanwhile, had it not been taken.
 //
-// An entry holds the lowest headroom since the grant with its number and all later ones; entries that a later one makes
-// redundant are removed. The headrooms therefore increase with the numbers.
+// The lowest headroom since a grant is the lowest of its entry and all later ones. An entry whose headroom is not below
+// that of a later one is redundant and removed, so the headrooms increase with the numbers, and the first entry from a
+// grant's number on has its lowest headroom. Beyond maxHeadrooms the oldest entries share the lower headroom of the two.
 type headroomHistory struct {
 	entries []headroom
 }
 
-// A headroom is the lowest difference between the burst and the amount in the bucket since a grant.
+// A headroom is the lowest difference between the burst and the amount in the bucket from a grant to the next entry's.
 type headroom struct {
 	number uint64
 	lowest float64
--- a/quota/refund.go
+++ b/quota/refund.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// A GrantID identifies the grants that a bucket made without being filled in between.
+// A GrantID identifies a grant.
 type GrantID struct {
 	// Bucket identifies the bucket among those of all gateways.
 	Bucket uint64 `json:"bucket"`
-	// Number counts the grants of the bucket.
+	// Number numbers the grants of the bucket, from 1.
 	Number uint64 `json:"number"`
 }
 
