--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -150,7 +150,6 @@
 }
 
 func TestDeadlines(t *testing.T) {
-	unresponsive := func(c *call) bool { <-c.gone; return false }
 	tests := map[string]struct {
 		headers []string
 		timeout time.Duration
@@ -162,7 +161,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			server := newFakeServer(t, "a", unresponsive)
+			server := newFakeServer(t, "a", stallUntilGone)
 			env := newTestEnvWithoutConfig(t, server)
 			for i := range env.routing.Routes {
 				env.routing.Routes[i].Timeout = test.timeout
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -126,7 +126,7 @@
 // TestStopAnswersWaitingRequests checks that requests waiting for a server or for its response get a response before
 // the process ends.
 func TestStopAnswersWaitingRequests(t *testing.T) {
-	server := newFakeServer(t, "a", func(c *call) bool { <-c.gone; return false })
+	server := newFakeServer(t, "a", stallUntilGone)
 	env := newTestEnv(t, server)
 	unanswered, waiting := make(chan reply, 1), make(chan reply, 1)
 	go func() { unanswered <- env.post(pathUnsafe, "x") }()
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -34,11 +34,6 @@
 
 func breakOff(*call) bool { return false }
 
-func stallUntilGone(c *call) bool {
-	<-c.gone
-	return false
-}
-
 // startVersionedServers registers one server for each version, in the hall of the gateways.
 func startVersionedServers(t *testing.T, env *testEnv, i interrupt, versions ...string) []versionedServer {
 	t.Helper()
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -25,8 +25,8 @@
 	verdictRan
 )
 
-// verdictOf returns the verdict on a send. It depends on nothing else than what was written and what came back: whoever
-// ends a send, be it the caller, a deadline or this gateway, does not end the run at the server.
+// verdictOf returns the verdict on a send. It depends only on what was written and what came back. The end of a send by the
+// caller, a deadline or this gateway does not end the run at the server.
 func verdictOf(names wire.HeaderNames, id string, x *serverconn.Exchange, resp *http.Response) verdict {
 	switch {
 	case resp != nil:
--- a/internal/gateway/worker_test.go
+++ b/internal/gateway/worker_test.go
@@ -155,6 +155,12 @@
 	return true
 }
 
+// stallUntilGone sends nothing until the gateway closes the connection.
+func stallUntilGone(c *call) bool {
+	<-c.gone
+	return false
+}
+
 // reset closes the connection with a TCP reset.
 func (c *call) reset() bool {
 	_ = c.conn.(*net.TCPConn).SetLinger(0)
--- a/internal/placer/leadership.go
+++ b/internal/placer/leadership.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,14 +33,11 @@
 	previousLeader nonLeaderReplies
 }
 
-// canIssueOrders reports whether orders may be issued: the settle time has passed, so that no order of the
-// previous leader is in progress, and no engine has rejected the token.
-func (l *leadership) canIssueOrders(now time.Time) bool {
-	return !l.isFenced() && now.Sub(l.since) >= l.settleTime
-}
+// hasSettled reports whether the settle time has passed, so that no order of the previous leader is in progress.
+func (l *leadership) hasSettled(now time.Time) bool { return now.Sub(l.since) >= l.settleTime }
 
-// isFenced reports whether an engine has rejected the token.
-func (l *leadership) isFenced() bool { return l.token != 0 && l.token == l.fencedToken }
+// isFenced reports whether an engine has rejected the token of this term.
+func (l *leadership) isFenced() bool { return l.token == l.fencedToken }
 
 // nonLeaderReplies tracks how long the process at an address has replied, without interruption, that it does
 // not lead.
@@ -95,16 +93,20 @@
 		p.opts.OnResign()
 	}
 	go func() {
-		err := p.opts.Lease.Release(p.ctx)
+		p.releaseLease(p.ctx)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.leadership.resigning = false
-		if err != nil {
-			p.opts.Log.Warn("lease not released; it expires after its TTL", telemetry.Error(err))
-		}
 	}()
 }
 
+// releaseLease ends the lease, so that another process can acquire it at once.
+func (p *Placer) releaseLease(ctx context.Context) {
+	if err := p.opts.Lease.Release(ctx); err != nil {
+		p.opts.Log.Warn("lease not released; it expires after its TTL", telemetry.Error(err))
+	}
+}
+
 // RecordPeerReply records whether the process at an address replied that it does not lead. notLeader is false
 // if the process leads or did not reply.
 func (p *Placer) RecordPeerReply(addr string, notLeader bool) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -10,7 +10,6 @@
 	"rockcleat/backend"
 	"rockcleat/clock"
 	"rockcleat/dispatch"
-	"rockcleat/internal/telemetry"
 	"rockcleat/kv"
 	"rockcleat/lease"
 	"rockcleat/residency"
@@ -139,9 +138,7 @@
 func (p *Placer) Stop(ctx context.Context) {
 	p.cancel()
 	p.stop()
-	if err := p.opts.Lease.Release(ctx); err != nil {
-		p.opts.Log.Warn("lease not released; it expires after its TTL", telemetry.Error(err))
-	}
+	p.releaseLease(ctx)
 }
 
 // Leader returns the address at which the leader accepts messages, and whether the leader is this process. If
@@ -234,7 +231,7 @@
 		return
 	}
 	routing := p.opts.Routing()
-	if routing == nil || !p.leadership.canIssueOrders(now) {
+	if routing == nil || !p.leadership.hasSettled(now) {
 		return
 	}
 	p.engines.sync(p.opts.Registry.Snapshot(), routing)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -115,15 +115,11 @@
 	m.processorRefusals = b.counter("rockcleat.gateway.processor_refusals", "Requests refused while the gateway was short of processor time.")
 	m.connections = b.counter("rockcleat.gateway.connections", "New connections of callers, by what became of them.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
-	spent, err := b.meter.Float64Counter("rockcleat.gateway.spent", metric.WithDescription("What requests inside limits have cost, in the limit's unit."))
-	b.recordError(err)
-	m.spent = spent
-	m.refunded, err = b.meter.Float64Counter("rockcleat.gateway.refunded", metric.WithDescription("What requests inside limits have cost that was returned because they had not run, in the limit's unit, by outcome of the request."))
-	b.recordError(err)
+	m.spent = b.sum("rockcleat.gateway.spent", "What requests inside limits have cost, in the limit's unit.")
+	m.refunded = b.sum("rockcleat.gateway.refunded", "What requests inside limits have cost that was returned because they had not run, in the limit's unit, by outcome of the request.")
 	m.pending, err = b.meter.Int64Gauge("rockcleat.gateway.pending_requests", metric.WithDescription("Highest number of requests in the last second that needed work of the gateway before they could be handed on."))
 	b.recordError(err)
-	m.processorTime, err = b.meter.Float64Counter("rockcleat.gateway.processor", metric.WithDescription("Processor time that the process has used."), metric.WithUnit("s"))
-	b.recordError(err)
+	m.processorTime = b.sum("rockcleat.gateway.processor", "Processor time that the process has used.", metric.WithUnit("s"))
 	return m, b.err
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -100,6 +100,13 @@
 	return c
 }
 
+// sum creates a counter of amounts that may be fractions.
+func (b *instrumentBuilder) sum(name, description string, options ...metric.Float64CounterOption) metric.Float64Counter {
+	c, err := b.meter.Float64Counter(name, append(options, metric.WithDescription(description))...)
+	b.recordError(err)
+	return c
+}
+
 // histogram creates a histogram of durations.
 func (b *instrumentBuilder) histogram(name, description string) metric.Float64Histogram {
 	h, err := b.meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"),
--- a/quota/account.go
+++ b/quota/account.go
@@ -56,7 +56,7 @@
 
 // addCredit adds a portion that may be spent until the given time.
 func (a *account) addCredit(p portion, until time.Time) {
-	if p.amount > 0 {
+	if p.Amount > 0 {
 		a.credits = append(a.credits, credit{portion: p, until: until})
 	}
 }
@@ -69,11 +69,12 @@
 	}
 	for amount > 0 {
 		first := &a.credits[0]
-		part := portion{source: first.source, amount: min(first.amount, amount)}
+		part := first.portion
+		part.Amount = min(part.Amount, amount)
 		taken = append(taken, part)
-		amount -= part.amount
-		first.amount -= part.amount
-		if first.amount == 0 {
+		amount -= part.Amount
+		first.Amount -= part.Amount
+		if first.Amount == 0 {
 			a.credits = a.credits[1:]
 		}
 	}
@@ -86,7 +87,7 @@
 	for _, c := range a.credits {
 		if now.Before(c.until) {
 			kept = append(kept, c)
-			total += c.amount
+			total += c.Amount
 		}
 	}
 	a.credits = kept
@@ -108,11 +109,11 @@
 	if share <= 0 || a.ownShare.amount < amount || !a.ownShare.take(ownShareLimit(l, share), amount) {
 		return portion{}, false
 	}
-	return portion{source: source{grant: a.ownShare.grant}, amount: amount}, true
+	return portion{GrantPart: GrantPart{Grant: a.ownShare.grant, Amount: amount}}, true
 }
 
 // returnOwnShare returns an amount to the bucket of the gateway's own share.
-func (a *account) returnOwnShare(l Limit, share float64, r Return, now time.Time) {
+func (a *account) returnOwnShare(l Limit, share float64, r GrantPart, now time.Time) {
 	if a.ownShare != nil {
 		a.fillOwnShare(l, share, now)
 		a.ownShare.takeBack(r)
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -55,7 +55,7 @@
 
 // takeBack returns amounts to the bucket, which must just have been filled, as if the grants had not taken them. Amounts of
 // other buckets are ignored.
-func (b *bucket) takeBack(returns ...Return) {
+func (b *bucket) takeBack(returns ...GrantPart) {
 	for _, r := range returns {
 		if r.Grant.Bucket == b.grant.Bucket {
 			b.amount += b.headrooms.takeBack(r.Grant.Number, r.Amount)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -190,13 +190,18 @@
 	}
 }
 
-// request sends a request to a gateway and records it if it is within the limit.
-func (s *gatewaySet) request(i int, amount float64) quota.Outcome {
+// take asks a gateway whether a request may run. A paused one does not know.
+func (s *gatewaySet) take(i int, amount float64) quota.Decision {
 	g := s.gateways[i]
 	if g.paused {
-		return quota.Unknown
+		return quota.Decision{Outcome: quota.Unknown}
 	}
-	d := g.limiter.Take(context.Background(), testOrganisation, amount)
+	return g.limiter.Take(context.Background(), testOrganisation, amount)
+}
+
+// request sends a request to a gateway and records it if it is within the limit.
+func (s *gatewaySet) request(i int, amount float64) quota.Outcome {
+	d := s.take(i, amount)
 	if d.Outcome == quota.WithinLimit {
 		s.spends = append(s.spends, spend{at: s.clock.Now(), amount: amount})
 	}
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -16,13 +16,13 @@
 	Need     float64 `json:"need"`
 	Prefetch float64 `json:"ahead,omitempty"`
 	// Returned holds parts of earlier grants that were not spent after all. A Request without a Need only returns them.
-	Returned []Return `json:"returned,omitempty"`
+	Returned []GrantPart `json:"returned,omitempty"`
 }
 
 // isValid reports whether the amounts are valid. Requests can come from other senders than gateways; a
 // negative amount would add to the bucket.
 func (r Request) isValid() bool {
-	if slices.ContainsFunc(r.Returned, func(x Return) bool { return x.Amount <= 0 }) {
+	if slices.ContainsFunc(r.Returned, func(x GrantPart) bool { return x.Amount <= 0 }) {
 		return false
 	}
 	return r.Prefetch >= 0 && (r.Need > 0 || r.Need == 0 && len(r.Returned) > 0)
@@ -101,7 +101,7 @@
 }
 
 // takeBack returns amounts to an organisation's bucket, which is filled by a share of the rate.
-func (g *granter) takeBack(organisation string, l Limit, share float64, returns []Return, now time.Time) {
+func (g *granter) takeBack(organisation string, l Limit, share float64, returns []GrantPart, now time.Time) {
 	if len(returns) > 0 {
 		g.filledBucket(organisation, l, share, now).takeBack(returns...)
 	}
--- a/quota/headroom_test.go
+++ b/quota/headroom_test.go
@@ -59,7 +59,7 @@
 				g := &grants[rapid.IntRange(0, len(grants)-1).Draw(t, "grant")]
 				if !g.returned {
 					g.returned = true
-					b.takeBack(Return{Grant: g.id, Amount: g.amount})
+					b.takeBack(GrantPart{Grant: g.id, Amount: g.amount})
 				}
 			}
 			if want := amountWithout(grants, limit, start, now); math.Abs(b.amount-want) > 1e-6 {
@@ -87,7 +87,7 @@
 			b.fill(limit, 1, now)
 		}
 		for _, id := range ids {
-			b.takeBack(Return{Grant: id, Amount: 1})
+			b.takeBack(GrantPart{Grant: id, Amount: 1})
 		}
 		if n := len(b.headrooms.entries); n > maxHeadrooms || b.amount > limit.Burst+1e-6 {
 			t.Fatalf("%d entries, %v of %v in the bucket", n, b.amount, limit.Burst)
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -253,9 +253,9 @@
 	a.clearOwnShare()
 	a.delegatedAt = sentAt
 	if reply.Granted >= r.Need {
-		from := source{owner: owner, grant: reply.Grant}
-		a.addCredit(portion{source: from, amount: reply.Granted - r.Need}, sentAt.Add(GrantTTL))
-		return withinLimit(r.Key, portion{source: from, amount: r.Need})
+		part := func(amount float64) portion { return portion{GrantPart{reply.Grant, amount}, owner} }
+		a.addCredit(part(reply.Granted-r.Need), sentAt.Add(GrantTTL))
+		return withinLimit(r.Key, part(r.Need))
 	}
 	if reply.IsUnconfirmed {
 		return Decision{Outcome: Unknown}
--- a/quota/refund.go
+++ b/quota/refund.go
@@ -14,24 +14,18 @@
 	Number uint64 `json:"number"`
 }
 
-// A Return is a part of a grant that was spent by requests that did not run.
-type Return struct {
+// A GrantPart is a part of a grant.
+type GrantPart struct {
 	Grant GrantID `json:"grant"`
 	// Amount is in the limit's unit.
 	Amount float64 `json:"amount"`
 }
 
-// A source is what an amount was taken from.
-type source struct {
-	// owner is the gateway that made the grant. It is empty if the amount was taken from the gateway's own share.
-	owner string
-	grant GrantID
-}
-
-// A portion is an amount taken from one source.
+// A portion is a part of a grant with the gateway that made it.
 type portion struct {
-	source
-	amount float64
+	GrantPart
+	// owner is empty if the amount was taken from the gateway's own share.
+	owner string
 }
 
 // A Charge is an amount that a request has spent. The zero Charge is empty.
@@ -43,7 +37,7 @@
 // Amount returns the amount of the charge, in the limit's unit.
 func (c Charge) Amount() (amount float64) {
 	for _, p := range c.portions {
-		amount += p.amount
+		amount += p.Amount
 	}
 	return amount
 }
@@ -65,8 +59,8 @@
 	defer l.mu.Unlock()
 	a := l.account(c.key)
 	for _, p := range c.portions {
-		a.counts.Spent -= p.amount
-		a.counts.Refunded += p.amount
+		a.counts.Spent -= p.Amount
+		a.counts.Refunded += p.Amount
 		l.returnPortion(c.key, a, limit, p)
 	}
 }
@@ -74,12 +68,11 @@
 // returnPortion returns a portion to its bucket, or has it returned by sendReturns. l.mu must be held.
 func (l *Limiter) returnPortion(key string, a *account, limit Limit, p portion) {
 	now := l.opts.Clock.Now()
-	returned := Return{Grant: p.grant, Amount: p.amount}
 	switch {
 	case p.owner == "":
-		a.returnOwnShare(limit, l.gateways.ownShare(now), returned, now)
+		a.returnOwnShare(limit, l.gateways.ownShare(now), p.GrantPart, now)
 	case p.owner == l.opts.Self:
-		l.granter.takeBack(key, limit, l.gateways.share(limit, l.opts.Tolerance, now), []Return{returned}, now)
+		l.granter.takeBack(key, limit, l.gateways.share(limit, l.opts.Tolerance, now), []GrantPart{p.GrantPart}, now)
 	default:
 		if len(a.returns) == 0 {
 			l.opts.Clock.AfterFunc(returnDelay, func() { l.sendReturns(key) })
@@ -102,15 +95,15 @@
 }
 
 // takeReturns removes the amounts to be returned and returns those that the owner granted. l.mu must be held.
-func (l *Limiter) takeReturns(key, owner string) []Return {
+func (l *Limiter) takeReturns(key, owner string) []GrantPart {
 	a := l.accounts[key]
 	if a == nil {
 		return nil
 	}
-	var returns []Return
+	var returns []GrantPart
 	for _, p := range a.returns {
 		if p.owner == owner {
-			returns = append(returns, Return{Grant: p.grant, Amount: p.amount})
+			returns = append(returns, p.GrantPart)
 		}
 	}
 	a.returns = nil
@@ -119,10 +112,10 @@
 
 // addReturn adds a portion to those to be returned to other gateways.
 func (a *account) addReturn(p portion) {
-	i := slices.IndexFunc(a.returns, func(x portion) bool { return x.source == p.source })
+	i := slices.IndexFunc(a.returns, func(x portion) bool { return x.owner == p.owner && x.Grant == p.Grant })
 	if i < 0 {
 		a.returns = append(a.returns, p)
 		return
 	}
-	a.returns[i].amount += p.amount
+	a.returns[i].Amount += p.Amount
 }
--- a/quota/refund_test.go
+++ b/quota/refund_test.go
@@ -22,12 +22,8 @@
 
 // hold sends a request to a gateway and returns it, unless it is not within the limit.
 func (s *gatewaySet) hold(i int, amount float64) (pendingRequest, bool) {
-	g := s.gateways[i]
-	if g.paused {
-		return pendingRequest{}, false
-	}
-	d := g.limiter.Take(context.Background(), testOrganisation, amount)
-	return pendingRequest{spend{s.clock.Now(), amount}, d.Charge, g.limiter}, d.Outcome == quota.WithinLimit
+	d := s.take(i, amount)
+	return pendingRequest{spend{s.clock.Now(), amount}, d.Charge, s.gateways[i].limiter}, d.Outcome == quota.WithinLimit
 }
 
 // holdAll sends requests of the given cost to all gateways until none is within the limit.
@@ -56,7 +52,7 @@
 )
 
 // settle ends those pending requests that do not stay, and returns the others. A request whose gateway has restarted runs:
-// nobody returns its charge.
+// its charge is not refunded.
 func (s *gatewaySet) settle(pending []pendingRequest, fateOf func(pendingRequest) fate) (rest []pendingRequest) {
 	for _, r := range pending {
 		switch alive := slices.ContainsFunc(s.gateways, func(g *testGateway) bool { return g.limiter == r.limiter && !g.paused }); {
@@ -158,11 +154,13 @@
 	}
 }
 
-// A silentOwner implements quota.GrantClient: it never replies.
+// A silentOwner is a quota.GrantClient whose requests time out.
 type silentOwner struct{}
 
 // RequestGrant implements quota.GrantClient.
 func (silentOwner) RequestGrant(ctx context.Context, _ string, _ quota.Request) (quota.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+	defer cancel()
 	<-ctx.Done()
 	return quota.Reply{}, context.Cause(ctx)
 }
@@ -187,7 +185,7 @@
 			reports := 0
 			self := "g0"
 			limiter := quota.New(quota.Options{
-				Self: self, Clock: c, GrantClient: timeoutClient{silentOwner{}, 10 * time.Millisecond}, Tolerance: tolerance,
+				Self: self, Clock: c, GrantClient: silentOwner{}, Tolerance: tolerance,
 				Limit:               func(string) (quota.Limit, bool) { return quota.Limit{Rate: 1000, Burst: 1000}, true },
 				OnOwnerUnresponsive: func(string, string, error) { reports++ },
 			})
@@ -206,16 +204,3 @@
 		})
 	}
 }
-
-// A timeoutClient is a quota.GrantClient whose requests time out.
-type timeoutClient struct {
-	quota.GrantClient
-	timeout time.Duration
-}
-
-// RequestGrant implements quota.GrantClient.
-func (c timeoutClient) RequestGrant(ctx context.Context, gateway string, r quota.Request) (quota.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	return c.GrantClient.RequestGrant(ctx, gateway, r)
-}
