gateway: a header is refused as soon as it exceeds the limit

What callers saw: clients whose headers are too long or never end use up the memory of the gateway, which ends with all its callers. 160 clients: 741 MB for short lines that are never finished, 101 MB for one long value, 160 and 46 MB (and 17 unread) for lines without end, on a machine of 64 MB.

Cause: net/http reads and parses a header up to its own bound, 128 KB, before the limit of the configuration is looked at. A short line holds about 300 bytes as an entry of a map, so that a header holds up to 39 times what was sent. Nothing bounds all headers together.

Fix: the connection counts what it reads of a header, by bytes and lines (intake.Head), before net/http gets it. Over the limit of the configuration it responds with 431. What all headers hold has a bound, a tenth of memory_mb (intake.HeadMemory); the first 8 KB of each belong to the connection and are not counted, so that the headers of most requests are never refused for those of others. Beyond it the response is 503 with Retry-After: not run.

Why it works: a header that is within the limits has at most limit bytes, and what is read with it is at most one buffer more. The count comes before the parser's allocations.

TestHead and TestHeadersOverTheLimit are new. TestRefusedConnectionServesNothing checked that a request is not served if its header is completed after a 408; as the 408 is now sent by the goroutine that reads, it checks that nothing is read after it.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -83,3 +83,12 @@
 	}
 	return r.Limits().IdleTime, r.Limits().HeaderTime
 }
+
+// headerLimit returns the limit on the header of a request, in bytes; 0 if there is none or no configuration.
+func (c *configuration) headerLimit() int {
+	r := c.current.Load()
+	if r == nil {
+		return 0
+	}
+	return r.Limits().HeaderBytes
+}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -13,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"rockcleat/clock"
+	"rockcleat/intake"
 )
 
 type connState int
@@ -27,8 +27,8 @@
 	connActive
 	// connIdle: the connection is idle between two requests.
 	connIdle
-	// connTimedOut: a 408 was sent because the header took too long.
-	connTimedOut
+	// connHeaderRefused: a refusal was sent before the header was complete.
+	connHeaderRefused
 )
 
 // connEnd says whether a connection is being ended. A connection is ended by setting its read deadline to a time in
@@ -42,6 +42,8 @@
 	endIfIdle
 	// endAlways: the connection ends even if bytes of a request have arrived.
 	endAlways
+	// endIncomplete: the connection ends with a 408 while it waits for the rest of a header or of a body.
+	endIncomplete
 )
 
 // A callerConn is a caller's connection that can be closed between requests without losing one.
@@ -71,6 +73,10 @@
 	awaitedSince time.Time
 	// released is set when the connection no longer counts as open.
 	released bool
+	// head counts what the header of the current request holds, until the request has ended.
+	head intake.Head
+	// awaitsBody is set while the body of the current request is read.
+	awaitsBody bool
 }
 
 // admissionTTL is how long the decision about a connection applies while its caller sends nothing: a round trip and a
@@ -80,16 +86,24 @@
 // newCallerConn returns a callerConn that is pending until its first read.
 func newCallerConn(conn *net.TCPConn, c clock.Service, i *connIntake, admission connResult) *callerConn {
 	i.limiter.Begin()
-	return &callerConn{TCPConn: conn, clock: c, intake: i, since: c.Now(), pending: true, admission: admission}
+	return &callerConn{
+		TCPConn: conn, clock: c, intake: i, since: c.Now(), pending: true, admission: admission, head: i.heads.NewHead(),
+	}
 }
 
-// Read reads from the connection. It returns io.EOF if the connection was ended while it waited for a request.
+// Read reads from the connection. It returns io.EOF if the connection was ended while it waited for a request, and
+// os.ErrDeadlineExceeded, after which http.Server sends nothing, if it has refused the request itself.
 func (c *callerConn) Read(p []byte) (int, error) {
-	c.beforeRead()
+	if !c.beforeRead() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			c.received()
+			if refused := c.received(p[:n]); refused != nil {
+				c.refuse(refused)
+				return 0, os.ErrDeadlineExceeded
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -98,6 +112,9 @@
 		switch c.afterDeadline() {
 		case readEnded:
 			return 0, io.EOF
+		case readHeaderIncomplete:
+			c.refuse(headerIncomplete)
+			return n, err
 		case readTimedOut:
 			return n, err
 		}
@@ -123,7 +140,9 @@
 	readTimedOut readResult = iota
 	// readEnded: the connection was ended.
 	readEnded
-	// readRetry: bytes of a request have arrived on a connection that was to be ended only if idle.
+	// readHeaderIncomplete: the rest of a header has not come in time.
+	readHeaderIncomplete
+	// readRetry: the reason to end the connection is gone, since what it waited for has arrived.
 	readRetry
 )
 
@@ -133,8 +152,13 @@
 	switch {
 	case c.end == endNever:
 		return readTimedOut
-	case c.end == endAlways, c.isIdle() && !hasUnread(c.TCPConn):
+	case c.end == endAlways, c.end == endIfIdle && c.isIdle() && !hasUnread(c.TCPConn):
 		return readEnded
+	case c.end == endIncomplete && c.state == connReadingHeader:
+		c.setState(connHeaderRefused)
+		return readHeaderIncomplete
+	case c.end == endIncomplete && c.awaitsBody:
+		return readTimedOut
 	}
 	c.end = endNever
 	if c.TCPConn.SetReadDeadline(c.deadline) != nil {
@@ -151,8 +175,8 @@
 	c.since = c.clock.Now()
 }
 
-// received records that bytes were read.
-func (c *callerConn) received() {
+// received records that bytes were read. It returns the refusal of a request whose header holds more than it may.
+func (c *callerConn) received(p []byte) *headRefusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connNew && c.clock.Now().Sub(c.awaitedSince) > admissionTTL {
@@ -161,21 +185,32 @@
 	if c.isIdle() {
 		c.setState(connReadingHeader)
 	}
-	if c.state == connReadingHeader {
-		c.beginPending()
+	if c.state != connReadingHeader {
+		return nil
 	}
+	if refused := headRefusals[c.head.Add(p, c.intake.maxHeader())]; refused != nil {
+		c.setState(connHeaderRefused)
+		return refused
+	}
+	c.beginPending()
+	return nil
 }
 
-// beforeRead records that the connection waits for its caller.
-func (c *callerConn) beforeRead() {
+// beforeRead records that the connection waits for its caller, and reports whether it may be read. After a refusal it may not:
+// bufio.Reader asks again after an error that came with the part of a line.
+func (c *callerConn) beforeRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == connHeaderRefused {
+		return false
+	}
 	if c.state == connNew && c.awaitedSince.IsZero() {
 		c.awaitedSince = c.clock.Now()
 	}
 	if c.isIdle() || c.state == connReadingHeader {
 		c.stopPending()
 	}
+	return true
 }
 
 // beginPending counts the connection as a pending request. The caller must hold c.mu.
@@ -199,6 +234,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopPending()
+	c.head.Release()
 	if !c.released {
 		c.released = true
 		c.intake.release()
@@ -228,26 +264,24 @@
 func (c *callerConn) awaitBody() (arrived func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.pending {
-		return func() {}
-	}
+	wasPending := c.pending
 	c.stopPending()
+	c.awaitsBody = true
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.beginPending()
+		c.awaitsBody = false
+		if wasPending {
+			c.beginPending()
+		}
 	}
 }
 
-// beginRequest records that a complete request header was read, and reports whether the request may be served.
-func (c *callerConn) beginRequest() bool {
+// beginRequest records that a complete request header was read.
+func (c *callerConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connTimedOut {
-		return false
-	}
 	c.setState(connActive)
-	return true
 }
 
 // becomeIdle records that a response is complete and the connection is idle. If last is set, the connection is ended.
@@ -256,6 +290,7 @@
 	defer c.mu.Unlock()
 	c.setState(connIdle)
 	c.stopPending()
+	c.head.Release()
 	if last {
 		c.endReads(endAlways)
 	}
@@ -285,24 +320,15 @@
 // expiredDeadline is a deadline that makes a read return immediately.
 var expiredDeadline = time.Unix(1, 0)
 
-// refuseSlowHeader sends a 408 and closes the connection if its header has been incomplete for at least limit.
-func (c *callerConn) refuseSlowHeader(now time.Time, limit time.Duration) {
+// endSlowHeader ends the connection with a 408 if its header has been incomplete for at least limit.
+func (c *callerConn) endSlowHeader(now time.Time, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != connReadingHeader || now.Sub(c.since) < limit {
-		return
+	if c.state == connReadingHeader && c.end == endNever && now.Sub(c.since) >= limit {
+		c.endReads(endIncomplete)
 	}
-	c.setState(connTimedOut)
-	// Errors are ignored: the connection is closed in any case.
-	response := http.Response{StatusCode: http.StatusRequestTimeout, ProtoMajor: 1, ProtoMinor: 1, Close: true}
-	_ = c.SetWriteDeadline(clock.SystemDeadline(refusalWriteTimeout))
-	_ = response.Write(c.TCPConn)
-	_ = c.TCPConn.Close()
 }
 
-// refusalWriteTimeout is the timeout for writing a 408 response.
-const refusalWriteTimeout = 50 * time.Millisecond
-
 // hasUnread reports whether the socket's receive buffer holds unread bytes. It returns false if the socket cannot
 // be queried, which means that it is closed.
 func hasUnread(conn syscall.Conn) bool {
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -119,11 +119,11 @@
 	return caller.awaitBody()
 }
 
-// beginRequest records that a complete request header was read on the connection in ctx, and reports whether the
-// request may be served.
-func (c *conns) beginRequest(ctx context.Context) bool {
-	caller, ok := callerOf(ctx)
-	return !ok || caller.beginRequest()
+// beginRequest records that a complete request header was read on the connection in ctx.
+func (c *conns) beginRequest(ctx context.Context) {
+	if caller, ok := callerOf(ctx); ok {
+		caller.beginRequest()
+	}
 }
 
 // sweep ends the connections that exceed the idle timeout or the header timeout.
@@ -131,7 +131,7 @@
 	idle, header := c.limits()
 	for _, caller := range c.list() {
 		if header > 0 {
-			caller.refuseSlowHeader(now, header)
+			caller.endSlowHeader(now, header)
 		}
 		if idle > 0 {
 			caller.endIdle(now, idle, idle)
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"rockcleat/clock/clocktest"
+	"rockcleat/intake"
 	"rockcleat/internal/config"
 	"rockcleat/internal/wire"
 	"rockcleat/overload"
@@ -101,7 +104,7 @@
 			follow: func(t *testing.T, c *conns, s *callerConn, client net.Conn) {
 				send(t, s, client, half)
 				receive(t, s, half)
-				assert.Assert(t, c.beginRequest(withConn(context.Background(), s)))
+				c.beginRequest(withConn(context.Background(), s))
 			}, after: time.Hour, open: true,
 		},
 	}
@@ -139,8 +142,54 @@
 	server, client := newConnPair(t, c)
 	send(t, server, client, "GET")
 	receive(t, server, "GET")
-	server.refuseSlowHeader(time.Now().Add(time.Minute), time.Second)
-	assert.Assert(t, !c.beginRequest(withConn(context.Background(), server)))
+	server.endSlowHeader(time.Now().Add(time.Minute), time.Second)
+	send(t, server, client, " / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, err := server.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "http.Server must not get the rest")
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+}
+
+// TestHeadersOverTheLimit checks what a caller gets whose header holds more than it may, and that no more of it reaches
+// http.Server.
+func TestHeadersOverTheLimit(t *testing.T) {
+	const limit = 8 << 10
+	tests := map[string]struct {
+		memory int64
+		header string
+		status int
+	}{
+		"within the limit":     {memory: 1 << 20, header: strings.Repeat("x", limit)},
+		"too long":             {memory: 1 << 20, header: strings.Repeat("x", 2*limit), status: http.StatusRequestHeaderFieldsTooLarge},
+		"too many short lines": {memory: 100_000, header: strings.Repeat("a:\r\n", 1000), status: http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := newTestIntake()
+			i.heads, i.headerLimit = intake.NewHeadMemory(test.memory), func() int { return limit }
+			server, client := newConnPair(t, newConns(clocktest.Real{}, nil, i))
+			_, err := io.WriteString(client, test.header)
+			assert.NilError(t, err)
+			assert.NilError(t, client.(*net.TCPConn).CloseWrite())
+			read, err := io.Copy(io.Discard, struct{ io.Reader }{server})
+			if test.status == 0 {
+				assert.NilError(t, err)
+				assert.Equal(t, read, int64(len(test.header)))
+				return
+			}
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			_, err = server.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "a second read must not get more")
+			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, test.status)
+			assert.Assert(t, resp.Close)
+			assert.Equal(t, resp.Header.Get("Retry-After") != "", test.status == http.StatusServiceUnavailable)
+			server.release()
+			assert.Equal(t, i.heads.Used(), int64(0))
+		})
+	}
 }
 
 // TestDrain checks that draining ends only idle connections, not those on which bytes of a request have arrived, nor
@@ -231,7 +280,7 @@
 	assert.Equal(t, pending(), 0, "waits for the rest of the header")
 	send(t, server, client, "\r\n")
 	receive(t, server, "\r\n")
-	assert.Assert(t, server.beginRequest())
+	server.beginRequest()
 	assert.Equal(t, pending(), 1, "the header is complete")
 	arrived := server.awaitBody()
 	assert.Equal(t, pending(), 0, "waits for the body")
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -31,6 +31,12 @@
 // minLoggedPeak is the number of pending requests from which a second is logged.
 const minLoggedPeak = 8
 
+// defaultMaxHeader is the largest permitted header of a request, in bytes, if the configuration does not say.
+const defaultMaxHeader = 128 << 10
+
+// headShare is the part of the VM's memory that the headers of requests may hold, beside what each connection holds anyway.
+const headShare = 0.1
+
 const (
 	// reservedFiles is the number of file descriptors that are not for callers and their requests.
 	reservedFiles = 200
@@ -49,6 +55,10 @@
 	maxOpen int
 	// cores is the processor that the VM has, in cores; 0 if it is not known.
 	cores float64
+	// heads bounds what the headers of all requests hold. headerLimit returns the limit on each header, in bytes; 0 if there is
+	// none or it is not known.
+	heads       *intake.HeadMemory
+	headerLimit func() int
 	// open is the number of open connections.
 	open atomic.Int64
 	// taken, refused and closed count the connections by what became of them since the last call of observe.
@@ -65,6 +75,7 @@
 	return &connIntake{
 		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
 		maxOpen: maxOpenConns(), observedAt: c.Now(), processorTime: processorTime(),
+		heads: intake.NewHeadMemory(int64(headShare * s.MemoryMB * 1e6)), headerLimit: func() int { return 0 },
 	}
 }
 
@@ -124,6 +135,14 @@
 // release records that a connection which was not closed at once is closed.
 func (i *connIntake) release() { i.open.Add(-1) }
 
+// maxHeader returns the largest permitted header of a request, in bytes.
+func (i *connIntake) maxHeader() int {
+	if limit := i.headerLimit(); limit > 0 {
+		return limit
+	}
+	return defaultMaxHeader
+}
+
 // observe updates the metrics, and logs the time since the last call if many requests were pending or connections were
 // turned away. It is called every sweepInterval.
 func (i *connIntake) observe(now time.Time) {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -21,8 +21,9 @@
 const (
 	// headerTimeout is the timeout for reading a header.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes is the maximum size of a header, in bytes. The limit in the configuration is checked afterwards.
-	maxHeaderBytes = 128 << 10
+	// maxHeaderBytes is the size of a header, in bytes, at which http.Server gives up. A callerConn refuses a header over the
+	// limit in the configuration long before.
+	maxHeaderBytes = 1 << 20
 )
 
 type listenerOptions struct {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -79,6 +79,7 @@
 	p.fleet = &fleetLoad{gateways: p.gateways.count}
 	monitor := overload.New(s.Processor.MaxDelay.Std())
 	p.intake = newConnIntake(s, p.fleet, monitor, o.Clock, p.requestLog)
+	p.intake.headerLimit = p.config.headerLimit
 	p.conns = newConns(o.Clock, p.config.connLimits, p.intake)
 	p.budgets = newRetryBudgets(s.Retry, s.FirstStart, o.Clock, p.gateways)
 	p.peers = newPeerClient(p.gateways, o.Peers)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -43,10 +43,7 @@
 // ServeHTTP implements http.Handler.
 func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer p.lifecycle.begin()()
-	if !p.conns.beginRequest(r.Context()) {
-		// The caller has already received a 408.
-		panic(http.ErrAbortHandler)
-	}
+	p.conns.beginRequest(r.Context())
 	setWriteTimeout(w, defaultTimeout)
 	if p.refuseForProcessor(w, r) {
 		return
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -63,9 +63,11 @@
 	processorRefusals metric.Int64Counter
 	// connections counts callers' new connections by what became of them. pending is the highest number of pending
 	// requests in the last second, processorTime the processor time that the process has used.
-	connections   metric.Int64Counter
-	pending       metric.Int64Gauge
-	processorTime metric.Float64Counter
+	connections metric.Int64Counter
+	// headersRefused counts requests that were refused before their header was complete, by reason.
+	headersRefused metric.Int64Counter
+	pending        metric.Int64Gauge
+	processorTime  metric.Float64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
 	// of those within it, and refunded the cost that was returned, by outcome of the request.
 	charges  metric.Int64Counter
@@ -114,6 +116,7 @@
 	m.permits = b.counter("rockcleat.gateway.permits", "Permits asked for sends to backend servers that named limits, by result.")
 	m.processorRefusals = b.counter("rockcleat.gateway.processor_refusals", "Requests refused while the gateway was short of processor time.")
 	m.connections = b.counter("rockcleat.gateway.connections", "New connections of callers, by what became of them.")
+	m.headersRefused = b.counter("rockcleat.gateway.headers.refused", "Requests refused before their header was complete, by reason.")
 	m.charges = b.counter("rockcleat.gateway.limits", "Requests of organisations with a limit, by what it said.")
 	m.spent = b.sum("rockcleat.gateway.spent", "What requests inside limits have cost, in the limit's unit.")
 	m.refunded = b.sum("rockcleat.gateway.refunded", "What requests inside limits have cost that was returned because they had not run, in the limit's unit, by outcome of the request.")
@@ -238,6 +241,11 @@
 	m.connections.Add(context.Background(), n, m.attributeSet("result", result, "", ""))
 }
 
+// HeaderRefused counts a request that was refused before its header was complete, by reason.
+func (m *GatewayMetrics) HeaderRefused(reason string) {
+	m.headersRefused.Add(context.Background(), 1, m.attributeSet("reason", reason, "", ""))
+}
+
 // IntakeObserved records the highest number of pending requests in the last second and the processor time that the
 // process used in it, in seconds.
 func (m *GatewayMetrics) IntakeObserved(pending int, processorSeconds float64) {
