gateway: a refusal does not wait for a body that does not come

What callers saw: clients that announce a body for a path without a route, or without a request id, and do not send it, got no response; each kept its connection and a descriptor for as long as it stayed. 146 of them kept a gateway with 200 connections from answering ordinary requests for the 10 s that the test waits.

Cause: before a response on a connection that stays open, and after one on a connection that is closed, net/http reads the rest of the request's body. Requests refused by their header had no deadline for that; only refusals for want of processor time did.

Fix: every refusal bounds it by half a second (discardTimeout), in proxy.write, and a request refused before its body was read closes the connection unless the body is short (refusal.leaveBody, as refusals for want of processor time did already). proxy.read is split: admit decides by the header alone.

--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -52,15 +52,34 @@
 
 // read reads and validates a request. It refuses requests that cannot be served. The body is charged to buffers.
 func (p *proxy) read(w http.ResponseWriter, r *http.Request, buffers *bufferReservation) (*inbound, *refusal) {
-	now := p.clock.Now()
 	// The age is computed before the configuration is loaded: a configuration that arrives in between is newer.
-	configAge := p.authenticator.configAge(now)
+	configAge := p.authenticator.configAge(p.clock.Now())
 	routing := p.config.routing()
+	in, refused := p.admit(r, routing, configAge)
+	if refused != nil {
+		return nil, refused.leaveBody(r)
+	}
+	body, refused := p.readBody(w, r, bodyLimits{bytes: routing.Limits().BodyBytes, buffers: buffers})
+	if refused != nil {
+		return nil, refused
+	}
+	in.body, in.content = body, contentOf(r, body)
+	if refused := p.resolveStream(r.Context(), in); refused != nil {
+		return nil, refused
+	}
+	if refused := p.resolve(in, routing); refused != nil {
+		return nil, refused
+	}
+	return in, nil
+}
+
+// admit checks the header of a request by a configuration of the given age, which is nil if there is none yet.
+func (p *proxy) admit(r *http.Request, routing *table.Routing, configAge time.Duration) (*inbound, *refusal) {
+	now := p.clock.Now()
 	if routing == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryAfterUnready}
 	}
-	limits := routing.Limits()
-	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+	if limit := routing.Limits().HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large", closeConn: true}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -79,21 +98,10 @@
 	if organisation.Priority != nil {
 		route.Priority = *organisation.Priority
 	}
-	body, refused := p.readBody(w, r, bodyLimits{bytes: limits.BodyBytes, buffers: buffers})
-	if refused != nil {
-		return nil, refused
-	}
-	in := &inbound{
-		Request: r, id: ids[0], content: contentOf(r, body), route: route, configVersion: routing.Version(), body: body, arrived: now,
+	return &inbound{
+		Request: r, id: ids[0], route: route, configVersion: routing.Version(), arrived: now,
 		organisation: organisation, dropsKey: routing.RequiresKeys(),
-	}
-	if refused := p.resolveStream(r.Context(), in); refused != nil {
-		return nil, refused
-	}
-	if refused := p.resolve(in, routing); refused != nil {
-		return nil, refused
-	}
-	return in, nil
+	}, nil
 }
 
 // contentOf returns the content of a request with the given body as a trait. The caller is identified by its credentials
--- a/internal/gateway/processor.go
+++ b/internal/gateway/processor.go
@@ -102,12 +102,7 @@
 	if p.lifecycle.isStopping() || p.namesStream(r) || !p.isForRefusal(admission) {
 		return false
 	}
-	refused := notRun("the gateway is short of processor time", retryAfterLoad())
-	// net/http discards an unread body before it sends the response, unless the connection is closed. For a short body,
-	// which mostly comes with the header, that costs less than another connection.
-	refused.closeConn = r.ContentLength < 0 || r.ContentLength > maxPreallocated
-	// Setting the deadline fails only on a closed connection, which the write reports.
-	_ = http.NewResponseController(w).SetReadDeadline(clock.SystemDeadline(p.bodyTimeout))
+	refused := notRun("the gateway is short of processor time", retryAfterLoad()).leaveBody(r)
 	p.write(w, refused)
 	p.requestLog.processorRefused(r, refused)
 	return true
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -86,9 +86,12 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(clock.SystemDeadline(d))
 }
 
-// write sends a refusal. While the gateway is stopping, it also closes the connection.
+// write sends a refusal of a request whose body may not have been read. While the gateway is stopping, it also closes the
+// connection.
 func (p *proxy) write(w http.ResponseWriter, r *refusal) {
 	r.closeConn = r.closeConn || p.lifecycle.isStopping()
+	// Setting the deadline fails only on a closed connection, which the write reports.
+	_ = http.NewResponseController(w).SetReadDeadline(clock.SystemDeadline(discardTimeout))
 	r.write(w)
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -43,6 +43,18 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// leaveBody prepares the refusal of a request whose body has not been read, and returns it. On a connection that stays open,
+// net/http reads the rest of a body before it sends the response. For a short body, which mostly comes with the header, that
+// costs less than another connection.
+func (r *refusal) leaveBody(request *http.Request) *refusal {
+	r.closeConn = r.closeConn || request.ContentLength < 0 || request.ContentLength > maxPreallocated
+	return r
+}
+
+// discardTimeout bounds how long net/http reads the rest of a refused request's body, before the response on a connection that
+// stays open and after it on one that is closed.
+const discardTimeout = 500 * time.Millisecond
+
 // Values of Retry-After. Under load they are short: capacity becomes free with each finished request, and a request
 // that is sent again waits in the gateway for a server.
 const (
