gateway: what connections have received and the process has not read is bounded

What callers saw: a machine's memory also holds what has arrived for a process that does not read it, and the machine kills the process beyond its limit. 160 clients that send bodies without end, in chunks, left 102 to 104 MB unread in the sockets of a gateway on a machine of 64 MB, which itself held 22 to 32 MB.

Cause: the process stops reading when it refuses a request, and closes the connection up to half a second later; the kernel lets a receive buffer grow to 6 MB meanwhile. The number of connections had a bound by descriptors only.

Fix: all sockets on which a gateway listens have receive buffers of 32 KB (server.LimitReceiveBuffer), which their connections inherit. The number of callers' connections has a bound by memory too: connections may hold 0.45 of memory_mb at 64 KB each (maxOpenConns).

--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -13,6 +13,7 @@
 	"rockcleat/clock"
 	"rockcleat/intake"
 	"rockcleat/internal/config"
+	"rockcleat/internal/server"
 	"rockcleat/overload"
 )
 
@@ -74,7 +75,7 @@
 func newConnIntake(s config.Gateway, fleet *fleetLoad, m *overload.Monitor, c clock.Service, log *requestLog) *connIntake {
 	return &connIntake{
 		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
-		maxOpen: maxOpenConns(), observedAt: c.Now(), processorTime: processorTime(),
+		maxOpen: maxOpenConns(s.MemoryMB), observedAt: c.Now(), processorTime: processorTime(),
 		heads: intake.NewHeadMemory(int64(headShare * s.MemoryMB * 1e6)), headerLimit: func() int { return 0 },
 	}
 }
@@ -175,15 +176,33 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// maxOpenConns returns the highest number of callers' connections for which there are file descriptors; 0 if that is not
-// known.
-func maxOpenConns() int {
+const (
+	// connMemory is what a connection may hold in bytes: buffers and stacks of goroutines, a header that is not counted
+	// (intake.HeadMemory), and data that was received and not read.
+	connMemory = 32<<10 + server.ReceiveBuffer
+	// connShare is the part of the VM's memory that connections may hold.
+	connShare = 0.45
+	// minOpenConns is the number of connections that a VM of any size takes.
+	minOpenConns = 128
+)
+
+// maxOpenConns returns the highest number of callers' connections for which there are file descriptors and, on a VM with the
+// given memory in MB, memory; 0 if neither is known.
+func maxOpenConns(vmMB float64) int {
+	most := 0
+	if vmMB > 0 {
+		most = max(int(connShare*vmMB*1e6/connMemory), minOpenConns)
+	}
 	var limit unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur <= reservedFiles {
-		return 0
+		return most
+	}
+	const mostFiles = 1 << 20
+	byFiles := int(min(limit.Cur-reservedFiles, mostFiles)) / filesPerConn
+	if most == 0 {
+		return byFiles
 	}
-	const most = 1 << 20
-	return int(min(limit.Cur-reservedFiles, most)) / filesPerConn
+	return min(byFiles, most)
 }
 
 const (
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -70,7 +70,7 @@
 // start binds all addresses and serves them in the background.
 func (l *listeners) start() error {
 	for _, s := range l.servers {
-		var config net.ListenConfig
+		config := net.ListenConfig{Control: server.LimitReceiveBuffer}
 		if s.wrap != nil {
 			// Keep-alive probes are set for the connections that are taken, since that takes system calls.
 			config.KeepAlive = -1
--- /dev/null
+++ b/internal/server/buffer.go
@@ -0,0 +1,24 @@
+package server
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// ReceiveBuffer is the size, in bytes, of the kernel's buffer for what a connection has received and the process has not read.
+// The kernel lets it grow to megabytes by default, and a machine's memory holds those of all connections.
+const ReceiveBuffer = 32 << 10
+
+// LimitReceiveBuffer limits the receive buffers of the connections that a listening socket accepts. It is a Control function
+// of net.ListenConfig.
+func LimitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBuffer)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
