gateway: bodies are charged what they hold, and the heap knows the machine's memory

What callers saw: 160 clients that send nearly all of a permitted body and never finish made a gateway use 64 MB of a machine of 64 MB, and 70 MB beside other load, although bodies may hold a quarter of that.

Cause: the buffer of a body was charged by its content. Its capacity is up to a quarter more, and while it grows the old buffer and the new one exist together. Beyond that the garbage collector lets the heap grow to twice what is reachable, whatever the machine has.

Fix: readAll charges each buffer before it is allocated, and allocates the whole announced length once an eighth of it has arrived, so that a body is copied a few times only. A caller who announces much and sends little holds little as before. The daemon tells the runtime three quarters of memory_mb (debug.SetMemoryLimit); nothing changes below that.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -45,6 +45,7 @@
 	}
 	// Lines that the standard library logs, such as net/http about unsolicited responses.
 	defer telemetry.RedirectStdLog(log)()
+	limitHeap(s.MemoryMB)
 	g, err := build(s, log)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -61,31 +61,56 @@
 // Longer bodies are charged as they arrive, so that a caller who announces much and sends little holds little.
 const maxPreallocated = 16 << 10
 
-// readAll reads until EOF and charges the length to buffers. If size is positive and at most maxPreallocated, it reads
+// readAll reads until EOF and charges what it allocates to buffers. If size is positive and at most maxPreallocated, it reads
 // exactly size bytes into one buffer.
 func readAll(r io.Reader, size int64, buffers *bufferReservation) ([]byte, error) {
-	if size <= 0 || size > maxPreallocated {
-		return io.ReadAll(&chargingReader{Reader: r, buffers: buffers})
+	if size > 0 && size <= maxPreallocated {
+		if !buffers.grow(size) {
+			return nil, errNoBuffers
+		}
+		buf := make([]byte, size)
+		n, err := io.ReadFull(r, buf)
+		return buf[:n], err
 	}
-	if !buffers.grow(size) {
-		return nil, errNoBuffers
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			var ok bool
+			if body, ok = growBody(body, size, buffers); !ok {
+				return body, errNoBuffers
+			}
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
 	}
-	buf := make([]byte, size)
-	n, err := io.ReadFull(r, buf)
-	return buf[:n], err
 }
 
-// A chargingReader charges what is read to a reservation.
-type chargingReader struct {
-	io.Reader
-	buffers *bufferReservation
-}
+const (
+	// minBodyBuffer is the size of the first buffer of a longer body, in bytes.
+	minBodyBuffer = 4 << 10
+	// arrivedFraction is the part of an announced body that must have arrived before a buffer for all of it is allocated.
+	arrivedFraction = 1. / 8
+)
 
-// Read implements io.Reader.
-func (r *chargingReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if !r.buffers.grow(int64(n)) {
-		return n, errNoBuffers
+// growBody returns the body in a larger buffer. If size, the announced length, is positive and enough of it has arrived, the buffer
+// holds all of it and a byte in which its end is seen. The old buffer and the new one exist together for a moment, and are
+// charged both until then.
+func growBody(body []byte, size int64, buffers *bufferReservation) ([]byte, bool) {
+	want := max(2*int64(cap(body)), minBodyBuffer)
+	if arrived := int64(len(body)); arrived <= size && float64(arrived) >= arrivedFraction*float64(size) {
+		want = size + 1
+	}
+	if !buffers.grow(want) {
+		return body, false
 	}
-	return n, err
+	larger := make([]byte, len(body), want)
+	copy(larger, body)
+	buffers.shrink(int64(cap(body)))
+	return larger, true
 }
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -38,6 +38,12 @@
 	return true
 }
 
+// shrink takes n bytes off the reservation.
+func (r *bufferReservation) shrink(n int64) {
+	r.memory.used.Add(-n)
+	r.held -= n
+}
+
 // release returns the reservation to the memory.
 func (r *bufferReservation) release() {
 	r.memory.used.Add(-r.held)
