--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -56,7 +56,7 @@
 	if resp.ContentLength >= 0 {
 		size = min(size, resp.ContentLength)
 	}
-	if !f.buffers.grow(size) {
+	if !f.buffers.Grow(size) {
 		return 0
 	}
 	return maxBufferedResponse
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/dispatch"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/internal/serverconn"
 	"rockcleat/quarantine"
 )
@@ -34,7 +35,7 @@
 	// history remembers the connections that have carried the request.
 	history serverconn.History
 	// buffers holds the memory for the request's body and for the buffered part of its response.
-	buffers *bufferReservation
+	buffers *bodybuffer.Reservation
 	// headerSent reports whether the header of a response has been sent to the caller.
 	headerSent atomic.Bool
 	// retryCharged reports whether the retry after the current send is already charged to the retry budget.
--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -10,6 +10,7 @@
 
 	"rockcleat/backend"
 	"rockcleat/dispatch"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/quarantine"
 	"rockcleat/quota"
 	"rockcleat/resumption"
@@ -51,7 +52,7 @@
 }
 
 // read reads and validates a request. It refuses requests that cannot be served. The body is charged to buffers.
-func (p *proxy) read(w http.ResponseWriter, r *http.Request, buffers *bufferReservation) (*inbound, *refusal) {
+func (p *proxy) read(w http.ResponseWriter, r *http.Request, buffers *bodybuffer.Reservation) (*inbound, *refusal) {
 	// The age is computed before the configuration is loaded: a configuration that arrives in between is newer.
 	configAge := p.authenticator.configAge(p.clock.Now())
 	routing := p.config.routing()
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -10,6 +10,7 @@
 	"rockcleat/clock"
 	"rockcleat/departure"
 	"rockcleat/dispatch"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/internal/config"
 	"rockcleat/internal/configsync"
 	"rockcleat/internal/placer"
@@ -337,7 +338,7 @@
 		}),
 		bodyTimeout: o.Settings.BodyTimeout.Std(),
 		regions:     o.Settings.Regions,
-		buffers:     newBufferMemory(o.Settings.MemoryMB),
+		buffers:     bodybuffer.NewMemory(o.Settings.MemoryMB),
 	}
 }
 
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -7,6 +7,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/dispatch"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/internal/serverconn"
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
@@ -35,7 +36,7 @@
 	clock     clock.Service
 	transport *serverconn.Transport
 	regions   regionMap
-	buffers   *bufferMemory
+	buffers   *bodybuffer.Memory
 	// bodyTimeout is the timeout for reading a request body.
 	bodyTimeout time.Duration
 }
@@ -48,8 +49,8 @@
 	if p.refuseForProcessor(w, r) {
 		return
 	}
-	buffers := p.buffers.reserve()
-	defer buffers.release()
+	buffers := p.buffers.Reserve()
+	defer buffers.Release()
 	in, refused := p.read(w, r, buffers)
 	if refused == nil {
 		refused = p.charge(r.Context(), in)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rockcleat/apikey"
+	"rockcleat/internal/bodybuffer"
 )
 
 // A refusal is a response that the gateway makes itself, without a server.
@@ -47,7 +48,7 @@
 // net/http reads the rest of a body before it sends the response. For a short body, which mostly comes with the header, that
 // costs less than another connection.
 func (r *refusal) leaveBody(request *http.Request) *refusal {
-	r.closeConn = r.closeConn || request.ContentLength < 0 || request.ContentLength > maxPreallocated
+	r.closeConn = r.closeConn || request.ContentLength < 0 || request.ContentLength > bodybuffer.MaxPreallocated
 	return r
 }
 
