gateway: connections that wait for their callers make room for others

What callers saw: 400 clients that send a request and keep their connections took all 200 connections of a gateway; it closed those of ordinary callers unread until the idle timeout, 60 s in the test, 15 s on today's sites. With connections that send nothing it took 10 s.

Cause: a gateway with as many connections as it may have closed each new one, whatever the others were doing.

Fix: with less than a sixteenth of the permitted connections free, the gateway ends as many of those that wait for their callers (intake.Evict): first those that owe the first byte or the rest of a request for a second, the longest first, with a 408 if they have begun one; then those that are kept for another request. Requests in progress stay.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -77,6 +77,8 @@
 	head intake.Head
 	// awaitsBody is set while the body of the current request is read.
 	awaitsBody bool
+	// evicted is set while the connection is being ended to make room for others.
+	evicted bool
 }
 
 // admissionTTL is how long the decision about a connection applies while its caller sends nothing: a round trip and a
@@ -161,6 +163,7 @@
 		return readTimedOut
 	}
 	c.end = endNever
+	c.setEvicted(false)
 	if c.TCPConn.SetReadDeadline(c.deadline) != nil {
 		return readEnded
 	}
@@ -235,6 +238,7 @@
 	defer c.mu.Unlock()
 	c.stopPending()
 	c.head.Release()
+	c.setEvicted(false)
 	if !c.released {
 		c.released = true
 		c.intake.release()
@@ -320,6 +324,47 @@
 // expiredDeadline is a deadline that makes a read return immediately.
 var expiredDeadline = time.Unix(1, 0)
 
+// wait returns what the connection waits for its caller to send; nothing if it is being ended.
+func (c *callerConn) wait() intake.OpenConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := intake.OpenConn{Since: c.since}
+	switch {
+	case c.end != endNever:
+	case c.state == connNew, c.state == connReadingHeader, c.awaitsBody:
+		w.Wait = intake.WaitRequest
+	case c.state == connIdle:
+		w.Wait = intake.WaitNext
+	}
+	return w
+}
+
+// evict ends the connection, if it still waits for its caller, to make room for others.
+func (c *callerConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.end != endNever:
+		return
+	case c.isIdle():
+		c.endReads(endIfIdle)
+	case c.state == connReadingHeader, c.awaitsBody:
+		c.endReads(endIncomplete)
+	default:
+		return
+	}
+	c.setEvicted(true)
+}
+
+// setEvicted records whether the connection is being ended to make room for others. The caller must hold c.mu.
+func (c *callerConn) setEvicted(evicted bool) {
+	if evicted == c.evicted {
+		return
+	}
+	c.evicted = evicted
+	c.intake.countEvicted(evicted)
+}
+
 // endSlowHeader ends the connection with a 408 if its header has been incomplete for at least limit.
 func (c *callerConn) endSlowHeader(now time.Time, limit time.Duration) {
 	c.mu.Lock()
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockcleat/clock"
+	"rockcleat/intake"
 )
 
 // connKey is the context key of a request's connection.
@@ -40,7 +41,9 @@
 }
 
 func newConns(c clock.Service, limits func() (idle, header time.Duration), i *connIntake) *conns {
-	return &conns{clock: c, limits: limits, intake: i, open: make(map[*callerConn]struct{})}
+	list := &conns{clock: c, limits: limits, intake: i, open: make(map[*callerConn]struct{})}
+	i.makeRoom = list.makeRoom
+	return list
 }
 
 // callerListener accepts connections and wraps each in a callerConn.
@@ -139,6 +142,18 @@
 	}
 }
 
+// makeRoom ends n connections that wait for their callers.
+func (c *conns) makeRoom(n int) {
+	list := c.list()
+	waits := make([]intake.OpenConn, len(list))
+	for i, caller := range list {
+		waits[i] = caller.wait()
+	}
+	for _, i := range intake.Evict(waits, c.clock.Now(), n) {
+		list[i].evict()
+	}
+}
+
 // unusedConnTimeout is how long, during a stop, a connection on which nothing was received stays open. The sum of
 // noticeTime and unusedConnTimeout is less than the 3 s during which a stopping gateway still accepts requests.
 const unusedConnTimeout = 400 * time.Millisecond
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -27,6 +27,8 @@
 	connRefused connResult = "refused"
 	// connClosed: it is closed with nothing read.
 	connClosed connResult = "closed"
+	// connEvicted: it was taken, and ended later while it waited for its caller, to make room for others.
+	connEvicted connResult = "evicted"
 )
 
 // minLoggedPeak is the number of pending requests from which a second is logged.
@@ -62,8 +64,11 @@
 	headerLimit func() int
 	// open is the number of open connections.
 	open atomic.Int64
-	// taken, refused and closed count the connections by what became of them since the last call of observe.
-	taken, refused, closed atomic.Int64
+	// makeRoom ends a number of connections that wait for their callers; ending is the number of those not closed yet.
+	makeRoom func(n int)
+	ending   atomic.Int64
+	// taken, refused, closed and evicted count the connections by what became of them since the last call of observe.
+	taken, refused, closed, evicted atomic.Int64
 
 	// The following fields are used by observe only.
 
@@ -76,12 +81,15 @@
 	return &connIntake{
 		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
 		maxOpen: maxOpenConns(s.MemoryMB), observedAt: c.Now(), processorTime: processorTime(),
-		heads: intake.NewHeadMemory(int64(headShare * s.MemoryMB * 1e6)), headerLimit: func() int { return 0 },
+		heads: intake.NewHeadMemory(int64(headShare * s.MemoryMB * 1e6)), headerLimit: func() int { return 0 }, makeRoom: func(int) {},
 	}
 }
 
 // accept decides about a new connection. The caller must call release for one that is not closed.
 func (i *connIntake) accept() connResult {
+	if n := intake.Excess(int(i.open.Load()-i.ending.Load()), i.maxOpen); n > 0 {
+		i.makeRoom(n)
+	}
 	result, count := connTaken, &i.taken
 	switch i.limiter.Decide(i.conditions()) {
 	case intake.Refuse:
@@ -136,6 +144,16 @@
 // release records that a connection which was not closed at once is closed.
 func (i *connIntake) release() { i.open.Add(-1) }
 
+// countEvicted records that a connection is being ended to make room for others, or that it is closed or stays after all.
+func (i *connIntake) countEvicted(ending bool) {
+	if !ending {
+		i.ending.Add(-1)
+		return
+	}
+	i.ending.Add(1)
+	i.evicted.Add(1)
+}
+
 // maxHeader returns the largest permitted header of a request, in bytes.
 func (i *connIntake) maxHeader() int {
 	if limit := i.headerLimit(); limit > 0 {
@@ -151,15 +169,15 @@
 	elapsed, last := now.Sub(i.observedAt), i.processorTime
 	i.observedAt, i.processorTime = now, used
 	i.limiter.RecordUse(intake.Use{Processor: used - last, Elapsed: elapsed, Cores: i.cores})
-	peak, taken, refused, closed := i.limiter.TakePeak(), i.taken.Swap(0), i.refused.Swap(0), i.closed.Swap(0)
+	peak, taken, refused, closed, evicted := i.limiter.TakePeak(), i.taken.Swap(0), i.refused.Swap(0), i.closed.Swap(0), i.evicted.Swap(0)
 	i.log.metrics.IntakeObserved(peak, (used - last).Seconds())
-	for result, n := range map[connResult]int64{connTaken: taken, connRefused: refused, connClosed: closed} {
+	for result, n := range map[connResult]int64{connTaken: taken, connRefused: refused, connClosed: closed, connEvicted: evicted} {
 		i.log.metrics.ConnectionsAccepted(string(result), n)
 	}
-	if elapsed <= 0 || peak < minLoggedPeak && refused+closed == 0 {
+	if elapsed <= 0 || peak < minLoggedPeak && refused+closed+evicted == 0 {
 		return
 	}
-	i.log.log.Info(msgConnections, zap.Int64(fieldCount, taken), zap.Int64(fieldRefused, refused), zap.Int64(fieldClosed, closed),
+	i.log.log.Info(msgConnections, zap.Int64(fieldCount, taken), zap.Int64(fieldRefused, refused), zap.Int64(fieldClosed, closed), zap.Int64(fieldEvicted, evicted),
 		zap.Int64(fieldOpen, i.open.Load()), zap.Int(fieldPending, peak),
 		zap.Float64(fieldPerSecond, i.limiter.HandedOnRate(now)), zap.Float64(fieldBearable, i.limiter.BearableRate(now)),
 		zap.Float64(fieldTotal, elapsed.Seconds()),
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -96,6 +96,7 @@
 	fieldCores               = "cores"
 	fieldRefused             = "refused"
 	fieldClosed              = "closed"
+	fieldEvicted             = "evicted"
 	fieldOpen                = "open"
 	fieldBearable            = "bears_per_second"
 	fieldOthersExcess        = "others_turned_away"
--- a/internal/lab/crowd/behaviour.go
+++ b/internal/lab/crowd/behaviour.go
@@ -101,6 +101,7 @@
 func (t Target) Connections() map[string]Behaviour {
 	all := map[string]Behaviour{
 		"connections that send nothing":            {holds: true, most: 1},
+		"connections kept after a request":         {begin: t.headBegin("GET", t.Missing) + "\r\n", holds: true, most: 1},
 		"connections that send one byte":           {begin: "G", holds: true, most: 1},
 		"requests without end, responses not read": {piece: repeat(t.headBegin("GET", t.Missing) + "\r\n"), deaf: true},
 	}
