server: all other addresses of the daemons bound what connections hold

What callers saw: the same heads as at a gateway's address for callers end the other processes too: 160 clients made an entry use up to 754 MB (short lines, never finished) and 2.9 GB (without end), an agent 2.8 GB, a gateway's address for readiness checks 2.9 GB; 142 to 174 MB waited unread in the entry's sockets with bodies without end.

Cause: as for the gateway's callers, with net/http's default of 1 MB for a header, no bound on connections, and receive buffers that grow. A secret does not help: it is checked after the header has been read.

Fix: server.Guard bounds the headers (64 KB each, a tenth of the VM's memory for all), the number of connections (descriptors, 0.45 of the memory) with room made as at the gateway, and the time for a body that a handler does not read. server.Listen, which entry and agent use, and the gateway's listeners for readiness, peers and metrics have one.

Evidence: TestGuardedRequests and TestGuardedConnectionsMakeRoom. No message between the daemons has a header near 64 KB.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -151,10 +151,12 @@
 // Start binds the listeners and starts the background tasks.
 func (a *Agent) Start() error {
 	var err error
-	if a.requests, err = server.Listen(a.settings.Listen, a.requestRouter(), &a.proxied, a.log); err != nil {
+	limits := a.settings.Limits
+	guard := server.NewGuard(server.NewHeaderMemory(limits.MemoryMB), server.MaxConns(limits.MemoryMB))
+	if a.requests, err = server.Listen(a.settings.Listen, a.requestRouter(), guard, &a.proxied, a.log); err != nil {
 		return err
 	}
-	if a.control, err = server.Listen(a.settings.ControlListen, a.controlRouter(), a.traffic, a.log); err != nil {
+	if a.control, err = server.Listen(a.settings.ControlListen, a.controlRouter(), guard, a.traffic, a.log); err != nil {
 		return err
 	}
 	a.subscribe(queueInterval, a.stepQueue)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -76,6 +76,8 @@
 	InFlight int `yaml:"in_flight"`
 	// BodyTimeout bounds the reading of a request body.
 	BodyTimeout Duration `yaml:"body_time"`
+	// MemoryMB is the memory that the VM has for the process, in MB. Connections, headers and bodies take fixed shares of it.
+	MemoryMB float64 `yaml:"memory_mb"`
 	// HeartbeatTimeout is the time without a message after which an agent counts as lost. Agents send a
 	// heartbeat four times within it. It must be the same on all processes.
 	HeartbeatTimeout Duration `yaml:"silent_time"`
@@ -136,10 +138,14 @@
 	p.DrainTimeout = Duration(2 * time.Minute)
 }
 
+// defaultMemoryMB is the memory of the smallest VM that a daemon runs on, in MB.
+const defaultMemoryMB = 144
+
 func (l *Limits) setDefaults() {
 	l.BodyBytes = 8 << 20
 	l.InFlight = 4096
 	l.BodyTimeout = Duration(20 * time.Second)
+	l.MemoryMB = defaultMemoryMB
 	l.HeartbeatTimeout = Duration(10 * time.Second)
 }
 
@@ -188,9 +194,13 @@
 	c.require(d.Std() >= low && d.Std() <= high, key, "must be from "+low.String()+" to "+high.String())
 }
 
+// minMemoryMB is the least memory with which a daemon works, in MB.
+const minMemoryMB = 64
+
 func (l *Limits) check(c *checker) {
 	c.require(l.BodyBytes >= 1024 && l.BodyBytes <= 1<<30, "limits.body_bytes", "must be from 1024 to 1073741824")
 	c.require(l.InFlight >= 1 && l.InFlight <= 1000000, "limits.in_flight", "must be from 1 to 1000000")
+	c.require(l.MemoryMB >= minMemoryMB, "limits.memory_mb", "must be at least 64")
 	c.requireBetween(l.BodyTimeout, 100*time.Millisecond, 10*time.Minute, "limits.body_time")
 	c.requireBetween(l.HeartbeatTimeout, 100*time.Millisecond, 10*time.Minute, "limits.silent_time")
 }
--- a/internal/daemon/entry_agent.go
+++ b/internal/daemon/entry_agent.go
@@ -82,6 +82,7 @@
 	if err := config.Read(file, &s); err != nil {
 		return nil, s.Process, nil, err
 	}
+	limitHeap(s.Limits.MemoryMB)
 	log, metrics, err := newTelemetry(s.Process, "entry")
 	if err != nil {
 		return nil, s.Process, nil, err
@@ -105,6 +106,7 @@
 	if err := config.Read(file, &s); err != nil {
 		return nil, s.Process, nil, err
 	}
+	limitHeap(s.Limits.MemoryMB)
 	log, metrics, err := newTelemetry(s.Process, "agent")
 	if err != nil {
 		return nil, s.Process, nil, err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,10 +107,12 @@
 // Start binds the listeners and starts the background tasks.
 func (e *Entry) Start() error {
 	var err error
-	if e.requests, err = server.Listen(e.settings.Listen, e.proxy.router(), &e.proxied, e.log); err != nil {
+	limits := e.settings.Limits
+	guard := server.NewGuard(server.NewHeaderMemory(limits.MemoryMB), server.MaxConns(limits.MemoryMB))
+	if e.requests, err = server.Listen(e.settings.Listen, e.proxy.router(), guard, &e.proxied, e.log); err != nil {
 		return err
 	}
-	if e.control, err = server.Listen(e.settings.ControlListen, e.controlRouter(), e.traffic, e.log); err != nil {
+	if e.control, err = server.Listen(e.settings.ControlListen, e.controlRouter(), guard, e.traffic, e.log); err != nil {
 		return err
 	}
 	e.members.step(e.ctx)
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -37,16 +37,6 @@
 // defaultMaxHeader is the largest permitted header of a request, in bytes, if the configuration does not say.
 const defaultMaxHeader = 128 << 10
 
-// headShare is the part of the VM's memory that the headers of requests may hold, beside what each connection holds anyway.
-const headShare = 0.1
-
-const (
-	// reservedFiles is the number of file descriptors that are not for callers and their requests.
-	reservedFiles = 200
-	// filesPerConn is the number of file descriptors that a caller's connection may need: its own, and one to a server.
-	filesPerConn = 2
-)
-
 // A connIntake decides which new connections of callers are served, and counts them. It is safe for concurrent use.
 type connIntake struct {
 	limiter *intake.Limiter
@@ -80,8 +70,8 @@
 func newConnIntake(s config.Gateway, fleet *fleetLoad, m *overload.Monitor, c clock.Service, log *requestLog) *connIntake {
 	return &connIntake{
 		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
-		maxOpen: maxOpenConns(s.MemoryMB), observedAt: c.Now(), processorTime: processorTime(),
-		heads: intake.NewHeadMemory(int64(headShare * s.MemoryMB * 1e6)), headerLimit: func() int { return 0 }, makeRoom: func(int) {},
+		maxOpen: server.MaxConns(s.MemoryMB), observedAt: c.Now(), processorTime: processorTime(),
+		heads: server.NewHeaderMemory(s.MemoryMB), headerLimit: func() int { return 0 }, makeRoom: func(int) {},
 	}
 }
 
@@ -194,35 +184,6 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-const (
-	// connMemory is what a connection may hold in bytes: buffers and stacks of goroutines, a header that is not counted
-	// (intake.HeadMemory), and data that was received and not read.
-	connMemory = 32<<10 + server.ReceiveBuffer
-	// connShare is the part of the VM's memory that connections may hold.
-	connShare = 0.45
-	// minOpenConns is the number of connections that a VM of any size takes.
-	minOpenConns = 128
-)
-
-// maxOpenConns returns the highest number of callers' connections for which there are file descriptors and, on a VM with the
-// given memory in MB, memory; 0 if neither is known.
-func maxOpenConns(vmMB float64) int {
-	most := 0
-	if vmMB > 0 {
-		most = max(int(connShare*vmMB*1e6/connMemory), minOpenConns)
-	}
-	var limit unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur <= reservedFiles {
-		return most
-	}
-	const mostFiles = 1 << 20
-	byFiles := int(min(limit.Cur-reservedFiles, mostFiles)) / filesPerConn
-	if most == 0 {
-		return byFiles
-	}
-	return min(byFiles, most)
-}
-
 const (
 	// excessTTL is how long the share of connections that other gateways turn away stays valid after the leader's reply.
 	excessTTL = 3 * time.Second
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -45,8 +45,10 @@
 type boundServer struct {
 	addr   string
 	server *http.Server
-	// wrap, if not nil, wraps the listener; it is set for callers' connections.
-	wrap func(*net.TCPListener) net.Listener
+	// wrap wraps the listener.
+	wrap func(net.Listener) net.Listener
+	// callers reports whether the connections are those of callers.
+	callers bool
 }
 
 func newListeners(o listenerOptions) *listeners {
@@ -54,15 +56,23 @@
 	newServer := func(addr string, h http.Handler) boundServer {
 		return boundServer{addr: addr, server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: discard}}
 	}
+	guard := server.NewGuard(o.conns.intake.heads, server.MaxConns(o.settings.MemoryMB))
+	newGuarded := func(addr string, h http.Handler) boundServer {
+		s := newServer(addr, h)
+		guard.Protect(s.server)
+		s.wrap = func(l net.Listener) net.Listener { return guard.Wrap(l) }
+		return s
+	}
 	front := newServer(o.settings.Listen, o.proxy)
 	front.server.MaxHeaderBytes = maxHeaderBytes
 	front.server.ConnState, front.server.ConnContext = o.conns.stateChanged, withConn
-	front.wrap = func(l *net.TCPListener) net.Listener {
-		return callerListener{TCPListener: l, clock: o.conns.clock, intake: o.conns.intake}
+	front.callers = true
+	front.wrap = func(l net.Listener) net.Listener {
+		return callerListener{TCPListener: l.(*net.TCPListener), clock: o.conns.clock, intake: o.conns.intake}
 	}
-	servers := []boundServer{front, newServer(o.settings.ReadyListen, o.ready), newServer(o.settings.PeerListen, o.peers)}
+	servers := []boundServer{front, newGuarded(o.settings.ReadyListen, o.ready), newGuarded(o.settings.PeerListen, o.peers)}
 	if o.settings.MetricsListen != "" {
-		servers = append(servers, newServer(o.settings.MetricsListen, o.metrics))
+		servers = append(servers, newGuarded(o.settings.MetricsListen, o.metrics))
 	}
 	return &listeners{log: o.log, servers: servers}
 }
@@ -71,7 +81,7 @@
 func (l *listeners) start() error {
 	for _, s := range l.servers {
 		config := net.ListenConfig{Control: server.LimitReceiveBuffer}
-		if s.wrap != nil {
+		if s.callers {
 			// Keep-alive probes are set for the connections that are taken, since that takes system calls.
 			config.KeepAlive = -1
 		}
@@ -79,8 +89,8 @@
 		if err != nil {
 			return eris.Wrapf(err, "gateway: listen on %s", s.addr)
 		}
-		if s.wrap != nil {
-			bound = s.wrap(bound.(*net.TCPListener))
+		bound = s.wrap(bound)
+		if s.callers {
 			l.front = bound
 		}
 		go l.serve(bound, s.server)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,10 +38,11 @@
 	log  *zap.Logger
 }
 
-// Listen binds addr for the handler h. t counts the bytes of its connections. Requests are accepted once
+// Listen binds addr for the handler h. g bounds what its connections hold, t counts their bytes. Requests are accepted once
 // Serve is called.
-func Listen(addr string, h http.Handler, t *wire.TrafficCounter, log *zap.Logger) (*Listener, error) {
-	l, err := net.Listen("tcp", addr)
+func Listen(addr string, h http.Handler, g *Guard, t *wire.TrafficCounter, log *zap.Logger) (*Listener, error) {
+	config := net.ListenConfig{Control: LimitReceiveBuffer}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "server: listen on %s", addr)
 	}
@@ -51,7 +52,8 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(log),
 	}
-	return &Listener{http: s, net: t.WrapListener(l), log: log}, nil
+	g.Protect(s)
+	return &Listener{http: s, net: g.Wrap(t.WrapListener(l)), log: log}, nil
 }
 
 // Addr returns the bound address.
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -74,3 +74,12 @@
 	c.traffic.count(n)
 	return n, err
 }
+
+// CloseWrite ends the sending direction, if the connection has one of its own.
+func (c *countedConn) CloseWrite() error {
+	conn, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return conn.CloseWrite()
+}
