entry: bodies share a bounded memory

Cause: each body had a bound, all of them together had none.

Fix: bodies are read by bodybuffer, as at the gateway, into a quarter of limits.memory_mb. Beyond it the response is 503, not run, with a time to come back. A body that is announced over the limit is refused before it is read.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"rockcleat/clock"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/internal/telemetry"
 	"rockcleat/internal/wire"
 	"rockcleat/quarantine"
@@ -48,8 +49,13 @@
 	digest quarantine.Key
 	// response collects the response for the claim record; nil if the request has no key.
 	response *responseRecord
+	// buffer holds the memory for the body, until release.
+	buffer *bodybuffer.Reservation
 }
 
+// release frees the memory of the body, which is not used any more.
+func (c *call) release() { c.buffer.Release() }
+
 // class returns the labels of the call's metrics.
 func (c *call) class() telemetry.Class {
 	return telemetry.Class{Tier: string(c.row.Tier), Organisation: c.row.Organisation}
@@ -58,7 +64,7 @@
 // newCall assigns the request's id, checks its key and reads its body.
 func (p *proxy) newCall(c echo.Context) (*call, *wire.ErrorResponse) {
 	req := c.Request()
-	x := &call{id: req.Header.Get(wire.HeaderRequestID), arrived: p.clock.Now()}
+	x := &call{id: req.Header.Get(wire.HeaderRequestID), arrived: p.clock.Now(), buffer: p.buffers.Reserve()}
 	if x.id == "" {
 		x.id = uuid.NewString()
 	}
@@ -68,8 +74,16 @@
 		return nil, badRequest("key_too_long", wire.HeaderIdempotencyKey, "an Idempotency-Key has at most 255 bytes")
 	}
 	x.key = key
-	body, err := p.readBody(c)
+	body, err := p.readBody(c, x.buffer)
+	if err != nil {
+		x.release()
+	}
 	switch {
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		return nil, &wire.ErrorResponse{
+			Status: http.StatusServiceUnavailable, Outcome: wire.OutcomeNotRun, Type: wire.TypeOverloaded,
+			Code: "entry_full", Message: "this entry has no memory for another body", RetryAfter: defaultRetryAfter,
+		}
 	case errors.Is(err, errBodyTooLarge):
 		errResp := badRequest("body_too_long", "", "the body is longer than this system takes")
 		errResp.Status = http.StatusRequestEntityTooLarge
@@ -86,14 +100,18 @@
 // errBodyTooLarge is returned if a request body exceeds the size limit.
 var errBodyTooLarge = errors.New("entry: request body exceeds the size limit")
 
-// readBody reads the request body within the limits of size and time.
-func (p *proxy) readBody(c echo.Context) ([]byte, error) {
+// readBody reads the request body within the limits of size and time, into memory that is charged to buffer.
+func (p *proxy) readBody(c echo.Context, buffer *bodybuffer.Reservation) ([]byte, error) {
 	rc := http.NewResponseController(c.Response().Writer)
 	if err := rc.SetReadDeadline(clock.SystemDeadline(p.limits.BodyTimeout.Std())); err != nil {
 		return nil, eris.Wrap(err, "entry: set read deadline")
 	}
 	limit := p.limits.BodyBytes
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
+	announced := c.Request().ContentLength
+	if announced > limit {
+		return nil, errBodyTooLarge
+	}
+	body, err := bodybuffer.ReadAll(io.LimitReader(c.Request().Body, limit+1), announced, buffer)
 	if err != nil {
 		return nil, eris.Wrap(err, "entry: read request body")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/fleet"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/internal/config"
 	"rockcleat/internal/inventory"
 	"rockcleat/internal/planner"
@@ -94,7 +95,7 @@
 		limits: s.Limits, secret: s.Secret, controlAddr: e.ControlAddr, ready: e.ready, leaving: e.leaving.Load,
 		replica: &e.replica, view: &e.view, members: e.members, claims: e.claims, decisions: &e.decisions,
 		agents: &http.Client{Transport: wire.NewTransport(&e.proxied), CheckRedirect: wire.NoRedirects}, quarantine: e.quarantine,
-		clock: o.Clock, log: o.Log, metrics: o.Metrics,
+		clock: o.Clock, log: o.Log, metrics: o.Metrics, buffers: bodybuffer.NewMemory(s.Limits.MemoryMB),
 	}
 	e.proxy.loadTable.Hall = s.Hall
 	e.operators = &operatorAPI{
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -10,6 +10,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/fleet"
+	"rockcleat/internal/bodybuffer"
 	"rockcleat/internal/config"
 	"rockcleat/internal/openai"
 	"rockcleat/internal/server"
@@ -49,6 +50,8 @@
 	retryBudget retry.Budget
 	// inFlight is the number of client requests in progress.
 	inFlight atomic.Int64
+	// buffers is the memory for the bodies of requests.
+	buffers *bodybuffer.Memory
 }
 
 // router returns the handler of clients' requests.
@@ -99,6 +102,7 @@
 	if errResp != nil {
 		return errResp.Write(c)
 	}
+	defer x.release()
 	req, err := openai.ParseRequest(x.body)
 	if err != nil {
 		return badRequest("invalid_body", "", err.Error()).Write(c)
@@ -128,6 +132,7 @@
 	if errResp != nil {
 		return errResp.Write(c)
 	}
+	defer x.release()
 	x.row, x.tokens = row, 1
 	method := c.Request().Method
 	x.repeatable = method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
