gateway: incomplete requests make room for headers, and on-call sees it

What callers saw: 40 connections with large headers that are never finished used up the memory for headers; until they had timed out, 3 s later, whoever came next with a header of more than 8 KB of cost was refused with 503.

Cause: the memory was given to whoever came first.

Fix: a header that finds no memory takes it from incomplete requests, those that have held the most for the longest first (intake.EvictHeads); they get a 408, which is true, since they have not run. It is refused only if there are none. Refusals of headers are logged once a second with their kinds ("headers refused"); rockcleat_gateway_memory_held tells what headers and bodies hold.

Evidence: TestHeaderMemoryIsTakenFromOthers, TestEvictHeads.

--- a/intake/evict_test.go
+++ b/intake/evict_test.go
@@ -44,3 +44,36 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, intake.Excess(test.open, test.maxOpen), test.want) })
 	}
 }
+
+func TestEvictHeads(t *testing.T) {
+	const s = time.Second
+	now := start.Add(time.Hour)
+	conn := func(w intake.Wait, held int64, waited time.Duration) intake.OpenConn {
+		return intake.OpenConn{Wait: w, Held: held, Since: now.Add(-waited)}
+	}
+	tests := map[string]struct {
+		list []intake.OpenConn
+		need int64
+		want []int
+	}{
+		"none":                         {need: 10},
+		"requests in progress stay":    {list: []intake.OpenConn{conn(intake.WaitNone, 100, 9*s)}, need: 10},
+		"those that hold nothing stay": {list: []intake.OpenConn{conn(intake.WaitRequest, 0, 9*s)}, need: 10},
+		"most for the longest first": {
+			list: []intake.OpenConn{conn(intake.WaitRequest, 10, s), conn(intake.WaitRequest, 10, 3*s), conn(intake.WaitRequest, 50, s)},
+			need: 60, want: []int{2, 1},
+		},
+		"all if there is too little": {
+			list: []intake.OpenConn{conn(intake.WaitRequest, 10, s), conn(intake.WaitRequest, 10, 3*s)}, need: 60, want: []int{1, 0},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := intake.EvictHeads(test.list, now, test.need)
+			assert.Equal(t, len(got), len(test.want))
+			for i := range got {
+				assert.Equal(t, got[i], test.want[i])
+			}
+		})
+	}
+}
--- a/intake/head.go
+++ b/intake/head.go
@@ -61,6 +61,9 @@
 // NewHead returns an empty Head.
 func (m *HeadMemory) NewHead() Head { return Head{memory: m} }
 
+// Held returns the number of bytes that are counted for the head.
+func (h *Head) Held() int64 { return h.held }
+
 // Add counts bytes of the head, and reports whether the head may go on. The last of them may be followed by bytes of a body. A
 // head may have most bytes; 0 for any number.
 func (h *Head) Add(p []byte, most int) HeadVerdict {
@@ -72,17 +75,31 @@
 		return HeadTooLarge
 	}
 	h.cost += byteCost*int64(len(p)) + lineCost*int64(bytes.Count(p, []byte("\n")))
-	if more := h.cost - freeCost - h.held; more > 0 {
-		if !h.memory.grow(more) {
-			return HeadsTooMany
-		}
-		h.held += more
+	return h.Hold()
+}
+
+// Hold counts in the memory what the bytes that were added hold. It is called again after Add has found no memory, once others have
+// released some.
+func (h *Head) Hold() HeadVerdict {
+	more := h.cost - freeCost - h.held
+	if more <= 0 {
+		return HeadFits
+	}
+	if !h.memory.grow(more) {
+		return HeadsTooMany
 	}
+	h.held += more
 	return HeadFits
 }
 
+// Forget ends the count of a head whose connection is being ended: its memory is free soon.
+func (h *Head) Forget() {
+	h.memory.used.Add(-h.held)
+	h.held = 0
+}
+
 // Release ends the count: the request has ended, and the next head begins.
 func (h *Head) Release() {
-	h.memory.used.Add(-h.held)
-	h.bytes, h.cost, h.held = 0, 0, 0
+	h.Forget()
+	h.bytes, h.cost = 0, 0
 }
--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -21,6 +21,9 @@
 // NewMemory returns the memory for buffers of a VM with the given memory in MB; 0 for no limit.
 func NewMemory(vmMB float64) *Memory { return &Memory{limit: int64(memoryShare * vmMB * 1e6)} }
 
+// Used returns the number of bytes that are reserved at present.
+func (m *Memory) Used() int64 { return m.used.Load() }
+
 // Reserve returns an empty reservation.
 func (m *Memory) Reserve() *Reservation { return &Reservation{memory: m} }
 
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -102,7 +102,7 @@
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			if refused := c.received(p[:n]); refused != nil {
+			if refused := c.receive(p[:n]); refused != nil {
 				c.refuse(refused)
 				return 0, os.ErrDeadlineExceeded
 			}
@@ -178,8 +178,33 @@
 	c.since = c.clock.Now()
 }
 
-// received records that bytes were read. It returns the refusal of a request whose header holds more than it may.
-func (c *callerConn) received(p []byte) *headRefusal {
+// receive records that bytes were read. It returns the refusal of a request whose header holds more than it may, also after others
+// have made room.
+func (c *callerConn) receive(p []byte) *headRefusal {
+	verdict := c.received(p)
+	if verdict == intake.HeadsTooMany {
+		c.intake.makeHeadRoom(c)
+		verdict = c.holdHead()
+	}
+	refused := headRefusals[verdict]
+	if refused != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.setState(connHeaderRefused)
+		c.stopPending()
+	}
+	return refused
+}
+
+// holdHead counts the header again, which has found no memory before.
+func (c *callerConn) holdHead() intake.HeadVerdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Hold()
+}
+
+// received records that bytes were read, and reports whether the header may go on.
+func (c *callerConn) received(p []byte) intake.HeadVerdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connNew && c.clock.Now().Sub(c.awaitedSince) > admissionTTL {
@@ -189,14 +214,10 @@
 		c.setState(connReadingHeader)
 	}
 	if c.state != connReadingHeader {
-		return nil
-	}
-	if refused := headRefusals[c.head.Add(p, c.intake.maxHeader())]; refused != nil {
-		c.setState(connHeaderRefused)
-		return refused
+		return intake.HeadFits
 	}
 	c.beginPending()
-	return nil
+	return c.head.Add(p, c.intake.maxHeader())
 }
 
 // beforeRead records that the connection waits for its caller, and reports whether it may be read. After a refusal it may not:
@@ -328,7 +349,7 @@
 func (c *callerConn) wait() intake.OpenConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := intake.OpenConn{Since: c.since}
+	w := intake.OpenConn{Since: c.since, Held: c.head.Held()}
 	switch {
 	case c.end != endNever:
 	case c.state == connNew, c.state == connReadingHeader, c.awaitsBody:
@@ -350,6 +371,7 @@
 		c.endReads(endIfIdle)
 	case c.state == connReadingHeader, c.awaitsBody:
 		c.endReads(endIncomplete)
+		c.head.Forget()
 	default:
 		return
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +43,7 @@
 
 func newConns(c clock.Service, limits func() (idle, header time.Duration), i *connIntake) *conns {
 	list := &conns{clock: c, limits: limits, intake: i, open: make(map[*callerConn]struct{})}
-	i.makeRoom = list.makeRoom
+	i.makeRoom, i.makeHeadRoom = list.makeRoom, list.makeHeadRoom
 	return list
 }
 
@@ -144,12 +145,24 @@
 
 // makeRoom ends n connections that wait for their callers.
 func (c *conns) makeRoom(n int) {
-	list := c.list()
+	c.evict(func(waits []intake.OpenConn, now time.Time) []int { return intake.Evict(waits, now, n) })
+}
+
+// makeHeadRoom ends connections whose incomplete requests hold memory for headers, but not except.
+func (c *conns) makeHeadRoom(except *callerConn) {
+	c.evict(func(waits []intake.OpenConn, now time.Time) []int {
+		return intake.EvictHeads(waits, now, c.intake.heads.HeadRoom())
+	}, except)
+}
+
+// evict ends the connections that choose returns of all others than those excepted.
+func (c *conns) evict(choose func(waits []intake.OpenConn, now time.Time) []int, except ...*callerConn) {
+	list := slices.DeleteFunc(c.list(), func(caller *callerConn) bool { return slices.Contains(except, caller) })
 	waits := make([]intake.OpenConn, len(list))
 	for i, caller := range list {
 		waits[i] = caller.wait()
 	}
-	for _, i := range intake.Evict(waits, c.clock.Now(), n) {
+	for _, i := range choose(waits, c.clock.Now()) {
 		list[i].evict()
 	}
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -192,6 +192,32 @@
 	}
 }
 
+// TestHeaderMemoryIsTakenFromOthers checks that a request with a large header is read although incomplete ones use up the memory:
+// those that have held the most for the longest are refused instead.
+func TestHeaderMemoryIsTakenFromOthers(t *testing.T) {
+	const memory = 130_000
+	i := newTestIntake()
+	i.heads = intake.NewHeadMemory(memory)
+	c := newConns(clocktest.Real{}, nil, i)
+	large := strings.Repeat("a:\r\n", 200)
+	header := func() (*callerConn, net.Conn) {
+		server, client := newConnPair(t, c)
+		send(t, server, client, large)
+		receive(t, server, large)
+		return server, client
+	}
+	first, firstClient := header()
+	second, _ := header()
+	header()
+	_, err := first.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	resp, err := http.ReadResponse(bufio.NewReader(firstClient), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, second.wait().Wait, intake.WaitRequest, "one was enough")
+	assert.Assert(t, i.heads.Used() <= memory)
+}
+
 // TestDrain checks that draining ends only idle connections, not those on which bytes of a request have arrived, nor
 // recent ones.
 func TestDrain(t *testing.T) {
--- a/internal/gateway/head_refusal.go
+++ b/internal/gateway/head_refusal.go
@@ -2,29 +2,69 @@
 
 import (
 	"net/http"
+	"sync/atomic"
+
+	"go.uber.org/zap"
 
 	"rockcleat/intake"
 	"rockcleat/internal/server"
 )
 
+// Reasons of refusals of headers, as used in metrics and logs.
+const (
+	reasonLate     = "header_late"
+	reasonTooLarge = "header_too_large"
+	reasonTooMany  = "headers_too_many"
+)
+
 // A headRefusal is the response to a request whose header is not read to its end.
-type headRefusal struct {
-	server.HeadRefusal
-	// reason is the reason in metrics.
-	reason string
-}
+type headRefusal struct{ server.HeadRefusal }
 
 // headerIncomplete refuses a request whose header does not come in time.
-var headerIncomplete = &headRefusal{HeadRefusal: server.HeadRefusal{Status: http.StatusRequestTimeout}, reason: "header_late"}
+var headerIncomplete = &headRefusal{HeadRefusal: server.HeadRefusal{Status: http.StatusRequestTimeout}}
 
 // headRefusals holds the refusals of headers that hold too much.
 var headRefusals = map[intake.HeadVerdict]*headRefusal{
-	intake.HeadTooLarge: {HeadRefusal: server.HeadRefusal{Status: http.StatusRequestHeaderFieldsTooLarge}, reason: "header_too_large"},
-	intake.HeadsTooMany: {HeadRefusal: server.HeadRefusal{Status: http.StatusServiceUnavailable, RetryAfter: minRetryAfter}, reason: "headers_too_many"},
+	intake.HeadTooLarge: {HeadRefusal: server.HeadRefusal{Status: http.StatusRequestHeaderFieldsTooLarge}},
+	intake.HeadsTooMany: {HeadRefusal: server.HeadRefusal{Status: http.StatusServiceUnavailable, RetryAfter: minRetryAfter}},
 }
 
 // refuse sends the response to the request that is being read. The caller of Read closes the connection.
 func (c *callerConn) refuse(r *headRefusal) {
-	c.intake.log.metrics.HeaderRefused(r.reason)
+	c.intake.headerRefusals.add(r)
 	r.Write(c.TCPConn)
 }
+
+// headerRefusalCounts counts refusals of headers by kind. It is safe for concurrent use.
+type headerRefusalCounts struct {
+	late, tooLarge, tooMany atomic.Int64
+}
+
+func (c *headerRefusalCounts) add(r *headRefusal) {
+	switch r.Status {
+	case http.StatusRequestTimeout:
+		c.late.Add(1)
+	case http.StatusRequestHeaderFieldsTooLarge:
+		c.tooLarge.Add(1)
+	default:
+		c.tooMany.Add(1)
+	}
+}
+
+// observe updates the metrics of what callers' requests hold, and logs the refusals of headers since the last call, if there were
+// any.
+func (c *headerRefusalCounts) observe(i *connIntake) {
+	late, tooLarge, tooMany := c.late.Swap(0), c.tooLarge.Swap(0), c.tooMany.Swap(0)
+	headers, bodies := i.heads.Used(), i.bodies()
+	metrics := i.log.metrics
+	metrics.MemoryHeld("headers", headers)
+	metrics.MemoryHeld("bodies", bodies)
+	if late+tooLarge+tooMany == 0 {
+		return
+	}
+	metrics.HeadersRefused(reasonLate, late)
+	metrics.HeadersRefused(reasonTooLarge, tooLarge)
+	metrics.HeadersRefused(reasonTooMany, tooMany)
+	i.log.log.Info(msgHeadersRefused, zap.Int64(reasonLate, late), zap.Int64(reasonTooLarge, tooLarge), zap.Int64(reasonTooMany, tooMany),
+		zap.Int64(fieldHeaderBytes, headers), zap.Int64(fieldBodyBytes, bodies), zap.Int64(fieldOpen, i.open.Load()))
+}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -52,11 +52,17 @@
 	// none or it is not known.
 	heads       *intake.HeadMemory
 	headerLimit func() int
+	// headerRefusals counts the refusals of headers since the last call of observe. bodies returns the memory that bodies and
+	// buffered responses hold.
+	headerRefusals headerRefusalCounts
+	bodies         func() int64
 	// open is the number of open connections.
 	open atomic.Int64
-	// makeRoom ends a number of connections that wait for their callers; ending is the number of those not closed yet.
-	makeRoom func(n int)
-	ending   atomic.Int64
+	// makeRoom ends a number of connections that wait for their callers, makeHeadRoom those other than except that hold most memory
+	// for headers. ending is the number of those not closed yet.
+	makeRoom     func(n int)
+	makeHeadRoom func(except *callerConn)
+	ending       atomic.Int64
 	// taken, refused, closed and evicted count the connections by what became of them since the last call of observe.
 	taken, refused, closed, evicted atomic.Int64
 
@@ -71,7 +77,7 @@
 	return &connIntake{
 		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
 		maxOpen: server.MaxConns(s.MemoryMB), observedAt: c.Now(), processorTime: processorTime(),
-		heads: server.NewHeaderMemory(s.MemoryMB), headerLimit: func() int { return 0 }, makeRoom: func(int) {},
+		heads: server.NewHeaderMemory(s.MemoryMB), headerLimit: func() int { return 0 }, bodies: func() int64 { return 0 }, makeRoom: func(int) {}, makeHeadRoom: func(*callerConn) {},
 	}
 }
 
@@ -160,6 +166,7 @@
 	i.observedAt, i.processorTime = now, used
 	i.limiter.RecordUse(intake.Use{Processor: used - last, Elapsed: elapsed, Cores: i.cores})
 	peak, taken, refused, closed, evicted := i.limiter.TakePeak(), i.taken.Swap(0), i.refused.Swap(0), i.closed.Swap(0), i.evicted.Swap(0)
+	i.headerRefusals.observe(i)
 	i.log.metrics.IntakeObserved(peak, (used - last).Seconds())
 	for result, n := range map[connResult]int64{connTaken: taken, connRefused: refused, connClosed: closed, connEvicted: evicted} {
 		i.log.metrics.ConnectionsAccepted(string(result), n)
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -25,6 +25,7 @@
 	msgOriginsNotSent     = "origins of streams not sent"
 	msgProcessorShort     = "short of processor time"
 	msgConnections        = "new connections"
+	msgHeadersRefused     = "headers refused"
 )
 
 // Fields of these log lines; docs/OPERATIONS-GATEWAY.md lists them with their units.
@@ -97,6 +98,8 @@
 	fieldRefused             = "refused"
 	fieldClosed              = "closed"
 	fieldEvicted             = "evicted"
+	fieldHeaderBytes         = "header_bytes"
+	fieldBodyBytes           = "body_bytes"
 	fieldOpen                = "open"
 	fieldBearable            = "bears_per_second"
 	fieldOthersExcess        = "others_turned_away"
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,8 +43,10 @@
 	ProcessorRefused()
 	// ConnectionsAccepted counts n new connections of callers by what became of them.
 	ConnectionsAccepted(result string, n int64)
-	// HeaderRefused counts a request that was refused before its header was complete, by reason.
-	HeaderRefused(reason string)
+	// HeadersRefused counts n requests that were refused before their header was complete, by reason.
+	HeadersRefused(reason string, n int64)
+	// MemoryHeld records the memory that callers' requests hold, by account, in bytes.
+	MemoryHeld(account string, bytes int64)
 	// IntakeObserved records the highest number of pending requests in the last second and the processor time that the
 	// process used in it, in seconds.
 	IntakeObserved(pending int, processorSeconds float64)
@@ -70,7 +72,8 @@
 func (noMetrics) PermitRequested(string)                        {}
 func (noMetrics) ProcessorRefused()                             {}
 func (noMetrics) ConnectionsAccepted(string, int64)             {}
-func (noMetrics) HeaderRefused(string)                          {}
+func (noMetrics) HeadersRefused(string, int64)                  {}
+func (noMetrics) MemoryHeld(string, int64)                      {}
 func (noMetrics) IntakeObserved(int, float64)                   {}
 func (noMetrics) ForeignResponse(string)                        {}
 func (noMetrics) ServerCrashed(string)                          {}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -316,6 +316,8 @@
 }
 
 func (p *components) newProxy(o Options, observer *responseObserver) *proxy {
+	buffers := bodybuffer.NewMemory(o.Settings.MemoryMB)
+	p.intake.bodies = buffers.Used
 	return &proxy{
 		names:         o.Names,
 		config:        p.config,
@@ -338,7 +340,7 @@
 		}),
 		bodyTimeout: o.Settings.BodyTimeout.Std(),
 		regions:     o.Settings.Regions,
-		buffers:     bodybuffer.NewMemory(o.Settings.MemoryMB),
+		buffers:     buffers,
 	}
 }
 
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -66,8 +66,10 @@
 	connections metric.Int64Counter
 	// headersRefused counts requests that were refused before their header was complete, by reason.
 	headersRefused metric.Int64Counter
-	pending        metric.Int64Gauge
-	processorTime  metric.Float64Counter
+	// memoryHeld is the memory that callers' requests hold, by account.
+	memoryHeld    metric.Int64Gauge
+	pending       metric.Int64Gauge
+	processorTime metric.Float64Counter
 	// charges counts requests by organisation and outcome of the check against its limit; spent sums the cost
 	// of those within it, and refunded the cost that was returned, by outcome of the request.
 	charges  metric.Int64Counter
@@ -122,6 +124,8 @@
 	m.refunded = b.sum("rockcleat.gateway.refunded", "What requests inside limits have cost that was returned because they had not run, in the limit's unit, by outcome of the request.")
 	m.pending, err = b.meter.Int64Gauge("rockcleat.gateway.pending_requests", metric.WithDescription("Highest number of requests in the last second that needed work of the gateway before they could be handed on."))
 	b.recordError(err)
+	m.memoryHeld, err = b.meter.Int64Gauge("rockcleat.gateway.memory_held", metric.WithDescription("Memory that callers' requests hold, by account."), metric.WithUnit("By"))
+	b.recordError(err)
 	m.processorTime = b.sum("rockcleat.gateway.processor", "Processor time that the process has used.", metric.WithUnit("s"))
 	return m, b.err
 }
@@ -241,9 +245,14 @@
 	m.connections.Add(context.Background(), n, m.attributeSet("result", result, "", ""))
 }
 
-// HeaderRefused counts a request that was refused before its header was complete, by reason.
-func (m *GatewayMetrics) HeaderRefused(reason string) {
-	m.headersRefused.Add(context.Background(), 1, m.attributeSet("reason", reason, "", ""))
+// HeadersRefused counts n requests that were refused before their header was complete, by reason.
+func (m *GatewayMetrics) HeadersRefused(reason string, n int64) {
+	m.headersRefused.Add(context.Background(), n, m.attributeSet("reason", reason, "", ""))
+}
+
+// MemoryHeld records the memory that callers' requests hold, by account, in bytes.
+func (m *GatewayMetrics) MemoryHeld(account string, bytes int64) {
+	m.memoryHeld.Record(context.Background(), bytes, m.attributeSet("account", account, "", ""))
 }
 
 // IntakeObserved records the highest number of pending requests in the last second and the processor time that the
