server: a connection is taken to hold 96 KB

What callers saw: 1,800 clients that send requests without end and read no responses made a gateway of 144 MB and 4,096 descriptors use 108 MB, and 42 MB unread: more than the machine has. This is the trial of a larger crowd; the crowd of the tests is 160.

Cause: each of 988 connections was taken to hold 64 KB. A connection that is written to without being read holds 83 KB, garbage included, and 43 KB unread.

Fix: connMemory is 96 KB: at most 675 connections on 144 MB, 863 on 184 MB, 1,331 on 284 MB. Those that wait for their callers make room for others before.

--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -22,9 +22,9 @@
 	// hold.
 	headerShare = 0.1
 	connShare   = 0.45
-	// connMemory is what a connection may hold in bytes: buffers and stacks of goroutines, a header that is not counted, and
-	// data that was received and not read.
-	connMemory = 32<<10 + ReceiveBuffer
+	// connMemory is what a connection may hold in bytes while its client sends requests and reads no responses: buffers, stacks of
+	// goroutines and a header that is not counted, with as much garbage, and data that was received and not read.
+	connMemory = 64<<10 + ReceiveBuffer
 	// minConns is the number of connections that a VM of any size takes.
 	minConns = 128
 	// reservedFiles is the number of file descriptors that are not for connections of a Guard, filesPerConn the number that each
