--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -93,9 +93,13 @@
 	r.closeConn = r.closeConn || p.lifecycle.isStopping()
 	// Setting the deadline fails only on a closed connection, which the write reports.
 	_ = http.NewResponseController(w).SetReadDeadline(clock.SystemDeadline(discardTimeout))
+	setWriteTimeout(w, refusalWriteTimeout)
 	r.write(w)
 }
 
+// refusalWriteTimeout bounds the writing of a refusal. It fits into the send buffer of any connection whose caller reads.
+const refusalWriteTimeout = 2 * time.Second
+
 // finish records the result of a request in the dispatcher, the log and the metrics.
 func (p *proxy) finish(f *forwarder) {
 	if f.record.outcome == outcomeRefused {
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -24,7 +24,7 @@
 	connShare   = 0.45
 	// connMemory is what a connection may hold in bytes while its client sends requests and reads no responses: buffers, stacks of
 	// goroutines and a header that is not counted, with as much garbage, and data that was received and not read.
-	connMemory = 64<<10 + ReceiveBuffer
+	connMemory = 64<<10 + 2*receiveBuffer
 	// minConns is the number of connections that a VM of any size takes.
 	minConns = 128
 	// reservedFiles is the number of file descriptors that are not for connections of a Guard, filesPerConn the number that each
