standin: clients of the stand-ins are bounded as those of entry and agent

What callers saw: nothing; the stand-ins serve tests. Their servers had the bounds of net/http, 1 MB for a header and any number of them.

--- a/cmd/rockcleat-standin/main.go
+++ b/cmd/rockcleat-standin/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"rockcleat/internal/server"
 	"rockcleat/internal/standin"
 )
 
@@ -46,13 +48,23 @@
 	}
 }
 
+// memoryMB is the memory of the machine that a stand-in takes itself to have, in MB. It bounds what its clients make it hold.
+const memoryMB = 256
+
 func serve(ctx context.Context, addr string, h http.Handler) error {
-	s := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	config := net.ListenConfig{Control: server.LimitReceiveBuffer}
+	l, err := config.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	guard := server.NewGuard(server.NewHeaderMemory(memoryMB), server.MaxConns(memoryMB))
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	guard.Protect(s)
 	go func() {
 		<-ctx.Done()
 		_ = s.Close()
 	}()
-	if err := s.ListenAndServe(); err != http.ErrServerClosed {
+	if err := s.Serve(guard.Wrap(l)); err != http.ErrServerClosed {
 		return err
 	}
 	return nil
