--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -2,6 +2,7 @@
 // messages, health, readiness and metrics.
 //
 // A Listener owns its socket and its HTTP server; the handlers belong to the caller. A wire.TrafficCounter of
-// the caller counts all bytes. Gateways have listeners of their own, which bound what a connection may
-// do (package gateway). Entries and gateways share RegisterQuarantine and LogQuarantine.
+// the caller counts all bytes. A Guard bounds what the connections of one process hold together: headers, connections, and
+// bodies that do not come. Gateways bound their callers' connections themselves (package gateway), by the same shares of the
+// VM's memory (MaxConns, NewHeaderMemory). Entries and gateways share RegisterQuarantine and LogQuarantine.
 package server
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -1,17 +1,14 @@
 package server
 
 import (
-	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
 
-	"rockcleat/clock"
 	"rockcleat/intake"
 )
 
@@ -31,10 +28,6 @@
 	// may need: its own, and one to a backend server.
 	reservedFiles = 200
 	filesPerConn  = 2
-	// bodyTimeout bounds the reading of a request's body by handlers that set no deadline, and discardTimeout that of the rest
-	// of a body which a handler has not read.
-	bodyTimeout    = 20 * time.Second
-	discardTimeout = 500 * time.Millisecond
 )
 
 // MaxConns returns the highest number of connections for which there are file descriptors and, on a VM with the given memory in MB,
@@ -109,7 +102,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if n := intake.Excess(len(g.open), g.maxOpen); n > 0 {
-		g.evict(n)
+		g.evict(func(waits []intake.OpenConn, now time.Time) []int { return intake.Evict(waits, now, n) })
 	}
 	if g.maxOpen > 0 && len(g.open) >= g.maxOpen {
 		return false
@@ -118,15 +111,26 @@
 	return true
 }
 
-// evict closes n connections that wait for requests. The caller must hold g.mu.
-func (g *Guard) evict(n int) {
-	list := make([]*guardedConn, 0, len(g.open))
-	waits := make([]intake.OpenConn, 0, len(g.open))
+// makeHeadRoom closes connections whose incomplete requests hold memory for headers, but not except.
+func (g *Guard) makeHeadRoom(except *guardedConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evict(func(waits []intake.OpenConn, now time.Time) []int {
+		return intake.EvictHeads(waits, now, g.headers.HeadRoom())
+	}, except)
+}
+
+// evict closes the connections that choose returns of all others than those excepted. The caller must hold g.mu.
+func (g *Guard) evict(choose func(waits []intake.OpenConn, now time.Time) []int, except ...*guardedConn) {
+	var list []*guardedConn
+	var waits []intake.OpenConn
 	for c := range g.open {
-		list = append(list, c)
-		waits = append(waits, c.wait())
+		if !slices.Contains(except, c) {
+			list = append(list, c)
+			waits = append(waits, c.wait())
+		}
 	}
-	for _, i := range intake.Evict(waits, time.Now(), n) {
+	for _, i := range choose(waits, time.Now()) {
 		delete(g.open, list[i])
 		// net/http sees the end in its next read.
 		_ = list[i].Close()
@@ -145,187 +149,10 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &guardedConn{Conn: conn, since: time.Now(), head: l.guard.headers.NewHead()}
+		c := &guardedConn{Conn: conn, guard: l.guard, since: time.Now(), head: l.guard.headers.NewHead()}
 		if l.guard.add(c) {
 			return c, nil
 		}
 		_ = conn.Close()
 	}
 }
-
-// States of a guardedConn.
-const (
-	// connNew: no request has been read yet.
-	connNew = iota
-	// connActive: a request is being served.
-	connActive
-	// connIdle: the connection waits for another request, of which a part may have been read.
-	connIdle
-	// connRefused: a request was refused before its header was complete.
-	connRefused
-)
-
-// A guardedConn counts what is read of headers.
-type guardedConn struct {
-	net.Conn
-
-	mu    sync.Mutex
-	state int
-	// since is the time at which the state was entered.
-	since time.Time
-	head  intake.Head
-}
-
-// Read implements net.Conn. It refuses a request whose header holds more than it may; later reads fail too, since bufio.Reader asks
-// again after an error that came with the part of a line.
-func (c *guardedConn) Read(p []byte) (int, error) {
-	if c.isRefused() {
-		return 0, net.ErrClosed
-	}
-	n, err := c.Conn.Read(p)
-	if refusal, ok := headRefusals[c.count(p[:n])]; ok {
-		refusal.Write(c.Conn)
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-func (c *guardedConn) isRefused() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state == connRefused
-}
-
-// count counts bytes of a header.
-func (c *guardedConn) count(p []byte) intake.HeadVerdict {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state == connActive || len(p) == 0 {
-		return intake.HeadFits
-	}
-	verdict := c.head.Add(p, maxHeader)
-	if verdict != intake.HeadFits {
-		c.state = connRefused
-	}
-	return verdict
-}
-
-// setState sets the state. A header is counted until its request has ended.
-func (c *guardedConn) setState(state int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != connRefused {
-		c.state = state
-	}
-	c.since = time.Now()
-	if state == connIdle {
-		c.head.Release()
-	}
-}
-
-// Close implements net.Conn.
-func (c *guardedConn) Close() error {
-	c.mu.Lock()
-	c.head.Release()
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// wait returns what the connection waits for its client to send.
-func (c *guardedConn) wait() intake.OpenConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	w := intake.OpenConn{Since: c.since}
-	switch c.state {
-	case connNew:
-		w.Wait = intake.WaitRequest
-	case connIdle:
-		w.Wait = intake.WaitNext
-	}
-	return w
-}
-
-// A HeadRefusal is the response to a request whose header is not read to its end. The request has not run.
-type HeadRefusal struct {
-	Status int
-	// RetryAfter is the value of the Retry-After header; 0 omits it.
-	RetryAfter time.Duration
-}
-
-// headRefusals holds the refusals of headers that hold too much.
-var headRefusals = map[intake.HeadVerdict]HeadRefusal{
-	intake.HeadTooLarge: {Status: http.StatusRequestHeaderFieldsTooLarge},
-	intake.HeadsTooMany: {Status: http.StatusServiceUnavailable, RetryAfter: headRetryAfter},
-}
-
-const (
-	// headRetryAfter is the Retry-After of a request that is refused since the headers of others use up the memory for them.
-	headRetryAfter = 200 * time.Millisecond
-	// refusalWriteTimeout bounds the writing of a HeadRefusal.
-	refusalWriteTimeout = 50 * time.Millisecond
-	// lingerBytes bounds, with discardTimeout, what is read of a request after its refusal. A connection that is closed with unread
-	// data is reset, and a reset may overtake the response.
-	lingerBytes = 256 << 10
-)
-
-// Write sends the response to the request that is being read from conn, and reads what still comes of it for a moment. The
-// caller closes the connection. Errors are ignored for that reason.
-func (r HeadRefusal) Write(conn net.Conn) {
-	header := make(http.Header)
-	if r.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 2, 64))
-	}
-	const notRun = "not run\n"
-	response := http.Response{
-		StatusCode: r.Status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
-		Body: io.NopCloser(strings.NewReader(notRun)), ContentLength: int64(len(notRun)),
-	}
-	_ = conn.SetWriteDeadline(clock.SystemDeadline(refusalWriteTimeout))
-	_ = response.Write(conn)
-	if c, ok := conn.(interface{ CloseWrite() error }); ok {
-		_ = c.CloseWrite()
-	}
-	_ = conn.SetReadDeadline(clock.SystemDeadline(discardTimeout))
-	_, _ = io.CopyN(io.Discard, conn, lingerBytes)
-}
-
-// boundBody returns a handler that gives up the body of a request after bodyTimeout, and its rest soon after h returns.
-func boundBody(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == nil || r.Body == http.NoBody {
-			h.ServeHTTP(w, r)
-			return
-		}
-		body := &boundedBody{ReadCloser: r.Body, controller: http.NewResponseController(w)}
-		// Setting a deadline fails only on a closed connection, which reads report.
-		_ = body.controller.SetReadDeadline(clock.SystemDeadline(bodyTimeout))
-		defer body.leave()
-		request := r.WithContext(r.Context())
-		request.Body = body
-		h.ServeHTTP(w, request)
-	})
-}
-
-// A boundedBody ends the deadline for reading a body at its end.
-type boundedBody struct {
-	io.ReadCloser
-	controller *http.ResponseController
-	ended      bool
-}
-
-// Read implements io.Reader.
-func (b *boundedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !b.ended {
-		b.ended = true
-		_ = b.controller.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
-
-// leave bounds how long net/http reads the rest of the body around the response.
-func (b *boundedBody) leave() {
-	if !b.ended {
-		_ = b.controller.SetReadDeadline(clock.SystemDeadline(discardTimeout))
-	}
-}
--- a/internal/server/guard_test.go
+++ b/internal/server/guard_test.go
@@ -103,3 +103,25 @@
 		assert.Equal(t, status(t, reader), 200, "connection %d", i)
 	}
 }
+
+// TestGuardedHeadersMakeRoom checks that incomplete headers that hold the memory do not keep out a complete one.
+func TestGuardedHeadersMakeRoom(t *testing.T) {
+	const memory = 130_000
+	addr := startGuarded(t, memory, 0)
+	large := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 200)
+	first, firstReader := dial(t, addr)
+	second, _ := dial(t, addr)
+	for _, conn := range []net.Conn{first, second} {
+		_, err := io.WriteString(conn, large)
+		assert.NilError(t, err)
+	}
+	for range 3 {
+		third, reader := dial(t, addr)
+		_, err := io.WriteString(third, large+"\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, status(t, reader), 200)
+		_ = third.Close()
+	}
+	_, err := firstReader.ReadByte()
+	assert.Assert(t, err != nil, "one that holds memory is ended")
+}
