--- a/intake/doc.go
+++ b/intake/doc.go
@@ -19,5 +19,9 @@
 // With no pending request, a connection is always taken unless there are no file descriptors for it: a process that is
 // slow for another reason keeps serving.
 //
+// Beyond how many connections there are, the package bounds what they hold. A Head counts what is read of a request's header, by
+// bytes and lines, against a limit on each header and a HeadMemory for all of them. Evict and EvictHeads choose the connections
+// that end when connections or header memory run short: those that keep the process waiting for a part of a request.
+//
 // The package does no I/O and gets the times as arguments. Package internal/gateway reports the requests.
 package intake
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -155,7 +155,7 @@
 	}, except)
 }
 
-// evict ends the connections that choose returns of all others than those excepted.
+// evict ends those of the connections other than except whose indexes choose returns.
 func (c *conns) evict(choose func(waits []intake.OpenConn, now time.Time) []int, except ...*callerConn) {
 	list := slices.DeleteFunc(c.list(), func(caller *callerConn) bool { return slices.Contains(except, caller) })
 	waits := make([]intake.OpenConn, len(list))
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -77,7 +77,8 @@
 	return &connIntake{
 		limiter: intake.New(s.Processor.MaxDelay.Std()), monitor: m, fleet: fleet, clock: c, log: log, cores: s.Cores,
 		maxOpen: server.MaxConns(s.MemoryMB), observedAt: c.Now(), processorTime: processorTime(),
-		heads: server.NewHeaderMemory(s.MemoryMB), headerLimit: func() int { return 0 }, bodies: func() int64 { return 0 }, makeRoom: func(int) {}, makeHeadRoom: func(*callerConn) {},
+		heads: server.NewHeaderMemory(s.MemoryMB), headerLimit: func() int { return 0 }, bodies: func() int64 { return 0 },
+		makeRoom: func(int) {}, makeHeadRoom: func(*callerConn) {},
 	}
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -60,7 +60,7 @@
 	newGuarded := func(addr string, h http.Handler) boundServer {
 		s := newServer(addr, h)
 		guard.Protect(s.server)
-		s.wrap = func(l net.Listener) net.Listener { return guard.Wrap(l) }
+		s.wrap = guard.Wrap
 		return s
 	}
 	front := newServer(o.settings.Listen, o.proxy)
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -120,7 +120,7 @@
 	}, except)
 }
 
-// evict closes the connections that choose returns of all others than those excepted. The caller must hold g.mu.
+// evict closes those of the connections other than except whose indexes choose returns. The caller must hold g.mu.
 func (g *Guard) evict(choose func(waits []intake.OpenConn, now time.Time) []int, except ...*guardedConn) {
 	var list []*guardedConn
 	var waits []intake.OpenConn
