Read once more: one table of refusals of headers, one way to make a VM's guard

The gateway kept a second table of the refusals that package server has, behind a type that added nothing; both use server.RefusalOf now. Entry, agent and stand-in built their guard by the same three calls; server.NewVMGuard makes it. Names in the crowd and in the guard's test say what they are (connTimeout, neverReads).

Lint passes; so do the tests of server and intake with the race detector, of docs, and the gateway's tests of connections and headers.

--- a/cmd/rockcleat-standin/main.go
+++ b/cmd/rockcleat-standin/main.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	guard := server.NewGuard(server.NewHeaderMemory(memoryMB), server.MaxConns(memoryMB))
+	guard := server.NewVMGuard(memoryMB)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	guard.Protect(s)
 	go func() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -151,8 +151,7 @@
 // Start binds the listeners and starts the background tasks.
 func (a *Agent) Start() error {
 	var err error
-	limits := a.settings.Limits
-	guard := server.NewGuard(server.NewHeaderMemory(limits.MemoryMB), server.MaxConns(limits.MemoryMB))
+	guard := server.NewVMGuard(a.settings.Limits.MemoryMB)
 	if a.requests, err = server.Listen(a.settings.Listen, a.requestRouter(), guard, &a.proxied, a.log); err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,8 +108,7 @@
 // Start binds the listeners and starts the background tasks.
 func (e *Entry) Start() error {
 	var err error
-	limits := e.settings.Limits
-	guard := server.NewGuard(server.NewHeaderMemory(limits.MemoryMB), server.MaxConns(limits.MemoryMB))
+	guard := server.NewVMGuard(e.settings.Limits.MemoryMB)
 	if e.requests, err = server.Listen(e.settings.Listen, e.proxy.router(), guard, &e.proxied, e.log); err != nil {
 		return err
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -10,6 +10,7 @@
 
 	"rockcleat/clock"
 	"rockcleat/intake"
+	"rockcleat/internal/server"
 )
 
 type connState int
@@ -84,8 +85,8 @@
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			if refused := c.receive(p[:n]); refused != nil {
-				c.refuse(refused)
+			if refusal, refused := c.receive(p[:n]); refused {
+				c.refuse(refusal)
 				return 0, os.ErrDeadlineExceeded
 			}
 			return n, err
@@ -125,21 +126,21 @@
 }
 
 // receive records that bytes were read. It returns the refusal of a request whose header holds more than it may, also after others
-// have made room.
-func (c *callerConn) receive(p []byte) *headRefusal {
+// have made room, and reports whether there is one.
+func (c *callerConn) receive(p []byte) (refusal server.HeadRefusal, refused bool) {
 	verdict := c.received(p)
 	if verdict == intake.HeadsTooMany {
 		c.intake.makeHeadRoom(c)
 		verdict = c.holdHead()
 	}
-	refused := headRefusals[verdict]
-	if refused != nil {
+	refusal, refused = server.RefusalOf(verdict)
+	if refused {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.setState(connHeaderRefused)
 		c.stopPending()
 	}
-	return refused
+	return refusal, refused
 }
 
 // holdHead counts the header again, which has found no memory before.
--- a/internal/gateway/head_refusal.go
+++ b/internal/gateway/head_refusal.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"rockcleat/intake"
 	"rockcleat/internal/server"
 )
 
@@ -17,20 +16,11 @@
 	reasonTooMany  = "headers_too_many"
 )
 
-// A headRefusal is the response to a request whose header is not read to its end.
-type headRefusal struct{ server.HeadRefusal }
-
 // headerIncomplete refuses a request whose header does not come in time.
-var headerIncomplete = &headRefusal{HeadRefusal: server.HeadRefusal{Status: http.StatusRequestTimeout}}
-
-// headRefusals holds the refusals of headers that hold too much.
-var headRefusals = map[intake.HeadVerdict]*headRefusal{
-	intake.HeadTooLarge: {HeadRefusal: server.HeadRefusal{Status: http.StatusRequestHeaderFieldsTooLarge}},
-	intake.HeadsTooMany: {HeadRefusal: server.HeadRefusal{Status: http.StatusServiceUnavailable, RetryAfter: minRetryAfter}},
-}
+var headerIncomplete = server.HeadRefusal{Status: http.StatusRequestTimeout}
 
 // refuse sends the response to the request that is being read. The caller of Read closes the connection.
-func (c *callerConn) refuse(r *headRefusal) {
+func (c *callerConn) refuse(r server.HeadRefusal) {
 	c.intake.headerRefusals.add(r)
 	r.Write(c.TCPConn)
 }
@@ -40,7 +30,7 @@
 	late, tooLarge, tooMany atomic.Int64
 }
 
-func (c *headerRefusalCounts) add(r *headRefusal) {
+func (c *headerRefusalCounts) add(r server.HeadRefusal) {
 	switch r.Status {
 	case http.StatusRequestTimeout:
 		c.late.Add(1)
--- a/internal/lab/crowd/behaviour.go
+++ b/internal/lab/crowd/behaviour.go
@@ -15,8 +15,8 @@
 	most int
 	// holds is set if the behaviour takes connections rather than memory.
 	holds bool
-	// deaf is set if the client does not read.
-	deaf bool
+	// neverReads is set if the client does not read.
+	neverReads bool
 }
 
 // A Target describes requests that the process under test handles.
@@ -103,10 +103,10 @@
 		"connections that send nothing":            {holds: true, most: 1},
 		"connections kept after a request":         {begin: t.headBegin("GET", t.Missing) + "\r\n", holds: true, most: 1},
 		"connections that send one byte":           {begin: "G", holds: true, most: 1},
-		"requests without end, responses not read": {piece: repeat(t.headBegin("GET", t.Missing) + "\r\n"), deaf: true},
+		"requests without end, responses not read": {piece: repeat(t.headBegin("GET", t.Missing) + "\r\n"), neverReads: true},
 	}
 	if t.LargeAnswer != "" {
-		all["large responses that are not read"] = Behaviour{begin: t.headBegin("GET", t.Served) + t.LargeAnswer + "\r\n", most: 1, deaf: true}
+		all["large responses that are not read"] = Behaviour{begin: t.headBegin("GET", t.Served) + t.LargeAnswer + "\r\n", most: 1, neverReads: true}
 	}
 	return all
 }
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -21,8 +21,8 @@
 	holdingInterval = 5 * time.Millisecond
 	// maxSent is the number of bytes that a client sends on a connection, if they are taken.
 	maxSent = 4 << 20
-	// patience bounds how long a client waits on one connection, for each of connecting, sending and being closed.
-	patience = 2 * time.Second
+	// connTimeout bounds how long a client waits on one connection, for each of connecting, sending and being closed.
+	connTimeout = 2 * time.Second
 )
 
 // Run sends the behaviour of a crowd to addr and returns once all its clients have connected as often as they should. The last
@@ -69,28 +69,28 @@
 	}
 }
 
-// call connects once, and returns the connection after the other side has closed it or patience has passed. It returns nil if
+// call connects once, and returns the connection after the other side has closed it or the timeout has passed. It returns nil if
 // there is none.
 func (b Behaviour) call(ctx context.Context, addr string) (conn net.Conn, closed bool) {
-	conn, err := net.DialTimeout("tcp", addr, patience)
+	conn, err := net.DialTimeout("tcp", addr, connTimeout)
 	if err != nil {
 		return nil, false
 	}
 	end := make(chan struct{})
 	go func() {
 		defer close(end)
-		if b.deaf {
+		if b.neverReads {
 			<-ctx.Done()
 			return
 		}
 		_, _ = io.Copy(io.Discard, conn)
 	}()
-	_ = conn.SetWriteDeadline(time.Now().Add(patience))
+	_ = conn.SetWriteDeadline(time.Now().Add(connTimeout))
 	b.write(conn)
 	select {
 	case <-end:
 		return conn, true
-	case <-time.After(patience):
+	case <-time.After(connTimeout):
 		return conn, false
 	}
 }
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -69,6 +69,9 @@
 	return &Guard{headers: headers, maxOpen: maxOpen, open: make(map[*guardedConn]struct{})}
 }
 
+// NewVMGuard returns a Guard for a process that has a VM with the given memory in MB; 0 if it is not known.
+func NewVMGuard(vmMB float64) *Guard { return NewGuard(NewHeaderMemory(vmMB), MaxConns(vmMB)) }
+
 // Wrap returns a listener whose connections the guard bounds, for an http.Server on which Protect was called.
 func (g *Guard) Wrap(l net.Listener) net.Listener { return &guardedListener{Listener: l, guard: g} }
 
--- a/internal/server/guard_test.go
+++ b/internal/server/guard_test.go
@@ -16,8 +16,8 @@
 	"rockcleat/internal/server"
 )
 
-// patience bounds the waits of these tests.
-const patience = 10 * time.Second
+// testTimeout bounds the waits of these tests.
+const testTimeout = 10 * time.Second
 
 // startGuarded starts a server that responds to each request with "yes", and returns its address.
 func startGuarded(t *testing.T, headerMemory int64, maxOpen int) string {
@@ -32,13 +32,13 @@
 	return l.Addr().String()
 }
 
-// dial connects to addr, with patience for all that follows.
+// dial connects to addr, with the timeout for all that follows.
 func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	assert.NilError(t, conn.SetDeadline(time.Now().Add(patience)))
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
 	return conn, bufio.NewReader(conn)
 }
 
--- a/internal/server/guarded_conn.go
+++ b/internal/server/guarded_conn.go
@@ -44,7 +44,7 @@
 		c.guard.makeHeadRoom(c)
 		verdict = c.holdHead()
 	}
-	if refusal, ok := headRefusals[verdict]; ok {
+	if refusal, ok := RefusalOf(verdict); ok {
 		c.setState(connRefused)
 		refusal.Write(c.Conn)
 		return 0, net.ErrClosed
--- a/internal/server/head_refusal.go
+++ b/internal/server/head_refusal.go
@@ -25,6 +25,12 @@
 	intake.HeadsTooMany: {Status: http.StatusServiceUnavailable, RetryAfter: headRetryAfter},
 }
 
+// RefusalOf returns the refusal of a header about which v was decided. It reports false if the header may go on.
+func RefusalOf(v intake.HeadVerdict) (HeadRefusal, bool) {
+	refusal, ok := headRefusals[v]
+	return refusal, ok
+}
+
 const (
 	// headRetryAfter is the Retry-After of a request that is refused since the headers of others use up the memory for them.
 	headRetryAfter = 200 * time.Millisecond
