placer: a log line for each planned load of an adapter

On call could not see why an engine was ordered to load an adapter beyond what it holds: the lines "order issued" name neither the requests that use the adapter which is unloaded first nor the slots and the memory that are free.

"adapter move planned" has how long requests have waited for the adapter, the victim and the requests that use it, the adapters of the engine, its slots and its free memory.

--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -126,10 +126,21 @@
 		StreamVersions: demand.streamVersions, WaitingSince: p.adapterWaitingSince, Now: now,
 	})
 	for _, m := range moves {
+		p.logAdapterMove(s, m, demand, now)
 		p.issueAdapterOrders(p.engines.byID[m.Engine], m)
 	}
 }
 
+// logAdapterMove logs a planned load of an adapter and what decided it: how long requests have waited for it, how many use
+// the adapter to be unloaded, and what the engine holds.
+func (p *Placer) logAdapterMove(s table.Service, m residency.AdapterMove, demand adapterDemand, now time.Time) {
+	e := p.engines.byID[m.Engine]
+	p.opts.Log.Info("adapter move planned", zap.String("server", m.Engine), zap.String("model", m.Model), zap.String("adapter", m.Name),
+		zap.Duration("waited", now.Sub(p.adapterWaitingSince[m.Adapter])), zap.String("victim", m.Evict.Name),
+		zap.Int("victim_requests", demand.running[m.Evict]), zap.Int("adapters", residency.AdapterCount(e.residents)),
+		zap.Int("slots", s.Engine.AdapterSlots), zap.Float64("free_mb", residency.FreeMB(s.Engine, e.residents)))
+}
+
 // notLoaded returns the adapters that requests wait for and that are not loaded on any usable engine, and those that
 // streams need at a software version at which no usable engine has them. Engines that are leaving or throttled are not
 // usable, and an engine that is about to unload a model is not usable for its adapters.
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -79,8 +79,8 @@
 			continue
 		}
 		move := AdapterMove{Engine: e.ID, Adapter: a}
-		cost := in.RequestsByEngine[e.ID] + adapterCount(e)
-		if adapterCount(e) >= in.Slots {
+		cost := in.RequestsByEngine[e.ID] + AdapterCount(e.Residents)
+		if AdapterCount(e.Residents) >= in.Slots {
 			evict, ok := in.evictionFor(e, a)
 			if !ok {
 				continue
@@ -103,9 +103,10 @@
 // for another adapter for longer than that.
 const minAdapterResidence = time.Second
 
-func adapterCount(e *EngineView) int {
+// AdapterCount returns the number of adapters that an engine with the given residents holds.
+func AdapterCount(residents []backend.Resident) int {
 	n := 0
-	for _, r := range e.Residents {
+	for _, r := range residents {
 		n += len(r.Adapters)
 	}
 	return n
