placer: an adapter is loaded only once a report shows a free slot

Cause: an engine answers the unload of an adapter with "accepted" if requests still use it; the unload is done when they have ended. The leader took it as done and loaded the next adapter 1 ms later, one more than the engine has slots for.

Evidence: "adapter move planned" has a victim with 7 requests and 8 adapters in 8 slots; "order issued" has the outcome "taken" for the unload 1 ms before the load. Reports and the leader's count were right.

Fix: residency.FitsAdapter and FitsModel say what an engine can take, and are asked when a load is about to be sent. An adapter whose unload waits keeps its slot until a report shows that it is gone; it is not offered to gateways and not chosen again. Engines on which no request has to end first are preferred, and adapters that no request uses are unloaded before those in use. While an adapter is awaited, no load of a model begins there.

Why it works: the sequence number ties a report to the orders before it, so that a slot is free only when the engine says so, also after a lost response, a late order or a change of the leader.

The tests of PlanAdapters compare the list of evictions now, as strictly as the one eviction before.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -79,6 +79,10 @@
 	nextReport time.Time
 	// loadedAt holds the times at which models were loaded, for minResidenceTime.
 	loadedAt map[string]time.Time
+	// unloadingAdapters holds the unloads of adapters that the engine has accepted, or may have accepted, and that are not
+	// done yet. awaitedAdapters are the adapters to load as soon as there is room, in this order.
+	unloadingAdapters map[backend.Adapter]adapterUnload
+	awaitedAdapters   []awaitedAdapter
 	// adapterReadyAt holds the times at which adapters being loaded are expected to be ready.
 	adapterReadyAt map[backend.Adapter]time.Time
 }
@@ -87,6 +91,7 @@
 	return &engineState{
 		server: s, residents: s.Residents, cachedInMemory: s.CachedInMemory, cachedOnDisk: s.CachedOnDisk,
 		loadedAt: make(map[string]time.Time), adapterReadyAt: make(map[backend.Adapter]time.Time),
+		unloadingAdapters: make(map[backend.Adapter]adapterUnload),
 	}
 }
 
@@ -96,7 +101,7 @@
 }
 
 // servable returns the models and adapters that gateways may send requests for: those that the engine holds,
-// without models about to be unloaded and adapters still being loaded.
+// without models about to be unloaded and adapters still being loaded or unloaded.
 func (e *engineState) servable(now time.Time) []backend.Resident {
 	if e.otherInstance {
 		return nil
@@ -108,7 +113,8 @@
 		}
 		r = r.Clone()
 		r.Adapters = slices.DeleteFunc(r.Adapters, func(name string) bool {
-			return now.Before(e.adapterReadyAt[backend.Adapter{Model: r.Model, Name: name}])
+			a := backend.Adapter{Model: r.Model, Name: name}
+			return now.Before(e.adapterReadyAt[a]) || e.isUnloadingAdapter(a)
 		})
 		servable = append(servable, r)
 	}
@@ -146,6 +152,7 @@
 		ID: e.server.ID, Hall: e.server.Hall, Version: e.server.Version, Residents: e.residentsAfterOrders(), Idle: e.isIdle(),
 		Loading: e.plannedLoad(), Leaving: !e.server.AcceptsRequests() || e.ended,
 		CachedInMemory: e.cachedInMemory, CachedOnDisk: e.cachedOnDisk, RecentlyLoaded: recent,
+		UnloadingAdapters: e.unloadingView(now), AwaitedAdapters: e.awaitedView(),
 	}
 }
 
@@ -224,6 +231,7 @@
 	for _, a := range r.LoadingAdapters {
 		e.addAdapter(a, now)
 	}
+	e.settleAdapterUnloads(r)
 	e.cachedInMemory, e.cachedOnDisk = r.CachedInMemory, r.CachedOnDisk
 	if now.Before(e.cacheUnknownUntil) {
 		e.cachedInMemory, e.cachedOnDisk = nil, nil
--- a/internal/placer/harness_test.go
+++ b/internal/placer/harness_test.go
@@ -59,6 +59,14 @@
 	// blockUnload makes an unload of a model stay in progress.
 	blockUnload     bool
 	orderInProgress bool
+	// inUse names the adapters that requests use. Their unload waits in leaving until endRequests.
+	inUse   map[backend.Adapter]bool
+	leaving []backend.Order
+	// late holds the orders that arrive after their sender has given up.
+	late []backend.Order
+	// limits, if not nil, is what the engine can hold. overfilled counts the loads beyond that.
+	limits     *table.EngineSpec
+	overfilled int
 }
 
 func (f *fakeEngines) Report(_ context.Context, s *backend.Server) (backend.Report, error) {
@@ -100,12 +108,56 @@
 		e.orderInProgress = true
 		return backend.OrderAccepted, nil
 	}
-	e.apply(o)
-	return backend.OrderAccepted, nil
+	return e.apply(o), nil
 }
 
-func (e *fakeEngine) apply(o backend.Order) {
+// apply counts an order and carries it out, or lets an unload wait for the requests that use the adapter.
+func (e *fakeEngine) apply(o backend.Order) backend.OrderOutcome {
 	e.sequence++
+	if a := (backend.Adapter{Model: o.Model, Name: o.Adapter}); o.Unload && e.inUse[a] {
+		e.leaving = append(e.leaving, o)
+		return backend.OrderAccepted
+	}
+	e.carryOut(o)
+	if o.Unload && o.Adapter != "" && e.inUse != nil {
+		return backend.OrderAlreadyDone
+	}
+	return backend.OrderAccepted
+}
+
+// endRequests ends the requests that use an adapter.
+func (e *fakeEngine) endRequests(a backend.Adapter) {
+	delete(e.inUse, a)
+	e.leaving = slices.DeleteFunc(e.leaving, func(o backend.Order) bool {
+		if o.Model != a.Model || o.Adapter != a.Name {
+			return false
+		}
+		e.carryOut(o)
+		return true
+	})
+}
+
+// receiveLate handles the orders in late, as far as their sequence numbers are the expected ones.
+func (e *fakeEngine) receiveLate() {
+	for _, o := range e.late {
+		if o.Fence >= e.fence && o.Sequence == e.sequence {
+			e.apply(o)
+		}
+	}
+	e.late = nil
+}
+
+// usedMB returns the memory in use, adapters the number of adapters held.
+func (e *fakeEngine) usedMB() (used float64, adapters int) {
+	for _, r := range e.residents {
+		m, _ := e.limits.Model(r.Model)
+		used += m.WeightsMB + float64(len(r.Adapters))*m.AdapterMB
+		adapters += len(r.Adapters)
+	}
+	return used, adapters
+}
+
+func (e *fakeEngine) carryOut(o backend.Order) {
 	i := slices.IndexFunc(e.residents, func(r backend.Resident) bool { return r.Model == o.Model })
 	switch {
 	case o.Adapter != "" && !o.Unload:
@@ -117,6 +169,12 @@
 	default:
 		e.residents = append(e.residents, backend.Resident{Model: o.Model})
 	}
+	if e.limits == nil || o.Unload {
+		return
+	}
+	if used, adapters := e.usedMB(); used > e.limits.WeightsMB || adapters > e.limits.AdapterSlots {
+		e.overfilled++
+	}
 }
 
 func (f *fakeEngines) orders() []issuedOrder {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -39,6 +39,8 @@
 			return
 		}
 		p.issueModelOrder(e, s.Engine, now)
+	case e.isIdle() && e.hasRoomForAwaited(s.Engine):
+		p.issueAdapterOrders(e, s.Engine, nil)
 	}
 }
 
@@ -78,6 +80,9 @@
 		return
 	}
 	e.nextReport = now.Add(p.refreshInterval())
+	if len(e.awaitedAdapters) > 0 {
+		e.nextReport = now.Add(pollInterval)
+	}
 	if r.OrderInProgress {
 		e.nextReport = now.Add(pollInterval)
 		if len(e.pending) == 0 {
@@ -115,7 +120,7 @@
 	o := e.pending[0]
 	o.Sequence, o.Fence = e.sequence, int64(p.leadership.token)
 	expectedTime := e.expectedTime(spec)
-	if !o.Unload && residency.FreeMB(spec, e.residents) < modelWeights(spec, o.Model) {
+	if !o.Unload && !residency.FitsModel(spec, e.residents, o.Model) {
 		e.pending = nil
 		return
 	}
@@ -132,16 +137,6 @@
 	}()
 }
 
-// modelWeights returns the size of a model's weights in MB. For a model that is not configured it returns the
-// memory of a whole engine, so that the model does not fit.
-func modelWeights(spec *table.EngineSpec, model string) float64 {
-	m, ok := spec.Model(model)
-	if !ok {
-		return spec.WeightsMB
-	}
-	return m.WeightsMB
-}
-
 // send sends an order if the lease is certainly still held under the order's token.
 func (p *Placer) send(s *backend.Server, o backend.Order) (backend.OrderOutcome, error) {
 	if token, held := p.opts.Lease.Held(); !held || int64(token) != o.Fence {
@@ -199,54 +194,3 @@
 		e.nextReport = now.Add(pollInterval)
 	}
 }
-
-// issueAdapterOrders loads an adapter, after unloading the one that it replaces, if any.
-func (p *Placer) issueAdapterOrders(e *engineState, m residency.AdapterMove) {
-	e.callInProgress = true
-	server := e.server
-	load := backend.Order{Model: m.Model, Adapter: m.Name, Sequence: e.sequence, Fence: int64(p.leadership.token)}
-	go func() {
-		if m.Evict.Name != "" {
-			unload := backend.Order{
-				Unload: true, Model: m.Evict.Model, Adapter: m.Evict.Name, Sequence: load.Sequence, Fence: load.Fence,
-			}
-			out, err := p.send(server, unload)
-			if !p.handleAdapterOrderResult(e, orderResult{order: unload, outcome: out, err: err}) {
-				return
-			}
-			load.Sequence++
-		}
-		out, err := p.send(server, load)
-		p.handleAdapterOrderResult(e, orderResult{order: load, outcome: out, err: err})
-	}()
-}
-
-// handleAdapterOrderResult handles the result of an order for an adapter and reports whether the engine counted
-// it.
-func (p *Placer) handleAdapterOrderResult(e *engineState, result orderResult) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.opts.Clock.Now()
-	p.recordOrderResult(e, result, now)
-	if !result.isCounted() {
-		e.callInProgress, e.known = false, false
-		e.nextReport = now.Add(pollInterval)
-		return false
-	}
-	adapter := backend.Adapter{Model: result.order.Model, Name: result.order.Adapter}
-	if result.order.Unload {
-		e.removeAdapter(adapter)
-		return true
-	}
-	e.callInProgress = false
-	e.addAdapter(adapter, now)
-	p.opts.Clock.AfterFunc(adapterLoadTime, p.publishNow)
-	e.nextReport = now.Add(adapterCheckDelay)
-	if result.outcome == backend.OrderAlreadyDone {
-		// The engine may have held the adapter before; only a report shows whether the order was counted.
-		e.known = false
-		e.nextReport = now.Add(pollInterval)
-	}
-	p.publish(now)
-	return true
-}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -78,6 +78,10 @@
 	}
 	views := p.engineViews(engines, now)
 	succession.Observe(s.Engine, demands, views)
+	for i := range views {
+		// A load of a model would keep the engine busy for longer than requests can wait for an adapter.
+		views[i].Idle = views[i].Idle && len(views[i].AwaitedAdapters) == 0
+	}
 	moves := residency.Plan(residency.Input{
 		Spec: s.Engine, Engines: views, Demands: demands, Sequence: succession, Lost: p.replicas.byModel(s.Name),
 		StoreLoadsAllowed: p.storeLoadLimiter.available(now) - pendingStoreLoads(engines),
@@ -112,6 +116,9 @@
 	demand := p.demand.adapterDemand(s.Name)
 	missing, missingAt := p.notLoaded(demand, engines)
 	p.recordMissingAdapters(missing, missingAt, now)
+	awaited := p.awaitedAdapters(engines, now)
+	missing = slices.DeleteFunc(missing, func(a backend.Adapter) bool { return awaited[a] })
+	missingAt = slices.DeleteFunc(missingAt, func(at residency.AdapterAt) bool { return awaited[at.Adapter] })
 	if len(missing)+len(missingAt) == 0 {
 		return
 	}
@@ -127,18 +134,41 @@
 	})
 	for _, m := range moves {
 		p.logAdapterMove(s, m, demand, now)
-		p.issueAdapterOrders(p.engines.byID[m.Engine], m)
+		e := p.engines.byID[m.Engine]
+		e.awaitedAdapters = append(e.awaitedAdapters, awaitedAdapter{Adapter: m.Adapter, since: now})
+		if len(m.Evictions) > 0 || e.hasRoomForAwaited(s.Engine) {
+			p.issueAdapterOrders(e, s.Engine, m.Evictions)
+		}
 	}
 }
 
 // logAdapterMove logs a planned load of an adapter and what decided it: how long requests have waited for it, how many use
-// the adapter to be unloaded, and what the engine holds.
+// the adapters to be unloaded, and what the engine holds.
 func (p *Placer) logAdapterMove(s table.Service, m residency.AdapterMove, demand adapterDemand, now time.Time) {
 	e := p.engines.byID[m.Engine]
+	var evictions []string
+	requests := 0
+	for _, a := range m.Evictions {
+		evictions = append(evictions, a.Model+"/"+a.Name)
+		requests += demand.running[a]
+	}
 	p.opts.Log.Info("adapter move planned", zap.String("server", m.Engine), zap.String("model", m.Model), zap.String("adapter", m.Name),
-		zap.Duration("waited", now.Sub(p.adapterWaitingSince[m.Adapter])), zap.String("victim", m.Evict.Name),
-		zap.Int("victim_requests", demand.running[m.Evict]), zap.Int("adapters", residency.AdapterCount(e.residents)),
-		zap.Int("slots", s.Engine.AdapterSlots), zap.Float64("free_mb", residency.FreeMB(s.Engine, e.residents)))
+		zap.Duration("waited", now.Sub(p.adapterWaitingSince[m.Adapter])), zap.Strings("victims", evictions),
+		zap.Int("victim_requests", requests), zap.Int("adapters", residency.AdapterCount(e.residents)),
+		zap.Int("unloading", len(e.unloadingAdapters)), zap.Int("slots", s.Engine.AdapterSlots),
+		zap.Float64("free_mb", residency.FreeMB(s.Engine, e.residents)))
+}
+
+// awaitedAdapters returns the adapters that engines load as soon as they have room.
+func (p *Placer) awaitedAdapters(engines []*engineState, now time.Time) map[backend.Adapter]bool {
+	awaited := make(map[backend.Adapter]bool)
+	for _, e := range engines {
+		p.dropAwaitedAdapters(e, now)
+		for _, w := range e.awaitedAdapters {
+			awaited[w.Adapter] = true
+		}
+	}
+	return awaited
 }
 
 // notLoaded returns the adapters that requests wait for and that are not loaded on any usable engine, and those that
@@ -176,6 +206,9 @@
 			}
 			for _, name := range r.Adapters {
 				a := backend.Adapter{Model: r.Model, Name: name}
+				if e.isUnloadingAdapter(a) {
+					continue
+				}
 				loaded[a] = true
 				loadedAt[residency.AdapterAt{Adapter: a, Version: e.server.Version}] = true
 			}
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -7,12 +7,13 @@
 	"rockcleat/backend"
 )
 
-// An AdapterMove is the load of an adapter on an engine.
+// An AdapterMove is the load of an adapter on an engine. The load must wait until FitsAdapter permits it: an adapter that
+// requests use is unloaded only after they have ended.
 type AdapterMove struct {
 	Engine string
 	backend.Adapter
-	// Evict is the adapter to unload first; its Name is empty if there is none.
-	Evict backend.Adapter
+	// Evictions are the adapters to unload first.
+	Evictions []backend.Adapter
 }
 
 // An AdapterAt is an adapter at a software version.
@@ -67,8 +68,9 @@
 	return moves
 }
 
-// cheapestMove returns the move to the least busy allowed engine that holds the adapter's model. Engines with a free slot
-// are preferred. How busy an engine is, is measured by its number of requests plus its number of adapters.
+// cheapestMove returns the move to the least busy allowed engine that holds the adapter's model. Engines with room now
+// are preferred, those where requests have to end first come last. How busy an engine is, is measured by its number of
+// requests plus its number of adapters.
 func (in *AdapterInput) cheapestMove(a backend.Adapter, usedEngines map[string]bool, isAllowed func(*EngineView) bool) (AdapterMove, bool) {
 	var best AdapterMove
 	found := false
@@ -78,66 +80,89 @@
 		if e.Leaving || e.Throttled || usedEngines[e.ID] || !holds(e, a.Model) || !isAllowed(e) {
 			continue
 		}
-		move := AdapterMove{Engine: e.ID, Adapter: a}
-		cost := in.RequestsByEngine[e.ID] + AdapterCount(e.Residents)
-		if AdapterCount(e.Residents) >= in.Slots {
-			evict, ok := in.evictionFor(e, a)
-			if !ok {
-				continue
-			}
-			move.Evict = evict
-			cost += fullEnginePenalty
+		evictions, penalty, ok := in.makeRoom(e, a)
+		if !ok {
+			continue
 		}
+		cost := in.RequestsByEngine[e.ID] + AdapterCount(e.Residents) + penalty
 		if !found || cost < bestCost {
-			best, bestCost, found = move, cost, true
+			best, bestCost, found = AdapterMove{Engine: e.ID, Adapter: a, Evictions: evictions}, cost, true
 		}
 	}
 	return best, found
 }
 
-// fullEnginePenalty is the additional cost of an engine without a free adapter slot, in requests. It exceeds
-// the number of requests that an engine runs at once, so that free slots are used first.
-const fullEnginePenalty = 1000
+// Additional costs of an engine without room for an adapter, in requests. They exceed the number of requests that an engine
+// runs at once.
+const (
+	// adapterEvictionCost is the cost of evicting adapters that no request uses.
+	adapterEvictionCost = 1000
+	// adapterWaitCost is the cost of waiting until the requests that use an adapter have ended.
+	adapterWaitCost = 2 * adapterEvictionCost
+)
+
+// makeRoom returns the adapters to unload from an engine so that another one can be loaded, and the cost of it; ok is false
+// if there is no way.
+func (in *AdapterInput) makeRoom(e *EngineView, a backend.Adapter) (evictions []backend.Adapter, cost int, ok bool) {
+	free := in.Slots - AdapterCount(e.Residents) - len(e.AwaitedAdapters)
+	if free > 0 {
+		return nil, 0, true
+	}
+	for _, isExpected := range e.UnloadingAdapters {
+		if isExpected {
+			free++
+		} else {
+			cost += adapterWaitCost
+		}
+	}
+	if free > 0 {
+		return nil, cost + adapterWaitCost, true
+	}
+	evict, ok := in.evictionFor(e, a)
+	if !ok {
+		return nil, 0, false
+	}
+	if in.RequestsByAdapter[evict] > 0 {
+		return []backend.Adapter{evict}, cost + adapterWaitCost, true
+	}
+	return []backend.Adapter{evict}, cost + adapterEvictionCost, true
+}
 
 // minAdapterResidence is how long an adapter stays loaded after its last request, unless requests have waited
 // for another adapter for longer than that.
 const minAdapterResidence = time.Second
 
-// AdapterCount returns the number of adapters that an engine with the given residents holds.
-func AdapterCount(residents []backend.Resident) int {
-	n := 0
-	for _, r := range residents {
-		n += len(r.Adapters)
-	}
-	return n
-}
-
 // evictionFor returns the adapter to unload for the wanted one: the least recently requested adapter that no
 // request uses or waits for and whose minAdapterResidence has passed. If requests have waited for the wanted
-// adapter for longer than minAdapterResidence, adapters may be unloaded before that, and an adapter that another
-// engine holds too is preferred, even if it is in use. An adapter that streams need at the engine's software version comes
-// last, and only in the latter case.
+// adapter for longer than minAdapterResidence, adapters may be unloaded before that. Those that another engine holds too are
+// then preferred, and one of them is unloaded even while requests use it, if there is no other. An adapter that streams need
+// at the engine's software version comes last, and only in the latter case.
 func (in *AdapterInput) evictionFor(e *EngineView, wanted backend.Adapter) (backend.Adapter, bool) {
-	var unused, redundant, needed []backend.Adapter
+	var redundant, unused, used, needed []backend.Adapter
 	overdue := in.Now.Sub(in.WaitingSince[wanted]) > minAdapterResidence && !in.WaitingSince[wanted].IsZero()
 	for _, r := range e.Residents {
 		for _, name := range r.Adapters {
 			a := backend.Adapter{Model: r.Model, Name: name}
+			_, unloading := e.UnloadingAdapters[a]
 			pastMinResidence := overdue || in.Now.Sub(in.LastUsed[a]) > minAdapterResidence
+			isRedundant := overdue && in.replicas(a) > 1
+			isUnused := in.RequestsByAdapter[a] == 0
 			switch {
-			case slices.Contains(in.Missing, a):
+			case unloading, slices.Contains(in.Missing, a):
 			case in.isNeededByStreams(e, a):
-				if overdue && (in.replicas(a) > 1 || in.RequestsByAdapter[a] == 0) {
+				if isRedundant || overdue && isUnused {
 					needed = append(needed, a)
 				}
-			case in.replicas(a) > 1 && overdue:
+			case isRedundant && isUnused:
 				redundant = append(redundant, a)
-			case in.RequestsByAdapter[a] == 0 && pastMinResidence:
+			case isRedundant:
+				used = append(used, a)
+			case isUnused && pastMinResidence:
 				unused = append(unused, a)
 			}
 		}
 	}
-	for _, candidates := range [][]backend.Adapter{redundant, unused, needed} {
+	for _, candidates := range [][]backend.Adapter{redundant, unused, used, needed} {
 		if len(candidates) > 0 {
 			return slices.MinFunc(candidates, func(a, b backend.Adapter) int { return in.LastUsed[a].Compare(in.LastUsed[b]) }), true
 		}
@@ -145,7 +170,7 @@
 	return backend.Adapter{}, false
 }
 
-// replicas returns the number of engines that hold the adapter, without the engines that are leaving.
+// replicas returns the number of engines that hold the adapter, without those that are leaving or unloading it.
 func (in *AdapterInput) replicas(a backend.Adapter) int {
 	n := 0
 	for i := range in.Engines {
@@ -156,7 +181,10 @@
 	return n
 }
 
-// holdsAdapter reports whether an engine that is not leaving holds an adapter.
+// holdsAdapter reports whether an engine that is not leaving holds an adapter and is not unloading it.
 func holdsAdapter(e *EngineView, a backend.Adapter) bool {
+	if _, unloading := e.UnloadingAdapters[a]; unloading {
+		return false
+	}
 	return !e.Leaving && slices.ContainsFunc(e.Residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
 }
--- a/residency/evict.go
+++ b/residency/evict.go
@@ -103,25 +103,6 @@
 	return m.WeightsMB + reserved - freeWithoutAdapters
 }
 
-// FreeMB returns the memory of an engine that its residents leave free, in MB.
-func FreeMB(spec *table.EngineSpec, residents []backend.Resident) float64 {
-	free := spec.WeightsMB
-	for _, r := range residents {
-		free -= residentMB(spec, r)
-	}
-	return free
-}
-
-// residentMB returns the memory of a model and its adapters, in MB; 0 for a model that is not configured,
-// since its size is unknown.
-func residentMB(spec *table.EngineSpec, r backend.Resident) float64 {
-	m, ok := spec.Model(r.Model)
-	if !ok {
-		return 0
-	}
-	return m.WeightsMB + float64(len(r.Adapters))*m.AdapterMB
-}
-
 // adapterReserveMB returns the memory of an engine's adapter slots if all hold the largest adapter, in MB.
 func adapterReserveMB(spec *table.EngineSpec) float64 {
 	largest := 0.0
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -23,6 +23,11 @@
 	Idle bool
 	// Leaving is true if the engine is about to shut down. Its replicas do not count.
 	Leaving bool
+	// UnloadingAdapters holds those adapters among Residents whose unload waits until the requests that use them have ended.
+	// The value is false once that has taken so long that no load should wait for it.
+	UnloadingAdapters map[backend.Adapter]bool
+	// AwaitedAdapters are the adapters that are loaded as soon as the engine has room.
+	AwaitedAdapters []backend.Adapter
 	// Throttled is true while the engine accepts few requests. No adapter is loaded on it.
 	Throttled bool
 	// CachedInMemory and CachedOnDisk are the names of the models whose weights the engine's machine
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -287,7 +287,11 @@
 			}
 			assert.Equal(t, len(moves), 1)
 			assert.Equal(t, moves[0].Engine, test.engine)
-			assert.Equal(t, moves[0].Evict.Name, test.evicted)
+			var evictions []backend.Adapter
+			if test.evicted != "" {
+				evictions = []backend.Adapter{adapter(test.evicted)}
+			}
+			assert.DeepEqual(t, moves[0].Evictions, evictions)
 		})
 	}
 }
