placer: adapters are loaded only where there is memory for them

Cause: adapters were placed by free slots alone. The reserve for adapters is kept only when the planner loads a model itself; a worker that the platform has filled has none.

Evidence: "adapter move planned" has free_mb 20 for an adapter of 66 MB, 0 adapters in 8 slots.

Fix: FitsAdapter counts slots and memory and is asked as the load is sent; adapters are evicted for one that needs their memory. If the models leave none on all engines that hold the model, the plan evicts one of several replicas of another model, so that the requests are served instead of waiting for their deadline. The last replica of a model goes only under the conditions that hold for loads.

Why it works: no load is sent that exceeds what the last report and the orders since leave free, whoever has filled the engine.

--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -67,7 +67,7 @@
 
 // hasRoomForAwaited reports whether the first awaited adapter can be loaded now.
 func (e *engineState) hasRoomForAwaited(spec *table.EngineSpec) bool {
-	return len(e.awaitedAdapters) > 0 && residency.FitsAdapter(spec, e.residents)
+	return len(e.awaitedAdapters) > 0 && residency.FitsAdapter(spec, e.residents, e.awaitedAdapters[0].Model)
 }
 
 // removeAwaited removes an adapter from the awaited ones.
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -161,7 +161,9 @@
 	for _, model := range m.Evictions {
 		e.pending = append(e.pending, backend.Order{Unload: true, Model: model})
 	}
-	e.pending = append(e.pending, backend.Order{Model: m.Model})
+	if m.Model != "" {
+		e.pending = append(e.pending, backend.Order{Model: m.Model})
+	}
 	e.accepted = false
 	e.plannedAt = now
 	if len(m.Evictions) > 0 {
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -32,10 +32,10 @@
 	}
 	p.abandonOverdueLoads(engines, now)
 	p.watchReplicas(s, engines, now)
-	p.planAdapters(s, engines, now)
+	missing := p.planAdapters(s, engines, now)
 	if now.Sub(p.plannedAt[s.Name]) >= planInterval(len(engines)) {
 		p.plannedAt[s.Name] = now
-		p.planModels(s, engines, now)
+		p.planModels(s, engines, missing, now)
 	}
 	for _, e := range engines {
 		p.callIfDue(s, e, now)
@@ -68,8 +68,8 @@
 	return p.opts.IsThrottled != nil && p.opts.IsThrottled(e.server)
 }
 
-// planModels plans and queues model moves.
-func (p *Placer) planModels(s table.Service, engines []*engineState, now time.Time) {
+// planModels plans and queues model moves, also those that make room for missing adapters.
+func (p *Placer) planModels(s table.Service, engines []*engineState, missing []backend.Adapter, now time.Time) {
 	demands := p.demandsFor(s)
 	succession := p.successions[s.Name]
 	if succession == nil {
@@ -84,12 +84,13 @@
 	}
 	moves := residency.Plan(residency.Input{
 		Spec: s.Engine, Engines: views, Demands: demands, Sequence: succession, Lost: p.replicas.byModel(s.Name),
+		MissingAdapters:   missing,
 		StoreLoadsAllowed: p.storeLoadLimiter.available(now) - pendingStoreLoads(engines),
 	})
 	for _, m := range moves {
 		replacement := p.recordReplacement(s, m, now)
 		p.opts.Log.Info("move planned", zap.String("server", m.Engine), zap.String("model", m.Model),
-			zap.Strings("victims", m.Evictions), zap.Stringer("source", m.Source), p.demandField(s, m), replacement, interruptedField(m))
+			zap.Strings("victims", m.Evictions), zap.Stringer("source", m.Source), p.demandField(s, m), replacement, interruptedField(m), adaptersField(m))
 		p.engines.byID[m.Engine].plan(m, now)
 	}
 }
@@ -111,16 +112,24 @@
 	return n
 }
 
-// planAdapters plans the loads of missing adapters and issues their orders.
-func (p *Placer) planAdapters(s table.Service, engines []*engineState, now time.Time) {
+// adaptersField returns a log field with the model whose adapters a move makes room for, if it does.
+func adaptersField(m residency.Move) zap.Field {
+	if m.AdaptersOf == "" {
+		return zap.Skip()
+	}
+	return zap.String("adapters_of", m.AdaptersOf)
+}
+
+// planAdapters plans the loads of missing adapters, issues their orders and returns all adapters that are missing.
+func (p *Placer) planAdapters(s table.Service, engines []*engineState, now time.Time) []backend.Adapter {
 	demand := p.demand.adapterDemand(s.Name)
 	missing, missingAt := p.notLoaded(demand, engines)
 	p.recordMissingAdapters(missing, missingAt, now)
 	awaited := p.awaitedAdapters(engines, now)
-	missing = slices.DeleteFunc(missing, func(a backend.Adapter) bool { return awaited[a] })
-	missingAt = slices.DeleteFunc(missingAt, func(at residency.AdapterAt) bool { return awaited[at.Adapter] })
-	if len(missing)+len(missingAt) == 0 {
-		return
+	unplanned := slices.DeleteFunc(slices.Clone(missing), func(a backend.Adapter) bool { return awaited[a] })
+	unplannedAt := slices.DeleteFunc(missingAt, func(at residency.AdapterAt) bool { return awaited[at.Adapter] })
+	if len(unplanned)+len(unplannedAt) == 0 {
+		return missing
 	}
 	idle := slices.DeleteFunc(p.engineViews(engines, now), func(e residency.EngineView) bool { return !e.Idle })
 	requests := make(map[string]int)
@@ -128,7 +137,7 @@
 		requests[id] = l.Running
 	}
 	moves := residency.PlanAdapters(residency.AdapterInput{
-		Slots: s.Engine.AdapterSlots, Engines: idle, Missing: missing, MissingAt: missingAt,
+		Spec: s.Engine, Engines: idle, Missing: unplanned, MissingAt: unplannedAt,
 		LastUsed: p.demand.adapterLastUsed, RequestsByAdapter: demand.running, RequestsByEngine: requests,
 		StreamVersions: demand.streamVersions, WaitingSince: p.adapterWaitingSince, Now: now,
 	})
@@ -140,6 +149,7 @@
 			p.issueAdapterOrders(e, s.Engine, m.Evictions)
 		}
 	}
+	return missing
 }
 
 // logAdapterMove logs a planned load of an adapter and what decided it: how long requests have waited for it, how many use
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -14,6 +14,7 @@
 	"rockcleat/backend"
 	"rockcleat/dispatch"
 	"rockcleat/internal/placer"
+	"rockcleat/table"
 )
 
 // maxLoadWait exceeds the time after which a load is planned on another engine, twice over.
@@ -173,20 +174,53 @@
 	}
 }
 
-// TestEnginesAreNeverOverfilled guards against loads beyond an engine's slots under unloads that wait, orders whose response
-// is lost, that arrive late or not at all, and changes of the leader, in drawn sequences.
-func TestEnginesAreNeverOverfilled(t *testing.T) {
-	for seed := range uint64(40) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testEnginesAreNeverOverfilled(t, seed) })
+// TestModelsMakeRoomForAdapters guards against adapters that are loaded onto engines whose memory models fill, and against
+// requests for adapters that no engine has memory for as long as each model keeps all its replicas.
+func TestModelsMakeRoomForAdapters(t *testing.T) {
+	synctest.Test(t, testModelsMakeRoomForAdapters)
+}
+
+func testModelsMakeRoomForAdapters(t *testing.T) {
+	f := newRoomFixture(t, nil, nil, nil)
+	for i := range f.engineNumbers() {
+		f.engine(i).residents = []backend.Resident{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
+	}
+	f.spec.Models = nil
+	for _, name := range []string{"m0", "m1", "m2"} {
+		f.spec.Models = append(f.spec.Models, table.ModelSpec{
+			Name: name, WeightsMB: 66_660, AdapterCount: 4, AdapterMB: 66, StoreLoadTime: time.Second,
 		})
+		f.running[name] = 2
+	}
+	f.start(true)
+	f.run(5*time.Second, nil)
+	f.waiting["m0/new"] = 1
+	assert.Assert(t, f.run(maxLoadWait, func() bool { return f.holder("new") >= 0 }), "not loaded: %v", f.engines.orders())
+	delete(f.waiting, "m0/new")
+	f.run(maxLoadWait, nil)
+	assert.Equal(t, f.overfilled(), 0, "%v", f.engines.orders())
+	assert.Equal(t, len(f.engines.orders()), 2, "one model is unloaded and one adapter loaded: %v", f.engines.orders())
+}
+
+// TestEnginesAreNeverOverfilled guards against loads beyond an engine's slots or memory under unloads that wait, orders whose
+// response is lost, that arrive late or not at all, and changes of the leader, in drawn sequences.
+func TestEnginesAreNeverOverfilled(t *testing.T) {
+	tests := map[string]float64{"memory for all slots": 20, "memory for one adapter": 10}
+	for name, mb := range tests {
+		for seed := range uint64(40) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testEnginesAreNeverOverfilled(t, mb, seed) })
+			})
+		}
 	}
 }
 
-func testEnginesAreNeverOverfilled(t *testing.T, seed uint64) {
+// testEnginesAreNeverOverfilled plays one seed with engines that have the given memory for adapters of 10 MB.
+func testEnginesAreNeverOverfilled(t *testing.T, adaptersMB float64, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	f := newRoomFixture(t, []string{"a1", "a2"}, []string{"a1", "a2"}, []string{"a1", "a3"})
+	f := newRoomFixture(t, []string{"a1"}, []string{"a1"}, []string{"a2"})
 	f.spec.Models[0].AdapterCount = 8
+	f.spec.WeightsMB = f.spec.Models[0].WeightsMB + adaptersMB
 	f.engines.respond = func(_ int, o backend.Order) (backend.OrderOutcome, bool, error) {
 		return drawOutcome(f, o, random)
 	}
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rockcleat/backend"
+	"rockcleat/table"
 )
 
 // An AdapterMove is the load of an adapter on an engine. The load must wait until FitsAdapter permits it: an adapter that
@@ -24,8 +25,7 @@
 
 // An AdapterInput is the input of PlanAdapters.
 type AdapterInput struct {
-	// Slots is the number of adapters that an engine can hold.
-	Slots int
+	Spec *table.EngineSpec
 	// Engines are the engines without an order in progress.
 	Engines []EngineView
 	// Missing are the adapters that requests wait for and that no engine holds, without counting engines that
@@ -103,41 +103,48 @@
 
 // makeRoom returns the adapters to unload from an engine so that another one can be loaded, and the cost of it; ok is false
 // if there is no way.
-func (in *AdapterInput) makeRoom(e *EngineView, a backend.Adapter) (evictions []backend.Adapter, cost int, ok bool) {
-	free := in.Slots - AdapterCount(e.Residents) - len(e.AwaitedAdapters)
-	if free > 0 {
+func (in *AdapterInput) makeRoom(e *EngineView, wanted backend.Adapter) (evictions []backend.Adapter, cost int, ok bool) {
+	free := roomOf(in.Spec, e.Residents)
+	for _, a := range e.AwaitedAdapters {
+		free.add(in.Spec, a.Model, -1)
+	}
+	if free.fits(in.Spec, wanted.Model) {
 		return nil, 0, true
 	}
-	for _, isExpected := range e.UnloadingAdapters {
+	for a, isExpected := range e.UnloadingAdapters {
 		if isExpected {
-			free++
+			free.add(in.Spec, a.Model, 1)
 		} else {
 			cost += adapterWaitCost
 		}
 	}
-	if free > 0 {
+	if free.fits(in.Spec, wanted.Model) {
 		return nil, cost + adapterWaitCost, true
 	}
-	evict, ok := in.evictionFor(e, a)
-	if !ok {
-		return nil, 0, false
-	}
-	if in.RequestsByAdapter[evict] > 0 {
-		return []backend.Adapter{evict}, cost + adapterWaitCost, true
+	cost += adapterEvictionCost
+	for _, a := range in.evictionsFor(e, wanted) {
+		evictions = append(evictions, a)
+		free.add(in.Spec, a.Model, 1)
+		if in.RequestsByAdapter[a] > 0 {
+			cost += adapterWaitCost
+		}
+		if free.fits(in.Spec, wanted.Model) {
+			return evictions, cost, true
+		}
 	}
-	return []backend.Adapter{evict}, cost + adapterEvictionCost, true
+	return nil, 0, false
 }
 
 // minAdapterResidence is how long an adapter stays loaded after its last request, unless requests have waited
 // for another adapter for longer than that.
 const minAdapterResidence = time.Second
 
-// evictionFor returns the adapter to unload for the wanted one: the least recently requested adapter that no
-// request uses or waits for and whose minAdapterResidence has passed. If requests have waited for the wanted
+// evictionsFor returns the adapters that may be unloaded for the wanted one, the first to be unloaded first. They are those
+// that no request uses or waits for and whose minAdapterResidence has passed, the least recently requested first. If requests have waited for the wanted
 // adapter for longer than minAdapterResidence, adapters may be unloaded before that. Those that another engine holds too are
 // then preferred, and one of them is unloaded even while requests use it, if there is no other. An adapter that streams need
 // at the engine's software version comes last, and only in the latter case.
-func (in *AdapterInput) evictionFor(e *EngineView, wanted backend.Adapter) (backend.Adapter, bool) {
+func (in *AdapterInput) evictionsFor(e *EngineView, wanted backend.Adapter) []backend.Adapter {
 	var redundant, unused, used, needed []backend.Adapter
 	overdue := in.Now.Sub(in.WaitingSince[wanted]) > minAdapterResidence && !in.WaitingSince[wanted].IsZero()
 	for _, r := range e.Residents {
@@ -162,12 +169,12 @@
 			}
 		}
 	}
+	var list []backend.Adapter
 	for _, candidates := range [][]backend.Adapter{redundant, unused, used, needed} {
-		if len(candidates) > 0 {
-			return slices.MinFunc(candidates, func(a, b backend.Adapter) int { return in.LastUsed[a].Compare(in.LastUsed[b]) }), true
-		}
+		slices.SortStableFunc(candidates, func(a, b backend.Adapter) int { return in.LastUsed[a].Compare(in.LastUsed[b]) })
+		list = append(list, candidates...)
 	}
-	return backend.Adapter{}, false
+	return list
 }
 
 // replicas returns the number of engines that hold the adapter, without those that are leaving or unloading it.
--- a/residency/fit.go
+++ b/residency/fit.go
@@ -12,10 +12,34 @@
 	return ok && m.WeightsMB <= FreeMB(spec, residents)
 }
 
-// FitsAdapter reports whether an engine with the given residents can hold a further adapter. Adapters that are being loaded
-// or unloaded count as held.
-func FitsAdapter(spec *table.EngineSpec, residents []backend.Resident) bool {
-	return AdapterCount(residents) < spec.AdapterSlots
+// FitsAdapter reports whether an engine with the given residents has a slot and the memory for a further adapter of a model.
+// Adapters that are being loaded or unloaded count as held.
+func FitsAdapter(spec *table.EngineSpec, residents []backend.Resident, model string) bool {
+	return roomOf(spec, residents).fits(spec, model)
+}
+
+// A room is what an engine has left for adapters.
+type room struct {
+	slots int
+	mb    float64
+}
+
+// roomOf returns what residents leave free.
+func roomOf(spec *table.EngineSpec, residents []backend.Resident) room {
+	return room{slots: spec.AdapterSlots - AdapterCount(residents), mb: FreeMB(spec, residents)}
+}
+
+// add adds what n adapters of a model take, which is negative if n is.
+func (r *room) add(spec *table.EngineSpec, model string, n int) {
+	m, _ := spec.Model(model)
+	r.slots += n
+	r.mb += float64(n) * m.AdapterMB
+}
+
+// fits reports whether an adapter of a model fits. One of a model that is not configured never does, since its size is unknown.
+func (r room) fits(spec *table.EngineSpec, model string) bool {
+	m, ok := spec.Model(model)
+	return ok && r.slots > 0 && m.AdapterMB <= r.mb
 }
 
 // AdapterCount returns the number of adapters that an engine with the given residents holds.
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -64,6 +64,8 @@
 	// Lost holds, by model, the demand that each replica served of those that were lost and have not been replaced, in
 	// tokens per second. Such replicas are planned before further ones for growing demand.
 	Lost map[string]float64
+	// MissingAdapters are the adapters that requests wait for and that no engine holds.
+	MissingAdapters []backend.Adapter
 	// StoreLoadsAllowed is the number of loads that the weight store accepts now.
 	StoreLoadsAllowed int
 }
@@ -89,10 +91,11 @@
 	return "store"
 }
 
-// A Move is the load of one model on one engine.
+// A Move is the load of one model on one engine, or the eviction of models to make room for adapters.
 type Move struct {
 	Engine string
-	Model  string
+	// Model is the model to load. It is empty if the evictions make room for adapters of AdaptersOf, which the engine holds.
+	Model, AdaptersOf string
 	// Evictions are the models to unload first.
 	Evictions []string
 	// Interrupted lists those of Evictions that streams need at the engine's software version.
@@ -136,7 +139,7 @@
 		}
 	}
 	p.targets = replicaTargets(in.Spec, p.in.Demands, p.policies, len(p.engines))
-	return p.moves()
+	return append(p.moves(), p.adapterRoomMoves()...)
 }
 
 // moves returns a move for each model with fewer replicas than its target, where one is possible.
@@ -301,8 +304,10 @@
 			capacity, version = engineCapacity(e), e.Version
 		}
 	}
-	p.replicas[m.Model]++
-	p.capacity[m.Model] += capacity
+	if m.Model != "" {
+		p.replicas[m.Model]++
+		p.capacity[m.Model] += capacity
+	}
 	for _, evicted := range m.Evictions {
 		p.replicas[evicted]--
 		p.replicasAt[versionedModel{evicted, version}]--
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -218,6 +218,32 @@
 	return list
 }
 
+// adapterSpec returns engines with a number of adapter slots and memory for all of them.
+func adapterSpec(slots int) *table.EngineSpec {
+	s := spec(10, 10)
+	s.AdapterSlots = slots
+	return s
+}
+
+// fullMemorySpec is adapterSpec with the given memory beside that of m0, in MB.
+func fullMemorySpec(slots int, beside float64) *table.EngineSpec {
+	s := adapterSpec(slots)
+	s.WeightsMB = s.Models[0].WeightsMB + beside
+	return s
+}
+
+// withUnloading lets engine i of the list unload an adapter and returns the list.
+func withUnloading(list []EngineView, i int, a backend.Adapter, isExpected bool) []EngineView {
+	list[i].UnloadingAdapters = map[backend.Adapter]bool{a: isExpected}
+	return list
+}
+
+// withAwaited lets an adapter wait for room on engine i of the list and returns the list.
+func withAwaited(list []EngineView, i int, a backend.Adapter) []EngineView {
+	list[i].AwaitedAdapters = []backend.Adapter{a}
+	return list
+}
+
 func TestPlanAdapters(t *testing.T) {
 	now := time.Unix(1000, 0)
 	full := func(names ...string) []EngineView {
@@ -232,47 +258,72 @@
 		evicted string
 	}{
 		"to an engine with its base": {
-			in: AdapterInput{Slots: 2, Engines: engines([]string{"m1"}, []string{"m0"})}, engine: "e1",
+			in: AdapterInput{Spec: adapterSpec(2), Engines: engines([]string{"m1"}, []string{"m0"})}, engine: "e1",
 		},
 		"to the least loaded": {
 			in: AdapterInput{
-				Slots: 2, Engines: engines([]string{"m0"}, []string{"m0"}), RequestsByEngine: map[string]int{"e0": 9},
+				Spec: adapterSpec(2), Engines: engines([]string{"m0"}, []string{"m0"}), RequestsByEngine: map[string]int{"e0": 9},
 			}, engine: "e1",
 		},
-		"not to one in need":       {in: AdapterInput{Slots: 2, Engines: withThrottled(engines([]string{"m0"}, []string{"m0"}), 0)}, engine: "e1"},
-		"nowhere without its base": {in: AdapterInput{Slots: 2, Engines: engines([]string{"m1"})}},
+		"not to one in need":       {in: AdapterInput{Spec: adapterSpec(2), Engines: withThrottled(engines([]string{"m0"}, []string{"m0"}), 0)}, engine: "e1"},
+		"nowhere without its base": {in: AdapterInput{Spec: adapterSpec(2), Engines: engines([]string{"m1"})}},
 		"in the place of one not asked for": {
 			in: AdapterInput{
-				Slots: 2, Engines: full("a1", "a2"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now.Add(-time.Minute)},
+				Spec: adapterSpec(2), Engines: full("a1", "a2"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now.Add(-time.Minute)},
 			}, engine: "e0", evicted: "a2",
 		},
 		"not in the place of one that runs": {
 			in: AdapterInput{
-				Slots: 1, Engines: full("a1"), RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 1},
+				Spec: adapterSpec(1), Engines: full("a1"), RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 1},
 			},
 		},
 		"after long waiting in the place of one that another engine holds too": {
 			in: AdapterInput{
-				Slots: 1, Engines: append(full("a1"), full("a1")...), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
+				Spec: adapterSpec(1), Engines: append(full("a1"), full("a1")...), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
 				RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 3},
 				WaitingSince:      map[backend.Adapter]time.Time{adapter("new"): now.Add(-2 * time.Second)},
 			}, engine: "e0", evicted: "a1",
 		},
 		"not at once in the place of one that runs, though another engine holds it too": {
 			in: AdapterInput{
-				Slots: 1, Engines: append(full("a1"), full("a1")...), RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 3},
+				Spec: adapterSpec(1), Engines: append(full("a1"), full("a1")...), RequestsByAdapter: map[backend.Adapter]int{adapter("a1"): 3},
 				WaitingSince: map[backend.Adapter]time.Time{adapter("new"): now},
 			},
 		},
 		"after long waiting in the place of one asked for just now": {
 			in: AdapterInput{
-				Slots: 1, Engines: full("a1"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
+				Spec: adapterSpec(1), Engines: full("a1"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
 				WaitingSince: map[backend.Adapter]time.Time{adapter("new"): now.Add(-2 * time.Second)},
 			}, engine: "e0", evicted: "a1",
 		},
+		"not without memory": {in: AdapterInput{Spec: fullMemorySpec(4, 50), Engines: engines([]string{"m0"})}},
+		"to one with memory": {
+			in: AdapterInput{
+				Spec: fullMemorySpec(4, 100), Engines: engines([]string{"m0"}, []string{"m1", "m0"}, []string{"m0"}),
+				RequestsByEngine: map[string]int{"e0": 1},
+			}, engine: "e2",
+		},
+		"in the place of one whose memory it needs": {
+			in: AdapterInput{Spec: fullMemorySpec(4, 100), Engines: full("a1")}, engine: "e0", evicted: "a1",
+		},
+		"on the engine where no request has to end first": {
+			in: AdapterInput{
+				Spec: adapterSpec(1), Engines: withUnloading(append(full("a1"), engines([]string{"m1"}, []string{"m0"})...), 0, adapter("a1"), true),
+				RequestsByEngine: map[string]int{"e1": 9},
+			}, engine: "e1",
+		},
+		"where an unload is expected to end": {
+			in: AdapterInput{Spec: adapterSpec(1), Engines: withUnloading(full("a1"), 0, adapter("a1"), true)}, engine: "e0",
+		},
+		"not where an unload takes too long": {
+			in: AdapterInput{Spec: adapterSpec(1), Engines: withUnloading(full("a1"), 0, adapter("a1"), false)},
+		},
+		"not in the place of one that is awaited": {
+			in: AdapterInput{Spec: adapterSpec(1), Engines: withAwaited(engines([]string{"m0"}), 0, adapter("a1"))},
+		},
 		"not in the place of one asked for just now": {
 			in: AdapterInput{
-				Slots: 1, Engines: full("a1"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
+				Spec: adapterSpec(1), Engines: full("a1"), LastUsed: map[backend.Adapter]time.Time{adapter("a1"): now},
 			},
 		},
 	}
--- a/residency/streams_test.go
+++ b/residency/streams_test.go
@@ -252,34 +252,34 @@
 		want []AdapterMove
 	}{
 		"not in the place of one that streams need": {
-			in:   AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v2"), Missing: missing, StreamVersions: streams("a1", "v1")},
+			in:   AdapterInput{Spec: adapterSpec(1), Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v2"), Missing: missing, StreamVersions: streams("a1", "v1")},
 			want: []AdapterMove{{Engine: "e1", Adapter: adapter("new"), Evictions: []backend.Adapter{adapter("a1")}}},
 		},
 		"nowhere in the place of those that streams need": {
-			in: AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v2"), Missing: missing, StreamVersions: streams("a1", "v1", "v2")},
+			in: AdapterInput{Spec: adapterSpec(1), Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v2"), Missing: missing, StreamVersions: streams("a1", "v1", "v2")},
 		},
 		"in the place of one that another engine of the version holds": {
-			in:   AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v1"), Missing: missing, StreamVersions: streams("a1", "v1")},
+			in:   AdapterInput{Spec: adapterSpec(1), Engines: atVersions(holding([]string{"a1"}, []string{"a1"}), "v1", "v1"), Missing: missing, StreamVersions: streams("a1", "v1")},
 			want: []AdapterMove{{Engine: "e0", Adapter: adapter("new"), Evictions: []backend.Adapter{adapter("a1")}}},
 		},
 		"after long waiting in the place of one that streams need": {
-			in:   AdapterInput{Slots: 1, Engines: atVersions(holding([]string{"a1"}), "v1"), Missing: missing, StreamVersions: streams("a1", "v1"), WaitingSince: overdue},
+			in:   AdapterInput{Spec: adapterSpec(1), Engines: atVersions(holding([]string{"a1"}), "v1"), Missing: missing, StreamVersions: streams("a1", "v1"), WaitingSince: overdue},
 			want: []AdapterMove{{Engine: "e0", Adapter: adapter("new"), Evictions: []backend.Adapter{adapter("a1")}}},
 		},
 		"after long waiting first in the place of one that no stream needs": {
-			in:   AdapterInput{Slots: 2, Engines: atVersions(holding([]string{"a1", "a2"}), "v1"), Missing: missing, StreamVersions: streams("a1", "v1"), WaitingSince: overdue},
+			in:   AdapterInput{Spec: adapterSpec(2), Engines: atVersions(holding([]string{"a1", "a2"}), "v1"), Missing: missing, StreamVersions: streams("a1", "v1"), WaitingSince: overdue},
 			want: []AdapterMove{{Engine: "e0", Adapter: adapter("new"), Evictions: []backend.Adapter{adapter("a2")}}},
 		},
 		"loaded at the version that its streams need": {
 			in: AdapterInput{
-				Slots: 2, Engines: atVersions(holding([]string{"new"}, nil, nil), "v1", "v1", "v2"), MissingAt: []AdapterAt{{adapter("new"), "v2"}},
+				Spec: adapterSpec(2), Engines: atVersions(holding([]string{"new"}, nil, nil), "v1", "v1", "v2"), MissingAt: []AdapterAt{{adapter("new"), "v2"}},
 				StreamVersions: streams("new", "v2"),
 			},
 			want: []AdapterMove{{Engine: "e2", Adapter: adapter("new")}},
 		},
 		"no engine of the version holds the model": {
 			in: AdapterInput{
-				Slots: 2, Engines: atVersions(engines([]string{"m0"}, []string{"m1"}), "v1", "v2"), MissingAt: []AdapterAt{{adapter("new"), "v2"}},
+				Spec: adapterSpec(2), Engines: atVersions(engines([]string{"m0"}, []string{"m1"}), "v1", "v2"), MissingAt: []AdapterAt{{adapter("new"), "v2"}},
 				StreamVersions: streams("new", "v2"),
 			},
 		},
