platform: an empty list of organisations accepts no key

Cause: DecodeRouting took an empty list of organisations for a configuration without one, and RequiresKeys was derived from the number of organisations.

Evidence: a key that was never held runs as well, so that it is not a late version or a remembered key.

Fix: whether requests need keys is decided by the presence of the list.

--- a/internal/gateway/access_test.go
+++ b/internal/gateway/access_test.go
@@ -157,6 +157,34 @@
 	assert.Equal(t, server.call(before).Header.Get(names.Organisation), desk)
 }
 
+// TestLastOrganisationRemoved guards against a gateway that is open to everybody once the last organisation or the last key
+// has been removed from the configuration.
+func TestLastOrganisationRemoved(t *testing.T) {
+	tests := map[string]func(f *routingFile){
+		"no organisation": func(f *routingFile) { f.Organisations, f.Keys = []table.Organisation{}, nil },
+		"no key":          func(f *routingFile) { f.Keys = nil },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, "a", respond(http.StatusOK, "yes"))
+			env := newKeyEnv(t, func(*config.Gateway) {}, server)
+			assert.Equal(t, env.get(pathSafe, apikey.Header, bearer(guildKey)).status, http.StatusOK)
+			env.routing.Version++
+			change(&env.routing)
+			env.putConfig()
+			env.awaitStatus(http.StatusUnauthorized, guildKey)
+			before := server.count()
+			for _, key := range []string{guildKey, deskKey, unknownKey} {
+				assert.Equal(t, env.get(pathSafe, apikey.Header, bearer(key)).status, http.StatusUnauthorized)
+			}
+			assert.Equal(t, env.get(pathSafe).status, http.StatusUnauthorized)
+			assert.Equal(t, server.count(), before, "no server is asked")
+			assert.Equal(t, env.get(pathOpen, apikey.Header, bearer(guildKey)).status, http.StatusOK)
+			assert.Equal(t, len(server.call(before).Header.Values(apikey.Header)), 0, "servers are not shown keys")
+		})
+	}
+}
+
 // awaitStatus waits until a request with key gets a response with status.
 func (env *testEnv) awaitStatus(status int, key string) {
 	env.t.Helper()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	routing := table.NewRouting(f.Version, f.Routes, f.Services, f.Limits)
-	if len(f.Organisations) == 0 {
+	if f.Organisations == nil {
 		return routing, nil
 	}
 	return routing.WithOrganisations(f.Organisations, apikey.New(f.Keys)), nil
--- a/table/organisation.go
+++ b/table/organisation.go
@@ -51,8 +51,8 @@
 	Regions []string
 }
 
-// WithOrganisations returns a copy of the routing with the given organisations and API keys. If the list
-// is not empty, requests then need a key unless their route is public.
+// WithOrganisations returns a copy of the routing with the given organisations and API keys. Requests then need a key
+// unless their route is public. If the list is empty, no key is valid.
 func (r *Routing) WithOrganisations(list []Organisation, keys *apikey.Directory) *Routing {
 	result := *r
 	result.keys = keys
@@ -63,9 +63,9 @@
 	return &result
 }
 
-// RequiresKeys reports whether requests on routes that are not public need an API key, which they do if
-// there are organisations.
-func (r *Routing) RequiresKeys() bool { return len(r.organisations) > 0 }
+// RequiresKeys reports whether requests on routes that are not public need an API key. They do if the routing comes from
+// WithOrganisations, also when the last organisation has been removed.
+func (r *Routing) RequiresKeys() bool { return r.organisations != nil }
 
 // OrganisationByKey returns the organisation that an API key belongs to.
 func (r *Routing) OrganisationByKey(k apikey.Digest) (Organisation, bool) {
--- a/table/routing.go
+++ b/table/routing.go
@@ -126,7 +126,7 @@
 	limits   RequestLimits
 	hosts    map[string]*hostRoutes
 	routes   int
-	// organisations maps names to organisations.
+	// organisations maps names to organisations. It is nil if requests need no keys.
 	organisations map[string]Organisation
 	// keys maps API keys to names of organisations. It may be nil.
 	keys *apikey.Directory
