residency: a model that is not configured leaves no room beside it

What callers could see: workers that fall, as with adapters in full memory: an engine that holds a model which a version has taken out of the configuration is taken to be empty, and gets a load beyond its memory.

Cause: the size of such a model is unknown and counted as 0 MB, both for the plan and for the check as the load is sent.

Fix: it counts as a whole engine, so that nothing fits beside it, and is evicted first when room is needed.

Why it works: after its unload only models of known size are left. Until then no order needs its size.

Measured: three cases of TestPlan and TestPlanAdapters failed before. The case "a model that is not in the configuration makes room" wanted a load of 150 GB beside a model of unknown size, on an engine of 200 GB; it now wants the unload of that model first, and all else as before.

--- a/residency/fit.go
+++ b/residency/fit.go
@@ -60,12 +60,12 @@
 	return free
 }
 
-// residentMB returns the memory of a model and its adapters, in MB; 0 for a model that is not configured,
-// since its size is unknown.
+// residentMB returns the memory of a model and its adapters, in MB. A model that is not configured counts as a whole engine,
+// since its size is unknown: nothing fits beside it until it is unloaded.
 func residentMB(spec *table.EngineSpec, r backend.Resident) float64 {
 	m, ok := spec.Model(r.Model)
 	if !ok {
-		return 0
+		return spec.WeightsMB
 	}
 	return m.WeightsMB + float64(len(r.Adapters))*m.AdapterMB
 }
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -111,7 +111,13 @@
 		},
 		"a model that is not in the configuration makes room": {
 			in:   Input{Spec: spec(150), Engines: engines([]string{"old"}), StoreLoadsAllowed: 5},
-			want: []Move{{Engine: "e0", Model: "m0"}},
+			want: []Move{{Engine: "e0", Model: "m0", Evictions: []string{"old"}}},
+		},
+		"a model that is not in the configuration makes room first": {
+			in: Input{
+				Spec: spec(150, 40), Engines: engines([]string{"m1", "old"}, []string{"m1"}), Demands: demands(10, 0), StoreLoadsAllowed: 1,
+			},
+			want: []Move{{Engine: "e0", Model: "m0", Evictions: []string{"old"}}},
 		},
 	}
 	for name, test := range tests {
@@ -296,6 +302,9 @@
 				WaitingSince: map[backend.Adapter]time.Time{adapter("new"): now.Add(-2 * time.Second)},
 			}, engine: "e0", evicted: "a1",
 		},
+		"not beside a model that is not in the configuration": {
+			in: AdapterInput{Spec: adapterSpec(4), Engines: engines([]string{"m0", "old"})},
+		},
 		"not without memory": {in: AdapterInput{Spec: fullMemorySpec(4, 50), Engines: engines([]string{"m0"})}},
 		"to one with memory": {
 			in: AdapterInput{
--- a/residency/streams.go
+++ b/residency/streams.go
@@ -43,10 +43,15 @@
 	return needed
 }
 
-// compareEviction orders the replicas on an engine by which is evicted first: those that streams need last, the others in
-// increasing order of demand.
+// compareEviction orders the replicas on an engine by which is evicted first: those that streams need last, models that are
+// not configured first, the others in increasing order of demand.
 func (p *plan) compareEviction(e *EngineView, a, b string) int {
-	return cmp.Or(compareBool(p.isNeededByStreams(e, a), p.isNeededByStreams(e, b)), cmp.Compare(p.demandPerReplica(a), p.demandPerReplica(b)))
+	return cmp.Or(compareBool(p.isNeededByStreams(e, a), p.isNeededByStreams(e, b)), compareBool(p.isConfigured(a), p.isConfigured(b)), cmp.Compare(p.demandPerReplica(a), p.demandPerReplica(b)))
+}
+
+func (p *plan) isConfigured(model string) bool {
+	_, ok := p.in.Spec.Model(model)
+	return ok
 }
 
 // compareBool orders false before true.
