dispatch: a queue stays with the service of its requests

Cause: a queue belongs to a server's id, the shares of the capacity to a service. serveQueued looked the shares up by the service that the entry names now.

Evidence: the stack trace, admitqueue.(*Shares).Serve on nil from serveQueued.

Fix: a queue knows its service and its shares. If the server's record names another service, the queue is dropped and its requests choose again, as when a server leaves. A request that an owner admits after this gateway has learned of the change chooses again.

Why it works: no decision for a queued request depends on the service of a later record any more.

--- a/dispatch/acquire_counted.go
+++ b/dispatch/acquire_counted.go
@@ -225,8 +225,14 @@
 	return d.finishWait(ctx, x.reservation)
 }
 
-// admitted reserves the server for a request that its owner has admitted. d.mu must be held.
+// admitted reserves the server for a request that its owner has admitted. If the server's record has come to name another
+// service since, the request chooses again. d.mu must be held.
 func (d *Dispatcher) admitted(x *askedRequest) {
+	if s, ok := d.servers.Server(x.server.ID); ok && s.Service != x.req.Service {
+		d.giveUp(x)
+		close(x.ready)
+		return
+	}
 	delete(d.asked, askKey{gateway: x.owner, id: x.id})
 	if !d.outbox.Admitted(x.owner, x.id) {
 		return
--- a/dispatch/counted_test.go
+++ b/dispatch/counted_test.go
@@ -156,6 +156,79 @@
 	})
 }
 
+// TestQueuedRequestsOfAServerOfAnotherService guards against a gateway that ends, or that sends a request to a server of another
+// service, when the record of a server for which requests wait comes to name another service.
+func TestQueuedRequestsOfAServerOfAnotherService(t *testing.T) {
+	tests := map[string]struct {
+		service string
+		// ownerIsLate is set if the server's owner does not learn of the change.
+		ownerIsLate bool
+	}{
+		"unknown service":                 {service: "guest-book"},
+		"service with requests that wait": {service: "second"},
+		"the owner does not know":         {service: "guest-book", ownerIsLate: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testQueuedRequestsOfAServerOfAnotherService(t, test.service, test.ownerIsLate) })
+		})
+	}
+}
+
+func testQueuedRequestsOfAServerOfAnotherService(t *testing.T, other string, ownerIsLate bool) {
+	defer drain()
+	second := countedPlain("c")
+	second.Service = "second"
+	g := newCountedGroup(3, countedPlain("a"), countedPlain("b"), second)
+	var callers sync.WaitGroup
+	var changed time.Time
+	afterChange := map[string]int{}
+	late := ""
+	if ownerIsLate {
+		late = g.owner(t, "a")
+	}
+	start := func(service string) {
+		for i := range 60 {
+			callers.Go(func() {
+				r := countedPlainRequest(g.clock, 4*time.Second)
+				r.Service = service
+				gateway := fmt.Sprint("g", i%3)
+				res, err := g.dispatchers[gateway].Acquire(context.Background(), r)
+				if err != nil {
+					return
+				}
+				g.mu.Lock()
+				if gateway != late && !changed.IsZero() && time.Since(changed) > 3*messageTime {
+					afterChange[service+" at "+res.Server().ID]++
+				}
+				g.mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+				res.RecordFirstByte()
+				res.Done(dispatch.Succeeded)
+			})
+		}
+	}
+	start("plain")
+	start("second")
+	time.Sleep(250 * time.Millisecond)
+	g.mu.Lock()
+	changed = time.Now()
+	g.mu.Unlock()
+	foreign := countedPlain("a")
+	foreign.Service = other
+	for id, d := range g.dispatchers {
+		if id != late {
+			d.SetServers(snapshot(foreign, countedPlain("b"), second))
+		}
+	}
+	callers.Wait()
+	assert.Equal(t, afterChange["plain at a"], 0, "%v", afterChange)
+	assert.Assert(t, afterChange["plain at b"] > 0, "%v", afterChange)
+	if other == "second" {
+		assert.Assert(t, afterChange["second at a"] > 0, "%v", afterChange)
+	}
+}
+
 // TestUrgentRequestOfAnotherGatewayComesFirst guards against an order that each gateway has for itself.
 func TestUrgentRequestOfAnotherGatewayComesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/owned_queue.go
+++ b/dispatch/owned_queue.go
@@ -10,7 +10,11 @@
 
 // A serverQueue holds the requests of all gateways that wait for a server that this gateway owns.
 type serverQueue struct {
-	order *admitqueue.Queue
+	// service is the service of the requests. The server's record may come to name another one.
+	service string
+	// shares divides the capacity of all servers of the service among organisations.
+	shares *admitqueue.Shares
+	order  *admitqueue.Queue
 	// requests holds the waiting requests.
 	requests map[*admitqueue.Waiter]*queuedRequest
 	// durations estimates waits from the time that requests take at the server.
@@ -52,16 +56,22 @@
 	id      admission.ID
 }
 
-// queueOf returns the queue of an owned server. d.mu must be held.
+// queueOf returns the queue of an owned server for requests of its service. d.mu must be held.
 func (d *Dispatcher) queueOf(s *backend.Server) *serverQueue {
 	q := d.queues[s.ID]
+	if q != nil && q.service != s.Service {
+		d.dropQueue(q)
+		q = nil
+	}
 	if q == nil {
 		shares := d.shares[s.Service]
 		if shares == nil {
 			shares = admitqueue.NewShares()
 			d.shares[s.Service] = shares
 		}
-		q = &serverQueue{order: admitqueue.NewQueue(shares), requests: make(map[*admitqueue.Waiter]*queuedRequest)}
+		q = &serverQueue{
+			service: s.Service, shares: shares, order: admitqueue.NewQueue(shares), requests: make(map[*admitqueue.Waiter]*queuedRequest),
+		}
 		d.queues[s.ID] = q
 	}
 	return q
@@ -152,7 +162,7 @@
 		return
 	}
 	s, ok := d.servers.Server(id)
-	if !ok || !d.owners.owns(s) || !s.AcceptsRequests() {
+	if !ok || !d.owners.owns(s) || !s.AcceptsRequests() || s.Service != q.service {
 		d.dropQueue(q)
 		return
 	}
@@ -177,7 +187,7 @@
 // serveQueued admits a queued request. d.mu must be held.
 func (d *Dispatcher) serveQueued(q *serverQueue, s *backend.Server, x *queuedRequest, c Candidate, now time.Time) {
 	d.removeAsk(q, x)
-	d.shares[s.Service].Serve(x.Organisation, x.Cost, x.Weight)
+	q.shares.Serve(x.Organisation, x.Cost, x.Weight)
 	d.returns.Served(x.key)
 	x.served = true
 	if d.opts.OnQueued != nil && !x.queuedAt.IsZero() {
