gateway: a target that begins with two slashes is sent unchanged

Cause: the target was put into url.URL.Opaque to be sent byte for byte, but net/url writes an opaque URL that begins with two slashes in absolute form.

Fix: such a target is sent as path and query. targetURL compares what net/http will send with what came; a request for which they differ is refused with 400 and not sent.

--- a/internal/gateway/inbound.go
+++ b/internal/gateway/inbound.go
@@ -88,6 +88,9 @@
 	if !ok {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no such route"}
 	}
+	if targetURL(r.RequestURI, "") == nil {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the request target is not a valid path"}
+	}
 	ids := r.Header.Values(p.names.RequestID)
 	if len(ids) != 1 || ids[0] == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "one request id is needed"}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -119,7 +120,17 @@
 	return out.WithContext(ctx)
 }
 
-// targetURL returns a URL that transmits the caller's request target unchanged.
-func targetURL(requestURI, addr string) *url.URL {
-	return &url.URL{Scheme: "http", Host: addr, Opaque: requestURI}
+// targetURL returns a URL with which net/http sends the caller's request target unchanged, or nil if there is none.
+func targetURL(target, addr string) *url.URL {
+	u := &url.URL{Scheme: "http", Host: addr, Opaque: target}
+	if strings.HasPrefix(target, "//") {
+		// An opaque URL that begins with two slashes is sent in absolute form, with another path.
+		path, query, hasQuery := strings.Cut(target, "?")
+		u = &url.URL{Scheme: "http", Host: addr, RawPath: path, RawQuery: query, ForceQuery: hasQuery}
+		u.Path, _ = url.PathUnescape(path)
+	}
+	if u.RequestURI() != target {
+		return nil
+	}
+	return u
 }
