--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,12 @@
 # subtest named TEST/SUBTEST.
 KNOWN_RED := $(shell sed 's/:.*//; s,/,$$/^,g; s/.*/^&$$/' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-# TestMisbehavingClients measures processes that are alone on the machine, so that it runs after the others.
-CROWD_TEST := ^TestMisbehavingClients$$
+# These tests measure processes that are alone on the machine, so that they run after the others.
+CROWD_TESTS := ^TestMisbehaving(Clients|Workers)$$
 test:
 	@if [ -n '$(KNOWN_RED)' ]; then echo 'not run, known to fail:'; cat KNOWN-RED.txt; fi
-	$(GO) test -count=1 -parallel=3 -skip '$(CROWD_TEST)$(if $(KNOWN_RED),|$(KNOWN_RED))' ./...
-	$(GO) test -count=1 -p=1 -parallel=1 -run '$(CROWD_TEST)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform/soak ./internal/proofs
+	$(GO) test -count=1 -parallel=3 -skip '$(CROWD_TESTS)$(if $(KNOWN_RED),|$(KNOWN_RED))' ./...
+	$(GO) test -count=1 -p=1 -parallel=1 -run '$(CROWD_TESTS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform/soak ./internal/proofs
 
 smoke:
 	$(GO) run ./tools/lab smoke
