--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -17,7 +17,7 @@
 	"rockcleat/table"
 )
 
-// maxLoadWait exceeds the time after which a load is planned on another engine, twice over.
+// maxLoadWait is longer than two waits of a load for room, each on another engine.
 const maxLoadWait = 30 * time.Second
 
 // A roomFixture is a fixture whose engines let unloads wait for requests and count the loads beyond what they can hold.
@@ -51,8 +51,7 @@
 
 func (f *roomFixture) engine(i int) *fakeEngine { return f.engines.engines[fmt.Sprint("e", i)] }
 
-// engineNumbers returns the numbers of the engines.
-func (f *roomFixture) engineNumbers() int { return len(f.engines.engines) }
+func (f *roomFixture) engineCount() int { return len(f.engines.engines) }
 
 // report reports the requests for all adapters.
 func (f *roomFixture) report() {
@@ -85,7 +84,7 @@
 
 // holder returns the number of an engine that holds an adapter of m0, or -1.
 func (f *roomFixture) holder(name string) int {
-	for i := range f.engineNumbers() {
+	for i := range f.engineCount() {
 		for _, r := range f.engine(i).residents {
 			if r.Model == "m0" && r.Has(name) {
 				return i
@@ -97,7 +96,7 @@
 
 // unloadingEngine returns the number of the engine that lets an unload wait, or -1.
 func (f *roomFixture) unloadingEngine() int {
-	for i := range f.engineNumbers() {
+	for i := range f.engineCount() {
 		if len(f.engine(i).leaving) > 0 {
 			return i
 		}
@@ -115,7 +114,7 @@
 
 func (f *roomFixture) overfilled() int {
 	n := 0
-	for i := range f.engineNumbers() {
+	for i := range f.engineCount() {
 		n += f.engine(i).overfilled
 	}
 	return n
@@ -182,7 +181,7 @@
 
 func testModelsMakeRoomForAdapters(t *testing.T) {
 	f := newRoomFixture(t, nil, nil, nil)
-	for i := range f.engineNumbers() {
+	for i := range f.engineCount() {
 		f.engine(i).residents = []backend.Resident{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
 	}
 	f.spec.Models = nil
@@ -240,7 +239,7 @@
 		assert.Equal(t, f.overfilled(), 0, "%v", f.engines.orders())
 	}
 	f.engines.respond = nil
-	for i := range f.engineNumbers() {
+	for i := range f.engineCount() {
 		f.engine(i).late = nil
 		f.endRequests(i)
 	}
@@ -255,7 +254,7 @@
 	f.engines.mu.Lock()
 	defer f.engines.mu.Unlock()
 	clear(f.running)
-	for i := range f.engineNumbers() {
+	for i := range f.engineCount() {
 		e := f.engine(i)
 		if random.IntN(4) == 0 {
 			e.receiveLate()
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -25,6 +25,7 @@
 
 // An AdapterInput is the input of PlanAdapters.
 type AdapterInput struct {
+	// Spec holds the slots and memory of an engine and the sizes of adapters.
 	Spec *table.EngineSpec
 	// Engines are the engines without an order in progress.
 	Engines []EngineView
@@ -106,14 +107,14 @@
 func (in *AdapterInput) makeRoom(e *EngineView, wanted backend.Adapter) (evictions []backend.Adapter, cost int, ok bool) {
 	free := roomOf(in.Spec, e.Residents)
 	for _, a := range e.AwaitedAdapters {
-		free.add(in.Spec, a.Model, -1)
+		free.take(in.Spec, a.Model)
 	}
 	if free.fits(in.Spec, wanted.Model) {
 		return nil, 0, true
 	}
 	for a, isExpected := range e.UnloadingAdapters {
 		if isExpected {
-			free.add(in.Spec, a.Model, 1)
+			free.release(in.Spec, a.Model)
 		} else {
 			cost += adapterWaitCost
 		}
@@ -124,7 +125,7 @@
 	cost += adapterEvictionCost
 	for _, a := range in.evictionsFor(e, wanted) {
 		evictions = append(evictions, a)
-		free.add(in.Spec, a.Model, 1)
+		free.release(in.Spec, a.Model)
 		if in.RequestsByAdapter[a] > 0 {
 			cost += adapterWaitCost
 		}
@@ -139,11 +140,12 @@
 // for another adapter for longer than that.
 const minAdapterResidence = time.Second
 
-// evictionsFor returns the adapters that may be unloaded for the wanted one, the first to be unloaded first. They are those
-// that no request uses or waits for and whose minAdapterResidence has passed, the least recently requested first. If requests have waited for the wanted
-// adapter for longer than minAdapterResidence, adapters may be unloaded before that. Those that another engine holds too are
-// then preferred, and one of them is unloaded even while requests use it, if there is no other. An adapter that streams need
-// at the engine's software version comes last, and only in the latter case.
+// evictionsFor returns the adapters that may be unloaded for the wanted one, in the order in which they should be. They are
+// those that no request uses or waits for and whose minAdapterResidence has passed, the least recently requested first.
+//
+// If requests have waited for the wanted adapter for longer than minAdapterResidence, adapters may be unloaded before that.
+// Those that another engine holds too are then preferred, and, after all unused ones, may be unloaded while requests use
+// them. An adapter that streams need at the engine's software version comes last, and only in this case.
 func (in *AdapterInput) evictionsFor(e *EngineView, wanted backend.Adapter) []backend.Adapter {
 	var redundant, unused, used, needed []backend.Adapter
 	overdue := in.Now.Sub(in.WaitingSince[wanted]) > minAdapterResidence && !in.WaitingSince[wanted].IsZero()
--- a/residency/fit.go
+++ b/residency/fit.go
@@ -29,11 +29,15 @@
 	return room{slots: spec.AdapterSlots - AdapterCount(residents), mb: FreeMB(spec, residents)}
 }
 
-// add adds what n adapters of a model take, which is negative if n is.
-func (r *room) add(spec *table.EngineSpec, model string, n int) {
+// take removes what an adapter of a model takes, and release adds it.
+func (r *room) take(spec *table.EngineSpec, model string) { r.add(spec, model, -1) }
+
+func (r *room) release(spec *table.EngineSpec, model string) { r.add(spec, model, 1) }
+
+func (r *room) add(spec *table.EngineSpec, model string, adapters int) {
 	m, _ := spec.Model(model)
-	r.slots += n
-	r.mb += float64(n) * m.AdapterMB
+	r.slots += adapters
+	r.mb += float64(adapters) * m.AdapterMB
 }
 
 // fits reports whether an adapter of a model fits. One of a model that is not configured never does, since its size is unknown.
