placer: the time for which an adapter is awaited is kept for each service

What callers could see: where two services have engines, requests for an adapter wait until their deadline although an adapter in use that other engines hold too could be unloaded for it.

Cause: since when requests wait for each missing adapter was one map, which each service replaced in each step with its own adapters. The time of the others began anew, so that none was ever overdue.

Fix: the map is kept by service.

--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -77,13 +77,13 @@
 
 // dropAwaitedAdapters removes the awaited adapters that no request waits for any more, that the engine cannot load, and
 // those that have waited for longer than maxLoadWait, so that they are planned on another engine.
-func (p *Placer) dropAwaitedAdapters(e *engineState, now time.Time) {
+func (p *Placer) dropAwaitedAdapters(service string, e *engineState, now time.Time) {
 	if !e.known || e.paused || !e.server.AcceptsRequests() || p.isThrottled(e) {
 		e.awaitedAdapters = nil
 		return
 	}
 	e.awaitedAdapters = slices.DeleteFunc(e.awaitedAdapters, func(w awaitedAdapter) bool {
-		_, wanted := p.adapterWaitingSince[w.Adapter]
+		_, wanted := p.adapterWaitingSince[service][w.Adapter]
 		hasModel := slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == w.Model })
 		overdue := now.Sub(w.since) >= maxLoadWait
 		if overdue {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -90,9 +90,9 @@
 	leadership leadership
 	engines    engineTable
 	demand     *demand
-	// adapterWaitingSince holds the times since which requests have been waiting for adapters that no usable
+	// adapterWaitingSince holds, by service, the times since which requests have been waiting for adapters that no usable
 	// engine holds.
-	adapterWaitingSince map[backend.Adapter]time.Time
+	adapterWaitingSince map[string]map[backend.Adapter]time.Time
 	// plannedAt holds the time of the last model plan of each service.
 	plannedAt map[string]time.Time
 	// successions estimates, by service, the order in which demand moves between models. It starts empty in
@@ -119,7 +119,7 @@
 // New returns a Placer. It does nothing until Start.
 func New(o Options) *Placer {
 	p := &Placer{
-		opts: o, waiters: make(residencyWaiters), factors: newServerFactors(o),
+		opts: o, adapterWaitingSince: make(map[string]map[backend.Adapter]time.Time), waiters: make(residencyWaiters), factors: newServerFactors(o),
 		speeds: newEstimateTable(&dispatch.PrefillSpeeds{}, func(x dispatch.PrefillSample) string { return x.Model }),
 		steps:  newEstimateTable(&servertime.StepTimes{}, func(x servertime.StepSample) string { return x.Model }),
 	}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -124,8 +124,8 @@
 func (p *Placer) planAdapters(s table.Service, engines []*engineState, now time.Time) []backend.Adapter {
 	demand := p.demand.adapterDemand(s.Name)
 	missing, missingAt := p.notLoaded(demand, engines)
-	p.recordMissingAdapters(missing, missingAt, now)
-	awaited := p.awaitedAdapters(engines, now)
+	p.recordMissingAdapters(s.Name, missing, missingAt, now)
+	awaited := p.awaitedAdapters(s.Name, engines, now)
 	unplanned := slices.DeleteFunc(slices.Clone(missing), func(a backend.Adapter) bool { return awaited[a] })
 	unplannedAt := slices.DeleteFunc(missingAt, func(at residency.AdapterAt) bool { return awaited[at.Adapter] })
 	if len(unplanned)+len(unplannedAt) == 0 {
@@ -139,7 +139,7 @@
 	moves := residency.PlanAdapters(residency.AdapterInput{
 		Spec: s.Engine, Engines: idle, Missing: unplanned, MissingAt: unplannedAt,
 		LastUsed: p.demand.adapterLastUsed, RequestsByAdapter: demand.running, RequestsByEngine: requests,
-		StreamVersions: demand.streamVersions, WaitingSince: p.adapterWaitingSince, Now: now,
+		StreamVersions: demand.streamVersions, WaitingSince: p.adapterWaitingSince[s.Name], Now: now,
 	})
 	for _, m := range moves {
 		p.logAdapterMove(s, m, demand, now)
@@ -163,17 +163,17 @@
 		requests += demand.running[a]
 	}
 	p.opts.Log.Info("adapter move planned", zap.String("server", m.Engine), zap.String("model", m.Model), zap.String("adapter", m.Name),
-		zap.Duration("waited", now.Sub(p.adapterWaitingSince[m.Adapter])), zap.Strings("victims", evictions),
+		zap.Duration("waited", now.Sub(p.adapterWaitingSince[s.Name][m.Adapter])), zap.Strings("victims", evictions),
 		zap.Int("victim_requests", requests), zap.Int("adapters", residency.AdapterCount(e.residents)),
 		zap.Int("unloading", len(e.unloadingAdapters)), zap.Int("slots", s.Engine.AdapterSlots),
 		zap.Float64("free_mb", residency.FreeMB(s.Engine, e.residents)))
 }
 
 // awaitedAdapters returns the adapters that engines load as soon as they have room.
-func (p *Placer) awaitedAdapters(engines []*engineState, now time.Time) map[backend.Adapter]bool {
+func (p *Placer) awaitedAdapters(service string, engines []*engineState, now time.Time) map[backend.Adapter]bool {
 	awaited := make(map[backend.Adapter]bool)
 	for _, e := range engines {
-		p.dropAwaitedAdapters(e, now)
+		p.dropAwaitedAdapters(service, e, now)
 		for _, w := range e.awaitedAdapters {
 			awaited[w.Adapter] = true
 		}
@@ -227,8 +227,8 @@
 	return loaded, loadedAt
 }
 
-// recordMissingAdapters records since when requests have been waiting for each missing adapter.
-func (p *Placer) recordMissingAdapters(missing []backend.Adapter, missingAt []residency.AdapterAt, now time.Time) {
+// recordMissingAdapters records since when requests have been waiting for each missing adapter of a service.
+func (p *Placer) recordMissingAdapters(service string, missing []backend.Adapter, missingAt []residency.AdapterAt, now time.Time) {
 	missing = slices.Clone(missing)
 	for _, at := range missingAt {
 		missing = append(missing, at.Adapter)
@@ -236,9 +236,9 @@
 	since := make(map[backend.Adapter]time.Time, len(missing))
 	for _, a := range missing {
 		since[a] = now
-		if previous, ok := p.adapterWaitingSince[a]; ok {
+		if previous, ok := p.adapterWaitingSince[service][a]; ok {
 			since[a] = previous
 		}
 	}
-	p.adapterWaitingSince = since
+	p.adapterWaitingSince[service] = since
 }
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// TestAdaptersOfTwoServicesMakeRoom guards against adapters for which requests wait for good when there is a further service of
+// engines, since the time for which they have waited begins anew in each step.
+func TestAdaptersOfTwoServicesMakeRoom(t *testing.T) {
+	synctest.Test(t, testAdaptersOfTwoServicesMakeRoom)
+}
+
+func testAdaptersOfTwoServicesMakeRoom(t *testing.T) {
+	f := newRoomFixture(t, []string{"a1", "a2"}, []string{"a1", "a2"})
+	f.secondService = true
+	f.start(true)
+	f.run(5*time.Second, nil)
+	f.waiting["m0/new"] = 1
+	assert.Assert(t, f.run(maxLoadWait, func() bool { return f.unloadingEngine() >= 0 }), "no unload: %v", f.engines.orders())
+}
+
 // TestModelsMakeRoomForAdapters guards against adapters that are loaded onto engines whose memory models fill, and against
 // requests for adapters that no engine has memory for as long as each model keeps all its replicas.
 func TestModelsMakeRoomForAdapters(t *testing.T) {
