--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// TestAdaptersOfTwoServicesMakeRoom guards against adapters for which requests wait for good when there is a further service of
-// engines, since the time for which they have waited begins anew in each step.
+// TestAdaptersOfTwoServicesMakeRoom guards against adapters that are never loaded when there is a further service of engines, since
+// the time for which requests have waited begins anew in each step.
 func TestAdaptersOfTwoServicesMakeRoom(t *testing.T) {
 	synctest.Test(t, testAdaptersOfTwoServicesMakeRoom)
 }
--- a/residency/adapter_room.go
+++ b/residency/adapter_room.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"rockcleat/backend"
 	"rockcleat/table"
 )
 
@@ -51,23 +50,11 @@
 	return best, found
 }
 
-// evictionsForAdapter returns the models to unload from an engine so that an adapter of another one fits, in the order of
-// compareEviction; ok is false if it does not fit even then.
+// evictionsForAdapter returns the models to unload from an engine so that an adapter of another one fits; ok is false if it
+// does not fit even then.
 func (p *plan) evictionsForAdapter(e *EngineView, m table.ModelSpec) (evictions []string, ok bool) {
-	free := FreeMB(p.in.Spec, withoutAdapters(e.Residents))
-	list := slices.Clone(e.Residents)
-	slices.SortStableFunc(list, func(a, b backend.Resident) int { return p.compareEviction(e, a.Model, b.Model) })
-	for _, r := range list {
-		if r.Model == m.Name || !p.evictableForAdapter(e, r.Model, m.Name) {
-			continue
-		}
-		evictions = append(evictions, r.Model)
-		free += residentMB(p.in.Spec, backend.Resident{Model: r.Model})
-		if m.AdapterMB <= free {
-			return evictions, true
-		}
-	}
-	return nil, false
+	need := m.AdapterMB - FreeMB(p.in.Spec, withoutAdapters(e.Residents))
+	return p.evictionsOf(e, need, func(model string) bool { return model != m.Name && p.evictableForAdapter(e, model, m.Name) })
 }
 
 // evictableForAdapter reports whether a replica of model may be evicted from an engine for an adapter of the model named
--- a/residency/evict.go
+++ b/residency/evict.go
@@ -14,12 +14,18 @@
 	if need <= 0 {
 		return nil, true
 	}
+	return p.evictionsOf(e, need, func(model string) bool { return p.evictable(e, model, m.Name) })
+}
+
+// evictionsOf returns the allowed models to unload from an engine to free the needed memory in MB, in the order of
+// compareEviction; ok is false if all of them free less.
+func (p *plan) evictionsOf(e *EngineView, need float64, isAllowed func(model string) bool) (evictions []string, ok bool) {
 	list := slices.Clone(e.Residents)
 	slices.SortStableFunc(list, func(a, b backend.Resident) int {
 		return p.compareEviction(e, a.Model, b.Model)
 	})
 	for _, r := range list {
-		if !p.evictable(e, r.Model, m.Name) {
+		if !isAllowed(r.Model) {
 			continue
 		}
 		evictions = append(evictions, r.Model)
