entry: the lease of a shard of claims is read again after a call without a response

Cause: an entry keeps the owner of each shard that it read from the lease, and read the lease again only after a call that certainly had no effect. A call to a frozen owner, or to a machine without power, ends at its deadline instead. Two of three entries contend for a shard; the third one kept calling the former owner.

Fix: a call without a response marks the cached owner as silent, and the next call reads the lease, at most every 0.5 s. The call is not repeated, since the claim may have been recorded.

--- a/internal/entry/claim_calls.go
+++ b/internal/entry/claim_calls.go
@@ -24,6 +24,8 @@
 type cachedOwner struct {
 	addr string
 	at   time.Time
+	// silent is set when a call to it ended without a response: another entry may have the lease by now.
+	silent bool
 }
 
 // shardOf returns the index of the shard of a key.
@@ -82,6 +84,9 @@
 			return err
 		}
 		err = c.peers.Post(ctx, addr, path, in, out)
+		if hadNoResponse(err) {
+			c.markSilent(i, addr)
+		}
 		if err == nil || !hadNoEffect(err) {
 			return err
 		}
@@ -89,6 +94,22 @@
 	return errNoOwner
 }
 
+// markSilent records that a call to the cached owner of shard i ended without a response.
+func (c *claims) markSilent(i int, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.owners[i]; o.addr == addr {
+		o.silent = true
+		c.owners[i] = o
+	}
+}
+
+// hadNoResponse reports whether a call failed without a response, other than because the request's client left.
+func hadNoResponse(err error) bool {
+	var s *wire.StatusError
+	return err != nil && !errors.As(err, &s) && !errors.Is(err, context.Canceled)
+}
+
 // hadNoEffect reports whether a call certainly had no effect: it was not sent, or the callee does
 // not own the shard.
 func hadNoEffect(err error) bool {
@@ -96,14 +117,13 @@
 	return errors.Is(err, wire.ErrNotSent) || errors.As(err, &s) && s.Status == http.StatusMisdirectedRequest
 }
 
-// owner returns the address of the shard's owner. It returns the cached owner, unless there is
-// none, or refresh is set and the cached one is older than ownerCacheTime; then it reads the shard's
-// lease.
+// owner returns the address of the shard's owner. It reads the shard's lease if there is no cached
+// owner, or if refresh is set or the cached owner is silent, and it is older than ownerCacheTime.
 func (c *claims) owner(ctx context.Context, i int, refresh bool) (string, error) {
 	c.mu.Lock()
 	o, ok := c.owners[i]
 	c.mu.Unlock()
-	if ok && (!refresh || c.clock.Now().Sub(o.at) < ownerCacheTime) {
+	if ok && (!refresh && !o.silent || c.clock.Now().Sub(o.at) < ownerCacheTime) {
 		return o.addr, nil
 	}
 	entry, err := c.store.Get(ctx, "lease/"+leaseName(i))
