kv: entries known before a restore stand in each list of the service, also by the next watcher

Cause: only the first list of the process that noticed the restore was merged with what was known. A second list within the 3 s lost the entries that the backup lacks, and a process that had been sent the merged entries by another took its own first list as it came, since its position was of the new era already.

TestListAgainAfterRestore fails before in all three cases.

Fix: entries that the backup lacks are added to each list until their time is over; a log that learns of a restore from forwarded data merges its own first list too, where unknown entries count as those of the backup only up to the position that it was sent.

--- a/kv/changelog.go
+++ b/kv/changelog.go
@@ -41,6 +41,10 @@
 	// filtered is set if changes after floor were filtered out, here or by the sender. This process
 	// must then list the prefix before it watches the service again.
 	filtered bool
+	// restoredAt is when this process learned of the last restore of the service. unmerged is set if it learned of it from
+	// forwarded data, and has not listed the service since.
+	restoredAt time.Time
+	unmerged   bool
 	// missing holds the keys of known entries that the service lacked after it was restored from a
 	// backup, with the time until which each entry is kept unless its writer writes it again.
 	missing map[string]time.Time
--- a/kv/copy.go
+++ b/kv/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 )
 
@@ -46,44 +47,71 @@
 // written in the same history before the restore, so the lower count is the older one. Without this
 // rule, an entry of an ended incarnation would be taken for a restart, and the running incarnation
 // would be treated as ended for good.
+//
+// In the same era, the entries differ only if another process has replaced the value of the backup.
 func isOlder(e, before Entry, w PeriodicWriters) bool {
+	if e.Revision.Era() == before.Revision.Era() {
+		return e.Revision == before.Revision && !bytes.Equal(e.Value, before.Value)
+	}
 	if older, known := w.IsOlder(e, before); known {
 		return older
 	}
 	return e.Revision.Count() < before.Revision.Count()
 }
 
-// mergeRestored merges the service's first list after a restore with the entries known before. A
+// recordRestore records that this process learns of a restore of the service if a revision belongs to a later era.
+// forwarded tells that it learns of it from another process, which has merged a list of its own.
+func (l *changeLog) recordRestore(at Revision, now time.Time, forwarded bool) {
+	if l.complete && l.to > 0 && l.to.Era() < at.Era() {
+		l.restoredAt, l.unmerged = now, forwarded
+	}
+}
+
+// mergeRestored compares this process's first list after a restore with the entries known before. A
 // known entry is not replaced by an older one. An entry that the backup lacks is kept until its
 // writer has had time to write it again. An entry of the backup that was unknown or deleted before
 // is ignored until it is written again, or for unknownEntryIntervals.
-func (l *changeLog) mergeRestored(entries []Entry, at Revision, w PeriodicWriters, now time.Time) []Entry {
-	merged := make([]Entry, 0, len(l.entries))
+func (l *changeLog) mergeRestored(entries []Entry, at Revision, w PeriodicWriters) {
 	listed := make(map[string]bool, len(entries))
 	previousStale := l.stale
 	l.stale = make(map[string]staleEntry)
 	for _, e := range entries {
 		listed[e.Key] = true
 		before, known := l.entries[e.Key]
-		if !known {
-			l.stale[e.Key] = staleEntry{revision: e.Revision, until: now.Add(unknownEntryIntervals * w.MaxWriteInterval())}
-			continue
-		}
-		if previousStale[e.Key].matches(e) || isOlder(e, before, w) {
+		switch {
+		case known && (previousStale[e.Key].matches(e) || isOlder(e, before, w)):
 			l.stale[e.Key] = staleEntry{revision: e.Revision, replacement: before.Value}
+		case !known && (l.to.Era() < at.Era() || e.Revision <= l.to):
+			l.stale[e.Key] = staleEntry{revision: e.Revision, until: l.restoredAt.Add(unknownEntryIntervals * w.MaxWriteInterval())}
 		}
-		merged = append(merged, e)
 	}
 	l.missing = make(map[string]time.Time)
-	for key, e := range l.entries {
-		if listed[key] {
-			continue
+	for key := range l.entries {
+		if !listed[key] {
+			l.missing[key] = l.restoredAt.Add(w.MaxWriteInterval())
 		}
-		l.missing[key] = now.Add(w.MaxWriteInterval())
-		e.Revision = at
-		merged = append(merged, e)
 	}
-	return merged
+	l.unmerged = false
+}
+
+// keepMissing returns the list with the missing entries that are still kept.
+func (l *changeLog) keepMissing(entries []Entry, at Revision, now time.Time) []Entry {
+	if len(l.missing) == 0 {
+		return entries
+	}
+	for _, e := range entries {
+		delete(l.missing, e.Key)
+	}
+	list := slices.Clone(entries)
+	for key, until := range l.missing {
+		if e, known := l.entries[key]; known && now.Before(until) {
+			if e.Revision.Era() < at.Era() {
+				e.Revision = at
+			}
+			list = append(list, e)
+		}
+	}
+	return list
 }
 
 // endStale reports whether an entry is a new write of one that was ignored since a restore, which ends that.
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -270,15 +270,15 @@
 
 // resetFromService sets a prefix to a list read from the service, which was current at currentAt,
 // and returns the entries to use and the log's silent changes up to then. The first list of a
-// later era is merged with the entries known before.
+// later era by this process is merged with the entries known before.
 func (f *Fanout) resetFromService(prefix string, entries []Entry, at Revision, currentAt time.Time) ([]Entry, uint64) {
 	f.mu.Lock()
-	if l := f.log(prefix); l.complete && l.to.Era() < at.Era() {
-		if w := f.periodicWriters(prefix); w != nil {
-			entries = l.mergeRestored(entries, at, w, f.opts.Clock.Now())
-		}
+	l, now := f.log(prefix), f.opts.Clock.Now()
+	l.recordRestore(at, now, false)
+	if w := f.periodicWriters(prefix); w != nil && l.complete && (l.unmerged || l.to.Era() < at.Era()) {
+		l.mergeRestored(entries, at, w)
 	}
-	entries = f.log(prefix).maskStale(entries)
+	entries = l.maskStale(l.keepMissing(entries, at, now))
 	f.mu.Unlock()
 	return entries, f.reset(prefix, entries, at, origin{currentAt: currentAt})
 }
@@ -294,6 +294,9 @@
 		l.notify()
 		return l.silentChanges
 	}
+	if o.forwarded {
+		l.recordRestore(at, f.opts.Clock.Now(), true)
+	}
 	if l.complete {
 		f.applyList(prefix, l, entries, at)
 	} else {
@@ -330,7 +333,7 @@
 // shows the watches of this process that, and an entry that was replaced.
 func (f *Fanout) applySilently(prefix string, l *changeLog, e Event, w PeriodicWriters) {
 	l.filtered = true
-	replaces := isSuperseded(l.entries[e.Entry.Key], e.Entry, w)
+	replaces := !e.Deleted && isSuperseded(l.entries[e.Entry.Key], e.Entry, w)
 	if replaces {
 		f.updateDigest(prefix, l, e)
 	}
@@ -360,6 +363,7 @@
 		return
 	}
 	l.recordOrigin(o)
+	l.recordRestore(b.To, f.opts.Clock.Now(), o.forwarded)
 	if l.to == 0 && b.From == 0 {
 		// All changes since revision 0 amount to all entries.
 		l.reset(nil, 0)
--- a/kv/fanout_restore_test.go
+++ b/kv/fanout_restore_test.go
@@ -119,3 +119,56 @@
 		assert.DeepEqual(t, late.follow(t), known)
 	})
 }
+
+// TestListAgainAfterRestore guards against a process that lists the service once more shortly after a restore, or that
+// becomes the watcher then, and uses entries removed before the restore in place of those written since the backup.
+func TestListAgainAfterRestore(t *testing.T) {
+	tests := map[string]struct{ otherProcess, wholePrefix bool }{
+		"same process":                      {},
+		"another process, sent changes":     {otherProcess: true},
+		"another process, sent all entries": {otherProcess: true, wholePrefix: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := kvtest.New(clocktest.Real{})
+				store.Set("s/a", []byte("1"))
+				store.Set("s/removed", []byte("1"))
+				backup := store.Backup()
+				store.Set("s/a", []byte("2"))
+				store.Set("s/b", []byte("1"))
+				store.Remove("s/removed")
+				watcher, next := newFanoutMember(store, true), newFanoutMember(store, false)
+				watcher.list(t)
+				next.list(t)
+				store.Restore(backup)
+				known := map[string]string{"s/a": "2", "s/b": "1"}
+				assert.DeepEqual(t, watcher.follow(t), known)
+				if test.wholePrefix {
+					whole, ok := watcher.List("s/")
+					assert.Assert(t, ok)
+					next.Apply(map[string]kv.Batch{"s/": whole}, time.Now())
+				} else {
+					watcher.forwardTo(next)
+				}
+				if !test.otherProcess {
+					next = watcher
+				}
+
+				// Forwarded data is too old by now, so that the list goes to the service.
+				time.Sleep(writeInterval / 2)
+				store.Set("s/new", []byte("1"))
+				known["s/new"] = "1"
+				assert.DeepEqual(t, next.list(t), known)
+				assert.DeepEqual(t, next.list(t), known)
+				time.Sleep(writeInterval/2 + time.Millisecond)
+				next.follow(t)
+				delete(known, "s/b")
+				assert.DeepEqual(t, next.list(t), known)
+				store.Set("s/removed", []byte("2"))
+				known["s/removed"] = "2"
+				assert.DeepEqual(t, next.list(t), known)
+			})
+		})
+	}
+}
