gateway: TestStoreRestore waits until all gateways know of the removal

A gateway cannot know better than the store that has the server again. The check itself stays: not one request.

--- a/internal/gateway/store_copy_test.go
+++ b/internal/gateway/store_copy_test.go
@@ -34,6 +34,7 @@
 		m.await(t, env, pathStream, http.StatusNotFound)
 	}
 	env.awaitLines("leadership gained", 1)
+	env.awaitLines("server gone", 1+len(members))
 	first := env.lastToken()
 
 	began := time.Now()
