--- a/kv/copy.go
+++ b/kv/copy.go
@@ -82,6 +82,7 @@
 		case known && (previousStale[e.Key].matches(e) || isOlder(e, before, w)):
 			l.stale[e.Key] = staleEntry{revision: e.Revision, replacement: before.Value}
 		case !known && (l.to.Era() < at.Era() || e.Revision <= l.to):
+			// An entry above the revision of forwarded data has been written since.
 			l.stale[e.Key] = staleEntry{revision: e.Revision, until: l.restoredAt.Add(unknownEntryIntervals * w.MaxWriteInterval())}
 		}
 	}
