--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,7 +27,6 @@
 // A lifecycle counts the requests in progress and records that the gateway is stopping.
 type lifecycle struct {
 	inProgress atomic.Int64
-	stopping   atomic.Bool
 	// stop is nil until the gateway stops.
 	stop atomic.Pointer[stopTimes]
 	// unansweredCtx ends when requests without a response are cancelled.
@@ -62,7 +61,7 @@
 }
 
 func (l *lifecycle) requests() int64  { return l.inProgress.Load() }
-func (l *lifecycle) isStopping() bool { return l.stopping.Load() }
+func (l *lifecycle) isStopping() bool { return l.stop.Load() != nil }
 
 // Stop makes the gateway unready, keeps accepting requests until the load balancer has noticed, waits for requests to
 // finish until ctx ends, and closes all listeners.
@@ -72,7 +71,6 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	now, unanswered := g.clock.Now(), g.unansweredTime(ctx)
 	g.lifecycle.stop.Store(&stopTimes{noticed: now.Add(noticeTime), responsesEnd: now.Add(unanswered)})
-	g.lifecycle.stopping.Store(true)
 	g.log.Info("leaving", zap.Int64("requests", g.lifecycle.requests()))
 	g.placer.Stop(ctx)
 	timer := g.clock.AfterFunc(unanswered, g.lifecycle.cancelUnanswered)
