--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -26,6 +26,11 @@
 	since time.Time
 }
 
+// holdsModel reports whether the engine holds a model, including one that is being unloaded.
+func (e *engineState) holdsModel(model string) bool {
+	return slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == model })
+}
+
 // holdsAdapter reports whether the engine holds an adapter, including one that is being loaded or unloaded.
 func (e *engineState) holdsAdapter(a backend.Adapter) bool {
 	return slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == a.Model && r.Has(a.Name) })
@@ -84,13 +89,12 @@
 	}
 	e.awaitedAdapters = slices.DeleteFunc(e.awaitedAdapters, func(w awaitedAdapter) bool {
 		_, wanted := p.adapterWaitingSince[service][w.Adapter]
-		hasModel := slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == w.Model })
 		overdue := now.Sub(w.since) >= maxLoadWait
 		if overdue {
 			p.opts.Log.Warn("adapter load abandoned", zap.String("server", e.server.ID), zap.String("model", w.Model),
 				zap.String("adapter", w.Name))
 		}
-		return !wanted || overdue || !hasModel || e.isUnloading(w.Model) || e.holdsAdapter(w.Adapter)
+		return !wanted || overdue || !e.holdsModel(w.Model) || e.isUnloading(w.Model) || e.holdsAdapter(w.Adapter)
 	})
 }
 
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -248,7 +248,7 @@
 func (e *engineState) completeOrders(now time.Time) (loaded string) {
 	for len(e.pending) > 0 {
 		o := e.pending[0]
-		present := slices.ContainsFunc(e.residents, func(r backend.Resident) bool { return r.Model == o.Model })
+		present := e.holdsModel(o.Model)
 		if present == o.Unload {
 			break
 		}
