gateway: request ended tells a response that ended with its connection

A caller got a part of a response as a whole one. The line about the request did not tell whether the response had a length, nor whether the upload had failed, so that three hypotheses looked the same: the server ended the connection in order, the reset was lost in the gateway, the gateway ended the response.

The line now has unframed, and write_error with the first error of a write on that connection.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -190,7 +190,7 @@
 // discardBody reads the body of a refusal, so that the connection can be reused. cancel ends the send, and with it the read
 // of a body that does not end in time. A body that ends with the connection is not read.
 func (f *forwarder) discardBody(resp *http.Response, cancel context.CancelCauseFunc) {
-	if resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked") {
+	if isUnframed(resp) {
 		return
 	}
 	defer f.proxy.clock.AfterFunc(refusalBodyTimeout, func() { cancel(nil) }).Stop()
@@ -198,6 +198,11 @@
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
 }
 
+// isUnframed reports whether a response ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // mayRepeatRefused reports whether a request may be sent again after a refusal. If an earlier send may have run, the
 // route must allow another run.
 func (f *forwarder) mayRepeatRefused() bool {
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -45,6 +45,8 @@
 	fieldConnReused          = "conn_reused"
 	fieldConnAge             = "conn_age_s"
 	fieldConnIdle            = "conn_idle_s"
+	fieldUnframed            = "unframed"
+	fieldWriteError          = "write_error"
 	fieldUnsent              = "unsent"
 	fieldRuns                = "runs"
 	fieldRefunded            = "refunded"
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rockcleat/dispatch"
+	"rockcleat/internal/serverconn"
 )
 
 // Outcomes of requests, as used in log lines and metrics.
@@ -37,6 +38,9 @@
 	longestGap time.Duration
 	outcome    string
 	status     int
+	// unframed is the send whose response was forwarded if that ended with its connection, without a length or chunks; nil
+	// otherwise.
+	unframed *serverconn.Exchange
 	// refusal is the gateway's own response; nil if there is none.
 	refusal *refusal
 	// holders is the number of servers that had the model loaded when the request was refused.
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -121,6 +121,9 @@
 	if r.refusal != nil {
 		fields = append(fields, zap.String(fieldReason, r.refusal.reason), zap.Float64(fieldRetryAfter, r.refusal.retryAfter.Seconds()))
 	}
+	if r.unframed != nil {
+		fields = append(fields, zap.Bool(fieldUnframed, true), zap.NamedError(fieldWriteError, r.unframed.WriteError()))
+	}
 	if n := l.suppressed.Swap(0); n > 0 {
 		fields = append(fields, zap.Uint64(fieldSuppressed, n))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,6 +49,10 @@
 	if err := f.validate(resp); err != nil {
 		return f.handleLost(res, err)
 	}
+	f.record.unframed = nil
+	if isUnframed(resp) {
+		f.record.unframed = exchange
+	}
 	if f.in.route.Stream && resp.StatusCode == http.StatusOK {
 		return f.forwardStream(ctx, res, resp, stall)
 	}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -1,11 +1,13 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // unframed returns a responder whose response has neither a length nor chunks and ends with its connection, which is
@@ -87,3 +89,33 @@
 		})
 	}
 }
+
+// TestUnframedResponseIsLogged checks that the line about a request tells that its response ended with its connection, and
+// whether a write on that connection failed.
+func TestUnframedResponseIsLogged(t *testing.T) {
+	tests := map[string]struct {
+		respond  responder
+		unframed bool
+	}{
+		"with a length":     {respond: respond(http.StatusOK, "fine")},
+		"in chunks":         {respond: stream(2)},
+		"by its connection": {respond: unframed("HTTP/1.1", "fine", false), unframed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, newFakeServer(t, "a", test.respond))
+			assert.Equal(t, env.post(pathUnsafe, "").status, http.StatusOK)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				lines := env.logs.FilterMessage("request ended").All()
+				if len(lines) == 0 {
+					return poll.Continue("no line")
+				}
+				fields := lines[0].ContextMap()
+				if _, ok := fields["unframed"]; ok != test.unframed {
+					return poll.Error(fmt.Errorf("fields: %v", fields))
+				}
+				return poll.Success()
+			})
+		})
+	}
+}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -33,6 +33,8 @@
 	// undecided is the exchange before current, until its response is accepted or discarded.
 	undecided *Exchange
 	discarded bool
+	// writeErr is the error of the first write that failed.
+	writeErr error
 }
 
 func newConn(c net.Conn, now time.Time) *conn {
@@ -46,7 +48,19 @@
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.recordWriteError(err)
+	}
+	return n, err
+}
+
+func (c *conn) recordWriteError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 }
 
 // beginWrite waits until the exchange before the current one is decided, and records that the current request is written.
@@ -156,6 +170,13 @@
 	return x.abandoned
 }
 
+// WriteError returns the error of the first write on the connection that failed, and nil if none has failed yet.
+func (x *Exchange) WriteError() error {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	return x.conn.writeErr
+}
+
 // Reused reports whether the connection carried other requests before.
 func (x *Exchange) Reused() bool { return x.reused }
 
