responseconn: a response whose connection is reset during an upload is broken, not whole

Callers saw: a server answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still written; the caller got that part as a complete answer.

Cause: the kernel reports a reset to one call only. When that is the write of the upload, the next read returns the end of the connection without an error, which net/http takes for the end of the body.

Fix: at the end of a connection, Conn.Read asks the kernel whether the peer has ended its data; a connection that was reset or timed out returns an error. Both constructors of transports use it, so that it holds for servers, orders, reports, the store, other gateways, entry and agent. It works because the state of the connection stays when its error has been handed out.

--- /dev/null
+++ b/internal/agent/early_answer_test.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// startEarlyBackend starts a backend server that responds to each request before it reads the body: with a part of a body that
+// has neither a length nor chunks. It then resets the connection.
+func startEarlyBackend(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first part")
+				time.Sleep(5 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	return l
+}
+
+// TestResponseResetDuringUpload checks that a response which ends with its connection is not complete if the connection is
+// reset while the request's body is still written.
+func TestResponseResetDuringUpload(t *testing.T) {
+	const (
+		requests   = 40
+		uploadSize = 8 << 20
+	)
+	f := newBackendFixture(t, startEarlyBackend(t).Addr().String())
+	f.settings.Limits.BodyBytes = uploadSize
+	upload := strings.Repeat("u", uploadSize)
+	complete := 0
+	for range requests {
+		if answered := f.answers(http.MethodPost, "s", upload); answered {
+			complete++
+		}
+	}
+	assert.Equal(t, complete, 0, "of %d responses that were reset look complete", requests)
+}
+
+// answers sends a request to the agent and reports whether it answers it with a success that looks complete.
+func (f *fixture) answers(method, row, body string) (complete bool) {
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler {
+			panic(fmt.Sprint(v))
+		}
+	}()
+	return f.do(method, row, body).StatusCode == http.StatusOK
+}
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -63,6 +63,9 @@
 	traffic *TrafficCounter
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.count(n)
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rockcleat/internal/responseconn"
 )
 
 // Connections between the system's processes.
@@ -63,7 +65,7 @@
 // for the duration idle.
 func NewDirectTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         NewDialer().DialContext,
+		DialContext:         responseconn.Dial(NewDialer().DialContext),
 		MaxIdleConnsPerHost: maxDirectIdlePerServer,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
@@ -88,7 +90,7 @@
 // NewTransport returns the transport for other processes of the system. Its traffic is counted by t.
 func NewTransport(t *TrafficCounter) *http.Transport {
 	return &http.Transport{
-		DialContext:         t.DialContext(&net.Dialer{Timeout: dialTimeout}),
+		DialContext:         responseconn.Dial(t.DialContext(&net.Dialer{Timeout: dialTimeout})),
 		MaxIdleConnsPerHost: maxIdlePerProcess,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
