responseconn: a response in whose head a field's name is malformed is none

Callers saw: a server sent a head in which the name of a field held a blank or a control byte, and they got it as a success: without that line, with the line joined to the value before it, or with a body that held chunk sizes or the rest of the head.

Cause: net/http accepts names with blanks, joins a line that begins with a blank to the one before, and takes a line feed alone for the end of a line. Each can hide the length of the body.

Fix: Conn checks each head as its bytes arrive. A name is a token, and all lines end as the status line does; otherwise the read fails, the response counts as lost and its connection is closed. It works because the bytes are seen before net/http gives them a meaning. wire.CheckResponses begins the check anew for each request on a kept connection; serverconn does so itself. send failed tells the kind of a broken response, and a counter counts them.

--- a/cmd/rockcleat-gateway/main.go
+++ b/cmd/rockcleat-gateway/main.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), wire.NewDirectTransport(storeIdleTimeout), metrics.StoreCall)
+	store := platform.NewStore(s.Store, s.StoreTimeout.Std(), wire.CheckResponses(wire.NewDirectTransport(storeIdleTimeout)), metrics.StoreCall)
 	engines := platform.NewEngineClient(s.ID, s.EngineTimeout.Std(), wire.NewDirectTransport(s.IdleTimeout.Std()))
 	return gateway.New(gateway.Options{
 		Settings:    s,
--- a/internal/daemon/entry_agent.go
+++ b/internal/daemon/entry_agent.go
@@ -88,7 +88,7 @@
 		return nil, s.Process, nil, err
 	}
 	traffic := &wire.TrafficCounter{}
-	client := &http.Client{Transport: wire.NewTransport(traffic)}
+	client := &http.Client{Transport: wire.CheckResponses(wire.NewTransport(traffic))}
 	e := entry.New(entry.Options{
 		Settings: s,
 		Store:    newStore(s.Process, client, metrics),
@@ -112,7 +112,7 @@
 		return nil, s.Process, nil, err
 	}
 	traffic := &wire.TrafficCounter{}
-	client := &http.Client{Transport: wire.NewTransport(traffic)}
+	client := &http.Client{Transport: wire.CheckResponses(wire.NewTransport(traffic))}
 	// The backend server runs on the same VM, so calls to it are excluded from the traffic counts.
 	backend := wire.NewTransport(&wire.TrafficCounter{})
 	var vms agent.VMLister
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,7 @@
 	s := o.Settings
 	e := &Entry{settings: s, clock: o.Clock, log: o.Log, metrics: o.Metrics, traffic: o.Traffic}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	client := wire.NewClient(s.Secret, wire.NewTransport(e.traffic))
+	client := wire.NewClient(s.Secret, wire.CheckResponses(wire.NewTransport(e.traffic)))
 	e.members = newMembers(s.ID, o.Platform, o.Log)
 	e.quarantine = quarantine.New(quarantine.Options{
 		Clock: o.Clock, CrashThreshold: s.Quarantine.Threshold, Duration: s.Quarantine.Hold.Std(), OnChange: e.quarantineChanged,
@@ -94,8 +94,9 @@
 	e.proxy = &proxy{
 		limits: s.Limits, secret: s.Secret, controlAddr: e.ControlAddr, ready: e.ready, leaving: e.leaving.Load,
 		replica: &e.replica, view: &e.view, members: e.members, claims: e.claims, decisions: &e.decisions,
-		agents: &http.Client{Transport: wire.NewTransport(&e.proxied), CheckRedirect: wire.NoRedirects}, quarantine: e.quarantine,
-		clock: o.Clock, log: o.Log, metrics: o.Metrics, buffers: bodybuffer.NewMemory(s.Limits.MemoryMB),
+		agents:     &http.Client{Transport: wire.CheckResponses(wire.NewTransport(&e.proxied)), CheckRedirect: wire.NoRedirects},
+		quarantine: e.quarantine,
+		clock:      o.Clock, log: o.Log, metrics: o.Metrics, buffers: bodybuffer.NewMemory(s.Limits.MemoryMB),
 	}
 	e.proxy.loadTable.Hall = s.Hall
 	e.operators = &operatorAPI{
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -251,7 +251,7 @@
 // finished.
 func (f *forwarder) handleLost(res *dispatch.Reservation, err error) bool {
 	res.Done(dispatch.Failed)
-	f.proxy.requestLog.sendFailed(f, res, "lost", err)
+	f.proxy.requestLog.sendFailed(f, res, "lost", err, f.proxy.requestLog.countBroken(err))
 	if f.ctx.Err() != nil {
 		f.handleExpired()
 		return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 		o.Metrics = noMetrics{}
 	}
 	if o.Peers == nil {
-		o.Peers = wire.NewTransport(&wire.TrafficCounter{})
+		o.Peers = wire.CheckResponses(wire.NewTransport(&wire.TrafficCounter{}))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := newComponents(ctx, o)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,6 +52,8 @@
 	IntakeObserved(pending int, processorSeconds float64)
 	// ForeignResponse counts a response of a server that was not that of the request for which it came, by kind.
 	ForeignResponse(kind string)
+	// BrokenResponse counts a response of a server that was malformed or broken off, by kind.
+	BrokenResponse(kind string)
 	// ServerCrashed counts a crash of a server under requests, by service.
 	ServerCrashed(service string)
 	// ConfigTransfer counts a transfer of the configuration and its size on the wire; err is not nil if it failed.
@@ -76,6 +78,7 @@
 func (noMetrics) MemoryHeld(string, int64)                      {}
 func (noMetrics) IntakeObserved(int, float64)                   {}
 func (noMetrics) ForeignResponse(string)                        {}
+func (noMetrics) BrokenResponse(string)                         {}
 func (noMetrics) ServerCrashed(string)                          {}
 func (noMetrics) QuotaCharged(string, string, float64)          {}
 func (noMetrics) QuotaRefunded(string, string, float64)         {}
--- a/internal/responseconn/conn.go
+++ b/internal/responseconn/conn.go
@@ -5,14 +5,14 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// ErrReset is returned by Conn.Read instead of io.EOF if the connection has ended without the end of the peer's data. It
-// matches syscall.ECONNRESET.
-var ErrReset = fmt.Errorf("responseconn: the connection ended before the response: %w", syscall.ECONNRESET)
+// errReset is returned by Conn.Read instead of io.EOF if the connection has ended without the end of the peer's data.
+var errReset = fmt.Errorf("responseconn: the connection ended before the response: %w", syscall.ECONNRESET)
 
 // A DialFunc opens a connection, as http.Transport.DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -28,23 +28,51 @@
 	}
 }
 
-// A Conn is a client's connection to an HTTP server.
+// A Conn is a client's connection to an HTTP server. Its methods are safe for concurrent use.
 //
 // It embeds the interface, so that all reads pass Read.
-type Conn struct{ net.Conn }
+type Conn struct {
+	net.Conn
 
-// New returns a Conn that uses c.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+	mu   sync.Mutex
+	head headScanner
+}
 
-// Read implements net.Conn. It returns io.EOF only if the peer has ended its data, and ErrReset otherwise.
+// New returns a Conn that uses c, or c itself if it is a Conn. The first bytes that it reads begin a response.
+func New(c net.Conn) *Conn {
+	if conn, ok := c.(*Conn); ok {
+		return conn
+	}
+	return &Conn{Conn: c}
+}
+
+// BeginResponse tells that the next bytes begin a response. It must be called before each request but the first.
+func (c *Conn) BeginResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = c.head.begin()
+}
+
+// Read implements net.Conn. It returns io.EOF only if the peer has ended its data. If a reset was reported to a write, it
+// returns an error that matches syscall.ECONNRESET. It returns a *HeadError and no data if the head of a response is malformed.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if headErr := c.scan(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if err == io.EOF && wasReset(c.Conn) {
-		err = ErrReset
+		err = errReset
 	}
 	return n, err
 }
 
+// scan checks bytes that have arrived.
+func (c *Conn) scan(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.scan(p)
+}
+
 // A wrapper is a connection that uses another one, which NetConn returns, as that of tls.Conn does.
 type wrapper interface{ NetConn() net.Conn }
 
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"rockcleat/internal/responseconn"
 )
 
 // Errors of writes that were not made.
@@ -20,9 +22,9 @@
 
 // A conn is a connection to a server. It writes a request only after the response to the one before was accepted.
 //
-// It embeds the interface, so that all writes pass Write.
+// It embeds the connection, so that all writes pass Write.
 type conn struct {
-	net.Conn
+	*responseconn.Conn
 	openedAt time.Time
 
 	mu sync.Mutex
@@ -38,7 +40,7 @@
 }
 
 func newConn(c net.Conn, now time.Time) *conn {
-	tracked := &conn{Conn: c, openedAt: now}
+	tracked := &conn{Conn: responseconn.New(c), openedAt: now}
 	tracked.judged = sync.NewCond(&tracked.mu)
 	return tracked
 }
@@ -121,6 +123,7 @@
 		c.undecided = c.current
 	}
 	c.current = x
+	c.BeginResponse()
 }
 
 // Accept records that the response is that of the request. Its connection may carry further requests.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -43,6 +43,8 @@
 	serverCrashes   metric.Int64Counter
 	// foreignResponses counts the responses of servers that were not those of the requests for which they came.
 	foreignResponses metric.Int64Counter
+	// brokenResponses counts the responses of servers that were malformed or broken off.
+	brokenResponses metric.Int64Counter
 	// serverLimits counts the limits that servers announced, changed and ended.
 	serverLimits metric.Int64Counter
 	// serverDepartures counts the servers that announced that they are leaving.
@@ -106,6 +108,7 @@
 	m.queueWaitError = m.histogram(b, "rockcleat.gateway.queue_wait_error", "Difference between the estimated and the actual wait of these requests.")
 	m.configTransfers = b.counter("rockcleat.gateway.config_transfers", "Transfers of the configuration, by origin and result.")
 	m.configBytes = b.counter("rockcleat.gateway.config_bytes", "Bytes of configurations received, as they were sent, by origin.")
+	m.brokenResponses = b.counter("rockcleat.gateway.broken_responses", "Responses of backend servers that were malformed or broken off, by kind.")
 	m.foreignResponses = b.counter("rockcleat.gateway.foreign_responses", "Responses of backend servers to another request than the one for which they came, by kind.")
 	m.serverCrashes = b.counter("rockcleat.gateway.server_ends", "Backend servers that ended under requests, by service.")
 	m.serverLimits = b.counter("rockcleat.gateway.server_limits", "Limits that backend servers named for themselves, by what became of them.")
@@ -197,6 +200,11 @@
 	m.foreignResponses.Add(context.Background(), 1, m.attributeSet("kind", kind, "", ""))
 }
 
+// BrokenResponse counts a response of a backend server that was malformed or broken off, by kind.
+func (m *GatewayMetrics) BrokenResponse(kind string) {
+	m.brokenResponses.Add(context.Background(), 1, m.attributeSet("kind", kind, "", ""))
+}
+
 // ServerCrashed counts a backend server of a service that crashed while it ran requests.
 func (m *GatewayMetrics) ServerCrashed(service string) {
 	m.serverCrashes.Add(context.Background(), 1, m.attributeSet("service", service, "", ""))
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -99,6 +99,10 @@
 	}
 }
 
+// CheckResponses returns a RoundTripper over t, which is one of this package, that checks the heads of all responses on a
+// connection, not only of the first.
+func CheckResponses(t *http.Transport) http.RoundTripper { return responseconn.NewTransport(t) }
+
 // NoRedirects is the CheckRedirect of clients that follow no redirects. A call is meant for one server: after a redirect it may
 // run at two, and the response or error of the second one says nothing of the first.
 func NoRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
