responseconn: reads after a malformed head fail at once

Cause: bufio.Reader.ReadLine drops an error that follows a part of a line. net/http then read once more, and the next read waited for bytes of the server, since those of the malformed line had been taken.

Fix: the error stays until the next response begins. TestMalformedHeadStaysMalformed now reads while the server is silent; with the server closing, it could not see the fault.

--- a/internal/responseconn/conn.go
+++ b/internal/responseconn/conn.go
@@ -54,8 +54,12 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only if the peer has ended its data. If a reset was reported to a write, it
-// returns an error that matches syscall.ECONNRESET. It returns a *HeadError and no data if the head of a response is malformed.
+// returns an error that matches syscall.ECONNRESET. It returns a *HeadError and no data if the head of a response is malformed,
+// and again for each further read: bufio.Reader.ReadLine drops an error that follows a part of a line.
 func (c *Conn) Read(p []byte) (int, error) {
+	if headErr := c.scan(nil); headErr != nil {
+		return 0, headErr
+	}
 	n, err := c.Conn.Read(p)
 	if headErr := c.scan(p[:n]); headErr != nil {
 		return 0, headErr
@@ -66,7 +70,7 @@
 	return n, err
 }
 
-// scan checks bytes that have arrived.
+// scan checks bytes that have arrived. It also fails if the head was malformed before.
 func (c *Conn) scan(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/responseconn/head_test.go
+++ b/internal/responseconn/head_test.go
@@ -9,14 +9,15 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"rockcleat/internal/responseconn"
 )
 
-// heads are the beginnings of responses. malformed tells whether the name of a field is not one, or a line ends in another way
-// than the status line.
+// heads are the beginnings of responses. malformed tells whether the status or the name of a field is not one, or a line ends in
+// another way than the status line.
 var heads = map[string]struct {
 	text      string
 	malformed bool
@@ -80,20 +81,18 @@
 	}
 }
 
-// TestMalformedHeadStaysMalformed checks that no byte behind the error is read.
+// TestMalformedHeadStaysMalformed checks that a read after the error fails too, while the server sends nothing more.
 func TestMalformedHeadStaysMalformed(t *testing.T) {
 	client, server := net.Pipe()
 	defer client.Close()
-	go func() {
-		_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n")
-		server.Close()
-	}()
+	defer server.Close()
+	go func() { _, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n") }()
+	assert.NilError(t, client.SetReadDeadline(time.Now().Add(10*time.Second)))
 	c := responseconn.New(client)
-	for range 20 {
+	_, err := c.Read(make([]byte, 18))
+	assert.NilError(t, err)
+	for range 3 {
 		_, err := c.Read(make([]byte, 18))
-		if err == nil {
-			continue
-		}
 		assert.ErrorContains(t, err, `"A "`)
 	}
 }
