responseconn: a response with an invalid status is none

Callers saw: an agent passed a backend server's status 101 on; with 000, 007, 099, +20 or -00 its handler ended with a panic, and the entry saw a lost server. An order answered with 000 counted as unanswered without an error, one answered with 007, 101 or +20 as rejected.

Cause: net/http takes three characters that strconv.Atoi reads for a status, and each reader of responses had to check it.

Fix: Conn refuses a status that is not of three digits from 100, and 101, which nothing asks for. It works for all clients because they all read through it; the gateway's check below 200 goes, as the rule now stands in one place.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -96,9 +96,6 @@
 // validate returns an error if resp is not a valid response to a request that may have run, or cannot continue a response
 // that has begun.
 func (f *forwarder) validate(resp *http.Response) error {
-	if resp.StatusCode < http.StatusOK {
-		return eris.Errorf("gateway: status %d instead of a response", resp.StatusCode)
-	}
 	if resp.Header.Get(f.proxy.names.NotRun) != "" {
 		return eris.Errorf("gateway: status %d of a request that is marked as not run", resp.StatusCode)
 	}
--- a/internal/responseconn/head.go
+++ b/internal/responseconn/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 )
 
@@ -20,6 +21,7 @@
 
 // Reasons of a HeadError.
 const (
+	reasonStatus    = "invalid status"
 	reasonFieldName = "invalid name of a field"
 	reasonLineEnd   = "lines end in different ways"
 )
@@ -48,8 +50,8 @@
 // A headScanner checks the heads of one response, informational ones included, while their bytes arrive. The zero headScanner
 // is at the beginning of a response.
 //
-// net/http accepts names with blanks, joins a line that begins with a blank to the one before, and takes a line feed alone for
-// the end of a line. Each of them can hide the field that states the length of the body.
+// net/http takes any number of three characters for a status, accepts names with blanks, joins a line that begins with a blank to the one before, and takes a line feed alone for
+// the end of a line. Each of the last three can hide the field that states the length of the body.
 type headScanner struct {
 	state headState
 	// line holds the start of the current line.
@@ -87,7 +89,7 @@
 	switch s.state {
 	case inStatusLine:
 		if b == '\n' {
-			s.endStatusLine()
+			return s.endStatusLine()
 		}
 	case atLine:
 		return s.beginLine(b)
@@ -111,14 +113,20 @@
 	return ""
 }
 
-// endStatusLine handles the line feed of the status line.
-func (s *headScanner) endStatusLine() {
+// endStatusLine handles the line feed of the status line. No request asks for another protocol, so that status 101 is invalid.
+func (s *headScanner) endStatusLine() (reason string) {
 	s.crlf = s.afterCR
 	code := statusCode(s.line)
-	s.informational = len(code) == 3 && code[0] == '1' && code != "101"
-	_ = s.endLine(atLine)
+	if !statusPattern.MatchString(code) || code == "101" {
+		return reasonStatus
+	}
+	s.informational = code[0] == '1'
+	return s.endLine(atLine)
 }
 
+// statusPattern matches status codes.
+var statusPattern = regexp.MustCompile(`^[1-9][0-9]{2}$`)
+
 // statusCode returns the status code of a status line.
 func statusCode(line []byte) string {
 	_, status, _ := strings.Cut(strings.TrimRight(string(line), "\r\n"), " ")
