responseconn: the end of a connection during an upload ends no response before the upload is written

Callers saw: a server sent a part of a response without a length, ended its side of the connection in order while the upload was still written, and reset it later; they got the part as a whole response.

Cause: the read saw the FIN, and net/http took the response for complete before the rest of the upload could show that the server had gone.

Fix: behind a head, Conn.Read waits at the end of the peer's data until the request is written, and returns an error if that fails or the connection is reset. It works because a server that has gone answers the rest of the upload with a reset. A server that reads on keeps its success (TestWholeResponseDuringUpload).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -127,7 +127,7 @@
 	}
 	backend := wire.SingleUse(wire.NewTransport(&a.proxied))
 	a.dial, backend.DialContext = backend.DialContext, a.dialBackend
-	a.backend = &http.Client{Transport: backend, CheckRedirect: wire.NoRedirects}
+	a.backend = &http.Client{Transport: wire.CheckResponses(backend), CheckRedirect: wire.NoRedirects}
 	a.entryClient = wire.NewClient(o.Settings.Secret, wire.CheckResponses(wire.NewTransport(o.Traffic)))
 	a.workload = newWorkload(a.server.slots, o.Settings.MaxQueued)
 	a.quarantine = quarantine.New(quarantine.Options{
--- a/internal/agent/early_answer_test.go
+++ b/internal/agent/early_answer_test.go
@@ -14,8 +14,8 @@
 )
 
 // startEarlyBackend starts a backend server that responds to each request before it reads the body: with a part of a body that
-// has neither a length nor chunks. It then resets the connection.
-func startEarlyBackend(t *testing.T) net.Listener {
+// has neither a length nor chunks. It then calls end and resets the connection.
+func startEarlyBackend(t *testing.T, end func(c *net.TCPConn)) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -31,7 +31,7 @@
 					return
 				}
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first part")
-				time.Sleep(5 * time.Millisecond)
+				end(c.(*net.TCPConn))
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}()
 		}
@@ -40,22 +40,33 @@
 }
 
 // TestResponseResetDuringUpload checks that a response which ends with its connection is not complete if the connection is
-// reset while the request's body is still written.
+// reset while the request's body is still written, also if the server had ended its side of it before.
 func TestResponseResetDuringUpload(t *testing.T) {
 	const (
 		requests   = 40
 		uploadSize = 8 << 20
 	)
-	f := newBackendFixture(t, startEarlyBackend(t).Addr().String())
-	f.settings.Limits.BodyBytes = uploadSize
-	upload := strings.Repeat("u", uploadSize)
-	complete := 0
-	for range requests {
-		if answered := f.answers(http.MethodPost, "s", upload); answered {
-			complete++
-		}
+	ends := map[string]func(c *net.TCPConn){
+		"reset": func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) },
+		"closed, then reset": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_, _ = io.CopyN(io.Discard, c, uploadSize/2)
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			f := newBackendFixture(t, startEarlyBackend(t, end).Addr().String())
+			f.settings.Limits.BodyBytes = uploadSize
+			upload := strings.Repeat("u", uploadSize)
+			complete := 0
+			for range requests {
+				if f.answers(http.MethodPost, "s", upload) {
+					complete++
+				}
+			}
+			assert.Equal(t, complete, 0, "of %d responses that were reset look complete", requests)
+		})
 	}
-	assert.Equal(t, complete, 0, "of %d responses that were reset look complete", requests)
 }
 
 // answers sends a request to the agent and reports whether it answers it with a success that looks complete.
--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -63,6 +63,14 @@
 // closeUnread closes the connection with unread data, so that the kernel resets it.
 func closeUnread(*call) { time.Sleep(5 * time.Millisecond) }
 
+// closeThenReset ends the server's side of the connection while all that has arrived is read, and resets it later.
+func closeThenReset(c *call) {
+	tcp := c.conn.(*net.TCPConn)
+	_ = tcp.CloseWrite()
+	_, _ = io.CopyN(io.Discard, tcp, uploadSize/2)
+	c.reset()
+}
+
 // TestResponseResetDuringUpload checks that a response which ends with its connection is not complete if the connection is
 // reset while the request's body is still written: the write may get the reset, and the read an end without an error.
 func TestResponseResetDuringUpload(t *testing.T) {
@@ -79,6 +87,8 @@
 		"plain, HTTP/1.0":            {pathUnsafe, "HTTP/1.0", part, resetDuringUpload},
 		"plain, no body yet":         {pathUnsafe, "HTTP/1.1", "", resetDuringUpload},
 		"plain, beyond the buffer":   {pathUnsafe, "HTTP/1.1", strings.Repeat("x", 300<<10), resetDuringUpload},
+		"plain, closed, then reset":  {pathUnsafe, "HTTP/1.1", part, closeThenReset},
+		"stream, closed, then reset": {pathStream, "HTTP/1.1", textEvents(1, 2), closeThenReset},
 		"repeatable, reset":          {pathSafe, "HTTP/1.1", part, resetDuringUpload},
 		"stream, reset":              {pathStream, "HTTP/1.1", textEvents(1, 2), resetDuringUpload},
 		"stream, closed unread":      {pathStream, "HTTP/1.1", textEvents(1, 2), closeUnread},
--- a/internal/responseconn/conn.go
+++ b/internal/responseconn/conn.go
@@ -36,6 +36,11 @@
 
 	mu   sync.Mutex
 	head headScanner
+	// writing reports whether a request is being written. written is signalled when it or closed changes.
+	writing, closed bool
+	written         *sync.Cond
+	// writeErr is the error that ended the request; nil if there is none.
+	writeErr error
 }
 
 // New returns a Conn that uses c, or c itself if it is a Conn. The first bytes that it reads begin a response.
@@ -43,19 +48,45 @@
 	if conn, ok := c.(*Conn); ok {
 		return conn
 	}
-	return &Conn{Conn: c}
+	conn := &Conn{Conn: c}
+	conn.written = sync.NewCond(&conn.mu)
+	return conn
 }
 
-// BeginResponse tells that the next bytes begin a response. It must be called before each request but the first.
-func (c *Conn) BeginResponse() {
+// BeginRequest tells that the next bytes that are written begin a request, and the next ones that are read its response.
+func (c *Conn) BeginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = c.head.begin()
+	c.writing, c.writeErr = true, nil
 }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has ended its data. If a reset was reported to a write, it
-// returns an error that matches syscall.ECONNRESET. It returns a *HeadError and no data if the head of a response is malformed,
-// and again for each further read: bufio.Reader.ReadLine drops an error that follows a part of a line.
+// EndRequest tells that the request has been written, or that err has ended it.
+func (c *Conn) EndRequest(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	if err != nil {
+		c.writeErr = err
+	}
+	c.written.Broadcast()
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.written.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Read implements net.Conn. It returns io.EOF only if the peer has ended its data, and otherwise an error that matches
+// syscall.ECONNRESET. If the peer has ended its data behind a head while the request is still being written, Read waits for the
+// end of the request, since the peer may still reset the connection.
+//
+// It returns a *HeadError and no data if the head of a response is malformed, and again for each further read:
+// bufio.Reader.ReadLine drops an error that follows a part of a line.
 func (c *Conn) Read(p []byte) (int, error) {
 	if headErr := c.scan(nil); headErr != nil {
 		return 0, headErr
@@ -64,7 +95,7 @@
 	if headErr := c.scan(p[:n]); headErr != nil {
 		return 0, headErr
 	}
-	if err == io.EOF && wasReset(c.Conn) {
+	if err == io.EOF && (wasReset(c.Conn) || !c.awaitRequest() || wasReset(c.Conn)) {
 		err = errReset
 	}
 	return n, err
@@ -77,6 +108,20 @@
 	return c.head.scan(p)
 }
 
+// awaitRequest waits until the request whose response has begun is written, and reports whether it was written whole.
+func (c *Conn) awaitRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.state != inBody {
+		// There is no response that could look whole.
+		return true
+	}
+	for c.writing && !c.closed {
+		c.written.Wait()
+	}
+	return !c.writing && c.writeErr == nil
+}
+
 // A wrapper is a connection that uses another one, which NetConn returns, as that of tls.Conn does.
 type wrapper interface{ NetConn() net.Conn }
 
--- a/internal/responseconn/conn_test.go
+++ b/internal/responseconn/conn_test.go
@@ -83,3 +83,49 @@
 		})
 	}
 }
+
+// TestEndDuringRequest checks what a read returns at the end of the peer's data while a request is written.
+func TestEndDuringRequest(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	tests := map[string]struct {
+		received string
+		// then is called while the read waits; nil if it does not wait.
+		then func(c *responseconn.Conn)
+		want error
+	}{
+		"then written whole":    {received: head, then: func(c *responseconn.Conn) { c.EndRequest(nil) }, want: io.EOF},
+		"then failed":           {received: head, then: func(c *responseconn.Conn) { c.EndRequest(io.ErrClosedPipe) }, want: syscall.ECONNRESET},
+		"then closed":           {received: head, then: func(c *responseconn.Conn) { _ = c.Close() }, want: syscall.ECONNRESET},
+		"before the response":   {want: io.EOF},
+		"in the middle of head": {received: head[:10], want: io.EOF},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client, server := connect(t)
+			c := responseconn.New(client)
+			c.BeginRequest()
+			_, err := io.WriteString(server, test.received)
+			assert.NilError(t, err)
+			assert.NilError(t, server.CloseWrite())
+			ended := make(chan error, 1)
+			go func() {
+				_, err := readInPieces(c, 100)
+				ended <- err
+			}()
+			if test.then != nil {
+				select {
+				case err := <-ended:
+					t.Fatalf("the read has not waited: %v", err)
+				case <-time.After(50 * time.Millisecond):
+				}
+				test.then(c)
+			}
+			err = <-ended
+			if test.want == io.EOF {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorIs(t, err, test.want)
+		})
+	}
+}
--- a/internal/responseconn/transport.go
+++ b/internal/responseconn/transport.go
@@ -1,8 +1,10 @@
 package responseconn
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 )
 
 // A Transport is an http.RoundTripper over connections that a DialFunc of Dial opens. It checks the heads of all responses on a
@@ -14,14 +16,48 @@
 
 // RoundTrip implements http.RoundTripper. Its errors are those of http.Transport and of Conn.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: beginResponse}
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	return t.base.RoundTrip(r.WithContext(Trace(r.Context(), func(httptrace.GotConnInfo) {})))
 }
 
-// beginResponse tells the connection of a request that a response begins.
-func beginResponse(i httptrace.GotConnInfo) {
-	if c, ok := i.Conn.(*Conn); ok {
-		c.BeginResponse()
+// Trace returns a context for one request of an http.Transport over connections that a DialFunc of Dial opens. It tells the Conn
+// where the request begins and ends. gotConn is called with the connection before that.
+func Trace(ctx context.Context, gotConn func(httptrace.GotConnInfo)) context.Context {
+	t := &requestTrace{gotConn: gotConn}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.begin, WroteRequest: t.end})
+}
+
+// A requestConn is a Conn or a connection that embeds one.
+type requestConn interface {
+	BeginRequest()
+	EndRequest(err error)
+}
+
+// A requestTrace follows one request. http.Transport may take another connection for it while it still writes to the first.
+type requestTrace struct {
+	gotConn func(httptrace.GotConnInfo)
+
+	mu sync.Mutex
+	// conn is the last connection; nil before the first.
+	conn requestConn
+}
+
+// begin is called when the request has a connection.
+func (t *requestTrace) begin(i httptrace.GotConnInfo) {
+	t.gotConn(i)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c, ok := i.Conn.(requestConn); ok {
+		t.conn = c
+		c.BeginRequest()
+	}
+}
+
+// end is called when the request has been written or has failed.
+func (t *requestTrace) end(i httptrace.WroteRequestInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.EndRequest(i.Err)
 	}
 }
 
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -123,7 +123,6 @@
 		c.undecided = c.current
 	}
 	c.current = x
-	c.BeginResponse()
 }
 
 // Accept records that the response is that of the request. Its connection may carry further requests.
--- a/internal/serverconn/transport.go
+++ b/internal/serverconn/transport.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"rockcleat/clock"
+	"rockcleat/internal/responseconn"
 	"rockcleat/internal/wire"
 )
 
@@ -69,8 +70,8 @@
 // sendOnce sends r over the connection that http.Transport chooses.
 func (t *Transport) sendOnce(r *http.Request, body []byte, h *History) (*http.Response, *Exchange, error) {
 	x := &Exchange{}
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { x.attach(i, t.clock.Now(), h) }}
-	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	attach := func(i httptrace.GotConnInfo) { x.attach(i, t.clock.Now(), h) }
+	out := r.WithContext(responseconn.Trace(r.Context(), attach))
 	out.GetBody, out.Body, out.ContentLength = nil, wire.EmptyBody{}, 0
 	if len(body) > 0 {
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
