responseconn: a response with a status above 599 or another version than 1.x is none

Callers saw: status 600 and 999, and responses of HTTP/0.9, 2.0 and 3.0, passed on as they came.

Cause: net/http takes any three digits for a status and any two for a version.

Evidence: TestInvalidStatusIsNoResponse failed before for 600, 999, three versions and two blanks before the status, on routes whose requests may not be repeated.

Fix: the head scanner takes a status line as RFC 9112 and RFC 9110 define it, in one pattern: version 1.x, a status from 100 to 599. The request counts as one that may have run, as RFC 9110 asks for with 5xx.

--- a/internal/responseconn/head.go
+++ b/internal/responseconn/head.go
@@ -21,9 +21,9 @@
 
 // Reasons of a HeadError.
 const (
-	reasonStatus    = "invalid status"
-	reasonFieldName = "invalid name of a field"
-	reasonLineEnd   = "lines end in different ways"
+	reasonStatusLine = "invalid status line"
+	reasonFieldName  = "invalid name of a field"
+	reasonLineEnd    = "lines end in different ways"
 )
 
 // maxQuotedLine is the maximum length of HeadError.Line, in bytes. It is enough for a status code behind its protocol.
@@ -50,7 +50,7 @@
 // A headScanner checks the heads of one response, informational ones included, while their bytes arrive. The zero headScanner
 // is at the beginning of a response.
 //
-// net/http takes any number of three characters for a status, accepts names with blanks, joins a line that begins with a blank to the one before, and takes a line feed alone for
+// net/http takes any number of three characters for a status and any digits for a version, accepts names with blanks, joins a line that begins with a blank to the one before, and takes a line feed alone for
 // the end of a line. Each of the last three can hide the field that states the length of the body.
 type headScanner struct {
 	state headState
@@ -116,23 +116,17 @@
 // endStatusLine handles the line feed of the status line. No request asks for another protocol, so that status 101 is invalid.
 func (s *headScanner) endStatusLine() (reason string) {
 	s.crlf = s.afterCR
-	code := statusCode(s.line)
-	if !statusPattern.MatchString(code) || code == "101" {
-		return reasonStatus
+	match := statusLinePattern.FindSubmatch(s.line)
+	if match == nil || string(match[1]) == "101" {
+		return reasonStatusLine
 	}
-	s.informational = code[0] == '1'
+	s.informational = match[1][0] == '1'
 	return s.endLine(atLine)
 }
 
-// statusPattern matches status codes.
-var statusPattern = regexp.MustCompile(`^[1-9][0-9]{2}$`)
-
-// statusCode returns the status code of a status line.
-func statusCode(line []byte) string {
-	_, status, _ := strings.Cut(strings.TrimRight(string(line), "\r\n"), " ")
-	code, _, _ := strings.Cut(strings.TrimLeft(status, " "), " ")
-	return code
-}
+// statusLinePattern matches the beginnings of valid status lines (RFC 9112, sections 2.3 and 4; RFC 9110, section 15). Its group
+// is the status code. Servers may leave out the blank behind it.
+var statusLinePattern = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9]{2})[ \r\n]`)
 
 // beginLine handles the first byte of a line behind the status line.
 func (s *headScanner) beginLine(b byte) (reason string) {
