gateway: the only version is assumed only with a list of servers that is up to date

Callers saw: a leader that was cut off during a release resumed their streams, which had begun through other gateways at servers of a new version, at a server of the old version (ORDER).

Cause: without a record of a stream a gateway assumes the only version that its service has had, unless none of the gateways that it asks replies. A leader that is cut off removes the others from its list after 2 s, so that it has nobody to ask, and took that for a proof. Two gateways that are cut off together took each other's old lists for one.

Fix: the assumption needs a list of servers that is up to date, here or at a gateway that replies, or replies of all that were asked. Otherwise the attempt waits for a current list, asks again, and is refused without one. It works because a stream can have begun at a version only after a list of servers had it.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -191,6 +191,16 @@
 
 // prepareTestEnvWithClock is prepareTestEnv with a given clock for the gateways.
 func prepareTestEnvWithClock(t *testing.T, c clock.Service, change func(*config.Gateway), servers ...*fakeServer) *testEnv {
+	env := newTestEnvWithoutGateway(t, c, servers...)
+	s := gatewaySettings(t, "g")
+	change(&s)
+	env.front, env.ready, env.peer = s.Listen, s.ReadyListen, s.PeerListen
+	env.gateway = env.startGateway(s, env.store)
+	return env
+}
+
+// newTestEnvWithoutGateway returns an environment with a store and servers, and without a gateway.
+func newTestEnvWithoutGateway(t *testing.T, c clock.Service, servers ...*fakeServer) *testEnv {
 	core, logs := observer.New(zap.InfoLevel)
 	env := &testEnv{t: t, clock: c, engines: noEngines{}, log: zap.New(core), logs: logs, store: kvtest.New(clocktest.Real{}), client: &http.Client{Transport: &http.Transport{}}}
 	env.routing = routingFile{
@@ -205,10 +215,6 @@
 	for _, server := range servers {
 		env.putServer(server, false)
 	}
-	s := gatewaySettings(t, "g")
-	change(&s)
-	env.front, env.ready, env.peer = s.Listen, s.ReadyListen, s.PeerListen
-	env.gateway = env.startGateway(s, env.store)
 	return env
 }
 
@@ -226,10 +232,20 @@
 
 // startGateway starts a gateway that reads the store through prefixes.
 func (env *testEnv) startGateway(s config.Gateway, prefixes kv.PrefixStore) *gateway.Gateway {
-	g := gateway.New(gateway.Options{
+	return env.startGatewayWith(env.options(s, prefixes))
+}
+
+// options returns the options of a gateway that reads the store through prefixes.
+func (env *testEnv) options(s config.Gateway, prefixes kv.PrefixStore) gateway.Options {
+	return gateway.Options{
 		Settings: s, Names: names, ReadyPath: readyPath, Store: env.store, AllKeys: prefixes, ProductKeys: prefixes, Eras: env.store,
 		Decoder: decoder{}, Engines: env, Calls: env, Clock: env.clock, Log: env.log,
-	})
+	}
+}
+
+// startGatewayWith starts a gateway, which stops at the end of the test.
+func (env *testEnv) startGatewayWith(o gateway.Options) *gateway.Gateway {
+	g := gateway.New(o)
 	assert.NilError(env.t, g.Start())
 	env.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/log_names.go
+++ b/internal/gateway/log_names.go
@@ -77,6 +77,7 @@
 	fieldVersion             = "version"
 	fieldGateways            = "gateways"
 	fieldAnswered            = "answered"
+	fieldListAge             = "list_age_s"
 	fieldCount               = "count"
 	fieldSuppressed          = "left_out"
 	fieldDigests             = "digests"
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -101,7 +101,6 @@
 	}
 	p.departures = p.newDepartures(o)
 	p.servers.registry.SetAnnouncedLeaving(p.departures.HasAnnounced)
-	p.origins = p.newStreamOrigins(ctx, o)
 	p.pauses = &pauseDetector{log: o.Log, inProgress: p.lifecycle.requests, lastCheck: o.Clock.Now()}
 	p.processor = &processorGuard{
 		monitor: monitor, clock: o.Clock, inProgress: p.lifecycle.requests, fleet: p.fleet, log: p.requestLog,
@@ -112,6 +111,7 @@
 	}
 	p.breaker = kv.NewBreaker(kv.BreakerOptions{Clock: o.Clock, Cooldown: p.probeBackoff})
 	p.leader = p.newLeaderRole(o)
+	p.origins = p.newStreamOrigins(ctx, o)
 	if s.EngineTimeSlots() > 0 {
 		// The leader replaces the replicas of a lost server in a plan of its own.
 		p.servers.onChange = p.leader.placer.Wake
--- a/internal/gateway/resume_log.go
+++ b/internal/gateway/resume_log.go
@@ -16,7 +16,8 @@
 	l.log.Info(msgStreamResumed, zap.String(fieldRequest, in.id), zap.String(fieldResumes, s.attempt),
 		headerField(in, fieldLastEvent, headerLastEvent), zap.String(fieldOrigin, string(s.origin.source)),
 		zap.String(fieldService, s.origin.Service), zap.String(fieldVersion, s.origin.Version), zap.Float64(fieldAge, s.origin.age.Seconds()),
-		zap.Strings(fieldGateways, s.origin.asked), zap.Int(fieldAnswered, s.origin.answered), suppressed)
+		zap.Strings(fieldGateways, s.origin.asked), zap.Int(fieldAnswered, s.origin.answered),
+		zap.Float64(fieldListAge, s.origin.listAge.Seconds()), suppressed)
 }
 
 // originsNotSent counts and logs records of streams that could not be sent to another gateway. The lines are
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -31,8 +31,27 @@
 	registry backend.Registry
 	// running is false after a kill. isolated is set while neither other nodes nor lists of servers reach the node.
 	running, isolated bool
+	// listedAt is the time at which the isolation began.
+	listedAt time.Time
 }
 
+// A nodeView is the serverView of a node. Lists reach it at all times unless it is isolated.
+type nodeView struct {
+	fleet *originFleet
+	node  *originNode
+}
+
+func (v nodeView) currentAt() time.Time {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	if v.node.isolated {
+		return v.node.listedAt
+	}
+	return v.fleet.clock.Now()
+}
+
+func (nodeView) maxAge() time.Duration { return time.Second }
+
 // An originFleet is a fleet of originNodes that call each other directly.
 type originFleet struct {
 	clock *clocktest.Clock
@@ -42,6 +61,8 @@
 	nodes []*originNode
 	// servers is the list of servers that the platform publishes.
 	servers []backend.Server
+	// isolatedTogether is set if isolated nodes reach each other.
+	isolatedTogether bool
 }
 
 func newOriginFleet(n int) *originFleet {
@@ -58,11 +79,6 @@
 // start starts a node with an empty memory. It learns the lists of gateways and servers at once.
 func (f *originFleet) start(node *originNode, first bool) {
 	gateways := newDirectory(node.id, len(f.nodes), nil, first)
-	var list []placer.Gateway
-	for _, other := range f.nodes {
-		list = append(list, placer.Gateway{Gateway: dispatch.Gateway{ID: other.id, Hall: other.hall}, Addr: other.id})
-	}
-	gateways.set(list)
 	versions := backend.NewVersionHistory(resumption.Retention)
 	if first {
 		versions.SetComplete()
@@ -71,10 +87,11 @@
 	peers := originLink{fleet: f, from: node}
 	origins := &streamOrigins{
 		self: node.id, table: resumption.New(f.clock), versions: versions, gateways: gateways, peers: peers,
-		sender: newOriginSender(context.Background(), peers, log), clock: f.clock,
+		sender: newOriginSender(context.Background(), peers, log), clock: f.clock, servers: nodeView{f, node},
 	}
 	node.registry = backend.Registry{}
 	f.change(func() { node.origins, node.running = origins, true })
+	node.list(f.nodes...)
 	f.publishTo(node)
 }
 
@@ -89,10 +106,44 @@
 
 // isolate starts or ends the isolation of a node.
 func (f *originFleet) isolate(node *originNode, isolated bool) {
-	f.change(func() { node.isolated = isolated })
+	f.change(func() { node.isolated, node.listedAt = isolated, f.clock.Now() })
 	f.publishTo(node)
 }
 
+// isolateTogether isolates nodes that go on reaching each other.
+func (f *originFleet) isolateTogether(nodes ...*originNode) {
+	f.change(func() { f.isolatedTogether = true })
+	for _, node := range nodes {
+		f.isolate(node, true)
+	}
+}
+
+// list sets the list of gateways of a node.
+func (node *originNode) list(nodes ...*originNode) {
+	var list []placer.Gateway
+	for _, other := range nodes {
+		list = append(list, placer.Gateway{Gateway: dispatch.Gateway{ID: other.id, Hall: other.hall}, Addr: other.id})
+	}
+	node.origins.gateways.set(list)
+}
+
+// removeOthers removes all other nodes from the list of a node, as a leader does that gets no reports.
+func (node *originNode) removeOthers() { node.list(node) }
+
+// find looks for the origin of a stream at a node. The time goes on until the node has found it.
+func (f *originFleet) find(node *originNode, k resumption.Key) originLookup {
+	found := make(chan originLookup, 1)
+	go func() { found <- node.origins.find(context.Background(), k, originService) }()
+	for {
+		select {
+		case l := <-found:
+			return l
+		case <-time.After(time.Millisecond):
+			f.clock.Advance(currentListPoll)
+		}
+	}
+}
+
 // publish sends a new list of servers to all nodes that can be reached.
 func (f *originFleet) publish(servers []backend.Server) {
 	f.servers = servers
@@ -122,7 +173,8 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	for _, node := range l.fleet.nodes {
-		if node.id == id && node.running && !node.isolated && !l.from.isolated {
+		together := node.isolated && l.from.isolated && l.fleet.isolatedTogether
+		if node.id == id && node.running && (together || !node.isolated && !l.from.isolated) {
 			return node.origins, nil
 		}
 	}
@@ -192,7 +244,7 @@
 		for step := range rapid.IntRange(5, 60).Draw(t, "steps") {
 			f.clock.Advance(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
 			node := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
 				if list := node.registry.Snapshot().Service(originService); node.running && len(list) > 0 {
 					version := list[rapid.IntRange(0, len(list)-1).Draw(t, "server")].Version
@@ -208,6 +260,11 @@
 				}
 			case 4:
 				f.isolate(node, !node.isolated)
+				node.list(f.nodes...)
+			case 6:
+				if node.isolated && f.clock.Now().Sub(node.listedAt) > 2*time.Second {
+					node.removeOthers()
+				}
 			case 5:
 				if !node.running || len(streams) == 0 {
 					continue
@@ -217,7 +274,7 @@
 					continue
 				}
 				isHeld := f.isHeldFor(node, s.key)
-				got := node.origins.find(context.Background(), s.key, originService)
+				got := f.find(node, s.key)
 				if got.source != originUnknown && got.Version != s.version {
 					t.Fatalf("stream of version %s is taken for one of %s: %+v", s.version, got.Version, got)
 				}
@@ -307,6 +364,34 @@
 			f.publish(originServers("v2"))
 			f.change(func() { f.nodes[0].isolated = false })
 		}, want: originUnknown},
+		"cut off, the others are no longer listed": {change: func(f *originFleet) {
+			f.isolate(f.nodes[0], true)
+			f.publish(originServers("v1", "v2"))
+			f.clock.Advance(2 * time.Second)
+			f.nodes[0].removeOthers()
+		}, want: originUnknown},
+		"cut off, the others are no longer listed, back again": {change: func(f *originFleet) {
+			f.isolate(f.nodes[0], true)
+			f.publish(originServers("v1", "v2"))
+			f.clock.Advance(2 * time.Second)
+			f.nodes[0].removeOthers()
+			f.isolate(f.nodes[0], false)
+			f.nodes[0].list(f.nodes...)
+		}, want: originUnknown},
+		"cut off with another gateway": {change: func(f *originFleet) {
+			f.isolateTogether(f.nodes[:2]...)
+			f.publish(originServers("v1", "v2"))
+			f.clock.Advance(2 * time.Second)
+		}, want: originUnknown},
+		"all lists are old": {change: func(f *originFleet) {
+			f.isolateTogether(f.nodes...)
+			f.clock.Advance(2 * time.Second)
+		}, want: originOnlyVersion},
+		"the others have ended": {change: func(f *originFleet) {
+			f.kill(f.nodes[1])
+			f.kill(f.nodes[2])
+			f.nodes[0].removeOthers()
+		}, want: originOnlyVersion},
 		"release was long ago":   {change: func(f *originFleet) { f.publish(originServers("v2")); f.age(); f.age() }, want: originOnlyVersion},
 		"all restarted long ago": {change: func(f *originFleet) { f.restartAll(); f.age() }, want: originOnlyVersion},
 		"another service differs": {change: func(f *originFleet) {
@@ -319,7 +404,7 @@
 			f.publish(originServers("v1"))
 			f.age()
 			test.change(f)
-			got := f.nodes[0].origins.find(context.Background(), resumption.KeyOf("", "unknown"), originService)
+			got := f.find(f.nodes[0], resumption.KeyOf("", "unknown"))
 			assert.Equal(t, got.source, test.want)
 		})
 	}
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -39,19 +39,24 @@
 	t.Helper()
 	servers := make([]versionedServer, len(versions))
 	for n, version := range versions {
-		servers[n] = versionedServer{version: version, fakeServer: newFakeServer(t, fmt.Sprint("s", n), func(c *call) bool {
-			if c.Header.Get("Last-Event-Id") != "" {
-				return stream(lastTestEvent)(c)
-			}
-			c.write(c.streamHead(), event(1))
-			return i(c)
-		})}
+		servers[n] = versionedServer{version: version, fakeServer: newFakeServer(t, fmt.Sprint("s", n), interrupted(i))}
 		env.putVersion(servers[n])
 	}
 	env.awaitServers(len(versions))
 	return servers
 }
 
+// interrupted returns a responder that ends each stream with i after its first event, and completes those that are resumed.
+func interrupted(i interrupt) responder {
+	return func(c *call) bool {
+		if c.Header.Get("Last-Event-Id") != "" {
+			return stream(lastTestEvent)(c)
+		}
+		c.write(c.streamHead(), event(1))
+		return i(c)
+	}
+}
+
 func (env *testEnv) putVersion(s versionedServer) {
 	env.putRecord(backend.Server{ID: s.id, Service: "app", Version: s.version, Addr: s.addr, Hall: "h", Slots: 4})
 }
@@ -103,18 +108,29 @@
 // beginStream begins a stream at the gateway at front, reads its first event and disconnects.
 func (env *testEnv) beginStream(front, id string) {
 	env.t.Helper()
+	assert.NilError(env.t, env.tryToBeginStream(front, id))
+}
+
+// tryToBeginStream is beginStream, but returns an error if the stream does not begin.
+func (env *testEnv) tryToBeginStream(front, id string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+pathResume, nil)
-	assert.NilError(env.t, err)
+	if err != nil {
+		return err
+	}
 	req.Host = host
 	req.Header.Set(names.RequestID, id)
 	resp, err := env.client.Do(req)
-	assert.NilError(env.t, err)
+	if err != nil {
+		return err
+	}
 	defer resp.Body.Close()
 	line, err := bufio.NewReader(resp.Body).ReadString('\n')
-	assert.NilError(env.t, err)
-	assert.Equal(env.t, line, "id: 1\n")
+	if err == nil && line != "id: 1\n" {
+		err = fmt.Errorf("status %d, first line %q", resp.StatusCode, line)
+	}
+	return err
 }
 
 // resumeStream resumes a stream after its first event at the gateway at front.
--- a/kv/fanout.go
+++ b/kv/fanout.go
@@ -155,6 +155,17 @@
 	return times
 }
 
+// CurrentAt returns the latest time at which the view of a prefix is known to have been current; the zero time if this process
+// has none.
+func (f *Fanout) CurrentAt(prefix string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.logs[prefix]; l != nil {
+		return l.currentAt
+	}
+	return time.Time{}
+}
+
 // HasUpdates reports whether another process, with the given revisions, should be sent an update: a
 // prefix has changed, its keys differ, or its view is newer by at least the given duration than in before. Each
 // prefix is checked by itself, since the watcher may know one of them to be current at all times.
