--- a/internal/agent/early_answer_test.go
+++ b/internal/agent/early_answer_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,30 +12,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// startEarlyBackend starts a backend server that responds to each request before it reads the body: with a part of a body that
-// has neither a length nor chunks. It then calls end and resets the connection.
-func startEarlyBackend(t *testing.T, end func(c *net.TCPConn)) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first part")
-				end(c.(*net.TCPConn))
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	return l
+// respondEarly returns a function that responds to a request before it reads the body: with a part of a body that has neither a
+// length nor chunks. It then calls end and resets the connection.
+func respondEarly(end func(c *net.TCPConn)) func(c *net.TCPConn, r *http.Request) {
+	return func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first part")
+		end(c)
+		_ = c.SetLinger(0)
+	}
 }
 
 // TestResponseResetDuringUpload checks that a response which ends with its connection is not complete if the connection is
@@ -55,7 +38,7 @@
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
-			f := newBackendFixture(t, startEarlyBackend(t, end).Addr().String())
+			f := newBackendFixture(t, startBackend(t, respondEarly(end)).Addr().String())
 			f.settings.Limits.BodyBytes = uploadSize
 			upload := strings.Repeat("u", uploadSize)
 			complete := 0
--- a/internal/agent/malformed_head_test.go
+++ b/internal/agent/malformed_head_test.go
@@ -12,8 +12,9 @@
 	"rockcleat/internal/wire"
 )
 
-// startBackend starts a backend server that sends a text in place of each response and then closes the connection.
-func startBackend(t *testing.T, text string) net.Listener {
+// startBackend starts a backend server that passes the first request on each connection to respond, without its body, and then
+// closes the connection.
+func startBackend(t *testing.T, respond func(c *net.TCPConn, r *http.Request)) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -25,18 +26,23 @@
 			}
 			go func() {
 				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					respond(c.(*net.TCPConn), r)
 				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, text)
 			}()
 		}
 	}()
 	return l
 }
 
+// respondWith returns a function that reads a request and sends a text in place of a response.
+func respondWith(text string) func(c *net.TCPConn, r *http.Request) {
+	return func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, text)
+	}
+}
+
 // TestMalformedHeadOfBackend checks that a response in whose head the name of a field is malformed is not passed on.
 func TestMalformedHeadOfBackend(t *testing.T) {
 	for name, line := range map[string]string{
@@ -45,7 +51,7 @@
 		"NUL in the name": "Content\x00Length: 4\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newBackendFixture(t, startBackend(t, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"+line+"\r\nbody").Addr().String())
+			f := newBackendFixture(t, startBackend(t, respondWith("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"+line+"\r\nbody")).Addr().String())
 			got := f.do(http.MethodPost, "s", "prompt")
 			assert.Equal(t, got.StatusCode, http.StatusBadGateway)
 			assert.Equal(t, got.Header.Get(wire.HeaderOutcome), string(wire.OutcomeUnknown))
--- a/internal/agent/status_test.go
+++ b/internal/agent/status_test.go
@@ -15,7 +15,7 @@
 func TestInvalidStatusOfBackend(t *testing.T) {
 	for _, status := range []string{"000", "007", "099", "101", "+20", "-00", "20", "0200"} {
 		t.Run(status, func(t *testing.T) {
-			f := newBackendFixture(t, startBackend(t, "HTTP/1.1 "+status+" Status\r\nContent-Length: 4\r\n\r\nbody").Addr().String())
+			f := newBackendFixture(t, startBackend(t, respondWith("HTTP/1.1 "+status+" Status\r\nContent-Length: 4\r\n\r\nbody")).Addr().String())
 			s := httptest.NewServer(f.requestRouter())
 			defer s.Close()
 			r, err := http.NewRequest(http.MethodPost, s.URL+"/s/x", strings.NewReader("prompt"))
--- a/internal/responseconn/head.go
+++ b/internal/responseconn/head.go
@@ -50,8 +50,9 @@
 // A headScanner checks the heads of one response, informational ones included, while their bytes arrive. The zero headScanner
 // is at the beginning of a response.
 //
-// net/http takes any number of three characters for a status and any digits for a version, accepts names with blanks, joins a line that begins with a blank to the one before, and takes a line feed alone for
-// the end of a line. Each of the last three can hide the field that states the length of the body.
+// net/http takes any three characters that form a number for a status and any digits for a version. It accepts names with blanks,
+// joins a line that begins with a blank to the one before, and takes a line feed alone for the end of a line. Each of the last
+// three can hide the field that states the length of the body.
 type headScanner struct {
 	state headState
 	// line holds the start of the current line.
--- a/internal/responseconn/transport.go
+++ b/internal/responseconn/transport.go
@@ -7,8 +7,8 @@
 	"sync"
 )
 
-// A Transport is an http.RoundTripper over connections that a DialFunc of Dial opens. It checks the heads of all responses on a
-// connection. It is safe for concurrent use.
+// A Transport is an http.RoundTripper over connections that a DialFunc of Dial opens. Without it, a Conn checks the head of the
+// first response alone, and does not know when a request has been written. It is safe for concurrent use.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that sends requests with base.
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// CheckResponses returns a RoundTripper over t, which is one of this package, that checks all responses on a connection, not only
-// the head of the first.
+// CheckResponses returns a RoundTripper over t, which is one of this package. It checks all responses on a connection, as
+// responseconn.Transport does.
 func CheckResponses(t *http.Transport) http.RoundTripper { return responseconn.NewTransport(t) }
 
 // NoRedirects is the CheckRedirect of clients that follow no redirects. A call is meant for one server: after a redirect it may
